Lay out the workspace with core, protocol, network, runtime, membership and a first policy

The inner protocol encodes messages with msgpack; MemberTable is a pure SWIM-style state machine whose order independence is checked by a property. Braced temporaries inside co_await expressions are destroyed twice by g++ 12, so values are named before they are awaited.

--- /dev/null
+++ b/packages/membership/table/membertable.cpp
@@ -0,0 +1,217 @@
+#include "membership/table/membertable.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace sassafrasyard {
+
+namespace {
+
+bool isNewer(const MemberRecord &update, const MemberRecord &known)
+{
+    if (update.version != known.version)
+        return update.version > known.version;
+    return update.state > known.state;
+}
+
+} // namespace
+
+MemberTable::MemberTable(MemberRecord self, MemberTableOptions options)
+    : ownRecord(std::move(self))
+    , options(options)
+    , random(options.seed)
+{
+}
+
+const MemberRecord &MemberTable::self() const
+{
+    return this->ownRecord;
+}
+
+std::vector<MemberRecord> MemberTable::members() const
+{
+    std::vector<MemberRecord> all{this->ownRecord};
+    for (const auto &[incarnation, entry] : this->entries)
+        all.push_back(entry.record);
+    return all;
+}
+
+std::optional<MemberRecord> MemberTable::find(const HostIncarnation &incarnation) const
+{
+    if (incarnation == this->ownRecord.incarnation)
+        return this->ownRecord;
+    const auto known = this->entries.find(incarnation);
+    if (known == this->entries.end())
+        return std::nullopt;
+    return known->second.record;
+}
+
+std::size_t MemberTable::liveCount() const
+{
+    const auto live = std::count_if(this->entries.begin(), this->entries.end(), [](const auto &pair) {
+        return pair.second.record.state <= MemberState::Suspect;
+    });
+    return static_cast<std::size_t>(live) + 1;
+}
+
+void MemberTable::leave()
+{
+    this->ownRecord.state = MemberState::Leaving;
+    this->ownTimesSent = 0;
+}
+
+void MemberTable::applyUpdates(std::span<const MemberRecord> updates, Milliseconds now)
+{
+    for (const MemberRecord &update : updates)
+        this->apply(update, now);
+}
+
+std::optional<MemberRecord> MemberTable::nextProbe()
+{
+    const bool wantsDead = ++this->probeCount % this->options.deadProbeInterval == 0;
+    if (this->probeOrder.empty())
+        this->refillProbeOrder();
+    if (wantsDead) {
+        std::vector<const Entry *> dead;
+        for (const auto &[incarnation, entry] : this->entries) {
+            if (entry.record.state == MemberState::Dead)
+                dead.push_back(&entry);
+        }
+        if (!dead.empty())
+            return dead[this->random.below(dead.size())]->record;
+    }
+    while (!this->probeOrder.empty()) {
+        const HostIncarnation incarnation = this->probeOrder.back();
+        this->probeOrder.pop_back();
+        const auto known = this->entries.find(incarnation);
+        if (known != this->entries.end() && known->second.record.state != MemberState::Dead)
+            return known->second.record;
+    }
+    return std::nullopt;
+}
+
+std::vector<MemberRecord> MemberTable::indirectProbers(const HostIncarnation &target,
+                                                       std::size_t count)
+{
+    std::vector<MemberRecord> candidates;
+    for (const auto &[incarnation, entry] : this->entries) {
+        if (incarnation != target && entry.record.state == MemberState::Alive)
+            candidates.push_back(entry.record);
+    }
+    for (std::size_t index = candidates.size(); index > 1; --index)
+        std::swap(candidates[index - 1], candidates[this->random.below(index)]);
+    candidates.resize(std::min(count, candidates.size()));
+    return candidates;
+}
+
+void MemberTable::recordProbeFailure(const HostIncarnation &incarnation, Milliseconds now)
+{
+    const auto known = this->entries.find(incarnation);
+    if (known == this->entries.end())
+        return;
+    MemberRecord update = known->second.record;
+    // A leaving member that no longer answers has stopped; there is nobody left to refute.
+    update.state = update.state == MemberState::Leaving ? MemberState::Dead : MemberState::Suspect;
+    this->apply(update, now);
+}
+
+void MemberTable::advance(Milliseconds now)
+{
+    for (auto &[incarnation, entry] : this->entries) {
+        if (entry.record.state == MemberState::Suspect
+            && now - entry.changedAt >= this->options.suspicionTimeout) {
+            entry.record.state = MemberState::Dead;
+            entry.changedAt = now;
+            entry.timesSent = 0;
+        }
+    }
+    std::erase_if(this->entries, [&](const auto &pair) {
+        return pair.second.record.state == MemberState::Dead
+                && now - pair.second.changedAt >= this->options.deadRetention;
+    });
+}
+
+std::vector<MemberRecord> MemberTable::takeUpdates(std::size_t limit)
+{
+    std::vector<std::pair<std::uint32_t *, const MemberRecord *>> pending;
+    const std::uint32_t retransmissions = this->retransmissionLimit();
+    if (this->ownTimesSent < retransmissions)
+        pending.emplace_back(&this->ownTimesSent, &this->ownRecord);
+    for (auto &[incarnation, entry] : this->entries) {
+        if (entry.timesSent < retransmissions)
+            pending.emplace_back(&entry.timesSent, &entry.record);
+    }
+    std::stable_sort(pending.begin(), pending.end(), [](const auto &left, const auto &right) {
+        return *left.first < *right.first;
+    });
+    pending.resize(std::min(limit, pending.size()));
+    std::vector<MemberRecord> updates;
+    for (const auto &[timesSent, record] : pending) {
+        ++*timesSent;
+        updates.push_back(*record);
+    }
+    return updates;
+}
+
+void MemberTable::apply(const MemberRecord &update, Milliseconds now)
+{
+    if (update.incarnation == this->ownRecord.incarnation) {
+        this->applyToSelf(update);
+        return;
+    }
+    if (update.peerAddress == this->ownRecord.peerAddress && update.state == MemberState::Alive)
+        return; // an earlier run of this host's daemon
+    const auto known = this->entries.find(update.incarnation);
+    if (known == this->entries.end()) {
+        this->entries.emplace(update.incarnation, Entry{update, now, 0});
+        this->replaceEarlierRuns(update, now);
+        return;
+    }
+    if (!isNewer(update, known->second.record))
+        return;
+    known->second = Entry{update, now, 0};
+}
+
+void MemberTable::applyToSelf(const MemberRecord &update)
+{
+    const bool isWrong = update.state == MemberState::Dead || update.state == MemberState::Suspect
+            || (update.state == MemberState::Leaving
+                && this->ownRecord.state != MemberState::Leaving);
+    if (!isWrong || update.version < this->ownRecord.version)
+        return;
+    this->ownRecord.version = update.version + 1;
+    this->ownTimesSent = 0;
+}
+
+void MemberTable::replaceEarlierRuns(const MemberRecord &update, Milliseconds now)
+{
+    if (update.state == MemberState::Dead)
+        return;
+    for (auto &[incarnation, entry] : this->entries) {
+        if (incarnation == update.incarnation || entry.record.peerAddress != update.peerAddress
+            || entry.record.state == MemberState::Dead) {
+            continue;
+        }
+        entry.record.state = MemberState::Dead;
+        entry.changedAt = now;
+        entry.timesSent = 0;
+    }
+}
+
+void MemberTable::refillProbeOrder()
+{
+    for (const auto &[incarnation, entry] : this->entries) {
+        if (entry.record.state != MemberState::Dead)
+            this->probeOrder.push_back(incarnation);
+    }
+    for (std::size_t index = this->probeOrder.size(); index > 1; --index)
+        std::swap(this->probeOrder[index - 1], this->probeOrder[this->random.below(index)]);
+}
+
+std::uint32_t MemberTable::retransmissionLimit() const
+{
+    const auto members = static_cast<std::uint32_t>(this->entries.size() + 1);
+    return this->options.retransmissionFactor * static_cast<std::uint32_t>(std::bit_width(members));
+}
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/membership/tests/test_membertable.cpp
@@ -0,0 +1,96 @@
+#include "membership/membership.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+using namespace sassafrasyard;
+
+namespace {
+
+MemberRecord member(int number, MemberState state = MemberState::Alive, std::uint32_t version = 0)
+{
+    MemberRecord record;
+    record.host = HostName("host" + std::to_string(number));
+    record.incarnation = HostIncarnation("run" + std::to_string(number));
+    record.peerAddress = "127.0.0.1:" + std::to_string(9000 + number);
+    record.state = state;
+    record.version = version;
+    return record;
+}
+
+} // namespace
+
+// Guards against a paused host that stays declared dead after it wakes.
+TEST_CASE("A member refutes wrong news about itself with a higher version", "[membership]")
+{
+    MemberTable table(member(1), {});
+    table.applyUpdates(std::vector{member(1, MemberState::Dead, 4)}, Milliseconds(0));
+    REQUIRE(table.self().version == 5);
+    REQUIRE(table.self().state == MemberState::Alive);
+    MemberTable other(member(2), {});
+    other.applyUpdates(std::vector{member(1, MemberState::Dead, 4)}, Milliseconds(0));
+    other.applyUpdates(std::vector{table.self()}, Milliseconds(1));
+    REQUIRE(other.find(HostIncarnation("run1"))->state == MemberState::Alive);
+}
+
+// Guards against a suspect that is never declared dead, and against one declared dead too early.
+TEST_CASE("A suspect is dead after the suspicion timeout", "[membership]")
+{
+    MemberTable table(member(1), {});
+    table.applyUpdates(std::vector{member(2)}, Milliseconds(0));
+    table.recordProbeFailure(HostIncarnation("run2"), Milliseconds(100));
+    table.advance(Milliseconds(3099));
+    REQUIRE(table.find(HostIncarnation("run2"))->state == MemberState::Suspect);
+    table.advance(Milliseconds(3100));
+    REQUIRE(table.find(HostIncarnation("run2"))->state == MemberState::Dead);
+}
+
+// Guards against two live entries for one host after a restart at the same address.
+TEST_CASE("A new run at the same address replaces the earlier run", "[membership]")
+{
+    MemberTable table(member(1), {});
+    table.applyUpdates(std::vector{member(2)}, Milliseconds(0));
+    MemberRecord restarted = member(3);
+    restarted.peerAddress = member(2).peerAddress;
+    table.applyUpdates(std::vector{restarted}, Milliseconds(1));
+    REQUIRE(table.find(HostIncarnation("run2"))->state == MemberState::Dead);
+    REQUIRE(table.liveCount() == 2);
+}
+
+// Guards against tables that disagree for ever because updates arrive in different orders.
+TEST_CASE("Tables converge whatever the order of updates", "[membership]")
+{
+    rc::prop("equal sets of updates give equal tables", [] {
+        std::vector<MemberRecord> updates;
+        const int count = *rc::gen::inRange(1, 30);
+        for (int index = 0; index < count; ++index) {
+            updates.push_back(member(*rc::gen::inRange(1, 6),
+                                     static_cast<MemberState>(*rc::gen::inRange(0, 4)),
+                                     *rc::gen::inRange<std::uint32_t>(0, 4)));
+        }
+        MemberTable first(member(100), {});
+        MemberTable second(member(100), {});
+        first.applyUpdates(updates, Milliseconds(0));
+        RandomSource random(*rc::gen::arbitrary<std::uint64_t>());
+        for (std::size_t index = updates.size(); index > 1; --index)
+            std::swap(updates[index - 1], updates[random.below(index)]);
+        second.applyUpdates(updates, Milliseconds(0));
+        RC_ASSERT(first.members() == second.members());
+    });
+}
+
+// Guards against updates that are sent for ever or never reach the limit of a message.
+TEST_CASE("Updates are sent a bounded number of times", "[membership]")
+{
+    MemberTable table(member(1), {});
+    for (int number = 2; number < 20; ++number)
+        table.applyUpdates(std::vector{member(number)}, Milliseconds(0));
+    std::size_t sent = 0;
+    for (int round = 0; round < 1000; ++round) {
+        const auto updates = table.takeUpdates(6);
+        REQUIRE(updates.size() <= 6);
+        sent += updates.size();
+    }
+    REQUIRE(sent == 19 * 3 * 5);
+}
--- /dev/null
+++ b/packages/network/http/httpmessage.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace sassafrasyard {
+
+/** Header fields of an HTTP message, in order. */
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+/** Returns the first value of a header field; names compare without case. */
+std::optional<std::string> findHeader(const HttpHeaders &headers, std::string_view name);
+
+/** An HTTP request. */
+struct HttpRequest
+{
+    /** The method, such as "POST". */
+    std::string method = "GET";
+    /** The path with the query. */
+    std::string target = "/";
+    /** The header fields besides Host and Content-Length. */
+    HttpHeaders headers;
+    /** The body. */
+    std::string body;
+
+    /** Returns the path without the query. */
+    std::string_view path() const;
+
+    /** Returns a query parameter, percent-decoded, or nothing. */
+    std::optional<std::string> query(std::string_view name) const;
+};
+
+/** An HTTP response. */
+struct HttpResponse
+{
+    /** The status code. */
+    int status = 200;
+    /** The header fields besides Content-Length. */
+    HttpHeaders headers;
+    /** The body. */
+    std::string body;
+};
+
+/** Decodes percent escapes; malformed escapes stay as they are. */
+std::string percentDecode(std::string_view text);
+
+/** Encodes every byte that is not unreserved in a URI. */
+std::string percentEncode(std::string_view text);
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/network/http/httpserver.cpp
@@ -0,0 +1,291 @@
+#include "network/http/httpserver.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <atomic>
+#include <cassert>
+
+namespace sassafrasyard {
+
+namespace net = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = net::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+auto redirect(error_code &code)
+{
+    return net::redirect_error(net::use_awaitable, code);
+}
+
+HttpRequest toRequest(const http::request<http::string_body> &parsed)
+{
+    HttpRequest request;
+    request.method = std::string(parsed.method_string());
+    request.target = std::string(parsed.target());
+    for (const auto &field : parsed)
+        request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    request.body = parsed.body();
+    return request;
+}
+
+void setHeaders(http::fields &fields, const HttpHeaders &headers)
+{
+    for (const auto &[name, value] : headers)
+        fields.set(name, value);
+}
+
+Error readError(error_code code)
+{
+    if (code == http::error::body_limit || code == http::error::header_limit
+        || code == http::error::buffer_overflow) {
+        return {ErrorCode::RequestTooLarge, RunState::NotRun, "the request is too large", {}};
+    }
+    return {ErrorCode::InvalidRequest, RunState::NotRun, "malformed HTTP: " + code.message(), {}};
+}
+
+bool isHttpError(error_code code)
+{
+    return code.category() == http::make_error_code(http::error::bad_method).category()
+            && code != http::error::end_of_stream && code != http::error::partial_message;
+}
+
+} // namespace
+
+struct HttpResponder::Connection
+{
+    Connection(tcp::socket socket, const HttpServerOptions &options)
+        : stream(std::move(socket))
+        , options(options)
+    {
+    }
+
+    beast::tcp_stream stream;
+    const HttpServerOptions &options;
+    beast::flat_buffer buffer;
+    bool hasStarted = false;
+    bool keepAlive = false;
+    std::string chunk;
+};
+
+HttpResponder::HttpResponder(Connection &connection)
+    : connection(&connection)
+{
+}
+
+net::awaitable<bool> HttpResponder::send(HttpResponse response)
+{
+    assert(!this->connection->hasStarted);
+    this->connection->hasStarted = true;
+    http::response<http::string_body> message;
+    message.version(11);
+    message.result(static_cast<unsigned>(response.status));
+    setHeaders(message, response.headers);
+    message.body() = std::move(response.body);
+    message.keep_alive(this->connection->keepAlive);
+    message.prepare_payload();
+    this->connection->stream.expires_after(this->connection->options.writeTimeout);
+    error_code code;
+    co_await http::async_write(this->connection->stream, message, redirect(code));
+    if (code)
+        this->connection->keepAlive = false;
+    co_return !code;
+}
+
+net::awaitable<bool> HttpResponder::startStream(int status, HttpHeaders headers)
+{
+    assert(!this->connection->hasStarted);
+    this->connection->hasStarted = true;
+    http::response<http::empty_body> message;
+    message.version(11);
+    message.result(static_cast<unsigned>(status));
+    setHeaders(message, headers);
+    message.keep_alive(this->connection->keepAlive);
+    message.chunked(true);
+    http::response_serializer<http::empty_body> serializer(message);
+    this->connection->stream.expires_after(this->connection->options.writeTimeout);
+    error_code code;
+    co_await http::async_write_header(this->connection->stream, serializer, redirect(code));
+    if (code)
+        this->connection->keepAlive = false;
+    co_return !code;
+}
+
+net::awaitable<bool> HttpResponder::write(std::string_view bytes)
+{
+    if (bytes.empty())
+        co_return true;
+    std::string &chunk = this->connection->chunk;
+    char size[24];
+    const int length = std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+    chunk.assign(size, static_cast<std::size_t>(length));
+    chunk.append(bytes).append("\r\n");
+    this->connection->stream.expires_after(this->connection->options.writeTimeout);
+    error_code code;
+    co_await net::async_write(this->connection->stream, net::buffer(chunk), redirect(code));
+    if (code)
+        this->connection->keepAlive = false;
+    co_return !code;
+}
+
+net::awaitable<bool> HttpResponder::finish()
+{
+    this->connection->stream.expires_after(this->connection->options.writeTimeout);
+    error_code code;
+    co_await net::async_write(this->connection->stream, http::make_chunk_last(), redirect(code));
+    if (code)
+        this->connection->keepAlive = false;
+    co_return !code;
+}
+
+bool HttpResponder::hasStarted() const
+{
+    return this->connection->hasStarted;
+}
+
+bool HttpResponder::isCallerGone() const
+{
+    char byte = 0;
+    const int handle = this->connection->stream.socket().native_handle();
+    const auto received = ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (received == 0)
+        return true;
+    return received < 0 && errno != EAGAIN && errno != EWOULDBLOCK;
+}
+
+struct HttpServer::Implementation : std::enable_shared_from_this<HttpServer::Implementation>
+{
+    Implementation(net::io_context &context, HttpServerOptions options, Handler handler,
+                   ErrorFormatter formatError)
+        : context(context)
+        , options(options)
+        , handler(std::move(handler))
+        , formatError(std::move(formatError))
+        , acceptor(net::make_strand(context))
+    {
+    }
+
+    net::awaitable<void> accept();
+    net::awaitable<void> serve(tcp::socket socket);
+    net::awaitable<bool> serveOne(HttpResponder::Connection &connection);
+
+    net::io_context &context;
+    HttpServerOptions options;
+    Handler handler;
+    ErrorFormatter formatError;
+    tcp::acceptor acceptor;
+    std::atomic<std::size_t> open = 0;
+};
+
+net::awaitable<void> HttpServer::Implementation::accept()
+{
+    auto self = this->shared_from_this();
+    while (this->acceptor.is_open()) {
+        error_code code;
+        auto strand = net::make_strand(this->context);
+        tcp::socket socket = co_await this->acceptor.async_accept(strand, redirect(code));
+        if (code == net::error::operation_aborted)
+            co_return;
+        if (code || this->open >= this->options.maximumConnections)
+            continue;
+        ++this->open;
+        net::co_spawn(
+                strand,
+                [self, moved = std::move(socket)]() mutable { return self->serve(std::move(moved)); },
+                net::detached);
+    }
+}
+
+net::awaitable<void> HttpServer::Implementation::serve(tcp::socket socket)
+{
+    auto self = this->shared_from_this();
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    auto connection =
+            std::make_unique<HttpResponder::Connection>(std::move(socket), this->options);
+    while (co_await this->serveOne(*connection)) { }
+    connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    --this->open;
+}
+
+net::awaitable<bool> HttpServer::Implementation::serveOne(HttpResponder::Connection &connection)
+{
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(this->options.maximumBodyBytes);
+    parser.header_limit(static_cast<std::uint32_t>(this->options.maximumHeaderBytes));
+    connection.stream.expires_after(this->options.idleTimeout);
+    error_code code;
+    co_await http::async_read(connection.stream, connection.buffer, parser, redirect(code));
+    connection.hasStarted = false;
+    connection.keepAlive = !code && parser.get().keep_alive();
+    HttpResponder responder(connection);
+    if (code) {
+        if (isHttpError(code))
+            co_await responder.send(this->formatError(readError(code)));
+        co_return false;
+    }
+    connection.stream.expires_never();
+    co_await this->handler(toRequest(parser.get()), responder);
+    assert(connection.hasStarted);
+    co_return connection.keepAlive;
+}
+
+HttpServer::HttpServer(net::io_context &context, HttpServerOptions options, Handler handler,
+                       ErrorFormatter formatError)
+    : implementation(std::make_shared<Implementation>(context, options, std::move(handler),
+                                                      std::move(formatError)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    this->stopAccepting();
+}
+
+std::optional<Endpoint> HttpServer::listen(const Endpoint &endpoint, Error &reason)
+{
+    tcp::acceptor &acceptor = this->implementation->acceptor;
+    error_code code;
+    const tcp::endpoint address(net::ip::make_address(endpoint.address, code), endpoint.port);
+    if (!code)
+        acceptor.open(address.protocol(), code);
+    if (!code)
+        acceptor.set_option(net::socket_base::reuse_address(true), code);
+    if (!code)
+        acceptor.bind(address, code);
+    if (!code)
+        acceptor.listen(net::socket_base::max_listen_connections, code);
+    if (code) {
+        reason = {ErrorCode::ConnectionFailed, RunState::NotRun,
+                  "cannot listen on " + endpoint.toString() + ": " + code.message(), {}};
+        return std::nullopt;
+    }
+    net::co_spawn(
+            acceptor.get_executor(), [self = this->implementation] { return self->accept(); },
+            net::detached);
+    return Endpoint{endpoint.address, acceptor.local_endpoint().port()};
+}
+
+void HttpServer::stopAccepting()
+{
+    net::post(this->implementation->acceptor.get_executor(), [self = this->implementation] {
+        error_code ignored;
+        self->acceptor.close(ignored);
+    });
+}
+
+std::size_t HttpServer::openConnections() const
+{
+    return this->implementation->open;
+}
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/network/tests/test_http.cpp
@@ -0,0 +1,126 @@
+#include "network/network.h"
+
+#include <catch2/catch.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+using namespace sassafrasyard;
+namespace net = boost::asio;
+
+namespace {
+
+HttpResponse plainError(const Error &error)
+{
+    return {httpStatus(error.code), {}, std::string(toString(error.code))};
+}
+
+} // namespace
+
+TEST_CASE("A streamed response arrives piece by piece and ends regularly", "[network]")
+{
+    net::io_context context;
+    HttpServer server(
+            context, {},
+            [](const HttpRequest &request, HttpResponder &responder) -> net::awaitable<void> {
+                HttpHeaders headers{{"Content-Type", "text/event-stream"}};
+                co_await responder.startStream(200, std::move(headers));
+                const ServerEvent first{"", "1", request.body};
+                const ServerEvent last{"end", "2", "last"};
+                co_await responder.write(formatServerEvent(first));
+                co_await responder.write(formatServerEvent(last));
+                co_await responder.finish();
+            },
+            plainError);
+    Error reason;
+    const auto endpoint = server.listen({"127.0.0.1", 0}, reason);
+    REQUIRE(endpoint);
+    std::vector<ServerEvent> events;
+    bool isComplete = false;
+    net::co_spawn(
+            context,
+            [&]() -> net::awaitable<void> {
+                HttpStream stream;
+                Error failure;
+                const HttpRequest request{"POST", "/", {}, "hello"};
+                const HttpTimeouts timeouts;
+                const auto header = co_await stream.open(*endpoint, request, timeouts, failure);
+                ServerEventParser parser;
+                while (header) {
+                    const auto bytes = co_await stream.read(Milliseconds(1000), failure);
+                    isComplete = bytes && bytes->empty();
+                    if (!bytes || bytes->empty())
+                        break;
+                    parser.append(*bytes);
+                    while (auto event = parser.next())
+                        events.push_back(*event);
+                }
+                server.stopAccepting();
+                stream.close();
+            },
+            net::detached);
+    context.run_for(std::chrono::seconds(5));
+    REQUIRE(isComplete);
+    REQUIRE(events.size() == 2);
+    REQUIRE(events[0].data == "hello");
+    REQUIRE(events[1].type == "end");
+}
+
+// Guards against a refused connection being reported as work that may have run.
+TEST_CASE("A refused connection is reported as not run", "[network]")
+{
+    net::io_context context;
+    Error reason;
+    net::co_spawn(
+            context,
+            [&]() -> net::awaitable<void> {
+                const Endpoint closed{"127.0.0.1", 1};
+                const HttpRequest request;
+                const HttpTimeouts timeouts;
+                co_await sendHttpRequest(closed, request, timeouts, reason);
+            },
+            net::detached);
+    context.run();
+    REQUIRE(reason.code == ErrorCode::ConnectionFailed);
+    REQUIRE(reason.runState == RunState::NotRun);
+}
+
+// Guards against a body over the limit that is answered by an abrupt close.
+TEST_CASE("An oversized body is refused with a typed error", "[network]")
+{
+    net::io_context context;
+    HttpServerOptions options;
+    options.maximumBodyBytes = 8;
+    HttpServer server(
+            context, options,
+            [](const HttpRequest &, HttpResponder &responder) -> net::awaitable<void> {
+                HttpResponse response;
+                co_await responder.send(std::move(response));
+            },
+            plainError);
+    Error reason;
+    const auto endpoint = server.listen({"127.0.0.1", 0}, reason);
+    std::optional<HttpResponse> response;
+    net::co_spawn(
+            context,
+            [&]() -> net::awaitable<void> {
+                const HttpRequest request{"POST", "/", {}, "more than eight bytes"};
+                const HttpTimeouts timeouts;
+                response = co_await sendHttpRequest(*endpoint, request, timeouts, reason);
+                server.stopAccepting();
+            },
+            net::detached);
+    context.run_for(std::chrono::seconds(5));
+    REQUIRE(response);
+    REQUIRE(response->status == 413);
+}
+
+TEST_CASE("Endpoints are parsed strictly", "[network]")
+{
+    Error reason;
+    REQUIRE(parseEndpoint("127.0.0.1:80", reason) == Endpoint{"127.0.0.1", 80});
+    REQUIRE(parseEndpoint("[::1]:80", reason)->address == "::1");
+    REQUIRE_FALSE(parseEndpoint("127.0.0.1", reason));
+    REQUIRE_FALSE(parseEndpoint("host:80", reason));
+    REQUIRE_FALSE(parseEndpoint("127.0.0.1:80x", reason));
+}
--- /dev/null
+++ b/packages/policy/placement/placementpolicy.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "policy/servers/backendserver.h"
+#include "policy/work/workrequest.h"
+
+#include <functional>
+#include <optional>
+#include <span>
+
+namespace sassafrasyard {
+
+/** A backend server that could take a request, with this host's estimate of its load. */
+struct PlacementCandidate
+{
+    /** The backend server; valid during the call only. */
+    const BackendServer *server = nullptr;
+    /** Estimated requests running or waiting there. */
+    double runningEstimate = 0.0;
+    /** Estimated memory in use and reserved there, in tokens. */
+    double memoryEstimate = 0.0;
+    /** This host's own outstanding requests there. */
+    std::uint32_t ownRunning = 0;
+    /** Whether the prompt's prefix is believed to be cached there. */
+    bool hasPrefix = false;
+    /** Time per token relative to the median of its peers; 1 is normal, more is slower. */
+    double paceRatio = 1.0;
+    /** Whether it stands in this host's failure domain. */
+    bool isNear = false;
+};
+
+/**
+ * Chooses a backend server for a request.
+ *
+ * The result is an index into the candidates, or nothing if none should take the request now.
+ */
+using PlacementPolicy = std::function<std::optional<std::size_t>(
+    const WorkRequest &request, std::span<const PlacementCandidate> candidates)>;
+
+/** Returns a policy that takes the candidates in turn. A baseline. */
+PlacementPolicy roundRobinPlacement();
+
+/** Returns a policy that takes the candidate with the fewest own requests. A baseline. */
+PlacementPolicy leastOutstandingPlacement();
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/policy/policy.h
@@ -0,0 +1,14 @@
+/**
+ * Package policy: decisions on placement, admission, priority, pace, quarantine and retries.
+ *
+ * Pure: time and events come in, decisions go out; no socket, thread or clock. The same sequence of
+ * calls and the same seed give the same decisions. Depends on core.
+ */
+#pragma once
+
+#include "policy/dispatch/dispatcher.h"
+#include "policy/placement/placementpolicy.h"
+#include "policy/servers/backendserver.h"
+#include "policy/servers/loadreport.h"
+#include "policy/work/decision.h"
+#include "policy/work/workrequest.h"
--- /dev/null
+++ b/packages/policy/servers/loadreport.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "core/core.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace sassafrasyard {
+
+/** What an engine last said about its load. */
+struct LoadReport
+{
+    /** The engine that reports. */
+    BackendServerName server;
+    /** How old the figures were when the report was received. */
+    Milliseconds age{0};
+    /** Requests in decode. */
+    std::uint32_t running = 0;
+    /** Requests waiting in the engine. */
+    std::uint32_t waiting = 0;
+    /** Memory in use, in tokens. */
+    std::uint32_t memoryUsedTokens = 0;
+    /** Memory in all, in tokens. */
+    std::uint32_t memoryTotalTokens = 0;
+    /** Time between the tokens of one stream, in milliseconds, as the engine measures it. */
+    double tokenIntervalMilliseconds = 0.0;
+    /** Preemptions since the engine's start. */
+    std::uint64_t preemptions = 0;
+    /** Whether the engine says that it is leaving. */
+    bool isLeaving = false;
+};
+
+/** A prompt prefix that an engine took into its cache or dropped from it. */
+struct CacheEvent
+{
+    /** The engine. */
+    BackendServerName server;
+    /** The event's number; a gap means lost events. */
+    std::uint64_t sequence = 0;
+    /** The digest of the prefix. */
+    std::uint64_t prefixDigest = 0;
+    /** Whether the prefix was stored (true) or evicted (false). */
+    bool isStored = true;
+};
+
+/** One host's own outstanding work on one backend server. */
+struct PeerLoadEntry
+{
+    /** The backend server. */
+    BackendServerName server;
+    /** Requests that the host has running there. */
+    std::uint32_t running = 0;
+    /** Tokens of engine memory that the host has reserved there. */
+    std::uint32_t reservedTokens = 0;
+};
+
+/** What one entry host tells its peers about its own dispatches. */
+struct PeerLoadDigest
+{
+    /** The host that sent it. */
+    HostName host;
+    /** Rises with every digest of this host. */
+    std::uint64_t sequence = 0;
+    /** The backend servers on which the host has work; a bounded number. */
+    std::vector<PeerLoadEntry> entries;
+};
+
+/** A request that was running on backend servers that died. */
+struct QuarantineRecord
+{
+    /** WorkRequest::requestDigest of the request. */
+    std::uint64_t requestDigest = 0;
+    /** How many backend server deaths it was part of. */
+    std::uint32_t deaths = 0;
+    /** How long the record still counts. */
+    Milliseconds remaining{0};
+};
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/protocol/messages/messagecodec.cpp
@@ -0,0 +1,257 @@
+#include "protocol/messages/messagecodec.h"
+
+#include <msgpack.hpp>
+
+#include <array>
+#include <type_traits>
+#include <utility>
+
+namespace sassafrasyard {
+
+namespace {
+
+// Each overload lists the fields of one message in their order on the wire.
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &record)
+    requires std::is_same_v<std::remove_cvref_t<decltype(record)>, MemberRecord>
+{
+    visit(record.host, record.incarnation, record.failureDomain, record.region, record.peerAddress,
+          record.callerAddress, record.state, record.version);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &entry)
+    requires std::is_same_v<std::remove_cvref_t<decltype(entry)>, LoadEntryMessage>
+{
+    visit(entry.server, entry.running, entry.reservedTokens);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &record)
+    requires std::is_same_v<std::remove_cvref_t<decltype(record)>, QuarantineMessage>
+{
+    visit(record.requestDigest, record.deaths, record.remainingMilliseconds);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &gossip)
+    requires std::is_same_v<std::remove_cvref_t<decltype(gossip)>, Gossip>
+{
+    visit(gossip.members, gossip.loadHost, gossip.loadSequence, gossip.load, gossip.quarantine,
+          gossip.leavingServers, gossip.revision);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &message)
+    requires std::is_same_v<std::remove_cvref_t<decltype(message)>, Probe>
+{
+    visit(message.sequence, message.sender, message.wantsAllMembers, message.gossip);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &message)
+    requires std::is_same_v<std::remove_cvref_t<decltype(message)>, ProbeReply>
+{
+    visit(message.sequence, message.sender, message.gossip);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &message)
+    requires std::is_same_v<std::remove_cvref_t<decltype(message)>, IndirectProbe>
+{
+    visit(message.sequence, message.target);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &message)
+    requires std::is_same_v<std::remove_cvref_t<decltype(message)>, IndirectProbeReply>
+{
+    visit(message.sequence, message.isAlive);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &message)
+    requires std::is_same_v<std::remove_cvref_t<decltype(message)>, ConfigurationPull>
+{
+    visit(message.sequence, message.knownRevision);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &message)
+    requires std::is_same_v<std::remove_cvref_t<decltype(message)>, ConfigurationReply>
+{
+    visit(message.sequence, message.revision, message.document);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &message)
+    requires std::is_same_v<std::remove_cvref_t<decltype(message)>, ForwardCall>
+{
+    visit(message.sequence, message.incarnation, message.account, message.service, message.path,
+          message.key, message.body);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &message)
+    requires std::is_same_v<std::remove_cvref_t<decltype(message)>, ForwardReply>
+{
+    visit(message.sequence, message.status, message.body, message.retryAfterMilliseconds);
+}
+
+class Encoder
+{
+public:
+    template <typename... Fields>
+    void operator()(const Fields &...fields)
+    {
+        this->packer.pack_array(sizeof...(Fields));
+        (this->put(fields), ...);
+    }
+
+    std::string takeBytes() { return std::string(this->buffer.data(), this->buffer.size()); }
+
+private:
+    template <typename Tag>
+    void put(const Identifier<Tag> &value)
+    {
+        this->packer.pack(value.toString());
+    }
+
+    void put(MemberState value) { this->packer.pack(static_cast<std::uint8_t>(value)); }
+
+    template <typename Element>
+    void put(const std::vector<Element> &values)
+    {
+        this->packer.pack_array(static_cast<std::uint32_t>(values.size()));
+        for (const Element &value : values)
+            this->put(value);
+    }
+
+    template <typename Value>
+    void put(const Value &value)
+    {
+        if constexpr (std::is_arithmetic_v<Value> || std::is_same_v<Value, std::string>) {
+            this->packer.pack(value);
+        } else {
+            visitFields(*this, value);
+        }
+    }
+
+    msgpack::sbuffer buffer;
+    msgpack::packer<msgpack::sbuffer> packer{this->buffer};
+};
+
+class Decoder
+{
+public:
+    explicit Decoder(const msgpack::object &object)
+        : object(&object)
+    {
+    }
+
+    template <typename... Fields>
+    void operator()(Fields &...fields)
+    {
+        const msgpack::object *enclosing = this->object;
+        if (enclosing->type != msgpack::type::ARRAY || enclosing->via.array.size != sizeof...(Fields))
+            throw msgpack::type_error();
+        std::size_t index = 0;
+        (this->get(enclosing->via.array.ptr[index++], fields), ...);
+    }
+
+private:
+    template <typename Tag>
+    void get(const msgpack::object &from, Identifier<Tag> &value)
+    {
+        value = Identifier<Tag>(from.as<std::string>());
+    }
+
+    void get(const msgpack::object &from, MemberState &value)
+    {
+        const auto number = from.as<std::uint8_t>();
+        if (number > static_cast<std::uint8_t>(MemberState::Dead))
+            throw msgpack::type_error();
+        value = static_cast<MemberState>(number);
+    }
+
+    template <typename Element>
+    void get(const msgpack::object &from, std::vector<Element> &values)
+    {
+        if (from.type != msgpack::type::ARRAY)
+            throw msgpack::type_error();
+        values.resize(from.via.array.size);
+        for (std::size_t index = 0; index < values.size(); ++index)
+            this->get(from.via.array.ptr[index], values[index]);
+    }
+
+    template <typename Value>
+    void get(const msgpack::object &from, Value &value)
+    {
+        if constexpr (std::is_arithmetic_v<Value> || std::is_same_v<Value, std::string>) {
+            value = from.as<Value>();
+        } else {
+            Decoder nested(from);
+            visitFields(nested, value);
+        }
+    }
+
+    const msgpack::object *object;
+};
+
+template <std::size_t Kind>
+std::optional<PeerMessage> decodeKind(std::size_t kind, const msgpack::object &object)
+{
+    if constexpr (Kind < std::variant_size_v<PeerMessage>) {
+        if (kind != Kind)
+            return decodeKind<Kind + 1>(kind, object);
+        std::variant_alternative_t<Kind, PeerMessage> message;
+        Decoder decoder(object);
+        visitFields(decoder, message);
+        return message;
+    } else {
+        return std::nullopt;
+    }
+}
+
+Error violation(std::string detail)
+{
+    return {ErrorCode::ProtocolViolation, RunState::NotRun, std::move(detail), std::nullopt};
+}
+
+} // namespace
+
+std::string encodeMessage(const PeerMessage &message)
+{
+    std::string payload;
+    payload.push_back(static_cast<char>(protocolVersion));
+    payload.push_back(static_cast<char>(message.index()));
+    std::visit(
+            [&payload](const auto &alternative) {
+                Encoder encoder;
+                visitFields(encoder, alternative);
+                payload += encoder.takeBytes();
+            },
+            message);
+    return payload;
+}
+
+std::optional<PeerMessage> decodeMessage(std::string_view payload, Error &reason)
+{
+    if (payload.size() < 3 || static_cast<unsigned char>(payload[0]) != protocolVersion) {
+        reason = violation("unknown protocol version");
+        return std::nullopt;
+    }
+    try {
+        const msgpack::object_handle handle =
+                msgpack::unpack(payload.data() + 2, payload.size() - 2);
+        auto message = decodeKind<0>(static_cast<unsigned char>(payload[1]), handle.get());
+        if (!message)
+            reason = violation("unknown message kind");
+        return message;
+    } catch (const std::exception &exception) {
+        reason = violation(std::string("malformed message: ") + exception.what());
+        return std::nullopt;
+    }
+}
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/protocol/messages/peermessage.h
@@ -0,0 +1,192 @@
+#pragma once
+
+#include "core/core.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace sassafrasyard {
+
+/** What is believed of a member; at equal versions the later value wins. */
+enum class MemberState : std::uint8_t {
+    Alive = 0,
+    Suspect = 1,
+    Leaving = 2,
+    Dead = 3,
+};
+
+/** One entry host as its peers know it. */
+struct MemberRecord
+{
+    /** The host. */
+    HostName host;
+    /** This run of the daemon; the key of the record. */
+    HostIncarnation incarnation;
+    /** The failure domain. */
+    FailureDomainName failureDomain;
+    /** The region. */
+    std::string region;
+    /** "IP:port" for peers. */
+    std::string peerAddress;
+    /** "IP:port" for callers. */
+    std::string callerAddress;
+    /** The believed state. */
+    MemberState state = MemberState::Alive;
+    /** Raised by the member itself to refute a wrong state. */
+    std::uint32_t version = 0;
+
+    /** Compares all fields. */
+    bool operator==(const MemberRecord &) const = default;
+};
+
+/** One backend server's outstanding work of the sending host. */
+struct LoadEntryMessage
+{
+    /** The backend server. */
+    std::string server;
+    /** Requests running there. */
+    std::uint32_t running = 0;
+    /** Reserved engine memory in tokens. */
+    std::uint32_t reservedTokens = 0;
+
+    /** Compares all fields. */
+    bool operator==(const LoadEntryMessage &) const = default;
+};
+
+/** A request digest that was part of backend server deaths. */
+struct QuarantineMessage
+{
+    /** The request's digest. */
+    std::uint64_t requestDigest = 0;
+    /** How many deaths. */
+    std::uint32_t deaths = 0;
+    /** How long the record still counts, in milliseconds. */
+    std::uint64_t remainingMilliseconds = 0;
+
+    /** Compares all fields. */
+    bool operator==(const QuarantineMessage &) const = default;
+};
+
+/** What travels with every probe and reply. */
+struct Gossip
+{
+    /** Changes of members. */
+    std::vector<MemberRecord> members;
+    /** The host whose load entries these are. */
+    std::string loadHost;
+    /** Rises with each load digest of that host; 0 if there is none. */
+    std::uint64_t loadSequence = 0;
+    /** Load entries of that host. */
+    std::vector<LoadEntryMessage> load;
+    /** Quarantine records. */
+    std::vector<QuarantineMessage> quarantine;
+    /** Backend servers that said they are leaving. */
+    std::vector<std::string> leavingServers;
+    /** The configuration revision in force at the sender. */
+    std::uint64_t revision = 0;
+
+    /** Compares all fields. */
+    bool operator==(const Gossip &) const = default;
+};
+
+/** Asks a peer whether it is alive. */
+struct Probe
+{
+    /** Matches the reply to the probe. */
+    std::uint64_t sequence = 0;
+    /** The sender. */
+    MemberRecord sender;
+    /** Whether the sender wants the whole member table, as when it joins. */
+    bool wantsAllMembers = false;
+    /** The sender's news. */
+    Gossip gossip;
+};
+
+/** Answers a Probe. */
+struct ProbeReply
+{
+    /** The probe's sequence. */
+    std::uint64_t sequence = 0;
+    /** The answering member. */
+    MemberRecord sender;
+    /** The answering member's news. */
+    Gossip gossip;
+};
+
+/** Asks a peer to probe a third member. */
+struct IndirectProbe
+{
+    /** Matches the reply. */
+    std::uint64_t sequence = 0;
+    /** The peer address to probe. */
+    std::string target;
+};
+
+/** Answers an IndirectProbe. */
+struct IndirectProbeReply
+{
+    /** The request's sequence. */
+    std::uint64_t sequence = 0;
+    /** Whether the target answered. */
+    bool isAlive = false;
+};
+
+/** Asks a peer for configuration. */
+struct ConfigurationPull
+{
+    /** Matches the reply. */
+    std::uint64_t sequence = 0;
+    /** The revision that the sender already has. */
+    std::uint64_t knownRevision = 0;
+};
+
+/** Answers a ConfigurationPull. */
+struct ConfigurationReply
+{
+    /** The request's sequence. */
+    std::uint64_t sequence = 0;
+    /** The revision; not above the known one if there is nothing newer. */
+    std::uint64_t revision = 0;
+    /** The configuration document as JSON text, or a change of it; empty if there is nothing newer. */
+    std::string document;
+};
+
+/** Forwards a caller's plain call to the incarnation that owns its idempotency key. */
+struct ForwardCall
+{
+    /** Matches the reply. */
+    std::uint64_t sequence = 0;
+    /** The incarnation that the call is bound to; another one must refuse. */
+    std::string incarnation;
+    /** The authenticated client account. */
+    std::string account;
+    /** The service. */
+    std::string service;
+    /** The path inside the service. */
+    std::string path;
+    /** The idempotency key. */
+    std::string key;
+    /** The body. */
+    std::string body;
+};
+
+/** Answers a ForwardCall. */
+struct ForwardReply
+{
+    /** The request's sequence. */
+    std::uint64_t sequence = 0;
+    /** The HTTP status for the caller. */
+    std::uint32_t status = 0;
+    /** The body for the caller. */
+    std::string body;
+    /** When to come back, in milliseconds; 0 if not stated. */
+    std::uint64_t retryAfterMilliseconds = 0;
+};
+
+/** Any message between entry hosts. */
+using PeerMessage = std::variant<Probe, ProbeReply, IndirectProbe, IndirectProbeReply,
+                                 ConfigurationPull, ConfigurationReply, ForwardCall, ForwardReply>;
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/protocol/tests/test_messagecodec.cpp
@@ -0,0 +1,62 @@
+#include "protocol/protocol.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+using namespace sassafrasyard;
+
+namespace {
+
+MemberRecord randomMember()
+{
+    MemberRecord record;
+    record.host = HostName(*rc::gen::string<std::string>());
+    record.incarnation = HostIncarnation(*rc::gen::string<std::string>());
+    record.peerAddress = *rc::gen::string<std::string>();
+    record.state = static_cast<MemberState>(*rc::gen::inRange(0, 4));
+    record.version = *rc::gen::arbitrary<std::uint32_t>();
+    return record;
+}
+
+} // namespace
+
+TEST_CASE("Messages survive encoding and decoding", "[protocol]")
+{
+    rc::prop("a probe reply is unchanged", [] {
+        ProbeReply reply;
+        reply.sequence = *rc::gen::arbitrary<std::uint64_t>();
+        reply.sender = randomMember();
+        const int count = *rc::gen::inRange(0, 5);
+        for (int index = 0; index < count; ++index)
+            reply.gossip.members.push_back(randomMember());
+        reply.gossip.load.push_back({"a", *rc::gen::arbitrary<std::uint32_t>(), 2});
+        reply.gossip.quarantine.push_back({*rc::gen::arbitrary<std::uint64_t>(), 1, 7});
+        Error reason;
+        const auto decoded = decodeMessage(encodeMessage(reply), reason);
+        RC_ASSERT(decoded.has_value());
+        const auto &copy = std::get<ProbeReply>(*decoded);
+        RC_ASSERT(copy.sequence == reply.sequence);
+        RC_ASSERT(copy.sender == reply.sender);
+        RC_ASSERT(copy.gossip == reply.gossip);
+    });
+}
+
+// Guards against a crash or an exception on a damaged or hostile frame.
+TEST_CASE("Damaged payloads give a typed error", "[protocol]")
+{
+    rc::prop("any bytes decode or fail with ProtocolViolation", [] {
+        std::string payload = *rc::gen::string<std::string>();
+        if (*rc::gen::arbitrary<bool>())
+            payload = std::string("\x01\x06", 2) + payload;
+        Error reason;
+        if (!decodeMessage(payload, reason))
+            RC_ASSERT(reason.code == ErrorCode::ProtocolViolation);
+    });
+    rc::prop("a truncated message fails", [] {
+        const std::string payload = encodeMessage(ForwardCall{1, "i", "a", "s", "p", "k", "body"});
+        const auto length = *rc::gen::inRange<std::size_t>(0, payload.size());
+        Error reason;
+        RC_ASSERT(!decodeMessage(payload.substr(0, length), reason));
+    });
+}
--- /dev/null
+++ b/packages/runtime/actors/serialactor.cpp
@@ -0,0 +1,62 @@
+#include "runtime/actors/serialactor.h"
+
+#include <caf/actor_system.hpp>
+#include <caf/allowed_unsafe_message_type.hpp>
+#include <caf/event_based_actor.hpp>
+#include <caf/scoped_actor.hpp>
+#include <caf/send.hpp>
+
+namespace sassafrasyard {
+
+namespace {
+
+struct Job
+{
+    std::function<void()> run;
+};
+
+struct Stop
+{
+};
+
+} // namespace
+
+} // namespace sassafrasyard
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(sassafrasyard::Job)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(sassafrasyard::Stop)
+
+namespace sassafrasyard {
+
+struct SerialActor::Implementation
+{
+    caf::actor_system *system = nullptr;
+    caf::actor actor;
+};
+
+SerialActor::SerialActor(ActorRuntime &runtime)
+    : implementation(std::make_unique<Implementation>())
+{
+    this->implementation->system = &runtime.actorSystem();
+    this->implementation->actor = runtime.actorSystem().spawn([](caf::event_based_actor *self) {
+        return caf::behavior{
+            [](const Job &job) { job.run(); },
+            [self](Stop) { self->quit(); },
+        };
+    });
+}
+
+SerialActor::~SerialActor()
+{
+    // Waiting keeps the state that the posted closures refer to alive until they have run.
+    caf::anon_send(this->implementation->actor, Stop{});
+    caf::scoped_actor self(*this->implementation->system);
+    self->wait_for(this->implementation->actor);
+}
+
+void SerialActor::post(std::function<void()> job)
+{
+    caf::anon_send(this->implementation->actor, Job{std::move(job)});
+}
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/runtime/tests/test_stateowner.cpp
@@ -0,0 +1,42 @@
+#include "runtime/runtime.h"
+
+#include <catch2/catch.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <vector>
+
+using namespace sassafrasyard;
+
+// Guards against closures that run out of order or concurrently.
+TEST_CASE("A state owner runs closures in the order they were posted", "[runtime]")
+{
+    ActorRuntime runtime(2);
+    std::vector<int> seen;
+    {
+        StateOwner<std::vector<int>> owner(runtime);
+        for (int value = 0; value < 1000; ++value)
+            owner.post([value](std::vector<int> &state) { state.push_back(value); });
+        owner.post([&seen](std::vector<int> &state) { seen = state; });
+    }
+    REQUIRE(seen.size() == 1000);
+    REQUIRE(std::is_sorted(seen.begin(), seen.end()));
+}
+
+TEST_CASE("A coroutine receives the answer of a state owner", "[runtime]")
+{
+    ActorRuntime runtime(2);
+    StateOwner<int> owner(runtime, 41);
+    boost::asio::io_context context;
+    int answer = 0;
+    boost::asio::co_spawn(
+        context,
+        [&]() -> boost::asio::awaitable<void> {
+            answer = co_await owner.ask<int>([](int &state) { return ++state; });
+        },
+        boost::asio::detached);
+    context.run();
+    REQUIRE(answer == 42);
+}
