--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -1,4 +1,5 @@
-add_compile_options(-Wall -Wextra -Wpedantic -Wno-subobject-linkage)
+add_compile_options(-Wall -Wextra -Wpedantic -Wno-subobject-linkage
+  -Wno-mismatched-new-delete)
 add_compile_definitions(BOOST_ASIO_NO_DEPRECATED)
 # Boost 1.74 uses std::exchange in asio/awaitable.hpp without including its header.
 add_compile_options(-include utility)
--- /dev/null
+++ b/packages/backends/engine/engineclient.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "core/core.h"
+#include "network/network.h"
+#include "policy/policy.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sassafrasyard {
+
+/** An order to an engine. */
+struct EngineOrder
+{
+    /** "load", "unload", "drain" or "undrain". */
+    std::string order;
+    /** The fencing token; engines that check it refuse a lower one than they have seen. */
+    std::uint64_t fence = 0;
+    /** The model the order is about. */
+    ModelName model;
+    /** The model's version. */
+    std::string version;
+};
+
+/** A model version that an engine has loaded. */
+struct LoadedModel
+{
+    /** The model. */
+    ModelName model;
+    /** The version. */
+    std::string version;
+};
+
+/** An engine's load and what it has loaded. */
+struct EngineStatus
+{
+    /** The load. */
+    LoadReport load;
+    /** The loaded model versions. */
+    std::vector<LoadedModel> models;
+};
+
+/**
+ * Cancels a generation unless somebody reads it.
+ *
+ * @param unlessReadWithin the engine keeps the generation if it is being read, or was read within
+ *     this time, in milliseconds; 0 cancels at once. The caller may have resumed through another
+ *     entry host, which this host cannot know.
+ * @return whether the engine answered.
+ */
+boost::asio::awaitable<bool> cancelGeneration(const Endpoint &engine,
+                                              const GenerationName &generation,
+                                              Milliseconds unlessReadWithin, HttpTimeouts timeouts,
+                                              Error &reason);
+
+/** Takes a generation off the engine's batch; a resume puts it back. */
+boost::asio::awaitable<bool> suspendGeneration(const Endpoint &engine,
+                                               const GenerationName &generation,
+                                               HttpTimeouts timeouts, Error &reason);
+
+/** Reads an engine's status. @param server the name to put into the report. */
+boost::asio::awaitable<std::optional<EngineStatus>> readEngineStatus(
+        const Endpoint &engine, const BackendServerName &server, HttpTimeouts timeouts,
+        Error &reason);
+
+/** Reads the cache events after a sequence number. */
+boost::asio::awaitable<std::optional<std::vector<CacheEvent>>> readCacheEvents(
+        const Endpoint &engine, const BackendServerName &server, std::uint64_t after,
+        HttpTimeouts timeouts, Error &reason);
+
+/** Gives an order. @param reason receives StaleFence with NotRun if the engine refused the token.
+ */
+boost::asio::awaitable<bool> sendEngineOrder(const Endpoint &engine, const EngineOrder &order,
+                                             HttpTimeouts timeouts, Error &reason);
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/configuration/documents/configurationdocument.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "core/core.h"
+#include "policy/policy.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sassafrasyard {
+
+/** A client account with all parameters of its template filled in. */
+struct ClientAccount
+{
+    /** Its name, limits and share. */
+    AccountLimits limits;
+    /** The SHA-256 digests of its bearer keys, in hexadecimal digits. */
+    std::vector<std::string> keyDigests;
+    /** The models it may use, with the version for new work (empty for any). */
+    std::vector<std::pair<ModelName, std::string>> models;
+    /** The plain services it may call. */
+    std::vector<std::string> services;
+};
+
+/** The whole configuration of one revision. */
+struct Configuration
+{
+    /** Rises with every accepted change. */
+    std::uint64_t revision = 0;
+    /** All client accounts. */
+    std::vector<ClientAccount> accounts;
+    /** All backend servers. */
+    std::vector<BackendServer> servers;
+
+    /** Returns the account of a bearer key, or null. @param keyDigest in hexadecimal digits. */
+    const ClientAccount *findByKeyDigest(std::string_view keyDigest) const;
+    /** Returns a backend server by name, or null. */
+    const BackendServer *findServer(const BackendServerName &name) const;
+};
+
+/** Returns the SHA-256 digest of a text in hexadecimal digits. */
+std::string sha256Hex(std::string_view text);
+
+/**
+ * Reads a configuration from its JSON text.
+ *
+ * @param reason receives ConfigurationInvalid with the place of the fault.
+ */
+std::optional<Configuration> parseConfiguration(std::string_view text, Error &reason);
+
+/** Writes a configuration as JSON text that parseConfiguration() reads. */
+std::string formatConfiguration(const Configuration &configuration);
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/entry/calls/servicecallhandler.cpp
@@ -0,0 +1,279 @@
+#include "entry/calls/servicecallhandler.h"
+
+#include "entry/calls/callbinding.h"
+#include "entry/http/errorresponse.h"
+
+#include <charconv>
+
+namespace sassafrasyard {
+
+namespace net = boost::asio;
+
+namespace {
+
+constexpr int maximumAttempts = 3;
+constexpr HttpTimeouts callTimeouts{Milliseconds(1000), Milliseconds(30000)};
+constexpr std::size_t maximumKeyBytes = 200;
+constexpr std::string_view pathPrefix = "/v1/services/";
+
+Error invalid(std::string detail)
+{
+    return {ErrorCode::InvalidRequest, RunState::NotRun, std::move(detail), {}};
+}
+
+std::uint64_t digestOf(const ServiceCall &call)
+{
+    const std::string hex = sha256Hex(call.service + "\n" + call.path + "\n" + call.body);
+    std::uint64_t value = 0;
+    std::from_chars(hex.data(), hex.data() + 16, value, 16);
+    return value;
+}
+
+std::optional<ServiceCall> parseCall(const HttpRequest &request, const ClientAccount &account,
+                                     Error &reason)
+{
+    const std::string_view rest = std::string_view(request.target).substr(pathPrefix.size());
+    const std::size_t slash = rest.find('/');
+    ServiceCall call;
+    call.account = account.limits.account;
+    call.service = std::string(rest.substr(0, slash));
+    call.path = slash == std::string_view::npos ? "/" : std::string(rest.substr(slash));
+    call.key = findHeader(request.headers, "Idempotency-Key").value_or("");
+    call.body = request.body;
+    const auto &allowed = account.services;
+    if (std::find(allowed.begin(), allowed.end(), call.service) == allowed.end()) {
+        reason = {ErrorCode::Forbidden,
+                  RunState::NotRun,
+                  "the account may not call this service",
+                  {}};
+        return std::nullopt;
+    }
+    if (request.method != "GET" && request.method != "POST") {
+        reason = invalid("a service is called with GET (idempotent) or POST");
+        return std::nullopt;
+    }
+    if (request.method == "POST" && (call.key.empty() || call.key.size() > maximumKeyBytes)) {
+        reason = invalid("a POST call needs an Idempotency-Key of 1 to 200 bytes");
+        return std::nullopt;
+    }
+    if (request.method == "GET")
+        call.key.clear();
+    return call;
+}
+
+HttpResponse answerFor(LedgerDecision decision)
+{
+    switch (decision) {
+    case LedgerDecision::InProgress:
+        return errorResponse({ErrorCode::CallInProgress, RunState::OutcomeUnknown,
+                              "the call is running", Milliseconds(1000)});
+    case LedgerDecision::KeyReused:
+        return errorResponse({ErrorCode::IdempotencyKeyReused,
+                              RunState::NotRun,
+                              "the key was used for another call",
+                              {}});
+    case LedgerDecision::Full:
+        return errorResponse({ErrorCode::LedgerFull, RunState::NotRun,
+                              "this host remembers as many calls as it can", Milliseconds(5000)});
+    default:
+        return errorResponse({ErrorCode::Timeout,
+                              RunState::OutcomeUnknown,
+                              "an earlier attempt may have run",
+                              {}});
+    }
+}
+
+HttpResponse hostDraining()
+{
+    return errorResponse({ErrorCode::HostDraining, RunState::NotRun,
+                          "this host is stopping; ask for addresses", Milliseconds(0)});
+}
+
+HttpResponse bindingExpired()
+{
+    return errorResponse({ErrorCode::HostIncarnationUnknown,
+                          RunState::OutcomeUnknown,
+                          "the call binding has expired; an earlier attempt may have run",
+                          {}});
+}
+
+} // namespace
+
+ServiceCallHandler::ServiceCallHandler(EntryState &state, DispatchService &dispatch,
+                                       ActorRuntime &runtime, Forward forward)
+    : entry(state)
+    , dispatch(dispatch)
+    , forward(std::move(forward))
+    , ledger(runtime, CallLedgerOptions())
+{
+}
+
+net::awaitable<void> ServiceCallHandler::handle(const HttpRequest &request,
+                                                const ClientAccount &account,
+                                                HttpResponder &responder)
+{
+    const ActiveRequest active(this->entry);
+    Error reason;
+    const auto call = parseCall(request, account, reason);
+    if (!call) {
+        co_await responder.send(errorResponse(reason));
+        co_return;
+    }
+    HttpResponse response;
+    if (call->key.empty())
+        response = co_await this->runIdempotent(*call);
+    else
+        response = co_await this->route(request, *call);
+    co_await responder.send(std::move(response));
+}
+
+net::awaitable<HttpResponse> ServiceCallHandler::runIdempotent(ServiceCall call)
+{
+    Error reason;
+    for (int attempt = 0; attempt < maximumAttempts; ++attempt) {
+        auto response = co_await this->attempt(call, attempt > 0, reason);
+        if (response)
+            co_return *response;
+        if (reason.code != ErrorCode::ConnectionFailed && reason.code != ErrorCode::Timeout
+            && reason.code != ErrorCode::BackendServerRefused) {
+            break;
+        }
+    }
+    co_return errorResponse(reason);
+}
+
+net::awaitable<HttpResponse> ServiceCallHandler::route(const HttpRequest &request, ServiceCall call)
+{
+    const std::string text = findHeader(request.headers, "Sassafrasyard-Incarnation").value_or("");
+    Error reason;
+    const auto binding = parseCallBinding(text, this->entry.positions, reason);
+    if (!binding)
+        co_return errorResponse(reason);
+    // Entries outlive bindings, so a call whose entry was forgotten cannot be dispatched again.
+    if (this->entry.systemClock.now() - binding->issuedAt > callBindingLifetime)
+        co_return bindingExpired();
+    if (binding->incarnation == this->entry.incarnation)
+        co_return co_await this->runBound(std::move(call));
+    this->entry.metrics.count("sassafrasyard_calls_forwarded_total");
+    co_return co_await this->forward(binding->incarnation, call);
+}
+
+net::awaitable<HttpResponse> ServiceCallHandler::runBound(ServiceCall call)
+{
+    const CallKey key{call.account, call.key};
+    const std::uint64_t digest = digestOf(call);
+    const Milliseconds now = this->entry.steadyClock.now();
+    const bool isDraining = this->entry.isDraining;
+    std::optional<CallAnswer> answer;
+    bool isRefused = false;
+    const auto begin = [&](CallLedger &owned) {
+        isRefused = isDraining && !owned.contains(key);
+        if (isRefused)
+            return LedgerDecision::Full;
+        const LedgerDecision made = owned.begin(key, digest, now);
+        if (made == LedgerDecision::ReplayAnswer)
+            answer = *owned.answer(key);
+        return made;
+    };
+    const std::function<LedgerDecision(CallLedger &)> job = begin;
+    const LedgerDecision decision = co_await this->ledger.ask<LedgerDecision>(job);
+    if (isRefused)
+        co_return hostDraining();
+    if (decision == LedgerDecision::Dispatch)
+        co_return co_await this->dispatchBound(call, key);
+    this->entry.metrics.count("sassafrasyard_duplicate_calls_prevented_total");
+    if (!answer)
+        co_return answerFor(decision);
+    HttpResponse response;
+    response.status = answer->status;
+    response.headers.emplace_back("Content-Type", "application/json");
+    response.headers.emplace_back("Sassafrasyard-Replayed", "true");
+    response.body = answer->body;
+    co_return response;
+}
+
+net::awaitable<HttpResponse> ServiceCallHandler::dispatchBound(const ServiceCall &call, CallKey key)
+{
+    Error reason;
+    for (int attempt = 0; attempt < maximumAttempts; ++attempt) {
+        const auto response = co_await this->attempt(call, attempt > 0, reason);
+        if (response) {
+            const CallAnswer answer{response->status, response->body};
+            this->ledger.post([key, answer, now = this->entry.steadyClock.now()](
+                                      CallLedger &owned) { owned.complete(key, answer, now); });
+            co_return *response;
+        }
+        // Only an attempt that certainly did not run may be followed by another one.
+        const bool mayTryAgain = reason.code == ErrorCode::ConnectionFailed
+                || reason.code == ErrorCode::BackendServerRefused;
+        if (reason.runState != RunState::NotRun || !mayTryAgain)
+            break;
+    }
+    const bool isNotRun = reason.runState == RunState::NotRun;
+    this->ledger.post([key, isNotRun, now = this->entry.steadyClock.now()](CallLedger &owned) {
+        if (isNotRun)
+            owned.recordNotRun(key);
+        else
+            owned.recordUnknown(key, now);
+    });
+    if (!isNotRun)
+        logEvent(LogEvent::CallOutcomeUnknown, "key", key.key, "detail", reason.detail);
+    else if (!reason.retryAfter)
+        reason.retryAfter = Milliseconds(1000);
+    co_return errorResponse(reason);
+}
+
+net::awaitable<std::optional<HttpResponse>> ServiceCallHandler::attempt(const ServiceCall &call,
+                                                                        bool isRetry, Error &reason)
+{
+    WorkRequest work;
+    work.name = this->dispatch.nextRequestName();
+    work.account = call.account;
+    work.model = ModelName(call.service);
+    work.promptTokens = 1;
+    work.maximumTokens = 1;
+    work.requestDigest = digestOf(call);
+    work.priority = Priority::High;
+    work.isIdempotent = call.key.empty();
+    work.isRetry = isRetry;
+    const auto grant = co_await this->dispatch.acquire(work, reason);
+    if (!grant)
+        co_return std::nullopt;
+    const auto endpoint = parseEndpoint(grant->server.address, reason);
+    HttpRequest message;
+    message.method = call.key.empty() ? "GET" : "POST";
+    message.target = call.path;
+    message.headers.emplace_back("Sassafrasyard-Account", call.account.toString());
+    if (!call.key.empty())
+        message.headers.emplace_back("Idempotency-Key", call.key);
+    message.body = call.body;
+    std::optional<HttpResponse> response;
+    if (endpoint)
+        response = co_await sendHttpRequest(*endpoint, message, callTimeouts, reason);
+    const bool isRefused = response && response->status == 409
+            && findHeader(response->headers, "Not-Run").value_or("") == "true";
+    const bool isLost = !response && reason.runState != RunState::NotRun;
+    this->dispatch.reportFinished(work.name,
+                                  isLost                             ? WorkOutcome::ServerLost
+                                          : (!response || isRefused) ? WorkOutcome::RefusedByServer
+                                                                     : WorkOutcome::Completed);
+    if (isRefused) {
+        reason = {ErrorCode::BackendServerRefused,
+                  RunState::NotRun,
+                  "the service refused the call before running it",
+                  {}};
+        co_return std::nullopt;
+    }
+    if (response) {
+        HttpResponse answer;
+        answer.status = response->status;
+        answer.headers.emplace_back(
+                "Content-Type",
+                findHeader(response->headers, "Content-Type").value_or("application/json"));
+        answer.body = std::move(response->body);
+        co_return answer;
+    }
+    co_return std::nullopt;
+}
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/entry/calls/servicecallhandler.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "entry/calls/callledger.h"
+#include "entry/dispatch/dispatchservice.h"
+#include "entry/state/entrystate.h"
+#include "runtime/runtime.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <string>
+
+namespace sassafrasyard {
+
+/** A plain call of an authenticated client account. */
+struct ServiceCall
+{
+    /** The client account. */
+    ClientAccountName account;
+    /** The service. */
+    std::string service;
+    /** The path inside the service, with the query. */
+    std::string path;
+    /** The idempotency key; empty for an idempotent call. */
+    std::string key;
+    /** The body. */
+    std::string body;
+};
+
+/**
+ * Serves GET and POST /v1/services/{service}/{path}.
+ *
+ * GET calls are idempotent and may be retried. POST calls need an idempotency key and a call
+ * binding; only the entry host that the binding names dispatches them, each at most once.
+ */
+class ServiceCallHandler
+{
+public:
+    /** Forwards a call to the entry host of an incarnation. @return the caller's answer. */
+    using Forward = std::function<boost::asio::awaitable<HttpResponse>(
+            const HostIncarnation &incarnation, const ServiceCall &call)>;
+
+    /** Creates the handler. @param forward reaches other entry hosts. */
+    ServiceCallHandler(EntryState &state, DispatchService &dispatch, ActorRuntime &runtime,
+                       Forward forward);
+    ServiceCallHandler(const ServiceCallHandler &) = delete;
+    ServiceCallHandler &operator=(const ServiceCallHandler &) = delete;
+
+    /** Answers a caller's request. */
+    boost::asio::awaitable<void> handle(const HttpRequest &request, const ClientAccount &account,
+                                        HttpResponder &responder);
+
+    /** Runs a non-idempotent call that is bound to this host. */
+    boost::asio::awaitable<HttpResponse> runBound(ServiceCall call);
+
+private:
+    boost::asio::awaitable<HttpResponse> runIdempotent(ServiceCall call);
+    boost::asio::awaitable<HttpResponse> route(const HttpRequest &request, ServiceCall call);
+    boost::asio::awaitable<HttpResponse> dispatchBound(const ServiceCall &call, CallKey key);
+    boost::asio::awaitable<std::optional<HttpResponse>> attempt(const ServiceCall &call,
+                                                                bool isRetry, Error &reason);
+
+    EntryState &entry;
+    DispatchService &dispatch;
+    Forward forward;
+    StateOwner<CallLedger> ledger;
+};
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/entry/dispatch/dispatchservice.cpp
@@ -0,0 +1,255 @@
+#include "entry/dispatch/dispatchservice.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/this_coro.hpp>
+
+namespace sassafrasyard {
+
+namespace net = boost::asio;
+
+namespace {
+
+constexpr Milliseconds advanceInterval{10};
+
+using DecisionCallback = std::function<void(const Decision &)>;
+
+PlacementPolicy placementFor(const Settings &settings)
+{
+    if (settings.placement == "round-robin")
+        return roundRobinPlacement();
+    return leastOutstandingPlacement();
+}
+
+DispatcherOptions optionsFor(const EntryState &entry)
+{
+    DispatcherOptions options;
+    options.host = entry.settings.host;
+    options.failureDomain = entry.settings.failureDomain;
+    options.placement = placementFor(entry.settings);
+    options.seed = std::hash<HostIncarnation>()(entry.incarnation);
+    return options;
+}
+
+Error toError(const Refusal &refusal)
+{
+    return {refusal.reason, RunState::NotRun, "the request was refused before it ran",
+            refusal.retryAfter};
+}
+
+/** Awaits one decision that a closure in the actor delivers through a callback. */
+template <typename Start>
+net::awaitable<Decision> awaitDecision(Start start)
+{
+    auto token = net::use_awaitable;
+    return net::async_initiate<decltype(token), void(Decision)>(
+            [start = std::move(start)](auto handler) mutable {
+                using Handler = decltype(handler);
+                auto shared = std::make_shared<Handler>(std::move(handler));
+                auto executor = net::get_associated_executor(*shared);
+                auto guard = net::make_work_guard(executor);
+                start([shared, executor, guard](const Decision &decision) {
+                    net::post(executor, [shared, decision] { std::move (*shared)(decision); });
+                });
+            },
+            token);
+}
+
+} // namespace
+
+/** Lives in the actor. */
+struct DispatchService::State
+{
+    explicit State(EntryState &entry)
+        : entry(entry)
+        , dispatcher(optionsFor(entry))
+    {
+    }
+
+    void carryOutDecisions()
+    {
+        for (const Decision &decision : this->dispatcher.takeDecisions())
+            std::visit([&](const auto &specific) { this->carryOut(specific, decision); }, decision);
+    }
+
+    void carryOut(const Assignment &assignment, const Decision &decision)
+    {
+        this->controls.emplace(assignment.request, std::make_shared<StreamControl>());
+        this->answer(assignment.request, decision);
+    }
+
+    void carryOut(const Refusal &refusal, const Decision &decision)
+    {
+        this->entry.metrics.count("sassafrasyard_refusals_total",
+                                  {{"reason", std::string(toString(refusal.reason))}});
+        this->answer(refusal.request, decision);
+    }
+
+    void carryOut(const Suspension &suspension, const Decision &)
+    {
+        if (const auto known = this->controls.find(suspension.request);
+            known != this->controls.end())
+            known->second->isSuspended = true;
+        this->entry.metrics.count("sassafrasyard_suspensions_total");
+    }
+
+    void carryOut(const Resumption &resumption, const Decision &decision)
+    {
+        if (const auto known = this->controls.find(resumption.request);
+            known != this->controls.end())
+            known->second->isSuspended = false;
+        this->answer(resumption.request, decision);
+    }
+
+    void answer(const RequestName &request, const Decision &decision)
+    {
+        auto node = this->callbacks.extract(request);
+        if (!node.empty())
+            node.mapped()(decision);
+    }
+
+    EntryState &entry;
+    Dispatcher dispatcher;
+    std::unordered_map<RequestName, DecisionCallback> callbacks;
+    std::unordered_map<RequestName, std::shared_ptr<StreamControl>> controls;
+};
+
+DispatchService::DispatchService(EntryState &state, ActorRuntime &runtime, net::io_context &context)
+    : entry(state)
+    , owner(std::make_unique<StateOwner<State>>(runtime, state))
+{
+    this->entry.configuration.addListener([this](const auto &configuration) {
+        this->post([configuration](Dispatcher &dispatcher, Milliseconds now) {
+            std::vector<AccountLimits> limits;
+            for (const ClientAccount &account : configuration->accounts)
+                limits.push_back(account.limits);
+            dispatcher.setAccountLimits(limits);
+            dispatcher.setBackendServers(configuration->servers, now);
+        });
+    });
+    net::co_spawn(
+            net::make_strand(context), [this] { return this->advancePeriodically(); },
+            net::detached);
+}
+
+DispatchService::~DispatchService() = default;
+
+net::awaitable<std::optional<Grant>> DispatchService::acquire(WorkRequest request, Error &reason)
+{
+    const RequestName name = request.name;
+    auto control = std::make_shared<std::shared_ptr<StreamControl>>();
+    // Named before it is awaited: g++ 12 destroys some temporaries of co_await expressions twice.
+    auto submit = [&](DecisionCallback callback) {
+        this->owner->post([this, request, control, callback = std::move(callback)](State &state) {
+            state.callbacks.emplace(request.name,
+                                    [&state, request, control, callback](const Decision &made) {
+                                        if (std::holds_alternative<Assignment>(made))
+                                            *control = state.controls.at(request.name);
+                                        callback(made);
+                                    });
+            state.dispatcher.submit(request, this->entry.steadyClock.now());
+            state.carryOutDecisions();
+        });
+    };
+    const Decision decision = co_await awaitDecision(submit);
+    if (const auto *refusal = std::get_if<Refusal>(&decision)) {
+        reason = toError(*refusal);
+        co_return std::nullopt;
+    }
+    Grant grant;
+    grant.assignment = std::get<Assignment>(decision);
+    grant.control = *control;
+    const auto configuration = this->entry.configuration.current();
+    const BackendServer *server = configuration->findServer(grant.assignment.server);
+    if (server == nullptr) {
+        this->reportFinished(name, WorkOutcome::RefusedByServer);
+        reason = {ErrorCode::NoBackendServer, RunState::NotRun, "the backend server was removed",
+                  Milliseconds(1000)};
+        co_return std::nullopt;
+    }
+    grant.server = *server;
+    co_return grant;
+}
+
+net::awaitable<bool> DispatchService::awaitResumption(RequestName request)
+{
+    auto wait = [&](DecisionCallback callback) {
+        this->owner->post([request, callback = std::move(callback)](State &state) {
+            const auto known = state.controls.find(request);
+            if (known == state.controls.end() || !known->second->isSuspended) {
+                callback(Resumption{request});
+                return;
+            }
+            state.callbacks.emplace(request, callback);
+        });
+    };
+    const Decision decision = co_await awaitDecision(wait);
+    co_return std::holds_alternative<Resumption>(decision);
+}
+
+void DispatchService::reportProgress(const RequestName &request, std::uint32_t tokens)
+{
+    this->post([request, tokens](Dispatcher &dispatcher, Milliseconds now) {
+        dispatcher.recordProgress(request, tokens, now);
+    });
+}
+
+void DispatchService::reportFinished(const RequestName &request, WorkOutcome outcome)
+{
+    this->owner->post([this, request, outcome](State &state) {
+        state.controls.erase(request);
+        state.dispatcher.recordFinished(request, outcome, this->entry.steadyClock.now());
+        state.carryOutDecisions();
+    });
+}
+
+void DispatchService::post(std::function<void(Dispatcher &, Milliseconds)> job)
+{
+    this->owner->post([this, job = std::move(job)](State &state) {
+        job(state.dispatcher, this->entry.steadyClock.now());
+        state.carryOutDecisions();
+    });
+}
+
+net::awaitable<PeerLoadDigest> DispatchService::loadDigest()
+{
+    return this->owner->ask<PeerLoadDigest>([this](State &state) {
+        return state.dispatcher.peerLoadDigest(this->entry.steadyClock.now());
+    });
+}
+
+net::awaitable<std::vector<QuarantineRecord>> DispatchService::quarantineRecords()
+{
+    return this->owner->ask<std::vector<QuarantineRecord>>([this](State &state) {
+        return state.dispatcher.quarantineRecords(this->entry.steadyClock.now());
+    });
+}
+
+RequestName DispatchService::nextRequestName()
+{
+    return RequestName(this->entry.incarnation.toString() + "-"
+                       + std::to_string(++this->requestCount));
+}
+
+net::awaitable<void> DispatchService::advancePeriodically()
+{
+    net::steady_timer timer(co_await net::this_coro::executor);
+    boost::system::error_code code;
+    while (!code) {
+        this->owner->post([this](State &state) {
+            state.dispatcher.advance(this->entry.steadyClock.now());
+            state.carryOutDecisions();
+            this->entry.metrics.set("sassafrasyard_waiting_requests", {},
+                                    static_cast<double>(state.dispatcher.waitingCount()));
+            this->entry.metrics.set("sassafrasyard_running_requests", {},
+                                    static_cast<double>(state.dispatcher.runningCount()));
+        });
+        timer.expires_after(advanceInterval);
+        co_await timer.async_wait(net::redirect_error(net::use_awaitable, code));
+    }
+}
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/entry/entry.h
@@ -0,0 +1,20 @@
+/**
+ * Package entry: what an entry host does for callers and peers.
+ *
+ * Depends on all packages but control.
+ */
+#pragma once
+
+#include "entry/calls/callbinding.h"
+#include "entry/calls/callledger.h"
+#include "entry/calls/servicecallhandler.h"
+#include "entry/dispatch/backendmonitor.h"
+#include "entry/dispatch/dispatchservice.h"
+#include "entry/http/addresshandler.h"
+#include "entry/http/callerserver.h"
+#include "entry/http/completionhandler.h"
+#include "entry/http/streamrelay.h"
+#include "entry/peers/peerservice.h"
+#include "entry/positions/positioncodec.h"
+#include "entry/state/configurationholder.h"
+#include "entry/state/entrystate.h"
--- /dev/null
+++ b/packages/entry/http/callerserver.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "entry/calls/servicecallhandler.h"
+#include "entry/http/completionhandler.h"
+#include "entry/state/entrystate.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <optional>
+
+namespace sassafrasyard {
+
+/** The callers' HTTP server: authenticates and routes requests. */
+class CallerServer
+{
+public:
+    /** Creates the server. */
+    CallerServer(EntryState &state, CompletionHandler &completions, ServiceCallHandler &calls,
+                 boost::asio::io_context &context);
+    CallerServer(const CallerServer &) = delete;
+    CallerServer &operator=(const CallerServer &) = delete;
+
+    /** Starts listening. @param reason receives ConnectionFailed. */
+    bool listen(const Endpoint &endpoint, Error &reason);
+
+private:
+    boost::asio::awaitable<void> handle(const HttpRequest &request, HttpResponder &responder);
+
+    EntryState &entry;
+    CompletionHandler &completions;
+    ServiceCallHandler &calls;
+    HttpServer server;
+};
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/entry/http/completionhandler.cpp
@@ -0,0 +1,374 @@
+#include "entry/http/completionhandler.h"
+
+#include "entry/http/errorresponse.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace sassafrasyard {
+
+namespace net = boost::asio;
+using nlohmann::json;
+
+namespace {
+
+constexpr int maximumAttempts = 3;
+constexpr HttpTimeouts startTimeouts{Milliseconds(1000), Milliseconds(30000)};
+constexpr HttpTimeouts cancelTimeouts{Milliseconds(1000), Milliseconds(2000)};
+/** How long a generation without a reader is kept for a resume. */
+constexpr Milliseconds abandonedGrace{30000};
+constexpr std::size_t prefixCharacters = 256;
+constexpr std::size_t charactersPerToken = 4;
+constexpr std::uint32_t maximumTokenLimit = 1000000;
+
+Error invalid(std::string detail)
+{
+    return {ErrorCode::InvalidRequest, RunState::NotRun, std::move(detail), {}};
+}
+
+std::uint64_t leadingDigits(std::string_view hex)
+{
+    std::uint64_t value = 0;
+    std::from_chars(hex.data(), hex.data() + std::min<std::size_t>(hex.size(), 16), value, 16);
+    return value;
+}
+
+std::optional<Priority> parsePriority(std::string_view text)
+{
+    if (text == "low")
+        return Priority::Low;
+    if (text == "normal")
+        return Priority::Normal;
+    if (text == "high")
+        return Priority::High;
+    return std::nullopt;
+}
+
+std::string tokenData(const DeliveredToken &token)
+{
+    json data;
+    data["index"] = token.position.index;
+    data["text"] = token.text;
+    return data.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace
+
+/** A parsed request and what was delivered of it. */
+struct CompletionHandler::Completion
+{
+    GenerationRequest generation;
+    WorkRequest work;
+    PositionBinding binding;
+    bool isStreamed = false;
+    bool wasToldToMove = false;
+    std::string wholeText;
+};
+
+CompletionHandler::CompletionHandler(EntryState &state, DispatchService &dispatch,
+                                     net::io_context &context)
+    : entry(state)
+    , dispatch(dispatch)
+    , context(context)
+{
+}
+
+net::awaitable<void> CompletionHandler::handle(const HttpRequest &request,
+                                               const ClientAccount &account,
+                                               HttpResponder &responder)
+{
+    Error reason;
+    auto completion = this->parse(request, account, reason);
+    if (!completion) {
+        co_await responder.send(errorResponse(reason));
+        co_return;
+    }
+    const ActiveRequest active(this->entry);
+    const auto identifier = findHeader(request.headers, "Last-Event-ID");
+    if (identifier)
+        co_await this->resume(*completion, *identifier, responder);
+    else
+        co_await this->serve(*completion, responder);
+}
+
+std::optional<CompletionHandler::Completion> CompletionHandler::parse(const HttpRequest &request,
+                                                                      const ClientAccount &account,
+                                                                      Error &reason) const
+{
+    const json body = json::parse(request.body, nullptr, false);
+    if (!body.is_object()) {
+        reason = invalid("the body is not a JSON object");
+        return std::nullopt;
+    }
+    Completion completion;
+    std::string priority;
+    try {
+        completion.generation.model = ModelName(body.at("model").get<std::string>());
+        completion.generation.prompt = body.at("prompt").get<std::string>();
+        completion.generation.maximumTokens = body.value("max_tokens", 0U);
+        completion.generation.seed = body.value("seed", std::uint64_t{0});
+        completion.isStreamed = body.value("stream", false);
+        priority = body.value("priority", "normal");
+    } catch (const json::exception &exception) {
+        reason = invalid(exception.what());
+        return std::nullopt;
+    }
+    const auto parsedPriority = parsePriority(priority);
+    if (!parsedPriority || completion.generation.maximumTokens > maximumTokenLimit) {
+        reason = invalid("priority must be low, normal or high; max_tokens at most 1000000");
+        return std::nullopt;
+    }
+    const auto allowed =
+            std::find_if(account.models.begin(), account.models.end(), [&](const auto &model) {
+                return model.first == completion.generation.model;
+            });
+    if (allowed == account.models.end()) {
+        reason = {ErrorCode::Forbidden, RunState::NotRun, "the account may not use this model", {}};
+        return std::nullopt;
+    }
+    const std::string &prompt = completion.generation.prompt;
+    completion.generation.version = allowed->second;
+    completion.binding.account = account.limits.account;
+    completion.binding.bodyDigest = sha256Hex(request.body);
+    WorkRequest &work = completion.work;
+    work.account = account.limits.account;
+    work.model = completion.generation.model;
+    work.version = completion.generation.version;
+    work.promptTokens = static_cast<std::uint32_t>(prompt.size() / charactersPerToken + 1);
+    work.maximumTokens = completion.generation.maximumTokens;
+    work.prefixDigest =
+            leadingDigits(sha256Hex(std::string_view(prompt).substr(0, prefixCharacters)));
+    work.requestDigest =
+            leadingDigits(sha256Hex(work.account.toString() + "/" + completion.binding.bodyDigest));
+    work.priority = std::min(*parsedPriority, account.limits.highestPriority);
+    return completion;
+}
+
+net::awaitable<void> CompletionHandler::serve(Completion &completion, HttpResponder &responder)
+{
+    Error last;
+    for (int attempt = 0; attempt < maximumAttempts; ++attempt) {
+        completion.work.isRetry = attempt > 0;
+        const auto failure = co_await this->attempt(completion, responder);
+        if (!failure)
+            co_return;
+        const bool wasPlaced = failure->code == ErrorCode::BackendServerLost
+                || failure->code == ErrorCode::BackendServerRefused
+                || failure->code == ErrorCode::Timeout
+                || failure->code == ErrorCode::ProtocolViolation;
+        // A refusal of a further attempt must not hide that an earlier attempt may have run.
+        const bool mayHaveRun = attempt > 0 && last.runState == RunState::OutcomeUnknown;
+        last = *failure;
+        if (mayHaveRun)
+            last.runState = RunState::OutcomeUnknown;
+        if (!wasPlaced)
+            break;
+        this->entry.metrics.count("sassafrasyard_retries_total");
+        logEvent(LogEvent::RequestRetried, "request", completion.work.name.toString(), "detail",
+                 last.detail);
+    }
+    if (!last.retryAfter)
+        last.retryAfter = Milliseconds(1000);
+    co_await responder.send(errorResponse(last));
+}
+
+net::awaitable<std::optional<Error>> CompletionHandler::attempt(Completion &completion,
+                                                                HttpResponder &responder)
+{
+    completion.work.name = this->dispatch.nextRequestName();
+    completion.wholeText.clear();
+    Error reason;
+    auto grant = co_await this->dispatch.acquire(completion.work, reason);
+    if (!grant)
+        co_return reason;
+    const RequestName name = completion.work.name;
+    const auto engine = parseEndpoint(grant->server.address, reason);
+    completion.generation.request = name;
+    completion.generation.priority = grant->assignment.enginePriority;
+    GenerationStream stream;
+    bool isStarted = false;
+    if (engine)
+        isStarted = co_await stream.start(*engine, completion.generation, startTimeouts, reason);
+    if (!isStarted) {
+        const bool isRefused = reason.code == ErrorCode::BackendServerRefused;
+        this->dispatch.reportFinished(
+                name, isRefused ? WorkOutcome::RefusedByServer : WorkOutcome::ServerLost);
+        co_return reason;
+    }
+    StreamRelay relay(this->entry, this->dispatch, *grant, *engine);
+    const StreamRelay::Deliver deliver = [&](const std::vector<DeliveredToken> &tokens) {
+        return this->deliver(completion, tokens, responder);
+    };
+    const RelayResult result = co_await relay.run(stream, deliver);
+    stream.close();
+    if (result.end != RelayEnd::Finished && !relay.generation().isEmpty())
+        this->cancelLater(*engine, relay.generation());
+    this->dispatch.reportFinished(name,
+                                  result.end == RelayEnd::Finished ? WorkOutcome::Completed
+                                          : result.end == RelayEnd::CallerGone
+                                          ? WorkOutcome::Cancelled
+                                          : WorkOutcome::ServerLost);
+    if (result.end == RelayEnd::ServerLost && !responder.hasStarted())
+        co_return result.reason;
+    co_await this->endStream(completion, result, responder);
+    co_return std::nullopt;
+}
+
+net::awaitable<void> CompletionHandler::resume(Completion &completion, std::string_view identifier,
+                                               HttpResponder &responder)
+{
+    Error reason;
+    const auto position = this->entry.positions.decode(identifier, completion.binding, reason);
+    if (!position || !completion.isStreamed) {
+        co_await responder.send(errorResponse(reason));
+        co_return;
+    }
+    const auto configuration = this->entry.configuration.current();
+    const BackendServer *server = configuration->findServer(position->server);
+    const auto engine = server != nullptr ? parseEndpoint(server->address, reason) : std::nullopt;
+    GenerationStream stream;
+    bool isResumed = false;
+    if (engine)
+        isResumed = co_await stream.resume(*engine, position->generation, position->index + 1,
+                                           startTimeouts, reason);
+    if (!isResumed) {
+        const bool isTransient = engine && reason.code != ErrorCode::NotFound;
+        Error lost{ErrorCode::GenerationLost,
+                   RunState::OutcomeUnknown,
+                   "the engine no longer has the generation",
+                   {}};
+        if (isTransient)
+            lost = {ErrorCode::BackendServerLost, RunState::OutcomeUnknown, reason.detail,
+                    Milliseconds(1000)};
+        co_await responder.send(errorResponse(lost));
+        co_return;
+    }
+    logEvent(LogEvent::StreamResumed, "generation", position->generation.toString(), "index",
+             std::to_string(position->index));
+    this->entry.metrics.count("sassafrasyard_streams_resumed_total");
+    Grant grant;
+    grant.server = *server;
+    grant.assignment.request = this->dispatch.nextRequestName();
+    StreamRelay relay(this->entry, this->dispatch, grant, *engine);
+    relay.continueAfter(*position);
+    const StreamRelay::Deliver deliver = [&](const std::vector<DeliveredToken> &tokens) {
+        return this->deliver(completion, tokens, responder);
+    };
+    const RelayResult result = co_await relay.run(stream, deliver);
+    stream.close();
+    if (result.end != RelayEnd::Finished)
+        this->cancelLater(*engine, relay.generation());
+    co_await this->endStream(completion, result, responder);
+}
+
+net::awaitable<void> CompletionHandler::endStream(const Completion &completion,
+                                                  const RelayResult &result,
+                                                  HttpResponder &responder)
+{
+    if (result.end == RelayEnd::CallerGone) {
+        if (!responder.hasStarted())
+            co_await responder.send(HttpResponse());
+        co_return;
+    }
+    if (!completion.isStreamed) {
+        json body;
+        body["text"] = completion.wholeText;
+        body["tokens"] = result.tokens;
+        body["finish_reason"] = result.finishReason;
+        HttpResponse response;
+        response.headers.emplace_back("Content-Type", "application/json");
+        response.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
+        co_await responder.send(std::move(response));
+        co_return;
+    }
+    if (!responder.hasStarted()) {
+        HttpHeaders headers;
+        headers.emplace_back("Content-Type", "text/event-stream");
+        co_await responder.startStream(200, std::move(headers));
+    }
+    ServerEvent last;
+    if (result.end == RelayEnd::Finished) {
+        json data;
+        data["finish_reason"] = result.finishReason;
+        data["tokens"] = result.tokens;
+        last.type = "done";
+        last.data = data.dump();
+    } else {
+        const Error lost{ErrorCode::GenerationLost, RunState::OutcomeUnknown, result.reason.detail,
+                         Milliseconds(1000)};
+        last.type = "generation_lost";
+        last.data = formatError(lost);
+        this->entry.metrics.count("sassafrasyard_generations_lost_total");
+        logEvent(LogEvent::GenerationLost, "request", completion.work.name.toString(), "tokens",
+                 std::to_string(result.tokens), "detail", result.reason.detail);
+    }
+    co_await responder.write(formatServerEvent(last));
+    co_await responder.finish();
+}
+
+net::awaitable<bool> CompletionHandler::deliver(Completion &completion,
+                                                const std::vector<DeliveredToken> &tokens,
+                                                HttpResponder &responder)
+{
+    this->entry.metrics.count("sassafrasyard_tokens_total", {}, static_cast<double>(tokens.size()));
+    if (!completion.isStreamed) {
+        for (const DeliveredToken &token : tokens)
+            completion.wholeText += token.text;
+        co_return !responder.isCallerGone();
+    }
+    if (!responder.hasStarted()) {
+        HttpHeaders headers;
+        headers.emplace_back("Content-Type", "text/event-stream");
+        headers.emplace_back("Cache-Control", "no-store");
+        if (!co_await responder.startStream(200, std::move(headers)))
+            co_return false;
+    }
+    std::string text;
+    ServerEvent event;
+    for (const DeliveredToken &token : tokens) {
+        event.identifier = this->entry.positions.encode(token.position, completion.binding);
+        event.data = tokenData(token);
+        text += formatServerEvent(event);
+    }
+    if (this->entry.isDraining && !completion.wasToldToMove) {
+        completion.wasToldToMove = true;
+        json data;
+        data["addresses"] = this->entry.otherCallerAddresses();
+        ServerEvent move;
+        move.type = "draining";
+        move.data = data.dump();
+        text += formatServerEvent(move);
+    }
+    co_return co_await responder.write(text);
+}
+
+void CompletionHandler::cancelLater(const Endpoint &engine, const GenerationName &generation)
+{
+    net::co_spawn(
+            net::make_strand(this->context),
+            [this, engine, generation] { return this->cancelAfterGrace(engine, generation); },
+            net::detached);
+}
+
+net::awaitable<void> CompletionHandler::cancelAfterGrace(Endpoint engine, GenerationName generation)
+{
+    net::steady_timer timer(co_await net::this_coro::executor);
+    timer.expires_after(abandonedGrace);
+    boost::system::error_code code;
+    co_await timer.async_wait(net::redirect_error(net::use_awaitable, code));
+    if (code)
+        co_return;
+    Error reason;
+    if (co_await cancelGeneration(engine, generation, abandonedGrace, cancelTimeouts, reason))
+        logEvent(LogEvent::GenerationCancelled, "generation", generation.toString());
+}
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/entry/http/completionhandler.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "backends/backends.h"
+#include "entry/dispatch/dispatchservice.h"
+#include "entry/http/streamrelay.h"
+#include "entry/state/entrystate.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace sassafrasyard {
+
+/** Serves POST /v1/completions: streamed, resumed and whole. */
+class CompletionHandler
+{
+public:
+    /** Creates the handler. */
+    CompletionHandler(EntryState &state, DispatchService &dispatch,
+                      boost::asio::io_context &context);
+    CompletionHandler(const CompletionHandler &) = delete;
+    CompletionHandler &operator=(const CompletionHandler &) = delete;
+
+    /** Answers a request of an authenticated client account. */
+    boost::asio::awaitable<void> handle(const HttpRequest &request, const ClientAccount &account,
+                                        HttpResponder &responder);
+
+private:
+    struct Completion;
+
+    std::optional<Completion> parse(const HttpRequest &request, const ClientAccount &account,
+                                    Error &reason) const;
+    boost::asio::awaitable<void> serve(Completion &completion, HttpResponder &responder);
+    boost::asio::awaitable<std::optional<Error>> attempt(Completion &completion,
+                                                         HttpResponder &responder);
+    boost::asio::awaitable<void> resume(Completion &completion, std::string_view identifier,
+                                        HttpResponder &responder);
+    boost::asio::awaitable<void> endStream(const Completion &completion, const RelayResult &result,
+                                           HttpResponder &responder);
+    boost::asio::awaitable<bool> deliver(Completion &completion,
+                                         const std::vector<DeliveredToken> &tokens,
+                                         HttpResponder &responder);
+    void cancelLater(const Endpoint &engine, const GenerationName &generation);
+    boost::asio::awaitable<void> cancelAfterGrace(Endpoint engine, GenerationName generation);
+
+    EntryState &entry;
+    DispatchService &dispatch;
+    boost::asio::io_context &context;
+};
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/entry/http/errorresponse.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "core/core.h"
+#include "network/network.h"
+
+#include <string>
+
+namespace sassafrasyard {
+
+/** Returns an error as a JSON object with code, run_state, detail and retry_after_ms. */
+std::string formatError(const Error &error);
+
+/** Returns the HTTP response for an error, with Retry-After in seconds where it is known. */
+HttpResponse errorResponse(const Error &error);
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/entry/peers/peerservice.cpp
@@ -0,0 +1,453 @@
+#include "entry/peers/peerservice.h"
+
+#include "entry/http/errorresponse.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <map>
+
+namespace sassafrasyard {
+
+namespace net = boost::asio;
+
+namespace {
+
+constexpr Milliseconds probeInterval{1000};
+constexpr Milliseconds probeTimeout{500};
+constexpr Milliseconds forwardTimeout{35000};
+constexpr Milliseconds pullTimeout{5000};
+constexpr Milliseconds connectionIdleTimeout{60000};
+constexpr std::size_t indirectProbeCount = 3;
+constexpr std::size_t updatesPerMessage = 8;
+constexpr std::string_view hostObjectPrefix = "hosts/";
+
+MemberRecord selfRecord(const EntryState &entry)
+{
+    MemberRecord record;
+    record.host = entry.settings.host;
+    record.incarnation = entry.incarnation;
+    record.failureDomain = entry.settings.failureDomain;
+    record.region = entry.settings.region;
+    record.peerAddress = entry.settings.peerAddress;
+    record.callerAddress = entry.settings.callerAddress;
+    return record;
+}
+
+MemberTableOptions tableOptions(const EntryState &entry)
+{
+    MemberTableOptions options;
+    options.seed = std::hash<HostIncarnation>()(entry.incarnation);
+    return options;
+}
+
+void logStateChange(const MemberRecord &record)
+{
+    LogEvent event = LogEvent::MemberAlive;
+    if (record.state == MemberState::Suspect)
+        event = LogEvent::MemberSuspect;
+    else if (record.state == MemberState::Leaving)
+        event = LogEvent::MemberLeaving;
+    else if (record.state == MemberState::Dead)
+        event = LogEvent::MemberDead;
+    logEvent(event, "member", record.host.toString(), "incarnation", record.incarnation.toString());
+}
+
+PeerLoadDigest toDigest(const Gossip &gossip)
+{
+    PeerLoadDigest digest;
+    digest.host = HostName(gossip.loadHost);
+    digest.sequence = gossip.loadSequence;
+    for (const LoadEntryMessage &entry : gossip.load)
+        digest.entries.push_back(
+                {BackendServerName(entry.server), entry.running, entry.reservedTokens});
+    return digest;
+}
+
+std::vector<QuarantineRecord> toQuarantine(const Gossip &gossip)
+{
+    std::vector<QuarantineRecord> records;
+    for (const QuarantineMessage &message : gossip.quarantine) {
+        records.push_back({message.requestDigest, message.deaths,
+                           Milliseconds(message.remainingMilliseconds)});
+    }
+    return records;
+}
+
+HttpResponse incarnationGone(std::string detail)
+{
+    return errorResponse(
+            {ErrorCode::HostIncarnationUnknown, RunState::OutcomeUnknown, std::move(detail), {}});
+}
+
+} // namespace
+
+PeerService::PeerService(EntryState &state, DispatchService &dispatch, BackendMonitor &monitor,
+                         ObjectClient &platform, ActorRuntime &runtime, net::io_context &context,
+                         RunCall runCall)
+    : entry(state)
+    , dispatch(dispatch)
+    , monitor(monitor)
+    , platform(platform)
+    , context(context)
+    , runCall(std::move(runCall))
+    , members(runtime, selfRecord(state), tableOptions(state))
+    , server(context, [this](FrameConnection &connection) { return this->serve(connection); })
+{
+    state.publishMembers({selfRecord(state)});
+}
+
+bool PeerService::start(Error &reason)
+{
+    const auto endpoint = parseEndpoint(this->entry.settings.peerAddress, reason);
+    if (!endpoint || !this->server.listen(*endpoint, reason))
+        return false;
+    net::co_spawn(
+            net::make_strand(this->context), [this] { return this->joinAndProbe(); },
+            net::detached);
+    return true;
+}
+
+net::awaitable<void> PeerService::leave()
+{
+    this->members.post([](MemberTable &table) { table.leave(); });
+    co_await this->publish();
+    const auto known = this->entry.members();
+    for (const MemberRecord &record : *known) {
+        if (record.incarnation != this->entry.incarnation && record.state <= MemberState::Suspect)
+            co_await this->probeAddress(record.peerAddress, false);
+    }
+    Error ignored;
+    co_await this->platform.remove(
+            std::string(hostObjectPrefix) + this->entry.incarnation.toString(), ignored);
+}
+
+net::awaitable<HttpResponse> PeerService::forward(const HostIncarnation &incarnation,
+                                                  const ServiceCall &call)
+{
+    const auto known = this->entry.members();
+    const auto owner = std::find_if(known->begin(), known->end(), [&](const MemberRecord &record) {
+        return record.incarnation == incarnation;
+    });
+    if (owner == known->end())
+        co_return incarnationGone("no entry host with this incarnation is known");
+    ForwardCall message;
+    message.sequence = ++this->sequence;
+    message.incarnation = incarnation.toString();
+    message.account = call.account.toString();
+    message.service = call.service;
+    message.path = call.path;
+    message.key = call.key;
+    message.body = call.body;
+    Error reason;
+    const PeerMessage request = message;
+    const auto reply = co_await this->exchange(owner->peerAddress, request, forwardTimeout, reason);
+    const auto *answer = reply ? std::get_if<ForwardReply>(&*reply) : nullptr;
+    if (answer == nullptr || answer->sequence != message.sequence)
+        co_return incarnationGone("the entry host that owns the call does not answer: "
+                                  + reason.detail);
+    HttpResponse response;
+    response.status = static_cast<int>(answer->status);
+    response.headers.emplace_back("Content-Type", "application/json");
+    if (answer->retryAfterMilliseconds > 0)
+        response.headers.emplace_back(
+                "Retry-After", std::to_string((answer->retryAfterMilliseconds + 999) / 1000));
+    response.body = answer->body;
+    co_return response;
+}
+
+net::awaitable<void> PeerService::serve(FrameConnection &connection)
+{
+    Error reason;
+    while (auto payload = co_await connection.receive(connectionIdleTimeout, reason)) {
+        auto message = decodeMessage(*payload, reason);
+        if (!message) {
+            logEvent(LogEvent::PeerMessageInvalid, "detail", reason.detail);
+            co_return;
+        }
+        const auto reply = co_await this->answer(std::move(*message));
+        if (!reply)
+            co_return;
+        const std::string encoded = encodeMessage(*reply);
+        const bool isSent = co_await connection.send(encoded, probeTimeout, reason);
+        if (!isSent)
+            co_return;
+    }
+}
+
+net::awaitable<std::optional<PeerMessage>> PeerService::answer(PeerMessage message)
+{
+    if (auto *probe = std::get_if<Probe>(&message)) {
+        co_await this->takeIn(probe->sender, std::move(probe->gossip));
+        ProbeReply reply;
+        reply.sequence = probe->sequence;
+        reply.gossip = co_await this->collectGossip(probe->wantsAllMembers);
+        const std::function<MemberRecord(MemberTable &)> readSelf = [](MemberTable &table) {
+            return table.self();
+        };
+        reply.sender = co_await this->members.ask<MemberRecord>(readSelf);
+        co_return reply;
+    }
+    if (const auto *indirect = std::get_if<IndirectProbe>(&message)) {
+        IndirectProbeReply reply;
+        reply.sequence = indirect->sequence;
+        reply.isAlive = co_await this->probeAddress(indirect->target, false);
+        co_return reply;
+    }
+    if (const auto *pull = std::get_if<ConfigurationPull>(&message)) {
+        ConfigurationReply reply;
+        reply.sequence = pull->sequence;
+        const auto configuration = this->entry.configuration.current();
+        reply.revision = configuration->revision;
+        if (configuration->revision > pull->knownRevision)
+            reply.document = formatConfiguration(*configuration);
+        co_return reply;
+    }
+    if (const auto *call = std::get_if<ForwardCall>(&message)) {
+        ForwardReply reply;
+        reply.sequence = call->sequence;
+        HttpResponse response = incarnationGone("this host is another incarnation");
+        if (call->incarnation == this->entry.incarnation.toString()) {
+            ServiceCall bound{ClientAccountName(call->account), call->service, call->path,
+                              call->key, call->body};
+            response = co_await this->runCall(std::move(bound));
+        }
+        reply.status = static_cast<std::uint32_t>(response.status);
+        reply.body = response.body;
+        const auto retryAfter = findHeader(response.headers, "Retry-After");
+        reply.retryAfterMilliseconds = retryAfter ? std::stoull(*retryAfter) * 1000 : 0;
+        co_return reply;
+    }
+    co_return std::nullopt;
+}
+
+net::awaitable<std::optional<PeerMessage>> PeerService::exchange(std::string address,
+                                                                 PeerMessage message,
+                                                                 Milliseconds timeout,
+                                                                 Error &reason)
+{
+    const auto endpoint = parseEndpoint(address, reason);
+    if (!endpoint)
+        co_return std::nullopt;
+    const auto connection = co_await FrameConnection::connect(*endpoint, probeTimeout, reason);
+    if (!connection)
+        co_return std::nullopt;
+    const std::string payload = encodeMessage(message);
+    if (!co_await connection->send(payload, probeTimeout, reason))
+        co_return std::nullopt;
+    const auto answered = co_await connection->receive(timeout, reason);
+    if (!answered)
+        co_return std::nullopt;
+    co_return decodeMessage(*answered, reason);
+}
+
+net::awaitable<void> PeerService::joinAndProbe()
+{
+    co_await this->registerInPlatform();
+    net::steady_timer timer(co_await net::this_coro::executor);
+    boost::system::error_code code;
+    while (!code) {
+        const std::function<std::optional<MemberRecord>(MemberTable &)> pickTarget =
+                [now = this->entry.steadyClock.now()](MemberTable &table) {
+                    table.advance(now);
+                    return table.nextProbe();
+                };
+        const auto target = co_await this->members.ask<std::optional<MemberRecord>>(pickTarget);
+        const auto known = this->entry.members();
+        if (known->size() <= 1)
+            co_await this->join();
+        if (target) {
+            net::co_spawn(
+                    net::make_strand(this->context),
+                    [this, record = *target] { return this->probe(record); }, net::detached);
+        }
+        co_await this->publish();
+        timer.expires_after(probeInterval);
+        co_await timer.async_wait(net::redirect_error(net::use_awaitable, code));
+    }
+}
+
+net::awaitable<void> PeerService::join()
+{
+    std::vector<std::string> addresses = this->entry.settings.joinAddresses;
+    Error reason;
+    const auto objects = co_await this->platform.list(std::string(hostObjectPrefix), reason);
+    if (objects) {
+        for (const StoredObject &object : *objects)
+            addresses.push_back(object.value);
+    }
+    for (const std::string &address : addresses) {
+        if (address != this->entry.settings.peerAddress)
+            co_await this->probeAddress(address, true);
+    }
+}
+
+net::awaitable<void> PeerService::registerInPlatform()
+{
+    Error reason;
+    co_await this->platform.write(std::string(hostObjectPrefix)
+                                          + this->entry.incarnation.toString(),
+                                  this->entry.settings.peerAddress, std::nullopt, reason);
+    co_await this->join();
+}
+
+net::awaitable<void> PeerService::probe(MemberRecord target)
+{
+    if (co_await this->probeAddress(target.peerAddress, false))
+        co_return;
+    if (target.state != MemberState::Dead) {
+        const bool isAlive = co_await this->probeIndirectly(target);
+        if (isAlive)
+            co_return;
+    }
+    this->members.post([target, now = this->entry.steadyClock.now()](MemberTable &table) {
+        table.recordProbeFailure(target.incarnation, now);
+    });
+    co_await this->publish();
+}
+
+net::awaitable<bool> PeerService::probeAddress(std::string address, bool wantsAllMembers)
+{
+    Probe probe;
+    probe.sequence = ++this->sequence;
+    probe.wantsAllMembers = wantsAllMembers;
+    probe.gossip = co_await this->collectGossip(wantsAllMembers);
+    const std::function<MemberRecord(MemberTable &)> readSelf = [](MemberTable &table) {
+        return table.self();
+    };
+    probe.sender = co_await this->members.ask<MemberRecord>(readSelf);
+    Error reason;
+    const PeerMessage message = probe;
+    const auto reply = co_await this->exchange(address, message, probeTimeout, reason);
+    const auto *answer = reply ? std::get_if<ProbeReply>(&*reply) : nullptr;
+    if (answer == nullptr || answer->sequence != probe.sequence)
+        co_return false;
+    co_await this->takeIn(answer->sender, answer->gossip);
+    co_return true;
+}
+
+net::awaitable<bool> PeerService::probeIndirectly(MemberRecord target)
+{
+    const std::function<std::vector<MemberRecord>(MemberTable &)> pick =
+            [target](MemberTable &table) {
+                return table.indirectProbers(target.incarnation, indirectProbeCount);
+            };
+    const auto probers = co_await this->members.ask<std::vector<MemberRecord>>(pick);
+    for (const MemberRecord &prober : probers) {
+        IndirectProbe request;
+        request.sequence = ++this->sequence;
+        request.target = target.peerAddress;
+        Error reason;
+        const PeerMessage message = request;
+        const auto reply =
+                co_await this->exchange(prober.peerAddress, message, 3 * probeTimeout, reason);
+        const auto *answer = reply ? std::get_if<IndirectProbeReply>(&*reply) : nullptr;
+        if (answer != nullptr && answer->sequence == request.sequence && answer->isAlive)
+            co_return true;
+    }
+    co_return false;
+}
+
+net::awaitable<Gossip> PeerService::collectGossip(bool includesAllMembers)
+{
+    Gossip gossip;
+    const std::function<std::vector<MemberRecord>(MemberTable &)> take =
+            [includesAllMembers](MemberTable &table) {
+                return includesAllMembers ? table.members() : table.takeUpdates(updatesPerMessage);
+            };
+    gossip.members = co_await this->members.ask<std::vector<MemberRecord>>(take);
+    const PeerLoadDigest digest = co_await this->dispatch.loadDigest();
+    gossip.loadHost = digest.host.toString();
+    gossip.loadSequence = digest.sequence;
+    for (const PeerLoadEntry &entry : digest.entries)
+        gossip.load.push_back({entry.server.toString(), entry.running, entry.reservedTokens});
+    const std::vector<QuarantineRecord> quarantine = co_await this->dispatch.quarantineRecords();
+    for (const QuarantineRecord &record : quarantine) {
+        gossip.quarantine.push_back({record.requestDigest, record.deaths,
+                                     static_cast<std::uint64_t>(record.remaining.count())});
+    }
+    for (const BackendServerName &server : this->monitor.leavingServers())
+        gossip.leavingServers.push_back(server.toString());
+    gossip.revision = this->entry.configuration.current()->revision;
+    co_return gossip;
+}
+
+net::awaitable<void> PeerService::takeIn(MemberRecord sender, Gossip gossip)
+{
+    this->members.post([sender, updates = gossip.members,
+                        now = this->entry.steadyClock.now()](MemberTable &table) {
+        table.applyUpdates(std::span(&sender, 1), now);
+        table.applyUpdates(updates, now);
+    });
+    this->dispatch.post([digest = toDigest(gossip), quarantine = toQuarantine(gossip)](
+                                Dispatcher &dispatcher, Milliseconds now) {
+        dispatcher.recordPeerLoad(digest, now);
+        dispatcher.recordPeerQuarantine(quarantine, now);
+    });
+    std::vector<BackendServerName> leaving;
+    for (const std::string &server : gossip.leavingServers)
+        leaving.emplace_back(server);
+    this->monitor.recordLeaving(leaving);
+    const std::uint64_t known = this->entry.configuration.current()->revision;
+    if (gossip.revision > known && !this->isPulling.exchange(true)) {
+        net::co_spawn(
+                net::make_strand(this->context),
+                [this, address = sender.peerAddress, known] {
+                    return this->pullConfiguration(address, known);
+                },
+                net::detached);
+    }
+    co_await this->publish();
+}
+
+net::awaitable<void> PeerService::pullConfiguration(std::string address, std::uint64_t revision)
+{
+    ConfigurationPull pull;
+    pull.sequence = ++this->sequence;
+    pull.knownRevision = revision;
+    Error reason;
+    const PeerMessage message = pull;
+    const auto reply = co_await this->exchange(address, message, pullTimeout, reason);
+    this->isPulling = false;
+    const auto *answer = reply ? std::get_if<ConfigurationReply>(&*reply) : nullptr;
+    if (answer == nullptr || answer->sequence != pull.sequence || answer->document.empty())
+        co_return;
+    auto configuration = parseConfiguration(answer->document, reason);
+    if (!configuration) {
+        logEvent(LogEvent::ConfigurationRejected, "detail", reason.detail);
+        co_return;
+    }
+    const std::uint64_t received = configuration->revision;
+    if (this->entry.configuration.offer(std::move(*configuration)))
+        logEvent(LogEvent::ConfigurationApplied, "revision", std::to_string(received), "from",
+                 address);
+}
+
+net::awaitable<void> PeerService::publish()
+{
+    const std::function<std::vector<MemberRecord>(MemberTable &)> read = [](MemberTable &table) {
+        return table.members();
+    };
+    auto records = co_await this->members.ask<std::vector<MemberRecord>>(read);
+    const auto before = this->entry.members();
+    std::map<HostIncarnation, MemberState> states;
+    std::size_t live = 0;
+    for (const MemberRecord &record : *before)
+        states.emplace(record.incarnation, record.state);
+    for (const MemberRecord &record : records) {
+        live += record.state <= MemberState::Suspect ? 1 : 0;
+        const auto known = states.find(record.incarnation);
+        if (known == states.end() || known->second != record.state)
+            logStateChange(record);
+    }
+    this->entry.publishMembers(std::move(records));
+    this->dispatch.post(
+            [live](Dispatcher &dispatcher, Milliseconds) { dispatcher.setLiveHostCount(live); });
+}
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/entry/positions/positioncodec.cpp
@@ -0,0 +1,159 @@
+#include "entry/positions/positioncodec.h"
+
+#include "network/network.h"
+
+#include <openssl/crypto.h>
+#include <openssl/sha.h>
+
+#include <algorithm>
+#include <cassert>
+#include <charconv>
+#include <span>
+#include <vector>
+
+namespace sassafrasyard {
+
+namespace {
+
+constexpr std::size_t hmacBlockBytes = 64;
+constexpr std::size_t macBytes = 12;
+constexpr char separator = '/';
+
+using Sha256 = std::array<unsigned char, SHA256_DIGEST_LENGTH>;
+
+Sha256 sha256(std::string_view text)
+{
+    Sha256 digest{};
+    SHA256(reinterpret_cast<const unsigned char *>(text.data()), text.size(), digest.data());
+    return digest;
+}
+
+std::string toHexDigits(std::span<const unsigned char> bytes)
+{
+    static constexpr char digits[] = "0123456789abcdef";
+    std::string hex;
+    hex.reserve(bytes.size() * 2);
+    for (const unsigned char byte : bytes) {
+        hex.push_back(digits[byte >> 4U]);
+        hex.push_back(digits[byte & 0xFU]);
+    }
+    return hex;
+}
+
+std::vector<std::string_view> split(std::string_view text)
+{
+    std::vector<std::string_view> parts;
+    while (true) {
+        const std::size_t end = text.find(separator);
+        parts.push_back(text.substr(0, end));
+        if (end == std::string_view::npos)
+            return parts;
+        text.remove_prefix(end + 1);
+    }
+}
+
+std::string boundText(std::string_view fields, const PositionBinding &binding)
+{
+    std::string text(fields);
+    text.push_back(separator);
+    text += percentEncode(binding.account.toString());
+    text.push_back(separator);
+    text += binding.bodyDigest;
+    return text;
+}
+
+} // namespace
+
+RollingDigest RollingDigest::fromHex(std::string_view hex)
+{
+    RollingDigest digest;
+    if (hex.size() != digest.bytes.size() * 2)
+        return {};
+    for (std::size_t index = 0; index < digest.bytes.size(); ++index) {
+        const char *first = hex.data() + index * 2;
+        unsigned value = 0;
+        const auto [end, code] = std::from_chars(first, first + 2, value, 16);
+        if (code != std::errc() || end != first + 2)
+            return {};
+        digest.bytes[index] = static_cast<unsigned char>(value);
+    }
+    return digest;
+}
+
+void RollingDigest::append(std::string_view token)
+{
+    std::string text(reinterpret_cast<const char *>(this->bytes.data()), this->bytes.size());
+    text += token;
+    const Sha256 digest = sha256(text);
+    std::copy_n(digest.begin(), this->bytes.size(), this->bytes.begin());
+}
+
+std::string RollingDigest::toHex() const
+{
+    return toHexDigits(this->bytes);
+}
+
+PositionCodec::PositionCodec(std::string_view secret)
+{
+    std::string key(secret);
+    if (key.size() > hmacBlockBytes) {
+        const Sha256 digest = sha256(key);
+        key.assign(reinterpret_cast<const char *>(digest.data()), digest.size());
+    }
+    key.resize(hmacBlockBytes, '\0');
+    for (const char character : key) {
+        this->innerKey.push_back(static_cast<char>(character ^ 0x36));
+        this->outerKey.push_back(static_cast<char>(character ^ 0x5c));
+    }
+}
+
+std::string PositionCodec::encode(const StreamPosition &position,
+                                  const PositionBinding &binding) const
+{
+    std::string text = percentEncode(position.server.toString());
+    text.push_back(separator);
+    text += percentEncode(position.generation.toString());
+    text.push_back(separator);
+    text += std::to_string(position.index);
+    text.push_back(separator);
+    text += position.digest;
+    const std::string mac = this->authenticate(boundText(text, binding));
+    text.push_back(separator);
+    text += mac;
+    return text;
+}
+
+std::optional<StreamPosition> PositionCodec::decode(std::string_view text,
+                                                    const PositionBinding &binding,
+                                                    Error &reason) const
+{
+    reason = {ErrorCode::InvalidPosition,
+              RunState::NotRun,
+              "the position is malformed or belongs to another request",
+              {}};
+    const std::vector<std::string_view> parts = split(text);
+    if (parts.size() != 5)
+        return std::nullopt;
+    const std::string_view fields = text.substr(0, text.size() - parts[4].size() - 1);
+    const std::string mac = this->authenticate(boundText(fields, binding));
+    if (mac.size() != parts[4].size()
+        || CRYPTO_memcmp(mac.data(), parts[4].data(), mac.size()) != 0)
+        return std::nullopt;
+    StreamPosition position;
+    position.server = BackendServerName(percentDecode(parts[0]));
+    position.generation = GenerationName(percentDecode(parts[1]));
+    std::from_chars(parts[2].data(), parts[2].data() + parts[2].size(), position.index);
+    position.digest = parts[3];
+    return position;
+}
+
+std::string PositionCodec::authenticate(std::string_view text) const
+{
+    const Sha256 inner = sha256(this->innerKey + std::string(text));
+    std::string outer = this->outerKey;
+    outer.append(reinterpret_cast<const char *>(inner.data()), inner.size());
+    const Sha256 digest = sha256(outer);
+    return toHexDigits(std::span(digest).first(macBytes));
+}
+
+} // namespace sassafrasyard
--- a/packages/membership/table/membertable.cpp
+++ b/packages/membership/table/membertable.cpp
@@ -48,9 +48,10 @@
 
 std::size_t MemberTable::liveCount() const
 {
-    const auto live = std::count_if(this->entries.begin(), this->entries.end(), [](const auto &pair) {
-        return pair.second.record.state <= MemberState::Suspect;
-    });
+    const auto live =
+            std::count_if(this->entries.begin(), this->entries.end(), [](const auto &pair) {
+                return pair.second.record.state <= MemberState::Suspect;
+            });
     return static_cast<std::size_t>(live) + 1;
 }
 
--- a/packages/network/frames/frameconnection.cpp
+++ b/packages/network/frames/frameconnection.cpp
@@ -32,7 +32,10 @@
 Error frameError(error_code code, RunState state)
 {
     const bool isTimeout = code == beast::error::timeout;
-    return {isTimeout ? ErrorCode::Timeout : ErrorCode::ConnectionFailed, state, code.message(), {}};
+    return {isTimeout ? ErrorCode::Timeout : ErrorCode::ConnectionFailed,
+            state,
+            code.message(),
+            {}};
 }
 
 } // namespace
@@ -56,8 +59,9 @@
 
 FrameConnection::~FrameConnection() = default;
 
-net::awaitable<std::unique_ptr<FrameConnection>>
-FrameConnection::connect(const Endpoint &endpoint, Milliseconds timeout, Error &reason)
+net::awaitable<std::unique_ptr<FrameConnection>> FrameConnection::connect(const Endpoint &endpoint,
+                                                                          Milliseconds timeout,
+                                                                          Error &reason)
 {
     beast::tcp_stream stream(co_await net::this_coro::executor);
     stream.expires_after(timeout);
@@ -77,8 +81,8 @@
 {
     const auto size = static_cast<std::uint32_t>(payload.size());
     const std::array<unsigned char, lengthBytes> header = {
-        static_cast<unsigned char>(size >> 24U), static_cast<unsigned char>(size >> 16U),
-        static_cast<unsigned char>(size >> 8U), static_cast<unsigned char>(size)};
+            static_cast<unsigned char>(size >> 24U), static_cast<unsigned char>(size >> 16U),
+            static_cast<unsigned char>(size >> 8U), static_cast<unsigned char>(size)};
     const std::array<net::const_buffer, 2> buffers = {net::buffer(header),
                                                       net::buffer(payload.data(), payload.size())};
     this->implementation->stream.expires_after(timeout);
@@ -101,7 +105,8 @@
         const std::size_t size = (std::size_t{header[0]} << 24U) | (std::size_t{header[1]} << 16U)
                 | (std::size_t{header[2]} << 8U) | std::size_t{header[3]};
         if (size > maximumFrameBytes - lengthBytes) {
-            reason = {ErrorCode::ProtocolViolation, RunState::OutcomeUnknown, "frame too large", {}};
+            reason = {
+                    ErrorCode::ProtocolViolation, RunState::OutcomeUnknown, "frame too large", {}};
             co_return std::nullopt;
         }
         payload.resize(size);
@@ -188,8 +193,10 @@
     if (!code)
         acceptor.listen(net::socket_base::max_listen_connections, code);
     if (code) {
-        reason = {ErrorCode::ConnectionFailed, RunState::NotRun,
-                  "cannot listen on " + endpoint.toString() + ": " + code.message(), {}};
+        reason = {ErrorCode::ConnectionFailed,
+                  RunState::NotRun,
+                  "cannot listen on " + endpoint.toString() + ": " + code.message(),
+                  {}};
         return std::nullopt;
     }
     net::co_spawn(
--- a/packages/network/frames/frameconnection.h
+++ b/packages/network/frames/frameconnection.h
@@ -34,8 +34,8 @@
      * @param timeout for the connection to stand, in milliseconds.
      * @param reason receives ConnectionFailed or Timeout, with NotRun.
      */
-    static boost::asio::awaitable<std::unique_ptr<FrameConnection>>
-    connect(const Endpoint &endpoint, Milliseconds timeout, Error &reason);
+    static boost::asio::awaitable<std::unique_ptr<FrameConnection>> connect(
+            const Endpoint &endpoint, Milliseconds timeout, Error &reason);
 
     /** Sends a frame. @param reason receives ConnectionFailed or Timeout. */
     boost::asio::awaitable<bool> send(std::string_view payload, Milliseconds timeout,
--- a/packages/network/http/endpoint.cpp
+++ b/packages/network/http/endpoint.cpp
@@ -22,7 +22,8 @@
     bool isValid = colon != std::string_view::npos;
     if (isValid) {
         const std::string_view digits = text.substr(colon + 1);
-        const auto [end, code] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+        const auto [end, code] =
+                std::from_chars(digits.data(), digits.data() + digits.size(), port);
         isValid = code == std::errc() && end == digits.data() + digits.size() && !digits.empty();
     }
     boost::system::error_code ignored;
--- a/packages/network/http/httpclient.cpp
+++ b/packages/network/http/httpclient.cpp
@@ -29,8 +29,10 @@
 Error transportError(error_code code, RunState state, const Endpoint &endpoint)
 {
     const bool isTimeout = code == beast::error::timeout;
-    return {isTimeout ? ErrorCode::Timeout : ErrorCode::ConnectionFailed, state,
-            endpoint.toString() + ": " + code.message(), {}};
+    return {isTimeout ? ErrorCode::Timeout : ErrorCode::ConnectionFailed,
+            state,
+            endpoint.toString() + ": " + code.message(),
+            {}};
 }
 
 http::request<http::string_body> toMessage(const HttpRequest &request, const Endpoint &endpoint)
@@ -53,8 +55,7 @@
     HttpResponse response;
     response.status = static_cast<int>(header.result_int());
     for (const auto &field : header)
-        response.headers.emplace_back(std::string(field.name_string()),
-                                      std::string(field.value()));
+        response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
     return response;
 }
 
--- a/packages/network/http/httpclient.h
+++ b/packages/network/http/httpclient.h
@@ -26,9 +26,10 @@
  * @param reason receives ConnectionFailed with NotRun if no byte of the request was sent, and
  *     Timeout, ConnectionFailed or ProtocolViolation with OutcomeUnknown afterwards.
  */
-boost::asio::awaitable<std::optional<HttpResponse>>
-sendHttpRequest(const Endpoint &endpoint, const HttpRequest &request, HttpTimeouts timeouts,
-                Error &reason);
+boost::asio::awaitable<std::optional<HttpResponse>> sendHttpRequest(const Endpoint &endpoint,
+                                                                    const HttpRequest &request,
+                                                                    HttpTimeouts timeouts,
+                                                                    Error &reason);
 
 /** A response that is read piece by piece, such as a stream of server-sent events. */
 class HttpStream
@@ -47,9 +48,9 @@
      * @param reason as for sendHttpRequest().
      * @return the response's status and header fields; for a status other than 200 also its body.
      */
-    boost::asio::awaitable<std::optional<HttpResponse>>
-    open(const Endpoint &endpoint, const HttpRequest &request, HttpTimeouts timeouts,
-         Error &reason);
+    boost::asio::awaitable<std::optional<HttpResponse>> open(const Endpoint &endpoint,
+                                                             const HttpRequest &request,
+                                                             HttpTimeouts timeouts, Error &reason);
 
     /**
      * Reads the next bytes of the body.
--- a/packages/network/http/httpserver.cpp
+++ b/packages/network/http/httpserver.cpp
@@ -200,7 +200,9 @@
         ++this->open;
         net::co_spawn(
                 strand,
-                [self, moved = std::move(socket)]() mutable { return self->serve(std::move(moved)); },
+                [self, moved = std::move(socket)]() mutable {
+                    return self->serve(std::move(moved));
+                },
                 net::detached);
     }
 }
@@ -210,8 +212,7 @@
     auto self = this->shared_from_this();
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    auto connection =
-            std::make_unique<HttpResponder::Connection>(std::move(socket), this->options);
+    auto connection = std::make_unique<HttpResponder::Connection>(std::move(socket), this->options);
     while (co_await this->serveOne(*connection)) { }
     connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     --this->open;
@@ -265,8 +266,10 @@
     if (!code)
         acceptor.listen(net::socket_base::max_listen_connections, code);
     if (code) {
-        reason = {ErrorCode::ConnectionFailed, RunState::NotRun,
-                  "cannot listen on " + endpoint.toString() + ": " + code.message(), {}};
+        reason = {ErrorCode::ConnectionFailed,
+                  RunState::NotRun,
+                  "cannot listen on " + endpoint.toString() + ": " + code.message(),
+                  {}};
         return std::nullopt;
     }
     net::co_spawn(
--- a/packages/network/http/httpserver.h
+++ b/packages/network/http/httpserver.h
@@ -13,7 +13,8 @@
 
 namespace sassafrasyard {
 
-/** Writes the answer to one request: either send() once, or startStream(), write()... and finish(). */
+/** Writes the answer to one request: either send() once, or startStream(), write()... and finish().
+ */
 class HttpResponder
 {
 public:
--- /dev/null
+++ b/packages/observability/logging/logevent.cpp
@@ -0,0 +1,64 @@
+#include "observability/logging/logevent.h"
+
+#include <array>
+
+namespace sassafrasyard {
+
+namespace {
+
+constexpr std::array catalogue = {
+        LogEventEntry{LogEvent::DaemonStarted, LogLevel::Info, "daemon_started"},
+        LogEventEntry{LogEvent::DaemonDraining, LogLevel::Info, "daemon_draining"},
+        LogEventEntry{LogEvent::DaemonStopped, LogLevel::Info, "daemon_stopped"},
+        LogEventEntry{LogEvent::SettingsInvalid, LogLevel::Error, "settings_invalid"},
+        LogEventEntry{LogEvent::ListenFailed, LogLevel::Error, "listen_failed"},
+        LogEventEntry{LogEvent::MemberAlive, LogLevel::Info, "member_alive"},
+        LogEventEntry{LogEvent::MemberSuspect, LogLevel::Warning, "member_suspect"},
+        LogEventEntry{LogEvent::MemberLeaving, LogLevel::Info, "member_leaving"},
+        LogEventEntry{LogEvent::MemberDead, LogLevel::Warning, "member_dead"},
+        LogEventEntry{LogEvent::PeerMessageInvalid, LogLevel::Warning, "peer_message_invalid"},
+        LogEventEntry{LogEvent::ConfigurationApplied, LogLevel::Info, "configuration_applied"},
+        LogEventEntry{LogEvent::ConfigurationRejected, LogLevel::Warning, "configuration_rejected"},
+        LogEventEntry{LogEvent::ConfigurationUnavailable, LogLevel::Warning,
+                      "configuration_unavailable"},
+        LogEventEntry{LogEvent::ConfigurationAccepted, LogLevel::Info, "configuration_accepted"},
+        LogEventEntry{LogEvent::RequestRefused, LogLevel::Debug, "request_refused"},
+        LogEventEntry{LogEvent::RequestRetried, LogLevel::Info, "request_retried"},
+        LogEventEntry{LogEvent::StreamResumed, LogLevel::Info, "stream_resumed"},
+        LogEventEntry{LogEvent::GenerationLost, LogLevel::Warning, "generation_lost"},
+        LogEventEntry{LogEvent::CrossedAnswerDropped, LogLevel::Warning, "crossed_answer_dropped"},
+        LogEventEntry{LogEvent::GenerationCancelled, LogLevel::Info, "generation_cancelled"},
+        LogEventEntry{LogEvent::BackendServerLost, LogLevel::Warning, "backend_server_lost"},
+        LogEventEntry{LogEvent::BackendServerLeaving, LogLevel::Info, "backend_server_leaving"},
+        LogEventEntry{LogEvent::BackendServerSlow, LogLevel::Warning, "backend_server_slow"},
+        LogEventEntry{LogEvent::BackendServerReadmitted, LogLevel::Info,
+                      "backend_server_readmitted"},
+        LogEventEntry{LogEvent::RequestQuarantined, LogLevel::Warning, "request_quarantined"},
+        LogEventEntry{LogEvent::DuplicateCallPrevented, LogLevel::Info, "duplicate_call_prevented"},
+        LogEventEntry{LogEvent::CallOutcomeUnknown, LogLevel::Warning, "call_outcome_unknown"},
+        LogEventEntry{LogEvent::CallForwarded, LogLevel::Debug, "call_forwarded"},
+        LogEventEntry{LogEvent::LeaseAcquired, LogLevel::Info, "lease_acquired"},
+        LogEventEntry{LogEvent::LeaseLost, LogLevel::Warning, "lease_lost"},
+        LogEventEntry{LogEvent::OrderSent, LogLevel::Info, "order_sent"},
+        LogEventEntry{LogEvent::OrderRefused, LogLevel::Warning, "order_refused"},
+        LogEventEntry{LogEvent::RolloutAdvanced, LogLevel::Info, "rollout_advanced"},
+        LogEventEntry{LogEvent::RolloutStopped, LogLevel::Warning, "rollout_stopped"},
+};
+
+} // namespace
+
+std::span<const LogEventEntry> logEventCatalogue()
+{
+    return catalogue;
+}
+
+const LogEventEntry &logEventEntry(LogEvent event)
+{
+    for (const LogEventEntry &entry : catalogue) {
+        if (entry.event == event)
+            return entry;
+    }
+    return catalogue.front();
+}
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/observability/logging/logevent.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <span>
+#include <string_view>
+
+namespace sassafrasyard {
+
+/** How serious a log event is. */
+enum class LogLevel {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+/** Every event that is logged, by number. docs/events.md describes each one. */
+enum class LogEvent : int {
+    DaemonStarted = 1001,
+    DaemonDraining = 1002,
+    DaemonStopped = 1003,
+    SettingsInvalid = 1004,
+    ListenFailed = 1005,
+    MemberAlive = 2001,
+    MemberSuspect = 2002,
+    MemberLeaving = 2003,
+    MemberDead = 2004,
+    PeerMessageInvalid = 2005,
+    ConfigurationApplied = 3001,
+    ConfigurationRejected = 3002,
+    ConfigurationUnavailable = 3003,
+    ConfigurationAccepted = 3004,
+    RequestRefused = 4001,
+    RequestRetried = 4002,
+    StreamResumed = 4003,
+    GenerationLost = 4004,
+    CrossedAnswerDropped = 4005,
+    GenerationCancelled = 4006,
+    BackendServerLost = 5001,
+    BackendServerLeaving = 5002,
+    BackendServerSlow = 5003,
+    BackendServerReadmitted = 5004,
+    RequestQuarantined = 5005,
+    DuplicateCallPrevented = 6001,
+    CallOutcomeUnknown = 6002,
+    CallForwarded = 6003,
+    LeaseAcquired = 7001,
+    LeaseLost = 7002,
+    OrderSent = 7003,
+    OrderRefused = 7004,
+    RolloutAdvanced = 7005,
+    RolloutStopped = 7006,
+};
+
+/** An entry of the event catalogue. */
+struct LogEventEntry
+{
+    /** The event. */
+    LogEvent event;
+    /** Its level. */
+    LogLevel level;
+    /** Its name in the log. */
+    std::string_view name;
+};
+
+/** Returns the catalogue of all events, ordered by number. */
+std::span<const LogEventEntry> logEventCatalogue();
+
+/** Returns the catalogue entry of an event. */
+const LogEventEntry &logEventEntry(LogEvent event);
+
+} // namespace sassafrasyard
--- a/packages/policy/dispatch/dispatcher.cpp
+++ b/packages/policy/dispatch/dispatcher.cpp
@@ -25,6 +25,7 @@
         if (const auto known = this->servers.find(server.name); known != this->servers.end()) {
             state.ownRunning = known->second.ownRunning;
             state.isMarkedLeaving = known->second.isMarkedLeaving;
+            state.isReachable = known->second.isReachable;
         }
         updated.emplace(server.name, std::move(state));
     }
@@ -42,12 +43,18 @@
         known->second.isMarkedLeaving = isLeaving;
 }
 
+void Dispatcher::setReachable(const BackendServerName &server, bool isReachable)
+{
+    if (const auto known = this->servers.find(server); known != this->servers.end())
+        known->second.isReachable = isReachable;
+}
+
 void Dispatcher::submit(const WorkRequest &request, Milliseconds now)
 {
     assert(!this->running.contains(request.name));
     if (this->waiting.size() >= this->options.queueLimit) {
         this->decisions.emplace_back(
-            Refusal{request.name, ErrorCode::Overloaded, overloadRetryAfter});
+                Refusal{request.name, ErrorCode::Overloaded, overloadRetryAfter});
         return;
     }
     this->waiting.push_back({request, now});
@@ -147,8 +154,8 @@
     ServerState &state = this->servers.at(candidates[*chosen].server->name);
     ++state.ownRunning;
     this->running.emplace(request.name, RunningRequest{request, state.server.name});
-    this->decisions.emplace_back(Assignment{request.name, state.server.name, 0,
-                                            static_cast<int>(request.priority)});
+    this->decisions.emplace_back(
+            Assignment{request.name, state.server.name, 0, static_cast<int>(request.priority)});
     return true;
 }
 
@@ -157,7 +164,7 @@
     std::vector<PlacementCandidate> candidates;
     for (const auto &[name, state] : this->servers) {
         const auto &models = state.server.models;
-        if (state.server.isLeaving || state.isMarkedLeaving
+        if (state.server.isLeaving || state.isMarkedLeaving || !state.isReachable
             || state.ownRunning >= state.server.slots
             || std::find(models.begin(), models.end(), request.model) == models.end()) {
             continue;
--- a/packages/policy/dispatch/dispatcher.h
+++ b/packages/policy/dispatch/dispatcher.h
@@ -71,6 +71,9 @@
     /** Marks a backend server as leaving (or not) before the configuration says so. */
     void setLeaving(const BackendServerName &server, bool isLeaving);
 
+    /** Records whether a backend server answers at all; an unreachable one gets no new work. */
+    void setReachable(const BackendServerName &server, bool isReachable);
+
     /** Hands in a request. Its name must not be in use. */
     void submit(const WorkRequest &request, Milliseconds now);
     /** Records how many tokens a running request has produced so far. */
@@ -119,6 +122,7 @@
         BackendServer server;
         std::uint32_t ownRunning = 0;
         bool isMarkedLeaving = false;
+        bool isReachable = true;
     };
 
     void placeWaiting(Milliseconds now);
--- a/packages/policy/placement/baselineplacement.cpp
+++ b/packages/policy/placement/baselineplacement.cpp
@@ -22,10 +22,10 @@
         if (candidates.empty())
             return std::nullopt;
         const auto least = std::min_element(
-            candidates.begin(), candidates.end(),
-            [](const PlacementCandidate &left, const PlacementCandidate &right) {
-                return left.ownRunning < right.ownRunning;
-            });
+                candidates.begin(), candidates.end(),
+                [](const PlacementCandidate &left, const PlacementCandidate &right) {
+                    return left.ownRunning < right.ownRunning;
+                });
         return static_cast<std::size_t>(least - candidates.begin());
     };
 }
--- a/packages/policy/placement/placementpolicy.h
+++ b/packages/policy/placement/placementpolicy.h
@@ -34,7 +34,7 @@
  * The result is an index into the candidates, or nothing if none should take the request now.
  */
 using PlacementPolicy = std::function<std::optional<std::size_t>(
-    const WorkRequest &request, std::span<const PlacementCandidate> candidates)>;
+        const WorkRequest &request, std::span<const PlacementCandidate> candidates)>;
 
 /** Returns a policy that takes the candidates in turn. A baseline. */
 PlacementPolicy roundRobinPlacement();
--- a/packages/policy/tests/test_dispatcher.cpp
+++ b/packages/policy/tests/test_dispatcher.cpp
@@ -35,8 +35,7 @@
     dispatcher.submit(work("3"), Milliseconds(0));
     const auto decisions = dispatcher.takeDecisions();
     REQUIRE(decisions.size() == 2);
-    REQUIRE(std::get<Assignment>(decisions[0]).server
-            != std::get<Assignment>(decisions[1]).server);
+    REQUIRE(std::get<Assignment>(decisions[0]).server != std::get<Assignment>(decisions[1]).server);
     REQUIRE(dispatcher.waitingCount() == 1);
     dispatcher.recordFinished(RequestName("1"), WorkOutcome::Completed, Milliseconds(10));
     REQUIRE(dispatcher.takeDecisions().size() == 1);
--- a/packages/policy/work/workrequest.h
+++ b/packages/policy/work/workrequest.h
@@ -35,7 +35,9 @@
     /** The caller's priority, limited by the account's. */
     Priority priority = Priority::Normal;
     /** Whether the request may be run twice. */
-    bool idempotent = true;
+    bool isIdempotent = true;
+    /** Whether this is a further attempt at a request that was placed before. */
+    bool isRetry = false;
 };
 
 /** How a piece of work ended. */
--- a/packages/protocol/messages/messagecodec.cpp
+++ b/packages/protocol/messages/messagecodec.cpp
@@ -12,88 +12,88 @@
 
 // Each overload lists the fields of one message in their order on the wire.
 template <typename Visitor>
-void visitFields(Visitor &visit, auto &record)
-    requires std::is_same_v<std::remove_cvref_t<decltype(record)>, MemberRecord>
+void visitFields(Visitor &visit, auto &record) requires
+        std::is_same_v<std::remove_cvref_t<decltype(record)>, MemberRecord>
 {
     visit(record.host, record.incarnation, record.failureDomain, record.region, record.peerAddress,
           record.callerAddress, record.state, record.version);
 }
 
 template <typename Visitor>
-void visitFields(Visitor &visit, auto &entry)
-    requires std::is_same_v<std::remove_cvref_t<decltype(entry)>, LoadEntryMessage>
+void visitFields(Visitor &visit, auto &entry) requires
+        std::is_same_v<std::remove_cvref_t<decltype(entry)>, LoadEntryMessage>
 {
     visit(entry.server, entry.running, entry.reservedTokens);
 }
 
 template <typename Visitor>
-void visitFields(Visitor &visit, auto &record)
-    requires std::is_same_v<std::remove_cvref_t<decltype(record)>, QuarantineMessage>
+void visitFields(Visitor &visit, auto &record) requires
+        std::is_same_v<std::remove_cvref_t<decltype(record)>, QuarantineMessage>
 {
     visit(record.requestDigest, record.deaths, record.remainingMilliseconds);
 }
 
 template <typename Visitor>
-void visitFields(Visitor &visit, auto &gossip)
-    requires std::is_same_v<std::remove_cvref_t<decltype(gossip)>, Gossip>
+void visitFields(Visitor &visit, auto &gossip) requires
+        std::is_same_v<std::remove_cvref_t<decltype(gossip)>, Gossip>
 {
     visit(gossip.members, gossip.loadHost, gossip.loadSequence, gossip.load, gossip.quarantine,
           gossip.leavingServers, gossip.revision);
 }
 
 template <typename Visitor>
-void visitFields(Visitor &visit, auto &message)
-    requires std::is_same_v<std::remove_cvref_t<decltype(message)>, Probe>
+void visitFields(Visitor &visit, auto &message) requires
+        std::is_same_v<std::remove_cvref_t<decltype(message)>, Probe>
 {
     visit(message.sequence, message.sender, message.wantsAllMembers, message.gossip);
 }
 
 template <typename Visitor>
-void visitFields(Visitor &visit, auto &message)
-    requires std::is_same_v<std::remove_cvref_t<decltype(message)>, ProbeReply>
+void visitFields(Visitor &visit, auto &message) requires
+        std::is_same_v<std::remove_cvref_t<decltype(message)>, ProbeReply>
 {
     visit(message.sequence, message.sender, message.gossip);
 }
 
 template <typename Visitor>
-void visitFields(Visitor &visit, auto &message)
-    requires std::is_same_v<std::remove_cvref_t<decltype(message)>, IndirectProbe>
+void visitFields(Visitor &visit, auto &message) requires
+        std::is_same_v<std::remove_cvref_t<decltype(message)>, IndirectProbe>
 {
     visit(message.sequence, message.target);
 }
 
 template <typename Visitor>
-void visitFields(Visitor &visit, auto &message)
-    requires std::is_same_v<std::remove_cvref_t<decltype(message)>, IndirectProbeReply>
+void visitFields(Visitor &visit, auto &message) requires
+        std::is_same_v<std::remove_cvref_t<decltype(message)>, IndirectProbeReply>
 {
     visit(message.sequence, message.isAlive);
 }
 
 template <typename Visitor>
-void visitFields(Visitor &visit, auto &message)
-    requires std::is_same_v<std::remove_cvref_t<decltype(message)>, ConfigurationPull>
+void visitFields(Visitor &visit, auto &message) requires
+        std::is_same_v<std::remove_cvref_t<decltype(message)>, ConfigurationPull>
 {
     visit(message.sequence, message.knownRevision);
 }
 
 template <typename Visitor>
-void visitFields(Visitor &visit, auto &message)
-    requires std::is_same_v<std::remove_cvref_t<decltype(message)>, ConfigurationReply>
+void visitFields(Visitor &visit, auto &message) requires
+        std::is_same_v<std::remove_cvref_t<decltype(message)>, ConfigurationReply>
 {
     visit(message.sequence, message.revision, message.document);
 }
 
 template <typename Visitor>
-void visitFields(Visitor &visit, auto &message)
-    requires std::is_same_v<std::remove_cvref_t<decltype(message)>, ForwardCall>
+void visitFields(Visitor &visit, auto &message) requires
+        std::is_same_v<std::remove_cvref_t<decltype(message)>, ForwardCall>
 {
     visit(message.sequence, message.incarnation, message.account, message.service, message.path,
           message.key, message.body);
 }
 
 template <typename Visitor>
-void visitFields(Visitor &visit, auto &message)
-    requires std::is_same_v<std::remove_cvref_t<decltype(message)>, ForwardReply>
+void visitFields(Visitor &visit, auto &message) requires
+        std::is_same_v<std::remove_cvref_t<decltype(message)>, ForwardReply>
 {
     visit(message.sequence, message.status, message.body, message.retryAfterMilliseconds);
 }
@@ -153,7 +153,8 @@
     void operator()(Fields &...fields)
     {
         const msgpack::object *enclosing = this->object;
-        if (enclosing->type != msgpack::type::ARRAY || enclosing->via.array.size != sizeof...(Fields))
+        if (enclosing->type != msgpack::type::ARRAY
+            || enclosing->via.array.size != sizeof...(Fields))
             throw msgpack::type_error();
         std::size_t index = 0;
         (this->get(enclosing->via.array.ptr[index++], fields), ...);
--- a/packages/protocol/messages/peermessage.h
+++ b/packages/protocol/messages/peermessage.h
@@ -149,7 +149,8 @@
     std::uint64_t sequence = 0;
     /** The revision; not above the known one if there is nothing newer. */
     std::uint64_t revision = 0;
-    /** The configuration document as JSON text, or a change of it; empty if there is nothing newer. */
+    /** The configuration document as JSON text, or a change of it; empty if there is nothing newer.
+     */
     std::string document;
 };
 
--- a/packages/runtime/actors/serialactor.cpp
+++ b/packages/runtime/actors/serialactor.cpp
@@ -40,8 +40,8 @@
     this->implementation->system = &runtime.actorSystem();
     this->implementation->actor = runtime.actorSystem().spawn([](caf::event_based_actor *self) {
         return caf::behavior{
-            [](const Job &job) { job.run(); },
-            [self](Stop) { self->quit(); },
+                [](const Job &job) { job.run(); },
+                [self](Stop) { self->quit(); },
         };
     });
 }
--- a/packages/runtime/actors/stateowner.h
+++ b/packages/runtime/actors/stateowner.h
@@ -16,7 +16,8 @@
 namespace sassafrasyard {
 
 /**
- * An actor that owns one object of type State. Only closures that run in the actor touch the object.
+ * An actor that owns one object of type State. Only closures that run in the actor touch the
+ * object.
  */
 template <typename State>
 class StateOwner
@@ -42,19 +43,19 @@
     {
         auto token = boost::asio::use_awaitable;
         return boost::asio::async_initiate<decltype(token), void(Result)>(
-            [this, job = std::move(job)](auto handler) mutable {
-                using Handler = decltype(handler);
-                auto shared = std::make_shared<Handler>(std::move(handler));
-                auto executor = boost::asio::get_associated_executor(*shared);
-                auto guard = boost::asio::make_work_guard(executor);
-                this->post([shared, executor, guard, job = std::move(job)](State &owned) {
-                    auto result = std::make_shared<Result>(job(owned));
-                    boost::asio::post(executor, [shared, result] {
-                        std::move (*shared)(std::move(*result));
+                [this, job = std::move(job)](auto handler) mutable {
+                    using Handler = decltype(handler);
+                    auto shared = std::make_shared<Handler>(std::move(handler));
+                    auto executor = boost::asio::get_associated_executor(*shared);
+                    auto guard = boost::asio::make_work_guard(executor);
+                    this->post([shared, executor, guard, job = std::move(job)](State &owned) {
+                        auto result = std::make_shared<Result>(job(owned));
+                        boost::asio::post(executor, [shared, result] {
+                            std::move (*shared)(std::move(*result));
+                        });
                     });
-                });
-            },
-            token);
+                },
+                token);
     }
 
 private:
--- a/packages/runtime/tests/test_stateowner.cpp
+++ b/packages/runtime/tests/test_stateowner.cpp
@@ -32,11 +32,11 @@
     boost::asio::io_context context;
     int answer = 0;
     boost::asio::co_spawn(
-        context,
-        [&]() -> boost::asio::awaitable<void> {
-            answer = co_await owner.ask<int>([](int &state) { return ++state; });
-        },
-        boost::asio::detached);
+            context,
+            [&]() -> boost::asio::awaitable<void> {
+                answer = co_await owner.ask<int>([](int &state) { return ++state; });
+            },
+            boost::asio::detached);
     context.run();
     REQUIRE(answer == 42);
 }
--- /dev/null
+++ b/tests/standins/platform/objectstore.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "network/network.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace sassafrasyard {
+
+/**
+ * A stand-in for the platform's object API, in memory.
+ *
+ * POST /fault {"mode": "none" | "down" | "slow" | "lose_reply", "delay_ms": n} switches faults:
+ * down answers 503, slow delays each answer, lose_reply applies the next write and cuts the
+ * connection's answer to 503. GET /calls returns the number of calls so far.
+ */
+class ObjectStore
+{
+public:
+    /** Creates an empty store. */
+    explicit ObjectStore(boost::asio::io_context &context);
+    ObjectStore(const ObjectStore &) = delete;
+    ObjectStore &operator=(const ObjectStore &) = delete;
+
+    /** Answers one request. */
+    boost::asio::awaitable<void> handle(const HttpRequest &request, HttpResponder &responder);
+
+private:
+    struct Object
+    {
+        std::uint64_t version = 0;
+        std::string value;
+    };
+
+    boost::asio::awaitable<HttpResponse> answer(const HttpRequest &request);
+    boost::asio::awaitable<HttpResponse> get(const HttpRequest &request, std::string name);
+    HttpResponse put(const HttpRequest &request, const std::string &name);
+    HttpResponse remove(const std::string &name);
+    HttpResponse list(const HttpRequest &request) const;
+    HttpResponse setFault(const HttpRequest &request);
+    HttpResponse found(const Object &object) const;
+    void wakeWatchers();
+
+    std::map<std::string, Object> objects;
+    std::uint64_t lastVersion = 0;
+    std::uint64_t calls = 0;
+    std::string faultMode = "none";
+    int faultDelayMilliseconds = 0;
+    boost::asio::steady_timer changed;
+};
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/tools/build.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Configures and builds everything. Usage: tools/build.sh [BUILD_DIRECTORY]
+set -euo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+directory=${1:-$root/build}
+cmake -S "$root" -B "$directory" -G Ninja > /dev/null
+ninja -C "$directory"
--- /dev/null
+++ b/tools/run-tests.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Builds and runs all tests but those listed in KNOWN-RED.txt, which are run and printed apart.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${BUILD_DIRECTORY:-build}
+tools/build.sh "$build" > "$build-build.log" 2>&1 || { tail -40 "$build-build.log"; exit 1; }
+rm -f "$build-build.log"
+red=$(sed -n 's/^test: *//p' KNOWN-RED.txt 2> /dev/null | paste -sd'|' -)
+if [ -n "$red" ]; then
+  echo "Known red tests, not counted:"
+  cat KNOWN-RED.txt
+  ctest --test-dir "$build" -R "^($red)$" --timeout 300 || true
+  ctest --test-dir "$build" --output-on-failure -j 4 -E "^($red)$"
+else
+  ctest --test-dir "$build" --output-on-failure -j 4
+fi
