--- a/packages/membership/tests/test_membertable.cpp
+++ b/packages/membership/tests/test_membertable.cpp
@@ -92,5 +92,5 @@
         REQUIRE(updates.size() <= 6);
         sent += updates.size();
     }
-    REQUIRE(sent == 19 * 3 * 5);
+    REQUIRE(sent == std::size_t{19} * 3 * 5);
 }
