--- a/tools/run-tests.sh
+++ b/tools/run-tests.sh
@@ -6,6 +6,7 @@
 tools/build.sh "$build" > "$build-build.log" 2>&1 || { tail -40 "$build-build.log"; exit 1; }
 rm -f "$build-build.log"
 red=$(sed -n 's/^test: *//p' KNOWN-RED.txt 2> /dev/null | paste -sd'|' -)
+[ -f KNOWN-RED.txt ] || { echo 'KNOWN-RED.txt is missing' >&2; exit 1; }
 if [ -n "$red" ]; then
   echo "Known red tests, not counted:"
   cat KNOWN-RED.txt
