--- a/packages/policy/dispatch/dispatcher.cpp
+++ b/packages/policy/dispatch/dispatcher.cpp
@@ -1,7 +1,7 @@
 #include "policy/dispatch/dispatcher.h"
 
 #include <algorithm>
-#include <cassert>
+#include <utility>
 
 namespace sassafrasyard {
 
@@ -13,23 +13,14 @@
 
 Dispatcher::Dispatcher(DispatcherOptions options)
     : options(std::move(options))
+    , pool({this->options.host, this->options.failureDomain, this->options.placement,
+            this->options.seed})
 {
-    assert(this->options.placement);
 }
 
-void Dispatcher::setBackendServers(std::span<const BackendServer> newServers, Milliseconds now)
+void Dispatcher::setBackendServers(std::span<const BackendServer> servers, Milliseconds now)
 {
-    std::map<BackendServerName, ServerState> updated;
-    for (const BackendServer &server : newServers) {
-        ServerState state{server};
-        if (const auto known = this->servers.find(server.name); known != this->servers.end()) {
-            state.ownRunning = known->second.ownRunning;
-            state.isMarkedLeaving = known->second.isMarkedLeaving;
-            state.isReachable = known->second.isReachable;
-        }
-        updated.emplace(server.name, std::move(state));
-    }
-    this->servers = std::move(updated);
+    this->pool.setBackendServers(servers, now);
     this->placeWaiting(now);
 }
 
@@ -39,19 +30,16 @@
 
 void Dispatcher::setLeaving(const BackendServerName &server, bool isLeaving)
 {
-    if (const auto known = this->servers.find(server); known != this->servers.end())
-        known->second.isMarkedLeaving = isLeaving;
+    this->pool.setLeaving(server, isLeaving);
 }
 
 void Dispatcher::setReachable(const BackendServerName &server, bool isReachable)
 {
-    if (const auto known = this->servers.find(server); known != this->servers.end())
-        known->second.isReachable = isReachable;
+    this->pool.setReachable(server, isReachable);
 }
 
 void Dispatcher::submit(const WorkRequest &request, Milliseconds now)
 {
-    assert(!this->running.contains(request.name));
     if (this->waiting.size() >= this->options.queueLimit) {
         this->decisions.emplace_back(
                 Refusal{request.name, ErrorCode::Overloaded, overloadRetryAfter});
@@ -61,18 +49,14 @@
     this->placeWaiting(now);
 }
 
-void Dispatcher::recordProgress(const RequestName &, std::uint32_t, Milliseconds) { }
+void Dispatcher::recordProgress(const RequestName &request, std::uint32_t tokens, Milliseconds now)
+{
+    this->pool.recordProgress(request, tokens, now);
+}
 
-void Dispatcher::recordFinished(const RequestName &request, WorkOutcome, Milliseconds now)
+void Dispatcher::recordFinished(const RequestName &request, WorkOutcome outcome, Milliseconds now)
 {
-    const auto known = this->running.find(request);
-    if (known == this->running.end())
-        return;
-    if (const auto server = this->servers.find(known->second.server);
-        server != this->servers.end() && server->second.ownRunning > 0) {
-        --server->second.ownRunning;
-    }
-    this->running.erase(known);
+    this->pool.release(request, outcome, now);
     this->placeWaiting(now);
 }
 
@@ -83,19 +67,27 @@
     });
 }
 
-void Dispatcher::recordLoadReport(const LoadReport &report, Milliseconds)
+void Dispatcher::recordLoadReport(const LoadReport &report, Milliseconds now)
 {
-    this->setLeaving(report.server, report.isLeaving);
+    this->pool.recordLoadReport(report, now);
+    this->placeWaiting(now);
 }
 
-void Dispatcher::recordCacheEvent(const CacheEvent &, Milliseconds) { }
+void Dispatcher::recordCacheEvent(const CacheEvent &event, Milliseconds now)
+{
+    this->pool.recordCacheEvent(event, now);
+}
 
-void Dispatcher::recordPeerLoad(const PeerLoadDigest &, Milliseconds) { }
+void Dispatcher::recordPeerLoad(const PeerLoadDigest &digest, Milliseconds now)
+{
+    this->pool.recordPeerLoad(digest, now);
+}
 
 void Dispatcher::recordPeerQuarantine(std::span<const QuarantineRecord>, Milliseconds) { }
 
 void Dispatcher::advance(Milliseconds now)
 {
+    this->pool.advance(now);
     while (!this->waiting.empty()
            && now - this->waiting.front().submittedAt >= this->options.maximumWait) {
         const RequestName name = this->waiting.front().request.name;
@@ -110,14 +102,9 @@
     return std::exchange(this->decisions, {});
 }
 
-PeerLoadDigest Dispatcher::peerLoadDigest(Milliseconds)
+PeerLoadDigest Dispatcher::peerLoadDigest(Milliseconds now)
 {
-    PeerLoadDigest digest{this->options.host, ++this->digestSequence, {}};
-    for (const auto &[name, state] : this->servers) {
-        if (state.ownRunning > 0)
-            digest.entries.push_back({name, state.ownRunning, 0});
-    }
-    return digest;
+    return this->pool.peerLoadDigest(now);
 }
 
 std::vector<QuarantineRecord> Dispatcher::quarantineRecords(Milliseconds) const
@@ -132,51 +119,23 @@
 
 std::size_t Dispatcher::runningCount() const
 {
-    return this->running.size();
+    return this->pool.placedCount();
 }
 
-void Dispatcher::placeWaiting(Milliseconds)
+void Dispatcher::placeWaiting(Milliseconds now)
 {
     std::deque<WaitingRequest> remaining;
     for (WaitingRequest &candidate : this->waiting) {
-        if (!this->place(candidate.request))
+        const auto placement = this->pool.place(candidate.request, now);
+        if (!placement) {
             remaining.push_back(std::move(candidate));
-    }
-    this->waiting = std::move(remaining);
-}
-
-bool Dispatcher::place(const WorkRequest &request)
-{
-    const std::vector<PlacementCandidate> candidates = this->candidatesFor(request);
-    const std::optional<std::size_t> chosen = this->options.placement(request, candidates);
-    if (!chosen)
-        return false;
-    ServerState &state = this->servers.at(candidates[*chosen].server->name);
-    ++state.ownRunning;
-    this->running.emplace(request.name, RunningRequest{request, state.server.name});
-    this->decisions.emplace_back(
-            Assignment{request.name, state.server.name, 0, static_cast<int>(request.priority)});
-    return true;
-}
-
-std::vector<PlacementCandidate> Dispatcher::candidatesFor(const WorkRequest &request) const
-{
-    std::vector<PlacementCandidate> candidates;
-    for (const auto &[name, state] : this->servers) {
-        const auto &models = state.server.models;
-        if (state.server.isLeaving || state.isMarkedLeaving || !state.isReachable
-            || state.ownRunning >= state.server.slots
-            || std::find(models.begin(), models.end(), request.model) == models.end()) {
             continue;
         }
-        PlacementCandidate candidate;
-        candidate.server = &state.server;
-        candidate.runningEstimate = state.ownRunning;
-        candidate.ownRunning = state.ownRunning;
-        candidate.isNear = state.server.failureDomain == this->options.failureDomain;
-        candidates.push_back(candidate);
+        this->decisions.emplace_back(Assignment{candidate.request.name, placement->server,
+                                                placement->reservedTokens,
+                                                static_cast<int>(candidate.request.priority)});
     }
-    return candidates;
+    this->waiting = std::move(remaining);
 }
 
 } // namespace sassafrasyard
--- a/packages/policy/dispatch/dispatcher.h
+++ b/packages/policy/dispatch/dispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "policy/placement/placementpolicy.h"
+#include "policy/pool/serverpool.h"
 #include "policy/servers/backendserver.h"
 #include "policy/servers/loadreport.h"
 #include "policy/work/decision.h"
@@ -8,9 +9,7 @@
 
 #include <cstddef>
 #include <deque>
-#include <map>
 #include <span>
-#include <unordered_map>
 #include <vector>
 
 namespace sassafrasyard {
@@ -111,30 +110,12 @@
         Milliseconds submittedAt;
     };
 
-    struct RunningRequest
-    {
-        WorkRequest request;
-        BackendServerName server;
-    };
-
-    struct ServerState
-    {
-        BackendServer server;
-        std::uint32_t ownRunning = 0;
-        bool isMarkedLeaving = false;
-        bool isReachable = true;
-    };
-
     void placeWaiting(Milliseconds now);
-    bool place(const WorkRequest &request);
-    std::vector<PlacementCandidate> candidatesFor(const WorkRequest &request) const;
 
     DispatcherOptions options;
-    std::map<BackendServerName, ServerState> servers;
+    ServerPool pool;
     std::deque<WaitingRequest> waiting;
-    std::unordered_map<RequestName, RunningRequest> running;
     std::vector<Decision> decisions;
-    std::uint64_t digestSequence = 0;
 };
 
 } // namespace sassafrasyard
--- a/packages/policy/policy.h
+++ b/packages/policy/policy.h
@@ -8,6 +8,7 @@
 
 #include "policy/dispatch/dispatcher.h"
 #include "policy/placement/placementpolicy.h"
+#include "policy/pool/serverpool.h"
 #include "policy/servers/backendserver.h"
 #include "policy/servers/loadreport.h"
 #include "policy/work/decision.h"
