--- a/packages/entry/entry.h
+++ b/packages/entry/entry.h
@@ -14,6 +14,7 @@
 #include "entry/http/callerserver.h"
 #include "entry/http/completionhandler.h"
 #include "entry/http/streamrelay.h"
+#include "entry/peers/loadexchange.h"
 #include "entry/peers/peerservice.h"
 #include "entry/positions/positioncodec.h"
 #include "entry/state/configurationholder.h"
--- /dev/null
+++ b/packages/entry/peers/loadexchange.cpp
@@ -0,0 +1,94 @@
+#include "entry/peers/loadexchange.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace sassafrasyard {
+
+namespace net = boost::asio;
+
+namespace {
+
+constexpr Milliseconds sendInterval{250};
+constexpr Milliseconds sendTimeout{500};
+constexpr std::size_t peersPerTick = 4;
+
+} // namespace
+
+LoadExchange::LoadExchange(EntryState &state, net::io_context &context, EncodeUpdate encodeUpdate)
+    : entry(state)
+    , strand(net::make_strand(context))
+    , encodeUpdate(std::move(encodeUpdate))
+{
+}
+
+void LoadExchange::start()
+{
+    net::co_spawn(
+            this->strand, [this] { return this->sendPeriodically(); }, net::detached);
+}
+
+net::awaitable<void> LoadExchange::sendPeriodically()
+{
+    net::steady_timer timer(co_await net::this_coro::executor);
+    boost::system::error_code code;
+    while (!code) {
+        const std::vector<std::string> peers = this->nextPeers();
+        if (!peers.empty()) {
+            const std::string update = co_await this->encodeUpdate();
+            for (const std::string &address : peers) {
+                net::co_spawn(
+                        this->strand,
+                        [this, address, update] { return this->sendTo(address, update); },
+                        net::detached);
+            }
+        }
+        timer.expires_after(sendInterval);
+        co_await timer.async_wait(net::redirect_error(net::use_awaitable, code));
+    }
+}
+
+net::awaitable<void> LoadExchange::sendTo(std::string address, std::string update)
+{
+    // A peer that still has not taken the last update gets the next one after it.
+    if (!this->sending.insert(address).second)
+        co_return;
+    Error reason;
+    auto &connection = this->connections[address];
+    const auto endpoint = parseEndpoint(address, reason);
+    if (!connection && endpoint)
+        connection = co_await FrameConnection::connect(*endpoint, sendTimeout, reason);
+    bool isSent = false;
+    if (connection)
+        isSent = co_await connection->send(update, sendTimeout, reason);
+    if (!isSent)
+        this->connections.erase(address);
+    this->sending.erase(address);
+}
+
+std::vector<std::string> LoadExchange::nextPeers()
+{
+    const auto known = this->entry.members();
+    std::vector<std::string> peers;
+    for (const MemberRecord &record : *known) {
+        if (record.incarnation != this->entry.incarnation && record.state == MemberState::Alive
+            && record.region == this->entry.settings.region)
+            peers.push_back(record.peerAddress);
+    }
+    std::erase_if(this->connections, [&](const auto &pair) {
+        return !this->sending.contains(pair.first)
+                && std::find(peers.begin(), peers.end(), pair.first) == peers.end();
+    });
+    std::vector<std::string> chosen;
+    const std::size_t count = std::min(peersPerTick, peers.size());
+    for (std::size_t index = 0; index < count; ++index)
+        chosen.push_back(peers[this->nextIndex++ % peers.size()]);
+    return chosen;
+}
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/entry/peers/loadexchange.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "entry/state/entrystate.h"
+#include "network/network.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sassafrasyard {
+
+/**
+ * Sends this host's load to its peers between probes.
+ *
+ * Each tick goes to a bounded number of peers of the same region in turn, so that traffic per host
+ * does not grow with the number of hosts; with 9 hosts each peer hears from this host twice a
+ * second.
+ */
+class LoadExchange
+{
+public:
+    /** Encodes the update to send. */
+    using EncodeUpdate = std::function<boost::asio::awaitable<std::string>()>;
+
+    /** Creates an exchange that does not send yet. */
+    LoadExchange(EntryState &state, boost::asio::io_context &context, EncodeUpdate encodeUpdate);
+    LoadExchange(const LoadExchange &) = delete;
+    LoadExchange &operator=(const LoadExchange &) = delete;
+
+    /** Starts sending. */
+    void start();
+
+private:
+    boost::asio::awaitable<void> sendPeriodically();
+    boost::asio::awaitable<void> sendTo(std::string address, std::string update);
+    std::vector<std::string> nextPeers();
+
+    EntryState &entry;
+    boost::asio::strand<boost::asio::io_context::executor_type> strand;
+    EncodeUpdate encodeUpdate;
+    std::map<std::string, std::unique_ptr<FrameConnection>> connections;
+    std::set<std::string> sending;
+    std::size_t nextIndex = 0;
+};
+
+} // namespace sassafrasyard
--- a/packages/entry/peers/peerservice.cpp
+++ b/packages/entry/peers/peerservice.cpp
@@ -98,6 +98,7 @@
     , runCall(std::move(runCall))
     , members(runtime, selfRecord(state), tableOptions(state))
     , server(context, [this](FrameConnection &connection) { return this->serve(connection); })
+    , loadExchange(state, context, [this] { return this->encodeLoadUpdate(); })
 {
     state.publishMembers({selfRecord(state)});
 }
@@ -110,6 +111,7 @@
     net::co_spawn(
             net::make_strand(this->context), [this] { return this->joinAndProbe(); },
             net::detached);
+    this->loadExchange.start();
     return true;
 }
 
@@ -118,9 +120,16 @@
     this->members.post([](MemberTable &table) { table.leave(); });
     co_await this->publish();
     const auto known = this->entry.members();
+    // Each in its own coroutine: a peer that hangs must not delay the news to the others.
     for (const MemberRecord &record : *known) {
-        if (record.incarnation != this->entry.incarnation && record.state <= MemberState::Suspect)
-            co_await this->probeAddress(record.peerAddress, false);
+        if (record.incarnation == this->entry.incarnation || record.state > MemberState::Suspect)
+            continue;
+        net::co_spawn(
+                net::make_strand(this->context),
+                [this, address = record.peerAddress]() -> net::awaitable<void> {
+                    co_await this->probeAddress(address, false);
+                },
+                net::detached);
     }
     Error ignored;
     co_await this->platform.remove(
@@ -170,6 +179,10 @@
             logEvent(LogEvent::PeerMessageInvalid, "detail", reason.detail);
             co_return;
         }
+        if (const auto *update = std::get_if<LoadUpdate>(&*message)) {
+            this->takeInLoad(update->gossip);
+            continue;
+        }
         const auto reply = co_await this->answer(std::move(*message));
         if (!reply)
             co_return;
@@ -361,6 +374,13 @@
                 return includesAllMembers ? table.members() : table.takeUpdates(updatesPerMessage);
             };
     gossip.members = co_await this->members.ask<std::vector<MemberRecord>>(take);
+    co_await this->addLoad(gossip);
+    gossip.revision = this->entry.configuration.current()->revision;
+    co_return gossip;
+}
+
+net::awaitable<void> PeerService::addLoad(Gossip &gossip)
+{
     const PeerLoadDigest digest = co_await this->dispatch.loadDigest();
     gossip.loadHost = digest.host.toString();
     gossip.loadSequence = digest.sequence;
@@ -373,8 +393,14 @@
     }
     for (const BackendServerName &server : this->monitor.leavingServers())
         gossip.leavingServers.push_back(server.toString());
-    gossip.revision = this->entry.configuration.current()->revision;
-    co_return gossip;
+}
+
+net::awaitable<std::string> PeerService::encodeLoadUpdate()
+{
+    LoadUpdate update;
+    co_await this->addLoad(update.gossip);
+    const PeerMessage message = std::move(update);
+    co_return encodeMessage(message);
 }
 
 net::awaitable<void> PeerService::takeIn(MemberRecord sender, Gossip gossip)
@@ -384,15 +410,7 @@
         table.applyUpdates(std::span(&sender, 1), now);
         table.applyUpdates(updates, now);
     });
-    this->dispatch.post([digest = toDigest(gossip), quarantine = toQuarantine(gossip)](
-                                Dispatcher &dispatcher, Milliseconds now) {
-        dispatcher.recordPeerLoad(digest, now);
-        dispatcher.recordPeerQuarantine(quarantine, now);
-    });
-    std::vector<BackendServerName> leaving;
-    for (const std::string &server : gossip.leavingServers)
-        leaving.emplace_back(server);
-    this->monitor.recordLeaving(leaving);
+    this->takeInLoad(gossip);
     const std::uint64_t known = this->entry.configuration.current()->revision;
     if (gossip.revision > known && !this->isPulling.exchange(true)) {
         net::co_spawn(
@@ -405,6 +423,19 @@
     co_await this->publish();
 }
 
+void PeerService::takeInLoad(const Gossip &gossip)
+{
+    this->dispatch.post([digest = toDigest(gossip), quarantine = toQuarantine(gossip)](
+                                Dispatcher &dispatcher, Milliseconds now) {
+        dispatcher.recordPeerLoad(digest, now);
+        dispatcher.recordPeerQuarantine(quarantine, now);
+    });
+    std::vector<BackendServerName> leaving;
+    for (const std::string &server : gossip.leavingServers)
+        leaving.emplace_back(server);
+    this->monitor.recordLeaving(leaving);
+}
+
 net::awaitable<void> PeerService::pullConfiguration(std::string address, std::uint64_t revision)
 {
     ConfigurationPull pull;
--- a/packages/entry/peers/peerservice.h
+++ b/packages/entry/peers/peerservice.h
@@ -3,6 +3,7 @@
 #include "entry/calls/servicecallhandler.h"
 #include "entry/dispatch/backendmonitor.h"
 #include "entry/dispatch/dispatchservice.h"
+#include "entry/peers/loadexchange.h"
 #include "entry/state/entrystate.h"
 #include "membership/membership.h"
 #include "platform/platform.h"
@@ -52,6 +53,9 @@
     boost::asio::awaitable<bool> probeAddress(std::string address, bool wantsAllMembers);
     boost::asio::awaitable<bool> probeIndirectly(MemberRecord target);
     boost::asio::awaitable<Gossip> collectGossip(bool includesAllMembers);
+    boost::asio::awaitable<void> addLoad(Gossip &gossip);
+    boost::asio::awaitable<std::string> encodeLoadUpdate();
+    void takeInLoad(const Gossip &gossip);
     boost::asio::awaitable<void> takeIn(MemberRecord sender, Gossip gossip);
     boost::asio::awaitable<void> pullConfiguration(std::string address, std::uint64_t revision);
     boost::asio::awaitable<void> publish();
@@ -64,6 +68,7 @@
     RunCall runCall;
     StateOwner<MemberTable> members;
     FrameServer server;
+    LoadExchange loadExchange;
     std::atomic<std::uint64_t> sequence = 0;
     std::atomic<bool> isPulling = false;
 };
--- a/packages/protocol/messages/messagecodec.cpp
+++ b/packages/protocol/messages/messagecodec.cpp
@@ -98,6 +98,13 @@
     visit(message.sequence, message.status, message.body, message.retryAfterMilliseconds);
 }
 
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &message) requires
+        std::is_same_v<std::remove_cvref_t<decltype(message)>, LoadUpdate>
+{
+    visit(message.gossip);
+}
+
 class Encoder
 {
 public:
--- a/packages/protocol/messages/peermessage.h
+++ b/packages/protocol/messages/peermessage.h
@@ -186,8 +186,16 @@
     std::uint64_t retryAfterMilliseconds = 0;
 };
 
+/** Tells a peer this host's load between probes; has no reply. */
+struct LoadUpdate
+{
+    /** The sender's load, quarantine records and leaving backend servers; no members. */
+    Gossip gossip;
+};
+
 /** Any message between entry hosts. */
-using PeerMessage = std::variant<Probe, ProbeReply, IndirectProbe, IndirectProbeReply,
-                                 ConfigurationPull, ConfigurationReply, ForwardCall, ForwardReply>;
+using PeerMessage =
+        std::variant<Probe, ProbeReply, IndirectProbe, IndirectProbeReply, ConfigurationPull,
+                     ConfigurationReply, ForwardCall, ForwardReply, LoadUpdate>;
 
 } // namespace sassafrasyard
