--- a/apps/daemon/daemon.cpp
+++ b/apps/daemon/daemon.cpp
@@ -55,7 +55,7 @@
         , peers(this->entry, this->dispatch, this->monitor, this->platform, this->runtime,
                 this->context,
                 [this](ServiceCall call) { return this->calls.runBound(std::move(call)); })
-        , completions(this->entry, this->dispatch, this->context)
+        , completions(this->entry, this->dispatch, this->monitor, this->context)
         , callers(this->entry, this->completions, this->calls, this->context)
         , configuration(this->entry, this->platform, this->context)
         , admin(this->entry, this->monitor, this->platform, this->context)
@@ -103,6 +103,7 @@
     boost::system::error_code code;
     co_await this->signals.async_wait(net::redirect_error(net::use_awaitable, code));
     this->entry.isDraining = true;
+    this->callers.drain();
     logEvent(LogEvent::DaemonDraining, "active_requests",
              std::to_string(this->entry.activeRequests));
     co_await this->peers.leave();
--- a/packages/entry/dispatch/backendmonitor.cpp
+++ b/packages/entry/dispatch/backendmonitor.cpp
@@ -65,8 +65,6 @@
     while (!code) {
         const auto configuration = this->entry.configuration.current();
         for (const BackendServer &server : configuration->servers) {
-            if (server.kind != BackendServerKind::Engine)
-                continue;
             {
                 const std::lock_guard lock(this->mutex);
                 if (!this->polling.insert(server.name).second)
@@ -85,33 +83,72 @@
 {
     Error reason;
     const auto endpoint = parseEndpoint(server.address, reason);
-    if (endpoint) {
-        const auto status = co_await readEngineStatus(*endpoint, server.name, pollTimeouts, reason);
-        if (status)
-            this->recordStatus(server, *status);
-        else
-            this->recordFailure(server);
-        std::uint64_t after = 0;
-        {
-            const std::lock_guard lock(this->mutex);
-            after = this->cacheSequence[server.name];
-        }
-        std::optional<std::vector<CacheEvent>> events;
-        if (status)
-            events = co_await readCacheEvents(*endpoint, server.name, after, pollTimeouts, reason);
-        if (events && !events->empty()) {
-            const std::lock_guard lock(this->mutex);
-            this->cacheSequence[server.name] = events->back().sequence;
-            this->dispatch.post([events = *events](Dispatcher &dispatcher, Milliseconds now) {
-                for (const CacheEvent &event : events)
-                    dispatcher.recordCacheEvent(event, now);
-            });
-        }
-    }
+    if (endpoint && server.kind == BackendServerKind::Engine)
+        co_await this->pollEngine(server, *endpoint);
+    else if (endpoint)
+        co_await this->pollService(server, *endpoint);
     const std::lock_guard lock(this->mutex);
     this->polling.erase(server.name);
 }
 
+net::awaitable<void> BackendMonitor::pollEngine(const BackendServer &server,
+                                                const Endpoint &endpoint)
+{
+    Error reason;
+    const auto status = co_await readEngineStatus(endpoint, server.name, pollTimeouts, reason);
+    if (!status) {
+        this->recordFailure(server);
+        co_return;
+    }
+    this->recordStatus(server, *status);
+    std::uint64_t after = 0;
+    {
+        const std::lock_guard lock(this->mutex);
+        after = this->cacheSequence[server.name];
+    }
+    const auto events =
+            co_await readCacheEvents(endpoint, server.name, after, pollTimeouts, reason);
+    if (!events || events->empty())
+        co_return;
+    const std::lock_guard lock(this->mutex);
+    this->cacheSequence[server.name] = events->back().sequence;
+    this->dispatch.post([events = *events](Dispatcher &dispatcher, Milliseconds now) {
+        for (const CacheEvent &event : events)
+            dispatcher.recordCacheEvent(event, now);
+    });
+}
+
+net::awaitable<void> BackendMonitor::pollService(const BackendServer &server,
+                                                 const Endpoint &endpoint)
+{
+    Error reason;
+    const auto connection =
+            co_await FrameConnection::connect(endpoint, pollTimeouts.connect, reason);
+    if (connection)
+        this->recordReachable(server);
+    else
+        this->recordFailure(server);
+}
+
+void BackendMonitor::recordRefusal(const BackendServerName &server)
+{
+    this->dispatch.post([server](Dispatcher &dispatcher, Milliseconds) {
+        dispatcher.setLeaving(server, true);
+    });
+}
+
+void BackendMonitor::recordReachable(const BackendServer &server)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->failures[server.name] = 0;
+    }
+    this->dispatch.post([name = server.name](Dispatcher &dispatcher, Milliseconds) {
+        dispatcher.setReachable(name, true);
+        dispatcher.setLeaving(name, false);
+    });
+}
+
 void BackendMonitor::recordStatus(const BackendServer &server, const EngineStatus &status)
 {
     bool hasChanged = false;
--- a/packages/entry/dispatch/backendmonitor.h
+++ b/packages/entry/dispatch/backendmonitor.h
@@ -14,7 +14,11 @@
 
 namespace sassafrasyard {
 
-/** Polls the configured engines for load, cache events and leaving, and reports to the dispatcher.
+/**
+ * Watches the configured backend servers and reports to the dispatcher.
+ *
+ * Engines are polled for load, cache events and leaving; of plain services, which have no common
+ * status call, only whether they accept connections is known.
  */
 class BackendMonitor
 {
@@ -28,14 +32,19 @@
     std::vector<BackendServerName> leavingServers() const;
     /** Returns the status of the engines as last read. */
     std::map<BackendServerName, EngineStatus> statuses() const;
+    /** Marks a backend server that refused work as leaving until it is next read. */
+    void recordRefusal(const BackendServerName &server);
     /** Takes in peers' word that engines are leaving. */
     void recordLeaving(const std::vector<BackendServerName> &servers);
 
 private:
     boost::asio::awaitable<void> pollAll();
     boost::asio::awaitable<void> poll(BackendServer server);
+    boost::asio::awaitable<void> pollEngine(const BackendServer &server, const Endpoint &endpoint);
+    boost::asio::awaitable<void> pollService(const BackendServer &server, const Endpoint &endpoint);
     void recordStatus(const BackendServer &server, const EngineStatus &status);
     void recordFailure(const BackendServer &server);
+    void recordReachable(const BackendServer &server);
 
     EntryState &entry;
     DispatchService &dispatch;
--- a/packages/entry/http/callerserver.cpp
+++ b/packages/entry/http/callerserver.cpp
@@ -40,6 +40,11 @@
     return this->server.listen(endpoint, reason).has_value();
 }
 
+void CallerServer::drain()
+{
+    this->server.closeAfterResponses();
+}
+
 net::awaitable<void> CallerServer::handle(const HttpRequest &request, HttpResponder &responder)
 {
     // The request keeps the configuration it began with.
--- a/packages/entry/http/callerserver.h
+++ b/packages/entry/http/callerserver.h
@@ -24,6 +24,9 @@
     /** Starts listening. @param reason receives ConnectionFailed. */
     bool listen(const Endpoint &endpoint, Error &reason);
 
+    /** Closes each connection after its response, so that callers ask for addresses again. */
+    void drain();
+
 private:
     boost::asio::awaitable<void> handle(const HttpRequest &request, HttpResponder &responder);
 
--- a/packages/entry/http/completionhandler.cpp
+++ b/packages/entry/http/completionhandler.cpp
@@ -74,9 +74,10 @@
 };
 
 CompletionHandler::CompletionHandler(EntryState &state, DispatchService &dispatch,
-                                     net::io_context &context)
+                                     BackendMonitor &monitor, net::io_context &context)
     : entry(state)
     , dispatch(dispatch)
+    , monitor(monitor)
     , context(context)
 {
 }
@@ -162,7 +163,7 @@
             co_return;
         const bool wasPlaced = failure->code == ErrorCode::BackendServerLost
                 || failure->code == ErrorCode::BackendServerRefused
-                || failure->code == ErrorCode::Timeout
+                || (failure->code == ErrorCode::Timeout && !responder.isCallerGone())
                 || failure->code == ErrorCode::ProtocolViolation;
         // A refusal of a further attempt must not hide that an earlier attempt may have run.
         const bool mayHaveRun = attempt > 0 && last.runState == RunState::OutcomeUnknown;
@@ -190,6 +191,10 @@
     if (!grant)
         co_return reason;
     const RequestName name = completion.work.name;
+    if (responder.isCallerGone()) {
+        this->dispatch.reportFinished(name, WorkOutcome::Cancelled);
+        co_return Error{ErrorCode::Timeout, RunState::NotRun, "the caller left the queue", {}};
+    }
     const auto engine = parseEndpoint(grant->server.address, reason);
     completion.generation.request = name;
     completion.generation.priority = grant->assignment.enginePriority;
@@ -199,6 +204,8 @@
         isStarted = co_await stream.start(*engine, completion.generation, startTimeouts, reason);
     if (!isStarted) {
         const bool isRefused = reason.code == ErrorCode::BackendServerRefused;
+        if (isRefused)
+            this->monitor.recordRefusal(grant->server.name);
         this->dispatch.reportFinished(
                 name, isRefused ? WorkOutcome::RefusedByServer : WorkOutcome::ServerLost);
         co_return reason;
--- a/packages/entry/http/completionhandler.h
+++ b/packages/entry/http/completionhandler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backends/backends.h"
+#include "entry/dispatch/backendmonitor.h"
 #include "entry/dispatch/dispatchservice.h"
 #include "entry/http/streamrelay.h"
 #include "entry/state/entrystate.h"
@@ -19,7 +20,7 @@
 {
 public:
     /** Creates the handler. */
-    CompletionHandler(EntryState &state, DispatchService &dispatch,
+    CompletionHandler(EntryState &state, DispatchService &dispatch, BackendMonitor &monitor,
                       boost::asio::io_context &context);
     CompletionHandler(const CompletionHandler &) = delete;
     CompletionHandler &operator=(const CompletionHandler &) = delete;
@@ -48,6 +49,7 @@
 
     EntryState &entry;
     DispatchService &dispatch;
+    BackendMonitor &monitor;
     boost::asio::io_context &context;
 };
 
--- a/packages/network/http/httpserver.cpp
+++ b/packages/network/http/httpserver.cpp
@@ -184,6 +184,7 @@
     ErrorFormatter formatError;
     tcp::acceptor acceptor;
     std::atomic<std::size_t> open = 0;
+    std::atomic<bool> isClosing = false;
 };
 
 net::awaitable<void> HttpServer::Implementation::accept()
@@ -227,7 +228,7 @@
     error_code code;
     co_await http::async_read(connection.stream, connection.buffer, parser, redirect(code));
     connection.hasStarted = false;
-    connection.keepAlive = !code && parser.get().keep_alive();
+    connection.keepAlive = !code && parser.get().keep_alive() && !this->isClosing;
     HttpResponder responder(connection);
     if (code) {
         if (isHttpError(code))
@@ -286,6 +287,11 @@
     });
 }
 
+void HttpServer::closeAfterResponses()
+{
+    this->implementation->isClosing = true;
+}
+
 std::size_t HttpServer::openConnections() const
 {
     return this->implementation->open;
--- a/packages/network/http/httpserver.h
+++ b/packages/network/http/httpserver.h
@@ -95,6 +95,9 @@
     /** Stops accepting connections; open ones go on. */
     void stopAccepting();
 
+    /** Closes each connection after its next response from now on. */
+    void closeAfterResponses();
+
     /** Returns the number of open connections. */
     std::size_t openConnections() const;
 
