--- a/packages/entry/positions/positioncodec.cpp
+++ b/packages/entry/positions/positioncodec.cpp
@@ -1,9 +1,9 @@
 #include "entry/positions/positioncodec.h"
 
+#include "entry/positions/sha256hasher.h"
 #include "network/network.h"
 
 #include <openssl/crypto.h>
-#include <openssl/sha.h>
 
 #include <algorithm>
 #include <cassert>
@@ -19,13 +19,14 @@
 constexpr std::size_t macBytes = 12;
 constexpr char separator = '/';
 
-using Sha256 = std::array<unsigned char, SHA256_DIGEST_LENGTH>;
+Sha256Hasher::Digest sha256(std::initializer_list<std::string_view> parts)
+{
+    return Sha256Hasher::ofThread().digest(std::span(parts.begin(), parts.size()));
+}
 
-Sha256 sha256(std::string_view text)
+std::string_view toText(std::span<const unsigned char> bytes)
 {
-    Sha256 digest{};
-    SHA256(reinterpret_cast<const unsigned char *>(text.data()), text.size(), digest.data());
-    return digest;
+    return {reinterpret_cast<const char *>(bytes.data()), bytes.size()};
 }
 
 std::string toHexDigits(std::span<const unsigned char> bytes)
@@ -82,9 +83,7 @@
 
 void RollingDigest::append(std::string_view token)
 {
-    std::string text(reinterpret_cast<const char *>(this->bytes.data()), this->bytes.size());
-    text += token;
-    const Sha256 digest = sha256(text);
+    const auto digest = sha256({toText(this->bytes), token});
     std::copy_n(digest.begin(), this->bytes.size(), this->bytes.begin());
 }
 
@@ -97,8 +96,7 @@
 {
     std::string key(secret);
     if (key.size() > hmacBlockBytes) {
-        const Sha256 digest = sha256(key);
-        key.assign(reinterpret_cast<const char *>(digest.data()), digest.size());
+        key = toText(sha256({key}));
     }
     key.resize(hmacBlockBytes, '\0');
     for (const char character : key) {
@@ -149,11 +147,9 @@
 
 std::string PositionCodec::authenticate(std::string_view text) const
 {
-    const Sha256 inner = sha256(this->innerKey + std::string(text));
-    std::string outer = this->outerKey;
-    outer.append(reinterpret_cast<const char *>(inner.data()), inner.size());
-    const Sha256 digest = sha256(outer);
-    return toHexDigits(std::span(digest).first(macBytes));
+    const auto inner = sha256({this->innerKey, text});
+    const auto outer = sha256({this->outerKey, toText(inner)});
+    return toHexDigits(std::span(outer).first(macBytes));
 }
 
 } // namespace sassafrasyard
