Resume streams on engines that were taken out of the configuration

Cause: a position named its engine only by its configured name, so removing a backend server made every later resume of its running streams fail as lost. The authenticated position now carries the engine's address as well.

--- a/packages/entry/http/completionhandler.cpp
+++ b/packages/entry/http/completionhandler.cpp
@@ -239,8 +239,15 @@
         co_return;
     }
     const auto configuration = this->entry.configuration.current();
-    const BackendServer *server = configuration->findServer(position->server);
-    const auto engine = server != nullptr ? parseEndpoint(server->address, reason) : std::nullopt;
+    Grant grant;
+    grant.assignment.request = this->dispatch.nextRequestName();
+    if (const BackendServer *server = configuration->findServer(position->server)) {
+        grant.server = *server;
+    } else {
+        grant.server.name = position->server;
+        grant.server.address = position->address;
+    }
+    const auto engine = parseEndpoint(grant.server.address, reason);
     GenerationStream stream;
     bool isResumed = false;
     if (engine)
@@ -261,9 +268,6 @@
     logEvent(LogEvent::StreamResumed, "generation", position->generation.toString(), "index",
              std::to_string(position->index));
     this->entry.metrics.count("sassafrasyard_streams_resumed_total");
-    Grant grant;
-    grant.server = *server;
-    grant.assignment.request = this->dispatch.nextRequestName();
     StreamRelay relay(this->entry, this->dispatch, grant, *engine);
     relay.continueAfter(*position);
     const StreamRelay::Deliver deliver = [&](const std::vector<DeliveredToken> &tokens) {
--- a/packages/entry/http/streamrelay.cpp
+++ b/packages/entry/http/streamrelay.cpp
@@ -97,8 +97,13 @@
     }
     ++this->nextIndex;
     this->digest.append(event.token);
-    batch.push_back({{event.generation, this->grant.server.name, event.index, this->digest.toHex()},
-                     event.token});
+    StreamPosition position;
+    position.generation = event.generation;
+    position.server = this->grant.server.name;
+    position.address = this->grant.server.address;
+    position.index = event.index;
+    position.digest = this->digest.toHex();
+    batch.push_back({std::move(position), event.token});
     return true;
 }
 
--- a/packages/entry/positions/positioncodec.cpp
+++ b/packages/entry/positions/positioncodec.cpp
@@ -110,6 +110,8 @@
 {
     std::string text = percentEncode(position.server.toString());
     text.push_back(separator);
+    text += percentEncode(position.address);
+    text.push_back(separator);
     text += percentEncode(position.generation.toString());
     text.push_back(separator);
     text += std::to_string(position.index);
@@ -130,18 +132,19 @@
               "the position is malformed or belongs to another request",
               {}};
     const std::vector<std::string_view> parts = split(text);
-    if (parts.size() != 5)
+    if (parts.size() != 6)
         return std::nullopt;
-    const std::string_view fields = text.substr(0, text.size() - parts[4].size() - 1);
+    const std::string_view fields = text.substr(0, text.size() - parts[5].size() - 1);
     const std::string mac = this->authenticate(boundText(fields, binding));
-    if (mac.size() != parts[4].size()
-        || CRYPTO_memcmp(mac.data(), parts[4].data(), mac.size()) != 0)
+    if (mac.size() != parts[5].size()
+        || CRYPTO_memcmp(mac.data(), parts[5].data(), mac.size()) != 0)
         return std::nullopt;
     StreamPosition position;
     position.server = BackendServerName(percentDecode(parts[0]));
-    position.generation = GenerationName(percentDecode(parts[1]));
-    std::from_chars(parts[2].data(), parts[2].data() + parts[2].size(), position.index);
-    position.digest = parts[3];
+    position.address = percentDecode(parts[1]);
+    position.generation = GenerationName(percentDecode(parts[2]));
+    std::from_chars(parts[3].data(), parts[3].data() + parts[3].size(), position.index);
+    position.digest = parts[4];
     return position;
 }
 
--- a/packages/entry/positions/positioncodec.h
+++ b/packages/entry/positions/positioncodec.h
@@ -35,6 +35,8 @@
     GenerationName generation;
     /** The engine. */
     BackendServerName server;
+    /** The engine's "IP:port", for resuming after the engine was taken out of the configuration. */
+    std::string address;
     /** The index of the last delivered token. */
     std::uint64_t index = 0;
     /** The digest of all delivered tokens, in hexadecimal digits. */
--- a/packages/entry/tests/test_positions.cpp
+++ b/packages/entry/tests/test_positions.cpp
@@ -13,7 +13,8 @@
 {
     RollingDigest digest;
     digest.append("token");
-    return {GenerationName("run/1"), BackendServerName("plan 1"), 41, digest.toHex()};
+    return {GenerationName("run/1"), BackendServerName("plan 1"), "127.0.0.1:9", 41,
+            digest.toHex()};
 }
 
 PositionBinding exampleBinding()
@@ -32,6 +33,7 @@
     REQUIRE(decoded);
     REQUIRE(decoded->generation == examplePosition().generation);
     REQUIRE(decoded->server == examplePosition().server);
+    REQUIRE(decoded->address == examplePosition().address);
     REQUIRE(decoded->index == 41);
     REQUIRE(decoded->digest == examplePosition().digest);
 }
--- a/packages/network/http/httpclient.cpp
+++ b/packages/network/http/httpclient.cpp
@@ -117,7 +117,7 @@
     Endpoint endpoint;
     beast::flat_buffer buffer;
     http::response_parser<http::buffer_body> parser;
-    std::array<char, 16384> bytes{};
+    std::array<char, 8192> bytes{};
 };
 
 HttpStream::HttpStream() = default;
--- a/tools/benchmarks/capacity_benchmark.cpp
+++ b/tools/benchmarks/capacity_benchmark.cpp
@@ -109,8 +109,8 @@
     std::uint64_t index = 0;
     const double time = microseconds(100000, [&] {
         digest.append(" token");
-        codec.encode({GenerationName("0123456789abcdef-12"), BackendServerName("server-7"), index++,
-                      digest.toHex()},
+        codec.encode({GenerationName("0123456789abcdef-12"), BackendServerName("server-7"),
+                      "10.1.2.3:8000", index++, digest.toHex()},
                      binding);
     });
     std::printf("position us_per_token=%.2f\n", time);
