--- /dev/null
+++ b/tests/enginemodel/modeltime.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace sassafrasyard {
+
+/** Virtual time of an engine model, in microseconds since its start. */
+using ModelTime = std::chrono::microseconds;
+
+/** Returns the size of a text in tokens, as the engine and the entry hosts count it. */
+constexpr std::uint32_t tokensOf(std::size_t characters)
+{
+    constexpr std::size_t charactersPerToken = 4;
+    return static_cast<std::uint32_t>(characters / charactersPerToken + 1);
+}
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/tests/enginemodel/tests/test_enginemodel.cpp
@@ -0,0 +1,269 @@
+#include "enginemodel/enginemodel.h"
+#include "enginemodel/outputlength.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <map>
+
+using namespace sassafrasyard;
+
+namespace {
+
+constexpr ModelTime longTime{3600000000};
+
+EngineRequest requestOf(std::uint32_t tokens, int priority = 0, std::size_t promptCharacters = 40)
+{
+    EngineRequest request;
+    request.prompt.assign(promptCharacters, 'p');
+    request.maximumTokens = tokens;
+    request.priority = priority;
+    return request;
+}
+
+EngineModelOptions smallEngine(std::uint32_t slots, std::uint32_t memoryTokens)
+{
+    EngineModelOptions options;
+    options.slots = slots;
+    options.memoryTokens = memoryTokens;
+    options.cacheTokens = 64;
+    return options;
+}
+
+/** Drives a model through random submissions, suspensions, resumptions and cancellations. */
+struct RandomRun
+{
+    explicit RandomRun(std::uint64_t seed, const EngineModelOptions &options)
+        : random(seed)
+        , options(options)
+        , model(options)
+    {
+    }
+
+    void step()
+    {
+        this->now += ModelTime(this->random.below(60000));
+        const std::uint64_t target = this->random.below(this->count + 1) + 1;
+        switch (this->random.below(6)) {
+        case 0:
+        case 1:
+            this->submit();
+            break;
+        case 2:
+            this->model.suspend(target, this->now);
+            break;
+        case 3:
+            this->model.resume(target, this->now);
+            break;
+        case 4:
+            if (this->random.below(4) == 0)
+                this->model.cancel(target, this->now);
+            break;
+        default:
+            this->model.advance(this->now);
+        }
+        this->collect();
+        RC_ASSERT(this->model.currentLoad().memoryUsedTokens <= this->options.memoryTokens);
+        RC_ASSERT(this->model.currentLoad().running <= this->options.slots);
+    }
+
+    void submit()
+    {
+        EngineRequest request =
+                requestOf(static_cast<std::uint32_t>(this->random.below(60) + 1),
+                          static_cast<int>(this->random.below(3)), this->random.below(200));
+        request.prefixDigest = this->random.below(3);
+        if (this->model.submit(request, this->now))
+            ++this->count;
+    }
+
+    void collect()
+    {
+        for (const ProducedToken &token : this->model.takeTokens()) {
+            RC_ASSERT(token.index == this->produced[token.generation]);
+            ++this->produced[token.generation];
+            this->trace.emplace_back(token.generation, token.index);
+        }
+    }
+
+    void finishAll()
+    {
+        for (std::uint64_t number = 1; number <= this->count; ++number)
+            this->model.resume(number, this->now);
+        this->model.advance(this->now + longTime);
+        this->collect();
+    }
+
+    RandomSource random;
+    EngineModelOptions options;
+    EngineModel model;
+    ModelTime now{0};
+    std::uint64_t count = 0;
+    std::map<std::uint64_t, std::uint32_t> produced;
+    std::vector<std::pair<std::uint64_t, std::uint32_t>> trace;
+};
+
+} // namespace
+
+// Guards against tokens lost or repeated by preemption, suspension and resumption, and against
+// memory counted twice.
+TEST_CASE("Memory stays in its limit and each token is produced once, in order", "[enginemodel]")
+{
+    rc::prop("any order of calls", [](std::uint64_t seed) {
+        RandomRun run(seed, smallEngine(4, 150));
+        for (int step = 0; step < 150; ++step)
+            run.step();
+        run.finishAll();
+        for (std::uint64_t number = 1; number <= run.count; ++number) {
+            if (run.model.phase(number) == GenerationPhase::Cancelled)
+                continue;
+            RC_ASSERT(run.model.phase(number) == GenerationPhase::Finished);
+            RC_ASSERT(run.produced[number] == run.model.outputTokens(number));
+        }
+        RC_ASSERT(run.model.currentLoad().memoryUsedTokens == 0U);
+    });
+}
+
+// Guards against decisions that depend on addresses or on a clock.
+TEST_CASE("Equal calls give equal results", "[enginemodel]")
+{
+    rc::prop("any order of calls", [](std::uint64_t seed) {
+        RandomRun first(seed, smallEngine(3, 120));
+        RandomRun second(seed, smallEngine(3, 120));
+        for (int step = 0; step < 60; ++step) {
+            first.step();
+            second.step();
+        }
+        RC_ASSERT(first.trace == second.trace);
+    });
+}
+
+// Guards against preempting urgent work, and against a preempted generation that never ends.
+TEST_CASE("Full memory preempts the lowest priority, which then recomputes and completes",
+          "[enginemodel]")
+{
+    EngineModel model(smallEngine(2, 100));
+    const auto low = model.submit(requestOf(60, 0), ModelTime(0));
+    const auto high = model.submit(requestOf(60, 2), ModelTime(0));
+    while (model.currentLoad().preemptions == 0)
+        model.advance(*model.stepEnd());
+    REQUIRE(model.phase(*low) == GenerationPhase::Waiting);
+    REQUIRE(model.phase(*high) == GenerationPhase::Running);
+    model.advance(longTime);
+    REQUIRE(model.takeTokens().size() == 120);
+    REQUIRE(model.currentLoad().stallTime > ModelTime(0));
+}
+
+// Guards against short urgent work that waits behind older background work.
+TEST_CASE("A waiting generation of higher priority is admitted first", "[enginemodel]")
+{
+    EngineModel model(smallEngine(1, 1000));
+    model.submit(requestOf(5, 0), ModelTime(0));
+    const auto low = model.submit(requestOf(5, 0), ModelTime(0));
+    const auto high = model.submit(requestOf(5, 1), ModelTime(0));
+    while (model.producedTokens(*high) == 0)
+        model.advance(*model.stepEnd());
+    REQUIRE(model.producedTokens(*low) == 0);
+}
+
+// Guards against a stand-in whose pace does not depend on its load.
+TEST_CASE("A step takes 20 ms unloaded and 31 ms with a full batch, times the slowdown",
+          "[enginemodel]")
+{
+    EngineModel model(smallEngine(16, 65536));
+    const auto lastStep = [&model] {
+        model.advance(*model.stepEnd());
+        const ModelTime begin = *model.stepEnd();
+        model.advance(begin);
+        return *model.stepEnd() - begin;
+    };
+    model.submit(requestOf(1000), ModelTime(0));
+    REQUIRE(lastStep() == ModelTime(20000));
+    for (int index = 0; index < 15; ++index)
+        model.submit(requestOf(1000), *model.stepEnd());
+    model.advance(*model.stepEnd());
+    REQUIRE(lastStep() == ModelTime(31000));
+    model.setSlowdown(3.0);
+    model.advance(*model.stepEnd());
+    REQUIRE(lastStep() == ModelTime(93000));
+}
+
+// Guards against a cache that has no effect on the time to the first token.
+TEST_CASE("A cached prefix shortens prefill", "[enginemodel]")
+{
+    const auto firstTokenAt = [](std::size_t repeats) {
+        EngineModel model(EngineModelOptions{});
+        ModelTime begin{0};
+        for (std::size_t index = 0; index < repeats; ++index) {
+            begin = ModelTime(index * 1000000);
+            model.submit(requestOf(1, 0, 20000), begin);
+            if (index + 1 < repeats)
+                model.advance(begin + ModelTime(1000000));
+        }
+        ModelTime end = begin;
+        while (model.stepEnd()) {
+            end = *model.stepEnd();
+            model.advance(end);
+        }
+        return end - begin;
+    };
+    REQUIRE(firstTokenAt(2) == ModelTime(20020));
+    REQUIRE(firstTokenAt(1) > ModelTime(250000));
+}
+
+// Guards against preempting running work while suspended work holds memory.
+TEST_CASE("A suspended generation keeps its memory until another one needs it", "[enginemodel]")
+{
+    EngineModel model(smallEngine(2, 100));
+    const auto first = model.submit(requestOf(50), ModelTime(0));
+    model.advance(ModelTime(100000));
+    model.suspend(*first, ModelTime(100000));
+    REQUIRE(model.currentLoad().memoryUsedTokens > 0);
+    const auto second = model.submit(requestOf(85), ModelTime(200000));
+    model.advance(longTime);
+    REQUIRE(model.phase(*second) == GenerationPhase::Finished);
+    REQUIRE(model.currentLoad().memoryUsedTokens == 0);
+    REQUIRE(model.currentLoad().preemptions == 0);
+    model.resume(*first, longTime);
+    model.advance(longTime + longTime);
+    REQUIRE(model.phase(*first) == GenerationPhase::Finished);
+}
+
+// Guards against a policy that is only tested with current and complete reports.
+TEST_CASE("Load reports are late and cache events have gaps", "[enginemodel]")
+{
+    EngineModelOptions options = smallEngine(4, 1000);
+    options.cacheEventLossShare = 0.3;
+    options.cacheTokens = 30;
+    EngineModel model(options);
+    ModelTime now{0};
+    for (std::uint64_t digest = 1; digest <= 40; ++digest) {
+        EngineRequest request = requestOf(2);
+        request.prefixDigest = digest;
+        model.submit(request, now);
+        now += ModelTime(200000);
+        model.advance(now);
+    }
+    const auto events = model.cacheEvents(0, now + ModelTime(1000000));
+    REQUIRE(events.size() > 20);
+    REQUIRE(events.back().sequence > events.size());
+    REQUIRE(model.cacheEvents(0, now).size() < events.size());
+    model.submit(requestOf(500), now);
+    model.advance(now + ModelTime(900000));
+    REQUIRE(model.reportedLoad(now + ModelTime(900000)).running == 0);
+    model.advance(now + ModelTime(1300000));
+    REQUIRE(model.reportedLoad(now + ModelTime(1300000)).running == 1);
+}
+
+// Guards against lengths that a caller could foresee from max_tokens.
+TEST_CASE("Output lengths are heavy-tailed and depend on seed and prompt only", "[enginemodel]")
+{
+    std::vector<std::uint32_t> lengths;
+    for (std::uint64_t seed = 0; seed < 5000; ++seed)
+        lengths.push_back(tailOutputLength(seed, "a prompt"));
+    REQUIRE(lengths[7] == tailOutputLength(7, "a prompt"));
+    REQUIRE(lengths[7] != tailOutputLength(7, "another prompt"));
+    std::sort(lengths.begin(), lengths.end());
+    REQUIRE(lengths[4950] > 10 * lengths[2500]);
+}
