Put the stand-in engine on EngineModel

The protocol and the present flags stay; new flags give the engine slots, memory, a prefix cache, late reports and tail lengths, and /control slows or silences it. Readers have one wake-up timer each instead of a shared one, tokens are formatted without a JSON document, and the check for a gone caller costs one system call per 500 ms instead of one per step, because one process has to carry 1,400 streams.

--- a/tests/enginemodel/enginemodel.cpp
+++ b/tests/enginemodel/enginemodel.cpp
@@ -145,6 +145,11 @@
     return known == nullptr ? 0 : known->length;
 }
 
+std::uint32_t EngineModel::memoryTokens() const
+{
+    return this->options.memoryTokens;
+}
+
 EngineLoad EngineModel::currentLoad() const
 {
     EngineLoad load;
--- a/tests/enginemodel/enginemodel.h
+++ b/tests/enginemodel/enginemodel.h
@@ -146,6 +146,8 @@
     /** Returns how long a generation will be, which callers must not learn; 0 if not known. */
     std::uint32_t outputTokens(std::uint64_t generation) const;
 
+    /** Returns the memory in all, in tokens. */
+    std::uint32_t memoryTokens() const;
     /** Returns the load as it is. */
     EngineLoad currentLoad() const;
     /** Returns the load as the engine reports it: late by the report lag. */
--- a/tests/standins/engine/engineserver.cpp
+++ b/tests/standins/engine/engineserver.cpp
@@ -1,5 +1,7 @@
 #include "engineserver.h"
 
+#include "configuration/configuration.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -7,21 +9,61 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <charconv>
 #include <chrono>
+#include <cstdlib>
 
 namespace sassafrasyard {
 
 namespace net = boost::asio;
 using nlohmann::json;
+using SteadyClock = std::chrono::steady_clock;
 
 namespace {
 
 constexpr std::string_view generationPrefix = "/v1/generations/";
-constexpr std::uint64_t defaultLength = 32;
+/** The entry hosts digest this many leading characters of a prompt, in 16 hexadecimal digits. */
+constexpr std::size_t prefixCharacters = 256;
+constexpr std::size_t prefixDigits = 16;
+/** A process that was paused longer does not make up for the lost time. */
+constexpr ModelTime longestCatchUp{200000};
+/** How often a reader without tokens checks that its caller is there. */
+constexpr std::chrono::milliseconds callerCheckInterval{500};
+constexpr std::chrono::milliseconds forgetInterval{1000};
+
+EngineModelOptions modelOptions(const StandinFlags &flags)
+{
+    const auto microseconds = [&flags](const char *name, double otherwise) {
+        return ModelTime(static_cast<std::int64_t>(flags.number(name, otherwise) * 1000.0));
+    };
+    const auto tokens = [&flags](const char *name, std::uint32_t otherwise) {
+        return static_cast<std::uint32_t>(flags.number(name, otherwise));
+    };
+    EngineModelOptions options;
+    options.slots = tokens("slots", options.slots);
+    options.memoryTokens = tokens("memory-tokens", options.memoryTokens);
+    options.cacheTokens = tokens("cache-tokens", options.cacheTokens);
+    options.fixedStep = microseconds("interval-ms", 0.0);
+    options.reportLag = microseconds("report-lag-ms", 1000.0);
+    options.cacheEventLossShare = flags.number("event-loss", options.cacheEventLossShare);
+    options.outputLength =
+            flags.text("length", "max") == "tail" ? OutputLength::Tail : OutputLength::Maximum;
+    options.seed = static_cast<std::uint64_t>(flags.number("seed", 0.0));
+    return options;
+}
+
+std::uint64_t prefixDigest(const std::string &prompt)
+{
+    const std::string hex = sha256Hex(std::string_view(prompt).substr(0, prefixCharacters));
+    std::uint64_t value = 0;
+    std::from_chars(hex.data(), hex.data() + prefixDigits, value, 16);
+    return value;
+}
 
-std::int64_t nowMilliseconds()
+HttpResponse notRun()
 {
-    return Clock::steady().now().count();
+    return jsonResponse(409, "{\"not_run\":true}");
 }
 
 } // namespace
@@ -29,12 +71,15 @@
 EngineServer::EngineServer(net::io_context &context, const StandinFlags &flags)
     : context(context)
     , name(flags.text("name", "engine"))
-    , model(flags.text("model", "plan"))
-    , version(flags.text("version", "v1"))
-    , intervalMilliseconds(flags.number("interval-ms", 20))
+    , loaded({{flags.text("model", "plan"), flags.text("version", "v1")}})
+    , retainMilliseconds(static_cast<std::int64_t>(flags.number("retain-ms", 60000)))
+    , loadTime(static_cast<std::int64_t>(flags.number("load-ms", 500)))
     , checksFence(flags.text("check-fence", "false") == "true")
+    , isStamping(flags.text("stamp", "false") == "true")
     , runName(RandomSource::fromSystem().nextHex())
-    , step(context)
+    , model(modelOptions(flags))
+    , lastClockReading(SteadyClock::now())
+    , decodeTimer(context)
 {
     net::co_spawn(
             context, [this] { return this->decode(); }, net::detached);
@@ -52,7 +97,9 @@
     } else if (path == "/v1/orders") {
         co_await responder.send(this->order(request));
     } else if (path == "/v1/cache-events") {
-        co_await responder.send(jsonResponse(200, "{\"events\":[]}"));
+        co_await responder.send(this->cacheEvents(request));
+    } else if (path == "/control") {
+        co_await responder.send(this->control(request));
     } else {
         co_await responder.send(jsonResponse(404, "{}"));
     }
@@ -60,25 +107,72 @@
 
 net::awaitable<void> EngineServer::decode()
 {
-    net::steady_timer timer(co_await net::this_coro::executor);
+    auto nextForget = SteadyClock::now() + forgetInterval;
     while (true) {
-        timer.expires_after(std::chrono::microseconds(
-                static_cast<std::int64_t>(this->intervalMilliseconds * 1000)));
-        co_await timer.async_wait(net::use_awaitable);
-        for (auto &[key, generation] : this->generations) {
-            if (generation->isSuspended || generation->isCancelled
-                || generation->tokens.size() >= generation->length) {
-                continue;
-            }
-            const std::uint64_t index = generation->tokens.size();
-            generation->tokens.push_back(" w" + std::to_string(generation->seed % 1000) + "."
-                                         + std::to_string(index));
+        const ModelTime now = this->advanceClock();
+        this->model.advance(now);
+        this->recordTokens();
+        if (SteadyClock::now() >= nextForget) {
+            nextForget = SteadyClock::now() + forgetInterval;
+            this->forgetUnread();
+        }
+        const auto stepEnd = this->model.stepEnd();
+        this->decodeTimer.expires_after(stepEnd ? std::max(ModelTime(0), *stepEnd - now)
+                                                : ModelTime(forgetInterval));
+        boost::system::error_code ignored;
+        co_await this->decodeTimer.async_wait(net::redirect_error(net::use_awaitable, ignored));
+    }
+}
+
+void EngineServer::recordTokens()
+{
+    if (this->model.hasCrashed())
+        std::abort();
+    for (const ProducedToken &token : this->model.takeTokens()) {
+        const auto known = this->byNumber.find(token.generation);
+        if (known != this->byNumber.end())
+            known->second->addToken();
+    }
+}
+
+ModelTime EngineServer::advanceClock()
+{
+    const auto reading = SteadyClock::now();
+    const auto passed = std::chrono::duration_cast<ModelTime>(reading - this->lastClockReading);
+    this->lastClockReading += passed;
+    this->modelNow += std::min(passed, longestCatchUp);
+    return this->modelNow;
+}
+
+void EngineServer::wakeDecoder()
+{
+    this->decodeTimer.cancel();
+}
+
+void EngineServer::forgetUnread()
+{
+    for (auto item = this->generations.begin(); item != this->generations.end();) {
+        const std::shared_ptr<Generation> generation = item->second;
+        if (generation->unreadMilliseconds() < this->retainMilliseconds) {
+            ++item;
+            continue;
         }
-        this->step.cancel();
-        this->step.expires_at(net::steady_timer::time_point::max());
+        this->model.cancel(generation->number(), this->modelNow);
+        this->model.forget(generation->number());
+        this->byNumber.erase(generation->number());
+        item = this->generations.erase(item);
     }
 }
 
+bool EngineServer::isRefused(const std::string &model, const std::string &version) const
+{
+    return this->isLeaving
+            || std::none_of(this->loaded.begin(), this->loaded.end(), [&](const auto &candidate) {
+                   return candidate.first == model
+                           && (version.empty() || candidate.second == version);
+               });
+}
+
 net::awaitable<void> EngineServer::start(const HttpRequest &request, HttpResponder &responder)
 {
     const json body = json::parse(request.body, nullptr, false);
@@ -86,17 +180,25 @@
         co_await responder.send(jsonResponse(400, "{\"not_run\":true}"));
         co_return;
     }
-    if (this->isLeaving || body.value("model", "") != this->model) {
-        co_await responder.send(jsonResponse(409, "{\"not_run\":true}"));
+    EngineRequest wanted;
+    wanted.prompt = body.value("prompt", "");
+    wanted.prefixDigest = prefixDigest(wanted.prompt);
+    wanted.maximumTokens = body.value("max_tokens", 0U);
+    wanted.seed = body.value("seed", std::uint64_t{0});
+    wanted.priority = body.value("priority", 0);
+    std::optional<std::uint64_t> number;
+    if (!this->isRefused(body.value("model", ""), body.value("version", "")))
+        number = this->model.submit(wanted, this->advanceClock());
+    if (!number) {
+        co_await responder.send(notRun());
         co_return;
     }
-    auto generation = std::make_shared<Generation>();
-    generation->name = this->runName + "-" + std::to_string(++this->generationCount);
-    generation->seed = body.value("seed", std::uint64_t{0});
-    generation->length = body.value("max_tokens", std::uint64_t{0});
-    if (generation->length == 0)
-        generation->length = defaultLength;
-    this->generations.emplace(generation->name, generation);
+    const std::string generationName = this->runName + "-" + std::to_string(*number);
+    auto generation = std::make_shared<Generation>(this->context, generationName, *number,
+                                                   wanted.seed, this->isStamping);
+    this->generations.emplace(generationName, generation);
+    this->byNumber.emplace(*number, generation);
+    this->wakeDecoder();
     co_await this->stream(generation, 0, responder);
 }
 
@@ -111,13 +213,16 @@
     }
     const auto generation = known->second;
     const std::string_view action = rest.substr(slash + 1);
-    if (action == "resume") {
+    const bool isCancelled = this->model.phase(generation->number()) == GenerationPhase::Cancelled;
+    if (action == "resume" && !isCancelled) {
         const json body = json::parse(request.body, nullptr, false);
-        generation->isSuspended = false;
+        this->model.resume(generation->number(), this->advanceClock());
+        this->wakeDecoder();
         const std::uint64_t from = body.is_object() ? body.value("from", std::uint64_t{0}) : 0;
         co_await this->stream(generation, from, responder);
     } else if (action == "suspend") {
-        generation->isSuspended = true;
+        this->model.suspend(generation->number(), this->advanceClock());
+        this->wakeDecoder();
         co_await responder.send(jsonResponse(200, "{}"));
     } else if (action == "cancel") {
         co_await responder.send(this->cancel(*generation, request));
@@ -129,51 +234,49 @@
 net::awaitable<void> EngineServer::stream(std::shared_ptr<Generation> generation,
                                           std::uint64_t from, HttpResponder &responder)
 {
+    const std::uint64_t epoch = generation->beginReading();
     HttpHeaders headers;
     headers.emplace_back("Content-Type", "text/event-stream");
-    if (!co_await responder.startStream(200, std::move(headers)))
-        co_return;
-    const std::uint64_t epoch = ++generation->readerEpoch;
-    ++generation->readers;
+    bool isOpen = co_await responder.startStream(200, std::move(headers));
     std::uint64_t index = from;
-    bool isOpen = true;
-    ServerEvent event;
-    while (isOpen && !generation->isCancelled && generation->readerEpoch == epoch) {
-        generation->lastReadMilliseconds = nowMilliseconds();
-        json data;
-        data["generation"] = generation->name;
-        data["index"] = index;
-        if (index < generation->tokens.size()) {
-            data["token"] = generation->tokens[index];
-            event.data = data.dump();
-            isOpen = co_await responder.write(formatServerEvent(event));
-            ++index;
+    std::string text;
+    while (isOpen && generation->isReadBy(epoch)) {
+        const bool isSilent = SteadyClock::now() < this->silentUntil;
+        if (!isSilent && index < generation->tokenCount()) {
+            text.clear();
+            while (index < generation->tokenCount())
+                generation->appendEvent(index++, text);
+            isOpen = co_await responder.write(text);
             continue;
         }
-        if (index >= generation->length) {
-            data["finish"] = "length";
-            event.data = data.dump();
-            co_await responder.write(formatServerEvent(event));
+        const auto phase = this->model.phase(generation->number());
+        if (!isSilent && phase == GenerationPhase::Finished) {
+            co_await responder.write(generation->finishEvent(index, "length"));
             co_await responder.finish();
             break;
         }
-        boost::system::error_code ignored;
-        co_await this->step.async_wait(net::redirect_error(net::use_awaitable, ignored));
-        isOpen = !responder.isCallerGone();
+        if (phase == GenerationPhase::Cancelled || !phase) {
+            co_await responder.finish();
+            break;
+        }
+        generation->wake().expires_after(callerCheckInterval);
+        boost::system::error_code code;
+        co_await generation->wake().async_wait(net::redirect_error(net::use_awaitable, code));
+        if (!code)
+            isOpen = !responder.isCallerGone();
     }
-    --generation->readers;
-    generation->lastReadMilliseconds = nowMilliseconds();
+    generation->endReading();
 }
 
 HttpResponse EngineServer::cancel(Generation &generation, const HttpRequest &request)
 {
     const json body = json::parse(request.body, nullptr, false);
     const std::int64_t grace = body.is_object() ? body.value("unless_read_within_ms", 0) : 0;
-    const bool isRead = generation.readers > 0
-            || (grace > 0 && nowMilliseconds() - generation.lastReadMilliseconds < grace);
-    if (grace > 0 && isRead)
+    if (grace > 0 && generation.unreadMilliseconds() < grace)
         return jsonResponse(200, "{\"cancelled\":false}");
-    generation.isCancelled = true;
+    this->model.cancel(generation.number(), this->advanceClock());
+    generation.wakeReader();
+    this->wakeDecoder();
     return jsonResponse(200, "{\"cancelled\":true}");
 }
 
@@ -184,41 +287,90 @@
         return jsonResponse(400, "{}");
     const std::uint64_t fence = body.value("fence", std::uint64_t{0});
     if (this->checksFence && fence < this->highestFence)
-        return jsonResponse(409, "{\"not_run\":true}");
+        return notRun();
     this->highestFence = std::max(this->highestFence, fence);
     const std::string kind = body.value("order", "");
-    if (kind == "drain" || kind == "undrain")
+    LoadedVersion target{body.value("model", ""), body.value("version", "")};
+    if (target.first.empty())
+        target.first = this->loaded.empty() ? "" : this->loaded.front().first;
+    if (kind == "drain" || kind == "undrain") {
         this->isLeaving = kind == "drain";
-    else if (kind == "load")
-        this->version = body.value("version", "");
-    else
+    } else if (kind == "load") {
+        net::co_spawn(
+                this->context, [this, target] { return this->loadVersion(target); }, net::detached);
+    } else if (kind == "unload") {
+        std::erase(this->loaded, target);
+    } else {
         return jsonResponse(400, "{}");
+    }
     return jsonResponse(200, "{}");
 }
 
-HttpResponse EngineServer::load() const
+net::awaitable<void> EngineServer::loadVersion(LoadedVersion target)
+{
+    net::steady_timer timer(co_await net::this_coro::executor);
+    timer.expires_after(this->loadTime);
+    co_await timer.async_wait(net::use_awaitable);
+    if (std::find(this->loaded.begin(), this->loaded.end(), target) == this->loaded.end())
+        this->loaded.push_back(target);
+}
+
+HttpResponse EngineServer::control(const HttpRequest &request)
 {
-    std::size_t running = 0;
-    std::size_t memory = 0;
-    for (const auto &[key, generation] : this->generations) {
-        const bool isRunning = !generation->isCancelled && !generation->isSuspended
-                && generation->tokens.size() < generation->length;
-        running += isRunning ? 1 : 0;
-        memory += isRunning ? generation->tokens.size() : 0;
+    const json body = json::parse(request.body, nullptr, false);
+    if (!body.is_object() || body.value("slowdown", 1.0) <= 0.0)
+        return jsonResponse(400, "{}");
+    if (body.contains("slowdown"))
+        this->model.setSlowdown(body.value("slowdown", 1.0));
+    const std::chrono::milliseconds stall(body.value("stall_ms", std::int64_t{0}));
+    this->silentUntil = std::max(this->silentUntil, SteadyClock::now() + stall);
+    return jsonResponse(200, "{}");
+}
+
+HttpResponse EngineServer::cacheEvents(const HttpRequest &request)
+{
+    const std::string after = request.query("after").value_or("0");
+    std::uint64_t number = 0;
+    std::from_chars(after.data(), after.data() + after.size(), number);
+    json events = json::array();
+    for (const PrefixCacheEvent &event : this->model.cacheEvents(number, this->advanceClock())) {
+        json item;
+        item["sequence"] = event.sequence;
+        item["prefix"] = event.prefixDigest;
+        item["stored"] = event.isStored;
+        events.push_back(std::move(item));
     }
     json body;
-    body["running"] = running;
-    body["waiting"] = 0;
-    body["memory_used"] = memory;
-    body["memory_total"] = 65536;
-    body["age_ms"] = 0;
+    body["events"] = std::move(events);
+    return jsonResponse(200, body.dump());
+}
+
+HttpResponse EngineServer::load()
+{
+    const ModelTime now = this->advanceClock();
+    this->model.advance(now);
+    this->wakeDecoder();
+    const EngineLoad reported = this->model.reportedLoad(now);
+    constexpr double microsecondsPerMillisecond = 1000.0;
+    json body;
+    body["running"] = reported.running;
+    body["waiting"] = reported.waiting;
+    body["memory_used"] = reported.memoryUsedTokens;
+    body["memory_total"] = this->model.memoryTokens();
+    body["age_ms"] = std::chrono::duration_cast<Milliseconds>(now - reported.at).count();
     body["leaving"] = this->isLeaving;
-    body["token_interval_ms"] = this->intervalMilliseconds;
-    body["preemptions"] = 0;
-    json loaded;
-    loaded["model"] = this->model;
-    loaded["version"] = this->version;
-    body["models"] = json::array({loaded});
+    body["token_interval_ms"] =
+            static_cast<double>(reported.tokenInterval.count()) / microsecondsPerMillisecond;
+    body["preemptions"] = reported.preemptions;
+    body["stall_ms"] = std::chrono::duration_cast<Milliseconds>(reported.stallTime).count();
+    json models = json::array();
+    for (const auto &[model, version] : this->loaded) {
+        json item;
+        item["model"] = model;
+        item["version"] = version;
+        models.push_back(std::move(item));
+    }
+    body["models"] = std::move(models);
     return jsonResponse(200, body.dump());
 }
 
--- a/tests/standins/engine/engineserver.h
+++ b/tests/standins/engine/engineserver.h
@@ -1,24 +1,36 @@
 #pragma once
 
+#include "enginemodel/enginemodel.h"
+#include "generation.h"
 #include "standins/common/standinserver.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json_fwd.hpp>
 
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace sassafrasyard {
 
-/** A stand-in for a model engine that speaks the engine protocol. */
+/**
+ * A stand-in for a crowded model engine that speaks the engine protocol.
+ *
+ * Flags: name, model, version, retain-ms, check-fence, load-ms (time of a "load" order), and the
+ * engine's size and pace: slots, memory-tokens, cache-tokens, interval-ms (fixed time of a step;
+ * without it the step grows with the batch and with prefill), report-lag-ms, event-loss,
+ * length=max|tail, seed. stamp=true appends the engine's times to the token text, see Generation.
+ */
 class EngineServer
 {
 public:
-    /** Starts decoding. Flags: name, model, version, interval-ms, retain-ms, check-fence. */
+    /** Starts decoding. */
     EngineServer(boost::asio::io_context &context, const StandinFlags &flags);
     EngineServer(const EngineServer &) = delete;
     EngineServer &operator=(const EngineServer &) = delete;
@@ -27,40 +39,42 @@
     boost::asio::awaitable<void> handle(const HttpRequest &request, HttpResponder &responder);
 
 private:
-    struct Generation
-    {
-        std::string name;
-        std::uint64_t seed = 0;
-        std::uint64_t length = 0;
-        std::vector<std::string> tokens;
-        bool isSuspended = false;
-        bool isCancelled = false;
-        int readers = 0;
-        std::uint64_t readerEpoch = 0;
-        std::int64_t lastReadMilliseconds = 0;
-    };
+    using LoadedVersion = std::pair<std::string, std::string>;
 
     boost::asio::awaitable<void> decode();
+    boost::asio::awaitable<void> loadVersion(LoadedVersion loaded);
     boost::asio::awaitable<void> start(const HttpRequest &request, HttpResponder &responder);
     boost::asio::awaitable<void> act(const HttpRequest &request, HttpResponder &responder);
     boost::asio::awaitable<void> stream(std::shared_ptr<Generation> generation, std::uint64_t from,
                                         HttpResponder &responder);
+    void recordTokens();
+    void wakeDecoder();
+    void forgetUnread();
+    bool isRefused(const std::string &model, const std::string &version) const;
+    ModelTime advanceClock();
     HttpResponse cancel(Generation &generation, const HttpRequest &request);
     HttpResponse order(const HttpRequest &request);
-    HttpResponse load() const;
+    HttpResponse control(const HttpRequest &request);
+    HttpResponse cacheEvents(const HttpRequest &request);
+    HttpResponse load();
 
     boost::asio::io_context &context;
     std::string name;
-    std::string model;
-    std::string version;
-    double intervalMilliseconds;
+    std::vector<LoadedVersion> loaded;
+    std::int64_t retainMilliseconds;
+    Milliseconds loadTime;
     bool checksFence;
+    bool isStamping;
     std::uint64_t highestFence = 0;
     bool isLeaving = false;
     std::string runName;
-    std::uint64_t generationCount = 0;
+    EngineModel model;
+    ModelTime modelNow{0};
+    boost::asio::steady_timer::time_point lastClockReading;
+    boost::asio::steady_timer::time_point silentUntil{};
+    boost::asio::steady_timer decodeTimer;
     std::map<std::string, std::shared_ptr<Generation>> generations;
-    boost::asio::steady_timer step;
+    std::unordered_map<std::uint64_t, std::shared_ptr<Generation>> byNumber;
 };
 
 } // namespace sassafrasyard
--- /dev/null
+++ b/tests/standins/engine/generation.cpp
@@ -0,0 +1,103 @@
+#include "generation.h"
+
+#include <chrono>
+#include <utility>
+
+namespace sassafrasyard {
+
+namespace {
+
+constexpr std::uint64_t seedModulus = 1000;
+constexpr std::int64_t microsecondsPerMillisecond = 1000;
+
+} // namespace
+
+std::int64_t steadyMicroseconds()
+{
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+}
+
+Generation::Generation(boost::asio::io_context &context, std::string name, std::uint64_t number,
+                       std::uint64_t seed, bool isStamping)
+    : head("data: {\"generation\":\"" + name + "\",\"index\":")
+    , tokenHead(",\"token\":\" w" + std::to_string(seed % seedModulus) + ".")
+    , modelNumber(number)
+    , isStamping(isStamping)
+    , receivedAt(steadyMicroseconds())
+    , lastRead(steadyMicroseconds())
+    , wakeTimer(context)
+{
+    this->wakeTimer.expires_at(boost::asio::steady_timer::time_point::max());
+}
+
+std::uint64_t Generation::number() const
+{
+    return this->modelNumber;
+}
+
+std::uint64_t Generation::tokenCount() const
+{
+    return this->tokens;
+}
+
+void Generation::addToken()
+{
+    ++this->tokens;
+    if (this->isStamping)
+        this->producedAt.push_back(steadyMicroseconds());
+    this->wakeTimer.cancel();
+}
+
+void Generation::wakeReader()
+{
+    this->wakeTimer.cancel();
+}
+
+void Generation::appendEvent(std::uint64_t index, std::string &text) const
+{
+    const std::string digits = std::to_string(index);
+    text.append(this->head).append(digits).append(this->tokenHead).append(digits);
+    if (this->isStamping) {
+        text.append("@").append(std::to_string(this->producedAt[index]));
+        if (index == 0)
+            text.append("/").append(std::to_string(this->receivedAt));
+    }
+    text.append("\"}\n\n");
+}
+
+std::string Generation::finishEvent(std::uint64_t index, const std::string &reason) const
+{
+    return this->head + std::to_string(index) + ",\"finish\":\"" + reason + "\"}\n\n";
+}
+
+std::uint64_t Generation::beginReading()
+{
+    ++this->readers;
+    this->wakeTimer.cancel();
+    return ++this->readerEpoch;
+}
+
+void Generation::endReading()
+{
+    --this->readers;
+    this->lastRead = steadyMicroseconds();
+}
+
+bool Generation::isReadBy(std::uint64_t epoch) const
+{
+    return this->readerEpoch == epoch;
+}
+
+std::int64_t Generation::unreadMilliseconds() const
+{
+    return this->readers > 0 ? 0
+                             : (steadyMicroseconds() - this->lastRead) / microsecondsPerMillisecond;
+}
+
+boost::asio::steady_timer &Generation::wake()
+{
+    return this->wakeTimer;
+}
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/tests/standins/engine/generation.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace sassafrasyard {
+
+/** Returns the steady clock's time in microseconds, comparable between processes of one machine. */
+std::int64_t steadyMicroseconds();
+
+/** One generation of the stand-in engine and its readers. */
+class Generation
+{
+public:
+    /**
+     * Creates a generation.
+     *
+     * @param name its name in the protocol.
+     * @param number its number in the engine model.
+     * @param seed determines the token texts.
+     */
+    Generation(boost::asio::io_context &context, std::string name, std::uint64_t number,
+               std::uint64_t seed, bool isStamping);
+    Generation(const Generation &) = delete;
+    Generation &operator=(const Generation &) = delete;
+
+    /** Returns the number in the engine model. */
+    std::uint64_t number() const;
+    /** Returns how many tokens may be read. */
+    std::uint64_t tokenCount() const;
+    /** Adds the next token and wakes the reader. */
+    void addToken();
+    /** Wakes the reader without a token. */
+    void wakeReader();
+
+    /**
+     * Appends the event of one token to a text.
+     *
+     * The token's text is " w" + seed modulo 1000 + "." + index. If stamping, it is followed by "@"
+     * and the time at which the token was produced, and for index 0 by "/" and the time at which
+     * the request arrived, in microseconds of the machine's steady clock: entry hosts pass only the
+     * text on, so callers behind them can read the stamps too.
+     */
+    void appendEvent(std::uint64_t index, std::string &text) const;
+    /** Returns the last event's text. @param reason why the generation ended. */
+    std::string finishEvent(std::uint64_t index, const std::string &reason) const;
+
+    /** Counts readers; a later one silences the earlier one. @return the reader's epoch. */
+    std::uint64_t beginReading();
+    /** Ends one reader. */
+    void endReading();
+    /** Returns whether no later reader has come. */
+    bool isReadBy(std::uint64_t epoch) const;
+    /** Returns how long nobody has read, in milliseconds; 0 while somebody does. */
+    std::int64_t unreadMilliseconds() const;
+    /** Returns the timer that wakes the reader. */
+    boost::asio::steady_timer &wake();
+
+private:
+    std::string head;
+    std::string tokenHead;
+    std::uint64_t modelNumber;
+    bool isStamping;
+    std::uint64_t tokens = 0;
+    std::vector<std::int64_t> producedAt;
+    std::int64_t receivedAt;
+    int readers = 0;
+    std::uint64_t readerEpoch = 0;
+    std::int64_t lastRead;
+    boost::asio::steady_timer wakeTimer;
+};
+
+} // namespace sassafrasyard
