--- a/tests/standins/service/main.cpp
+++ b/tests/standins/service/main.cpp
@@ -12,10 +12,17 @@
 
 namespace {
 
-/** A plain service that counts how often each idempotency key was run. */
+/** A plain service that counts how often each idempotency key was run. Flag: work-ms, per call. */
 class CountingService
 {
 public:
+    explicit CountingService(const StandinFlags &flags)
+        : workTime(static_cast<int>(flags.number("work-ms", 0)))
+    {
+    }
+    CountingService(const CountingService &) = delete;
+    CountingService &operator=(const CountingService &) = delete;
+
     net::awaitable<void> handle(const HttpRequest &request, HttpResponder &responder)
     {
         if (request.path() == "/runs") {
@@ -35,9 +42,12 @@
         }
         const std::string key = findHeader(request.headers, "Idempotency-Key").value_or("");
         const int count = ++this->runs[key];
-        if (this->mode.starts_with("slow=")) {
+        std::chrono::milliseconds time = this->workTime;
+        if (this->mode.starts_with("slow="))
+            time = std::chrono::milliseconds(std::stoi(this->mode.substr(5)));
+        if (time.count() > 0) {
             net::steady_timer timer(co_await net::this_coro::executor);
-            timer.expires_after(std::chrono::milliseconds(std::stoi(this->mode.substr(5))));
+            timer.expires_after(time);
             co_await timer.async_wait(net::use_awaitable);
         }
         nlohmann::json body;
@@ -47,6 +57,7 @@
     }
 
 private:
+    std::chrono::milliseconds workTime;
     std::map<std::string, int> runs;
     std::string mode;
 };
@@ -57,7 +68,7 @@
 {
     const StandinFlags flags(argc, argv);
     net::io_context context(1);
-    CountingService service;
+    CountingService service(flags);
     return serveStandin(context, flags,
                         [&service](const HttpRequest &request, HttpResponder &responder) {
                             return service.handle(request, responder);
