--- a/packages/backends/engine/generationstream.cpp
+++ b/packages/backends/engine/generationstream.cpp
@@ -11,30 +11,89 @@
 /** The largest event that an engine may send, in bytes. */
 constexpr std::size_t maximumEventBytes = 256U << 10U;
 
-std::optional<GenerationEvent> parseEvent(std::string_view data)
+/** Collects the fields of an event without building a document; unknown fields are ignored. */
+class EventReader : public nlohmann::json_sax<nlohmann::json>
 {
-    const auto document = nlohmann::json::parse(data, nullptr, false);
-    if (!document.is_object())
-        return std::nullopt;
-    const auto generation = document.find("generation");
-    const auto index = document.find("index");
-    const auto token = document.find("token");
-    const auto finish = document.find("finish");
-    if (generation == document.end() || !generation->is_string() || index == document.end()
-        || !index->is_number_unsigned()) {
-        return std::nullopt;
+public:
+    bool null() override { return true; }
+    bool boolean(bool) override { return true; }
+    bool number_integer(number_integer_t) override { return true; }
+    bool number_float(number_float_t, const string_t &) override { return true; }
+    bool binary(binary_t &) override { return true; }
+    bool start_array(std::size_t) override { return this->enter(); }
+    bool end_array() override { return this->leave(); }
+    bool start_object(std::size_t) override { return this->enter(); }
+    bool end_object() override { return this->leave(); }
+    bool parse_error(std::size_t, const std::string &, const nlohmann::json::exception &) override
+    {
+        return false;
+    }
+
+    bool key(string_t &name) override
+    {
+        this->field = this->depth == 1 ? std::move(name) : std::string();
+        return true;
+    }
+
+    bool number_unsigned(number_unsigned_t value) override
+    {
+        if (this->depth == 1 && this->field == "index") {
+            this->event.index = value;
+            this->hasIndex = true;
+        }
+        return true;
+    }
+
+    bool string(string_t &value) override
+    {
+        if (this->depth != 1)
+            return true;
+        if (this->field == "generation") {
+            this->event.generation = GenerationName(std::move(value));
+        } else if (this->field == "token") {
+            this->event.token = std::move(value);
+            this->hasToken = true;
+        } else if (this->field == "finish") {
+            this->event.finishReason = std::move(value);
+        }
+        return true;
     }
+
+    std::optional<GenerationEvent> take()
+    {
+        const bool isComplete = !this->event.generation.isEmpty() && this->hasIndex
+                && (this->hasToken || this->event.isFinish());
+        if (!isComplete)
+            return std::nullopt;
+        return std::move(this->event);
+    }
+
+private:
+    bool enter()
+    {
+        ++this->depth;
+        return true;
+    }
+
+    bool leave()
+    {
+        --this->depth;
+        return true;
+    }
+
     GenerationEvent event;
-    event.generation = GenerationName(generation->get<std::string>());
-    event.index = index->get<std::uint64_t>();
-    if (finish != document.end() && finish->is_string()
-        && !finish->get_ref<const std::string &>().empty())
-        event.finishReason = finish->get<std::string>();
-    else if (token != document.end() && token->is_string())
-        event.token = token->get<std::string>();
-    else
+    std::string field;
+    int depth = 0;
+    bool hasIndex = false;
+    bool hasToken = false;
+};
+
+std::optional<GenerationEvent> parseEvent(std::string_view data)
+{
+    EventReader reader;
+    if (!nlohmann::json::sax_parse(data, &reader))
         return std::nullopt;
-    return event;
+    return reader.take();
 }
 
 Error refusal(const HttpResponse &response)
--- a/packages/entry/http/completionhandler.cpp
+++ b/packages/entry/http/completionhandler.cpp
@@ -54,10 +54,11 @@
 
 std::string tokenData(const DeliveredToken &token)
 {
-    json data;
-    data["index"] = token.position.index;
-    data["text"] = token.text;
-    return data.dump(-1, ' ', false, json::error_handler_t::replace);
+    const json text = token.text;
+    std::string data = "{\"index\":" + std::to_string(token.position.index) + ",\"text\":";
+    data += text.dump(-1, ' ', false, json::error_handler_t::replace);
+    data.push_back('}');
+    return data;
 }
 
 } // namespace
--- a/packages/network/http/httpclient.cpp
+++ b/packages/network/http/httpclient.cpp
@@ -2,12 +2,14 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
 #include <array>
+#include <chrono>
 
 namespace sassafrasyard {
 
@@ -106,14 +108,57 @@
     co_return response;
 }
 
-struct HttpStream::Implementation
+/**
+ * The connection of an HttpStream.
+ *
+ * Reads are guarded by one timer that is set again only when it fires. Beast's own timer, set and
+ * cancelled at each read, costs about as much as the read of a small event.
+ */
+struct HttpStream::Implementation : std::enable_shared_from_this<HttpStream::Implementation>
 {
     explicit Implementation(const net::any_io_executor &executor)
         : stream(executor)
+        , watchdog(executor)
     {
     }
 
+    /** Closes the connection if the pending read is not done by the deadline. */
+    void watch()
+    {
+        this->isWatching = true;
+        this->watchdog.expires_at(this->deadline);
+        this->watchdog.async_wait([weak = this->weak_from_this()](error_code code) {
+            const auto self = weak.lock();
+            if (!self || code)
+                return;
+            self->isWatching = false;
+            if (!self->isReading)
+                return;
+            if (std::chrono::steady_clock::now() < self->deadline) {
+                self->watch();
+                return;
+            }
+            self->hasTimedOut = true;
+            self->stream.close();
+        });
+    }
+
+    /** Starts guarding a read. @param timeout for the read, in milliseconds. */
+    void beginRead(Milliseconds timeout)
+    {
+        this->deadline = std::chrono::steady_clock::now() + timeout;
+        this->isReading = true;
+        // A timer set for an earlier read fires first and is then set to this deadline.
+        if (!this->isWatching || this->watchdog.expiry() > this->deadline)
+            this->watch();
+    }
+
     beast::tcp_stream stream;
+    net::steady_timer watchdog;
+    std::chrono::steady_clock::time_point deadline;
+    bool isWatching = false;
+    bool isReading = false;
+    bool hasTimedOut = false;
     Endpoint endpoint;
     beast::flat_buffer buffer;
     http::response_parser<http::buffer_body> parser;
@@ -128,7 +173,7 @@
                                                              const HttpRequest &request,
                                                              HttpTimeouts timeouts, Error &reason)
 {
-    this->implementation = std::make_unique<Implementation>(co_await net::this_coro::executor);
+    this->implementation = std::make_shared<Implementation>(co_await net::this_coro::executor);
     Implementation &state = *this->implementation;
     state.endpoint = endpoint;
     state.parser.body_limit(boost::none);
@@ -160,9 +205,13 @@
         auto &body = state.parser.get().body();
         body.data = state.bytes.data();
         body.size = state.bytes.size();
-        state.stream.expires_after(timeout);
+        state.stream.expires_never();
+        state.beginRead(timeout);
         error_code code;
         co_await http::async_read_some(state.stream, state.buffer, state.parser, redirect(code));
+        state.isReading = false;
+        if (code && state.hasTimedOut)
+            code = beast::error::timeout;
         if (code && code != http::error::need_buffer) {
             reason = transportError(code, RunState::OutcomeUnknown, state.endpoint);
             co_return std::nullopt;
--- a/packages/network/http/httpclient.h
+++ b/packages/network/http/httpclient.h
@@ -67,7 +67,8 @@
 
 private:
     struct Implementation;
-    std::unique_ptr<Implementation> implementation;
+    // Shared with the handler of the read timer, which may run after the stream is gone.
+    std::shared_ptr<Implementation> implementation;
 };
 
 } // namespace sassafrasyard
--- a/packages/network/http/httpserver.cpp
+++ b/packages/network/http/httpserver.cpp
@@ -69,6 +69,14 @@
     {
     }
 
+    /** Hands bytes to the kernel as far as it takes them now; an error shows at the next write. */
+    std::size_t writeWithoutWaiting(std::string_view bytes)
+    {
+        const int handle = this->stream.socket().native_handle();
+        const auto sent = ::send(handle, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        return sent > 0 ? static_cast<std::size_t>(sent) : 0;
+    }
+
     beast::tcp_stream stream;
     const HttpServerOptions &options;
     beast::flat_buffer buffer;
@@ -129,9 +137,14 @@
     const int length = std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
     chunk.assign(size, static_cast<std::size_t>(length));
     chunk.append(bytes).append("\r\n");
+    // The kernel nearly always takes a chunk at once; only the rest, if any, is worth awaiting.
+    const std::size_t taken = this->connection->writeWithoutWaiting(chunk);
+    if (taken == chunk.size())
+        co_return true;
     this->connection->stream.expires_after(this->connection->options.writeTimeout);
     error_code code;
-    co_await net::async_write(this->connection->stream, net::buffer(chunk), redirect(code));
+    co_await net::async_write(this->connection->stream, net::buffer(chunk) + taken, redirect(code));
+    this->connection->stream.expires_never();
     if (code)
         this->connection->keepAlive = false;
     co_return !code;
