Place by estimated load, memory, pace and prefix affinity

The server pool placed by this host's own request count alone: it did not see memory, other hosts' work or slow servers. It now holds a length estimator, a load tracker, a prefix index and a pace monitor, and reserves a quantile of prompt + expected output per placement. Also adds trackedSubset().

--- /dev/null
+++ b/packages/policy/length/lengthestimator.cpp
@@ -0,0 +1,193 @@
+#include "policy/length/lengthestimator.h"
+
+#include "policy/placement/stablehash.h"
+
+#include <algorithm>
+#include <bit>
+#include <cassert>
+#include <cmath>
+
+namespace sassafrasyard {
+
+namespace {
+
+constexpr double lnTwo = 0.6931471805599453;
+constexpr double bucketWidth = lnTwo / 2.0; // in the logarithm of the length
+/** Fades are applied in steps of this share of the half-life, to keep updates cheap. */
+constexpr int fadeStepsPerHalfLife = 16;
+constexpr std::size_t promptClassOctaves = 3;
+constexpr std::size_t smallestPromptOctave = 6;
+/** Keeps a bucket without a recorded end from having no hazard at all. */
+constexpr double smallestHazard = 1e-4;
+constexpr double largestHazard = 1.0 - 1e-9;
+
+/** The tail exponent of the prior at the lower end of a bucket. */
+double priorExponent(std::size_t bucket)
+{
+    constexpr std::size_t bodyBegin = 12; // 64 tokens
+    constexpr std::size_t tailBegin = 18; // 512 tokens
+    if (bucket < bodyBegin)
+        return 0.1;
+    return bucket < tailBegin ? 0.5 : 1.1;
+}
+
+double priorHazard(std::size_t bucket)
+{
+    return 1.0 - std::exp(-priorExponent(bucket) * bucketWidth);
+}
+
+double logLength(std::uint32_t tokens)
+{
+    return std::log(static_cast<double>(std::max<std::uint32_t>(tokens, 1)));
+}
+
+std::uint64_t promptClassOf(std::uint32_t promptTokens)
+{
+    const auto octave = static_cast<std::size_t>(std::bit_width(promptTokens));
+    return octave <= smallestPromptOctave ? 0
+                                          : (octave - smallestPromptOctave) / promptClassOctaves;
+}
+
+} // namespace
+
+LengthEstimator::LengthEstimator(LengthEstimatorOptions options)
+    : options(options)
+{
+    assert(options.maximumHistories >= 3);
+    assert(options.halfLife.count() > 0);
+}
+
+LengthClass LengthEstimator::classOf(const ClientAccountName &account, const ModelName &model,
+                                     std::uint32_t promptTokens)
+{
+    const std::uint64_t modelKey = stableHash(model.toString());
+    const std::uint64_t sizeKey = combineHashes(modelKey, promptClassOf(promptTokens) + 1);
+    const std::uint64_t accountKey = combineHashes(sizeKey, stableHash(account.toString()));
+    return {{accountKey, sizeKey, modelKey}};
+}
+
+std::size_t LengthEstimator::bucketOf(std::uint32_t tokens)
+{
+    const std::uint32_t length = std::clamp<std::uint32_t>(tokens, 1, maximumLength);
+    const auto octave = static_cast<std::size_t>(std::bit_width(length)) - 1;
+    // The upper half of an octave begins at its lower end times the square root of two.
+    const std::uint64_t square = static_cast<std::uint64_t>(length) * length;
+    const bool isUpperHalf = square >= (std::uint64_t{1} << (2 * octave + 1));
+    return std::min(2 * octave + (isUpperHalf ? 1 : 0), bucketCount - 1);
+}
+
+void LengthEstimator::recordProgress(const LengthClass &job, std::uint32_t from, std::uint32_t to,
+                                     Milliseconds now)
+{
+    const std::size_t begin = bucketOf(from);
+    const std::size_t end = bucketOf(to);
+    if (begin >= end)
+        return;
+    for (const std::uint64_t key : job.keys) {
+        History &history = this->touch(key, now);
+        for (std::size_t bucket = begin; bucket < end; ++bucket)
+            history.outlived[bucket] += 1.0F;
+    }
+}
+
+void LengthEstimator::recordEnd(const LengthClass &job, std::uint32_t tokens, Milliseconds now)
+{
+    for (const std::uint64_t key : job.keys)
+        this->touch(key, now).ended[bucketOf(tokens)] += 1.0F;
+}
+
+std::uint32_t LengthEstimator::totalQuantile(const LengthClass &job, std::uint32_t produced,
+                                             double quantile, Milliseconds now) const
+{
+    assert(quantile >= 0.0 && quantile < 1.0);
+    struct Level
+    {
+        const History *history;
+        double factor;
+    };
+    std::array<Level, 3> levels{};
+    std::size_t levelCount = 0;
+    for (auto key = job.keys.rbegin(); key != job.keys.rend(); ++key) {
+        if (const auto known = this->index.find(*key); known != this->index.end())
+            levels[levelCount++] = {&*known->second, this->fadeFactor(*known->second, now)};
+    }
+    double remaining = -std::log1p(-quantile); // the cumulated hazard at which to stop
+    double position = logLength(produced);
+    for (std::size_t bucket = bucketOf(produced); bucket < bucketCount; ++bucket) {
+        double hazard = priorHazard(bucket);
+        for (std::size_t level = 0; level < levelCount; ++level) {
+            const auto &[history, factor] = levels[level];
+            const double ended = factor * history->ended[bucket];
+            const double seen = ended + factor * history->outlived[bucket];
+            hazard = (ended + this->options.widerClassWeight * hazard)
+                    / (seen + this->options.widerClassWeight);
+        }
+        hazard = std::clamp(hazard, smallestHazard, largestHazard);
+        const double rate = -std::log1p(-hazard) / bucketWidth;
+        const double upper = static_cast<double>(bucket + 1) * bucketWidth;
+        const double share = std::max(0.0, upper - position) * rate;
+        if (share >= remaining) {
+            const double length = std::exp(position + remaining / rate);
+            return std::max(produced, static_cast<std::uint32_t>(std::ceil(length - 1e-6)));
+        }
+        remaining -= share;
+        position = std::max(position, upper);
+    }
+    return std::max(produced, maximumLength);
+}
+
+std::uint32_t LengthEstimator::remainingQuantile(const LengthClass &job, std::uint32_t produced,
+                                                 double quantile, Milliseconds now) const
+{
+    return this->totalQuantile(job, produced, quantile, now) - produced;
+}
+
+std::size_t LengthEstimator::historyCount() const
+{
+    return this->histories.size();
+}
+
+LengthEstimator::History &LengthEstimator::touch(std::uint64_t key, Milliseconds now)
+{
+    if (const auto known = this->index.find(key); known != this->index.end()) {
+        this->histories.splice(this->histories.begin(), this->histories, known->second);
+        this->fade(*known->second, now);
+        return *known->second;
+    }
+    if (this->histories.size() >= this->options.maximumHistories) {
+        const auto oldest = std::prev(this->histories.end());
+        this->index.erase(oldest->key);
+        this->histories.splice(this->histories.begin(), this->histories, oldest);
+        *oldest = History{};
+    } else {
+        this->histories.emplace_front();
+    }
+    History &history = this->histories.front();
+    history.key = key;
+    history.fadedAt = now;
+    this->index.emplace(key, this->histories.begin());
+    return history;
+}
+
+void LengthEstimator::fade(History &history, Milliseconds now) const
+{
+    if (now - history.fadedAt < this->options.halfLife / fadeStepsPerHalfLife)
+        return;
+    const auto factor = static_cast<float>(this->fadeFactor(history, now));
+    for (std::size_t bucket = 0; bucket < bucketCount; ++bucket) {
+        history.ended[bucket] *= factor;
+        history.outlived[bucket] *= factor;
+    }
+    history.fadedAt = now;
+}
+
+double LengthEstimator::fadeFactor(const History &history, Milliseconds now) const
+{
+    const Milliseconds age = now - history.fadedAt;
+    if (age < this->options.halfLife / fadeStepsPerHalfLife)
+        return 1.0;
+    return std::exp2(-static_cast<double>(age.count())
+                     / static_cast<double>(this->options.halfLife.count()));
+}
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/policy/load/loadtracker.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "policy/servers/loadreport.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <span>
+#include <vector>
+
+namespace sassafrasyard {
+
+/** The number by which a ServerPool and its parts know a backend server. */
+using ServerSlot = std::uint32_t;
+
+/** Times that a LoadTracker uses. */
+struct LoadTrackerOptions
+{
+    /** Up to this age a load report counts in full, in milliseconds. */
+    Milliseconds reportTrusted{2000};
+    /** From this age on a load report counts no more, in milliseconds. */
+    Milliseconds reportWorthless{10000};
+    /** A peer's digest is dropped when it was not renewed for so long, in milliseconds. */
+    Milliseconds peerSilence{15000};
+};
+
+/** One entry of a peer's digest with the server's slot. */
+struct PeerSlotLoad
+{
+    /** The backend server. */
+    ServerSlot slot = 0;
+    /** Requests that the peer has running there. */
+    std::uint32_t running = 0;
+    /** Tokens of engine memory that the peer has reserved there. */
+    std::uint32_t reservedTokens = 0;
+};
+
+/**
+ * Estimates the load of backend servers from their last reports, this host's own work and peers'
+ * digests.
+ *
+ * The estimate is the report's figure plus what is known to have changed since the report was
+ * taken. As the report ages, the estimate moves to the work that this host and its peers are known
+ * to have there, so a server whose report is old is not taken for full.
+ */
+class LoadTracker
+{
+public:
+    /** Creates a tracker without servers. */
+    explicit LoadTracker(LoadTrackerOptions options = {});
+    LoadTracker(const LoadTracker &) = delete;
+    LoadTracker &operator=(const LoadTracker &) = delete;
+
+    /** Starts (or starts anew) to track a server, as idle. */
+    void addServer(ServerSlot slot);
+    /** Forgets a server's report and what peers said about it. */
+    void removeServer(ServerSlot slot);
+    /** Forgets a server's report, as when the server restarted. */
+    void forgetReport(ServerSlot slot);
+
+    /** Records this host's requests on a server and the tokens of memory they use by now. */
+    void recordOwn(ServerSlot slot, std::uint32_t running, std::uint64_t usedTokens,
+                   Milliseconds now);
+    /** Records a load report; one taken before the last known one is ignored. */
+    void recordReport(ServerSlot slot, const LoadReport &report, Milliseconds now);
+    /** Records a peer's digest; one that is not newer than the last known one is ignored. */
+    void recordPeer(const HostName &peer, std::uint64_t sequence,
+                    std::span<const PeerSlotLoad> loads, Milliseconds now);
+    /** Drops the digests of silent peers. */
+    void advance(Milliseconds now);
+
+    /** Returns the estimated requests running or waiting on a server. */
+    double running(ServerSlot slot, Milliseconds now) const;
+    /** Returns the estimated memory that others use or reserved on a server, in tokens. */
+    double othersMemory(ServerSlot slot, Milliseconds now) const;
+    /** Returns the memory that the server last reported to have, in tokens; 0 if unknown. */
+    std::uint32_t reportedMemory(ServerSlot slot) const;
+    /** Returns the number of peers whose digests count. */
+    std::size_t peerCount() const;
+
+private:
+    /** Work that this host knows of at one time. */
+    struct Sample
+    {
+        Milliseconds time{0};
+        std::int64_t known = 0;
+        std::uint64_t usedTokens = 0;
+    };
+
+    struct Server
+    {
+        std::uint32_t ownRunning = 0;
+        std::uint64_t ownUsed = 0;
+        std::int64_t peersRunning = 0;
+        std::int64_t peersReserved = 0;
+        bool hasReport = false;
+        Milliseconds takenAt{0};
+        double reportedRunning = 0.0;
+        double reportedOthersMemory = 0.0;
+        std::int64_t knownAtReport = 0;
+        std::uint32_t memoryTotal = 0;
+        /** Oldest first; the first one stands for all earlier times. */
+        std::vector<Sample> history{{Milliseconds::min(), 0, 0}};
+    };
+
+    struct Peer
+    {
+        std::uint64_t sequence = 0;
+        Milliseconds receivedAt{0};
+        std::vector<PeerSlotLoad> loads;
+    };
+
+    static std::int64_t known(const Server &server);
+    static Sample sampleAt(const Server &server, Milliseconds time);
+    static void addSample(Server &server, Milliseconds now);
+    static void shiftBaseline(Server &server, std::int64_t amount);
+    void applyPeer(const Peer &peer, std::int64_t sign, bool isBaseline, Milliseconds now);
+    double reportWeight(const Server &server, Milliseconds now) const;
+
+    LoadTrackerOptions options;
+    std::vector<Server> servers;
+    std::map<HostName, Peer> peers;
+};
+
+} // namespace sassafrasyard
--- a/packages/policy/placement/placementpolicy.h
+++ b/packages/policy/placement/placementpolicy.h
@@ -3,6 +3,7 @@
 #include "policy/servers/backendserver.h"
 #include "policy/work/workrequest.h"
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <span>
@@ -18,6 +19,10 @@
     double runningEstimate = 0.0;
     /** Estimated memory in use and reserved there, in tokens. */
     double memoryEstimate = 0.0;
+    /** Memory in all, in tokens; 0 for a server whose memory does not count. */
+    double memoryTotal = 0.0;
+    /** Memory that the request would reserve there, in tokens. */
+    double memoryNeeded = 0.0;
     /** This host's own outstanding requests there. */
     std::uint32_t ownRunning = 0;
     /** Whether the prompt's prefix is believed to be cached there. */
@@ -42,4 +47,14 @@
 /** Returns a policy that takes the candidate with the fewest own requests. A baseline. */
 PlacementPolicy leastOutstandingPlacement();
 
+/**
+ * Returns a policy that weighs estimated load, memory, pace, prefix affinity and nearness.
+ *
+ * It draws a few candidates at random, near ones first, and takes the cheapest of them, so hosts
+ * with the same old view do not all choose the same server.
+ *
+ * @param seed seed of the draws; hosts should differ in it.
+ */
+PlacementPolicy estimatedLoadPlacement(std::uint64_t seed);
+
 } // namespace sassafrasyard
--- /dev/null
+++ b/packages/policy/placement/trackedsubset.cpp
@@ -0,0 +1,176 @@
+#include "policy/placement/trackedsubset.h"
+
+#include "policy/placement/stablehash.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cstdint>
+#include <map>
+#include <numeric>
+
+namespace sassafrasyard {
+
+namespace {
+
+/** The share of the limit to plan for; the rest takes up the unevenness of hashing. */
+constexpr double plannedShare = 0.85;
+/** A server tracked by fewer hosts than this is not covered well. */
+constexpr std::size_t minimumCopies = 2;
+
+struct HashedHost
+{
+    std::uint64_t hash;
+    std::uint64_t domain;
+    bool isSelf;
+};
+
+struct Score
+{
+    std::uint64_t score;
+    bool isNear;
+    bool isSelf;
+};
+
+/** A server that self tracks and how early it comes in the server's list of hosts. */
+struct Choice
+{
+    std::size_t server;
+    std::size_t rank;
+    std::uint64_t score;
+};
+
+bool isHigher(const Score &left, const Score &right)
+{
+    return left.score > right.score;
+}
+
+std::vector<HashedHost> hashHosts(std::span<const TrackingHost> liveHosts, const TrackingHost &self)
+{
+    std::vector<HashedHost> hosts{
+            {stableHash(self.name.toString()), stableHash(self.failureDomain.toString()), true}};
+    for (const TrackingHost &host : liveHosts) {
+        if (host.name != self.name)
+            hosts.push_back({stableHash(host.name.toString()),
+                             stableHash(host.failureDomain.toString()), false});
+    }
+    return hosts;
+}
+
+/** Shares the limit among models so that small ones are covered in full. */
+std::vector<std::size_t> shareLimit(std::span<const std::size_t> groupSizes, std::size_t limit)
+{
+    std::vector<std::size_t> order(groupSizes.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    std::stable_sort(order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
+        return groupSizes[left] < groupSizes[right];
+    });
+    std::vector<std::size_t> shares(groupSizes.size());
+    std::size_t left = limit;
+    for (std::size_t done = 0; done < order.size(); ++done) {
+        const std::size_t share = std::min(groupSizes[order[done]], left / (order.size() - done));
+        shares[order[done]] = share;
+        left -= share;
+    }
+    return shares;
+}
+
+/** Self's rank among the hosts that take a server, or nothing if it does not take it. */
+class ServerRanking
+{
+public:
+    explicit ServerRanking(std::span<const HashedHost> hosts)
+        : hosts(hosts)
+    {
+    }
+
+    bool rankSelf(std::uint64_t server, std::uint64_t domain, std::size_t copies, Choice &choice)
+    {
+        this->scores.clear();
+        std::size_t nearCount = 0;
+        for (const HashedHost &host : this->hosts) {
+            this->scores.push_back(
+                    {combineHashes(server, host.hash), host.domain == domain, host.isSelf});
+            nearCount += host.domain == domain ? 1 : 0;
+        }
+        const std::size_t nearCopies = std::min(nearCount, (copies + 1) / 2);
+        return this->takes(true, nearCopies, 0, choice)
+                || this->takes(false, copies - nearCopies, nearCopies, choice);
+    }
+
+private:
+    /** Looks for self among the highest scores of one side; near is only the own domain. */
+    bool takes(bool isNear, std::size_t count, std::size_t firstRank, Choice &choice) const
+    {
+        const auto &self = this->scores.front();
+        if (self.isNear != isNear || count == 0)
+            return false;
+        const auto higher = static_cast<std::size_t>(
+                std::count_if(this->scores.begin(), this->scores.end(), [&](const Score &score) {
+                    return score.isNear == isNear && isHigher(score, self);
+                }));
+        choice.rank = firstRank + higher;
+        choice.score = self.score;
+        return higher < count;
+    }
+
+    std::span<const HashedHost> hosts;
+    std::vector<Score> scores;
+};
+
+std::size_t copiesFor(std::size_t share, std::size_t serverCount, std::size_t hostCount)
+{
+    if (share >= serverCount)
+        return hostCount;
+    const double planned = plannedShare * static_cast<double>(share)
+            * static_cast<double>(hostCount) / static_cast<double>(serverCount);
+    return std::clamp(static_cast<std::size_t>(planned), std::min(minimumCopies, hostCount),
+                      hostCount);
+}
+
+} // namespace
+
+std::vector<std::size_t> trackedSubset(std::span<const BackendServer> servers,
+                                       std::span<const TrackingHost> liveHosts,
+                                       const TrackingHost &self, std::size_t limit)
+{
+    std::vector<std::size_t> tracked;
+    if (servers.size() <= limit) {
+        tracked.resize(servers.size());
+        std::iota(tracked.begin(), tracked.end(), std::size_t{0});
+        return tracked;
+    }
+    std::map<ModelName, std::vector<std::size_t>> groups;
+    for (std::size_t index = 0; index < servers.size(); ++index)
+        groups[servers[index].models.empty() ? ModelName() : servers[index].models.front()]
+                .push_back(index);
+    std::vector<std::size_t> sizes;
+    for (const auto &[model, members] : groups)
+        sizes.push_back(members.size());
+    const std::vector<std::size_t> shares = shareLimit(sizes, limit);
+    const std::vector<HashedHost> hosts = hashHosts(liveHosts, self);
+    ServerRanking ranking(hosts);
+    std::size_t group = 0;
+    for (const auto &[model, members] : groups) {
+        const std::size_t share = shares[group++];
+        const std::size_t copies = copiesFor(share, members.size(), hosts.size());
+        std::vector<Choice> choices;
+        for (const std::size_t index : members) {
+            Choice choice{index, 0, 0};
+            if (ranking.rankSelf(stableHash(servers[index].name.toString()),
+                                 stableHash(servers[index].failureDomain.toString()), copies,
+                                 choice))
+                choices.push_back(choice);
+        }
+        // Over the limit, the servers go that have the most better-placed hosts.
+        std::sort(choices.begin(), choices.end(), [](const Choice &left, const Choice &right) {
+            return left.rank != right.rank ? left.rank < right.rank : left.score > right.score;
+        });
+        choices.resize(std::min(choices.size(), share));
+        for (const Choice &choice : choices)
+            tracked.push_back(choice.server);
+    }
+    std::sort(tracked.begin(), tracked.end());
+    return tracked;
+}
+
+} // namespace sassafrasyard
--- a/packages/policy/policy.h
+++ b/packages/policy/policy.h
@@ -7,7 +7,12 @@
 #pragma once
 
 #include "policy/dispatch/dispatcher.h"
+#include "policy/length/lengthestimator.h"
+#include "policy/load/loadtracker.h"
+#include "policy/load/prefixindex.h"
+#include "policy/pace/pacemonitor.h"
 #include "policy/placement/placementpolicy.h"
+#include "policy/placement/trackedsubset.h"
 #include "policy/pool/serverpool.h"
 #include "policy/servers/backendserver.h"
 #include "policy/servers/loadreport.h"
--- a/packages/policy/pool/serverpool.cpp
+++ b/packages/policy/pool/serverpool.cpp
@@ -1,95 +1,230 @@
 #include "policy/pool/serverpool.h"
 
+#include "policy/placement/stablehash.h"
+
 #include <algorithm>
 #include <cassert>
+#include <limits>
 
 namespace sassafrasyard {
 
+namespace {
+
+/** How much of a slot must be free by the estimate for one more request. */
+constexpr double slotTolerance = 0.5;
+
+std::uint32_t clampTokens(double tokens)
+{
+    constexpr double largest = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp(tokens, 0.0, largest));
+}
+
+PaceMonitorOptions paceOptions(const ServerPoolOptions &options)
+{
+    PaceMonitorOptions pace = options.pace;
+    pace.seed = combineHashes(options.seed, stableHash(options.host.toString()));
+    return pace;
+}
+
+} // namespace
+
 ServerPool::ServerPool(ServerPoolOptions options)
     : options(std::move(options))
+    , lengths(this->options.length)
+    , loads(this->options.load)
+    , prefixes(this->options.prefix)
+    , paces(paceOptions(this->options))
 {
     assert(this->options.placement);
+    assert(this->options.reservationQuantile >= 0.0 && this->options.reservationQuantile < 1.0);
 }
 
 void ServerPool::setBackendServers(std::span<const BackendServer> newServers, Milliseconds)
 {
-    std::map<BackendServerName, ServerState> updated;
+    std::vector<bool> isListed(this->states.size(), false);
     for (const BackendServer &server : newServers) {
-        ServerState state;
-        if (const auto known = this->servers.find(server.name); known != this->servers.end())
-            state = known->second;
-        state.server = server;
-        updated.emplace(server.name, std::move(state));
+        const ServerSlot slot = this->slotFor(server);
+        if (slot >= isListed.size())
+            isListed.resize(slot + 1, false);
+        isListed[slot] = true;
+        this->describe(slot, server);
     }
-    this->servers = std::move(updated);
+    for (ServerSlot slot = 0; slot < this->states.size(); ++slot) {
+        if (isListed[slot] || !this->states[slot].isKnown)
+            continue;
+        this->states[slot].isKnown = false;
+        this->freeIfUnused(slot);
+    }
+    this->rebuildModels();
 }
 
 void ServerPool::setLeaving(const BackendServerName &server, bool isLeaving)
 {
-    if (const auto known = this->servers.find(server); known != this->servers.end())
-        known->second.isMarkedLeaving = isLeaving;
+    if (const auto slot = this->findSlot(server))
+        this->states[*slot].isMarkedLeaving = isLeaving;
 }
 
 void ServerPool::setReachable(const BackendServerName &server, bool isReachable)
 {
-    if (const auto known = this->servers.find(server); known != this->servers.end())
-        known->second.isReachable = isReachable;
+    const auto slot = this->findSlot(server);
+    if (!slot || this->states[*slot].isReachable == isReachable)
+        return;
+    this->states[*slot].isReachable = isReachable;
+    if (isReachable)
+        return;
+    // It may come back as a new process without the old load and cache.
+    this->loads.forgetReport(*slot);
+    this->prefixes.removeServer(*slot);
 }
 
-void ServerPool::recordLoadReport(const LoadReport &, Milliseconds) { }
+void ServerPool::recordLoadReport(const LoadReport &report, Milliseconds now)
+{
+    const auto slot = this->findSlot(report.server);
+    if (!slot)
+        return;
+    this->loads.recordReport(*slot, report, now);
+    this->paces.recordReport(*slot, report.tokenIntervalMilliseconds,
+                             now - std::max(report.age, Milliseconds(0)));
+}
 
-void ServerPool::recordCacheEvent(const CacheEvent &, Milliseconds) { }
+void ServerPool::recordCacheEvent(const CacheEvent &event, Milliseconds now)
+{
+    if (const auto slot = this->findSlot(event.server))
+        this->prefixes.recordEvent(*slot, event, now);
+}
 
-void ServerPool::recordPeerLoad(const PeerLoadDigest &, Milliseconds) { }
+void ServerPool::recordPeerLoad(const PeerLoadDigest &digest, Milliseconds now)
+{
+    if (digest.host == this->options.host)
+        return;
+    std::vector<PeerSlotLoad> slotLoads;
+    slotLoads.reserve(digest.entries.size());
+    for (const PeerLoadEntry &entry : digest.entries) {
+        if (const auto slot = this->findSlot(entry.server))
+            slotLoads.push_back({*slot, entry.running, entry.reservedTokens});
+    }
+    this->loads.recordPeer(digest.host, digest.sequence, slotLoads, now);
+}
 
-void ServerPool::advance(Milliseconds) { }
+void ServerPool::advance(Milliseconds now)
+{
+    this->loads.advance(now);
+    this->paces.advance(now);
+}
 
-std::optional<Placement> ServerPool::place(const WorkRequest &request, Milliseconds)
+std::optional<Placement> ServerPool::place(const WorkRequest &request, Milliseconds now)
 {
     assert(!this->placed.contains(request.name));
-    const std::vector<PlacementCandidate> candidates = this->candidatesFor(request);
-    const std::optional<std::size_t> chosen = this->options.placement(request, candidates);
+    const std::span<const ServerSlot> slots = this->slotsOf(request.model);
+    if (slots.empty())
+        return std::nullopt;
+    PlacedRequest entry;
+    entry.lengthClass =
+            LengthEstimator::classOf(request.account, request.model, request.promptTokens);
+    entry.promptTokens = request.promptTokens;
+    entry.maximumTokens = request.maximumTokens;
+    const double needed = static_cast<double>(entry.promptTokens) + this->expectedTotal(entry, now);
+    this->markHolders(request.prefixDigest, now);
+    const bool hasNormal = this->fillCandidates(slots, needed, true, now);
+    if (this->candidates.empty() && !hasNormal)
+        this->fillCandidates(slots, needed, false, now);
+    const std::optional<std::size_t> chosen = this->options.placement(request, this->candidates);
     if (!chosen)
         return std::nullopt;
-    ServerState &state = this->servers.at(candidates[*chosen].server->name);
+    entry.slot = this->candidateSlots[*chosen];
+    ServerState &state = this->states[entry.slot];
     ++state.ownRunning;
-    const Placement placement{state.server.name, 0};
-    this->placed.emplace(request.name, PlacedRequest{request, placement});
+    state.ownUsed += entry.promptTokens;
+    this->updateReservation(entry, now);
+    this->loads.recordOwn(entry.slot, state.ownRunning, state.ownUsed, now);
+    if (state.isEngine)
+        this->prefixes.recordUse(entry.slot, request.prefixDigest, now);
+    Placement placement{this->descriptions[entry.slot].name, entry.reservedTokens};
+    this->placed.emplace(request.name, entry);
     return placement;
 }
 
-void ServerPool::recordProgress(const RequestName &, std::uint32_t, Milliseconds) { }
+void ServerPool::recordProgress(const RequestName &request, std::uint32_t tokens, Milliseconds now)
+{
+    const auto known = this->placed.find(request);
+    if (known == this->placed.end() || tokens <= known->second.produced)
+        return;
+    PlacedRequest &entry = known->second;
+    ServerState &state = this->states[entry.slot];
+    this->recordPace(entry, tokens, now);
+    state.ownUsed += tokens - entry.produced;
+    this->loads.recordOwn(entry.slot, state.ownRunning, state.ownUsed, now);
+    const bool isNewBucket =
+            LengthEstimator::bucketOf(tokens) != LengthEstimator::bucketOf(entry.produced);
+    if (isNewBucket)
+        this->lengths.recordProgress(entry.lengthClass, entry.produced, tokens, now);
+    entry.produced = tokens;
+    const std::uint64_t used = std::uint64_t{entry.promptTokens} + tokens;
+    if (isNewBucket || used > entry.reservedTokens)
+        this->updateReservation(entry, now);
+}
 
-void ServerPool::release(const RequestName &request, WorkOutcome, Milliseconds)
+void ServerPool::release(const RequestName &request, WorkOutcome outcome, Milliseconds now)
 {
     const auto known = this->placed.find(request);
     if (known == this->placed.end())
         return;
-    if (const auto server = this->servers.find(known->second.placement.server);
-        server != this->servers.end() && server->second.ownRunning > 0) {
-        --server->second.ownRunning;
-    }
+    const PlacedRequest entry = known->second;
     this->placed.erase(known);
+    ServerState &state = this->states[entry.slot];
+    --state.ownRunning;
+    state.ownReserved -= entry.reservedTokens;
+    state.ownUsed -= std::uint64_t{entry.promptTokens} + entry.produced;
+    if (entry.produced > 0) {
+        --state.ownDecoding;
+        this->paces.recordDecoding(entry.slot, state.ownDecoding);
+    }
+    this->loads.recordOwn(entry.slot, state.ownRunning, state.ownUsed, now);
+    // A job that was cut off by its limit or otherwise says only that it is not shorter.
+    const bool isCutOff = entry.maximumTokens > 0 && entry.produced >= entry.maximumTokens;
+    if (outcome == WorkOutcome::Completed && entry.produced > 0 && !isCutOff)
+        this->lengths.recordEnd(entry.lengthClass, entry.produced, now);
+    this->freeIfUnused(entry.slot);
 }
 
 PeerLoadDigest ServerPool::peerLoadDigest(Milliseconds)
 {
     PeerLoadDigest digest{this->options.host, ++this->digestSequence, {}};
-    for (const auto &[name, state] : this->servers) {
-        if (state.ownRunning > 0)
-            digest.entries.push_back({name, state.ownRunning, 0});
+    for (ServerSlot slot = 0; slot < this->states.size(); ++slot) {
+        const ServerState &state = this->states[slot];
+        if (state.ownRunning == 0)
+            continue;
+        digest.entries.push_back({this->descriptions[slot].name, state.ownRunning,
+                                  clampTokens(static_cast<double>(state.ownReserved))});
+    }
+    const auto byRunning = [](const PeerLoadEntry &left, const PeerLoadEntry &right) {
+        return left.running != right.running ? left.running > right.running
+                                             : left.server < right.server;
+    };
+    if (digest.entries.size() > this->options.digestLimit) {
+        std::sort(digest.entries.begin(), digest.entries.end(), byRunning);
+        digest.entries.resize(this->options.digestLimit);
     }
+    std::sort(digest.entries.begin(), digest.entries.end(),
+              [](const PeerLoadEntry &left, const PeerLoadEntry &right) {
+                  return left.server < right.server;
+              });
     return digest;
 }
 
-PoolCapacity ServerPool::capacity(const ModelName &model, Milliseconds) const
+PoolCapacity ServerPool::capacity(const ModelName &model, Milliseconds now) const
 {
     PoolCapacity capacity;
-    for (const auto &[name, state] : this->servers) {
-        if (!this->isUsable(state, model))
+    for (const ServerSlot slot : this->slotsOf(model)) {
+        const ServerState &state = this->states[slot];
+        if (!isUsable(state))
+            continue;
+        capacity.totalSlots += state.slots;
+        const bool isFull =
+                state.isEngine && this->memoryEstimate(slot, now) >= this->memoryTotal(slot);
+        if (isFull || this->paces.allowance(slot) == 0)
             continue;
-        capacity.totalSlots += state.server.slots;
-        capacity.freeSlots += state.server.slots - std::min(state.ownRunning, state.server.slots);
+        capacity.freeSlots += std::max(0.0, state.slots - this->loads.running(slot, now));
     }
     return capacity;
 }
@@ -99,27 +234,243 @@
     return this->placed.size();
 }
 
-bool ServerPool::isUsable(const ServerState &state, const ModelName &model) const
+std::vector<SlowServer> ServerPool::slowServers() const
+{
+    std::vector<SlowServer> slow;
+    for (const ServerSlot slot : this->paces.slowServers())
+        slow.push_back(
+                {this->descriptions[slot].name, this->paces.state(slot), this->paces.ratio(slot)});
+    return slow;
+}
+
+std::vector<MemoryShortage> ServerPool::memoryShortages(Milliseconds now) const
+{
+    std::vector<MemoryShortage> shortages;
+    for (ServerSlot slot = 0; slot < this->states.size(); ++slot) {
+        const ServerState &state = this->states[slot];
+        if (!state.isEngine || (!state.isKnown && state.ownRunning == 0))
+            continue;
+        const double excess = this->memoryEstimate(slot, now) - this->memoryTotal(slot);
+        if (excess >= 1.0)
+            shortages.push_back(
+                    {this->descriptions[slot].name, static_cast<std::uint64_t>(excess)});
+    }
+    return shortages;
+}
+
+std::uint32_t ServerPool::remainingTokens(const RequestName &request, double quantile,
+                                          Milliseconds now) const
+{
+    const auto known = this->placed.find(request);
+    if (known == this->placed.end())
+        return 0;
+    const PlacedRequest &entry = known->second;
+    const std::uint32_t remaining =
+            this->lengths.remainingQuantile(entry.lengthClass, entry.produced, quantile, now);
+    if (entry.maximumTokens == 0)
+        return remaining;
+    return std::min(remaining, entry.maximumTokens - std::min(entry.maximumTokens, entry.produced));
+}
+
+ServerSlot ServerPool::slotFor(const BackendServer &server)
+{
+    if (const auto slot = this->findSlot(server.name))
+        return *slot;
+    ServerSlot slot = 0;
+    if (this->freeSlots.empty()) {
+        slot = static_cast<ServerSlot>(this->states.size());
+        this->states.emplace_back();
+        this->descriptions.emplace_back();
+    } else {
+        slot = this->freeSlots.back();
+        this->freeSlots.pop_back();
+    }
+    this->slotsByName.emplace(server.name, slot);
+    this->loads.addServer(slot);
+    this->paces.resetServer(slot);
+    return slot;
+}
+
+void ServerPool::describe(ServerSlot slot, const BackendServer &server)
+{
+    ServerState &state = this->states[slot];
+    if (!state.isKnown) {
+        state.isMarkedLeaving = false;
+        state.isReachable = true;
+    } else if (this->descriptions[slot].address != server.address) {
+        this->loads.forgetReport(slot);
+        this->prefixes.removeServer(slot);
+    }
+    state.isKnown = true;
+    state.slots = server.slots;
+    state.memoryTokens = server.memoryTokens;
+    state.isEngine = server.kind == BackendServerKind::Engine;
+    state.isNear = server.failureDomain == this->options.failureDomain;
+    state.isLeaving = server.isLeaving;
+    this->descriptions[slot] = server;
+}
+
+void ServerPool::freeIfUnused(ServerSlot slot)
+{
+    ServerState &state = this->states[slot];
+    if (state.isKnown || state.ownRunning > 0)
+        return;
+    assert(state.ownReserved == 0 && state.ownUsed == 0 && state.ownDecoding == 0);
+    this->slotsByName.erase(this->descriptions[slot].name);
+    this->loads.removeServer(slot);
+    this->prefixes.removeServer(slot);
+    this->descriptions[slot] = {};
+    state = {};
+    this->freeSlots.push_back(slot);
+}
+
+void ServerPool::rebuildModels()
+{
+    this->slotsByModel.clear();
+    std::unordered_map<ModelName, std::uint32_t> numbers;
+    std::vector<PaceMonitor::Member> members;
+    for (ServerSlot slot = 0; slot < this->states.size(); ++slot) {
+        if (!this->states[slot].isKnown)
+            continue;
+        PaceMonitor::Member member{slot, {}};
+        for (const ModelName &model : this->descriptions[slot].models) {
+            std::vector<ServerSlot> &slots = this->slotsByModel[model];
+            if (!slots.empty() && slots.back() == slot)
+                continue;
+            slots.push_back(slot);
+            const auto number = numbers.emplace(model, numbers.size()).first->second;
+            if (this->states[slot].isEngine)
+                member.models.push_back(number);
+        }
+        members.push_back(std::move(member));
+    }
+    this->paces.setServers(members);
+}
+
+std::optional<ServerSlot> ServerPool::findSlot(const BackendServerName &server) const
+{
+    const auto known = this->slotsByName.find(server);
+    if (known == this->slotsByName.end())
+        return std::nullopt;
+    return known->second;
+}
+
+bool ServerPool::isUsable(const ServerState &state)
+{
+    return state.isKnown && state.isReachable && !state.isLeaving && !state.isMarkedLeaving;
+}
+
+double ServerPool::memoryTotal(ServerSlot slot) const
+{
+    const std::uint32_t reported = this->loads.reportedMemory(slot);
+    return reported > 0 ? reported : this->states[slot].memoryTokens;
+}
+
+double ServerPool::memoryEstimate(ServerSlot slot, Milliseconds now) const
 {
-    const auto &models = state.server.models;
-    return !state.server.isLeaving && !state.isMarkedLeaving && state.isReachable
-            && std::find(models.begin(), models.end(), model) != models.end();
+    return static_cast<double>(this->states[slot].ownReserved)
+            + this->loads.othersMemory(slot, now);
 }
 
-std::vector<PlacementCandidate> ServerPool::candidatesFor(const WorkRequest &request) const
+std::span<const ServerSlot> ServerPool::slotsOf(const ModelName &model) const
 {
-    std::vector<PlacementCandidate> candidates;
-    for (const auto &[name, state] : this->servers) {
-        if (!this->isUsable(state, request.model) || state.ownRunning >= state.server.slots)
+    const auto known = this->slotsByModel.find(model);
+    if (known == this->slotsByModel.end())
+        return {};
+    return known->second;
+}
+
+std::uint32_t ServerPool::expectedTotal(const PlacedRequest &request, Milliseconds now) const
+{
+    const std::uint32_t expected = this->lengths.totalQuantile(
+            request.lengthClass, request.produced, this->options.reservationQuantile, now);
+    if (request.maximumTokens == 0)
+        return expected;
+    return std::max(request.produced, std::min(expected, request.maximumTokens));
+}
+
+void ServerPool::markHolders(std::uint64_t prefix, Milliseconds now)
+{
+    ++this->placeCount;
+    for (const PrefixIndex::Holder &holder : this->prefixes.holders(prefix)) {
+        if (this->prefixes.isBelieved(holder, now))
+            this->states[holder.slot].prefixMark = this->placeCount;
+    }
+}
+
+bool ServerPool::fillCandidates(std::span<const ServerSlot> slots, double needed, bool heedsPace,
+                                Milliseconds now)
+{
+    this->candidates.clear();
+    this->candidateSlots.clear();
+    bool hasNormal = false;
+    for (const ServerSlot slot : slots) {
+        const ServerState &state = this->states[slot];
+        if (!isUsable(state))
             continue;
-        PlacementCandidate candidate;
-        candidate.server = &state.server;
-        candidate.runningEstimate = state.ownRunning;
-        candidate.ownRunning = state.ownRunning;
-        candidate.isNear = state.server.failureDomain == this->options.failureDomain;
-        candidates.push_back(candidate);
+        const std::uint32_t allowance = this->paces.allowance(slot);
+        hasNormal = hasNormal || allowance == PaceMonitor::unlimited;
+        if (state.ownRunning < state.slots && (!heedsPace || state.ownRunning < allowance))
+            this->addCandidate(slot, needed, now);
     }
-    return candidates;
+    return hasNormal;
+}
+
+void ServerPool::addCandidate(ServerSlot slot, double needed, Milliseconds now)
+{
+    const ServerState &state = this->states[slot];
+    const double running = this->loads.running(slot, now);
+    if (running + slotTolerance > state.slots)
+        return;
+    PlacementCandidate candidate;
+    if (state.isEngine) {
+        candidate.memoryTotal = this->memoryTotal(slot);
+        candidate.memoryEstimate = this->memoryEstimate(slot, now);
+        candidate.memoryNeeded = std::min(needed, candidate.memoryTotal);
+        // An idle engine takes any request; there is no better place for a very large one.
+        const bool isIdle = running < slotTolerance;
+        if (!isIdle && candidate.memoryEstimate + candidate.memoryNeeded > candidate.memoryTotal)
+            return;
+        candidate.paceRatio = this->paces.ratio(slot);
+    }
+    candidate.server = &this->descriptions[slot];
+    candidate.runningEstimate = running;
+    candidate.ownRunning = state.ownRunning;
+    candidate.hasPrefix = state.prefixMark == this->placeCount;
+    candidate.isNear = state.isNear;
+    this->candidates.push_back(candidate);
+    this->candidateSlots.push_back(slot);
+}
+
+void ServerPool::updateReservation(PlacedRequest &request, Milliseconds now)
+{
+    ServerState &state = this->states[request.slot];
+    if (!state.isEngine)
+        return;
+    const double needed =
+            static_cast<double>(request.promptTokens) + this->expectedTotal(request, now);
+    const std::uint32_t reserved = clampTokens(std::min(needed, this->memoryTotal(request.slot)));
+    state.ownReserved += reserved;
+    state.ownReserved -= request.reservedTokens;
+    request.reservedTokens = reserved;
+}
+
+void ServerPool::recordPace(PlacedRequest &request, std::uint32_t tokens, Milliseconds now)
+{
+    ServerState &state = this->states[request.slot];
+    if (request.produced == 0) {
+        ++state.ownDecoding;
+        this->paces.recordDecoding(request.slot, state.ownDecoding);
+        request.pacedTokens = tokens;
+        request.pacedAt = now;
+        return;
+    }
+    if (now <= request.pacedAt)
+        return;
+    const auto elapsed = static_cast<double>((now - request.pacedAt).count());
+    this->paces.recordInterval(request.slot, elapsed / (tokens - request.pacedTokens), now);
+    request.pacedTokens = tokens;
+    request.pacedAt = now;
 }
 
 } // namespace sassafrasyard
--- a/packages/policy/pool/serverpool.h
+++ b/packages/policy/pool/serverpool.h
@@ -1,12 +1,15 @@
 #pragma once
 
+#include "policy/length/lengthestimator.h"
+#include "policy/load/loadtracker.h"
+#include "policy/load/prefixindex.h"
+#include "policy/pace/pacemonitor.h"
 #include "policy/placement/placementpolicy.h"
 #include "policy/servers/backendserver.h"
 #include "policy/servers/loadreport.h"
 #include "policy/work/workrequest.h"
 
 #include <cstddef>
-#include <map>
 #include <optional>
 #include <span>
 #include <unordered_map>
@@ -25,6 +28,18 @@
     PlacementPolicy placement = leastOutstandingPlacement();
     /** Seed of every random choice. */
     std::uint64_t seed = 1;
+    /** The quantile of a request's expected output that is reserved, from 0 to below 1. */
+    double reservationQuantile = 0.8;
+    /** How many backend servers a digest for peers names at most. */
+    std::size_t digestLimit = 256;
+    /** Bounds and rates of the length estimate. */
+    LengthEstimatorOptions length = {};
+    /** Times of the load estimate. */
+    LoadTrackerOptions load = {};
+    /** Bounds and times of the prefix index. */
+    PrefixIndexOptions prefix = {};
+    /** Thresholds and times of the pace monitor; its seed is derived from the pool's. */
+    PaceMonitorOptions pace = {};
 };
 
 /** Where a request was placed. */
@@ -45,6 +60,26 @@
     double freeSlots = 0.0;
 };
 
+/** A backend server that is ejected or probed because it is slow. */
+struct SlowServer
+{
+    /** The backend server. */
+    BackendServerName server;
+    /** Whether it is ejected or probed. */
+    PaceState state = PaceState::Ejected;
+    /** Its time per token relative to the median of its peers. */
+    double paceRatio = 1.0;
+};
+
+/** An engine whose memory is expected to fill up in mid-decode. */
+struct MemoryShortage
+{
+    /** The engine. */
+    BackendServerName server;
+    /** By how much the estimate exceeds its memory, in tokens. */
+    std::uint64_t excessTokens = 0;
+};
+
 /**
  * The backend servers as this host sees them: load, reservations, pace and placement.
  *
@@ -86,28 +121,77 @@
     PoolCapacity capacity(const ModelName &model, Milliseconds now) const;
     /** Returns the number of placed requests. */
     std::size_t placedCount() const;
+    /** Returns the servers that are ejected or probed, for logs and metrics. */
+    std::vector<SlowServer> slowServers() const;
+    /** Returns the engines whose estimated and reserved memory exceeds what they have. */
+    std::vector<MemoryShortage> memoryShortages(Milliseconds now) const;
+    /** Returns a quantile of the remaining output of a placed request, in tokens. */
+    std::uint32_t remainingTokens(const RequestName &request, double quantile,
+                                  Milliseconds now) const;
 
 private:
     struct PlacedRequest
     {
-        WorkRequest request;
-        Placement placement;
+        ServerSlot slot = 0;
+        LengthClass lengthClass;
+        std::uint32_t promptTokens = 0;
+        std::uint32_t maximumTokens = 0;
+        std::uint32_t reservedTokens = 0;
+        std::uint32_t produced = 0;
+        std::uint32_t pacedTokens = 0;
+        Milliseconds pacedAt{0};
     };
 
+    /** What place() reads of a server; kept apart from its names, which are large. */
     struct ServerState
     {
-        BackendServer server;
+        std::uint32_t slots = 0;
+        std::uint32_t memoryTokens = 0;
         std::uint32_t ownRunning = 0;
+        std::uint32_t ownDecoding = 0;
+        std::uint64_t ownReserved = 0;
+        std::uint64_t ownUsed = 0;
+        std::uint64_t prefixMark = 0;
+        bool isKnown = false;
+        bool isEngine = false;
+        bool isNear = false;
+        bool isLeaving = false;
         bool isMarkedLeaving = false;
         bool isReachable = true;
     };
 
-    bool isUsable(const ServerState &state, const ModelName &model) const;
-    std::vector<PlacementCandidate> candidatesFor(const WorkRequest &request) const;
+    ServerSlot slotFor(const BackendServer &server);
+    void describe(ServerSlot slot, const BackendServer &server);
+    void freeIfUnused(ServerSlot slot);
+    void rebuildModels();
+    std::optional<ServerSlot> findSlot(const BackendServerName &server) const;
+
+    static bool isUsable(const ServerState &state);
+    double memoryTotal(ServerSlot slot) const;
+    double memoryEstimate(ServerSlot slot, Milliseconds now) const;
+    std::span<const ServerSlot> slotsOf(const ModelName &model) const;
+    std::uint32_t expectedTotal(const PlacedRequest &request, Milliseconds now) const;
+    void markHolders(std::uint64_t prefix, Milliseconds now);
+    bool fillCandidates(std::span<const ServerSlot> slots, double needed, bool heedsPace,
+                        Milliseconds now);
+    void addCandidate(ServerSlot slot, double needed, Milliseconds now);
+    void updateReservation(PlacedRequest &request, Milliseconds now);
+    void recordPace(PlacedRequest &request, std::uint32_t tokens, Milliseconds now);
 
     ServerPoolOptions options;
-    std::map<BackendServerName, ServerState> servers;
+    LengthEstimator lengths;
+    LoadTracker loads;
+    PrefixIndex prefixes;
+    PaceMonitor paces;
+    std::vector<ServerState> states;
+    std::vector<BackendServer> descriptions;
+    std::vector<ServerSlot> freeSlots;
+    std::unordered_map<BackendServerName, ServerSlot> slotsByName;
+    std::unordered_map<ModelName, std::vector<ServerSlot>> slotsByModel;
     std::unordered_map<RequestName, PlacedRequest> placed;
+    std::vector<PlacementCandidate> candidates;
+    std::vector<ServerSlot> candidateSlots;
+    std::uint64_t placeCount = 0;
     std::uint64_t digestSequence = 0;
 };
 
