--- /dev/null
+++ b/packages/policy/tests/test_lengthestimator.cpp
@@ -0,0 +1,148 @@
+#include "policy/length/lengthestimator.h"
+
+#include <catch2/catch.hpp>
+#include <cmath>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+using namespace sassafrasyard;
+
+namespace {
+
+constexpr Milliseconds start{1000};
+
+LengthClass jobOf(const std::string &account, const std::string &model = "plan")
+{
+    return LengthEstimator::classOf(ClientAccountName(account), ModelName(model), 500);
+}
+
+void finish(LengthEstimator &estimator, const LengthClass &job, std::uint32_t tokens,
+            Milliseconds now = start)
+{
+    estimator.recordProgress(job, 0, tokens, now);
+    estimator.recordEnd(job, tokens, now);
+}
+
+/** A Pareto length with tail exponent 1.1 from 50 tokens on. */
+std::uint32_t paretoLength(RandomSource &random)
+{
+    const double length = 50.0 * std::pow(1.0 - random.unit(), -1.0 / 1.1);
+    return static_cast<std::uint32_t>(std::min(length, 100000.0));
+}
+
+bool isWithin(double value, double low, double high)
+{
+    return value >= low && value <= high;
+}
+
+} // namespace
+
+// Guards against buckets that overlap or leave gaps, which would lose observations.
+TEST_CASE("Buckets rise with the length", "[length]")
+{
+    std::size_t last = LengthEstimator::bucketOf(0);
+    REQUIRE(last == 0);
+    for (std::uint32_t tokens = 1; tokens < 300000; ++tokens) {
+        const std::size_t bucket = LengthEstimator::bucketOf(tokens);
+        if (bucket != last && bucket != last + 1 && tokens > 4)
+            FAIL("bucket skipped at " << tokens);
+        last = bucket;
+    }
+    REQUIRE(last == 33);
+}
+
+// Guards against a reservation far from the stated quantile.
+TEST_CASE("Quantiles follow a heavy-tailed sample", "[length]")
+{
+    LengthEstimator estimator;
+    RandomSource random(7);
+    const LengthClass job = jobOf("daugava");
+    for (int count = 0; count < 4000; ++count)
+        finish(estimator, job, paretoLength(random));
+    const auto exact = [](double quantile) {
+        return 50.0 * std::pow(1.0 - quantile, -1.0 / 1.1);
+    };
+    for (const double quantile : {0.3, 0.5, 0.8, 0.95}) {
+        const double estimate = estimator.totalQuantile(job, 0, quantile, start);
+        CAPTURE(quantile, estimate, exact(quantile));
+        REQUIRE(isWithin(estimate, 0.85 * exact(quantile), 1.15 * exact(quantile)));
+    }
+    // A Pareto length is scale free: the remaining length grows with the produced one.
+    const double early = estimator.remainingQuantile(job, 100, 0.5, start);
+    const double late = estimator.remainingQuantile(job, 3000, 0.5, start);
+    CAPTURE(early, late);
+    REQUIRE(isWithin(late / early, 18.0, 45.0));
+}
+
+// Guards against learning from short jobs only: the long ones are still running.
+TEST_CASE("Running jobs teach that jobs are long", "[length]")
+{
+    LengthEstimator estimator;
+    const LengthClass job = jobOf("peach");
+    for (int count = 0; count < 60; ++count)
+        finish(estimator, job, 20);
+    const std::uint32_t before = estimator.totalQuantile(job, 0, 0.8, start);
+    for (int count = 0; count < 60; ++count)
+        estimator.recordProgress(job, 0, 20000, start);
+    REQUIRE(before < 40);
+    REQUIRE(estimator.totalQuantile(job, 0, 0.8, start) > 20000);
+}
+
+// Guards against an account with few jobs being judged by them or by a stranger's habits.
+TEST_CASE("An account without data follows its model until it has its own", "[length]")
+{
+    LengthEstimator estimator;
+    for (int count = 0; count < 500; ++count)
+        finish(estimator, jobOf("long"), 8000);
+    const std::uint32_t fresh = estimator.totalQuantile(jobOf("new"), 0, 0.5, start);
+    REQUIRE(isWithin(fresh, 5000, 9000));
+    for (int count = 0; count < 100; ++count)
+        finish(estimator, jobOf("new"), 30);
+    REQUIRE(estimator.totalQuantile(jobOf("new"), 0, 0.5, start) < 60);
+    REQUIRE(estimator.totalQuantile(jobOf("long"), 0, 0.5, start) > 4000);
+    REQUIRE(estimator.totalQuantile(jobOf("new", "other"), 0, 0.5, start) < 1000);
+}
+
+// Guards against habits of last week deciding over today's reservations.
+TEST_CASE("Old observations fade", "[length]")
+{
+    LengthEstimator estimator;
+    const LengthClass job = jobOf("peach");
+    for (int count = 0; count < 200; ++count)
+        finish(estimator, job, 10000);
+    const Milliseconds later = start + Milliseconds(10 * 3600 * 1000);
+    for (int count = 0; count < 40; ++count)
+        finish(estimator, job, 40, later);
+    REQUIRE(estimator.totalQuantile(job, 0, 0.5, later) < 100);
+}
+
+// Guards against memory that grows with the number of accounts, and lost histories of active ones.
+TEST_CASE("The number of histories is bounded", "[length]")
+{
+    LengthEstimatorOptions options;
+    options.maximumHistories = 64;
+    LengthEstimator estimator(options);
+    for (int account = 0; account < 5700; ++account) {
+        finish(estimator, jobOf("account-" + std::to_string(account)), 100);
+        finish(estimator, jobOf("active"), 9000);
+    }
+    REQUIRE(estimator.historyCount() == 64);
+    REQUIRE(estimator.totalQuantile(jobOf("active"), 0, 0.5, start) > 5000);
+}
+
+// Guards against quantiles that fall below what was produced or are not monotonic.
+TEST_CASE("Quantiles are ordered and never below what was produced", "[length]")
+{
+    rc::prop("ordered quantiles", [](const std::vector<std::uint16_t> &lengths) {
+        LengthEstimator estimator;
+        const LengthClass job = jobOf("any");
+        for (const std::uint16_t length : lengths)
+            finish(estimator, job, length);
+        const auto produced = *rc::gen::inRange<std::uint32_t>(0, 300000);
+        const std::uint32_t low = estimator.totalQuantile(job, produced, 0.5, start);
+        const std::uint32_t high = estimator.totalQuantile(job, produced, 0.9, start);
+        RC_ASSERT(low >= produced);
+        RC_ASSERT(high >= low);
+        RC_ASSERT(high <= std::max(produced, LengthEstimator::maximumLength));
+    });
+}
--- /dev/null
+++ b/packages/policy/tests/test_loadtracker.cpp
@@ -0,0 +1,166 @@
+#include "policy/load/loadtracker.h"
+#include "policy/load/prefixindex.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+using namespace sassafrasyard;
+
+namespace {
+
+Milliseconds at(std::int64_t time)
+{
+    return Milliseconds(time);
+}
+
+LoadReport reportOf(std::uint32_t running, std::int64_t age, std::uint32_t memory = 0)
+{
+    LoadReport report;
+    report.running = running;
+    report.age = at(age);
+    report.memoryUsedTokens = memory;
+    report.memoryTotalTokens = 1000;
+    return report;
+}
+
+CacheEvent eventOf(std::uint64_t sequence, std::uint64_t prefix, bool isStored = true)
+{
+    CacheEvent event;
+    event.sequence = sequence;
+    event.prefixDigest = prefix;
+    event.isStored = isStored;
+    return event;
+}
+
+bool believes(const PrefixIndex &index, std::uint64_t prefix, Milliseconds now)
+{
+    const auto holders = index.holders(prefix);
+    return !holders.empty() && index.isBelieved(holders.front(), now);
+}
+
+} // namespace
+
+// Guards against counting own dispatches twice, in the report and on top of it.
+TEST_CASE("A report counts with what changed since it was taken", "[load]")
+{
+    LoadTracker tracker;
+    tracker.addServer(0);
+    tracker.recordOwn(0, 2, 100, at(1000));
+    tracker.recordOwn(0, 3, 150, at(2000));
+    tracker.recordReport(0, reportOf(7, 500, 400), at(2100)); // taken at 1600: 2 own requests
+    REQUIRE(tracker.running(0, at(2100)) == Approx(8.0));
+    REQUIRE(tracker.othersMemory(0, at(2100)) == Approx(300.0));
+    tracker.recordOwn(0, 0, 0, at(2200));
+    REQUIRE(tracker.running(0, at(2200)) == Approx(5.0));
+    tracker.recordReport(0, reportOf(16, 5000), at(2300)); // older than the known one
+    REQUIRE(tracker.running(0, at(2300)) == Approx(5.0));
+}
+
+// Guards against an idle server locked out by an old report that says it is full.
+TEST_CASE("An old report gives way to known work", "[load]")
+{
+    LoadTracker tracker;
+    tracker.addServer(0);
+    tracker.recordReport(0, reportOf(16, 0, 1000), at(0));
+    REQUIRE(tracker.running(0, at(1000)) == Approx(16.0));
+    REQUIRE(tracker.running(0, at(6000)) == Approx(8.0));
+    REQUIRE(tracker.running(0, at(11000)) == 0.0);
+    REQUIRE(tracker.othersMemory(0, at(11000)) == 0.0);
+}
+
+// Guards against a peer's late digest replacing a newer one, and against work of dead peers.
+TEST_CASE("Digests are replaced by newer ones and expire", "[load]")
+{
+    LoadTracker tracker;
+    tracker.addServer(0);
+    const HostName peer("entry-2");
+    tracker.recordPeer(peer, 5, std::vector<PeerSlotLoad>{{0, 4, 400}}, at(0));
+    tracker.recordPeer(peer, 4, std::vector<PeerSlotLoad>{{0, 9, 900}}, at(100));
+    REQUIRE(tracker.running(0, at(100)) == Approx(4.0));
+    tracker.recordPeer(peer, 6, std::vector<PeerSlotLoad>{{0, 1, 100}}, at(200));
+    REQUIRE(tracker.running(0, at(200)) == Approx(1.0));
+    REQUIRE(tracker.othersMemory(0, at(200)) == Approx(100.0));
+    tracker.advance(at(200 + 15000));
+    REQUIRE(tracker.peerCount() == 0);
+    REQUIRE(tracker.running(0, at(15200)) == 0.0);
+    tracker.recordPeer(peer, 1, std::vector<PeerSlotLoad>{{0, 2, 200}}, at(15300)); // restarted
+    REQUIRE(tracker.running(0, at(15300)) == Approx(2.0));
+}
+
+// Guards against counting a peer's work twice when its first digest comes after a report.
+TEST_CASE("A new peer's work is part of the report, its later work is not", "[load]")
+{
+    LoadTracker tracker;
+    tracker.addServer(0);
+    tracker.recordReport(0, reportOf(6, 0), at(0));
+    const HostName peer("entry-2");
+    tracker.recordPeer(peer, 1, std::vector<PeerSlotLoad>{{0, 5, 0}}, at(100));
+    REQUIRE(tracker.running(0, at(100)) == Approx(6.0));
+    tracker.recordPeer(peer, 2, std::vector<PeerSlotLoad>{{0, 8, 0}}, at(200));
+    REQUIRE(tracker.running(0, at(200)) == Approx(9.0));
+    tracker.recordReport(0, reportOf(9, 0), at(14000));
+    tracker.advance(at(15300)); // a silent peer's work does not end with its digests
+    REQUIRE(tracker.running(0, at(15300)) == Approx(9.0));
+}
+
+// Guards against sums of peers' work that drift over replacements, expiries and removed servers.
+TEST_CASE("Peers' work vanishes without rest", "[load]")
+{
+    rc::prop("no rest", [] {
+        LoadTracker tracker;
+        for (ServerSlot slot = 0; slot < 3; ++slot)
+            tracker.addServer(slot);
+        std::int64_t time = 0;
+        const int steps = *rc::gen::inRange(0, 60);
+        for (int step = 0; step < steps; ++step) {
+            time += *rc::gen::inRange(0, 6000);
+            const auto slot = *rc::gen::inRange<ServerSlot>(0, 3);
+            const auto count = *rc::gen::inRange<std::uint32_t>(0, 9);
+            const HostName peer("peer-" + std::to_string(*rc::gen::inRange(0, 3)));
+            if (*rc::gen::inRange(0, 8) == 0)
+                tracker.removeServer(slot);
+            else
+                tracker.recordPeer(peer, *rc::gen::inRange<std::uint64_t>(1, 40),
+                                   std::vector<PeerSlotLoad>{{slot, count, count * 10}}, at(time));
+            tracker.advance(at(time));
+            RC_ASSERT(tracker.running(slot, at(time)) >= 0.0);
+        }
+        tracker.advance(at(time + 15000));
+        for (ServerSlot slot = 0; slot < 3; ++slot) {
+            RC_ASSERT(tracker.running(slot, at(time + 15000)) == 0.0);
+            RC_ASSERT(tracker.othersMemory(slot, at(time + 15000)) == 0.0);
+        }
+    });
+}
+
+// Guards against affinity to a cache that is gone: beliefs end with time, gaps and restarts.
+TEST_CASE("A cached prefix is believed for a while only", "[load]")
+{
+    PrefixIndex index;
+    index.recordEvent(0, eventOf(1, 11), at(0));
+    REQUIRE(believes(index, 11, at(59000)));
+    REQUIRE_FALSE(believes(index, 11, at(60000)));
+    index.recordEvent(0, eventOf(2, 11), at(60000));
+    index.recordEvent(0, eventOf(5, 12), at(61000)); // 3 and 4 are lost
+    REQUIRE(believes(index, 11, at(65000)));
+    REQUIRE_FALSE(believes(index, 11, at(66000)));
+    REQUIRE(believes(index, 12, at(66000)));
+    index.recordEvent(0, eventOf(6, 12, false), at(66000));
+    REQUIRE_FALSE(believes(index, 12, at(66000)));
+    REQUIRE(index.holders(0).empty());
+}
+
+// Guards against memory that grows with every prompt.
+TEST_CASE("The number of prefixes is bounded", "[load]")
+{
+    PrefixIndexOptions options;
+    options.maximumPrefixes = 10;
+    PrefixIndex index(options);
+    for (std::uint64_t prefix = 1; prefix < 1000; ++prefix)
+        index.recordUse(static_cast<ServerSlot>(prefix % 40), prefix, at(0));
+    REQUIRE(index.prefixCount() == 10);
+    for (ServerSlot slot = 0; slot < 40; ++slot)
+        index.recordUse(slot, 5000, at(slot));
+    REQUIRE(index.holders(5000).size() == 16);
+}
--- /dev/null
+++ b/packages/policy/tests/test_pacemonitor.cpp
@@ -0,0 +1,155 @@
+#include "policy/pace/pacemonitor.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+using namespace sassafrasyard;
+
+namespace {
+
+std::vector<PaceMonitor::Member> membersOf(std::uint32_t count)
+{
+    std::vector<PaceMonitor::Member> members;
+    for (ServerSlot slot = 0; slot < count; ++slot)
+        members.push_back({slot, {0}});
+    return members;
+}
+
+/** Lets time pass in steps of 100 ms with one sample of each server a step. */
+class PaceRun
+{
+public:
+    explicit PaceRun(std::uint32_t count)
+        : count(count)
+    {
+        this->monitor.setServers(membersOf(count));
+    }
+
+    void run(std::int64_t milliseconds)
+    {
+        for (std::int64_t step = 0; step < milliseconds / 100; ++step) {
+            this->now += Milliseconds(100);
+            for (ServerSlot slot = 0; slot < this->count; ++slot) {
+                if (this->silent.contains(slot) || this->monitor.allowance(slot) == 0)
+                    continue;
+                const auto slow = this->intervals.find(slot);
+                this->monitor.recordInterval(
+                        slot, slow == this->intervals.end() ? 30.0 : slow->second, this->now);
+            }
+            this->monitor.advance(this->now);
+        }
+    }
+
+    std::uint32_t count;
+    PaceMonitor monitor;
+    Milliseconds now{0};
+    std::map<ServerSlot, double> intervals;
+    std::map<ServerSlot, bool> silent;
+};
+
+} // namespace
+
+// Guards against work for a slow server, and against a slow server that never gets work again.
+TEST_CASE("A slow server is ejected, probed with a little work and readmitted", "[pace]")
+{
+    PaceRun run(12);
+    run.run(3000);
+    REQUIRE(run.monitor.slowServers().empty());
+    run.intervals[4] = 150.0;
+    run.run(3000);
+    REQUIRE(run.monitor.state(4) == PaceState::Ejected);
+    REQUIRE(run.monitor.allowance(4) == 0);
+    REQUIRE(run.monitor.slowServers() == std::vector<ServerSlot>{4});
+    run.run(12000); // probes find it still slow
+    REQUIRE(run.monitor.state(4) != PaceState::Normal);
+    run.intervals.clear();
+    std::uint32_t smallest = PaceMonitor::unlimited;
+    for (int step = 0; step < 300; ++step) {
+        run.run(100);
+        if (run.monitor.state(4) == PaceState::Probing)
+            smallest = std::min(smallest, run.monitor.allowance(4));
+    }
+    REQUIRE(smallest == 1);
+    REQUIRE(run.monitor.state(4) == PaceState::Normal);
+}
+
+// Guards against one caller that reads slowly getting a server ejected.
+TEST_CASE("A single slow stream does not make a server slow", "[pace]")
+{
+    PaceRun run(8);
+    for (int round = 0; round < 20; ++round) {
+        run.run(1000);
+        run.monitor.recordInterval(3, 5000.0, run.now);
+    }
+    REQUIRE(run.monitor.slowServers().empty());
+}
+
+// Guards against a server that stands still and so sends no samples at all.
+TEST_CASE("Silence of several streams counts as slowness", "[pace]")
+{
+    PaceRun run(8);
+    run.run(2000);
+    run.monitor.recordDecoding(2, 3);
+    run.silent[2] = true;
+    run.run(4500);
+    REQUIRE(run.monitor.state(2) == PaceState::Ejected);
+}
+
+// Guards against judging a server by its ratio to one other server, and by stale reports.
+TEST_CASE("Reports count while fresh and while enough peers have a pace", "[pace]")
+{
+    PaceMonitor monitor;
+    monitor.setServers(membersOf(4));
+    monitor.recordReport(0, 30.0, Milliseconds(0));
+    monitor.recordReport(1, 90.0, Milliseconds(0));
+    monitor.advance(Milliseconds(250));
+    REQUIRE(monitor.ratio(1) == 1.0);
+    monitor.recordReport(2, 30.0, Milliseconds(0));
+    monitor.advance(Milliseconds(500));
+    REQUIRE(monitor.ratio(1) == Approx(3.0));
+    monitor.advance(Milliseconds(6000));
+    REQUIRE(monitor.ratio(1) == 1.0);
+}
+
+// Guards against ejecting so many servers that the rest cannot carry the load.
+TEST_CASE("The ejected share is bounded for every model", "[pace]")
+{
+    rc::prop("bounded share", [] {
+        PaceMonitor monitor;
+        const auto count = *rc::gen::inRange<std::uint32_t>(1, 20);
+        std::vector<PaceMonitor::Member> members;
+        for (ServerSlot slot = 0; slot < count; ++slot) {
+            members.push_back({slot, {slot % 2}});
+            if (*rc::gen::inRange(0, 3) == 0)
+                members.back().models.push_back(1 - slot % 2);
+        }
+        monitor.setServers(members);
+        Milliseconds now{0};
+        for (int step = 0; step < 60; ++step) {
+            now += Milliseconds(250);
+            for (const PaceMonitor::Member &member : members) {
+                for (int sample = 0; sample < 10; ++sample)
+                    monitor.recordInterval(member.slot, *rc::gen::element(10.0, 30.0, 300.0), now);
+            }
+            if (members.size() > 1 && *rc::gen::inRange(0, 15) == 0) {
+                members.pop_back();
+                monitor.setServers(members);
+            }
+            monitor.advance(now);
+            for (std::uint32_t model = 0; model < 2; ++model) {
+                double servers = 0;
+                double ejected = 0;
+                for (const PaceMonitor::Member &member : members) {
+                    if (std::find(member.models.begin(), member.models.end(), model)
+                        == member.models.end())
+                        continue;
+                    servers += 1;
+                    ejected += monitor.state(member.slot) == PaceState::Ejected ? 1 : 0;
+                }
+                RC_ASSERT(ejected <= 0.34 * servers);
+            }
+        }
+    });
+}
--- /dev/null
+++ b/packages/policy/tests/test_serverpool.cpp
@@ -0,0 +1,338 @@
+#include "policy/pool/serverpool.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+using namespace sassafrasyard;
+
+namespace {
+
+Milliseconds at(std::int64_t time)
+{
+    return Milliseconds(time);
+}
+
+BackendServer engine(const std::string &name, std::uint32_t slots = 4, std::uint32_t memory = 8000)
+{
+    BackendServer server;
+    server.name = BackendServerName(name);
+    server.failureDomain = FailureDomainName("d-" + name.substr(0, 1));
+    server.models = {ModelName("plan")};
+    server.slots = slots;
+    server.memoryTokens = memory;
+    return server;
+}
+
+WorkRequest work(const std::string &name, std::uint32_t prompt = 100, std::uint32_t maximum = 0)
+{
+    WorkRequest request;
+    request.name = RequestName(name);
+    request.account = ClientAccountName("peach");
+    request.model = ModelName("plan");
+    request.promptTokens = prompt;
+    request.maximumTokens = maximum;
+    return request;
+}
+
+LoadReport reportOf(const std::string &name, std::uint32_t running, std::uint32_t memory)
+{
+    LoadReport report;
+    report.server = BackendServerName(name);
+    report.running = running;
+    report.memoryUsedTokens = memory;
+    return report;
+}
+
+ServerPoolOptions optionsOf(const std::string &domain = "d-a", std::uint64_t seed = 1)
+{
+    ServerPoolOptions options;
+    options.host = HostName("entry-1");
+    options.failureDomain = FailureDomainName(domain);
+    options.placement = estimatedLoadPlacement(seed);
+    options.seed = seed;
+    return options;
+}
+
+/** Random events on a pool beside a plain record of what should be outstanding. */
+class RandomRun
+{
+public:
+    explicit RandomRun(std::uint64_t seed)
+        : random(seed)
+        , pool(optionsOf("d-a", seed))
+    {
+        this->setServers();
+    }
+
+    void step()
+    {
+        this->now += at(static_cast<std::int64_t>(this->random.below(800)));
+        const std::string server(1, static_cast<char>('a' + this->random.below(6)));
+        switch (this->random.below(12)) {
+        case 0:
+            return this->setServers();
+        case 1:
+            return this->pool.setLeaving(BackendServerName(server), this->random.below(2) == 0);
+        case 2:
+            return this->pool.setReachable(BackendServerName(server), this->random.below(3) > 0);
+        case 3:
+            return this->pool.recordLoadReport(
+                    reportOf(server, static_cast<std::uint32_t>(this->random.below(6)),
+                             static_cast<std::uint32_t>(this->random.below(9000))),
+                    this->now);
+        case 4:
+            return this->recordPeer(server);
+        case 5:
+            return this->pool.advance(this->now);
+        case 6:
+        case 7:
+        case 8:
+            return this->place();
+        default:
+            return this->random.below(2) == 0 ? this->progress() : this->release();
+        }
+    }
+
+    std::map<BackendServerName, std::uint32_t> expected() const
+    {
+        std::map<BackendServerName, std::uint32_t> counts;
+        for (const auto &[name, server] : this->outstanding)
+            ++counts[server];
+        return counts;
+    }
+
+    std::map<BackendServerName, std::uint32_t> shown()
+    {
+        std::map<BackendServerName, std::uint32_t> counts;
+        for (const PeerLoadEntry &entry : this->pool.peerLoadDigest(this->now).entries)
+            counts[entry.server] = entry.running;
+        return counts;
+    }
+
+    void releaseAll()
+    {
+        while (!this->outstanding.empty())
+            this->release();
+    }
+
+    RandomSource random;
+    ServerPool pool;
+    Milliseconds now{0};
+    std::vector<BackendServer> servers;
+    std::vector<std::pair<std::string, BackendServerName>> outstanding;
+    std::vector<std::string> log;
+
+private:
+    void setServers()
+    {
+        this->servers.clear();
+        for (char name = 'a'; name < 'g'; ++name) {
+            if (this->random.below(4) > 0)
+                this->servers.push_back(engine(std::string(1, name)));
+        }
+        this->pool.setBackendServers(this->servers, this->now);
+    }
+
+    void recordPeer(const std::string &server)
+    {
+        PeerLoadDigest digest{HostName("entry-2"), ++this->sequence, {}};
+        digest.entries.push_back({BackendServerName(server),
+                                  static_cast<std::uint32_t>(this->random.below(4)), 500});
+        this->pool.recordPeerLoad(digest, this->now);
+    }
+
+    void place()
+    {
+        const std::string name = "r" + std::to_string(++this->placed);
+        WorkRequest request = work(name, static_cast<std::uint32_t>(this->random.below(3000)));
+        request.prefixDigest = this->random.below(5);
+        const auto placement = this->pool.place(request, this->now);
+        this->log.push_back(placement ? name + placement->server.toString()
+                                            + std::to_string(placement->reservedTokens)
+                                      : name);
+        if (placement)
+            this->outstanding.emplace_back(name, placement->server);
+    }
+
+    void progress()
+    {
+        if (this->outstanding.empty())
+            return;
+        const auto &[name, server] =
+                this->outstanding[this->random.below(this->outstanding.size())];
+        this->pool.recordProgress(RequestName(name),
+                                  static_cast<std::uint32_t>(this->random.below(20000)), this->now);
+    }
+
+    void release()
+    {
+        this->pool.release(RequestName("unknown"), WorkOutcome::Failed, this->now);
+        if (this->outstanding.empty())
+            return;
+        const auto index =
+                static_cast<std::ptrdiff_t>(this->random.below(this->outstanding.size()));
+        const auto entry = this->outstanding.begin() + index;
+        const auto outcome = static_cast<WorkOutcome>(this->random.below(5));
+        this->pool.release(RequestName(entry->first), outcome, this->now);
+        this->pool.release(RequestName(entry->first), outcome, this->now);
+        this->outstanding.erase(entry);
+    }
+
+    std::uint64_t sequence = 0;
+    std::uint64_t placed = 0;
+};
+
+} // namespace
+
+// Guards against reservations that stay after their request, whatever the order of events.
+TEST_CASE("No reservation leaks", "[pool]")
+{
+    rc::prop("no leak", [](std::uint64_t seed) {
+        RandomRun run(seed);
+        for (int step = 0; step < 150; ++step) {
+            run.step();
+            RC_ASSERT(run.shown() == run.expected());
+            RC_ASSERT(run.pool.placedCount() == run.outstanding.size());
+        }
+        run.releaseAll();
+        RC_ASSERT(run.shown().empty());
+        run.now += at(60000); // reports, digests and ejections have expired
+        run.pool.advance(run.now);
+        for (const BackendServer &server : run.servers) {
+            run.pool.setLeaving(server.name, false);
+            run.pool.setReachable(server.name, true);
+        }
+        run.pool.advance(run.now + at(1000));
+        RC_ASSERT(run.pool.memoryShortages(run.now).empty());
+        const PoolCapacity capacity = run.pool.capacity(ModelName("plan"), run.now + at(1000));
+        RC_ASSERT(capacity.totalSlots == 4 * run.servers.size());
+        RC_ASSERT(capacity.freeSlots == capacity.totalSlots);
+    });
+}
+
+// Guards against decisions that depend on anything but the events and the seed.
+TEST_CASE("The same events and seed give the same placements", "[pool]")
+{
+    rc::prop("deterministic", [](std::uint64_t seed) {
+        RandomRun first(seed);
+        RandomRun second(seed);
+        for (int step = 0; step < 200; ++step) {
+            first.step();
+            second.step();
+        }
+        RC_ASSERT(first.log == second.log);
+    });
+}
+
+// Guards against memory that fills up in mid-decode because a job outgrew its reservation.
+TEST_CASE("A reservation grows with its job and closes the server", "[pool]")
+{
+    ServerPool pool(optionsOf());
+    pool.setBackendServers(std::vector{engine("a", 16, 8000)}, at(0));
+    const auto first = pool.place(work("1"), at(0));
+    REQUIRE(first);
+    REQUIRE(first->reservedTokens < 4000);
+    REQUIRE(pool.place(work("2", 100, 400), at(0)));
+    pool.recordProgress(RequestName("1"), 5000, at(1000));
+    REQUIRE_FALSE(pool.place(work("3", 1000), at(1000)));
+    REQUIRE(pool.memoryShortages(at(1000)).size() == 1);
+    REQUIRE(pool.capacity(ModelName("plan"), at(1000)).freeSlots == 0.0);
+    pool.release(RequestName("1"), WorkOutcome::Cancelled, at(1100));
+    REQUIRE(pool.memoryShortages(at(1100)).empty());
+    REQUIRE(pool.place(work("3", 1000), at(1100)));
+}
+
+// Guards against a request that fits no reservation waiting for ever beside an idle engine.
+TEST_CASE("An idle engine takes a request larger than its memory", "[pool]")
+{
+    ServerPool pool(optionsOf());
+    pool.setBackendServers(std::vector{engine("a")}, at(0));
+    const auto placement = pool.place(work("1", 50000), at(0));
+    REQUIRE(placement);
+    REQUIRE(placement->reservedTokens == 8000);
+}
+
+// Guards against sending work to a server that other hosts have filled.
+TEST_CASE("A server full of other hosts' work gets none until the report is old", "[pool]")
+{
+    ServerPool pool(optionsOf());
+    pool.setBackendServers(std::vector{engine("a"), engine("b")}, at(0));
+    pool.recordLoadReport(reportOf("a", 4, 0), at(0));
+    pool.recordLoadReport(reportOf("b", 0, 7990), at(0));
+    REQUIRE(pool.capacity(ModelName("plan"), at(100)).freeSlots <= 4.0);
+    const auto placement = pool.place(work("1", 10, 200), at(100));
+    REQUIRE(placement);
+    REQUIRE(placement->server == BackendServerName("b")); // idle by its requests
+    REQUIRE_FALSE(pool.place(work("2", 10, 200), at(100)));
+    REQUIRE(pool.place(work("2", 10, 200), at(11000)));
+}
+
+// Guards against all hosts choosing the one server that last looked idle.
+TEST_CASE("Hosts with the same old view spread their work", "[pool]")
+{
+    std::map<BackendServerName, int> chosen;
+    std::vector<BackendServer> servers;
+    for (int index = 0; index < 24; ++index)
+        servers.push_back(engine("s" + std::to_string(index), 16, 1000000));
+    for (std::uint64_t host = 0; host < 330; ++host) {
+        ServerPool pool(optionsOf("elsewhere", host));
+        pool.setBackendServers(servers, at(0));
+        for (std::size_t index = 1; index < servers.size(); ++index)
+            pool.recordLoadReport(reportOf(servers[index].name.toString(), 8, 0), at(0));
+        pool.recordLoadReport(reportOf("s0", 0, 0), at(0));
+        ++chosen[pool.place(work("1"), at(100))->server];
+    }
+    REQUIRE(chosen[BackendServerName("s0")] < 330 / 4);
+    REQUIRE(chosen[BackendServerName("s0")] > 330 / 24);
+}
+
+// Guards against affinity into a full engine and against near servers that are much more loaded.
+TEST_CASE("Affinity and nearness pay only while load and memory allow", "[pool]")
+{
+    const auto place = [](std::uint32_t running, std::uint32_t memory, const std::string &domain) {
+        std::map<BackendServerName, int> chosen;
+        for (std::uint64_t seed = 0; seed < 50; ++seed) {
+            ServerPool pool(optionsOf(domain, seed));
+            pool.setBackendServers(std::vector{engine("a", 16, 100000), engine("b", 16, 100000)},
+                                   at(0));
+            pool.recordCacheEvent({BackendServerName("a"), 1, 77, true}, at(0));
+            pool.recordLoadReport(reportOf("a", running, memory), at(0));
+            pool.recordLoadReport(reportOf("b", 2, 10000), at(0));
+            WorkRequest request = work("1");
+            request.prefixDigest = domain == "d-a" ? 0 : 77;
+            ++chosen[pool.place(request, at(0))->server];
+        }
+        return chosen[BackendServerName("a")];
+    };
+    REQUIRE(place(4, 10000, "elsewhere") == 50); // has the prefix
+    REQUIRE(place(4, 90000, "elsewhere") == 0);  // no memory left for a cache
+    REQUIRE(place(3, 10000, "d-a") == 50);       // near
+    REQUIRE(place(10, 10000, "d-a") == 0);       // near but much more loaded
+}
+
+// Guards against refusing all work when the only servers left are ejected ones.
+TEST_CASE("A slow server gets work only when nothing else is usable", "[pool]")
+{
+    ServerPool pool(optionsOf());
+    pool.setBackendServers(std::vector{engine("a"), engine("b"), engine("c")}, at(0));
+    for (std::int64_t time = 0; time <= 1000; time += 250) {
+        for (const std::string name : {"a", "b", "c"}) {
+            LoadReport report = reportOf(name, 0, 0);
+            report.tokenIntervalMilliseconds = name == "b" ? 200.0 : 30.0;
+            pool.recordLoadReport(report, at(time));
+        }
+        pool.advance(at(time));
+    }
+    REQUIRE(pool.slowServers().size() == 1);
+    REQUIRE(pool.slowServers().front().server == BackendServerName("b"));
+    for (int count = 0; count < 8; ++count)
+        REQUIRE(pool.place(work(std::to_string(count)), at(1000))->server
+                != BackendServerName("b"));
+    REQUIRE_FALSE(pool.place(work("9"), at(1000)));
+    pool.setReachable(BackendServerName("a"), false);
+    pool.setLeaving(BackendServerName("c"), true);
+    REQUIRE(pool.place(work("9"), at(1000))->server == BackendServerName("b"));
+}
--- /dev/null
+++ b/packages/policy/tests/test_trackedsubset.cpp
@@ -0,0 +1,101 @@
+#include "policy/placement/trackedsubset.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+#include <set>
+
+using namespace sassafrasyard;
+
+namespace {
+
+std::vector<BackendServer> serversOf(std::size_t count, std::size_t domains, std::size_t models)
+{
+    std::vector<BackendServer> servers(count);
+    for (std::size_t index = 0; index < count; ++index) {
+        servers[index].name = BackendServerName("server-" + std::to_string(index));
+        servers[index].failureDomain = FailureDomainName("d" + std::to_string(index % domains));
+        servers[index].models = {ModelName("m" + std::to_string(index / domains % models))};
+    }
+    return servers;
+}
+
+std::vector<TrackingHost> hostsOf(std::size_t count, std::size_t domains)
+{
+    std::vector<TrackingHost> hosts(count);
+    for (std::size_t index = 0; index < count; ++index)
+        hosts[index] = {HostName("host-" + std::to_string(index)),
+                        FailureDomainName("d" + std::to_string(index % domains))};
+    return hosts;
+}
+
+} // namespace
+
+// Guards against servers without work and hosts over their limit, at the planned size.
+TEST_CASE("At the planned size every server is covered and near ones are preferred", "[subset]")
+{
+    const auto servers = serversOf(3900, 20, 3);
+    const auto hosts = hostsOf(330, 20);
+    std::vector<std::size_t> coverage(servers.size(), 0);
+    std::vector<std::size_t> nearCoverage(servers.size(), 0);
+    for (const TrackingHost &host : hosts) {
+        const auto tracked = trackedSubset(servers, hosts, host, 256);
+        REQUIRE(tracked.size() <= 256);
+        REQUIRE(tracked.size() >= 150);
+        for (const std::size_t index : tracked) {
+            ++coverage[index];
+            nearCoverage[index] += servers[index].failureDomain == host.failureDomain ? 1 : 0;
+        }
+    }
+    const auto [least, most] = std::minmax_element(coverage.begin(), coverage.end());
+    CAPTURE(*least, *most);
+    REQUIRE(*least >= 12);
+    REQUIRE(*most <= 20);
+    REQUIRE(*std::min_element(nearCoverage.begin(), nearCoverage.end()) >= 5);
+}
+
+// Guards against hosts reading most loads anew each time one host comes or goes.
+TEST_CASE("A host that goes changes little for the others", "[subset]")
+{
+    const auto servers = serversOf(3900, 20, 3);
+    const auto hosts = hostsOf(330, 20);
+    const auto fewer = std::span(hosts).first(329);
+    std::size_t kept = 0;
+    std::size_t before = 0;
+    for (std::size_t index = 0; index < 100; ++index) {
+        const auto first = trackedSubset(servers, hosts, hosts[index], 256);
+        const auto second = trackedSubset(servers, fewer, hosts[index], 256);
+        std::vector<std::size_t> common;
+        std::set_intersection(first.begin(), first.end(), second.begin(), second.end(),
+                              std::back_inserter(common));
+        before += first.size();
+        kept += common.size();
+    }
+    REQUIRE(static_cast<double>(kept) >= 0.94 * static_cast<double>(before));
+}
+
+// Guards against uncovered servers in odd sizes, domains without hosts and models of few servers.
+TEST_CASE("Every server is covered, within the limit, whatever the sizes", "[subset]")
+{
+    rc::prop("covered", [] {
+        const auto serverDomains = *rc::gen::inRange<std::size_t>(1, 6);
+        const auto models = *rc::gen::inRange<std::size_t>(1, 4);
+        const auto servers =
+                serversOf(*rc::gen::inRange<std::size_t>(1, 150), serverDomains, models);
+        const auto hosts = hostsOf(*rc::gen::inRange<std::size_t>(2, 20),
+                                   *rc::gen::inRange<std::size_t>(1, 6));
+        // Four times what an even share for two hosts per server and model would need.
+        const std::size_t limit = 8 * (servers.size() + hosts.size()) / hosts.size() + 4 * models;
+        std::vector<std::size_t> coverage(servers.size(), 0);
+        for (const TrackingHost &host : hosts) {
+            const auto tracked = trackedSubset(servers, hosts, host, limit);
+            RC_ASSERT(tracked.size() <= limit);
+            RC_ASSERT(tracked == trackedSubset(servers, hosts, host, limit));
+            for (const std::size_t index : tracked)
+                ++coverage[index];
+        }
+        for (const std::size_t count : coverage)
+            RC_ASSERT(count >= std::min<std::size_t>(2, hosts.size()));
+    });
+}
