--- /dev/null
+++ b/tools/benchmarks/fleetmodel.cpp
@@ -0,0 +1,230 @@
+#include "fleetmodel.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sassafrasyard {
+
+namespace {
+
+constexpr Milliseconds stepTime{10};
+constexpr Milliseconds reportInterval{500};
+constexpr Milliseconds gossipInterval{1000};
+constexpr std::size_t accountCount = 10;
+constexpr double idleInterval = 15.0; // milliseconds per token
+constexpr double fullInterval = 30.0;
+
+double percentile(std::vector<double> &values, double share)
+{
+    if (values.empty())
+        return 0.0;
+    const auto index = static_cast<std::ptrdiff_t>(share * static_cast<double>(values.size() - 1));
+    std::nth_element(values.begin(), values.begin() + index, values.end());
+    return values[static_cast<std::size_t>(index)];
+}
+
+double memoryOf(const WorkRequest &request, double produced)
+{
+    return request.promptTokens + produced;
+}
+
+} // namespace
+
+FleetModel::FleetModel(FleetModelOptions options)
+    : options(std::move(options))
+    , random(this->options.seed)
+    , servers(this->options.engines)
+    , engines(this->options.engines)
+    , hosts(this->options.hosts)
+{
+    const auto domainOf = [&](std::size_t index) {
+        return FailureDomainName("domain-" + std::to_string(index % this->options.failureDomains));
+    };
+    for (std::size_t index = 0; index < this->servers.size(); ++index) {
+        this->servers[index].name = BackendServerName("engine-" + std::to_string(index));
+        this->servers[index].failureDomain = domainOf(index);
+        this->servers[index].models = {ModelName("plan")};
+    }
+    std::vector<TrackingHost> places;
+    for (std::size_t index = 0; index < this->hosts.size(); ++index)
+        places.push_back({HostName("host-" + std::to_string(index)), domainOf(index)});
+    const std::size_t limit =
+            this->options.trackedLimit > 0 ? this->options.trackedLimit : this->servers.size();
+    for (std::size_t index = 0; index < this->hosts.size(); ++index) {
+        ServerPoolOptions pool;
+        pool.host = places[index].name;
+        pool.failureDomain = places[index].failureDomain;
+        pool.placement = this->options.placement(index + 1);
+        this->hosts[index].pool = std::make_unique<ServerPool>(std::move(pool));
+        std::vector<BackendServer> tracked;
+        for (const std::size_t server : trackedSubset(this->servers, places, places[index], limit))
+            tracked.push_back(this->servers[server]);
+        this->hosts[index].pool->setBackendServers(tracked, this->now);
+    }
+}
+
+FleetModelResult FleetModel::run()
+{
+    double due = 0.0;
+    for (; this->now < this->options.duration; this->now += stepTime) {
+        due += this->options.jobsPerSecond * static_cast<double>(stepTime.count()) / 1000.0;
+        for (; due >= 1.0; due -= 1.0)
+            this->arrive();
+        for (std::size_t index = 0; index < this->engines.size(); ++index) {
+            this->stepEngine(index);
+            if ((this->now.count() / stepTime.count() + static_cast<std::int64_t>(index))
+                        % (reportInterval / stepTime)
+                == 0)
+                this->report(index);
+        }
+        if (this->now.count() % gossipInterval.count() == 0)
+            this->gossip();
+        for (Host &host : this->hosts) {
+            host.pool->advance(this->now);
+            this->placeWaiting(host);
+        }
+    }
+    this->result.medianFirstToken = percentile(this->firstTokens, 0.5);
+    this->result.tailFirstToken = percentile(this->firstTokens, 0.95);
+    this->result.tailInterval = percentile(this->intervals, 0.99);
+    return this->result;
+}
+
+void FleetModel::arrive()
+{
+    auto job = std::make_unique<Job>();
+    job->host = this->random.below(this->hosts.size());
+    job->arrivedAt = this->now;
+    const std::size_t account = this->random.below(accountCount);
+    job->request.name = RequestName(std::to_string(++this->jobCount));
+    job->request.account = ClientAccountName("account-" + std::to_string(account));
+    job->request.model = ModelName("plan");
+    job->request.promptTokens = static_cast<std::uint32_t>(200 + this->random.below(2000));
+    job->request.prefixDigest = account + 1;
+    // Each account has its own median; the tail is Pareto.
+    const double base = 20.0 * std::pow(1.5, static_cast<double>(account));
+    const double length = base * std::pow(1.0 - this->random.unit(), -1.0 / 1.3);
+    job->length = static_cast<std::uint32_t>(std::clamp(length, 5.0, 30000.0));
+    this->hosts[job->host].waiting.push_back(std::move(job));
+}
+
+void FleetModel::placeWaiting(Host &host)
+{
+    while (!host.waiting.empty()) {
+        const auto placement = host.pool->place(host.waiting.front()->request, this->now);
+        if (!placement)
+            return;
+        const std::string &name = placement->server.toString();
+        const std::size_t index = std::stoul(name.substr(name.find('-') + 1));
+        this->engines[index].waiting.push_back(std::move(host.waiting.front()));
+        host.waiting.pop_front();
+    }
+}
+
+void FleetModel::stepEngine(std::size_t index)
+{
+    Engine &engine = this->engines[index];
+    this->startWaiting(engine);
+    this->preempt(engine);
+    const double load = static_cast<double>(engine.running.size()) / this->servers[index].slots;
+    const double interval =
+            (idleInterval + (fullInterval - idleInterval) * load) * this->slowdown(index);
+    for (const auto &job : engine.running) {
+        job->produced += static_cast<double>(stepTime.count()) / interval;
+        if (job->produced < 1.0 || job->produced < job->preemptedAt)
+            continue;
+        if (job->firstTokenAt.count() < 0) {
+            job->firstTokenAt = this->now;
+            this->firstTokens.push_back(static_cast<double>((this->now - job->arrivedAt).count()));
+        }
+        const double shown = std::min<double>(job->produced, job->length);
+        this->hosts[job->host].pool->recordProgress(job->request.name,
+                                                    static_cast<std::uint32_t>(shown), this->now);
+    }
+    std::erase_if(engine.running, [&](const std::unique_ptr<Job> &job) {
+        const bool isDone = job->produced >= job->length;
+        if (isDone)
+            this->finish(*job);
+        return isDone;
+    });
+}
+
+void FleetModel::startWaiting(Engine &engine)
+{
+    const BackendServer &server = this->servers.front();
+    double used = 0.0;
+    for (const auto &job : engine.running)
+        used += memoryOf(job->request, job->produced);
+    while (!engine.waiting.empty() && engine.running.size() < server.slots) {
+        used += memoryOf(engine.waiting.front()->request, 0.0);
+        if (used > server.memoryTokens)
+            return;
+        engine.running.push_back(std::move(engine.waiting.front()));
+        engine.waiting.pop_front();
+    }
+}
+
+void FleetModel::preempt(Engine &engine)
+{
+    double used = 0.0;
+    for (const auto &job : engine.running)
+        used += memoryOf(job->request, job->produced);
+    while (used > this->servers.front().memoryTokens && engine.running.size() > 1) {
+        std::unique_ptr<Job> job = std::move(engine.running.back());
+        engine.running.pop_back();
+        used -= memoryOf(job->request, job->produced);
+        job->preemptedAt = std::max(job->preemptedAt, job->produced);
+        job->produced = 0.0;
+        engine.waiting.push_front(std::move(job));
+        ++this->result.preemptions;
+    }
+}
+
+void FleetModel::finish(Job &job)
+{
+    ++this->result.finished;
+    this->intervals.push_back(static_cast<double>((this->now - job.firstTokenAt).count())
+                              / std::max<double>(job.length, 1.0));
+    this->hosts[job.host].pool->release(job.request.name, WorkOutcome::Completed, this->now);
+}
+
+void FleetModel::report(std::size_t index)
+{
+    Engine &engine = this->engines[index];
+    LoadReport report;
+    report.server = this->servers[index].name;
+    report.running = static_cast<std::uint32_t>(engine.running.size());
+    report.waiting = static_cast<std::uint32_t>(engine.waiting.size());
+    report.memoryTotalTokens = this->servers[index].memoryTokens;
+    for (const auto &job : engine.running)
+        report.memoryUsedTokens +=
+                static_cast<std::uint32_t>(memoryOf(job->request, job->produced));
+    engine.reports.push_back(report);
+    if (engine.reports.size() < 2)
+        return;
+    LoadReport late = engine.reports.front();
+    late.age = reportInterval;
+    engine.reports.pop_front();
+    for (Host &host : this->hosts)
+        host.pool->recordLoadReport(late, this->now);
+}
+
+void FleetModel::gossip()
+{
+    for (Host &host : this->hosts) {
+        Host &peer = this->hosts[this->random.below(this->hosts.size())];
+        if (&peer == &host)
+            continue;
+        peer.pool->recordPeerLoad(host.pool->peerLoadDigest(this->now), this->now);
+        host.pool->recordPeerLoad(peer.pool->peerLoadDigest(this->now), this->now);
+    }
+}
+
+double FleetModel::slowdown(std::size_t index) const
+{
+    const bool isTime =
+            this->now >= this->options.duration / 3 && this->now < 2 * this->options.duration / 3;
+    return isTime && index < this->options.slowedEngines ? 3.0 : 1.0;
+}
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/tools/benchmarks/placementbenchmark.cpp
@@ -0,0 +1,246 @@
+#include "fleetmodel.h"
+
+#include <benchmark/benchmark.h>
+#include <fstream>
+#include <memory>
+#include <unistd.h>
+
+using namespace sassafrasyard;
+
+namespace {
+
+constexpr std::size_t accounts = 10;
+
+std::vector<BackendServer> fleetOf(std::size_t count)
+{
+    std::vector<BackendServer> servers(count);
+    for (std::size_t index = 0; index < count; ++index) {
+        servers[index].name = BackendServerName("region-3-replica-" + std::to_string(index));
+        servers[index].failureDomain = FailureDomainName("domain-" + std::to_string(index % 20));
+        servers[index].models = {ModelName("plan")};
+    }
+    return servers;
+}
+
+WorkRequest requestOf(std::uint64_t number)
+{
+    WorkRequest request;
+    request.name = RequestName("request-" + std::to_string(number));
+    request.account = ClientAccountName("account-" + std::to_string(number % accounts));
+    request.model = ModelName("plan");
+    request.promptTokens = 600;
+    request.prefixDigest = 1 + number % 100;
+    return request;
+}
+
+/** A pool whose servers have all reported, half of them with load. */
+std::unique_ptr<ServerPool> poolOf(std::size_t count, PlacementPolicy placement)
+{
+    ServerPoolOptions options;
+    options.host = HostName("host-1");
+    options.failureDomain = FailureDomainName("domain-1");
+    options.placement = std::move(placement);
+    auto pool = std::make_unique<ServerPool>(std::move(options));
+    const std::vector<BackendServer> servers = fleetOf(count);
+    pool->setBackendServers(servers, Milliseconds(0));
+    for (std::size_t index = 0; index < count; ++index) {
+        LoadReport report;
+        report.server = servers[index].name;
+        report.running = static_cast<std::uint32_t>(index % 8);
+        report.memoryUsedTokens = 1000 * report.running;
+        report.tokenIntervalMilliseconds = 30.0;
+        pool->recordLoadReport(report, Milliseconds(0));
+    }
+    pool->advance(Milliseconds(1));
+    return pool;
+}
+
+/** The resident memory of this process, in bytes. */
+double residentBytes()
+{
+    std::ifstream file("/proc/self/statm");
+    double total = 0;
+    double resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+void placeAndRelease(benchmark::State &state, const PlacementPolicy &placement)
+{
+    const auto pool = poolOf(static_cast<std::size_t>(state.range(0)), placement);
+    const WorkRequest request = requestOf(1);
+    for (auto unused : state) {
+        const auto placed = pool->place(request, Milliseconds(10));
+        benchmark::DoNotOptimize(placed);
+        pool->release(request.name, WorkOutcome::Cancelled, Milliseconds(10));
+    }
+    state.SetComplexityN(state.range(0));
+}
+
+void placeEstimated(benchmark::State &state)
+{
+    placeAndRelease(state, estimatedLoadPlacement(1));
+}
+
+void placeLeastOutstanding(benchmark::State &state)
+{
+    placeAndRelease(state, leastOutstandingPlacement());
+}
+
+void placeRoundRobin(benchmark::State &state)
+{
+    placeAndRelease(state, roundRobinPlacement());
+}
+
+void readCapacity(benchmark::State &state)
+{
+    const auto pool = poolOf(static_cast<std::size_t>(state.range(0)), estimatedLoadPlacement(1));
+    const ModelName model("plan");
+    for (auto unused : state)
+        benchmark::DoNotOptimize(pool->capacity(model, Milliseconds(10)));
+}
+
+/** One token of one of 1,320 open streams. */
+void recordToken(benchmark::State &state)
+{
+    const auto pool = poolOf(256, estimatedLoadPlacement(1));
+    std::vector<RequestName> names;
+    for (std::uint64_t number = 0; number < 1320; ++number) {
+        const WorkRequest request = requestOf(number);
+        if (pool->place(request, Milliseconds(2)))
+            names.push_back(request.name);
+    }
+    std::uint32_t tokens = 0;
+    std::size_t index = 0;
+    for (auto unused : state) {
+        tokens += index == 0 ? 1 : 0;
+        pool->recordProgress(names[index], tokens, Milliseconds(30 * tokens));
+        index = (index + 1) % names.size();
+    }
+}
+
+void estimateLength(benchmark::State &state)
+{
+    const double before = residentBytes();
+    LengthEstimator estimator;
+    RandomSource random(1);
+    std::vector<LengthClass> classes;
+    for (std::int64_t account = 0; account < state.range(0); ++account)
+        classes.push_back(LengthEstimator::classOf(
+                ClientAccountName("account-" + std::to_string(account)), ModelName("plan"), 600));
+    const Milliseconds now{1000};
+    for (int round = 0; round < 3; ++round) {
+        for (const LengthClass &job : classes) {
+            const auto length = static_cast<std::uint32_t>(50.0 / (1.0 - random.unit()));
+            estimator.recordProgress(job, 0, length, now);
+            estimator.recordEnd(job, length, now);
+        }
+    }
+    state.counters["histories"] = static_cast<double>(estimator.historyCount());
+    state.counters["KB"] = (residentBytes() - before) / 1024.0;
+    for (auto unused : state) {
+        const LengthClass &job = classes[random.below(classes.size())];
+        benchmark::DoNotOptimize(estimator.totalQuantile(job, 100, 0.8, now));
+    }
+}
+
+void learnLength(benchmark::State &state)
+{
+    LengthEstimator estimator;
+    RandomSource random(1);
+    std::vector<LengthClass> classes;
+    for (std::int64_t account = 0; account < state.range(0); ++account)
+        classes.push_back(LengthEstimator::classOf(
+                ClientAccountName("account-" + std::to_string(account)), ModelName("plan"), 600));
+    for (auto unused : state) {
+        const LengthClass &job = classes[random.below(classes.size())];
+        estimator.recordProgress(job, 0, 700, Milliseconds(1000));
+        estimator.recordEnd(job, 700, Milliseconds(1000));
+    }
+}
+
+void chooseTracked(benchmark::State &state)
+{
+    const auto servers = fleetOf(3900);
+    std::vector<TrackingHost> hosts;
+    for (int index = 0; index < 330; ++index)
+        hosts.push_back({HostName("host-" + std::to_string(index)),
+                         FailureDomainName("domain-" + std::to_string(index % 20))});
+    for (auto unused : state)
+        benchmark::DoNotOptimize(trackedSubset(servers, hosts, hosts.front(), 256));
+}
+
+void runFleet(benchmark::State &state, FleetModelOptions options)
+{
+    FleetModelResult result;
+    for (auto unused : state) {
+        FleetModel model(options);
+        result = model.run();
+    }
+    state.counters["finished"] = static_cast<double>(result.finished);
+    state.counters["preempted"] = static_cast<double>(result.preemptions);
+    state.counters["first_p50"] = result.medianFirstToken;
+    state.counters["first_p95"] = result.tailFirstToken;
+    state.counters["interval_p99"] = result.tailInterval;
+}
+
+using PolicyMaker = std::function<PlacementPolicy(std::uint64_t)>;
+
+void registerFleets()
+{
+    const std::vector<std::pair<std::string, PolicyMaker>> policies = {
+            {"round_robin",
+             [](std::uint64_t) {
+                 return roundRobinPlacement();
+             }},
+            {"least_outstanding",
+             [](std::uint64_t) {
+                 return leastOutstandingPlacement();
+             }},
+            {"estimated_load",
+             [](std::uint64_t seed) {
+                 return estimatedLoadPlacement(seed);
+             }},
+    };
+    FleetModelOptions peach;
+    FleetModelOptions slowed = peach;
+    slowed.slowedEngines = 3;
+    FleetModelOptions large;
+    large.hosts = 60;
+    large.engines = 400;
+    large.failureDomains = 8;
+    large.trackedLimit = 64;
+    large.jobsPerSecond = 430.0;
+    large.duration = Milliseconds(30000);
+    const std::vector<std::pair<std::string, FleetModelOptions>> fleets = {
+            {"9_hosts", peach}, {"9_hosts_3_slow", slowed}, {"60_hosts", large}};
+    for (const auto &[fleetName, fleet] : fleets) {
+        for (const auto &[policyName, policy] : policies) {
+            FleetModelOptions options = fleet;
+            options.placement = policy;
+            const std::string name = "fleet/" + fleetName + "/" + policyName;
+            benchmark::RegisterBenchmark(name.c_str(), runFleet, options)
+                    ->Iterations(1)
+                    ->Unit(benchmark::kMillisecond);
+        }
+    }
+}
+
+} // namespace
+
+BENCHMARK(placeEstimated)->RangeMultiplier(4)->Range(16, 4000)->Complexity(benchmark::oN);
+BENCHMARK(placeLeastOutstanding)->RangeMultiplier(4)->Range(16, 4000);
+BENCHMARK(placeRoundRobin)->RangeMultiplier(4)->Range(16, 4000);
+BENCHMARK(readCapacity)->RangeMultiplier(4)->Range(16, 4000);
+BENCHMARK(recordToken);
+BENCHMARK(estimateLength)->Arg(5700)->Arg(1000)->Arg(100)->Arg(10);
+BENCHMARK(learnLength)->Arg(10)->Arg(100)->Arg(1000)->Arg(5700);
+BENCHMARK(chooseTracked)->Unit(benchmark::kMillisecond);
+
+int main(int argc, char **argv)
+{
+    registerFleets();
+    benchmark::Initialize(&argc, argv);
+    benchmark::RunSpecifiedBenchmarks();
+    return 0;
+}
