--- a/packages/policy/load/loadtracker.cpp
+++ b/packages/policy/load/loadtracker.cpp
@@ -21,9 +21,12 @@
 
 void LoadTracker::addServer(ServerSlot slot)
 {
-    if (slot >= this->servers.size())
+    if (slot >= this->servers.size()) {
         this->servers.resize(slot + 1);
+        this->histories.resize(slot + 1);
+    }
     this->servers[slot] = Server{};
+    this->histories[slot] = History{};
 }
 
 void LoadTracker::removeServer(ServerSlot slot)
@@ -31,6 +34,7 @@
     for (auto &[name, peer] : this->peers)
         std::erase_if(peer.loads, [&](const PeerSlotLoad &load) { return load.slot == slot; });
     this->servers[slot] = Server{};
+    this->histories[slot] = History{};
 }
 
 void LoadTracker::forgetReport(ServerSlot slot)
@@ -41,10 +45,9 @@
 void LoadTracker::recordOwn(ServerSlot slot, std::uint32_t running, std::uint64_t usedTokens,
                             Milliseconds now)
 {
-    Server &server = this->servers[slot];
-    server.ownRunning = running;
-    server.ownUsed = usedTokens;
-    addSample(server, now);
+    this->servers[slot].ownRunning = running;
+    this->histories[slot].ownUsed = usedTokens;
+    this->addSample(slot, now);
 }
 
 void LoadTracker::recordReport(ServerSlot slot, const LoadReport &report, Milliseconds now)
@@ -53,7 +56,7 @@
     const Milliseconds takenAt = now - std::max(report.age, Milliseconds(0));
     if (server.hasReport && takenAt < server.takenAt)
         return;
-    const Sample then = sampleAt(server, takenAt);
+    const Sample &then = this->sampleAt(slot, takenAt);
     server.hasReport = true;
     server.takenAt = takenAt;
     server.reportedRunning = static_cast<double>(report.running) + report.waiting;
@@ -95,22 +98,12 @@
 
 double LoadTracker::running(ServerSlot slot, Milliseconds now) const
 {
-    const Server &server = this->servers[slot];
-    const auto knownNow = static_cast<double>(known(server));
-    const double weight = this->reportWeight(server, now);
-    if (weight <= 0.0)
-        return knownNow;
-    const double changed = knownNow - static_cast<double>(server.knownAtReport);
-    const double reported = std::max(0.0, server.reportedRunning + changed);
-    const double blended = weight * reported + (1.0 - weight) * knownNow;
-    return std::max(blended, static_cast<double>(server.ownRunning));
+    return this->estimate(slot, now).running;
 }
 
 double LoadTracker::othersMemory(ServerSlot slot, Milliseconds now) const
 {
-    const Server &server = this->servers[slot];
-    const double seen = this->reportWeight(server, now) * server.reportedOthersMemory;
-    return std::max(seen, static_cast<double>(server.peersReserved));
+    return this->estimate(slot, now).othersMemory;
 }
 
 std::uint32_t LoadTracker::reportedMemory(ServerSlot slot) const
@@ -123,39 +116,34 @@
     return this->peers.size();
 }
 
-std::int64_t LoadTracker::known(const Server &server)
-{
-    return static_cast<std::int64_t>(server.ownRunning) + server.peersRunning;
-}
-
-LoadTracker::Sample LoadTracker::sampleAt(const Server &server, Milliseconds time)
+const LoadTracker::Sample &LoadTracker::sampleAt(ServerSlot slot, Milliseconds time) const
 {
+    const std::vector<Sample> &samples = this->histories[slot].samples;
     const auto later = std::upper_bound(
-            server.history.begin(), server.history.end(), time,
+            samples.begin(), samples.end(), time,
             [](Milliseconds left, const Sample &right) { return left < right.time; });
-    if (later != server.history.begin())
-        return *std::prev(later);
-    return server.history.front();
+    return later == samples.begin() ? samples.front() : *std::prev(later);
 }
 
-void LoadTracker::addSample(Server &server, Milliseconds now)
+void LoadTracker::addSample(ServerSlot slot, Milliseconds now)
 {
-    auto &history = server.history;
-    const bool sharesLast = history.size() > 1 && now - history.back().time < sampleSpacing;
+    History &history = this->histories[slot];
+    std::vector<Sample> &samples = history.samples;
+    const bool sharesLast = samples.size() > 1 && now - samples.back().time < sampleSpacing;
     if (!sharesLast) {
-        if (history.size() >= maximumSamples)
-            history.erase(history.begin(), history.begin() + maximumSamples / 2);
-        history.push_back({now, 0, 0});
+        if (samples.size() >= maximumSamples)
+            samples.erase(samples.begin(), samples.begin() + maximumSamples / 2);
+        samples.push_back({now, 0, 0});
     }
-    history.back().known = known(server);
-    history.back().usedTokens = server.ownUsed;
+    samples.back().known = known(this->servers[slot]);
+    samples.back().usedTokens = history.ownUsed;
 }
 
-void LoadTracker::shiftBaseline(Server &server, std::int64_t amount)
+void LoadTracker::shiftBaseline(ServerSlot slot, std::int64_t amount)
 {
-    for (Sample &sample : server.history)
+    for (Sample &sample : this->histories[slot].samples)
         sample.known += amount;
-    server.knownAtReport += amount;
+    this->servers[slot].knownAtReport += amount;
 }
 
 void LoadTracker::applyPeer(const Peer &peer, std::int64_t sign, bool isBaseline, Milliseconds now)
@@ -165,24 +153,10 @@
         server.peersRunning += sign * load.running;
         server.peersReserved += sign * load.reservedTokens;
         if (isBaseline)
-            shiftBaseline(server, sign * load.running);
+            this->shiftBaseline(load.slot, sign * load.running);
         else
-            addSample(server, now);
+            this->addSample(load.slot, now);
     }
 }
 
-double LoadTracker::reportWeight(const Server &server, Milliseconds now) const
-{
-    if (!server.hasReport)
-        return 0.0;
-    const Milliseconds age = now - server.takenAt;
-    if (age <= this->options.reportTrusted)
-        return 1.0;
-    if (age >= this->options.reportWorthless)
-        return 0.0;
-    return static_cast<double>((this->options.reportWorthless - age).count())
-            / static_cast<double>(
-                    (this->options.reportWorthless - this->options.reportTrusted).count());
-}
-
 } // namespace sassafrasyard
--- a/packages/policy/load/loadtracker.h
+++ b/packages/policy/load/loadtracker.h
@@ -2,6 +2,7 @@
 
 #include "policy/servers/loadreport.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -35,6 +36,17 @@
     std::uint32_t reservedTokens = 0;
 };
 
+/** The estimated load of one server. */
+struct LoadEstimate
+{
+    /** Requests running or waiting there. */
+    double running = 0.0;
+    /** Memory that others use or reserved there, in tokens. */
+    double othersMemory = 0.0;
+    /** The memory that the server last reported to have, in tokens; 0 if unknown. */
+    std::uint32_t reportedMemory = 0;
+};
+
 /**
  * Estimates the load of backend servers from their last reports, this host's own work and peers'
  * digests.
@@ -69,6 +81,8 @@
     /** Drops the digests of silent peers. */
     void advance(Milliseconds now);
 
+    /** Returns the estimated load of a server. */
+    LoadEstimate estimate(ServerSlot slot, Milliseconds now) const;
     /** Returns the estimated requests running or waiting on a server. */
     double running(ServerSlot slot, Milliseconds now) const;
     /** Returns the estimated memory that others use or reserved on a server, in tokens. */
@@ -87,20 +101,26 @@
         std::uint64_t usedTokens = 0;
     };
 
-    struct Server
+    /** What estimate() reads; one cache line, because placement reads it for every server. */
+    struct alignas(64) Server
     {
-        std::uint32_t ownRunning = 0;
-        std::uint64_t ownUsed = 0;
+        Milliseconds takenAt{0};
+        std::int64_t ownRunning = 0;
         std::int64_t peersRunning = 0;
         std::int64_t peersReserved = 0;
-        bool hasReport = false;
-        Milliseconds takenAt{0};
+        std::int64_t knownAtReport = 0;
         double reportedRunning = 0.0;
         double reportedOthersMemory = 0.0;
-        std::int64_t knownAtReport = 0;
         std::uint32_t memoryTotal = 0;
+        bool hasReport = false;
+    };
+
+    /** What is known of a server's past. */
+    struct History
+    {
+        std::uint64_t ownUsed = 0;
         /** Oldest first; the first one stands for all earlier times. */
-        std::vector<Sample> history{{Milliseconds::min(), 0, 0}};
+        std::vector<Sample> samples{{Milliseconds::min(), 0, 0}};
     };
 
     struct Peer
@@ -111,15 +131,49 @@
     };
 
     static std::int64_t known(const Server &server);
-    static Sample sampleAt(const Server &server, Milliseconds time);
-    static void addSample(Server &server, Milliseconds now);
-    static void shiftBaseline(Server &server, std::int64_t amount);
+    const Sample &sampleAt(ServerSlot slot, Milliseconds time) const;
+    void addSample(ServerSlot slot, Milliseconds now);
+    void shiftBaseline(ServerSlot slot, std::int64_t amount);
     void applyPeer(const Peer &peer, std::int64_t sign, bool isBaseline, Milliseconds now);
     double reportWeight(const Server &server, Milliseconds now) const;
 
     LoadTrackerOptions options;
     std::vector<Server> servers;
+    std::vector<History> histories;
     std::map<HostName, Peer> peers;
 };
 
+inline std::int64_t LoadTracker::known(const Server &server)
+{
+    return server.ownRunning + server.peersRunning;
+}
+
+inline double LoadTracker::reportWeight(const Server &server, Milliseconds now) const
+{
+    if (!server.hasReport)
+        return 0.0;
+    const Milliseconds age = now - server.takenAt;
+    if (age <= this->options.reportTrusted)
+        return 1.0;
+    if (age >= this->options.reportWorthless)
+        return 0.0;
+    const Milliseconds span = this->options.reportWorthless - this->options.reportTrusted;
+    return static_cast<double>((this->options.reportWorthless - age).count())
+            / static_cast<double>(span.count());
+}
+
+inline LoadEstimate LoadTracker::estimate(ServerSlot slot, Milliseconds now) const
+{
+    const Server &server = this->servers[slot];
+    const double weight = this->reportWeight(server, now);
+    const auto knownNow = static_cast<double>(known(server));
+    const double changed = knownNow - static_cast<double>(server.knownAtReport);
+    const double reported = std::max(0.0, server.reportedRunning + changed);
+    const double blended = weight * reported + (1.0 - weight) * knownNow;
+    return {std::max(blended, static_cast<double>(server.ownRunning)),
+            std::max(weight * server.reportedOthersMemory,
+                     static_cast<double>(server.peersReserved)),
+            server.memoryTotal};
+}
+
 } // namespace sassafrasyard
--- a/packages/policy/pace/pacemonitor.cpp
+++ b/packages/policy/pace/pacemonitor.cpp
@@ -54,8 +54,7 @@
         server.isMember = false;
     std::uint32_t modelCount = 0;
     for (const Member &member : members) {
-        if (member.slot >= this->servers.size())
-            this->servers.resize(member.slot + 1);
+        this->makeRoom(member.slot);
         this->servers[member.slot].isMember = true;
         this->servers[member.slot].models = member.models;
         for (const std::uint32_t model : member.models)
@@ -67,6 +66,7 @@
         Server &server = this->servers[slot];
         if (!server.isMember) {
             server = Server{};
+            this->verdicts[slot] = Verdict{};
             continue;
         }
         for (const std::uint32_t model : server.models)
@@ -81,11 +81,11 @@
 
 void PaceMonitor::resetServer(ServerSlot slot)
 {
-    if (slot >= this->servers.size())
-        this->servers.resize(slot + 1);
+    this->makeRoom(slot);
     if (this->servers[slot].state == PaceState::Ejected)
         this->countEjected(this->servers[slot], -1);
     this->servers[slot] = Server{};
+    this->verdicts[slot] = Verdict{};
 }
 
 void PaceMonitor::recordInterval(ServerSlot slot, double milliseconds, Milliseconds now)
@@ -128,21 +128,11 @@
     }
 }
 
-double PaceMonitor::ratio(ServerSlot slot) const
-{
-    return this->servers[slot].ratio;
-}
-
 PaceState PaceMonitor::state(ServerSlot slot) const
 {
     return this->servers[slot].state;
 }
 
-std::uint32_t PaceMonitor::allowance(ServerSlot slot) const
-{
-    return this->servers[slot].allowance;
-}
-
 std::vector<ServerSlot> PaceMonitor::slowServers() const
 {
     std::vector<ServerSlot> slow;
@@ -176,10 +166,10 @@
 
 void PaceMonitor::updateRatios(Milliseconds now)
 {
-    for (Server &server : this->servers) {
-        server.ratio = 1.0;
-        server.isRatioKnown = false;
-        this->noticeStandstill(server, now);
+    for (ServerSlot slot = 0; slot < this->servers.size(); ++slot) {
+        this->verdicts[slot].ratio = 1.0;
+        this->servers[slot].isRatioKnown = false;
+        this->noticeStandstill(this->servers[slot], now);
     }
     for (const std::vector<ServerSlot> &group : this->peers) {
         this->scratch.clear();
@@ -197,7 +187,7 @@
             Server &server = this->servers[slot];
             const double interval = this->intervalOf(server, now);
             server.isRatioKnown = interval > 0.0;
-            server.ratio = server.isRatioKnown ? interval / median : 1.0;
+            this->verdicts[slot].ratio = server.isRatioKnown ? interval / median : 1.0;
         }
     }
 }
@@ -214,7 +204,7 @@
             return;
         // What was measured before the ejection must not decide over the probe.
         server.samples = 0;
-        this->readmit(server, PaceState::Probing, now);
+        this->readmit(slot, PaceState::Probing, now);
         return;
     case PaceState::Probing:
         this->checkProbing(slot, now);
@@ -227,7 +217,7 @@
     Server &server = this->servers[slot];
     if (server.ejections > 0 && now - server.changedAt >= ejectionsForgotten)
         server.ejections = 0;
-    if (!server.isRatioKnown || server.ratio < this->options.slowRatio) {
+    if (!server.isRatioKnown || this->verdicts[slot].ratio < this->options.slowRatio) {
         server.agreeing = 0;
         return;
     }
@@ -240,20 +230,21 @@
     Server &server = this->servers[slot];
     if (!server.isRatioKnown)
         return;
-    if (server.ratio >= this->options.slowRatio) {
+    if (this->verdicts[slot].ratio >= this->options.slowRatio) {
         server.changedAt = now;
         if (++server.agreeing >= this->options.checksToChange && this->mayEject(server))
             this->eject(slot, now);
         return;
     }
     server.agreeing = 0;
-    if (server.ratio > this->options.normalRatio || now - server.changedAt < probeStep)
+    if (this->verdicts[slot].ratio > this->options.normalRatio
+        || now - server.changedAt < probeStep)
         return;
     server.changedAt = now;
-    if (server.allowance < largestProbe)
-        server.allowance *= 2;
+    if (this->verdicts[slot].allowance < largestProbe)
+        this->verdicts[slot].allowance *= 2;
     else
-        this->readmit(server, PaceState::Normal, now);
+        this->readmit(slot, PaceState::Normal, now);
 }
 
 bool PaceMonitor::mayEject(const Server &server) const
@@ -276,25 +267,34 @@
             + Milliseconds(static_cast<std::int64_t>(
                     jitter % static_cast<std::uint64_t>(time.count() / 2 + 1)));
     server.state = PaceState::Ejected;
-    server.allowance = 0;
+    this->verdicts[slot].allowance = 0;
     server.agreeing = 0;
     server.changedAt = now;
     ++server.ejections;
     this->countEjected(server, 1);
 }
 
-void PaceMonitor::readmit(Server &server, PaceState state, Milliseconds now)
+void PaceMonitor::readmit(ServerSlot slot, PaceState state, Milliseconds now)
 {
+    Server &server = this->servers[slot];
     if (server.state == PaceState::Ejected)
         this->countEjected(server, -1);
     server.state = state;
-    server.allowance = state == PaceState::Probing ? 1 : unlimited;
+    this->verdicts[slot].allowance = state == PaceState::Probing ? 1 : unlimited;
     server.agreeing = 0;
     server.changedAt = now;
     if (state == PaceState::Probing)
         server.probingSince = now;
 }
 
+void PaceMonitor::makeRoom(ServerSlot slot)
+{
+    if (slot < this->servers.size())
+        return;
+    this->servers.resize(slot + 1);
+    this->verdicts.resize(slot + 1);
+}
+
 void PaceMonitor::countEjected(const Server &server, int change)
 {
     for (const std::uint32_t model : server.models)
@@ -304,14 +304,15 @@
 void PaceMonitor::enforceShare()
 {
     for (std::uint32_t model = 0; model < this->groups.size(); ++model) {
-        for (Server &server : this->servers) {
+        for (ServerSlot slot = 0; slot < this->servers.size(); ++slot) {
+            const Server &server = this->servers[slot];
             const Group &group = this->groups[model];
             if (group.ejected <= this->options.maximumEjectedShare * group.servers)
                 break;
             const auto &models = server.models;
             if (server.state == PaceState::Ejected
                 && std::find(models.begin(), models.end(), model) != models.end())
-                this->readmit(server, PaceState::Probing, this->checkedAt);
+                this->readmit(slot, PaceState::Probing, this->checkedAt);
         }
     }
 }
--- a/packages/policy/pace/pacemonitor.h
+++ b/packages/policy/pace/pacemonitor.h
@@ -89,15 +89,22 @@
     void advance(Milliseconds now);
 
     /** Returns the time per token relative to the median of the peers; 1 if unknown. */
-    double ratio(ServerSlot slot) const;
+    double ratio(ServerSlot slot) const { return this->verdicts[slot].ratio; }
     /** Returns the server's state. */
     PaceState state(ServerSlot slot) const;
     /** Returns how many own requests may be outstanding on the server at a time. */
-    std::uint32_t allowance(ServerSlot slot) const;
+    std::uint32_t allowance(ServerSlot slot) const { return this->verdicts[slot].allowance; }
     /** Returns the servers that are ejected or probed, in the order of their slots. */
     std::vector<ServerSlot> slowServers() const;
 
 private:
+    /** What placement reads for every server. */
+    struct Verdict
+    {
+        double ratio = 1.0;
+        std::uint32_t allowance = unlimited;
+    };
+
     struct Server
     {
         bool isMember = false;
@@ -108,11 +115,9 @@
         std::uint32_t decoding = 0;
         double reported = 0.0;
         Milliseconds reportedAt{0};
-        double ratio = 1.0;
         bool isRatioKnown = false;
         PaceState state = PaceState::Normal;
         std::uint32_t agreeing = 0;
-        std::uint32_t allowance = unlimited;
         std::uint32_t ejections = 0;
         Milliseconds changedAt{0};
         Milliseconds ejectedUntil{0};
@@ -133,12 +138,14 @@
     void checkProbing(ServerSlot slot, Milliseconds now);
     bool mayEject(const Server &server) const;
     void eject(ServerSlot slot, Milliseconds now);
-    void readmit(Server &server, PaceState state, Milliseconds now);
+    void readmit(ServerSlot slot, PaceState state, Milliseconds now);
+    void makeRoom(ServerSlot slot);
     void countEjected(const Server &server, int change);
     void enforceShare();
 
     PaceMonitorOptions options;
     std::vector<Server> servers;
+    std::vector<Verdict> verdicts;
     std::vector<Group> groups;
     std::vector<std::vector<ServerSlot>> peers;
     std::vector<double> scratch;
--- a/packages/policy/pool/serverpool.cpp
+++ b/packages/policy/pool/serverpool.cpp
@@ -220,11 +220,11 @@
         if (!isUsable(state))
             continue;
         capacity.totalSlots += state.slots;
-        const bool isFull =
-                state.isEngine && this->memoryEstimate(slot, now) >= this->memoryTotal(slot);
+        const LoadEstimate load = this->loads.estimate(slot, now);
+        const bool isFull = state.isEngine && memoryExcess(state, load) >= 0.0;
         if (isFull || this->paces.allowance(slot) == 0)
             continue;
-        capacity.freeSlots += std::max(0.0, state.slots - this->loads.running(slot, now));
+        capacity.freeSlots += std::max(0.0, state.slots - load.running);
     }
     return capacity;
 }
@@ -250,7 +250,7 @@
         const ServerState &state = this->states[slot];
         if (!state.isEngine || (!state.isKnown && state.ownRunning == 0))
             continue;
-        const double excess = this->memoryEstimate(slot, now) - this->memoryTotal(slot);
+        const double excess = memoryExcess(state, this->loads.estimate(slot, now));
         if (excess >= 1.0)
             shortages.push_back(
                     {this->descriptions[slot].name, static_cast<std::uint64_t>(excess)});
@@ -360,16 +360,14 @@
     return state.isKnown && state.isReachable && !state.isLeaving && !state.isMarkedLeaving;
 }
 
-double ServerPool::memoryTotal(ServerSlot slot) const
+double ServerPool::memoryTotal(const ServerState &state, const LoadEstimate &load)
 {
-    const std::uint32_t reported = this->loads.reportedMemory(slot);
-    return reported > 0 ? reported : this->states[slot].memoryTokens;
+    return load.reportedMemory > 0 ? load.reportedMemory : state.memoryTokens;
 }
 
-double ServerPool::memoryEstimate(ServerSlot slot, Milliseconds now) const
+double ServerPool::memoryExcess(const ServerState &state, const LoadEstimate &load)
 {
-    return static_cast<double>(this->states[slot].ownReserved)
-            + this->loads.othersMemory(slot, now);
+    return static_cast<double>(state.ownReserved) + load.othersMemory - memoryTotal(state, load);
 }
 
 std::span<const ServerSlot> ServerPool::slotsOf(const ModelName &model) const
@@ -419,22 +417,22 @@
 void ServerPool::addCandidate(ServerSlot slot, double needed, Milliseconds now)
 {
     const ServerState &state = this->states[slot];
-    const double running = this->loads.running(slot, now);
-    if (running + slotTolerance > state.slots)
+    const LoadEstimate load = this->loads.estimate(slot, now);
+    if (load.running + slotTolerance > state.slots)
         return;
     PlacementCandidate candidate;
     if (state.isEngine) {
-        candidate.memoryTotal = this->memoryTotal(slot);
-        candidate.memoryEstimate = this->memoryEstimate(slot, now);
+        candidate.memoryTotal = memoryTotal(state, load);
+        candidate.memoryEstimate = static_cast<double>(state.ownReserved) + load.othersMemory;
         candidate.memoryNeeded = std::min(needed, candidate.memoryTotal);
         // An idle engine takes any request; there is no better place for a very large one.
-        const bool isIdle = running < slotTolerance;
+        const bool isIdle = load.running < slotTolerance;
         if (!isIdle && candidate.memoryEstimate + candidate.memoryNeeded > candidate.memoryTotal)
             return;
         candidate.paceRatio = this->paces.ratio(slot);
     }
     candidate.server = &this->descriptions[slot];
-    candidate.runningEstimate = running;
+    candidate.runningEstimate = load.running;
     candidate.ownRunning = state.ownRunning;
     candidate.hasPrefix = state.prefixMark == this->placeCount;
     candidate.isNear = state.isNear;
@@ -449,7 +447,8 @@
         return;
     const double needed =
             static_cast<double>(request.promptTokens) + this->expectedTotal(request, now);
-    const std::uint32_t reserved = clampTokens(std::min(needed, this->memoryTotal(request.slot)));
+    const double total = memoryTotal(state, this->loads.estimate(request.slot, now));
+    const std::uint32_t reserved = clampTokens(std::min(needed, total));
     state.ownReserved += reserved;
     state.ownReserved -= request.reservedTokens;
     request.reservedTokens = reserved;
--- a/packages/policy/pool/serverpool.h
+++ b/packages/policy/pool/serverpool.h
@@ -167,8 +167,8 @@
     std::optional<ServerSlot> findSlot(const BackendServerName &server) const;
 
     static bool isUsable(const ServerState &state);
-    double memoryTotal(ServerSlot slot) const;
-    double memoryEstimate(ServerSlot slot, Milliseconds now) const;
+    static double memoryTotal(const ServerState &state, const LoadEstimate &load);
+    static double memoryExcess(const ServerState &state, const LoadEstimate &load);
     std::span<const ServerSlot> slotsOf(const ModelName &model) const;
     std::uint32_t expectedTotal(const PlacedRequest &request, Milliseconds now) const;
     void markHolders(std::uint64_t prefix, Milliseconds now);
--- a/tools/benchmarks/fleetmodel.cpp
+++ b/tools/benchmarks/fleetmodel.cpp
@@ -43,6 +43,7 @@
     for (std::size_t index = 0; index < this->servers.size(); ++index) {
         this->servers[index].name = BackendServerName("engine-" + std::to_string(index));
         this->servers[index].failureDomain = domainOf(index);
+        this->servers[index].memoryTokens = this->options.memoryTokens;
         this->servers[index].models = {ModelName("plan")};
     }
     std::vector<TrackingHost> places;
