--- a/tools/benchmarks/fleetmodel.cpp
+++ b/tools/benchmarks/fleetmodel.cpp
@@ -56,6 +56,8 @@
         pool.host = places[index].name;
         pool.failureDomain = places[index].failureDomain;
         pool.placement = this->options.placement(index + 1);
+        if (this->options.adjust)
+            this->options.adjust(pool);
         this->hosts[index].pool = std::make_unique<ServerPool>(std::move(pool));
         std::vector<BackendServer> tracked;
         for (const std::size_t server : trackedSubset(this->servers, places, places[index], limit))
--- a/tools/benchmarks/fleetmodel.h
+++ b/tools/benchmarks/fleetmodel.h
@@ -22,7 +22,7 @@
     /** Failure domains, over which hosts and engines are spread in turn. */
     std::size_t failureDomains = 3;
     /** New jobs a second over all hosts. */
-    double jobsPerSecond = 8.0;
+    double jobsPerSecond = 11.0;
     /** Memory of an engine, in tokens. */
     std::uint32_t memoryTokens = 65536;
     /** How many engines each host tracks; 0 for all. */
@@ -35,6 +35,8 @@
     std::uint64_t seed = 1;
     /** Makes the placement policy of a host. @see estimatedLoadPlacement() */
     std::function<PlacementPolicy(std::uint64_t seed)> placement;
+    /** Changes the options of each host's pool; may be empty. */
+    std::function<void(ServerPoolOptions &)> adjust;
 };
 
 /** What a run of a FleetModel showed. */
--- a/tools/benchmarks/placementbenchmark.cpp
+++ b/tools/benchmarks/placementbenchmark.cpp
@@ -165,61 +165,80 @@
         benchmark::DoNotOptimize(trackedSubset(servers, hosts, hosts.front(), 256));
 }
 
+constexpr std::uint64_t fleetSeeds = 5;
+
+/** Shows the mean over several seeds. */
 void runFleet(benchmark::State &state, FleetModelOptions options)
 {
-    FleetModelResult result;
     for (auto unused : state) {
-        FleetModel model(options);
-        result = model.run();
+        for (options.seed = 1; options.seed <= fleetSeeds; ++options.seed) {
+            FleetModel model(options);
+            const FleetModelResult result = model.run();
+            const auto add = [&](const char *name, double value) {
+                state.counters[name] += value / static_cast<double>(fleetSeeds);
+            };
+            add("finished", static_cast<double>(result.finished));
+            add("preempted", static_cast<double>(result.preemptions));
+            add("first_p50", result.medianFirstToken);
+            add("first_p95", result.tailFirstToken);
+            add("interval_p99", result.tailInterval);
+        }
     }
-    state.counters["finished"] = static_cast<double>(result.finished);
-    state.counters["preempted"] = static_cast<double>(result.preemptions);
-    state.counters["first_p50"] = result.medianFirstToken;
-    state.counters["first_p95"] = result.tailFirstToken;
-    state.counters["interval_p99"] = result.tailInterval;
 }
 
-using PolicyMaker = std::function<PlacementPolicy(std::uint64_t)>;
+void registerFleet(const std::string &name, const FleetModelOptions &options)
+{
+    benchmark::RegisterBenchmark(("fleet/" + name).c_str(), runFleet, options)
+            ->Iterations(1)
+            ->Unit(benchmark::kMillisecond);
+}
 
-void registerFleets()
+void registerPolicies(const std::string &fleetName, FleetModelOptions options)
 {
-    const std::vector<std::pair<std::string, PolicyMaker>> policies = {
-            {"round_robin",
-             [](std::uint64_t) {
-                 return roundRobinPlacement();
-             }},
-            {"least_outstanding",
-             [](std::uint64_t) {
-                 return leastOutstandingPlacement();
-             }},
-            {"estimated_load",
-             [](std::uint64_t seed) {
-                 return estimatedLoadPlacement(seed);
-             }},
+    options.placement = [](std::uint64_t) {
+        return roundRobinPlacement();
     };
-    FleetModelOptions peach;
-    FleetModelOptions crowded = peach;
-    crowded.memoryTokens = 16000;
+    registerFleet(fleetName + "/round_robin", options);
+    options.placement = [](std::uint64_t) {
+        return leastOutstandingPlacement();
+    };
+    registerFleet(fleetName + "/least_outstanding", options);
+    options.placement = [](std::uint64_t seed) {
+        return estimatedLoadPlacement(seed);
+    };
+    registerFleet(fleetName + "/estimated_load", options);
+    options.adjust = [](ServerPoolOptions &pool) {
+        pool.pace.maximumEjectedShare = 0.0;
+    };
+    registerFleet(fleetName + "/estimated_load_no_ejection", options);
+}
+
+void registerFleets()
+{
+    const FleetModelOptions peach;
+    registerPolicies("9_hosts", peach);
     FleetModelOptions slowed = peach;
     slowed.slowedEngines = 3;
+    registerPolicies("9_hosts_3_slow", slowed);
+    FleetModelOptions crowded = peach;
+    crowded.memoryTokens = 20000;
+    registerPolicies("9_hosts_crowded", crowded);
     FleetModelOptions large;
     large.hosts = 60;
     large.engines = 400;
     large.failureDomains = 8;
     large.trackedLimit = 64;
-    large.jobsPerSecond = 300.0;
+    large.jobsPerSecond = 320.0;
     large.duration = Milliseconds(30000);
-    const std::vector<std::pair<std::string, FleetModelOptions>> fleets = {
-            {"9_hosts", peach}, {"9_hosts_3_slow", slowed}, {"60_hosts", large}};
-    for (const auto &[fleetName, fleet] : fleets) {
-        for (const auto &[policyName, policy] : policies) {
-            FleetModelOptions options = fleet;
-            options.placement = policy;
-            const std::string name = "fleet/" + fleetName + "/" + policyName;
-            benchmark::RegisterBenchmark(name.c_str(), runFleet, options)
-                    ->Iterations(1)
-                    ->Unit(benchmark::kMillisecond);
-        }
+    registerPolicies("60_hosts", large);
+    crowded.placement = [](std::uint64_t seed) {
+        return estimatedLoadPlacement(seed);
+    };
+    for (const double quantile : {0.0, 0.5, 0.8, 0.9, 0.95}) {
+        crowded.adjust = [quantile](ServerPoolOptions &pool) {
+            pool.reservationQuantile = quantile;
+        };
+        registerFleet("9_hosts_crowded/quantile_" + std::to_string(quantile).substr(0, 4), crowded);
     }
 }
 
