Probe an ejected server only when nothing else shows its pace

Cause: a probe was sent after each ejection time although streams or fresh reports still showed the server slow; each probe is a slow job for a caller. And an idle engine repeats its last interval, which kept it ejected.

--- a/packages/policy/pace/pacemonitor.cpp
+++ b/packages/policy/pace/pacemonitor.cpp
@@ -200,11 +200,7 @@
         this->checkNormal(slot, now);
         return;
     case PaceState::Ejected:
-        if (now < server.ejectedUntil)
-            return;
-        // What was measured before the ejection must not decide over the probe.
-        server.samples = 0;
-        this->readmit(slot, PaceState::Probing, now);
+        this->checkEjected(slot, now);
         return;
     case PaceState::Probing:
         this->checkProbing(slot, now);
@@ -225,6 +221,22 @@
         this->eject(slot, now);
 }
 
+void PaceMonitor::checkEjected(ServerSlot slot, Milliseconds now)
+{
+    Server &server = this->servers[slot];
+    if (now < server.ejectedUntil)
+        return;
+    // While streams that still run there are slow, a probe would only slow down one more job. In
+    // the end a probe is sent all the same, in case the reports are wrong.
+    const bool isStillSlow =
+            server.isRatioKnown && this->verdicts[slot].ratio >= this->options.slowRatio;
+    if (isStillSlow && now - server.changedAt < this->options.longestEjection)
+        return;
+    // What was measured before the ejection must not decide over the probe.
+    server.samples = 0;
+    this->readmit(slot, PaceState::Probing, now);
+}
+
 void PaceMonitor::checkProbing(ServerSlot slot, Milliseconds now)
 {
     Server &server = this->servers[slot];
--- a/packages/policy/pace/pacemonitor.h
+++ b/packages/policy/pace/pacemonitor.h
@@ -135,6 +135,7 @@
     void updateRatios(Milliseconds now);
     void check(ServerSlot slot, Milliseconds now);
     void checkNormal(ServerSlot slot, Milliseconds now);
+    void checkEjected(ServerSlot slot, Milliseconds now);
     void checkProbing(ServerSlot slot, Milliseconds now);
     bool mayEject(const Server &server) const;
     void eject(ServerSlot slot, Milliseconds now);
--- a/packages/policy/pool/serverpool.cpp
+++ b/packages/policy/pool/serverpool.cpp
@@ -83,8 +83,10 @@
     if (!slot)
         return;
     this->loads.recordReport(*slot, report, now);
-    this->paces.recordReport(*slot, report.tokenIntervalMilliseconds,
-                             now - std::max(report.age, Milliseconds(0)));
+    // An idle engine repeats its last interval, which says nothing about now.
+    if (report.running > 0)
+        this->paces.recordReport(*slot, report.tokenIntervalMilliseconds,
+                                 now - std::max(report.age, Milliseconds(0)));
 }
 
 void ServerPool::recordCacheEvent(const CacheEvent &event, Milliseconds now)
--- a/tools/benchmarks/fleetmodel.cpp
+++ b/tools/benchmarks/fleetmodel.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t accountCount = 10;
 constexpr double idleInterval = 15.0; // milliseconds per token
 constexpr double fullInterval = 30.0;
+/** Gives the reported time per token a time constant of 2 s. */
+constexpr double reportedIntervalGain = 0.005;
 
 double percentile(std::vector<double> &values, double share)
 {
@@ -132,6 +134,7 @@
     const double load = static_cast<double>(engine.running.size()) / this->servers[index].slots;
     const double interval =
             (idleInterval + (fullInterval - idleInterval) * load) * this->slowdown(index);
+    engine.reportedInterval += reportedIntervalGain * (interval - engine.reportedInterval);
     for (const auto &job : engine.running) {
         job->produced += static_cast<double>(stepTime.count()) / interval;
         if (job->produced < 1.0 || job->produced < job->preemptedAt)
@@ -198,6 +201,7 @@
     report.server = this->servers[index].name;
     report.running = static_cast<std::uint32_t>(engine.running.size());
     report.waiting = static_cast<std::uint32_t>(engine.waiting.size());
+    report.tokenIntervalMilliseconds = engine.reportedInterval;
     report.memoryTotalTokens = this->servers[index].memoryTokens;
     for (const auto &job : engine.running)
         report.memoryUsedTokens +=
--- a/tools/benchmarks/fleetmodel.h
+++ b/tools/benchmarks/fleetmodel.h
@@ -89,6 +89,8 @@
         std::vector<std::unique_ptr<Job>> running;
         std::deque<std::unique_ptr<Job>> waiting;
         std::deque<LoadReport> reports;
+        /** The time per token that it reports; follows the true one slowly. */
+        double reportedInterval = 0.0;
     };
 
     struct Host
