--- a/packages/policy/pool/serverpool.cpp
+++ b/packages/policy/pool/serverpool.cpp
@@ -41,6 +41,7 @@
 
 void ServerPool::setBackendServers(std::span<const BackendServer> newServers, Milliseconds)
 {
+    ++this->version;
     std::vector<bool> isListed(this->states.size(), false);
     for (const BackendServer &server : newServers) {
         const ServerSlot slot = this->slotFor(server);
@@ -60,6 +61,7 @@
 
 void ServerPool::setLeaving(const BackendServerName &server, bool isLeaving)
 {
+    ++this->version;
     if (const auto slot = this->findSlot(server))
         this->states[*slot].isMarkedLeaving = isLeaving;
 }
@@ -69,6 +71,7 @@
     const auto slot = this->findSlot(server);
     if (!slot || this->states[*slot].isReachable == isReachable)
         return;
+    ++this->version;
     this->states[*slot].isReachable = isReachable;
     if (isReachable)
         return;
@@ -82,6 +85,7 @@
     const auto slot = this->findSlot(report.server);
     if (!slot)
         return;
+    ++this->version;
     this->loads.recordReport(*slot, report, now);
     // An idle engine repeats its last interval, which says nothing about now.
     if (report.running > 0)
@@ -105,11 +109,13 @@
         if (const auto slot = this->findSlot(entry.server))
             slotLoads.push_back({*slot, entry.running, entry.reservedTokens});
     }
+    ++this->version;
     this->loads.recordPeer(digest.host, digest.sequence, slotLoads, now);
 }
 
 void ServerPool::advance(Milliseconds now)
 {
+    ++this->version;
     this->loads.advance(now);
     this->paces.advance(now);
 }
@@ -117,30 +123,33 @@
 std::optional<Placement> ServerPool::place(const WorkRequest &request, Milliseconds now)
 {
     assert(!this->placed.contains(request.name));
-    const std::span<const ServerSlot> slots = this->slotsOf(request.model);
-    if (slots.empty())
+    const auto model = this->slotsByModel.find(request.model);
+    if (model == this->slotsByModel.end())
         return std::nullopt;
+    ModelSlots &slots = model->second;
     PlacedRequest entry;
     entry.lengthClass =
             LengthEstimator::classOf(request.account, request.model, request.promptTokens);
     entry.promptTokens = request.promptTokens;
     entry.maximumTokens = request.maximumTokens;
     const double needed = static_cast<double>(entry.promptTokens) + this->expectedTotal(entry, now);
+    if (this->isKnownRefusal(slots, needed, now))
+        return std::nullopt;
     this->markHolders(request.prefixDigest, now);
-    const bool hasNormal = this->fillCandidates(slots, needed, true, now);
+    const bool hasNormal = this->fillCandidates(slots.slots, needed, true, now);
     if (this->candidates.empty() && !hasNormal)
-        this->fillCandidates(slots, needed, false, now);
+        this->fillCandidates(slots.slots, needed, false, now);
+    if (this->candidates.empty()) {
+        slots.refusedVersion = this->version;
+        slots.refusedAt = now;
+        slots.refusedNeed = needed;
+        return std::nullopt;
+    }
     const std::optional<std::size_t> chosen = this->options.placement(request, this->candidates);
     if (!chosen)
         return std::nullopt;
     entry.slot = this->candidateSlots[*chosen];
-    ServerState &state = this->states[entry.slot];
-    ++state.ownRunning;
-    state.ownUsed += entry.promptTokens;
-    this->updateReservation(entry, now);
-    this->loads.recordOwn(entry.slot, state.ownRunning, state.ownUsed, now);
-    if (state.isEngine)
-        this->prefixes.recordUse(entry.slot, request.prefixDigest, now);
+    this->reserve(entry, request.prefixDigest, now);
     Placement placement{this->descriptions[entry.slot].name, entry.reservedTokens};
     this->placed.emplace(request.name, entry);
     return placement;
@@ -151,6 +160,7 @@
     const auto known = this->placed.find(request);
     if (known == this->placed.end() || tokens <= known->second.produced)
         return;
+    ++this->version;
     PlacedRequest &entry = known->second;
     ServerState &state = this->states[entry.slot];
     this->recordPace(entry, tokens, now);
@@ -172,6 +182,7 @@
     if (known == this->placed.end())
         return;
     const PlacedRequest entry = known->second;
+    ++this->version;
     this->placed.erase(known);
     ServerState &state = this->states[entry.slot];
     --state.ownRunning;
@@ -217,7 +228,10 @@
 PoolCapacity ServerPool::capacity(const ModelName &model, Milliseconds now) const
 {
     PoolCapacity capacity;
-    for (const ServerSlot slot : this->slotsOf(model)) {
+    const auto known = this->slotsByModel.find(model);
+    if (known == this->slotsByModel.end())
+        return capacity;
+    for (const ServerSlot slot : known->second.slots) {
         const ServerState &state = this->states[slot];
         if (!isUsable(state))
             continue;
@@ -336,7 +350,7 @@
             continue;
         PaceMonitor::Member member{slot, {}};
         for (const ModelName &model : this->descriptions[slot].models) {
-            std::vector<ServerSlot> &slots = this->slotsByModel[model];
+            std::vector<ServerSlot> &slots = this->slotsByModel[model].slots;
             if (!slots.empty() && slots.back() == slot)
                 continue;
             slots.push_back(slot);
@@ -372,12 +386,21 @@
     return static_cast<double>(state.ownReserved) + load.othersMemory - memoryTotal(state, load);
 }
 
-std::span<const ServerSlot> ServerPool::slotsOf(const ModelName &model) const
+bool ServerPool::isKnownRefusal(const ModelSlots &model, double needed, Milliseconds now) const
 {
-    const auto known = this->slotsByModel.find(model);
-    if (known == this->slotsByModel.end())
-        return {};
-    return known->second;
+    return model.refusedVersion == this->version && model.refusedAt == now
+            && needed >= model.refusedNeed;
+}
+
+void ServerPool::reserve(PlacedRequest &request, std::uint64_t prefix, Milliseconds now)
+{
+    ServerState &state = this->states[request.slot];
+    ++state.ownRunning;
+    state.ownUsed += request.promptTokens;
+    this->updateReservation(request, now);
+    this->loads.recordOwn(request.slot, state.ownRunning, state.ownUsed, now);
+    if (state.isEngine)
+        this->prefixes.recordUse(request.slot, prefix, now);
 }
 
 std::uint32_t ServerPool::expectedTotal(const PlacedRequest &request, Milliseconds now) const
--- a/packages/policy/pool/serverpool.h
+++ b/packages/policy/pool/serverpool.h
@@ -29,7 +29,7 @@
     /** Seed of every random choice. */
     std::uint64_t seed = 1;
     /** The quantile of a request's expected output that is reserved, from 0 to below 1. */
-    double reservationQuantile = 0.8;
+    double reservationQuantile = 0.7;
     /** How many backend servers a digest for peers names at most. */
     std::size_t digestLimit = 256;
     /** Bounds and rates of the length estimate. */
@@ -160,6 +160,15 @@
         bool isReachable = true;
     };
 
+    /** The smallest request that found no candidate; holds until an event may change that. */
+    struct ModelSlots
+    {
+        std::vector<ServerSlot> slots;
+        std::uint64_t refusedVersion = 0;
+        Milliseconds refusedAt{0};
+        double refusedNeed = 0.0;
+    };
+
     ServerSlot slotFor(const BackendServer &server);
     void describe(ServerSlot slot, const BackendServer &server);
     void freeIfUnused(ServerSlot slot);
@@ -169,7 +178,8 @@
     static bool isUsable(const ServerState &state);
     static double memoryTotal(const ServerState &state, const LoadEstimate &load);
     static double memoryExcess(const ServerState &state, const LoadEstimate &load);
-    std::span<const ServerSlot> slotsOf(const ModelName &model) const;
+    bool isKnownRefusal(const ModelSlots &model, double needed, Milliseconds now) const;
+    void reserve(PlacedRequest &request, std::uint64_t prefix, Milliseconds now);
     std::uint32_t expectedTotal(const PlacedRequest &request, Milliseconds now) const;
     void markHolders(std::uint64_t prefix, Milliseconds now);
     bool fillCandidates(std::span<const ServerSlot> slots, double needed, bool heedsPace,
@@ -187,11 +197,13 @@
     std::vector<BackendServer> descriptions;
     std::vector<ServerSlot> freeSlots;
     std::unordered_map<BackendServerName, ServerSlot> slotsByName;
-    std::unordered_map<ModelName, std::vector<ServerSlot>> slotsByModel;
+    std::unordered_map<ModelName, ModelSlots> slotsByModel;
     std::unordered_map<RequestName, PlacedRequest> placed;
     std::vector<PlacementCandidate> candidates;
     std::vector<ServerSlot> candidateSlots;
     std::uint64_t placeCount = 0;
+    /** Rises with each event that may make room for a request. */
+    std::uint64_t version = 1;
     std::uint64_t digestSequence = 0;
 };
 
--- a/packages/policy/tests/test_serverpool.cpp
+++ b/packages/policy/tests/test_serverpool.cpp
@@ -71,7 +71,7 @@
     {
         this->now += at(static_cast<std::int64_t>(this->random.below(800)));
         const std::string server(1, static_cast<char>('a' + this->random.below(6)));
-        switch (this->random.below(12)) {
+        switch (this->random.below(13)) {
         case 0:
             return this->setServers();
         case 1:
@@ -87,6 +87,10 @@
             return this->recordPeer(server);
         case 5:
             return this->pool.advance(this->now);
+        case 12:
+            return this->pool.recordCacheEvent({BackendServerName(server), this->random.below(50),
+                                                this->random.below(5), this->random.below(3) > 0},
+                                               this->now);
         case 6:
         case 7:
         case 8:
@@ -245,6 +249,21 @@
     REQUIRE(pool.place(work("3", 1000), at(1100)));
 }
 
+// Guards against a remembered refusal that outlives the event which makes room.
+TEST_CASE("A refused request is placed at the same time when room comes", "[pool]")
+{
+    ServerPool pool(optionsOf());
+    pool.setBackendServers(std::vector{engine("a", 2)}, at(0));
+    REQUIRE(pool.place(work("1", 3000, 4500), at(0)));
+    REQUIRE_FALSE(pool.place(work("2", 7000, 900), at(0)));
+    REQUIRE_FALSE(pool.place(work("2", 7500, 900), at(0)));
+    REQUIRE(pool.place(work("3", 10, 10), at(0))); // a smaller one still fits
+    REQUIRE_FALSE(pool.place(work("2", 7000, 900), at(0)));
+    pool.release(RequestName("1"), WorkOutcome::Failed, at(0));
+    pool.release(RequestName("3"), WorkOutcome::Failed, at(0));
+    REQUIRE(pool.place(work("2", 7000, 900), at(0)));
+}
+
 // Guards against a request that fits no reservation waiting for ever beside an idle engine.
 TEST_CASE("An idle engine takes a request larger than its memory", "[pool]")
 {
--- a/tools/benchmarks/placementbenchmark.cpp
+++ b/tools/benchmarks/placementbenchmark.cpp
@@ -62,7 +62,9 @@
 
 void placeAndRelease(benchmark::State &state, const PlacementPolicy &placement)
 {
+    const double before = heapBytes();
     const auto pool = poolOf(static_cast<std::size_t>(state.range(0)), placement);
+    state.counters["KB"] = (heapBytes() - before) / 1024.0;
     const WorkRequest request = requestOf(1);
     for (auto unused : state) {
         const auto placed = pool->place(request, Milliseconds(10));
@@ -95,6 +97,18 @@
         benchmark::DoNotOptimize(pool->capacity(model, Milliseconds(10)));
 }
 
+/** One of many waiting requests that no server has room for. */
+void refuse(benchmark::State &state)
+{
+    const auto pool = poolOf(static_cast<std::size_t>(state.range(0)), estimatedLoadPlacement(1));
+    std::uint64_t number = 0;
+    while (pool->place(requestOf(number), Milliseconds(2)))
+        ++number;
+    const WorkRequest request = requestOf(number);
+    for (auto unused : state)
+        benchmark::DoNotOptimize(pool->place(request, Milliseconds(2)));
+}
+
 /** One token of one of 1,320 open streams. */
 void recordToken(benchmark::State &state)
 {
@@ -247,6 +261,7 @@
 BENCHMARK(placeEstimated)->RangeMultiplier(4)->Range(16, 4000)->Complexity(benchmark::oN);
 BENCHMARK(placeLeastOutstanding)->RangeMultiplier(4)->Range(16, 4000);
 BENCHMARK(placeRoundRobin)->RangeMultiplier(4)->Range(16, 4000);
+BENCHMARK(refuse)->RangeMultiplier(4)->Range(16, 4000);
 BENCHMARK(readCapacity)->RangeMultiplier(4)->Range(16, 4000);
 BENCHMARK(recordToken);
 BENCHMARK(estimateLength)->Arg(5700)->Arg(1000)->Arg(100)->Arg(10);
