--- a/packages/policy/pool/serverpool.cpp
+++ b/packages/policy/pool/serverpool.cpp
@@ -148,7 +148,8 @@
     const std::optional<std::size_t> chosen = this->options.placement(request, this->candidates);
     if (!chosen)
         return std::nullopt;
-    entry.slot = this->candidateSlots[*chosen];
+    entry.slot =
+            static_cast<ServerSlot>(this->candidates[*chosen].server - this->descriptions.data());
     this->reserve(entry, request.prefixDigest, now);
     Placement placement{this->descriptions[entry.slot].name, entry.reservedTokens};
     this->placed.emplace(request.name, entry);
@@ -425,7 +426,6 @@
                                 Milliseconds now)
 {
     this->candidates.clear();
-    this->candidateSlots.clear();
     bool hasNormal = false;
     for (const ServerSlot slot : slots) {
         const ServerState &state = this->states[slot];
@@ -445,24 +445,23 @@
     const LoadEstimate load = this->loads.estimate(slot, now);
     if (load.running + slotTolerance > state.slots)
         return;
-    PlacementCandidate candidate;
-    if (state.isEngine) {
-        candidate.memoryTotal = memoryTotal(state, load);
-        candidate.memoryEstimate = static_cast<double>(state.ownReserved) + load.othersMemory;
-        candidate.memoryNeeded = std::min(needed, candidate.memoryTotal);
-        // An idle engine takes any request; there is no better place for a very large one.
-        const bool isIdle = load.running < slotTolerance;
-        if (!isIdle && candidate.memoryEstimate + candidate.memoryNeeded > candidate.memoryTotal)
-            return;
-        candidate.paceRatio = this->paces.ratio(slot);
-    }
+    const double total = state.isEngine ? memoryTotal(state, load) : 0.0;
+    const double used =
+            state.isEngine ? static_cast<double>(state.ownReserved) + load.othersMemory : 0.0;
+    const double fitting = std::min(needed, total);
+    // An idle engine takes any request; there is no better place for a very large one.
+    if (load.running >= slotTolerance && used + fitting > total)
+        return;
+    PlacementCandidate &candidate = this->candidates.emplace_back();
     candidate.server = &this->descriptions[slot];
     candidate.runningEstimate = load.running;
+    candidate.memoryEstimate = used;
+    candidate.memoryTotal = total;
+    candidate.memoryNeeded = fitting;
     candidate.ownRunning = state.ownRunning;
     candidate.hasPrefix = state.prefixMark == this->placeCount;
+    candidate.paceRatio = this->paces.ratio(slot);
     candidate.isNear = state.isNear;
-    this->candidates.push_back(candidate);
-    this->candidateSlots.push_back(slot);
 }
 
 void ServerPool::updateReservation(PlacedRequest &request, Milliseconds now)
--- a/packages/policy/pool/serverpool.h
+++ b/packages/policy/pool/serverpool.h
@@ -200,7 +200,6 @@
     std::unordered_map<ModelName, ModelSlots> slotsByModel;
     std::unordered_map<RequestName, PlacedRequest> placed;
     std::vector<PlacementCandidate> candidates;
-    std::vector<ServerSlot> candidateSlots;
     std::uint64_t placeCount = 0;
     /** Rises with each event that may make room for a request. */
     std::uint64_t version = 1;
