Keep old own work longer and judge pace without the batch's share

The older half is now thinned out instead of dropped. - An engine with a full batch takes about twice as long per token as an idle one, and was ejected beside idle peers. The time per token is now divided by 1 + load before it is compared.

--- a/packages/policy/load/loadtracker.cpp
+++ b/packages/policy/load/loadtracker.cpp
@@ -11,6 +11,17 @@
 constexpr Milliseconds sampleSpacing{50};
 constexpr std::size_t maximumSamples = 64;
 
+/** Drops every second element of the older half, so that old times are kept more coarsely. */
+template <typename Sample>
+void thinOut(std::vector<Sample> &samples)
+{
+    std::size_t kept = 1;
+    const std::size_t half = samples.size() / 2;
+    for (std::size_t index = 2; index < samples.size(); index += index < half ? 2 : 1)
+        samples[kept++] = samples[index];
+    samples.resize(kept);
+}
+
 } // namespace
 
 LoadTracker::LoadTracker(LoadTrackerOptions options)
@@ -132,7 +143,7 @@
     const bool sharesLast = samples.size() > 1 && now - samples.back().time < sampleSpacing;
     if (!sharesLast) {
         if (samples.size() >= maximumSamples)
-            samples.erase(samples.begin(), samples.begin() + maximumSamples / 2);
+            thinOut(samples);
         samples.push_back({now, 0, 0});
     }
     samples.back().known = known(this->servers[slot]);
--- a/packages/policy/pace/pacemonitor.cpp
+++ b/packages/policy/pace/pacemonitor.cpp
@@ -48,6 +48,11 @@
     assert(options.maximumEjectedShare >= 0.0 && options.maximumEjectedShare < 0.5);
 }
 
+double PaceMonitor::unloadedInterval(double milliseconds, double running, std::uint32_t slots)
+{
+    return milliseconds / (1.0 + std::min(1.0, running / std::max<std::uint32_t>(slots, 1)));
+}
+
 void PaceMonitor::setServers(std::span<const Member> members)
 {
     for (Server &server : this->servers)
--- a/packages/policy/pace/pacemonitor.h
+++ b/packages/policy/pace/pacemonitor.h
@@ -75,15 +75,26 @@
     PaceMonitor(const PaceMonitor &) = delete;
     PaceMonitor &operator=(const PaceMonitor &) = delete;
 
+    /**
+     * Returns a time per token without the share that comes from a full batch.
+     *
+     * A full batch takes up to twice as long per token as an empty one, which is not slowness.
+     *
+     * @param milliseconds measured or reported time per token.
+     * @param running requests running at that time.
+     * @param slots how many can run.
+     */
+    static double unloadedInterval(double milliseconds, double running, std::uint32_t slots);
+
     /** Replaces the servers; what is known of the slots that stay is kept. */
     void setServers(std::span<const Member> members);
     /** Forgets what is known of a slot, as when another server takes it. */
     void resetServer(ServerSlot slot);
-    /** Records an own stream's time per token on a server, in milliseconds. */
+    /** Records an own stream's unloaded time per token on a server, in milliseconds. */
     void recordInterval(ServerSlot slot, double milliseconds, Milliseconds now);
     /** Records how many own streams are in decode on a server, to notice when all stand still. */
     void recordDecoding(ServerSlot slot, std::uint32_t streams);
-    /** Records the time per token that a server reported, in milliseconds. */
+    /** Records the unloaded time per token that a server reported, in milliseconds. */
     void recordReport(ServerSlot slot, double milliseconds, Milliseconds takenAt);
     /** Checks all servers when it is time. */
     void advance(Milliseconds now);
--- a/packages/policy/pool/serverpool.cpp
+++ b/packages/policy/pool/serverpool.cpp
@@ -88,9 +88,10 @@
     ++this->version;
     this->loads.recordReport(*slot, report, now);
     // An idle engine repeats its last interval, which says nothing about now.
+    const double interval = PaceMonitor::unloadedInterval(
+            report.tokenIntervalMilliseconds, report.running, this->states[*slot].slots);
     if (report.running > 0)
-        this->paces.recordReport(*slot, report.tokenIntervalMilliseconds,
-                                 now - std::max(report.age, Milliseconds(0)));
+        this->paces.recordReport(*slot, interval, now - std::max(report.age, Milliseconds(0)));
 }
 
 void ServerPool::recordCacheEvent(const CacheEvent &event, Milliseconds now)
@@ -211,18 +212,7 @@
         digest.entries.push_back({this->descriptions[slot].name, state.ownRunning,
                                   clampTokens(static_cast<double>(state.ownReserved))});
     }
-    const auto byRunning = [](const PeerLoadEntry &left, const PeerLoadEntry &right) {
-        return left.running != right.running ? left.running > right.running
-                                             : left.server < right.server;
-    };
-    if (digest.entries.size() > this->options.digestLimit) {
-        std::sort(digest.entries.begin(), digest.entries.end(), byRunning);
-        digest.entries.resize(this->options.digestLimit);
-    }
-    std::sort(digest.entries.begin(), digest.entries.end(),
-              [](const PeerLoadEntry &left, const PeerLoadEntry &right) {
-                  return left.server < right.server;
-              });
+    keepLargest(digest, this->options.digestLimit);
     return digest;
 }
 
@@ -491,7 +481,10 @@
     if (now <= request.pacedAt)
         return;
     const auto elapsed = static_cast<double>((now - request.pacedAt).count());
-    this->paces.recordInterval(request.slot, elapsed / (tokens - request.pacedTokens), now);
+    const double interval =
+            PaceMonitor::unloadedInterval(elapsed / (tokens - request.pacedTokens),
+                                          this->loads.running(request.slot, now), state.slots);
+    this->paces.recordInterval(request.slot, interval, now);
     request.pacedTokens = tokens;
     request.pacedAt = now;
 }
--- a/packages/policy/servers/loadreport.h
+++ b/packages/policy/servers/loadreport.h
@@ -2,6 +2,7 @@
 
 #include "core/core.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -65,6 +66,9 @@
     std::vector<PeerLoadEntry> entries;
 };
 
+/** Drops the smallest entries beyond a number and sorts the rest by name. */
+void keepLargest(PeerLoadDigest &digest, std::size_t limit);
+
 /** A request that was running on backend servers that died. */
 struct QuarantineRecord
 {
--- a/packages/policy/tests/test_loadtracker.cpp
+++ b/packages/policy/tests/test_loadtracker.cpp
@@ -57,6 +57,17 @@
     REQUIRE(tracker.running(0, at(2300)) == Approx(5.0));
 }
 
+// Guards against a late report compared with too young a memory of the own work.
+TEST_CASE("A late report meets what was known when it was taken", "[load]")
+{
+    LoadTracker tracker;
+    tracker.addServer(0);
+    for (std::int64_t time = 0; time <= 9000; time += 50)
+        tracker.recordOwn(0, time < 5500 ? 11 : 1, 0, at(time));
+    tracker.recordReport(0, reportOf(11, 5000), at(9000));
+    REQUIRE(tracker.running(0, at(9000)) == Approx(1.0));
+}
+
 // Guards against an idle server locked out by an old report that says it is full.
 TEST_CASE("An old report gives way to known work", "[load]")
 {
