--- a/packages/policy/tests/test_serverpool.cpp
+++ b/packages/policy/tests/test_serverpool.cpp
@@ -264,6 +264,22 @@
     REQUIRE(pool.place(work("2", 7000, 900), at(0)));
 }
 
+// Guards against learning a caller's limit or a cancellation as a job's natural length.
+TEST_CASE("Jobs that are cut off do not teach that jobs are short", "[pool]")
+{
+    ServerPool pool(optionsOf());
+    pool.setBackendServers(std::vector{engine("a", 16, 1000000)}, at(0));
+    const std::uint32_t before = pool.place(work("first"), at(0))->reservedTokens;
+    for (int count = 0; count < 200; ++count) {
+        const std::string name = std::to_string(count);
+        REQUIRE(pool.place(work(name, 100, count % 2 == 0 ? 60 : 0), at(0)));
+        pool.recordProgress(RequestName(name), 60, at(10));
+        pool.release(RequestName(name),
+                     count % 2 == 0 ? WorkOutcome::Completed : WorkOutcome::Cancelled, at(20));
+    }
+    REQUIRE(pool.place(work("last"), at(30))->reservedTokens >= before);
+}
+
 // Guards against a request that fits no reservation waiting for ever beside an idle engine.
 TEST_CASE("An idle engine takes a request larger than its memory", "[pool]")
 {
