Admit requests through a fair queue with early refusal, limits, suspension and quarantine

The dispatcher kept one deque, rescanned all of it at each event and held requests for 5 s before it refused them.

--- /dev/null
+++ b/packages/policy/admission/admissionqueue.h
@@ -0,0 +1,171 @@
+#pragma once
+
+#include "policy/work/workrequest.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace sassafrasyard {
+
+/** Bounds and size classes of an AdmissionQueue. */
+struct AdmissionQueueOptions
+{
+    /** How many requests may wait in all. */
+    std::size_t queueLimit = 2000;
+    /** How many requests of one client account may wait. */
+    std::size_t accountQueueLimit = 500;
+    /** A request whose maximumTokens is set and at most this is short, in tokens. */
+    std::uint32_t shortTokens = 256;
+};
+
+/** Requests that the same servers can run; groups never wait for each other. */
+struct QueueGroup
+{
+    /** The model, or the plain service. */
+    ModelName model;
+    /** The model's version, or empty for any. */
+    std::string version;
+    /** Whether the requests are suspected of crashing servers. */
+    bool isSuspect = false;
+
+    /** Orders groups by their fields. */
+    auto operator<=>(const QueueGroup &) const = default;
+};
+
+/** What happened to a request that was handed to the queue. */
+struct QueueResult
+{
+    /** Whether the request waits now. */
+    bool isQueued = false;
+    /** A waiting request that had to leave for it, if any. */
+    std::optional<WorkRequest> displaced;
+};
+
+/**
+ * The waiting requests: weighted fair sharing by client account, priorities and bounded queues.
+ *
+ * Each group has six levels: three priorities, and short before long within each. A level is served
+ * by start-time fair queueing over accounts. Three of four placements go to the first level that
+ * has work, every fourth goes round over all levels, so each level gets at least one placement in
+ * 4 x 6 = 24. All operations are logarithmic in the number of waiting requests.
+ */
+class AdmissionQueue
+{
+public:
+    /** Number of levels in a group. */
+    static constexpr std::size_t levelCount = 6;
+    /** A set of levels, one bit each. */
+    using LevelMask = std::uint32_t;
+
+    /** Creates an empty queue. */
+    explicit AdmissionQueue(AdmissionQueueOptions options);
+    AdmissionQueue(const AdmissionQueue &) = delete;
+    AdmissionQueue &operator=(const AdmissionQueue &) = delete;
+
+    /** Sets the share of an account relative to others. @param weight must be above 0. */
+    void setWeight(const ClientAccountName &account, double weight);
+    /** Returns whether a request counts as short. */
+    bool isShort(const WorkRequest &request) const;
+    /** Returns the level in which a request waits; lower goes first. */
+    std::size_t levelOf(const WorkRequest &request) const;
+
+    /** Hands in a request. Its name must not be in use. @param cost its estimate in tokens. */
+    QueueResult push(const QueueGroup &group, const WorkRequest &request, double cost,
+                     Milliseconds now);
+    /** Returns the request that is next in a group among levels not in the mask, or null. */
+    const WorkRequest *next(const QueueGroup &group, LevelMask skipped) const;
+    /** Removes a request that was placed and charges its account. */
+    void recordPlaced(const RequestName &name);
+    /** Adds the difference between actual and estimated cost to what an account has used. */
+    void correctCharge(const QueueGroup &group, const ClientAccountName &account, double tokens);
+    /** Removes a request without charge and returns it, or nothing if it is not waiting. */
+    std::optional<WorkRequest> remove(const RequestName &name);
+    /** Returns whether a request waits. */
+    bool contains(const RequestName &name) const;
+
+    /** Returns the estimated number of requests served before one that would be pushed now. */
+    double aheadOf(const QueueGroup &group, const WorkRequest &request) const;
+    /** Returns the waiting request with the lowest priority that came last, or null. */
+    const WorkRequest *lowest(const QueueGroup &group) const;
+    /** Returns the request that waits longest if it came before the given instant, or null. */
+    const WorkRequest *oldestBefore(Milliseconds instant) const;
+    /** Returns the groups that have waiting requests. */
+    std::vector<QueueGroup> waitingGroups() const;
+    /** Returns the number of waiting requests in a group. */
+    std::size_t sizeOf(const QueueGroup &group) const;
+    /** Returns the number of waiting requests of an account. */
+    std::size_t sizeOf(const ClientAccountName &account) const;
+    /** Returns the number of waiting requests. */
+    std::size_t size() const;
+    /** Forgets what the accounts used in a group; does nothing while requests wait in it. */
+    void forget(const QueueGroup &group);
+
+private:
+    struct Entry;
+    using Tag = std::pair<double, std::uint64_t>;
+
+    struct Account
+    {
+        std::uint64_t number = 0;
+        double weight = 1.0;
+        std::map<std::pair<int, std::uint64_t>, Entry *> waiting;
+    };
+
+    struct Flow
+    {
+        Tag tag;
+        std::map<std::uint64_t, Entry *> entries;
+    };
+
+    struct Level
+    {
+        std::unordered_map<const Account *, Flow> flows;
+        std::map<Tag, Flow *> order;
+        double activeWeight = 0.0;
+        std::size_t size = 0;
+    };
+
+    struct Group
+    {
+        std::array<Level, levelCount> levels;
+        std::unordered_map<const Account *, double> finishTags;
+        std::map<std::pair<int, std::uint64_t>, Entry *> byPriority;
+        double virtualTime = 0.0;
+        std::uint64_t placements = 0;
+    };
+
+    struct Entry
+    {
+        WorkRequest request;
+        Milliseconds submittedAt{0};
+        std::uint64_t sequence = 0;
+        double cost = 0.0;
+        Group *group = nullptr;
+        std::size_t level = 0;
+        Account *account = nullptr;
+    };
+
+    Account &accountOf(const ClientAccountName &name);
+    Entry *victimFor(const Account &account, int priority);
+    void enqueue(Entry &entry);
+    void dequeue(Entry &entry);
+    void setHead(Group &group, Level &level, Flow &flow, const Account &account);
+    void updateLength(const Account &account, std::size_t before);
+    void pruneTags(Group &group);
+
+    AdmissionQueueOptions options;
+    std::unordered_map<ClientAccountName, Account> accounts;
+    std::map<QueueGroup, Group> groups;
+    std::unordered_map<RequestName, Entry> entries;
+    std::map<std::uint64_t, Entry *> byArrival;
+    std::map<std::pair<double, std::uint64_t>, const Account *> byLength;
+    std::uint64_t lastSequence = 0;
+};
+
+} // namespace sassafrasyard
--- a/packages/policy/dispatch/dispatcher.cpp
+++ b/packages/policy/dispatch/dispatcher.cpp
@@ -1,76 +1,196 @@
 #include "policy/dispatch/dispatcher.h"
 
+#include "policy/quarantine/suspectplacement.h"
+
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace sassafrasyard {
 
 namespace {
 
-constexpr Milliseconds overloadRetryAfter{1000};
+constexpr Milliseconds unknownRetryAfter{1000};
+constexpr Milliseconds shortestRetryAfter{100};
+constexpr Milliseconds longestRetryAfter{30'000};
+constexpr Milliseconds cleaningInterval{1000};
+constexpr Milliseconds groupLifetime{600'000};
+/** Output that is expected of an account without finished requests, in tokens. */
+constexpr double unknownOutput = 512.0;
+constexpr double outputShare = 0.1;
+constexpr double smallestWeight = 0.001;
+/** The backlog may exceed what drains in the permitted wait by this factor. */
+constexpr double backlogTolerance = 1.25;
+constexpr double millisecondsPerSecond = 1000.0;
+/** One guest per this many running requests of a group; at least one. */
+constexpr std::size_t runningPerGuest = 8;
+
+AdmissionQueueOptions queueOptions(const DispatcherOptions &options)
+{
+    return {options.queueLimit, options.accountQueueLimit, options.shortTokens};
+}
+
+CrashQuarantineOptions quarantineOptions(const DispatcherOptions &options)
+{
+    CrashQuarantineOptions result;
+    result.seed = options.seed ^ std::hash<HostName>()(options.host);
+    return result;
+}
+
+AdmissionQueue::LevelMask maskOf(std::size_t level)
+{
+    return AdmissionQueue::LevelMask{1} << level;
+}
+
+/** Spreads retry times by a quarter up and down, so that refused callers don't return together. */
+Milliseconds spread(Milliseconds time, std::uint64_t number)
+{
+    const auto step = static_cast<std::int64_t>(number * 0x9e3779b97f4a7c15ULL >> 56);
+    return time * 3 / 4 + time / 2 * step / 255;
+}
 
 } // namespace
 
 Dispatcher::Dispatcher(DispatcherOptions options)
     : options(std::move(options))
-    , pool({this->options.host, this->options.failureDomain, this->options.placement,
+    , pool({this->options.host, this->options.failureDomain,
+            [this, policy = this->options.placement](
+                    const WorkRequest &request, std::span<const PlacementCandidate> candidates) {
+                return this->choose(policy, request, candidates);
+            },
             this->options.seed})
+    , queue(queueOptions(this->options))
+    , suspension(this->options.suspension)
+    , retries(this->options.retries)
+    , quarantine(quarantineOptions(this->options))
+    , hedging(this->options.hedging)
 {
 }
 
-void Dispatcher::setBackendServers(std::span<const BackendServer> servers, Milliseconds now)
+void Dispatcher::setBackendServers(std::span<const BackendServer> newServers, Milliseconds now)
 {
-    this->pool.setBackendServers(servers, now);
-    this->placeWaiting(now);
+    std::map<BackendServerName, ServerFlags> updated;
+    for (const BackendServer &server : newServers) {
+        ServerFlags &flags = updated[server.name];
+        if (const auto known = this->servers.find(server.name); known != this->servers.end())
+            flags = known->second;
+        flags.isLeaving = server.isLeaving;
+    }
+    this->servers = std::move(updated);
+    this->pool.setBackendServers(newServers, now);
+    this->recordCapacityChange(now);
 }
 
-void Dispatcher::setAccountLimits(std::span<const AccountLimits>) { }
+void Dispatcher::setAccountLimits(std::span<const AccountLimits> limits)
+{
+    std::set<ClientAccountName> named;
+    for (const AccountLimits &account : limits) {
+        named.insert(account.account);
+        this->queue.setWeight(account.account, std::max(smallestWeight, account.weight));
+    }
+    for (const ClientAccountName &account : this->weightedAccounts) {
+        if (!named.contains(account))
+            this->queue.setWeight(account, 1.0);
+    }
+    this->weightedAccounts = std::move(named);
+    this->limiter.setLimits(limits);
+}
 
-void Dispatcher::setLiveHostCount(std::size_t) { }
+void Dispatcher::setLiveHostCount(std::size_t count)
+{
+    this->limiter.setLiveHostCount(count);
+}
 
 void Dispatcher::setLeaving(const BackendServerName &server, bool isLeaving)
 {
+    if (const auto known = this->servers.find(server); known != this->servers.end())
+        known->second.isMarkedLeaving = isLeaving;
     this->pool.setLeaving(server, isLeaving);
 }
 
 void Dispatcher::setReachable(const BackendServerName &server, bool isReachable)
 {
+    if (const auto known = this->servers.find(server); known != this->servers.end())
+        known->second.isReachable = isReachable;
     this->pool.setReachable(server, isReachable);
 }
 
-void Dispatcher::submit(const WorkRequest &request, Milliseconds now)
+void Dispatcher::submit(const WorkRequest &submitted, Milliseconds now)
 {
-    if (this->waiting.size() >= this->options.queueLimit) {
-        this->decisions.emplace_back(
-                Refusal{request.name, ErrorCode::Overloaded, overloadRetryAfter});
+    WorkRequest request = submitted;
+    if (const AccountLimits *limits = this->limiter.find(request.account))
+        request.priority = std::min(request.priority, limits->highestPriority);
+    if (const auto refusal = this->checkAdmission(request, now)) {
+        this->decisions.emplace_back(*refusal);
+        return;
+    }
+    Group &group = this->groupFor(request, now);
+    if (!request.hedgeOf.isEmpty()) {
+        if (!this->tryPlace(group, request, now))
+            this->refuse(request, ErrorCode::Overloaded, this->retryAfter(group, now));
         return;
     }
-    this->waiting.push_back({request, now});
-    this->placeWaiting(now);
+    const double ahead = this->queue.aheadOf(group.key, request);
+    const bool isBlocked = (group.blocked & maskOf(this->queue.levelOf(request))) != 0;
+    if (isBlocked && this->isTooLate(group, ahead, now) && !this->findHost(group, request, now)) {
+        this->refuse(request, ErrorCode::Overloaded, this->retryAfter(group, now));
+        return;
+    }
+    const QueueResult result = this->queue.push(group.key, request, this->costOf(request), now);
+    if (!result.isQueued) {
+        this->refuse(request, ErrorCode::Overloaded, this->retryAfter(group, now));
+        return;
+    }
+    if (result.displaced)
+        this->refuse(*result.displaced, ErrorCode::Overloaded, this->retryAfter(group, now));
+    this->placeGroup(group, now);
+    if (this->queue.contains(request.name) && this->isTooLate(group, ahead, now))
+        this->refuseWaiting(request.name, ErrorCode::Overloaded, this->retryAfter(group, now));
 }
 
 void Dispatcher::recordProgress(const RequestName &request, std::uint32_t tokens, Milliseconds now)
 {
+    const auto known = this->running.find(request);
+    if (known == this->running.end())
+        return;
+    Running &work = known->second;
+    work.tokens = std::max(work.tokens, tokens);
+    work.hasOutput = work.hasOutput || tokens > 0;
+    if (work.host)
+        return;
     this->pool.recordProgress(request, tokens, now);
+    if (work.hasOutput && !this->queue.isShort(work.request))
+        this->suspension.add(request, work.group->number, work.request.priority, work.assignedAt);
 }
 
 void Dispatcher::recordFinished(const RequestName &request, WorkOutcome outcome, Milliseconds now)
 {
-    this->pool.release(request, outcome, now);
-    this->placeWaiting(now);
+    auto node = this->running.extract(request);
+    if (node.empty())
+        return;
+    const Running &work = node.mapped();
+    --work.group->running;
+    work.group->drain.recordFinished(now - work.assignedAt);
+    this->limiter.release(work.request.account);
+    this->suspension.remove(request);
+    this->recordUse(work, outcome);
+    if (outcome == WorkOutcome::ServerLost)
+        this->quarantine.recordDeath(work.request.requestDigest, work.server, now);
+    this->releaseSlot(work, outcome, now);
+    this->findSuspects(now);
+    this->recordCapacityChange(now);
 }
 
 void Dispatcher::withdraw(const RequestName &request, Milliseconds)
 {
-    std::erase_if(this->waiting, [&](const WaitingRequest &candidate) {
-        return candidate.request.name == request;
-    });
+    if (const auto waiting = this->queue.remove(request))
+        this->limiter.release(waiting->account);
 }
 
 void Dispatcher::recordLoadReport(const LoadReport &report, Milliseconds now)
 {
     this->pool.recordLoadReport(report, now);
-    this->placeWaiting(now);
+    this->recordCapacityChange(now);
 }
 
 void Dispatcher::recordCacheEvent(const CacheEvent &event, Milliseconds now)
@@ -80,21 +200,60 @@
 
 void Dispatcher::recordPeerLoad(const PeerLoadDigest &digest, Milliseconds now)
 {
+    if (digest.host == this->options.host)
+        return;
     this->pool.recordPeerLoad(digest, now);
+    this->limiter.recordPeerUse(digest, now);
 }
 
-void Dispatcher::recordPeerQuarantine(std::span<const QuarantineRecord>, Milliseconds) { }
+void Dispatcher::recordPeerQuarantine(std::span<const QuarantineRecord> records, Milliseconds now)
+{
+    this->quarantine.merge(records, now);
+    this->findSuspects(now);
+}
+
+void Dispatcher::recordFirstToken(const RequestName &request, Milliseconds now)
+{
+    const auto known = this->running.find(request);
+    if (known == this->running.end() || known->second.hasOutput)
+        return;
+    known->second.hasOutput = true;
+    this->hedging.recordFirstToken(now - known->second.assignedAt);
+}
+
+bool Dispatcher::takeHedge(const RequestName &request, Milliseconds now)
+{
+    const auto known = this->running.find(request);
+    if (known == this->running.end())
+        return false;
+    Running &work = known->second;
+    HedgeQuery query;
+    query.isIdempotent = work.request.isIdempotent;
+    query.hasOutput = work.hasOutput;
+    // A suspect must not reach a second server while the first one may still die of it.
+    query.isFurtherAttempt = work.isHedged || work.request.isRetry
+            || !work.request.hedgeOf.isEmpty() || work.group->key.isSuspect;
+    query.isSaturated = this->queue.sizeOf(work.group->key) > 0;
+    query.elapsed = now - work.assignedAt;
+    work.isHedged = this->hedging.tryHedge(query) || work.isHedged;
+    return work.isHedged && !query.isFurtherAttempt;
+}
 
 void Dispatcher::advance(Milliseconds now)
 {
     this->pool.advance(now);
-    while (!this->waiting.empty()
-           && now - this->waiting.front().submittedAt >= this->options.maximumWait) {
-        const RequestName name = this->waiting.front().request.name;
-        this->decisions.emplace_back(Refusal{name, ErrorCode::Overloaded, overloadRetryAfter});
-        this->waiting.pop_front();
+    for (const RequestName &request : this->suspension.takeDue(now))
+        this->decisions.emplace_back(Resumption{request});
+    this->recordCapacityChange(now);
+    this->refuseExpired(now);
+    for (const QueueGroup &key : this->queue.waitingGroups())
+        this->refuseBacklog(this->groups.at(key), now);
+    if (now - this->cleanedAt >= cleaningInterval) {
+        this->cleanedAt = now;
+        this->quarantine.advance(now);
+        this->findSuspects(now);
+        this->forgetIdle(now);
     }
-    this->placeWaiting(now);
 }
 
 std::vector<Decision> Dispatcher::takeDecisions()
@@ -104,38 +263,299 @@
 
 PeerLoadDigest Dispatcher::peerLoadDigest(Milliseconds now)
 {
-    return this->pool.peerLoadDigest(now);
+    PeerLoadDigest digest = this->pool.peerLoadDigest(now);
+    digest.hasAccounts = true;
+    digest.accounts = this->limiter.ownUse(now);
+    return digest;
 }
 
-std::vector<QuarantineRecord> Dispatcher::quarantineRecords(Milliseconds) const
+std::vector<QuarantineRecord> Dispatcher::quarantineRecords(Milliseconds now) const
 {
-    return {};
+    return this->quarantine.records(now);
 }
 
 std::size_t Dispatcher::waitingCount() const
 {
-    return this->waiting.size();
+    return this->queue.size();
 }
 
 std::size_t Dispatcher::runningCount() const
 {
-    return this->pool.placedCount();
+    return this->running.size();
 }
 
-void Dispatcher::placeWaiting(Milliseconds now)
+std::optional<Refusal> Dispatcher::checkAdmission(const WorkRequest &request, Milliseconds now)
 {
-    std::deque<WaitingRequest> remaining;
-    for (WaitingRequest &candidate : this->waiting) {
-        const auto placement = this->pool.place(candidate.request, now);
-        if (!placement) {
-            remaining.push_back(std::move(candidate));
-            continue;
+    if (const auto remaining = this->quarantine.refusedFor(request.requestDigest, now))
+        return Refusal{request.name, ErrorCode::RequestQuarantined, *remaining};
+    const bool isFurther = request.isRetry || !request.hedgeOf.isEmpty();
+    if (const auto after = this->limiter.tryAdmit(request.account, isFurther, now))
+        return Refusal{request.name, ErrorCode::LimitExceeded, *after};
+    if (request.isRetry && !this->retries.tryRetry(now)) {
+        this->limiter.release(request.account);
+        return Refusal{request.name, ErrorCode::Overloaded,
+                       spread(unknownRetryAfter, ++this->refusalCount)};
+    }
+    return std::nullopt;
+}
+
+Dispatcher::Group &Dispatcher::groupFor(const WorkRequest &request, Milliseconds now)
+{
+    const QueueGroup key{request.model, request.version,
+                         this->quarantine.isSuspect(request.requestDigest, now)};
+    const auto [known, isNew] = this->groups.try_emplace(key);
+    if (isNew) {
+        known->second.key = key;
+        known->second.number = ++this->groupCount;
+    }
+    known->second.usedAt = now;
+    return known->second;
+}
+
+double Dispatcher::costOf(const WorkRequest &request) const
+{
+    const auto known = this->meanOutput.find(request.account);
+    double output = known == this->meanOutput.end() ? unknownOutput : known->second;
+    if (request.maximumTokens > 0)
+        output = std::min(output, static_cast<double>(request.maximumTokens));
+    return 1.0 + request.promptTokens + output;
+}
+
+void Dispatcher::recordUse(const Running &work, WorkOutcome outcome)
+{
+    if (work.tokens == 0)
+        return;
+    const double actual = 1.0 + work.request.promptTokens + work.tokens;
+    this->queue.correctCharge(work.group->key, work.request.account, actual - work.cost);
+    if (outcome != WorkOutcome::Completed)
+        return;
+    double &mean = this->meanOutput.try_emplace(work.request.account, unknownOutput).first->second;
+    mean += outputShare * (work.tokens - mean);
+}
+
+void Dispatcher::releaseSlot(const Running &work, WorkOutcome outcome, Milliseconds now)
+{
+    const RequestName &name = work.request.name;
+    if (work.host) {
+        --work.group->guests;
+        if (const auto host = this->running.find(*work.host); host != this->running.end()) {
+            host->second.guest.reset();
+            if (this->suspension.resume(*work.host, now))
+                this->decisions.emplace_back(Resumption{*work.host});
+        } else if (const auto held = this->heldSlots.extract(*work.host); !held.empty()) {
+            this->pool.release(held.key(), held.mapped(), now);
         }
-        this->decisions.emplace_back(Assignment{candidate.request.name, placement->server,
-                                                placement->reservedTokens,
-                                                static_cast<int>(candidate.request.priority)});
+        return;
+    }
+    // A guest goes on using the slot, so the pool must count it until the guest ends.
+    if (work.guest && outcome != WorkOutcome::ServerLost)
+        this->heldSlots.emplace(name, outcome);
+    else
+        this->pool.release(name, outcome, now);
+}
+
+void Dispatcher::refuse(const WorkRequest &request, ErrorCode reason, Milliseconds retryAfter)
+{
+    this->limiter.release(request.account);
+    this->decisions.emplace_back(Refusal{request.name, reason, retryAfter});
+}
+
+void Dispatcher::refuseWaiting(const RequestName &name, ErrorCode reason, Milliseconds retryAfter)
+{
+    if (const auto request = this->queue.remove(name))
+        this->refuse(*request, reason, retryAfter);
+}
+
+void Dispatcher::refuseExpired(Milliseconds now)
+{
+    const Milliseconds first = now - this->options.maximumWait + Milliseconds(1);
+    while (const WorkRequest *oldest = this->queue.oldestBefore(first)) {
+        const bool hasServer = this->pool.capacity(oldest->model, now).totalSlots > 0;
+        Group &group = this->groupFor(*oldest, now);
+        this->refuseWaiting(oldest->name,
+                            hasServer ? ErrorCode::Overloaded : ErrorCode::NoBackendServer,
+                            this->retryAfter(group, now));
+    }
+}
+
+void Dispatcher::refuseBacklog(Group &group, Milliseconds now)
+{
+    const auto rate = group.drain.perSecond(group.running, now);
+    if (!rate)
+        return;
+    const double wait = static_cast<double>(this->options.maximumWait.count());
+    const double bound = 1.0 + backlogTolerance * *rate * wait / millisecondsPerSecond;
+    while (static_cast<double>(this->queue.sizeOf(group.key)) > bound) {
+        const RequestName name = this->queue.lowest(group.key)->name;
+        this->refuseWaiting(name, ErrorCode::Overloaded, this->retryAfter(group, now));
+    }
+}
+
+bool Dispatcher::isTooLate(Group &group, double ahead, Milliseconds now)
+{
+    const auto rate = group.drain.perSecond(group.running, now);
+    if (!rate)
+        return false;
+    const double wait = static_cast<double>(this->options.maximumWait.count());
+    return (ahead + 1.0) * millisecondsPerSecond > wait * *rate;
+}
+
+Milliseconds Dispatcher::retryAfter(Group &group, Milliseconds now)
+{
+    Milliseconds after = unknownRetryAfter;
+    if (const auto rate = group.drain.perSecond(group.running, now)) {
+        const double backlog = static_cast<double>(this->queue.sizeOf(group.key)) + 1.0;
+        const double limit = static_cast<double>(longestRetryAfter.count());
+        const double wait =
+                std::min(limit, backlog * millisecondsPerSecond / std::max(*rate, 1e-6));
+        after = Milliseconds(static_cast<std::int64_t>(std::ceil(wait)));
+    }
+    return spread(std::max(shortestRetryAfter, after), ++this->refusalCount);
+}
+
+void Dispatcher::recordCapacityChange(Milliseconds now)
+{
+    for (auto &[key, group] : this->groups)
+        group.blocked = 0;
+    for (const QueueGroup &key : this->queue.waitingGroups())
+        this->placeGroup(this->groups.at(key), now);
+}
+
+void Dispatcher::placeGroup(Group &group, Milliseconds now)
+{
+    AdmissionQueue::LevelMask skipped = 0;
+    while (const WorkRequest *next = this->queue.next(group.key, skipped)) {
+        const AdmissionQueue::LevelMask level = maskOf(this->queue.levelOf(*next));
+        const RequestName name = next->name;
+        if (this->tryPlace(group, *next, now)) {
+            this->queue.recordPlaced(name);
+            group.drain.recordPlaced(this->queue.sizeOf(group.key) == 0, now);
+        } else {
+            skipped |= level;
+        }
+    }
+    if (this->queue.sizeOf(group.key) > 0)
+        group.drain.recordBlocked(now);
+}
+
+bool Dispatcher::tryPlace(Group &group, const WorkRequest &request, Milliseconds now)
+{
+    const AdmissionQueue::LevelMask level = maskOf(this->queue.levelOf(request));
+    if ((group.blocked & level) == 0) {
+        this->isPlacingSuspect = group.key.isSuspect;
+        const auto placement = this->pool.place(request, now);
+        this->isPlacingSuspect = false;
+        if (placement) {
+            this->assign(group, request, *placement, now);
+            return true;
+        }
+        // The failure of a hedge says nothing about others, because it avoids a server.
+        if (request.hedgeOf.isEmpty())
+            group.blocked |= level;
+    }
+    return request.hedgeOf.isEmpty() && this->tryPlaceAsGuest(group, request, now);
+}
+
+bool Dispatcher::tryPlaceAsGuest(Group &group, const WorkRequest &request, Milliseconds now)
+{
+    const auto host = this->findHost(group, request, now);
+    if (!host)
+        return false;
+    this->suspension.suspend(*host, now);
+    this->decisions.emplace_back(Suspension{*host});
+    Running &hosting = this->running.at(*host);
+    hosting.guest = request.name;
+    const auto reserved = static_cast<std::uint32_t>(std::ceil(this->costOf(request)));
+    this->assign(group, request, {hosting.server, reserved}, now);
+    this->running.at(request.name).host = *host;
+    ++group.guests;
+    return true;
+}
+
+std::optional<RequestName> Dispatcher::findHost(const Group &group, const WorkRequest &request,
+                                                Milliseconds now) const
+{
+    const std::size_t limit = std::max<std::size_t>(1, group.running / runningPerGuest);
+    const bool isShort = this->queue.isShort(request);
+    if (group.key.isSuspect || group.guests >= limit
+        || (!isShort && request.priority == Priority::Low)) {
+        return std::nullopt;
+    }
+    const auto highest =
+            static_cast<Priority>(static_cast<int>(request.priority) - (isShort ? 0 : 1));
+    const auto filter = [this](const RequestName &name) {
+        const Running &work = this->running.at(name);
+        return !work.guest && this->isUsable(work.server);
+    };
+    return this->suspension.findVictim(group.number, highest, filter, now);
+}
+
+void Dispatcher::assign(Group &group, const WorkRequest &request, const Placement &placement,
+                        Milliseconds now)
+{
+    Running &work = this->running[request.name];
+    work.request = request;
+    work.group = &group;
+    work.server = placement.server;
+    work.assignedAt = now;
+    work.cost = this->costOf(request);
+    ++group.running;
+    if (!request.isRetry && request.hedgeOf.isEmpty()) {
+        this->retries.recordFirstAttempt(now);
+        this->hedging.recordFirstAttempt();
+    }
+    if (group.key.isSuspect)
+        this->suspectServers.insert(placement.server);
+    const int enginePriority =
+            2 * static_cast<int>(request.priority) + (this->queue.isShort(request) ? 1 : 0);
+    this->decisions.emplace_back(
+            Assignment{request.name, placement.server, placement.reservedTokens, enginePriority});
+}
+
+std::optional<std::size_t> Dispatcher::choose(const PlacementPolicy &policy,
+                                              const WorkRequest &request,
+                                              std::span<const PlacementCandidate> candidates) const
+{
+    const auto hedged = this->running.find(request.hedgeOf);
+    if (hedged == this->running.end() && this->suspectServers.empty() && !this->isPlacingSuspect)
+        return policy(request, candidates);
+    PlacementAvoidance avoidance;
+    avoidance.servers = this->suspectServers;
+    avoidance.prefersIdle = this->isPlacingSuspect;
+    avoidance.mayFallBack = !this->isPlacingSuspect && hedged == this->running.end();
+    if (hedged != this->running.end())
+        avoidance.servers.insert(hedged->second.server);
+    return placeAvoiding(policy, request, candidates, avoidance);
+}
+
+bool Dispatcher::isUsable(const BackendServerName &server) const
+{
+    const auto known = this->servers.find(server);
+    return known != this->servers.end() && !known->second.isLeaving
+            && !known->second.isMarkedLeaving && known->second.isReachable
+            && !this->suspectServers.contains(server);
+}
+
+void Dispatcher::findSuspects(Milliseconds now)
+{
+    this->suspectServers.clear();
+    if (this->quarantine.size() == 0)
+        return;
+    for (const auto &[name, work] : this->running) {
+        if (this->quarantine.isSuspect(work.request.requestDigest, now))
+            this->suspectServers.insert(work.server);
+    }
+}
+
+void Dispatcher::forgetIdle(Milliseconds now)
+{
+    for (auto group = this->groups.begin(); group != this->groups.end();) {
+        const bool isIdle = group->second.running == 0 && this->queue.sizeOf(group->first) == 0
+                && now - group->second.usedAt >= groupLifetime;
+        if (isIdle)
+            this->queue.forget(group->first);
+        group = isIdle ? this->groups.erase(group) : std::next(group);
     }
-    this->waiting = std::move(remaining);
 }
 
 } // namespace sassafrasyard
--- a/packages/policy/dispatch/dispatcher.h
+++ b/packages/policy/dispatch/dispatcher.h
@@ -1,15 +1,26 @@
 #pragma once
 
+#include "policy/admission/accountlimiter.h"
+#include "policy/admission/accountlimits.h"
+#include "policy/admission/admissionqueue.h"
+#include "policy/admission/drainrate.h"
+#include "policy/hedging/hedgepolicy.h"
 #include "policy/placement/placementpolicy.h"
 #include "policy/pool/serverpool.h"
+#include "policy/quarantine/crashquarantine.h"
+#include "policy/retries/retrybudget.h"
 #include "policy/servers/backendserver.h"
 #include "policy/servers/loadreport.h"
+#include "policy/suspension/suspensionpolicy.h"
 #include "policy/work/decision.h"
 #include "policy/work/workrequest.h"
 
 #include <cstddef>
-#include <deque>
+#include <map>
+#include <optional>
+#include <set>
 #include <span>
+#include <unordered_map>
 #include <vector>
 
 namespace sassafrasyard {
@@ -25,27 +36,25 @@
     PlacementPolicy placement = leastOutstandingPlacement();
     /** How many requests may wait on this host. */
     std::size_t queueLimit = 2000;
-    /** How long a request may wait before it is refused, in milliseconds. */
-    Milliseconds maximumWait{5000};
+    /** How many requests of one client account may wait on this host. */
+    std::size_t accountQueueLimit = 500;
+    /**
+     * How long a request may wait before it is refused, in milliseconds. It leaves half of the
+     * target of 1.1 s to the first token for the network, the prompt and one retry.
+     */
+    Milliseconds maximumWait{550};
+    /** A request with maximumTokens set to at most this is short, in tokens. */
+    std::uint32_t shortTokens = 256;
+    /** Bounds on suspensions. */
+    SuspensionOptions suspension;
+    /** Bounds on retries. */
+    RetryBudgetOptions retries;
+    /** When a second attempt is worthwhile. */
+    HedgeOptions hedging;
     /** Seed of every random choice. */
     std::uint64_t seed = 1;
 };
 
-/** The limits of one client account. */
-struct AccountLimits
-{
-    /** The client account. */
-    ClientAccountName account;
-    /** Its share relative to other accounts. */
-    double weight = 1.0;
-    /** Requests it may have running over all entry hosts; 0 for no limit. */
-    std::uint32_t maximumRunning = 0;
-    /** Requests a second it may start over all entry hosts; 0 for no limit. */
-    double requestsPerSecond = 0.0;
-    /** The highest priority its requests may use. */
-    Priority highestPriority = Priority::High;
-};
-
 /**
  * Decides where and when requests run.
  *
@@ -89,7 +98,14 @@
     void recordPeerLoad(const PeerLoadDigest &digest, Milliseconds now);
     /** Records a peer's quarantine records. */
     void recordPeerQuarantine(std::span<const QuarantineRecord> records, Milliseconds now);
-    /** Lets time pass: refuses requests that waited too long, places others. */
+    /** Records that a running request delivered its first output. */
+    void recordFirstToken(const RequestName &request, Milliseconds now);
+    /**
+     * Returns whether to start a second attempt at a running request now, and takes it from the
+     * budget. The second attempt is submitted with WorkRequest::hedgeOf set.
+     */
+    bool takeHedge(const RequestName &request, Milliseconds now);
+    /** Lets time pass: refuses requests that can't be served in time, places others. */
     void advance(Milliseconds now);
 
     /** Returns the decisions made since the last call, in order. */
@@ -104,18 +120,89 @@
     std::size_t runningCount() const;
 
 private:
-    struct WaitingRequest
+    struct Group
+    {
+        QueueGroup key;
+        std::uint64_t number = 0;
+        DrainRate drain;
+        /** Levels whose next request found no place since capacity last changed. */
+        AdmissionQueue::LevelMask blocked = 0;
+        std::size_t running = 0;
+        std::size_t guests = 0;
+        Milliseconds usedAt{0};
+    };
+
+    struct Running
     {
         WorkRequest request;
-        Milliseconds submittedAt;
+        Group *group = nullptr;
+        BackendServerName server;
+        Milliseconds assignedAt{0};
+        std::uint32_t tokens = 0;
+        double cost = 0.0;
+        bool hasOutput = false;
+        bool isHedged = false;
+        /** For a guest, the request whose slot it uses. */
+        std::optional<RequestName> host;
+        /** The guest that uses this request's slot. */
+        std::optional<RequestName> guest;
     };
 
-    void placeWaiting(Milliseconds now);
+    struct ServerFlags
+    {
+        bool isLeaving = false;
+        bool isMarkedLeaving = false;
+        bool isReachable = true;
+    };
+
+    std::optional<Refusal> checkAdmission(const WorkRequest &request, Milliseconds now);
+    Group &groupFor(const WorkRequest &request, Milliseconds now);
+    double costOf(const WorkRequest &request) const;
+    void recordUse(const Running &work, WorkOutcome outcome);
+    void releaseSlot(const Running &work, WorkOutcome outcome, Milliseconds now);
+
+    void refuse(const WorkRequest &request, ErrorCode reason, Milliseconds retryAfter);
+    void refuseWaiting(const RequestName &name, ErrorCode reason, Milliseconds retryAfter);
+    void refuseExpired(Milliseconds now);
+    void refuseBacklog(Group &group, Milliseconds now);
+    bool isTooLate(Group &group, double ahead, Milliseconds now);
+    Milliseconds retryAfter(Group &group, Milliseconds now);
+
+    void recordCapacityChange(Milliseconds now);
+    void placeGroup(Group &group, Milliseconds now);
+    bool tryPlace(Group &group, const WorkRequest &request, Milliseconds now);
+    bool tryPlaceAsGuest(Group &group, const WorkRequest &request, Milliseconds now);
+    std::optional<RequestName> findHost(const Group &group, const WorkRequest &request,
+                                        Milliseconds now) const;
+    void assign(Group &group, const WorkRequest &request, const Placement &placement,
+                Milliseconds now);
+    std::optional<std::size_t> choose(const PlacementPolicy &policy, const WorkRequest &request,
+                                      std::span<const PlacementCandidate> candidates) const;
+    bool isUsable(const BackendServerName &server) const;
+    void findSuspects(Milliseconds now);
+    void forgetIdle(Milliseconds now);
 
     DispatcherOptions options;
     ServerPool pool;
-    std::deque<WaitingRequest> waiting;
+    AdmissionQueue queue;
+    AccountLimiter limiter;
+    SuspensionPolicy suspension;
+    RetryBudget retries;
+    CrashQuarantine quarantine;
+    HedgePolicy hedging;
+    std::map<QueueGroup, Group> groups;
+    std::unordered_map<RequestName, Running> running;
+    /** Requests that ended while a guest used their slot, which the pool still counts. */
+    std::unordered_map<RequestName, WorkOutcome> heldSlots;
+    std::map<BackendServerName, ServerFlags> servers;
+    std::set<BackendServerName> suspectServers;
+    std::unordered_map<ClientAccountName, double> meanOutput;
+    std::set<ClientAccountName> weightedAccounts;
     std::vector<Decision> decisions;
+    std::uint64_t groupCount = 0;
+    std::uint64_t refusalCount = 0;
+    Milliseconds cleanedAt{0};
+    bool isPlacingSuspect = false;
 };
 
 } // namespace sassafrasyard
--- a/packages/policy/policy.h
+++ b/packages/policy/policy.h
@@ -6,10 +6,20 @@
  */
 #pragma once
 
+#include "policy/admission/accountlimiter.h"
+#include "policy/admission/accountlimits.h"
+#include "policy/admission/admissionqueue.h"
+#include "policy/admission/drainrate.h"
+#include "policy/admission/sharedlimit.h"
 #include "policy/dispatch/dispatcher.h"
+#include "policy/hedging/hedgepolicy.h"
 #include "policy/placement/placementpolicy.h"
 #include "policy/pool/serverpool.h"
+#include "policy/quarantine/crashquarantine.h"
+#include "policy/quarantine/suspectplacement.h"
+#include "policy/retries/retrybudget.h"
 #include "policy/servers/backendserver.h"
 #include "policy/servers/loadreport.h"
+#include "policy/suspension/suspensionpolicy.h"
 #include "policy/work/decision.h"
 #include "policy/work/workrequest.h"
--- /dev/null
+++ b/packages/policy/quarantine/crashquarantine.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "policy/servers/loadreport.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace sassafrasyard {
+
+/** Bounds of a CrashQuarantine. */
+struct CrashQuarantineOptions
+{
+    /** Makes the names of this host's incidents differ from those of other hosts and runs. */
+    std::uint64_t seed = 1;
+    /** How many request digests are remembered. */
+    std::size_t digestLimit = 4096;
+    /** How many records go to a peer at once. */
+    std::size_t reportLimit = 256;
+};
+
+/**
+ * Refuses requests that were running on several backend servers that died.
+ *
+ * A death is a set element (request, incident), so a record that comes back changes nothing, and
+ * hosts that have seen the same records in any order agree. Deaths of the same server within 5 s
+ * count once, whichever hosts saw them. Two deaths within 10 min refuse the request for 10 min
+ * after the second.
+ */
+class CrashQuarantine
+{
+public:
+    /** Deaths after which a request is refused. */
+    static constexpr std::uint32_t deathLimit = 2;
+    /** How long a request is refused, and how far apart its deaths may be, in milliseconds. */
+    static constexpr Milliseconds duration{600'000};
+
+    /** Creates a quarantine without records. */
+    explicit CrashQuarantine(CrashQuarantineOptions options = {});
+
+    /** Records that a server was lost while it ran a request; a digest of 0 is ignored. */
+    void recordDeath(std::uint64_t requestDigest, const BackendServerName &server,
+                     Milliseconds now);
+    /** Merges a peer's records; those without an incident are ignored. */
+    void merge(std::span<const QuarantineRecord> records, Milliseconds now);
+    /** Returns how long a request is still refused, or nothing if it may run. */
+    std::optional<Milliseconds> refusedFor(std::uint64_t requestDigest, Milliseconds now) const;
+    /** Returns whether a request was part of a death that still counts. */
+    bool isSuspect(std::uint64_t requestDigest, Milliseconds now) const;
+    /** Returns the records for peers, the latest deaths first; a bounded number. */
+    std::vector<QuarantineRecord> records(Milliseconds now) const;
+    /** Forgets what no longer counts. */
+    void advance(Milliseconds now);
+    /** Returns the number of remembered request digests. */
+    std::size_t size() const;
+
+private:
+    struct Death
+    {
+        std::uint64_t serverDigest = 0;
+        Milliseconds at{0};
+    };
+
+    struct Incident
+    {
+        std::uint64_t name = 0;
+        Milliseconds at{0};
+    };
+
+    using Deaths = std::map<std::uint64_t, Death>;
+
+    std::vector<Milliseconds> separateDeaths(const Deaths &deaths, Milliseconds now) const;
+    void add(std::uint64_t requestDigest, std::uint64_t incident, const Death &death);
+    void evict();
+
+    CrashQuarantineOptions options;
+    std::unordered_map<std::uint64_t, Deaths> digests;
+    std::unordered_map<std::uint64_t, Incident> incidents;
+    std::uint64_t incidentCount = 0;
+};
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/policy/quarantine/suspectplacement.cpp
@@ -0,0 +1,52 @@
+#include "policy/quarantine/suspectplacement.h"
+
+#include <vector>
+
+namespace sassafrasyard {
+
+namespace {
+
+/** Below this estimate of running requests a server counts as idle. */
+constexpr double idleRunning = 0.5;
+
+using Indices = std::vector<std::size_t>;
+
+std::optional<std::size_t> chooseAmong(const PlacementPolicy &policy, const WorkRequest &request,
+                                       std::span<const PlacementCandidate> candidates,
+                                       const Indices &indices)
+{
+    std::vector<PlacementCandidate> chosen;
+    for (const std::size_t index : indices)
+        chosen.push_back(candidates[index]);
+    const auto result = policy(request, chosen);
+    if (!result)
+        return std::nullopt;
+    return indices[*result];
+}
+
+} // namespace
+
+std::optional<std::size_t> placeAvoiding(const PlacementPolicy &policy, const WorkRequest &request,
+                                         std::span<const PlacementCandidate> candidates,
+                                         const PlacementAvoidance &avoidance)
+{
+    Indices apart;
+    Indices idle;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const PlacementCandidate &candidate = candidates[index];
+        if (avoidance.servers.contains(candidate.server->name))
+            continue;
+        apart.push_back(index);
+        if (candidate.ownRunning == 0 && candidate.runningEstimate < idleRunning)
+            idle.push_back(index);
+    }
+    if (avoidance.prefersIdle && !idle.empty())
+        return chooseAmong(policy, request, candidates, idle);
+    if (!apart.empty())
+        return chooseAmong(policy, request, candidates, apart);
+    if (!avoidance.mayFallBack)
+        return std::nullopt;
+    return policy(request, candidates);
+}
+
+} // namespace sassafrasyard
--- a/packages/policy/servers/loadreport.h
+++ b/packages/policy/servers/loadreport.h
@@ -54,6 +54,17 @@
     std::uint32_t reservedTokens = 0;
 };
 
+/** One host's own use of a client account's limits. */
+struct PeerAccountUse
+{
+    /** The client account. */
+    ClientAccountName account;
+    /** Requests that wait or run. */
+    std::uint32_t running = 0;
+    /** Requests started per second, averaged over some seconds. */
+    double startsPerSecond = 0.0;
+};
+
 /** What one entry host tells its peers about its own dispatches. */
 struct PeerLoadDigest
 {
@@ -63,17 +74,25 @@
     std::uint64_t sequence = 0;
     /** The backend servers on which the host has work; a bounded number. */
     std::vector<PeerLoadEntry> entries;
+    /** Whether accounts was filled in; if not, nothing is known about the host's accounts. */
+    bool hasAccounts = false;
+    /** Accounts that use their limits, a bounded number; see AccountLimiter::reportedAccounts. */
+    std::vector<PeerAccountUse> accounts;
 };
 
-/** A request that was running on backend servers that died. */
+/** One death of a backend server on which a request was running. */
 struct QuarantineRecord
 {
     /** WorkRequest::requestDigest of the request. */
     std::uint64_t requestDigest = 0;
-    /** How many backend server deaths it was part of. */
+    /** How many backend server deaths the sender counts for the request. */
     std::uint32_t deaths = 0;
     /** How long the record still counts. */
     Milliseconds remaining{0};
+    /** Names the death; the same on all hosts that heard of it from the same host. */
+    std::uint64_t incident = 0;
+    /** A digest of the name of the backend server that died. */
+    std::uint64_t serverDigest = 0;
 };
 
 } // namespace sassafrasyard
--- a/packages/policy/work/workrequest.h
+++ b/packages/policy/work/workrequest.h
@@ -38,6 +38,8 @@
     bool isIdempotent = true;
     /** Whether this is a further attempt at a request that was placed before. */
     bool isRetry = false;
+    /** The running request that this one hedges, or empty; a hedge avoids its server. */
+    RequestName hedgeOf;
 };
 
 /** How a piece of work ended. */
