Carry account use and crash incidents in gossip; test the parts of admission

A crash count alone can't be merged: the same death told back would count twice, or two deaths seen by two hosts only once. Records now name the incident. The property on the rate limit failed first: a caller that waited the stated time was refused again, because the refill rounds down. The time is now a millisecond longer.

--- a/packages/entry/dispatch/dispatchservice.cpp
+++ b/packages/entry/dispatch/dispatchservice.cpp
@@ -197,6 +197,21 @@
     });
 }
 
+void DispatchService::reportFirstToken(const RequestName &request)
+{
+    this->post([request](Dispatcher &dispatcher, Milliseconds now) {
+        dispatcher.recordFirstToken(request, now);
+    });
+}
+
+net::awaitable<bool> DispatchService::takeHedge(RequestName request)
+{
+    const std::function<bool(State &)> job = [this, request](State &state) {
+        return state.dispatcher.takeHedge(request, this->entry.steadyClock.now());
+    };
+    co_return co_await this->owner->ask<bool>(job);
+}
+
 void DispatchService::reportFinished(const RequestName &request, WorkOutcome outcome)
 {
     this->owner->post([this, request, outcome](State &state) {
--- a/packages/entry/dispatch/dispatchservice.h
+++ b/packages/entry/dispatch/dispatchservice.h
@@ -50,6 +50,10 @@
     boost::asio::awaitable<bool> awaitResumption(RequestName request);
     /** Reports progress of a running request, in tokens so far. */
     void reportProgress(const RequestName &request, std::uint32_t tokens);
+    /** Reports the first output of a running request. */
+    void reportFirstToken(const RequestName &request);
+    /** Asks whether to start a second attempt at a running request now; takes it if so. */
+    boost::asio::awaitable<bool> takeHedge(RequestName request);
     /** Reports the end of a running request. */
     void reportFinished(const RequestName &request, WorkOutcome outcome);
     /** Runs a closure over the dispatcher, for reports of servers and peers. */
--- a/packages/entry/peers/peerservice.cpp
+++ b/packages/entry/peers/peerservice.cpp
@@ -66,6 +66,10 @@
     for (const LoadEntryMessage &entry : gossip.load)
         digest.entries.push_back(
                 {BackendServerName(entry.server), entry.running, entry.reservedTokens});
+    digest.hasAccounts = true;
+    for (const AccountUseMessage &use : gossip.accounts)
+        digest.accounts.push_back(
+                {ClientAccountName(use.account), use.running, use.startsPerSecond});
     return digest;
 }
 
@@ -74,7 +78,8 @@
     std::vector<QuarantineRecord> records;
     for (const QuarantineMessage &message : gossip.quarantine) {
         records.push_back({message.requestDigest, message.deaths,
-                           Milliseconds(message.remainingMilliseconds)});
+                           Milliseconds(message.remainingMilliseconds), message.incident,
+                           message.serverDigest});
     }
     return records;
 }
@@ -366,10 +371,13 @@
     gossip.loadSequence = digest.sequence;
     for (const PeerLoadEntry &entry : digest.entries)
         gossip.load.push_back({entry.server.toString(), entry.running, entry.reservedTokens});
+    for (const PeerAccountUse &use : digest.accounts)
+        gossip.accounts.push_back({use.account.toString(), use.running, use.startsPerSecond});
     const std::vector<QuarantineRecord> quarantine = co_await this->dispatch.quarantineRecords();
     for (const QuarantineRecord &record : quarantine) {
         gossip.quarantine.push_back({record.requestDigest, record.deaths,
-                                     static_cast<std::uint64_t>(record.remaining.count())});
+                                     static_cast<std::uint64_t>(record.remaining.count()),
+                                     record.incident, record.serverDigest});
     }
     for (const BackendServerName &server : this->monitor.leavingServers())
         gossip.leavingServers.push_back(server.toString());
--- a/packages/policy/admission/accountlimiter.cpp
+++ b/packages/policy/admission/accountlimiter.cpp
@@ -72,8 +72,8 @@
         refill(account, now);
         if (account.bucket < 1.0) {
             const double wait = (1.0 - account.bucket) / account.rateLimit.allowance();
-            const Milliseconds after(
-                    static_cast<std::int64_t>(std::ceil(wait * millisecondsPerSecond)));
+            // A whole millisecond more, because the refill is rounded and may fall just short.
+            const Milliseconds after(static_cast<std::int64_t>(wait * millisecondsPerSecond) + 1);
             return std::min(after, longestRetryAfter);
         }
         account.bucket -= 1.0;
--- /dev/null
+++ b/packages/policy/admission/waitprediction.cpp
@@ -0,0 +1,57 @@
+#include "policy/admission/waitprediction.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sassafrasyard {
+
+namespace {
+
+constexpr Milliseconds unknownRetryAfter{1000};
+constexpr Milliseconds shortestRetryAfter{100};
+constexpr Milliseconds longestRetryAfter{30'000};
+constexpr double millisecondsPerSecond = 1000.0;
+constexpr double smallestRate = 1e-6;
+/**
+ * The backlog may exceed what drains in the permitted wait by this factor, so that the noise of
+ * the measured rate does not refuse requests that were admitted a moment ago.
+ */
+constexpr double backlogTolerance = 1.25;
+
+} // namespace
+
+WaitPrediction::WaitPrediction(std::optional<double> rate, Milliseconds permittedWait)
+    : rate(rate)
+    , permittedMilliseconds(static_cast<double>(permittedWait.count()))
+{
+}
+
+bool WaitPrediction::isTooLate(double ahead) const
+{
+    return this->rate
+            && (ahead + 1.0) * millisecondsPerSecond > this->permittedMilliseconds * *this->rate;
+}
+
+bool WaitPrediction::isBacklogTooLong(std::size_t waiting) const
+{
+    if (!this->rate)
+        return false;
+    const double drained = *this->rate * this->permittedMilliseconds / millisecondsPerSecond;
+    return static_cast<double>(waiting) > 1.0 + backlogTolerance * drained;
+}
+
+Milliseconds WaitPrediction::retryAfter(std::size_t waiting, std::uint64_t number) const
+{
+    Milliseconds after = unknownRetryAfter;
+    if (this->rate) {
+        const double wait = (static_cast<double>(waiting) + 1.0) * millisecondsPerSecond
+                / std::max(smallestRate, *this->rate);
+        const double limit = static_cast<double>(longestRetryAfter.count());
+        after = Milliseconds(static_cast<std::int64_t>(std::ceil(std::min(wait, limit))));
+    }
+    after = std::max(after, shortestRetryAfter);
+    const auto step = static_cast<std::int64_t>(number * 0x9e3779b97f4a7c15ULL >> 56);
+    return after * 3 / 4 + after * step / 510;
+}
+
+} // namespace sassafrasyard
--- a/packages/policy/dispatch/dispatcher.cpp
+++ b/packages/policy/dispatch/dispatcher.cpp
@@ -10,18 +10,11 @@
 
 namespace {
 
-constexpr Milliseconds unknownRetryAfter{1000};
-constexpr Milliseconds shortestRetryAfter{100};
-constexpr Milliseconds longestRetryAfter{30'000};
 constexpr Milliseconds cleaningInterval{1000};
 constexpr Milliseconds groupLifetime{600'000};
-/** Output that is expected of an account without finished requests, in tokens. */
-constexpr double unknownOutput = 512.0;
-constexpr double outputShare = 0.1;
+/** Retries are counted over 10 s, so a second later the budget may permit one again. */
+constexpr Milliseconds retryBudgetDelay{1000};
 constexpr double smallestWeight = 0.001;
-/** The backlog may exceed what drains in the permitted wait by this factor. */
-constexpr double backlogTolerance = 1.25;
-constexpr double millisecondsPerSecond = 1000.0;
 /** One guest per this many running requests of a group; at least one. */
 constexpr std::size_t runningPerGuest = 8;
 
@@ -42,13 +35,6 @@
     return AdmissionQueue::LevelMask{1} << level;
 }
 
-/** Spreads retry times by a quarter up and down, so that refused callers don't return together. */
-Milliseconds spread(Milliseconds time, std::uint64_t number)
-{
-    const auto step = static_cast<std::int64_t>(number * 0x9e3779b97f4a7c15ULL >> 56);
-    return time * 3 / 4 + time / 2 * step / 255;
-}
-
 } // namespace
 
 Dispatcher::Dispatcher(DispatcherOptions options)
@@ -69,14 +55,7 @@
 
 void Dispatcher::setBackendServers(std::span<const BackendServer> newServers, Milliseconds now)
 {
-    std::map<BackendServerName, ServerFlags> updated;
-    for (const BackendServer &server : newServers) {
-        ServerFlags &flags = updated[server.name];
-        if (const auto known = this->servers.find(server.name); known != this->servers.end())
-            flags = known->second;
-        flags.isLeaving = server.isLeaving;
-    }
-    this->servers = std::move(updated);
+    this->servers.setBackendServers(newServers);
     this->pool.setBackendServers(newServers, now);
     this->recordCapacityChange(now);
 }
@@ -103,15 +82,13 @@
 
 void Dispatcher::setLeaving(const BackendServerName &server, bool isLeaving)
 {
-    if (const auto known = this->servers.find(server); known != this->servers.end())
-        known->second.isMarkedLeaving = isLeaving;
+    this->servers.setLeaving(server, isLeaving);
     this->pool.setLeaving(server, isLeaving);
 }
 
 void Dispatcher::setReachable(const BackendServerName &server, bool isReachable)
 {
-    if (const auto known = this->servers.find(server); known != this->servers.end())
-        known->second.isReachable = isReachable;
+    this->servers.setReachable(server, isReachable);
     this->pool.setReachable(server, isReachable);
 }
 
@@ -132,11 +109,13 @@
     }
     const double ahead = this->queue.aheadOf(group.key, request);
     const bool isBlocked = (group.blocked & maskOf(this->queue.levelOf(request))) != 0;
-    if (isBlocked && this->isTooLate(group, ahead, now) && !this->findHost(group, request, now)) {
+    if (isBlocked && this->predict(group, now).isTooLate(ahead)
+        && !this->findHost(group, request, now)) {
         this->refuse(request, ErrorCode::Overloaded, this->retryAfter(group, now));
         return;
     }
-    const QueueResult result = this->queue.push(group.key, request, this->costOf(request), now);
+    const QueueResult result =
+            this->queue.push(group.key, request, this->costs.estimate(request), now);
     if (!result.isQueued) {
         this->refuse(request, ErrorCode::Overloaded, this->retryAfter(group, now));
         return;
@@ -144,7 +123,7 @@
     if (result.displaced)
         this->refuse(*result.displaced, ErrorCode::Overloaded, this->retryAfter(group, now));
     this->placeGroup(group, now);
-    if (this->queue.contains(request.name) && this->isTooLate(group, ahead, now))
+    if (this->queue.contains(request.name) && this->predict(group, now).isTooLate(ahead))
         this->refuseWaiting(request.name, ErrorCode::Overloaded, this->retryAfter(group, now));
 }
 
@@ -293,8 +272,7 @@
         return Refusal{request.name, ErrorCode::LimitExceeded, *after};
     if (request.isRetry && !this->retries.tryRetry(now)) {
         this->limiter.release(request.account);
-        return Refusal{request.name, ErrorCode::Overloaded,
-                       spread(unknownRetryAfter, ++this->refusalCount)};
+        return Refusal{request.name, ErrorCode::Overloaded, retryBudgetDelay};
     }
     return std::nullopt;
 }
@@ -312,25 +290,14 @@
     return known->second;
 }
 
-double Dispatcher::costOf(const WorkRequest &request) const
-{
-    const auto known = this->meanOutput.find(request.account);
-    double output = known == this->meanOutput.end() ? unknownOutput : known->second;
-    if (request.maximumTokens > 0)
-        output = std::min(output, static_cast<double>(request.maximumTokens));
-    return 1.0 + request.promptTokens + output;
-}
-
 void Dispatcher::recordUse(const Running &work, WorkOutcome outcome)
 {
     if (work.tokens == 0)
         return;
-    const double actual = 1.0 + work.request.promptTokens + work.tokens;
+    const double actual = CostEstimator::actual(work.request, work.tokens);
     this->queue.correctCharge(work.group->key, work.request.account, actual - work.cost);
-    if (outcome != WorkOutcome::Completed)
-        return;
-    double &mean = this->meanOutput.try_emplace(work.request.account, unknownOutput).first->second;
-    mean += outputShare * (work.tokens - mean);
+    if (outcome == WorkOutcome::Completed)
+        this->costs.recordCompleted(work.request, work.tokens);
 }
 
 void Dispatcher::releaseSlot(const Running &work, WorkOutcome outcome, Milliseconds now)
@@ -380,37 +347,22 @@
 
 void Dispatcher::refuseBacklog(Group &group, Milliseconds now)
 {
-    const auto rate = group.drain.perSecond(group.running, now);
-    if (!rate)
-        return;
-    const double wait = static_cast<double>(this->options.maximumWait.count());
-    const double bound = 1.0 + backlogTolerance * *rate * wait / millisecondsPerSecond;
-    while (static_cast<double>(this->queue.sizeOf(group.key)) > bound) {
+    const WaitPrediction prediction = this->predict(group, now);
+    while (prediction.isBacklogTooLong(this->queue.sizeOf(group.key))) {
         const RequestName name = this->queue.lowest(group.key)->name;
         this->refuseWaiting(name, ErrorCode::Overloaded, this->retryAfter(group, now));
     }
 }
 
-bool Dispatcher::isTooLate(Group &group, double ahead, Milliseconds now)
+WaitPrediction Dispatcher::predict(Group &group, Milliseconds now) const
 {
-    const auto rate = group.drain.perSecond(group.running, now);
-    if (!rate)
-        return false;
-    const double wait = static_cast<double>(this->options.maximumWait.count());
-    return (ahead + 1.0) * millisecondsPerSecond > wait * *rate;
+    return {group.drain.perSecond(group.running, now), this->options.maximumWait};
 }
 
 Milliseconds Dispatcher::retryAfter(Group &group, Milliseconds now)
 {
-    Milliseconds after = unknownRetryAfter;
-    if (const auto rate = group.drain.perSecond(group.running, now)) {
-        const double backlog = static_cast<double>(this->queue.sizeOf(group.key)) + 1.0;
-        const double limit = static_cast<double>(longestRetryAfter.count());
-        const double wait =
-                std::min(limit, backlog * millisecondsPerSecond / std::max(*rate, 1e-6));
-        after = Milliseconds(static_cast<std::int64_t>(std::ceil(wait)));
-    }
-    return spread(std::max(shortestRetryAfter, after), ++this->refusalCount);
+    return this->predict(group, now)
+            .retryAfter(this->queue.sizeOf(group.key), ++this->refusalCount);
 }
 
 void Dispatcher::recordCapacityChange(Milliseconds now)
@@ -465,7 +417,7 @@
     this->decisions.emplace_back(Suspension{*host});
     Running &hosting = this->running.at(*host);
     hosting.guest = request.name;
-    const auto reserved = static_cast<std::uint32_t>(std::ceil(this->costOf(request)));
+    const auto reserved = static_cast<std::uint32_t>(std::ceil(this->costs.estimate(request)));
     this->assign(group, request, {hosting.server, reserved}, now);
     this->running.at(request.name).host = *host;
     ++group.guests;
@@ -485,7 +437,8 @@
             static_cast<Priority>(static_cast<int>(request.priority) - (isShort ? 0 : 1));
     const auto filter = [this](const RequestName &name) {
         const Running &work = this->running.at(name);
-        return !work.guest && this->isUsable(work.server);
+        return !work.guest && this->servers.isUsable(work.server)
+                && !this->suspectServers.contains(work.server);
     };
     return this->suspension.findVictim(group.number, highest, filter, now);
 }
@@ -498,7 +451,7 @@
     work.group = &group;
     work.server = placement.server;
     work.assignedAt = now;
-    work.cost = this->costOf(request);
+    work.cost = this->costs.estimate(request);
     ++group.running;
     if (!request.isRetry && request.hedgeOf.isEmpty()) {
         this->retries.recordFirstAttempt(now);
@@ -528,14 +481,6 @@
     return placeAvoiding(policy, request, candidates, avoidance);
 }
 
-bool Dispatcher::isUsable(const BackendServerName &server) const
-{
-    const auto known = this->servers.find(server);
-    return known != this->servers.end() && !known->second.isLeaving
-            && !known->second.isMarkedLeaving && known->second.isReachable
-            && !this->suspectServers.contains(server);
-}
-
 void Dispatcher::findSuspects(Milliseconds now)
 {
     this->suspectServers.clear();
--- a/packages/policy/dispatch/dispatcher.h
+++ b/packages/policy/dispatch/dispatcher.h
@@ -3,7 +3,10 @@
 #include "policy/admission/accountlimiter.h"
 #include "policy/admission/accountlimits.h"
 #include "policy/admission/admissionqueue.h"
+#include "policy/admission/costestimator.h"
 #include "policy/admission/drainrate.h"
+#include "policy/admission/waitprediction.h"
+#include "policy/dispatch/serverflags.h"
 #include "policy/hedging/hedgepolicy.h"
 #include "policy/placement/placementpolicy.h"
 #include "policy/pool/serverpool.h"
@@ -148,16 +151,8 @@
         std::optional<RequestName> guest;
     };
 
-    struct ServerFlags
-    {
-        bool isLeaving = false;
-        bool isMarkedLeaving = false;
-        bool isReachable = true;
-    };
-
     std::optional<Refusal> checkAdmission(const WorkRequest &request, Milliseconds now);
     Group &groupFor(const WorkRequest &request, Milliseconds now);
-    double costOf(const WorkRequest &request) const;
     void recordUse(const Running &work, WorkOutcome outcome);
     void releaseSlot(const Running &work, WorkOutcome outcome, Milliseconds now);
 
@@ -165,7 +160,7 @@
     void refuseWaiting(const RequestName &name, ErrorCode reason, Milliseconds retryAfter);
     void refuseExpired(Milliseconds now);
     void refuseBacklog(Group &group, Milliseconds now);
-    bool isTooLate(Group &group, double ahead, Milliseconds now);
+    WaitPrediction predict(Group &group, Milliseconds now) const;
     Milliseconds retryAfter(Group &group, Milliseconds now);
 
     void recordCapacityChange(Milliseconds now);
@@ -178,7 +173,6 @@
                 Milliseconds now);
     std::optional<std::size_t> choose(const PlacementPolicy &policy, const WorkRequest &request,
                                       std::span<const PlacementCandidate> candidates) const;
-    bool isUsable(const BackendServerName &server) const;
     void findSuspects(Milliseconds now);
     void forgetIdle(Milliseconds now);
 
@@ -194,9 +188,9 @@
     std::unordered_map<RequestName, Running> running;
     /** Requests that ended while a guest used their slot, which the pool still counts. */
     std::unordered_map<RequestName, WorkOutcome> heldSlots;
-    std::map<BackendServerName, ServerFlags> servers;
+    ServerFlags servers;
     std::set<BackendServerName> suspectServers;
-    std::unordered_map<ClientAccountName, double> meanOutput;
+    CostEstimator costs;
     std::set<ClientAccountName> weightedAccounts;
     std::vector<Decision> decisions;
     std::uint64_t groupCount = 0;
--- a/packages/policy/servers/loadreport.h
+++ b/packages/policy/servers/loadreport.h
@@ -77,7 +77,7 @@
     /** Whether accounts was filled in; if not, nothing is known about the host's accounts. */
     bool hasAccounts = false;
     /** Accounts that use their limits, a bounded number; see AccountLimiter::reportedAccounts. */
-    std::vector<PeerAccountUse> accounts;
+    std::vector<PeerAccountUse> accounts = {};
 };
 
 /** One death of a backend server on which a request was running. */
--- /dev/null
+++ b/packages/policy/tests/test_accountlimiter.cpp
@@ -0,0 +1,138 @@
+#include "policy/policy.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+#include <memory>
+
+using namespace sassafrasyard;
+
+namespace {
+
+const ClientAccountName account{"north"};
+
+AccountLimits limitsOf(std::uint32_t running, double rate)
+{
+    AccountLimits limits;
+    limits.account = account;
+    limits.maximumRunning = running;
+    limits.requestsPerSecond = rate;
+    return limits;
+}
+
+/** Several hosts that report to each other. */
+struct Fleet
+{
+    Fleet(std::size_t hosts, const AccountLimits &limits)
+        : running(hosts, 0)
+    {
+        for (std::size_t index = 0; index < hosts; ++index) {
+            this->limiters.push_back(std::make_unique<AccountLimiter>());
+            this->limiters.back()->setLiveHostCount(hosts);
+            this->limiters.back()->setLimits(std::span(&limits, 1));
+        }
+    }
+
+    void report(std::size_t from, Milliseconds now)
+    {
+        PeerLoadDigest digest;
+        digest.host = HostName(std::to_string(from));
+        digest.sequence = static_cast<std::uint64_t>(now.count());
+        digest.hasAccounts = true;
+        digest.accounts = this->limiters[from]->ownUse(now);
+        for (std::size_t to = 0; to < this->limiters.size(); ++to) {
+            if (to != from)
+                this->limiters[to]->recordPeerUse(digest, now);
+        }
+    }
+
+    std::vector<std::unique_ptr<AccountLimiter>> limiters;
+    std::vector<std::uint32_t> running;
+};
+
+} // namespace
+
+// Guards against more overshoot than docs/admission.md states.
+TEST_CASE("Running requests stay within twice the limit whatever the reports say", "[policy]")
+{
+    rc::prop("random demand, reports lost or late", [] {
+        const auto hosts = *rc::gen::inRange<std::size_t>(1, 9);
+        const std::uint32_t limit = *rc::gen::inRange(8U, 100U);
+        Fleet fleet(hosts, limitsOf(limit, 0.0));
+        for (int step = 0; step < 300; ++step) {
+            const Milliseconds now(1000 + step * 250);
+            const auto busy = *rc::gen::inRange<std::size_t>(0, hosts);
+            const bool ends = *rc::gen::inRange(0, 3) == 0;
+            for (int index = 0; index < 40; ++index) {
+                if (ends && fleet.running[busy] > 0) {
+                    fleet.limiters[busy]->release(account);
+                    --fleet.running[busy];
+                } else if (!ends && !fleet.limiters[busy]->tryAdmit(account, false, now)) {
+                    ++fleet.running[busy];
+                }
+            }
+            if (*rc::gen::arbitrary<bool>())
+                fleet.report(*rc::gen::inRange<std::size_t>(0, hosts), now);
+            std::uint32_t total = 0;
+            for (const std::uint32_t running : fleet.running)
+                total += running;
+            RC_ASSERT(total <= 2 * limit);
+        }
+    });
+}
+
+// Guards against an account confined to one host's share while the other hosts are idle.
+TEST_CASE("A busy host borrows what idle peers report as unused", "[policy]")
+{
+    Fleet fleet(4, limitsOf(100, 0.0));
+    for (int step = 0; step < 120; ++step) {
+        const Milliseconds now(1000 + step * 500);
+        while (!fleet.limiters[0]->tryAdmit(account, false, now))
+            ++fleet.running[0];
+        for (std::size_t host = 0; host < 4; ++host)
+            fleet.report(host, now);
+        REQUIRE(fleet.running[0] <= 100);
+        if (step == 0)
+            REQUIRE(fleet.running[0] == 25);
+    }
+    REQUIRE(fleet.running[0] >= 90);
+}
+
+// Guards against borrowing from peers that are silent.
+TEST_CASE("Without reports a host keeps to its share", "[policy]")
+{
+    AccountLimiter limiter;
+    const AccountLimits limits = limitsOf(40, 0.0);
+    limiter.setLimits(std::span(&limits, 1));
+    limiter.setLiveHostCount(4);
+    int admitted = 0;
+    for (int step = 0; step < 1000; ++step)
+        admitted += limiter.tryAdmit(account, false, Milliseconds(step * 100)) ? 0 : 1;
+    REQUIRE(admitted == 10);
+}
+
+// Guards against a token bucket that lets more through than rate and burst allow.
+TEST_CASE("The rate limit admits the rate plus one burst and says when to come back", "[policy]")
+{
+    rc::prop("over any time", [] {
+        AccountLimiter limiter;
+        const double rate = *rc::gen::inRange(1, 50);
+        const AccountLimits limits = limitsOf(0, rate);
+        limiter.setLimits(std::span(&limits, 1));
+        Milliseconds now(1);
+        int admitted = 0;
+        for (int step = 0; step < 300; ++step) {
+            now += Milliseconds(*rc::gen::inRange(0, 40));
+            const auto after = limiter.tryAdmit(account, false, now);
+            admitted += after ? 0 : 1;
+            RC_ASSERT(admitted <= rate * static_cast<double>(now.count()) / 1000.0 + rate + 1.0);
+            if (!after)
+                continue;
+            RC_ASSERT(*after > Milliseconds(0));
+            now += *after;
+            RC_ASSERT(!limiter.tryAdmit(account, false, now));
+            ++admitted;
+        }
+    });
+}
--- /dev/null
+++ b/packages/policy/tests/test_suspension.cpp
@@ -0,0 +1,44 @@
+#include "policy/policy.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+using namespace sassafrasyard;
+
+// Guards against long work that starves because short work keeps arriving.
+TEST_CASE("Suspensions stay within their share and length", "[policy]")
+{
+    rc::prop("for any demand", [] {
+        SuspensionPolicy policy;
+        const Milliseconds step{10};
+        const int streams = *rc::gen::inRange(1, 12);
+        for (int index = 0; index < streams; ++index)
+            policy.add(RequestName(std::to_string(index)), 1, Priority::Normal,
+                       Milliseconds(index * 37));
+        std::map<RequestName, Milliseconds> since;
+        const auto end = [&](const RequestName &name, Milliseconds now) {
+            const Milliseconds length = now - since.at(name);
+            since.erase(name);
+            // An end that falls between two steps is late by up to one step.
+            RC_ASSERT(length < Milliseconds(2000) + step);
+            const Milliseconds placedAt(std::stoi(name.toString()) * 37);
+            RC_ASSERT(static_cast<double>(policy.totalSuspended(name).count())
+                      < 0.2 * static_cast<double>((now - placedAt).count())
+                              + static_cast<double>(step.count()));
+        };
+        const auto accept = [](const RequestName &) {
+            return true;
+        };
+        for (Milliseconds now{0}; now < Milliseconds(30'000); now += step) {
+            for (const RequestName &name : policy.takeDue(now))
+                end(name, now);
+            if (const auto victim = policy.findVictim(1, Priority::High, accept, now)) {
+                policy.suspend(*victim, now);
+                since[*victim] = now;
+            }
+            RC_ASSERT(since.size()
+                      <= std::max<std::size_t>(1, static_cast<std::size_t>(streams) / 8));
+        }
+    });
+}
--- a/packages/protocol/messages/messagecodec.cpp
+++ b/packages/protocol/messages/messagecodec.cpp
@@ -30,15 +30,23 @@
 void visitFields(Visitor &visit, auto &record) requires
         std::is_same_v<std::remove_cvref_t<decltype(record)>, QuarantineMessage>
 {
-    visit(record.requestDigest, record.deaths, record.remainingMilliseconds);
+    visit(record.requestDigest, record.deaths, record.remainingMilliseconds, record.incident,
+          record.serverDigest);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &use) requires
+        std::is_same_v<std::remove_cvref_t<decltype(use)>, AccountUseMessage>
+{
+    visit(use.account, use.running, use.startsPerSecond);
 }
 
 template <typename Visitor>
 void visitFields(Visitor &visit, auto &gossip) requires
         std::is_same_v<std::remove_cvref_t<decltype(gossip)>, Gossip>
 {
-    visit(gossip.members, gossip.loadHost, gossip.loadSequence, gossip.load, gossip.quarantine,
-          gossip.leavingServers, gossip.revision);
+    visit(gossip.members, gossip.loadHost, gossip.loadSequence, gossip.load, gossip.accounts,
+          gossip.quarantine, gossip.leavingServers, gossip.revision);
 }
 
 template <typename Visitor>
--- a/packages/protocol/messages/peermessage.h
+++ b/packages/protocol/messages/peermessage.h
@@ -55,15 +55,33 @@
     bool operator==(const LoadEntryMessage &) const = default;
 };
 
-/** A request digest that was part of backend server deaths. */
+/** The sending host's use of one client account's limits. */
+struct AccountUseMessage
+{
+    /** The client account. */
+    std::string account;
+    /** Requests that wait or run. */
+    std::uint32_t running = 0;
+    /** Requests started per second. */
+    double startsPerSecond = 0.0;
+
+    /** Compares all fields. */
+    bool operator==(const AccountUseMessage &) const = default;
+};
+
+/** One death of a backend server on which a request was running. */
 struct QuarantineMessage
 {
     /** The request's digest. */
     std::uint64_t requestDigest = 0;
-    /** How many deaths. */
+    /** How many deaths the sender counts. */
     std::uint32_t deaths = 0;
     /** How long the record still counts, in milliseconds. */
     std::uint64_t remainingMilliseconds = 0;
+    /** Names the death. */
+    std::uint64_t incident = 0;
+    /** A digest of the backend server's name. */
+    std::uint64_t serverDigest = 0;
 
     /** Compares all fields. */
     bool operator==(const QuarantineMessage &) const = default;
@@ -80,6 +98,8 @@
     std::uint64_t loadSequence = 0;
     /** Load entries of that host. */
     std::vector<LoadEntryMessage> load;
+    /** That host's use of account limits. */
+    std::vector<AccountUseMessage> accounts;
     /** Quarantine records. */
     std::vector<QuarantineMessage> quarantine;
     /** Backend servers that said they are leaving. */
--- a/packages/protocol/tests/test_messagecodec.cpp
+++ b/packages/protocol/tests/test_messagecodec.cpp
@@ -31,7 +31,9 @@
         for (int index = 0; index < count; ++index)
             reply.gossip.members.push_back(randomMember());
         reply.gossip.load.push_back({"a", *rc::gen::arbitrary<std::uint32_t>(), 2});
-        reply.gossip.quarantine.push_back({*rc::gen::arbitrary<std::uint64_t>(), 1, 7});
+        reply.gossip.quarantine.push_back({*rc::gen::arbitrary<std::uint64_t>(), 1, 7,
+                                           *rc::gen::arbitrary<std::uint64_t>(), 5});
+        reply.gossip.accounts.push_back({"north", *rc::gen::arbitrary<std::uint32_t>(), 2.5});
         Error reason;
         const auto decoded = decodeMessage(encodeMessage(reply), reason);
         RC_ASSERT(decoded.has_value());
