--- a/packages/policy/tests/test_dispatcher.cpp
+++ b/packages/policy/tests/test_dispatcher.cpp
@@ -50,3 +50,186 @@
     dispatcher.submit(work("1"), Milliseconds(0));
     REQUIRE(dispatcher.takeDecisions().empty());
 }
+
+// Guards against requests held until near their deadline when it is clear they can't be served.
+TEST_CASE("A saturated group refuses on arrival with a time to come back", "[policy]")
+{
+    Dispatcher dispatcher({});
+    dispatcher.setBackendServers(std::vector{engine("a")}, Milliseconds(0));
+    dispatcher.submit(work("1"), Milliseconds(0));
+    dispatcher.submit(work("2"), Milliseconds(0));
+    for (int now = 10; now <= 1000; now += 10)
+        dispatcher.advance(Milliseconds(now));
+    const auto first = dispatcher.takeDecisions();
+    REQUIRE(first.size() == 2);
+    REQUIRE(std::get<Refusal>(first[1]).reason == ErrorCode::Overloaded);
+    dispatcher.submit(work("3"), Milliseconds(1000));
+    const auto second = dispatcher.takeDecisions();
+    REQUIRE(second.size() == 1);
+    REQUIRE(std::get<Refusal>(second[0]).retryAfter > Milliseconds(0));
+    // A slot that becomes free is used at once by the next arrival.
+    dispatcher.recordFinished(RequestName("1"), WorkOutcome::Completed, Milliseconds(1010));
+    dispatcher.submit(work("4"), Milliseconds(1020));
+    REQUIRE(std::holds_alternative<Assignment>(dispatcher.takeDecisions().at(0)));
+}
+
+// Guards against refusing important requests while less important ones wait.
+TEST_CASE("A full queue refuses the lowest priority first", "[policy]")
+{
+    DispatcherOptions options;
+    options.queueLimit = 1;
+    Dispatcher dispatcher(options);
+    WorkRequest low = work("low");
+    low.priority = Priority::Low;
+    WorkRequest high = work("high");
+    high.priority = Priority::High;
+    dispatcher.submit(low, Milliseconds(0));
+    dispatcher.submit(high, Milliseconds(0));
+    const auto decisions = dispatcher.takeDecisions();
+    REQUIRE(decisions.size() == 1);
+    REQUIRE(std::get<Refusal>(decisions[0]).request == low.name);
+    for (int now = 10; now <= 600; now += 10)
+        dispatcher.advance(Milliseconds(now));
+    const auto later = dispatcher.takeDecisions();
+    REQUIRE(later.size() == 1);
+    REQUIRE(std::get<Refusal>(later[0]).reason == ErrorCode::NoBackendServer);
+}
+
+// Guards against head-of-line blocking of short work behind long work that does not fit.
+TEST_CASE("A queued long request does not block a short one that fits", "[policy]")
+{
+    DispatcherOptions options;
+    options.placement =
+            [](const WorkRequest &request,
+               std::span<const PlacementCandidate> found) -> std::optional<std::size_t> {
+        if (found.empty() || request.maximumTokens == 0)
+            return std::nullopt;
+        return 0;
+    };
+    Dispatcher dispatcher(options);
+    dispatcher.setBackendServers(std::vector{engine("a")}, Milliseconds(0));
+    WorkRequest urgent = work("long");
+    urgent.priority = Priority::High;
+    dispatcher.submit(urgent, Milliseconds(0));
+    WorkRequest brief = work("short");
+    brief.maximumTokens = 16;
+    dispatcher.submit(brief, Milliseconds(0));
+    const auto decisions = dispatcher.takeDecisions();
+    REQUIRE(decisions.size() == 1);
+    REQUIRE(std::get<Assignment>(decisions[0]).request == brief.name);
+}
+
+// Guards against short work that waits for a long stream, and against a slot freed while in use.
+TEST_CASE("A short request uses the slot of a suspended long stream", "[policy]")
+{
+    Dispatcher dispatcher({});
+    dispatcher.setBackendServers(std::vector{engine("a")}, Milliseconds(0));
+    dispatcher.submit(work("long"), Milliseconds(0));
+    dispatcher.recordProgress(RequestName("long"), 64, Milliseconds(500));
+    WorkRequest brief = work("short");
+    brief.maximumTokens = 16;
+    dispatcher.takeDecisions();
+    dispatcher.submit(brief, Milliseconds(5000));
+    auto decisions = dispatcher.takeDecisions();
+    REQUIRE(decisions.size() == 2);
+    REQUIRE(std::get<Suspension>(decisions[0]).request == RequestName("long"));
+    REQUIRE(std::get<Assignment>(decisions[1]).server == BackendServerName("a"));
+    SECTION("the stream resumes when the short request ends")
+    {
+        dispatcher.recordFinished(brief.name, WorkOutcome::Completed, Milliseconds(5100));
+        decisions = dispatcher.takeDecisions();
+        REQUIRE(decisions.size() == 1);
+        REQUIRE(std::get<Resumption>(decisions[0]).request == RequestName("long"));
+    }
+    SECTION("the stream resumes after its share, the short request goes on")
+    {
+        dispatcher.advance(Milliseconds(6249));
+        REQUIRE(dispatcher.takeDecisions().empty());
+        dispatcher.advance(Milliseconds(6250));
+        decisions = dispatcher.takeDecisions();
+        REQUIRE(decisions.size() == 1);
+        REQUIRE(std::holds_alternative<Resumption>(decisions[0]));
+    }
+    SECTION("the slot stays in use when the stream ends first")
+    {
+        dispatcher.recordFinished(RequestName("long"), WorkOutcome::Cancelled, Milliseconds(5100));
+        dispatcher.submit(work("early"), Milliseconds(5100));
+        decisions = dispatcher.takeDecisions();
+        REQUIRE(decisions.size() == 1);
+        REQUIRE(std::holds_alternative<Refusal>(decisions[0]));
+        dispatcher.recordFinished(brief.name, WorkOutcome::Completed, Milliseconds(5200));
+        dispatcher.submit(work("late"), Milliseconds(5200));
+        decisions = dispatcher.takeDecisions();
+        REQUIRE(decisions.size() == 1);
+        REQUIRE(std::holds_alternative<Assignment>(decisions[0]));
+    }
+}
+
+// Guards against two requests that may crash servers meeting on one server, where a death could
+// not be told apart, and against innocent work placed beside a suspect.
+TEST_CASE("Suspects are placed apart and refused after a second death", "[policy]")
+{
+    Dispatcher dispatcher({});
+    std::vector servers{engine("a"), engine("b"), engine("c")};
+    for (BackendServer &server : servers)
+        server.slots = 4;
+    dispatcher.setBackendServers(servers, Milliseconds(0));
+    const auto submit = [&](const std::string &name, std::uint64_t digest, int now) {
+        WorkRequest request = work(name);
+        request.requestDigest = digest;
+        dispatcher.submit(request, Milliseconds(now));
+        return dispatcher.takeDecisions();
+    };
+    const auto serverOf = [](const std::vector<Decision> &decisions) {
+        return std::get<Assignment>(decisions.at(0)).server;
+    };
+    submit("1", 1, 0);
+    submit("2", 2, 0);
+    submit("3", 3, 0);
+    for (const std::string name : {"1", "2", "3"})
+        dispatcher.recordFinished(RequestName(name), WorkOutcome::ServerLost, Milliseconds(10));
+    const auto first = serverOf(submit("1b", 1, 20));
+    const auto second = serverOf(submit("2b", 2, 20));
+    const auto third = serverOf(submit("3b", 3, 20));
+    REQUIRE(first != second);
+    REQUIRE(second != third);
+    REQUIRE(first != third);
+    WorkRequest fourth = work("4");
+    fourth.requestDigest = 1;
+    dispatcher.submit(fourth, Milliseconds(30));
+    REQUIRE(dispatcher.waitingCount() == 1);
+    dispatcher.recordFinished(RequestName("2b"), WorkOutcome::Completed, Milliseconds(40));
+    REQUIRE(serverOf(dispatcher.takeDecisions()) == second);
+    dispatcher.recordFinished(RequestName("4"), WorkOutcome::Completed, Milliseconds(50));
+    REQUIRE(serverOf(submit("5", 5, 60)) == second);
+    dispatcher.recordFinished(RequestName("1b"), WorkOutcome::ServerLost, Milliseconds(20'000));
+    const auto refused = submit("6", 1, 20'010);
+    REQUIRE(std::get<Refusal>(refused.at(0)).reason == ErrorCode::RequestQuarantined);
+    REQUIRE(std::holds_alternative<Assignment>(submit("7", 2, 20'010).at(0)));
+}
+
+// Guards against a second attempt on the same slow server.
+TEST_CASE("A hedge runs on another server", "[policy]")
+{
+    Dispatcher dispatcher({});
+    std::vector servers{engine("a"), engine("b")};
+    servers[1].slots = 2;
+    dispatcher.setBackendServers(servers, Milliseconds(0));
+    for (int number = 0; number < 60; ++number) {
+        const std::string name = "warm-" + std::to_string(number);
+        dispatcher.submit(work(name), Milliseconds(number));
+        dispatcher.recordFirstToken(RequestName(name), Milliseconds(number + 100));
+        dispatcher.recordFinished(RequestName(name), WorkOutcome::Completed, Milliseconds(number));
+    }
+    dispatcher.takeDecisions();
+    dispatcher.submit(work("1"), Milliseconds(1000));
+    const auto first = dispatcher.takeDecisions();
+    REQUIRE_FALSE(dispatcher.takeHedge(RequestName("1"), Milliseconds(1050)));
+    REQUIRE(dispatcher.takeHedge(RequestName("1"), Milliseconds(2000)));
+    REQUIRE_FALSE(dispatcher.takeHedge(RequestName("1"), Milliseconds(3000)));
+    WorkRequest hedge = work("2");
+    hedge.hedgeOf = RequestName("1");
+    dispatcher.submit(hedge, Milliseconds(2000));
+    const auto second = dispatcher.takeDecisions();
+    REQUIRE(std::get<Assignment>(first.at(0)).server != std::get<Assignment>(second.at(0)).server);
+}
--- /dev/null
+++ b/tools/benchmarks/admission_benchmark.cpp
@@ -0,0 +1,289 @@
+#include "policy/policy.h"
+
+#include <benchmark/benchmark.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <vector>
+
+using namespace sassafrasyard;
+
+namespace {
+
+constexpr std::size_t serverCount = 14;
+constexpr std::uint32_t slotsPerServer = 96;
+
+WorkRequest work(std::uint64_t number, std::uint64_t accounts)
+{
+    WorkRequest request;
+    request.name = RequestName("a91c3f27d4e8b605-" + std::to_string(number));
+    request.account = ClientAccountName("account-" + std::to_string(number % accounts));
+    request.model = ModelName("plan");
+    request.promptTokens = 200;
+    request.priority = static_cast<Priority>(number % 3);
+    request.requestDigest = number + 1;
+    return request;
+}
+
+/** A dispatcher whose slots are all taken and on which a given number of requests wait. */
+struct LoadedDispatcher
+{
+    LoadedDispatcher(std::uint64_t accounts, std::uint64_t waiting)
+        : accounts(accounts)
+        , dispatcher(options())
+    {
+        std::vector<BackendServer> servers(serverCount);
+        for (std::size_t index = 0; index < servers.size(); ++index) {
+            servers[index].name = BackendServerName("engine-" + std::to_string(index));
+            servers[index].models = {ModelName("plan")};
+            servers[index].slots = slotsPerServer;
+        }
+        this->dispatcher.setBackendServers(servers, this->now);
+        std::vector<AccountLimits> limits(accounts);
+        for (std::size_t index = 0; index < limits.size(); ++index) {
+            limits[index].account = ClientAccountName("account-" + std::to_string(index));
+            limits[index].maximumRunning = 1'000'000;
+        }
+        this->dispatcher.setAccountLimits(limits);
+        while (this->dispatcher.waitingCount() < waiting
+               || this->dispatcher.runningCount() < serverCount * slotsPerServer)
+            this->submit();
+    }
+
+    static DispatcherOptions options()
+    {
+        DispatcherOptions options;
+        options.queueLimit = 4000;
+        options.accountQueueLimit = 4000;
+        options.maximumWait = Milliseconds(1'000'000'000);
+        return options;
+    }
+
+    void submit()
+    {
+        this->dispatcher.submit(work(this->submitted++, this->accounts), this->now);
+        for (const Decision &decision : this->dispatcher.takeDecisions()) {
+            if (const auto *assignment = std::get_if<Assignment>(&decision))
+                this->running.push_back(assignment->request);
+        }
+    }
+
+    std::uint64_t accounts;
+    Milliseconds now{1};
+    Dispatcher dispatcher;
+    std::uint64_t submitted = 0;
+    std::vector<RequestName> running;
+};
+
+/** One request ends and the next one is placed, then a new one arrives. */
+void finishAndSubmit(benchmark::State &state)
+{
+    LoadedDispatcher loaded(static_cast<std::uint64_t>(state.range(0)),
+                            static_cast<std::uint64_t>(state.range(1)));
+    std::size_t next = 0;
+    for (auto step : state) {
+        loaded.dispatcher.recordFinished(loaded.running[next++], WorkOutcome::Completed,
+                                         loaded.now);
+        loaded.submit();
+    }
+    state.counters["waiting"] = static_cast<double>(loaded.dispatcher.waitingCount());
+}
+
+/** A request arrives while all slots are taken, and is withdrawn. */
+void submitBlocked(benchmark::State &state)
+{
+    LoadedDispatcher loaded(static_cast<std::uint64_t>(state.range(0)),
+                            static_cast<std::uint64_t>(state.range(1)));
+    for (auto step : state) {
+        const WorkRequest request = work(loaded.submitted++, loaded.accounts);
+        loaded.dispatcher.submit(request, loaded.now);
+        loaded.dispatcher.withdraw(request.name, loaded.now);
+    }
+}
+
+/** The periodic advance while all slots are taken. */
+void advance(benchmark::State &state)
+{
+    LoadedDispatcher loaded(static_cast<std::uint64_t>(state.range(0)),
+                            static_cast<std::uint64_t>(state.range(1)));
+    for (auto step : state) {
+        loaded.now += Milliseconds(10);
+        loaded.dispatcher.advance(loaded.now);
+    }
+}
+
+/** Plays 60 s of arrivals against engines and collects waits; uses the default options. */
+class OverloadRun
+{
+public:
+    explicit OverloadRun(double load)
+        : dispatcher(DispatcherOptions{})
+        , gap(1.0 / (load * serverCount * slotsPerEngine / meanHeldMilliseconds))
+    {
+        std::vector<BackendServer> servers(serverCount);
+        for (std::size_t index = 0; index < servers.size(); ++index) {
+            servers[index].name = BackendServerName("engine-" + std::to_string(index));
+            servers[index].models = {ModelName("plan")};
+            servers[index].slots = slotsPerEngine;
+        }
+        this->dispatcher.setBackendServers(servers, Milliseconds(0));
+    }
+
+    void run()
+    {
+        double nextArrival = 0.0;
+        for (Milliseconds now{0}; now < Milliseconds(60'000); now += Milliseconds(10)) {
+            this->finishDue(now);
+            for (; nextArrival <= static_cast<double>(now.count());
+                 nextArrival += this->gap(this->random))
+                this->submit(now);
+            this->dispatcher.advance(now);
+            this->readDecisions(now);
+        }
+    }
+
+    void report(benchmark::State &state)
+    {
+        const auto decided = static_cast<double>(this->waits[0].size() + this->waits[1].size());
+        const auto refused = static_cast<double>(this->refusalWaits.size());
+        state.counters["refused_share"] = refused / std::max(1.0, decided + refused);
+        state.counters["short_wait_p95"] = p95(this->waits[0]);
+        state.counters["long_wait_p95"] = p95(this->waits[1]);
+        state.counters["refusal_p95"] = p95(this->refusalWaits);
+        state.counters["short_refused"] = this->shortRefused / std::max(1.0, this->shortSubmitted);
+        state.counters["suspensions"] = this->suspensions;
+    }
+
+private:
+    static constexpr std::uint32_t slotsPerEngine = 16;
+    static constexpr double shortMilliseconds = 400.0;
+    static constexpr double longMilliseconds = 8000.0;
+    static constexpr double meanHeldMilliseconds = 0.7 * shortMilliseconds + 0.3 * longMilliseconds;
+
+    struct Job
+    {
+        Milliseconds submittedAt{0};
+        std::int64_t left = 0;
+        std::optional<Milliseconds> runsSince;
+        bool isShort = false;
+        Milliseconds endsAt{0};
+    };
+
+    static double p95(std::vector<double> values)
+    {
+        if (values.empty())
+            return 0.0;
+        const auto rank = static_cast<std::ptrdiff_t>(static_cast<double>(values.size()) * 0.95);
+        std::nth_element(values.begin(), values.begin() + rank, values.end());
+        return values[static_cast<std::size_t>(rank)];
+    }
+
+    void submit(Milliseconds now)
+    {
+        WorkRequest request = work(this->jobs.size(), 10);
+        Job &job = this->jobs[request.name];
+        job.isShort = this->random() % 10 < 7;
+        request.priority = Priority::Normal;
+        request.maximumTokens = job.isShort ? 32 : 0;
+        job.submittedAt = now;
+        std::exponential_distribution<double> held(
+                1.0 / (job.isShort ? shortMilliseconds : longMilliseconds));
+        job.left = 20 + static_cast<std::int64_t>(held(this->random));
+        this->shortSubmitted += job.isShort ? 1.0 : 0.0;
+        this->dispatcher.submit(request, now);
+        this->readDecisions(now);
+    }
+
+    void finishDue(Milliseconds now)
+    {
+        while (!this->ends.empty() && this->ends.begin()->first <= now) {
+            const RequestName name = this->ends.begin()->second;
+            this->ends.erase(this->ends.begin());
+            this->dispatcher.recordFinished(name, WorkOutcome::Completed, now);
+            this->readDecisions(now);
+        }
+    }
+
+    void start(const RequestName &name, Milliseconds now)
+    {
+        Job &job = this->jobs.at(name);
+        job.runsSince = now;
+        job.endsAt = now + Milliseconds(job.left);
+        this->ends.emplace(job.endsAt, name);
+    }
+
+    void readDecisions(Milliseconds now)
+    {
+        for (const Decision &decision : this->dispatcher.takeDecisions())
+            std::visit([&](const auto &made) { this->carryOut(made, now); }, decision);
+    }
+
+    void carryOut(const Assignment &made, Milliseconds now)
+    {
+        const Job &job = this->jobs.at(made.request);
+        const auto wait = static_cast<double>((now - job.submittedAt).count());
+        this->waits[job.isShort ? 0 : 1].push_back(wait);
+        this->start(made.request, now);
+        if (!job.isShort)
+            this->dispatcher.recordProgress(made.request, 1, now);
+    }
+
+    void carryOut(const Refusal &made, Milliseconds now)
+    {
+        const Job &job = this->jobs.at(made.request);
+        this->refusalWaits.push_back(static_cast<double>((now - job.submittedAt).count()));
+        this->shortRefused += job.isShort ? 1.0 : 0.0;
+    }
+
+    void carryOut(const Suspension &made, Milliseconds now)
+    {
+        Job &job = this->jobs.at(made.request);
+        this->ends.erase({job.endsAt, made.request});
+        job.left -= (now - *job.runsSince).count();
+        this->suspensions += 1.0;
+    }
+
+    void carryOut(const Resumption &made, Milliseconds now) { this->start(made.request, now); }
+
+    Dispatcher dispatcher;
+    std::mt19937 random{20261204};
+    std::exponential_distribution<double> gap;
+    std::map<RequestName, Job> jobs;
+    std::set<std::pair<Milliseconds, RequestName>> ends;
+    std::array<std::vector<double>, 2> waits;
+    std::vector<double> refusalWaits;
+    double shortSubmitted = 0.0;
+    double shortRefused = 0.0;
+    double suspensions = 0.0;
+};
+
+/** Waiting times at a load in per cent of what the engines can serve. */
+void overload(benchmark::State &state)
+{
+    for (auto step : state) {
+        OverloadRun run(static_cast<double>(state.range(0)) / 100.0);
+        run.run();
+        run.report(state);
+    }
+}
+
+void sizes(benchmark::internal::Benchmark *benchmark)
+{
+    for (const std::int64_t accounts : {10, 500, 5700}) {
+        for (const std::int64_t waiting : {0, 200, 2000})
+            benchmark->Args({accounts, waiting});
+    }
+    benchmark->ArgNames({"accounts", "waiting"})->MinTime(0.1);
+}
+
+} // namespace
+
+BENCHMARK(finishAndSubmit)->Apply(sizes);
+BENCHMARK(submitBlocked)->Apply(sizes);
+BENCHMARK(advance)->Apply(sizes);
+BENCHMARK(overload)->Arg(80)->Arg(120)->Arg(200)->Iterations(1)->Unit(benchmark::kMillisecond);
+BENCHMARK_MAIN();
