--- a/packages/policy/admission/admissionqueue.cpp
+++ b/packages/policy/admission/admissionqueue.cpp
@@ -137,15 +137,15 @@
     return this->entries.contains(name);
 }
 
-double AdmissionQueue::aheadOf(const QueueGroup &key, const WorkRequest &request) const
+QueuePosition AdmissionQueue::positionOf(const QueueGroup &key, const WorkRequest &request) const
 {
+    QueuePosition position;
     const auto known = this->groups.find(key);
     if (known == this->groups.end())
-        return 0.0;
+        return position;
     const std::size_t own = this->levelOf(request);
-    double better = 0.0;
     for (std::size_t index = 0; index < own; ++index)
-        better += static_cast<double>(known->second.levels[index].size);
+        position.inBetterLevels += static_cast<double>(known->second.levels[index].size);
     const Level &level = known->second.levels[own];
     const auto account = this->accounts.find(request.account);
     double weight = 1.0;
@@ -160,15 +160,25 @@
     }
     // Fair queueing serves the others in proportion to their weights until this one's turn.
     const double rounds = waiting + (waiting + 1.0) * std::max(0.0, others) / weight;
-    return better + std::min(static_cast<double>(level.size), rounds);
+    position.inLevel = std::min(static_cast<double>(level.size), rounds);
+    return position;
 }
 
-const WorkRequest *AdmissionQueue::lowest(const QueueGroup &key) const
+const WorkRequest *AdmissionQueue::surplus(const QueueGroup &key, std::size_t index) const
 {
     const auto known = this->groups.find(key);
-    if (known == this->groups.end() || known->second.byPriority.empty())
+    if (known == this->groups.end())
         return nullptr;
-    return &known->second.byPriority.begin()->second->request;
+    const Flow *longest = nullptr;
+    double most = 0.0;
+    for (const auto &[tag, flow] : known->second.levels[index].order) {
+        const double length = static_cast<double>(flow->entries.size()) / flow->account->weight;
+        if (length >= most) {
+            longest = flow;
+            most = length;
+        }
+    }
+    return longest == nullptr ? nullptr : &longest->entries.rbegin()->second->request;
 }
 
 const WorkRequest *AdmissionQueue::oldestBefore(Milliseconds instant) const
@@ -194,6 +204,15 @@
     return known == this->groups.end() ? 0 : known->second.byPriority.size();
 }
 
+AdmissionQueue::LevelSizes AdmissionQueue::levelSizes(const QueueGroup &group) const
+{
+    LevelSizes sizes{};
+    const auto known = this->groups.find(group);
+    for (std::size_t level = 0; known != this->groups.end() && level < levelCount; ++level)
+        sizes[level] = known->second.levels[level].size;
+    return sizes;
+}
+
 std::size_t AdmissionQueue::sizeOf(const ClientAccountName &account) const
 {
     const auto known = this->accounts.find(account);
@@ -254,6 +273,7 @@
     const auto [flow, isNew] = level.flows.try_emplace(&account);
     flow->second.entries.emplace(entry.sequence, &entry);
     if (isNew) {
+        flow->second.account = &account;
         level.activeWeight += account.weight;
         this->setHead(*entry.group, level, flow->second, account);
     }
--- a/packages/policy/admission/admissionqueue.h
+++ b/packages/policy/admission/admissionqueue.h
@@ -38,6 +38,15 @@
     auto operator<=>(const QueueGroup &) const = default;
 };
 
+/** How many requests are served before another one, as far as can be told now. */
+struct QueuePosition
+{
+    /** Requests in better levels. */
+    double inBetterLevels = 0.0;
+    /** Requests in the same level. */
+    double inLevel = 0.0;
+};
+
 /** What happened to a request that was handed to the queue. */
 struct QueueResult
 {
@@ -60,6 +69,8 @@
 public:
     /** Number of levels in a group. */
     static constexpr std::size_t levelCount = 6;
+    /** A number for each level. */
+    using LevelSizes = std::array<std::size_t, levelCount>;
     /** A set of levels, one bit each. */
     using LevelMask = std::uint32_t;
 
@@ -89,16 +100,21 @@
     /** Returns whether a request waits. */
     bool contains(const RequestName &name) const;
 
-    /** Returns the estimated number of requests served before one that would be pushed now. */
-    double aheadOf(const QueueGroup &group, const WorkRequest &request) const;
-    /** Returns the waiting request with the lowest priority that came last, or null. */
-    const WorkRequest *lowest(const QueueGroup &group) const;
+    /** Returns the position of a request if it were pushed now. */
+    QueuePosition positionOf(const QueueGroup &group, const WorkRequest &request) const;
+    /**
+     * Returns the request of a level that gives way first, or null: the newest of the account with
+     * the longest queue for its weight.
+     */
+    const WorkRequest *surplus(const QueueGroup &group, std::size_t level) const;
     /** Returns the request that waits longest if it came before the given instant, or null. */
     const WorkRequest *oldestBefore(Milliseconds instant) const;
     /** Returns the groups that have waiting requests. */
     std::vector<QueueGroup> waitingGroups() const;
     /** Returns the number of waiting requests in a group. */
     std::size_t sizeOf(const QueueGroup &group) const;
+    /** Returns the number of waiting requests in each level of a group. */
+    LevelSizes levelSizes(const QueueGroup &group) const;
     /** Returns the number of waiting requests of an account. */
     std::size_t sizeOf(const ClientAccountName &account) const;
     /** Returns the number of waiting requests. */
@@ -119,6 +135,7 @@
 
     struct Flow
     {
+        const Account *account = nullptr;
         Tag tag;
         std::map<std::uint64_t, Entry *> entries;
     };
--- a/packages/policy/admission/drainrate.cpp
+++ b/packages/policy/admission/drainrate.cpp
@@ -8,8 +8,7 @@
 namespace {
 
 constexpr double decayMilliseconds = 2000.0;
-constexpr double priorMilliseconds = 250.0;
-/** Saturated time that counts as evidence when no request has ended yet. */
+/** Saturated time from which the observed placements alone decide. */
 constexpr double evidenceMilliseconds = 400.0;
 constexpr double heldShare = 0.1;
 constexpr double millisecondsPerSecond = 1000.0;
@@ -31,6 +30,12 @@
         this->isSaturated = false;
 }
 
+void DrainRate::recordRelieved(Milliseconds now)
+{
+    this->accumulate(now);
+    this->isSaturated = false;
+}
+
 void DrainRate::recordFinished(Milliseconds held)
 {
     const double value = std::max(1.0, static_cast<double>(held.count()));
@@ -42,14 +47,15 @@
 std::optional<double> DrainRate::perSecond(std::size_t running, Milliseconds now)
 {
     this->accumulate(now);
-    if (this->meanHeldMilliseconds == 0.0) {
-        if (this->saturatedMilliseconds < evidenceMilliseconds)
+    const double lacking = std::max(0.0, evidenceMilliseconds - this->saturatedMilliseconds);
+    double expected = 0.0;
+    if (lacking > 0.0) {
+        if (this->meanHeldMilliseconds == 0.0)
             return std::nullopt;
-        return this->placed / this->saturatedMilliseconds * millisecondsPerSecond;
+        expected = lacking * static_cast<double>(running) / this->meanHeldMilliseconds;
     }
-    const double prior = static_cast<double>(running) / this->meanHeldMilliseconds;
-    return (this->placed + prior * priorMilliseconds)
-            / (this->saturatedMilliseconds + priorMilliseconds) * millisecondsPerSecond;
+    return (this->placed + expected) / (this->saturatedMilliseconds + lacking)
+            * millisecondsPerSecond;
 }
 
 void DrainRate::accumulate(Milliseconds now)
--- a/packages/policy/admission/drainrate.h
+++ b/packages/policy/admission/drainrate.h
@@ -8,10 +8,10 @@
 namespace sassafrasyard {
 
 /**
- * Estimates how many requests a second leave the queue of one group while it is saturated.
+ * Estimates how many requests a second leave a queue while it is saturated.
  *
  * Only saturated time counts, because the rate of placements on idle servers says nothing about
- * capacity. Before there is evidence, the running requests and their mean time stand in.
+ * capacity. Without enough of it, the running requests and their mean time stand in, if known.
  */
 class DrainRate
 {
@@ -20,6 +20,8 @@
     void recordBlocked(Milliseconds now);
     /** Records a placement. @param isRelieved whether nothing waits any more. */
     void recordPlaced(bool isRelieved, Milliseconds now);
+    /** Records that nothing waits any more. */
+    void recordRelieved(Milliseconds now);
     /** Records the end of a request that held its place for the given time. */
     void recordFinished(Milliseconds held);
     /** Returns requests per second. @param running requests that hold a place now. */
--- /dev/null
+++ b/packages/policy/admission/groupload.cpp
@@ -0,0 +1,77 @@
+#include "policy/admission/groupload.h"
+
+#include <numeric>
+
+namespace sassafrasyard {
+
+namespace {
+
+std::size_t totalOf(const GroupLoad::LevelSizes &waiting)
+{
+    return std::accumulate(waiting.begin(), waiting.end(), std::size_t{0});
+}
+
+} // namespace
+
+GroupLoad::GroupLoad(Milliseconds permittedWait)
+    : permittedWait(permittedWait)
+{
+}
+
+void GroupLoad::recordPlaced(std::size_t level, const LevelSizes &waiting, Milliseconds now)
+{
+    this->levels[level].recordPlaced(waiting[level] == 0, now);
+    this->group.recordPlaced(totalOf(waiting) == 0, now);
+}
+
+void GroupLoad::recordWaiting(const LevelSizes &waiting, Milliseconds now)
+{
+    for (std::size_t level = 0; level < waiting.size(); ++level) {
+        if (waiting[level] > 0)
+            this->levels[level].recordBlocked(now);
+        else
+            this->levels[level].recordRelieved(now);
+    }
+    // An empty queue does not end the saturation of the group: only a placement shows free slots.
+    if (totalOf(waiting) > 0)
+        this->group.recordBlocked(now);
+}
+
+void GroupLoad::recordFinished(Milliseconds held)
+{
+    this->group.recordFinished(held);
+}
+
+bool GroupLoad::isTooLate(std::size_t level, const QueuePosition &position, std::size_t running,
+                          Milliseconds now)
+{
+    if (this->predictGroup(running, now).isTooLate(position.inBetterLevels + position.inLevel))
+        return true;
+    // The first of a level may always wait, so that a level's rate can be seen to rise again.
+    return position.inLevel > 0.0 && this->predictLevel(level, now).isTooLate(position.inLevel);
+}
+
+bool GroupLoad::isBacklogTooLong(std::size_t level, const LevelSizes &waiting, std::size_t running,
+                                 Milliseconds now)
+{
+    return this->predictGroup(running, now).isBacklogTooLong(totalOf(waiting))
+            || this->predictLevel(level, now).isBacklogTooLong(waiting[level]);
+}
+
+Milliseconds GroupLoad::retryAfter(const LevelSizes &waiting, std::size_t running,
+                                   std::uint64_t number, Milliseconds now)
+{
+    return this->predictGroup(running, now).retryAfter(totalOf(waiting), number);
+}
+
+WaitPrediction GroupLoad::predictGroup(std::size_t running, Milliseconds now)
+{
+    return {this->group.perSecond(running, now), this->permittedWait};
+}
+
+WaitPrediction GroupLoad::predictLevel(std::size_t level, Milliseconds now)
+{
+    return {this->levels[level].perSecond(0, now), this->permittedWait};
+}
+
+} // namespace sassafrasyard
--- a/packages/policy/admission/waitprediction.cpp
+++ b/packages/policy/admission/waitprediction.cpp
@@ -17,6 +17,11 @@
  * the measured rate does not refuse requests that were admitted a moment ago.
  */
 constexpr double backlogTolerance = 1.25;
+/**
+ * A request is admitted if it is predicted to wait at most this part of the permitted wait. The
+ * rate is noisy, and without this margin many admitted requests are refused at the deadline.
+ */
+constexpr double admittedPart = 0.5;
 
 } // namespace
 
@@ -29,7 +34,8 @@
 bool WaitPrediction::isTooLate(double ahead) const
 {
     return this->rate
-            && (ahead + 1.0) * millisecondsPerSecond > this->permittedMilliseconds * *this->rate;
+            && (ahead + 1.0) * millisecondsPerSecond
+            > admittedPart * this->permittedMilliseconds * *this->rate;
 }
 
 bool WaitPrediction::isBacklogTooLong(std::size_t waiting) const
--- a/packages/policy/dispatch/dispatcher.cpp
+++ b/packages/policy/dispatch/dispatcher.cpp
@@ -107,9 +107,10 @@
             this->refuse(request, ErrorCode::Overloaded, this->retryAfter(group, now));
         return;
     }
-    const double ahead = this->queue.aheadOf(group.key, request);
-    const bool isBlocked = (group.blocked & maskOf(this->queue.levelOf(request))) != 0;
-    if (isBlocked && this->predict(group, now).isTooLate(ahead)
+    const std::size_t level = this->queue.levelOf(request);
+    const QueuePosition position = this->queue.positionOf(group.key, request);
+    const bool isBlocked = (group.blocked & maskOf(level)) != 0;
+    if (isBlocked && group.load.isTooLate(level, position, group.running, now)
         && !this->findHost(group, request, now)) {
         this->refuse(request, ErrorCode::Overloaded, this->retryAfter(group, now));
         return;
@@ -123,7 +124,8 @@
     if (result.displaced)
         this->refuse(*result.displaced, ErrorCode::Overloaded, this->retryAfter(group, now));
     this->placeGroup(group, now);
-    if (this->queue.contains(request.name) && this->predict(group, now).isTooLate(ahead))
+    if (this->queue.contains(request.name)
+        && group.load.isTooLate(level, position, group.running, now))
         this->refuseWaiting(request.name, ErrorCode::Overloaded, this->retryAfter(group, now));
 }
 
@@ -149,7 +151,7 @@
         return;
     const Running &work = node.mapped();
     --work.group->running;
-    work.group->drain.recordFinished(now - work.assignedAt);
+    work.group->load.recordFinished(now - work.assignedAt);
     this->limiter.release(work.request.account);
     this->suspension.remove(request);
     this->recordUse(work, outcome);
@@ -225,8 +227,10 @@
         this->decisions.emplace_back(Resumption{request});
     this->recordCapacityChange(now);
     this->refuseExpired(now);
-    for (const QueueGroup &key : this->queue.waitingGroups())
-        this->refuseBacklog(this->groups.at(key), now);
+    for (auto &[key, group] : this->groups) {
+        this->refuseBacklog(group, now);
+        group.load.recordWaiting(this->queue.levelSizes(group.key), now);
+    }
     if (now - this->cleanedAt >= cleaningInterval) {
         this->cleanedAt = now;
         this->quarantine.advance(now);
@@ -281,10 +285,10 @@
 {
     const QueueGroup key{request.model, request.version,
                          this->quarantine.isSuspect(request.requestDigest, now)};
-    const auto [known, isNew] = this->groups.try_emplace(key);
-    if (isNew) {
-        known->second.key = key;
-        known->second.number = ++this->groupCount;
+    auto known = this->groups.find(key);
+    if (known == this->groups.end()) {
+        known = this->groups.try_emplace(key, key, ++this->groupCount, this->options.maximumWait)
+                        .first;
     }
     known->second.usedAt = now;
     return known->second;
@@ -347,22 +351,21 @@
 
 void Dispatcher::refuseBacklog(Group &group, Milliseconds now)
 {
-    const WaitPrediction prediction = this->predict(group, now);
-    while (prediction.isBacklogTooLong(this->queue.sizeOf(group.key))) {
-        const RequestName name = this->queue.lowest(group.key)->name;
-        this->refuseWaiting(name, ErrorCode::Overloaded, this->retryAfter(group, now));
+    for (std::size_t level = AdmissionQueue::levelCount; level-- > 0;) {
+        while (const WorkRequest *surplus = this->queue.surplus(group.key, level)) {
+            const auto waiting = this->queue.levelSizes(group.key);
+            if (!group.load.isBacklogTooLong(level, waiting, group.running, now))
+                break;
+            const RequestName name = surplus->name;
+            this->refuseWaiting(name, ErrorCode::Overloaded, this->retryAfter(group, now));
+        }
     }
 }
 
-WaitPrediction Dispatcher::predict(Group &group, Milliseconds now) const
-{
-    return {group.drain.perSecond(group.running, now), this->options.maximumWait};
-}
-
 Milliseconds Dispatcher::retryAfter(Group &group, Milliseconds now)
 {
-    return this->predict(group, now)
-            .retryAfter(this->queue.sizeOf(group.key), ++this->refusalCount);
+    return group.load.retryAfter(this->queue.levelSizes(group.key), group.running,
+                                 ++this->refusalCount, now);
 }
 
 void Dispatcher::recordCapacityChange(Milliseconds now)
@@ -377,17 +380,16 @@
 {
     AdmissionQueue::LevelMask skipped = 0;
     while (const WorkRequest *next = this->queue.next(group.key, skipped)) {
-        const AdmissionQueue::LevelMask level = maskOf(this->queue.levelOf(*next));
+        const std::size_t level = this->queue.levelOf(*next);
         const RequestName name = next->name;
         if (this->tryPlace(group, *next, now)) {
             this->queue.recordPlaced(name);
-            group.drain.recordPlaced(this->queue.sizeOf(group.key) == 0, now);
+            group.load.recordPlaced(level, this->queue.levelSizes(group.key), now);
         } else {
-            skipped |= level;
+            skipped |= maskOf(level);
         }
     }
-    if (this->queue.sizeOf(group.key) > 0)
-        group.drain.recordBlocked(now);
+    group.load.recordWaiting(this->queue.levelSizes(group.key), now);
 }
 
 bool Dispatcher::tryPlace(Group &group, const WorkRequest &request, Milliseconds now)
--- a/packages/policy/dispatch/dispatcher.h
+++ b/packages/policy/dispatch/dispatcher.h
@@ -4,8 +4,7 @@
 #include "policy/admission/accountlimits.h"
 #include "policy/admission/admissionqueue.h"
 #include "policy/admission/costestimator.h"
-#include "policy/admission/drainrate.h"
-#include "policy/admission/waitprediction.h"
+#include "policy/admission/groupload.h"
 #include "policy/dispatch/serverflags.h"
 #include "policy/hedging/hedgepolicy.h"
 #include "policy/placement/placementpolicy.h"
@@ -24,6 +23,7 @@
 #include <set>
 #include <span>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace sassafrasyard {
@@ -125,9 +125,16 @@
 private:
     struct Group
     {
+        Group(QueueGroup key, std::uint64_t number, Milliseconds permittedWait)
+            : key(std::move(key))
+            , number(number)
+            , load(permittedWait)
+        {
+        }
+
         QueueGroup key;
-        std::uint64_t number = 0;
-        DrainRate drain;
+        std::uint64_t number;
+        GroupLoad load;
         /** Levels whose next request found no place since capacity last changed. */
         AdmissionQueue::LevelMask blocked = 0;
         std::size_t running = 0;
@@ -160,7 +167,6 @@
     void refuseWaiting(const RequestName &name, ErrorCode reason, Milliseconds retryAfter);
     void refuseExpired(Milliseconds now);
     void refuseBacklog(Group &group, Milliseconds now);
-    WaitPrediction predict(Group &group, Milliseconds now) const;
     Milliseconds retryAfter(Group &group, Milliseconds now);
 
     void recordCapacityChange(Milliseconds now);
--- a/packages/policy/policy.h
+++ b/packages/policy/policy.h
@@ -11,6 +11,7 @@
 #include "policy/admission/admissionqueue.h"
 #include "policy/admission/costestimator.h"
 #include "policy/admission/drainrate.h"
+#include "policy/admission/groupload.h"
 #include "policy/admission/sharedlimit.h"
 #include "policy/admission/waitprediction.h"
 #include "policy/dispatch/dispatcher.h"
