Let the first request of a level wait behind any backlog of better levels

The queue keeps one of 24 placements for each level, but the arrival check counted all better work, so under a lasting overload low priority work was refused before it could use its turns. The new unit test failed first; a simulated overload with one account per priority did not show the fault.

--- a/packages/policy/admission/admissionqueue.cpp
+++ b/packages/policy/admission/admissionqueue.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-/** Every fourth placement of a group goes round over all levels. */
-constexpr std::uint64_t yieldPeriod = 4;
 /** Tags of idle accounts are dropped when a group holds more than this many. */
 constexpr std::size_t tagLimit = 8192;
 constexpr std::size_t levelsPerPriority = 2;
@@ -84,8 +82,8 @@
     if (known == this->groups.end())
         return nullptr;
     const Group &group = known->second;
-    const bool isYield = group.placements % yieldPeriod == yieldPeriod - 1;
-    const std::size_t first = isYield ? (group.placements / yieldPeriod) % levelCount : 0;
+    const bool isTurn = group.placements % turnPeriod == turnPeriod - 1;
+    const std::size_t first = isTurn ? (group.placements / turnPeriod) % levelCount : 0;
     for (std::size_t step = 0; step < levelCount; ++step) {
         const std::size_t index = (first + step) % levelCount;
         const Level &level = group.levels[index];
--- a/packages/policy/admission/admissionqueue.h
+++ b/packages/policy/admission/admissionqueue.h
@@ -69,6 +69,10 @@
 public:
     /** Number of levels in a group. */
     static constexpr std::size_t levelCount = 6;
+    /** Every so many placements of a group go round over all levels. */
+    static constexpr std::uint64_t turnPeriod = 4;
+    /** Each level with work gets at least one of this many placements of its group. */
+    static constexpr double placementsPerTurn = turnPeriod * levelCount;
     /** A number for each level. */
     using LevelSizes = std::array<std::size_t, levelCount>;
     /** A set of levels, one bit each. */
--- a/packages/policy/admission/groupload.cpp
+++ b/packages/policy/admission/groupload.cpp
@@ -1,5 +1,6 @@
 #include "policy/admission/groupload.h"
 
+#include <algorithm>
 #include <numeric>
 
 namespace sassafrasyard {
@@ -45,7 +46,10 @@
 bool GroupLoad::isTooLate(std::size_t level, const QueuePosition &position, std::size_t running,
                           Milliseconds now)
 {
-    if (this->predictGroup(running, now).isTooLate(position.inBetterLevels + position.inLevel))
+    // The turns that the queue keeps for a level bound what better levels can delay.
+    const double turns = AdmissionQueue::placementsPerTurn * (position.inLevel + 1.0) - 1.0;
+    const double ahead = std::min(position.inBetterLevels + position.inLevel, turns);
+    if (this->predictGroup(running, now).isTooLate(ahead))
         return true;
     // The first of a level may always wait, so that a level's rate can be seen to rise again.
     return position.inLevel > 0.0 && this->predictLevel(level, now).isTooLate(position.inLevel);
@@ -54,7 +58,9 @@
 bool GroupLoad::isBacklogTooLong(std::size_t level, const LevelSizes &waiting, std::size_t running,
                                  Milliseconds now)
 {
-    return this->predictGroup(running, now).isBacklogTooLong(totalOf(waiting))
+    // One request of a level may stay to use the turns that the queue keeps for it.
+    return (waiting[level] > 1
+            && this->predictGroup(running, now).isBacklogTooLong(totalOf(waiting)))
             || this->predictLevel(level, now).isBacklogTooLong(waiting[level]);
 }
 
--- a/packages/policy/dispatch/dispatcher.cpp
+++ b/packages/policy/dispatch/dispatcher.cpp
@@ -18,18 +18,6 @@
 /** One guest per this many running requests of a group; at least one. */
 constexpr std::size_t runningPerGuest = 8;
 
-AdmissionQueueOptions queueOptions(const DispatcherOptions &options)
-{
-    return {options.queueLimit, options.accountQueueLimit, options.shortTokens};
-}
-
-CrashQuarantineOptions quarantineOptions(const DispatcherOptions &options)
-{
-    CrashQuarantineOptions result;
-    result.seed = options.seed ^ std::hash<HostName>()(options.host);
-    return result;
-}
-
 AdmissionQueue::LevelMask maskOf(std::size_t level)
 {
     return AdmissionQueue::LevelMask{1} << level;
@@ -45,10 +33,10 @@
                 return this->choose(policy, request, candidates);
             },
             this->options.seed})
-    , queue(queueOptions(this->options))
+    , queue({this->options.queueLimit, this->options.accountQueueLimit, this->options.shortTokens})
     , suspension(this->options.suspension)
     , retries(this->options.retries)
-    , quarantine(quarantineOptions(this->options))
+    , quarantine({.seed = this->options.seed ^ std::hash<HostName>()(this->options.host)})
     , hedging(this->options.hedging)
 {
 }
--- a/packages/policy/tests/test_dispatcher.cpp
+++ b/packages/policy/tests/test_dispatcher.cpp
@@ -233,3 +233,22 @@
     const auto second = dispatcher.takeDecisions();
     REQUIRE(std::get<Assignment>(first.at(0)).server != std::get<Assignment>(second.at(0)).server);
 }
+
+// Guards against low priority work that is refused on arrival for as long as better work overloads
+// the servers, and so never reaches the turns that the queue keeps for it.
+TEST_CASE("The first request of a level waits for its turn behind any better backlog", "[policy]")
+{
+    GroupLoad load{Milliseconds(550)};
+    GroupLoad::LevelSizes waiting{1000, 0, 0, 0, 0, 0};
+    for (int now = 0; now <= 2000; now += 10) {
+        load.recordWaiting(waiting, Milliseconds(now));
+        load.recordPlaced(0, waiting, Milliseconds(now));
+    }
+    REQUIRE_FALSE(load.isTooLate(5, {1000.0, 0.0}, 8, Milliseconds(2000)));
+    REQUIRE(load.isTooLate(5, {1000.0, 5.0}, 8, Milliseconds(2000)));
+    REQUIRE(load.isTooLate(0, {0.0, 1000.0}, 8, Milliseconds(2000)));
+    waiting[5] = 1;
+    REQUIRE_FALSE(load.isBacklogTooLong(5, waiting, 8, Milliseconds(2000)));
+    waiting[5] = 2;
+    REQUIRE(load.isBacklogTooLong(5, waiting, 8, Milliseconds(2000)));
+}
