--- a/packages/policy/policy.h
+++ b/packages/policy/policy.h
@@ -6,7 +6,16 @@
  */
 #pragma once
 
+#include "policy/admission/accountlimiter.h"
+#include "policy/admission/accountlimits.h"
+#include "policy/admission/admissionqueue.h"
+#include "policy/admission/costestimator.h"
+#include "policy/admission/drainrate.h"
+#include "policy/admission/groupload.h"
+#include "policy/admission/sharedlimit.h"
+#include "policy/admission/waitprediction.h"
 #include "policy/dispatch/dispatcher.h"
+#include "policy/hedging/hedgepolicy.h"
 #include "policy/length/lengthestimator.h"
 #include "policy/load/loadtracker.h"
 #include "policy/load/prefixindex.h"
@@ -14,7 +23,11 @@
 #include "policy/placement/placementpolicy.h"
 #include "policy/placement/trackedsubset.h"
 #include "policy/pool/serverpool.h"
+#include "policy/quarantine/crashquarantine.h"
+#include "policy/quarantine/suspectplacement.h"
+#include "policy/retries/retrybudget.h"
 #include "policy/servers/backendserver.h"
 #include "policy/servers/loadreport.h"
+#include "policy/suspension/suspensionpolicy.h"
 #include "policy/work/decision.h"
 #include "policy/work/workrequest.h"
