Accept configuration through a revision log with a conditional head update

The single object configuration/current had no validation, no history and no way to tell whether a write with a lost reply took effect. Documents are now stored under their digest and one conditional update of configuration/head accepts a change. ChangeAcceptance is pure: it validates against the head just read, resolves a lost reply by reading back, and repeats an update only under the same condition, so at most one of the two can take effect. Blind rewriting and separate versions per document were ruled out: the first can revert a later change, the second accepts a template edit and an account edit that are valid only alone.

Hosts selected by rendezvous hashing watch the head; the others pull from peers, and a pull carries only the documents changed since the puller's revision.

--- a/apps/daemon/daemon.cpp
+++ b/apps/daemon/daemon.cpp
@@ -57,12 +57,14 @@
                 [this](ServiceCall call) { return this->calls.runBound(std::move(call)); })
         , completions(this->entry, this->dispatch, this->context)
         , callers(this->entry, this->completions, this->calls, this->context)
-        , configuration(this->entry, this->platform, this->context)
-        , admin(this->entry, this->monitor, this->platform, this->context)
+        , store(this->platform, this->entry.systemClock)
+        , configuration(this->entry, this->platform, this->store, this->context)
+        , admin(this->entry, this->makeAdminHandlers(), this->context)
         , signals(this->context, SIGTERM, SIGINT)
     {
     }
 
+    std::vector<std::unique_ptr<AdminHandler>> makeAdminHandlers();
     bool start(Error &reason);
     net::awaitable<void> stopOnSignal();
 
@@ -76,11 +78,21 @@
     PeerService peers;
     CompletionHandler completions;
     CallerServer callers;
+    ConfigurationStore store;
     ConfigurationFollower configuration;
     AdminServer admin;
     net::signal_set signals;
 };
 
+std::vector<std::unique_ptr<AdminHandler>> Daemon::Implementation::makeAdminHandlers()
+{
+    std::vector<std::unique_ptr<AdminHandler>> handlers;
+    handlers.push_back(std::make_unique<StatusHandler>(this->entry, this->monitor, this->peers,
+                                                       this->context));
+    handlers.push_back(std::make_unique<ConfigurationHandler>(this->entry, this->store));
+    return handlers;
+}
+
 bool Daemon::Implementation::start(Error &reason)
 {
     const Settings &settings = this->entry.settings;
--- a/packages/configuration/configuration.h
+++ b/packages/configuration/configuration.h
@@ -1,5 +1,5 @@
 /**
- * Package configuration: the configuration in force and the daemon's settings.
+ * Package configuration: documents, their validation, the revision log and the daemon's settings.
  *
  * Pure: text comes in, typed values or errors go out. Depends on core and policy (for the types of
  * backend servers and limits); JSON stays inside its sources.
@@ -7,4 +7,12 @@
 #pragma once
 
 #include "configuration/documents/configurationdocument.h"
+#include "configuration/documents/configurationfault.h"
+#include "configuration/documents/documentkey.h"
+#include "configuration/documents/documentset.h"
+#include "configuration/revisions/changeacceptance.h"
+#include "configuration/revisions/configurationloader.h"
+#include "configuration/revisions/configurationsource.h"
+#include "configuration/revisions/peertransfer.h"
+#include "configuration/revisions/revisionhead.h"
 #include "configuration/settings/settings.h"
--- a/packages/configuration/documents/configurationdocument.h
+++ b/packages/configuration/documents/configurationdocument.h
@@ -4,6 +4,7 @@
 #include "policy/policy.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -11,6 +12,8 @@
 
 namespace sassafrasyard {
 
+struct ConfigurationSource;
+
 /** A client account with all parameters of its template filled in. */
 struct ClientAccount
 {
@@ -33,6 +36,8 @@
     std::vector<ClientAccount> accounts;
     /** All backend servers. */
     std::vector<BackendServer> servers;
+    /** The documents behind it; null for a configuration that was not read from documents. */
+    std::shared_ptr<const ConfigurationSource> source;
 
     /** Returns the account of a bearer key, or null. @param keyDigest in hexadecimal digits. */
     const ClientAccount *findByKeyDigest(std::string_view keyDigest) const;
--- /dev/null
+++ b/packages/control/admin/adminjson.h
@@ -0,0 +1,24 @@
+// Internal to the package: includes the JSON header.
+#pragma once
+
+#include "core/core.h"
+#include "network/network.h"
+
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <string>
+
+namespace sassafrasyard {
+
+/** Returns a response with a JSON body. */
+HttpResponse jsonAnswer(int status, const nlohmann::json &body);
+
+/** Parses a request's body as a JSON object. @param reason receives InvalidRequest. */
+std::optional<nlohmann::json> parseBody(const HttpRequest &request, Error &reason);
+
+/** Returns a text field, or the given default if it is absent or not a text. */
+std::string textField(const nlohmann::json &object, const char *field,
+                      const std::string &otherwise = {});
+
+} // namespace sassafrasyard
--- a/packages/control/admin/adminserver.cpp
+++ b/packages/control/admin/adminserver.cpp
@@ -2,13 +2,11 @@
 
 #include "entry/http/errorresponse.h"
 
-#include <nlohmann/json.hpp>
 #include <openssl/crypto.h>
 
 namespace sassafrasyard {
 
 namespace net = boost::asio;
-using nlohmann::json;
 
 namespace {
 
@@ -20,36 +18,12 @@
             && CRYPTO_memcmp(given.data(), expected.data(), expected.size()) == 0;
 }
 
-std::string_view stateName(MemberState state)
-{
-    switch (state) {
-    case MemberState::Alive:
-        return "alive";
-    case MemberState::Suspect:
-        return "suspect";
-    case MemberState::Leaving:
-        return "leaving";
-    case MemberState::Dead:
-        return "dead";
-    }
-    return "dead";
-}
-
-HttpResponse textResponse(std::string type, std::string body)
-{
-    HttpResponse response;
-    response.headers.emplace_back("Content-Type", std::move(type));
-    response.body = std::move(body);
-    return response;
-}
-
 } // namespace
 
-AdminServer::AdminServer(EntryState &state, BackendMonitor &monitor, ObjectClient &platform,
+AdminServer::AdminServer(EntryState &state, std::vector<std::unique_ptr<AdminHandler>> newHandlers,
                          net::io_context &context)
     : entry(state)
-    , monitor(monitor)
-    , platform(platform)
+    , handlers(std::move(newHandlers))
     , server(
               context, HttpServerOptions(),
               [this](const HttpRequest &request, HttpResponder &responder) {
@@ -66,48 +40,24 @@
 
 net::awaitable<void> AdminServer::handle(const HttpRequest &request, HttpResponder &responder)
 {
-    Error reason{ErrorCode::NotFound, RunState::NotRun, "no such resource", {}};
     if (!hasToken(request, this->entry.settings.operatorToken)) {
-        reason = {ErrorCode::UnknownKey, RunState::NotRun, "unknown operator token", {}};
-    } else if (request.path() == "/metrics") {
-        std::string text = this->entry.metrics.toText();
-        co_await responder.send(textResponse("text/plain; version=0.0.4", std::move(text)));
-        co_return;
-    } else if (request.path() == "/v1/dump") {
-        co_await responder.send(this->stateDump());
+        const Error unknown{ErrorCode::UnknownKey,
+                            RunState::NotRun,
+                            "unknown operator token; set it with --operator-token or "
+                            "SASSAFRASYARD_OPERATOR_TOKEN",
+                            {}};
+        co_await responder.send(errorResponse(unknown));
         co_return;
     }
-    co_await responder.send(errorResponse(reason));
-}
-
-HttpResponse AdminServer::stateDump() const
-{
-    json dump;
-    dump["host"] = this->entry.settings.host.toString();
-    dump["incarnation"] = this->entry.incarnation.toString();
-    dump["draining"] = this->entry.isDraining.load();
-    dump["active_requests"] = this->entry.activeRequests.load();
-    dump["revision"] = this->entry.configuration.current()->revision;
-    dump["members"] = json::array();
-    const auto members = this->entry.members();
-    for (const MemberRecord &record : *members) {
-        dump["members"].push_back({{"host", record.host.toString()},
-                                   {"incarnation", record.incarnation.toString()},
-                                   {"failure_domain", record.failureDomain.toString()},
-                                   {"peer_address", record.peerAddress},
-                                   {"caller_address", record.callerAddress},
-                                   {"state", std::string(stateName(record.state))},
-                                   {"version", record.version}});
-    }
-    dump["backend_servers"] = json::array();
-    for (const auto &[name, status] : this->monitor.statuses()) {
-        dump["backend_servers"].push_back({{"name", name.toString()},
-                                           {"running", status.load.running},
-                                           {"waiting", status.load.waiting},
-                                           {"memory_used", status.load.memoryUsedTokens},
-                                           {"leaving", status.load.isLeaving}});
+    for (const auto &handler : this->handlers) {
+        std::optional<HttpResponse> response = co_await handler->answer(request);
+        if (response) {
+            co_await responder.send(std::move(*response));
+            co_return;
+        }
     }
-    return textResponse("application/json", dump.dump());
+    const Error missing{ErrorCode::NotFound, RunState::NotRun, "no such resource", {}};
+    co_await responder.send(errorResponse(missing));
 }
 
 } // namespace sassafrasyard
--- a/packages/control/admin/adminserver.h
+++ b/packages/control/admin/adminserver.h
@@ -1,19 +1,21 @@
 #pragma once
 
+#include "control/admin/adminhandler.h"
 #include "entry/entry.h"
-#include "platform/platform.h"
 
 #include <boost/asio/io_context.hpp>
 
+#include <memory>
+#include <vector>
+
 namespace sassafrasyard {
 
-/** The operators' HTTP server: metrics, state dump and administration, behind the operator token.
- */
+/** The operators' HTTP server; checks the operator token and passes requests to its handlers. */
 class AdminServer
 {
 public:
-    /** Creates the server. */
-    AdminServer(EntryState &state, BackendMonitor &monitor, ObjectClient &platform,
+    /** Creates a server that does not listen yet. */
+    AdminServer(EntryState &state, std::vector<std::unique_ptr<AdminHandler>> handlers,
                 boost::asio::io_context &context);
     AdminServer(const AdminServer &) = delete;
     AdminServer &operator=(const AdminServer &) = delete;
@@ -23,11 +25,9 @@
 
 private:
     boost::asio::awaitable<void> handle(const HttpRequest &request, HttpResponder &responder);
-    HttpResponse stateDump() const;
 
     EntryState &entry;
-    BackendMonitor &monitor;
-    ObjectClient &platform;
+    std::vector<std::unique_ptr<AdminHandler>> handlers;
     HttpServer server;
 };
 
--- /dev/null
+++ b/packages/control/admin/statushandler.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "control/admin/adminhandler.h"
+#include "entry/entry.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+namespace sassafrasyard {
+
+/**
+ * Answers what operators read about the hosts:
+ *
+ * GET /metrics, /v1/dump, /v1/status (each host with the revision it runs) and /v1/addresses.
+ */
+class StatusHandler : public AdminHandler
+{
+public:
+    /** Creates the handler. */
+    StatusHandler(EntryState &state, BackendMonitor &monitor, PeerService &peers,
+                  boost::asio::io_context &context);
+    StatusHandler(const StatusHandler &) = delete;
+    StatusHandler &operator=(const StatusHandler &) = delete;
+
+    boost::asio::awaitable<std::optional<HttpResponse>> answer(const HttpRequest &request) override;
+
+private:
+    using Revisions = std::map<HostIncarnation, std::optional<std::uint64_t>>;
+
+    boost::asio::awaitable<Revisions> askRevisions();
+    boost::asio::awaitable<HttpResponse> status();
+    HttpResponse addresses() const;
+    HttpResponse stateDump() const;
+
+    EntryState &entry;
+    BackendMonitor &monitor;
+    PeerService &peers;
+    boost::asio::io_context &context;
+};
+
+} // namespace sassafrasyard
--- a/packages/control/configuration/configurationfollower.cpp
+++ b/packages/control/configuration/configurationfollower.cpp
@@ -1,5 +1,7 @@
 #include "control/configuration/configurationfollower.h"
 
+#include "control/configuration/watcherselection.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -15,15 +17,15 @@
 namespace {
 
 constexpr Milliseconds watchTimeout{30000};
-constexpr Milliseconds retryDelay{1000};
-constexpr std::string_view configurationObject = "configuration/current";
+constexpr Milliseconds pauseInterval{1000};
 
 } // namespace
 
 ConfigurationFollower::ConfigurationFollower(EntryState &state, ObjectClient &platform,
-                                             net::io_context &context)
+                                             ConfigurationStore &store, net::io_context &context)
     : entry(state)
     , platform(platform)
+    , store(store)
     , context(context)
 {
 }
@@ -38,28 +40,76 @@
 {
     net::steady_timer timer(co_await net::this_coro::executor);
     boost::system::error_code code;
-    std::uint64_t version = 0;
     while (!code) {
-        Error reason;
-        const auto object = co_await this->platform.watch(std::string(configurationObject), version,
-                                                          watchTimeout, reason);
-        if (!object) {
-            logEvent(LogEvent::ConfigurationUnavailable, "detail", reason.detail);
-            timer.expires_after(retryDelay);
-            co_await timer.async_wait(net::redirect_error(net::use_awaitable, code));
+        const bool hasAdvanced = co_await this->readOrWatch();
+        if (hasAdvanced)
             continue;
-        }
-        version = object->version;
-        auto configuration = parseConfiguration(object->value, reason);
-        if (!configuration) {
-            logEvent(LogEvent::ConfigurationRejected, "detail", reason.detail);
-            continue;
-        }
-        const std::uint64_t revision = configuration->revision;
-        if (this->entry.configuration.offer(std::move(*configuration)))
-            logEvent(LogEvent::ConfigurationApplied, "revision", std::to_string(revision), "from",
-                     "platform");
+        timer.expires_after(pauseInterval);
+        co_await timer.async_wait(net::redirect_error(net::use_awaitable, code));
+    }
+}
+
+/** @return whether to go on without a pause. */
+net::awaitable<bool> ConfigurationFollower::readOrWatch()
+{
+    const auto members = this->entry.members();
+    const bool watches = isWatcher(*members, this->entry.incarnation, this->entry.settings.region);
+    // Peers may have supplied a configuration while the platform was down.
+    const bool needsStart =
+            !this->hasReadAtStart && this->entry.configuration.current()->revision == 0;
+    if (!watches && !needsStart)
+        co_return false;
+    Error reason;
+    std::optional<StoredObject> object;
+    const std::string name(headObjectName);
+    if (this->hasReadAtStart)
+        object = co_await this->platform.watch(name, this->headVersion, watchTimeout, reason);
+    else
+        object = co_await this->platform.read(name, reason);
+    if (!object) {
+        if (reason.code != ErrorCode::NotFound)
+            logEvent(LogEvent::ConfigurationUnavailable, "detail", reason.detail);
+        // The first head is as good as any: until it exists the host goes on reading.
+        co_return false;
+    }
+    // A lower version is a stale read; watching on from it would answer at once, again and again.
+    if (object->version < this->headVersion)
+        co_return false;
+    const bool isApplied = co_await this->apply(std::move(object->value));
+    if (isApplied) {
+        this->headVersion = object->version;
+        this->hasReadAtStart = true;
+    }
+    co_return isApplied;
+}
+
+/** @return whether the head's revision, or a later one, is in force. */
+net::awaitable<bool> ConfigurationFollower::apply(std::string headText)
+{
+    Error reason;
+    auto head = parseHead(headText, reason);
+    if (!head) {
+        logEvent(LogEvent::ConfigurationRejected, "detail", reason.detail);
+        co_return false;
+    }
+    const auto known = sourceOf(*this->entry.configuration.current());
+    if (head->revision <= known->revision)
+        co_return true;
+    const auto source = co_await this->store.load(std::move(*head), known, reason);
+    if (!source) {
+        logEvent(LogEvent::ConfigurationUnavailable, "detail", reason.detail);
+        co_return false;
+    }
+    std::vector<ConfigurationFault> faults;
+    auto configuration = resolveSource(source, faults);
+    if (!configuration) {
+        logEvent(LogEvent::ConfigurationRejected, "detail", toError(faults).detail);
+        co_return false;
     }
+    if (this->entry.configuration.offer(std::move(*configuration)))
+        logEvent(LogEvent::ConfigurationApplied, "revision", std::to_string(source->revision),
+                 "from", "platform");
+    co_return true;
 }
 
 } // namespace sassafrasyard
--- /dev/null
+++ b/packages/control/configuration/configurationstore.cpp
@@ -0,0 +1,112 @@
+#include "control/configuration/configurationstore.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace sassafrasyard {
+
+namespace net = boost::asio;
+
+namespace {
+
+constexpr Milliseconds firstRetryDelay{50};
+constexpr Milliseconds longestRetryDelay{1000};
+
+net::awaitable<void> pauseFor(Milliseconds delay)
+{
+    net::steady_timer timer(co_await net::this_coro::executor);
+    timer.expires_after(delay);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
+}
+
+} // namespace
+
+ConfigurationStore::ConfigurationStore(ObjectClient &platform, Clock systemClock)
+    : platform(platform)
+    , systemClock(std::move(systemClock))
+{
+}
+
+net::awaitable<ChangeOutcome> ConfigurationStore::accept(
+        ChangeRequest request, std::shared_ptr<const ConfigurationSource> known)
+{
+    ChangeAcceptance acceptance(std::move(request), std::move(known), this->systemClock.now());
+    Milliseconds delay = firstRetryDelay;
+    while (!std::holds_alternative<ChangeOutcome>(acceptance.step())) {
+        AcceptanceStep step = acceptance.step();
+        const StepAnswer answer = co_await this->carryOut(std::move(step));
+        acceptance.advance(answer);
+        const bool isRetry = answer.failure && answer.failure->code != ErrorCode::Conflict
+                && answer.failure->code != ErrorCode::NotFound;
+        if (isRetry && !std::holds_alternative<ChangeOutcome>(acceptance.step())) {
+            co_await pauseFor(delay);
+            delay = std::min(2 * delay, longestRetryDelay);
+        }
+    }
+    co_return std::get<ChangeOutcome>(acceptance.step());
+}
+
+net::awaitable<StepAnswer> ConfigurationStore::carryOut(AcceptanceStep step)
+{
+    StepAnswer answer;
+    Error reason;
+    std::optional<StoredObject> object;
+    std::optional<std::uint64_t> written;
+    WriteCondition condition;
+    if (std::holds_alternative<ReadHeadStep>(step)) {
+        object = co_await this->platform.read(std::string(headObjectName), reason);
+    } else if (auto *read = std::get_if<ReadObjectStep>(&step)) {
+        object = co_await this->platform.read(std::move(read->name), reason);
+    } else if (auto *create = std::get_if<CreateObjectStep>(&step)) {
+        written = co_await this->platform.write(std::move(create->name), std::move(create->value),
+                                                condition, reason);
+    } else if (auto *update = std::get_if<UpdateHeadStep>(&step)) {
+        condition.version = update->version;
+        written = co_await this->platform.write(std::string(headObjectName),
+                                                std::move(update->value), condition, reason);
+    }
+    if (object) {
+        answer.value = std::move(object->value);
+        answer.version = object->version;
+    } else if (written) {
+        answer.version = *written;
+    } else {
+        answer.failure = reason;
+    }
+    co_return answer;
+}
+
+net::awaitable<std::shared_ptr<const ConfigurationSource>> ConfigurationStore::load(
+        RevisionHead head, std::shared_ptr<const ConfigurationSource> known, Error &reason)
+{
+    ConfigurationLoader loader(std::move(head), std::move(known));
+    std::vector<std::string> wanted = loader.wanted();
+    while (!wanted.empty()) {
+        for (const std::string &name : wanted) {
+            const auto object = co_await this->platform.read(name, reason);
+            if (!object || !loader.supply(name, object->value, reason))
+                co_return nullptr;
+        }
+        wanted = loader.wanted();
+    }
+    co_return loader.result();
+}
+
+net::awaitable<std::shared_ptr<const ConfigurationSource>> ConfigurationStore::loadCurrent(
+        std::shared_ptr<const ConfigurationSource> known, Error &reason)
+{
+    const auto object = co_await this->platform.read(std::string(headObjectName), reason);
+    if (!object && reason.code == ErrorCode::NotFound)
+        co_return known;
+    if (!object)
+        co_return nullptr;
+    auto head = parseHead(object->value, reason);
+    if (!head)
+        co_return nullptr;
+    co_return co_await this->load(std::move(*head), std::move(known), reason);
+}
+
+} // namespace sassafrasyard
--- a/packages/control/control.h
+++ b/packages/control/control.h
@@ -6,4 +6,8 @@
 #pragma once
 
 #include "control/admin/adminserver.h"
+#include "control/admin/configurationhandler.h"
+#include "control/admin/statushandler.h"
 #include "control/configuration/configurationfollower.h"
+#include "control/configuration/configurationstore.h"
+#include "control/configuration/watcherselection.h"
--- a/packages/entry/peers/peerservice.cpp
+++ b/packages/entry/peers/peerservice.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <limits>
 #include <map>
 
 namespace sassafrasyard {
@@ -25,6 +26,7 @@
 constexpr Milliseconds connectionIdleTimeout{60000};
 constexpr std::size_t indirectProbeCount = 3;
 constexpr std::size_t updatesPerMessage = 8;
+constexpr int maximumPullPages = 256;
 constexpr std::string_view hostObjectPrefix = "hosts/";
 
 MemberRecord selfRecord(const EntryState &entry)
@@ -205,7 +207,8 @@
         const auto configuration = this->entry.configuration.current();
         reply.revision = configuration->revision;
         if (configuration->revision > pull->knownRevision)
-            reply.document = formatConfiguration(*configuration);
+            reply.document =
+                    formatTransfer(*sourceOf(*configuration), pull->knownRevision, pull->after);
         co_return reply;
     }
     if (const auto *call = std::get_if<ForwardCall>(&message)) {
@@ -397,35 +400,66 @@
     if (gossip.revision > known && !this->isPulling.exchange(true)) {
         net::co_spawn(
                 net::make_strand(this->context),
-                [this, address = sender.peerAddress, known] {
-                    return this->pullConfiguration(address, known);
-                },
+                [this, address = sender.peerAddress] { return this->pullConfiguration(address); },
                 net::detached);
     }
     co_await this->publish();
 }
 
-net::awaitable<void> PeerService::pullConfiguration(std::string address, std::uint64_t revision)
+net::awaitable<void> PeerService::pullConfiguration(std::string address)
 {
-    ConfigurationPull pull;
-    pull.sequence = ++this->sequence;
-    pull.knownRevision = revision;
-    Error reason;
-    const PeerMessage message = pull;
-    const auto reply = co_await this->exchange(address, message, pullTimeout, reason);
+    const auto source = co_await this->pullSource(address);
     this->isPulling = false;
-    const auto *answer = reply ? std::get_if<ConfigurationReply>(&*reply) : nullptr;
-    if (answer == nullptr || answer->sequence != pull.sequence || answer->document.empty())
+    if (!source)
         co_return;
-    auto configuration = parseConfiguration(answer->document, reason);
+    std::vector<ConfigurationFault> faults;
+    auto configuration = resolveSource(source, faults);
     if (!configuration) {
-        logEvent(LogEvent::ConfigurationRejected, "detail", reason.detail);
+        logEvent(LogEvent::ConfigurationRejected, "detail", toError(faults).detail);
         co_return;
     }
-    const std::uint64_t received = configuration->revision;
     if (this->entry.configuration.offer(std::move(*configuration)))
-        logEvent(LogEvent::ConfigurationApplied, "revision", std::to_string(received), "from",
-                 address);
+        logEvent(LogEvent::ConfigurationApplied, "revision", std::to_string(source->revision),
+                 "from", address);
+}
+
+net::awaitable<std::shared_ptr<const ConfigurationSource>> PeerService::pullSource(
+        std::string address)
+{
+    const auto known = sourceOf(*this->entry.configuration.current());
+    TransferReader reader(known);
+    for (int page = 0; page < maximumPullPages && !reader.result(); ++page) {
+        ConfigurationPull pull;
+        pull.sequence = ++this->sequence;
+        pull.knownRevision = known->revision;
+        pull.after = reader.nextAfter();
+        Error reason;
+        const PeerMessage message = pull;
+        const auto reply = co_await this->exchange(address, message, pullTimeout, reason);
+        const auto *answer = reply ? std::get_if<ConfigurationReply>(&*reply) : nullptr;
+        if (answer == nullptr || answer->sequence != pull.sequence || answer->document.empty())
+            co_return nullptr;
+        if (!reader.supply(answer->document, reason)) {
+            logEvent(LogEvent::ConfigurationRejected, "detail", reason.detail);
+            co_return nullptr;
+        }
+    }
+    co_return reader.result();
+}
+
+net::awaitable<std::optional<std::uint64_t>> PeerService::askRevision(std::string peerAddress)
+{
+    ConfigurationPull pull;
+    pull.sequence = ++this->sequence;
+    // No revision is newer, so the answer carries no documents.
+    pull.knownRevision = std::numeric_limits<std::uint64_t>::max();
+    Error reason;
+    const PeerMessage message = pull;
+    const auto reply = co_await this->exchange(peerAddress, message, probeTimeout, reason);
+    const auto *answer = reply ? std::get_if<ConfigurationReply>(&*reply) : nullptr;
+    if (answer == nullptr || answer->sequence != pull.sequence)
+        co_return std::nullopt;
+    co_return answer->revision;
 }
 
 net::awaitable<void> PeerService::publish()
--- a/packages/entry/peers/peerservice.h
+++ b/packages/entry/peers/peerservice.h
@@ -37,6 +37,8 @@
     /** Forwards a call to the host of an incarnation; OutcomeUnknown if that host is gone. */
     boost::asio::awaitable<HttpResponse> forward(const HostIncarnation &incarnation,
                                                  const ServiceCall &call);
+    /** Asks a member for the configuration revision in force there. */
+    boost::asio::awaitable<std::optional<std::uint64_t>> askRevision(std::string peerAddress);
 
 private:
     boost::asio::awaitable<void> serve(FrameConnection &connection);
@@ -53,7 +55,9 @@
     boost::asio::awaitable<bool> probeIndirectly(MemberRecord target);
     boost::asio::awaitable<Gossip> collectGossip(bool includesAllMembers);
     boost::asio::awaitable<void> takeIn(MemberRecord sender, Gossip gossip);
-    boost::asio::awaitable<void> pullConfiguration(std::string address, std::uint64_t revision);
+    boost::asio::awaitable<void> pullConfiguration(std::string address);
+    boost::asio::awaitable<std::shared_ptr<const ConfigurationSource>> pullSource(
+            std::string address);
     boost::asio::awaitable<void> publish();
 
     EntryState &entry;
--- a/packages/protocol/messages/messagecodec.cpp
+++ b/packages/protocol/messages/messagecodec.cpp
@@ -73,7 +73,7 @@
 void visitFields(Visitor &visit, auto &message) requires
         std::is_same_v<std::remove_cvref_t<decltype(message)>, ConfigurationPull>
 {
-    visit(message.sequence, message.knownRevision);
+    visit(message.sequence, message.knownRevision, message.after);
 }
 
 template <typename Visitor>
--- a/packages/protocol/messages/peermessage.h
+++ b/packages/protocol/messages/peermessage.h
@@ -140,6 +140,8 @@
     std::uint64_t sequence = 0;
     /** The revision that the sender already has. */
     std::uint64_t knownRevision = 0;
+    /** The key of the last document of a reply in pages; empty to begin. */
+    std::string after;
 };
 
 /** Answers a ConfigurationPull. */
@@ -149,8 +151,7 @@
     std::uint64_t sequence = 0;
     /** The revision; not above the known one if there is nothing newer. */
     std::uint64_t revision = 0;
-    /** The configuration document as JSON text, or a change of it; empty if there is nothing newer.
-     */
+    /** The changed documents, or a page of all, as JSON text; empty if there is nothing newer. */
     std::string document;
 };
 
--- a/tools/quickstart.sh
+++ b/tools/quickstart.sh
@@ -24,22 +24,30 @@
 await curl -fs "http://$(address 0)/objects"
 
 key_digest=$(printf '%s' demo-key | sha256sum | cut -d' ' -f1)
-curl -fs -X PUT "http://$(address 0)/objects/configuration%2Fcurrent" -d '{
-  "revision": 1,
-  "accounts": [{"name": "demo", "key_digests": ["'"$key_digest"'"],
-                "models": [{"name": "plan"}], "services": ["stock"]}],
-  "servers": [
-    {"name": "plan-1", "kind": "engine", "address": "'"$(address 1)"'", "models": ["plan"]},
-    {"name": "stock-1", "kind": "service", "address": "'"$(address 2)"'", "models": ["stock"]}]}' > /dev/null
-
 export SASSAFRASYARD_POSITION_SECRET=0123456789abcdef SASSAFRASYARD_OPERATOR_TOKEN=0123456789abcdef
 for n in 1 2; do
   start "$bin/sassafrasyardd" --host="entry-$n" --failure-domain=domain-$n --region=local \
     --caller-address="$(address $((n * 10)))" --peer-address="$(address $((n * 10 + 1)))" \
     --admin-address="$(address $((n * 10 + 2)))" --platform-address="$(address 0)"
 done
+ctl() { "$bin/sassafrasyardctl" --admin-address="$(address 12)" "$@"; }
+await ctl status
+ctl apply --author=quickstart --file=- << JSON
+[{"document": "model/plan", "versions": ["v1"]},
+ {"document": "template/store",
+  "parameters": {"keys": {"type": "strings"}, "rate": {"type": "number", "default": 0}},
+  "account": {"key_digests": {"parameter": "keys"}, "models": [{"name": "plan"}],
+              "services": ["stock"], "requests_per_second": {"parameter": "rate"}}},
+ {"document": "account/demo", "template": "store", "parameters": {"keys": ["$key_digest"]}},
+ {"document": "server/plan-1", "kind": "engine", "address": "$(address 1)", "models": ["plan"]},
+ {"document": "server/stock-1", "kind": "service", "address": "$(address 2)", "service": "stock"}]
+JSON
 two_hosts() { [ "$(curl -fs -H 'Authorization: Bearer demo-key' "http://$(address 10)/v1/addresses" | grep -o '"host"' | wc -l)" = 2 ]; }
 await two_hosts
+both_run_it() { [ "$(ctl status --output=json | grep -c '"lagging": false')" = 2 ]; }
+await both_run_it
+echo "The hosts and the configuration revision each one runs:"
+ctl status
 echo "Entry hosts that callers may use:"
 curl -fs -H 'Authorization: Bearer demo-key' "http://$(address 10)/v1/addresses"; echo
 echo "One generation, token by token:"
