--- a/packages/backends/engine/engineclient.cpp
+++ b/packages/backends/engine/engineclient.cpp
@@ -55,6 +55,8 @@
         LoadedModel loaded;
         loaded.model = ModelName(item.value("model", ""));
         loaded.version = item.value("version", "");
+        if (item.contains("running"))
+            loaded.running = item.at("running").get<std::uint32_t>();
         status.models.push_back(std::move(loaded));
     }
     return status;
--- a/packages/backends/engine/engineclient.h
+++ b/packages/backends/engine/engineclient.h
@@ -33,6 +33,8 @@
     ModelName model;
     /** The version. */
     std::string version;
+    /** The streams that run on the version; nothing if the engine does not report it. */
+    std::optional<std::uint32_t> running;
 };
 
 /** An engine's load and what it has loaded. */
--- a/packages/configuration/documents/configurationdocument.h
+++ b/packages/configuration/documents/configurationdocument.h
@@ -4,6 +4,7 @@
 #include "policy/policy.h"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -36,6 +37,8 @@
     std::vector<ClientAccount> accounts;
     /** All backend servers. */
     std::vector<BackendServer> servers;
+    /** The versions that new work gets, by backend server and model; a rollout sets them. */
+    std::map<BackendServerName, std::map<ModelName, std::string>> servedVersions;
     /** The documents behind it; null for a configuration that was not read from documents. */
     std::shared_ptr<const ConfigurationSource> source;
 
--- a/packages/configuration/documents/documentset.cpp
+++ b/packages/configuration/documents/documentset.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <set>
 
 namespace sassafrasyard {
@@ -34,7 +35,31 @@
     return models;
 }
 
+std::map<ModelName, std::string> readServedVersions(const json &versions,
+                                                    const BackendServer &server,
+                                                    const KnownReferences &known,
+                                                    FieldReader &fields)
+{
+    std::map<ModelName, std::string> result;
+    for (const auto &[name, version] : versions.items()) {
+        const ModelName model(name);
+        const auto declared = known.models.find(name);
+        const bool isServed =
+                std::find(server.models.begin(), server.models.end(), model) != server.models.end();
+        if (!isServed || !version.is_string() || declared == known.models.end()
+            || !declared->second.contains(version.get<std::string>())) {
+            fields.report(ConfigurationFaultKind::UnknownReference, "versions." + name,
+                          "unknown model or version",
+                          "name a model of this server and a version of model/" + name);
+            continue;
+        }
+        result.emplace(model, version.get<std::string>());
+    }
+    return result;
+}
+
 BackendServer readServer(const DocumentKey &key, const json &body, const KnownReferences &known,
+                         std::map<ModelName, std::string> &servedVersions,
                          std::vector<ConfigurationFault> &faults)
 {
     FieldReader fields(body, key.toString(), "", faults);
@@ -65,6 +90,8 @@
             ++index;
         }
     }
+    servedVersions = readServedVersions(fields.object("versions", FieldPresence::Optional), server,
+                                        known, fields);
     server.slots = fields.integer("slots", server.slots, 1, maximumSlots);
     server.memoryTokens =
             fields.integer("memory_tokens", server.memoryTokens, 1, maximumMemoryTokens);
@@ -192,8 +219,11 @@
     std::map<std::string, AccountTemplate> templates;
     for (const auto &[key, body] : parsed) {
         if (key.kind == DocumentKind::Server) {
-            configuration.servers.push_back(readServer(key, body, known, faults));
+            std::map<ModelName, std::string> versions;
+            configuration.servers.push_back(readServer(key, body, known, versions, faults));
             const BackendServer &server = configuration.servers.back();
+            if (!versions.empty())
+                configuration.servedVersions.emplace(server.name, std::move(versions));
             if (server.kind == BackendServerKind::Service)
                 known.services.insert(server.models.front().toString());
         } else if (key.kind == DocumentKind::Template) {
