--- a/packages/configuration/revisions/changeacceptance.cpp
+++ b/packages/configuration/revisions/changeacceptance.cpp
@@ -184,7 +184,7 @@
 void ChangeAcceptance::prepare()
 {
     const auto source = this->loader->result();
-    if (const auto winner = this->findConflict(*source); false) {
+    if (const auto winner = this->findConflict(*source)) {
         this->finishConflict(*winner);
         return;
     }
