--- a/apps/ctl/commandline.cpp
+++ b/apps/ctl/commandline.cpp
@@ -82,8 +82,10 @@
         } else if (result == 0) {
             line.*flags[static_cast<std::size_t>(index)].target = optarg;
         } else {
-            problem = std::string("unknown flag or missing value: ")
-                    + pointers[static_cast<std::size_t>(optind - 1)];
+            // The value is left out, since it may be the operator token.
+            const std::string_view flag = pointers[static_cast<std::size_t>(optind - 1)];
+            problem =
+                    "unknown flag or missing value: " + std::string(flag.substr(0, flag.find('=')));
             return std::nullopt;
         }
     }
--- a/apps/ctl/commands.cpp
+++ b/apps/ctl/commands.cpp
@@ -41,7 +41,7 @@
     return code == "platform_unavailable" ? ExitCode::Unavailable : ExitCode::Refused;
 }
 
-std::string adviceFor(ExitCode code)
+std::string adviceFor(ExitCode code, const std::string &change)
 {
     switch (code) {
     case ExitCode::Conflict:
@@ -50,8 +50,8 @@
     case ExitCode::Unavailable:
         return "Nothing was changed. Running hosts keep their configuration; try again later.";
     case ExitCode::OutcomeUnknown:
-        return "Run the same command again with the same --change: it tells whether the change "
-               "is in force and never makes it twice.";
+        return "Run the same command again with --change=" + change
+                + ": it tells whether the change is in force and never makes it twice.";
     default:
         return "See sassafrasyardctl --help.";
     }
@@ -93,6 +93,7 @@
     , client(client)
     , output(output)
     , errors(errors)
+    , change(line.change.empty() ? RandomSource::fromSystem().nextHex() : line.change)
 {
 }
 
@@ -159,7 +160,7 @@
         return ExitCode::Usage;
     json body;
     body["documents"] = json::parse(*documents, nullptr, false);
-    body["change"] = this->changeIdentifier();
+    body["change"] = this->change;
     body["author"] = this->line.author;
     body["comment"] = this->line.comment;
     if (!this->line.base.empty()) {
@@ -254,7 +255,7 @@
     if (this->line.words.size() != 2)
         return this->usage(action + " needs the name of one backend server");
     json body;
-    body["change"] = this->changeIdentifier();
+    body["change"] = this->change;
     body["author"] = this->line.author;
     if (!this->line.comment.empty())
         body["comment"] = this->line.comment;
@@ -359,7 +360,7 @@
                 : ExitCode::OutcomeUnknown;
         this->errors << "no answer from " << this->line.adminAddress << ": " << reason.detail
                      << "\nAny other entry host's admin API does as well. "
-                     << adviceFor(answer.code) << "\n";
+                     << adviceFor(answer.code, this->change) << "\n";
         return answer;
     }
     answer.body = json::parse(response->body, nullptr, false);
@@ -371,7 +372,7 @@
     this->errors << answer.body.value("code", "unexpected answer") << ": "
                  << answer.body.value("detail", "") << "\n";
     printFaults(answer.body.value("faults", json::array()), this->errors);
-    this->errors << adviceFor(answer.code) << "\n";
+    this->errors << adviceFor(answer.code, this->change) << "\n";
     return answer;
 }
 
@@ -403,9 +404,4 @@
     }
 }
 
-std::string Commands::changeIdentifier() const
-{
-    return this->line.change.empty() ? RandomSource::fromSystem().nextHex() : this->line.change;
-}
-
 } // namespace sassafrasyard
--- a/apps/ctl/commands.h
+++ b/apps/ctl/commands.h
@@ -49,12 +49,11 @@
     Answer ask(const std::string &method, const std::string &target, const std::string &body = {});
     ExitCode usage(const std::string &problem);
     std::optional<std::string> readDocuments();
-    std::string changeIdentifier() const;
-
     const CommandLine &line;
     AdminClient &client;
     std::ostream &output;
     std::ostream &errors;
+    const std::string change;
 };
 
 } // namespace sassafrasyard
--- a/packages/configuration/documents/accounttemplate.cpp
+++ b/packages/configuration/documents/accounttemplate.cpp
@@ -91,7 +91,7 @@
                          "add document model/" + name + " or correct the name");
         else if (!version.empty() && !found->second.contains(version))
             model.report(ConfigurationFaultKind::UnknownReference, "version",
-                         "unknown version " + version + " of model " + name,
+                         "unknown version " + version + " of this model",
                          "add it to model/" + name + " or leave it empty for any");
     }
     result.services = fields.texts("services", FieldPresence::Optional);
--- a/packages/configuration/settings/settings.cpp
+++ b/packages/configuration/settings/settings.cpp
@@ -156,6 +156,12 @@
         faults.push_back(fault("io-threads", "not a number from 1 to 64"));
 }
 
+/** Returns a flag without its value, which may be a secret. */
+std::string flagName(std::string_view argument)
+{
+    return std::string(argument.substr(0, argument.find('=')));
+}
+
 /** Parses the flags. @return one optional value per definition. */
 std::array<std::optional<std::string>, definitions.size()> parseFlags(
         std::span<const std::string> arguments, std::vector<Error> &faults)
@@ -182,17 +188,18 @@
         } else {
             faults.push_back({ErrorCode::SettingInvalid,
                               RunState::NotRun,
-                              std::string("unknown flag or missing value: ")
-                                      + pointers[static_cast<std::size_t>(optind - 1)],
+                              "unknown flag or missing value: "
+                                      + flagName(pointers[static_cast<std::size_t>(optind - 1)]),
                               {}});
         }
     }
     for (int rest = optind; rest < count; ++rest)
-        faults.push_back(
-                {ErrorCode::SettingInvalid,
-                 RunState::NotRun,
-                 std::string("unexpected argument: ") + pointers[static_cast<std::size_t>(rest)],
-                 {}});
+        faults.push_back({ErrorCode::SettingInvalid,
+                          RunState::NotRun,
+                          // The text itself may be a secret after a stray space.
+                          "unexpected argument at the end of the command line, number "
+                                  + std::to_string(rest - optind + 1),
+                          {}});
     return values;
 }
 
--- a/packages/configuration/tests/test_settings.cpp
+++ b/packages/configuration/tests/test_settings.cpp
@@ -78,3 +78,20 @@
     REQUIRE_FALSE(parseConfiguration("{}", reason));
     REQUIRE(reason.code == ErrorCode::ConfigurationInvalid);
 }
+
+// Guards against a secret that reaches the error output through a misspelt flag or a stray space.
+TEST_CASE("Faults of the settings never quote a secret", "[configuration]")
+{
+    std::vector<Error> faults;
+    auto arguments = validArguments();
+    arguments[7] = "--position-secret=pssst";
+    arguments[8] = "--operator-tokn=hush-hush-hush-hush";
+    arguments.emplace_back("hush-too");
+    arguments.emplace_back("--io-threads=pssst-too");
+    REQUIRE_FALSE(readSettings(arguments, emptyEnvironment, faults));
+    REQUIRE(faults.size() == 5);
+    for (const Error &fault : faults) {
+        REQUIRE(fault.detail.find("hush") == std::string::npos);
+        REQUIRE(fault.detail.find("pssst") == std::string::npos);
+    }
+}
--- a/tests/standins/platform/objectstore.h
+++ b/tests/standins/platform/objectstore.h
@@ -17,9 +17,10 @@
 /**
  * A stand-in for the platform's object API, in memory.
  *
- * POST /fault {"mode": "none" | "down" | "slow" | "lose_reply", "delay_ms": n} switches faults:
- * down answers 503, slow delays each answer, lose_reply applies the next write and cuts the
- * connection's answer to 503. GET /calls returns the number of calls so far.
+ * POST /fault {"mode": "none" | "down" | "slow" | "slow_writes" | "lose_reply", "delay_ms": n}
+ * switches faults: down answers 503, slow delays each call before it is carried out, slow_writes
+ * only writes, lose_reply applies the next write and cuts the connection's answer to 503. GET
+ * /calls returns the number of calls so far.
  */
 class ObjectStore
 {
