--- a/packages/control/rollouts/rollout.cpp
+++ b/packages/control/rollouts/rollout.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace sassafrasyard {
@@ -59,6 +60,16 @@
     return "pending";
 }
 
+std::size_t countLoads(const Rollout &rollout)
+{
+    if (rollout.state != RolloutState::Running)
+        return 0;
+    const auto count =
+            std::count_if(rollout.servers.begin(), rollout.servers.end(),
+                          [](const auto &server) { return server.phase == ServerPhase::Loading; });
+    return static_cast<std::size_t>(count);
+}
+
 std::string formatRollout(const Rollout &rollout)
 {
     json item;
--- a/packages/control/rollouts/rollout.h
+++ b/packages/control/rollouts/rollout.h
@@ -2,6 +2,7 @@
 
 #include "core/core.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -69,7 +70,8 @@
     std::string author;
     /** The share of the servers that may be loading or under observation at a time. */
     double parallelShare = 0.1;
-    /** How many servers may load at a time, for the weight store's rate limit. */
+    /** How many servers may load at a time, those of other rollouts included, for the weight
+     * store's rate limit. */
     std::uint32_t maximumLoads = 4;
     /** The factor of the time per token at which the rollout stops. */
     double maximumSlowdown = 1.5;
@@ -90,6 +92,9 @@
     bool operator==(const Rollout &) const = default;
 };
 
+/** Returns how many servers of a running rollout are loading. */
+std::size_t countLoads(const Rollout &rollout);
+
 /** Writes a rollout as JSON text. */
 std::string formatRollout(const Rollout &rollout);
 /** Reads a rollout. @param reason receives ConfigurationInvalid. */
--- a/packages/control/rollouts/rolloutplanner.cpp
+++ b/packages/control/rollouts/rolloutplanner.cpp
@@ -115,20 +115,20 @@
     return SendOrderStep{server.name, "unload", server.oldVersion};
 }
 
-bool mayStartAnother(const Rollout &rollout, Milliseconds now)
+bool mayStartAnother(const Rollout &rollout, const RolloutView &view)
 {
     const auto count = static_cast<double>(rollout.servers.size());
     const auto allowed = std::max<std::size_t>(
             1, static_cast<std::size_t>(std::floor(rollout.parallelShare * count)));
-    std::size_t loading = 0;
+    const std::size_t loading = countLoads(rollout);
     std::size_t observed = 0;
     for (const RolloutServer &server : rollout.servers) {
-        loading += server.phase == ServerPhase::Loading ? 1 : 0;
-        observed += server.phase == ServerPhase::Serving && now - server.since < rollout.observation
+        observed += server.phase == ServerPhase::Serving
+                        && view.now - server.since < rollout.observation
                 ? 1
                 : 0;
     }
-    return loading + observed < allowed && loading < rollout.maximumLoads;
+    return loading + observed < allowed && loading + view.otherLoads < rollout.maximumLoads;
 }
 
 RolloutStep planStart(const Rollout &rollout, std::size_t index, const RolloutServerView &seen,
@@ -185,7 +185,7 @@
             step = planLoading(rollout, index, seen, view.now);
         else if (server.phase == ServerPhase::Serving)
             step = planServing(rollout, index, seen, view);
-        else if (seen.isReachable && mayStartAnother(rollout, view.now))
+        else if (seen.isReachable && mayStartAnother(rollout, view))
             step = planStart(rollout, index, seen, view.now);
         if (step)
             return *step;
--- a/packages/control/rollouts/rolloutplanner.h
+++ b/packages/control/rollouts/rolloutplanner.h
@@ -2,6 +2,7 @@
 
 #include "control/rollouts/rollout.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -41,6 +42,8 @@
     std::map<BackendServerName, RolloutServerView> servers;
     /** Whether a client account asks for a version by name, so that it must stay loaded. */
     std::map<std::string, bool> pinnedVersions;
+    /** Loads of other rollouts in progress, which share the weight store. */
+    std::size_t otherLoads = 0;
 };
 
 /** Nothing can be done until the view changes. */
--- a/packages/control/rollouts/rolloutservice.cpp
+++ b/packages/control/rollouts/rolloutservice.cpp
@@ -42,6 +42,18 @@
     return samples[samples.size() / 2];
 }
 
+std::size_t countOtherLoads(const std::vector<StoredObject> &objects, const std::string &name)
+{
+    std::size_t count = 0;
+    for (const StoredObject &object : objects) {
+        Error ignored;
+        const auto rollout = parseRollout(object.value, ignored);
+        if (rollout && object.name != name)
+            count += countLoads(*rollout);
+    }
+    return count;
+}
+
 } // namespace
 
 RolloutService::RolloutService(EntryState &state, ObjectClient &platform, ConfigurationStore &store,
@@ -94,9 +106,10 @@
     if (active.empty())
         co_return;
     co_await this->keepLease();
-    for (const StoredObject &object : active) {
+    for (StoredObject &object : active) {
+        const std::size_t otherLoads = countOtherLoads(active, object.name);
         if (this->lease.isHeld(this->entry.steadyClock.now()))
-            co_await this->carryOn(object);
+            co_await this->carryOn(object, otherLoads);
     }
 }
 
@@ -139,7 +152,7 @@
     this->wasHeld = true;
 }
 
-net::awaitable<void> RolloutService::carryOn(StoredObject object)
+net::awaitable<void> RolloutService::carryOn(StoredObject &object, std::size_t otherLoads)
 {
     Error reason;
     for (int count = 0; count < stepsPerPass; ++count) {
@@ -150,7 +163,8 @@
             this->lease.abandon();
             co_return;
         }
-        const RolloutView view = co_await this->look(*rollout);
+        RolloutView view = co_await this->look(*rollout);
+        view.otherLoads = otherLoads;
         RolloutStep step = planRollout(*rollout, view);
         co_await this->keepLease();
         if (std::holds_alternative<WaitStep>(step)
--- a/packages/control/rollouts/rolloutservice.h
+++ b/packages/control/rollouts/rolloutservice.h
@@ -46,7 +46,7 @@
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> pass();
     boost::asio::awaitable<void> keepLease();
-    boost::asio::awaitable<void> carryOn(StoredObject object);
+    boost::asio::awaitable<void> carryOn(StoredObject &object, std::size_t otherLoads);
     boost::asio::awaitable<bool> carryOut(RolloutStep step, const Rollout &rollout,
                                           StoredObject &object);
     boost::asio::awaitable<bool> sendOrder(SendOrderStep step, const Rollout &rollout);
--- a/packages/control/tests/test_rollouts.cpp
+++ b/packages/control/tests/test_rollouts.cpp
@@ -324,6 +324,20 @@
     REQUIRE(std::get<RecordStep>(pinned).next.servers[0].phase == ServerPhase::Done);
 }
 
+// Guards against rollouts that overload the weight store together.
+TEST_CASE("The loads of other rollouts count against the limit", "[control]")
+{
+    Rollout rollout = servingRollout();
+    rollout.servers[0].phase = ServerPhase::Pending;
+    RolloutServerView seen = servingView();
+    seen.loaded = {{"v1", 2}};
+    RolloutView view = viewOf(Milliseconds(0), "e", seen);
+    view.otherLoads = rollout.maximumLoads - 1;
+    REQUIRE(std::holds_alternative<RecordStep>(planRollout(rollout, view)));
+    view.otherLoads = rollout.maximumLoads;
+    REQUIRE(planRollout(rollout, view) == RolloutStep(WaitStep()));
+}
+
 TEST_CASE("A rollout survives formatting and parsing", "[control]")
 {
     Rollout rollout = servingRollout();
