--- a/packages/configuration/documents/configurationdocument.h
+++ b/packages/configuration/documents/configurationdocument.h
@@ -4,6 +4,8 @@
 #include "policy/policy.h"
 
 #include <cstdint>
+#include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -11,6 +13,8 @@
 
 namespace sassafrasyard {
 
+struct ConfigurationSource;
+
 /** A client account with all parameters of its template filled in. */
 struct ClientAccount
 {
@@ -33,6 +37,10 @@
     std::vector<ClientAccount> accounts;
     /** All backend servers. */
     std::vector<BackendServer> servers;
+    /** The versions that new work gets, by backend server and model; a rollout sets them. */
+    std::map<BackendServerName, std::map<ModelName, std::string>> servedVersions;
+    /** The documents behind it; null for a configuration that was not read from documents. */
+    std::shared_ptr<const ConfigurationSource> source;
 
     /** Returns the account of a bearer key, or null. @param keyDigest in hexadecimal digits. */
     const ClientAccount *findByKeyDigest(std::string_view keyDigest) const;
--- a/packages/entry/peers/peerservice.h
+++ b/packages/entry/peers/peerservice.h
@@ -38,6 +38,8 @@
     /** Forwards a call to the host of an incarnation; OutcomeUnknown if that host is gone. */
     boost::asio::awaitable<HttpResponse> forward(const HostIncarnation &incarnation,
                                                  const ServiceCall &call);
+    /** Asks a member for the configuration revision in force there. */
+    boost::asio::awaitable<std::optional<std::uint64_t>> askRevision(std::string peerAddress);
 
 private:
     boost::asio::awaitable<void> serve(FrameConnection &connection);
@@ -57,7 +59,9 @@
     boost::asio::awaitable<std::string> encodeLoadUpdate();
     void takeInLoad(const Gossip &gossip);
     boost::asio::awaitable<void> takeIn(MemberRecord sender, Gossip gossip);
-    boost::asio::awaitable<void> pullConfiguration(std::string address, std::uint64_t revision);
+    boost::asio::awaitable<void> pullConfiguration(std::string address);
+    boost::asio::awaitable<std::shared_ptr<const ConfigurationSource>> pullSource(
+            std::string address);
     boost::asio::awaitable<void> publish();
 
     EntryState &entry;
