Add the scenario language and its runner over real processes

The guarantees are promised under failure, which unit tests cannot show. scenario-runner starts entry hosts and stand-ins on loopback, sends signals, disturbs links through its own TCP forwarder, drives callers and checks what they received. A file is checked as a whole, with line numbers and typed errors, before a process starts. Ports are claimed by a bound UDP socket of the same number, below the range of outgoing connections: a port found by binding port 0 can be taken by an outgoing connection while its process is restarted.

The link between entry hosts cannot be disturbed: a host advertises the peer address it binds.

--- /dev/null
+++ b/tests/scenarios/runner/faultrelay.cpp
@@ -0,0 +1,352 @@
+#include "scenarios/runner/faultrelay.h"
+
+#include "scenarios/runner/scenarioerror.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <atomic>
+#include <cstdio>
+#include <future>
+#include <mutex>
+#include <set>
+#include <vector>
+
+namespace sassafrasyard {
+
+namespace net = boost::asio;
+using tcp = net::ip::tcp;
+using boost::system::error_code;
+using Kind = RelayFault::Kind;
+
+namespace {
+
+constexpr std::size_t requestStartBytes = 64;
+constexpr std::string_view headerEnd = "\r\n\r\n";
+/** The end of a chunk that holds whole server-sent events. */
+constexpr std::string_view eventChunkEnd = "\n\n\r\n";
+constexpr std::string_view generationField = "\"generation\":\"";
+constexpr std::string_view generationMark = "$GENERATION";
+
+auto redirect(error_code &code)
+{
+    return net::redirect_error(net::use_awaitable, code);
+}
+
+std::string chunkOf(const std::string &data)
+{
+    const std::string event = "data: " + data + "\n\n";
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", event.size());
+    return size.data() + event + "\r\n";
+}
+
+void replaceAll(std::string &text, std::string_view from, std::string_view to)
+{
+    std::size_t position = 0;
+    while (!from.empty() && (position = text.find(from, position)) != std::string::npos) {
+        text.replace(position, from.size(), to);
+        position += to.size();
+    }
+}
+
+} // namespace
+
+namespace {
+
+/** One connection through the relay. */
+struct Link
+{
+    explicit Link(const net::any_io_executor &executor)
+        : caller(executor)
+        , server(executor)
+    {
+    }
+
+    void close()
+    {
+        error_code ignored;
+        this->caller.close(ignored);
+        this->server.close(ignored);
+    }
+
+    tcp::socket caller;
+    tcp::socket server;
+    std::size_t replyBytes = 0;
+    std::size_t events = 0;
+    /** Reply bytes since the last boundary of an event. */
+    std::string sinceBoundary;
+    std::string generation;
+    bool dropsReply = false;
+};
+
+} // namespace
+
+struct FaultRelay::Implementation : std::enable_shared_from_this<FaultRelay::Implementation>
+{
+    Implementation(net::io_context &context, const Endpoint &target)
+        : context(context)
+        , acceptor(context)
+        , target(net::ip::make_address(target.address), target.port)
+        , changed(context)
+    {
+        this->changed.expires_at(net::steady_timer::time_point::max());
+    }
+
+    void listen(const Endpoint &endpoint);
+    void apply(RelayFault next);
+    net::awaitable<void> accept();
+    net::awaitable<void> serve(std::shared_ptr<Link> link);
+    net::awaitable<void> pumpRequest(std::shared_ptr<Link> link);
+    net::awaitable<void> pumpReply(std::shared_ptr<Link> link);
+    net::awaitable<void> passStall();
+    net::awaitable<void> wait(std::uint64_t milliseconds);
+    bool disturb(Link &link, std::string &bytes);
+    void injectEvent(Link &link, std::string &bytes);
+    void endFault();
+
+    net::io_context &context;
+    tcp::acceptor acceptor;
+    tcp::endpoint target;
+    net::steady_timer changed;
+    RelayFault fault;
+    std::set<std::shared_ptr<Link>> links;
+    std::atomic<std::size_t> done = 0;
+    mutable std::mutex mutex;
+    std::vector<std::string> requestStarts;
+};
+
+void FaultRelay::Implementation::listen(const Endpoint &endpoint)
+{
+    error_code code;
+    const tcp::endpoint address(net::ip::make_address(endpoint.address), endpoint.port);
+    this->acceptor.open(address.protocol(), code);
+    if (!code)
+        this->acceptor.set_option(net::socket_base::reuse_address(true), code);
+    if (!code)
+        this->acceptor.bind(address, code);
+    if (!code)
+        this->acceptor.listen(net::socket_base::max_listen_connections, code);
+    if (code)
+        throw ScenarioError(ScenarioErrorCode::ProcessFailed, "relay: " + code.message());
+}
+
+void FaultRelay::Implementation::apply(RelayFault next)
+{
+    this->fault = std::move(next);
+    if (this->fault.kind == Kind::Cut) {
+        for (const auto &link : this->links)
+            link->close();
+    }
+    this->changed.cancel();
+}
+
+net::awaitable<void> FaultRelay::Implementation::accept()
+{
+    const auto self = this->shared_from_this();
+    error_code code;
+    while (!code) {
+        auto link = std::make_shared<Link>(this->context.get_executor());
+        co_await this->acceptor.async_accept(link->caller, redirect(code));
+        if (code)
+            break;
+        if (this->fault.kind == Kind::Cut) {
+            link->close();
+            continue;
+        }
+        net::co_spawn(
+                this->context, [self, link] { return self->serve(link); }, net::detached);
+    }
+}
+
+net::awaitable<void> FaultRelay::Implementation::serve(std::shared_ptr<Link> link)
+{
+    const auto self = this->shared_from_this();
+    this->links.insert(link);
+    co_await this->passStall();
+    error_code code;
+    co_await link->server.async_connect(this->target, redirect(code));
+    if (code) {
+        link->close();
+        this->links.erase(link);
+        co_return;
+    }
+    error_code ignored;
+    link->caller.set_option(tcp::no_delay(true), ignored);
+    link->server.set_option(tcp::no_delay(true), ignored);
+    net::co_spawn(
+            this->context, [self, link] { return self->pumpRequest(link); }, net::detached);
+    co_await this->pumpReply(link);
+    link->close();
+    this->links.erase(link);
+}
+
+net::awaitable<void> FaultRelay::Implementation::pumpRequest(std::shared_ptr<Link> link)
+{
+    const auto self = this->shared_from_this();
+    std::array<char, 16384> buffer{};
+    error_code code;
+    bool isFirst = true;
+    while (true) {
+        const std::size_t count =
+                co_await link->caller.async_read_some(net::buffer(buffer), redirect(code));
+        if (code)
+            break;
+        co_await this->passStall();
+        if (isFirst) {
+            isFirst = false;
+            const std::lock_guard lock(this->mutex);
+            this->requestStarts.emplace_back(buffer.data(), std::min(count, requestStartBytes));
+        }
+        co_await net::async_write(link->server, net::buffer(buffer.data(), count), redirect(code));
+        if (code)
+            break;
+    }
+    link->close();
+}
+
+net::awaitable<void> FaultRelay::Implementation::pumpReply(std::shared_ptr<Link> link)
+{
+    std::array<char, 16384> buffer{};
+    error_code code;
+    while (true) {
+        const std::size_t count =
+                co_await link->server.async_read_some(net::buffer(buffer), redirect(code));
+        if (code)
+            co_return;
+        co_await this->passStall();
+        if (this->fault.kind == Kind::Delay)
+            co_await this->wait(this->fault.amount);
+        std::string bytes(buffer.data(), count);
+        const bool staysOpen = this->disturb(*link, bytes);
+        co_await net::async_write(link->caller, net::buffer(bytes), redirect(code));
+        if (code || !staysOpen)
+            co_return;
+    }
+}
+
+net::awaitable<void> FaultRelay::Implementation::passStall()
+{
+    error_code ignored;
+    while (this->fault.kind == Kind::Stall) {
+        co_await this->changed.async_wait(redirect(ignored));
+    }
+}
+
+net::awaitable<void> FaultRelay::Implementation::wait(std::uint64_t milliseconds)
+{
+    net::steady_timer timer(this->context);
+    timer.expires_after(Milliseconds(static_cast<std::int64_t>(milliseconds)));
+    error_code ignored;
+    co_await timer.async_wait(redirect(ignored));
+}
+
+bool FaultRelay::Implementation::disturb(Link &link, std::string &bytes)
+{
+    switch (this->fault.kind) {
+    case Kind::DropReply:
+        bytes.clear();
+        this->endFault();
+        return false;
+    case Kind::CutAfterBytes:
+        if (link.replyBytes + bytes.size() < this->fault.amount)
+            break;
+        bytes.resize(this->fault.amount - std::min(this->fault.amount, link.replyBytes));
+        this->endFault();
+        return false;
+    case Kind::ReplaceText:
+        replaceAll(bytes, this->fault.text, this->fault.replacement);
+        break;
+    default:
+        break;
+    }
+    link.replyBytes += bytes.size();
+    this->injectEvent(link, bytes);
+    return true;
+}
+
+void FaultRelay::Implementation::injectEvent(Link &link, std::string &bytes)
+{
+    std::string passed;
+    for (const char character : bytes) {
+        passed.push_back(character);
+        link.sinceBoundary.push_back(character);
+        const bool isHeaderEnd = link.events == 0 && link.generation.empty()
+                && link.sinceBoundary.ends_with(headerEnd);
+        const bool isEventEnd = link.sinceBoundary.ends_with(eventChunkEnd);
+        if (!isHeaderEnd && !isEventEnd)
+            continue;
+        if (isEventEnd) {
+            ++link.events;
+            const std::size_t field = link.sinceBoundary.find(generationField);
+            if (field != std::string::npos) {
+                const std::size_t begin = field + generationField.size();
+                link.generation = link.sinceBoundary.substr(
+                        begin, link.sinceBoundary.find('"', begin) - begin);
+            }
+        }
+        link.sinceBoundary.clear();
+        if (this->fault.kind != Kind::InjectEvent || link.events != this->fault.amount)
+            continue;
+        std::string data = this->fault.text;
+        replaceAll(data, generationMark, link.generation);
+        passed += chunkOf(data);
+        this->endFault();
+    }
+    bytes = std::move(passed);
+}
+
+void FaultRelay::Implementation::endFault()
+{
+    this->fault = {};
+    ++this->done;
+}
+
+FaultRelay::FaultRelay(net::io_context &context, const Endpoint &listen, const Endpoint &target)
+    : implementation(std::make_shared<Implementation>(context, target))
+{
+    this->implementation->listen(listen);
+    net::co_spawn(
+            context, [state = this->implementation] { return state->accept(); }, net::detached);
+}
+
+FaultRelay::~FaultRelay()
+{
+    error_code ignored;
+    this->implementation->acceptor.close(ignored);
+    for (const auto &link : this->implementation->links)
+        link->close();
+}
+
+void FaultRelay::setFault(RelayFault fault)
+{
+    std::promise<void> applied;
+    net::post(this->implementation->context, [&] {
+        this->implementation->apply(std::move(fault));
+        applied.set_value();
+    });
+    applied.get_future().wait();
+}
+
+std::size_t FaultRelay::countRequests(std::string_view start) const
+{
+    const std::lock_guard lock(this->implementation->mutex);
+    std::size_t count = 0;
+    for (const std::string &request : this->implementation->requestStarts)
+        count += request.starts_with(start) ? 1 : 0;
+    return count;
+}
+
+std::size_t FaultRelay::faultsDone() const
+{
+    return this->implementation->done;
+}
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/tests/scenarios/runner/plaincaller.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "network/network.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <future>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace sassafrasyard {
+
+/** What a caller has received for one attempt of a plain call. */
+struct PlainRecord
+{
+    /** Whether the attempt has ended. */
+    bool hasEnded = false;
+    /** The answer, or nothing if the connection failed. */
+    std::optional<HttpResponse> response;
+    /** The code and run state of an error answer. */
+    std::string code;
+    /** The run state of an error answer. */
+    std::string runState;
+    /** Why there is no answer. */
+    std::string detail;
+};
+
+/** One attempt of a plain call, sent in the background. */
+class PlainCaller : public std::enable_shared_from_this<PlainCaller>
+{
+public:
+    /** Creates an attempt. */
+    PlainCaller(boost::asio::io_context &context, HttpRequest request);
+    PlainCaller(const PlainCaller &) = delete;
+    PlainCaller &operator=(const PlainCaller &) = delete;
+
+    /** Sends the request. */
+    void send(const Endpoint &endpoint);
+    /** Returns what was received. */
+    PlainRecord record() const;
+    /** Returns the request. */
+    const HttpRequest &request() const;
+
+private:
+    boost::asio::awaitable<void> run(Endpoint endpoint);
+
+    boost::asio::io_context &context;
+    HttpRequest original;
+    mutable std::mutex mutex;
+    PlainRecord received;
+};
+
+/** Sends a request from outside the context's thread and waits for the answer. */
+std::optional<HttpResponse> requestAndWait(boost::asio::io_context &context,
+                                           const Endpoint &endpoint, const HttpRequest &request,
+                                           Milliseconds timeout, Error &reason);
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/tests/scenarios/runner/portclaim.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstdint>
+
+namespace sassafrasyard {
+
+/**
+ * Claims a TCP port of the loopback address for the lifetime of the object.
+ *
+ * The claim is a bound UDP socket of the same number, so that several runners never choose the
+ * same port while a process that is to listen on it is not running. The range lies below the
+ * kernel's range for outgoing connections.
+ */
+class PortClaim
+{
+public:
+    /** Claims a free port. @throws ScenarioError ProcessFailed if none is free. */
+    PortClaim();
+    /** Gives the port back. */
+    ~PortClaim();
+    PortClaim(const PortClaim &) = delete;
+    PortClaim &operator=(const PortClaim &) = delete;
+
+    /** Returns the port. */
+    std::uint16_t port() const;
+
+private:
+    int descriptor = -1;
+    std::uint16_t number = 0;
+};
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/tests/scenarios/runner/statement.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "core/core.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sassafrasyard {
+
+/** One line of a scenario: positional words and options of the form name=value. */
+class Statement
+{
+public:
+    /** Parses a line without its comment. @throws ScenarioError InvalidArgument for open quotes. */
+    Statement(std::size_t line, std::string_view text);
+
+    /** Returns the line's number in its file, from 1. */
+    std::size_t line() const;
+    /** Returns the number of positional words, with the statement's name. */
+    std::size_t size() const;
+    /** Returns a positional word; 0 is the name. @throws ScenarioError MissingArgument. */
+    const std::string &word(std::size_t index) const;
+    /** Returns a positional word as a number. @throws ScenarioError InvalidArgument. */
+    std::uint64_t number(std::size_t index) const;
+    /** Returns whether an option is given. */
+    bool has(std::string_view option) const;
+    /** Returns an option's text, or the given default. */
+    std::string option(std::string_view name, std::string_view otherwise) const;
+    /** Returns an option's number, or the default. @throws ScenarioError InvalidArgument. */
+    std::uint64_t numberOption(std::string_view name, std::uint64_t otherwise) const;
+    /** Returns all options. */
+    const std::map<std::string, std::string, std::less<>> &options() const;
+    /** Returns a part of the words as a statement of the same line. */
+    Statement part(std::size_t first, std::size_t count) const;
+
+private:
+    std::size_t lineNumber;
+    std::vector<std::string> words;
+    std::map<std::string, std::string, std::less<>> values;
+};
+
+/** Reads "10s" or "250ms". @throws ScenarioError InvalidArgument. */
+Milliseconds parseDuration(std::string_view text);
+
+/** Reads a decimal number. @throws ScenarioError InvalidArgument. */
+std::uint64_t parseNumber(std::string_view text);
+
+/** Splits a list at commas. */
+std::vector<std::string> splitList(std::string_view text);
+
+} // namespace sassafrasyard
