Read the body of a refused stream

HttpStream set no body limit, and Boost 1.74 compares the length of a body with the absent limit, so every answer with a Content-Length failed with 'body limit exceeded'. An engine's refusal (409, not run) and its 'no such generation' (404) were taken for lost connections: relays reconnected in vain and requests that did not run were reported as of unknown outcome. Streams of tokens are chunked and were not affected. Ruled out: the stand-in's answer, which sendHttpRequest reads.

The new test of the network package failed before the change.

--- a/packages/network/http/httpclient.cpp
+++ b/packages/network/http/httpclient.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http.hpp>
 
 #include <array>
+#include <limits>
 
 namespace sassafrasyard {
 
@@ -131,7 +132,8 @@
     this->implementation = std::make_unique<Implementation>(co_await net::this_coro::executor);
     Implementation &state = *this->implementation;
     state.endpoint = endpoint;
-    state.parser.body_limit(boost::none);
+    // Boost 1.74 takes every body with a known length for too long if there is no limit.
+    state.parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     if (!co_await sendOn(state.stream, endpoint, request, timeouts, reason))
         co_return std::nullopt;
     error_code code;
--- a/packages/network/tests/test_http.cpp
+++ b/packages/network/tests/test_http.cpp
@@ -115,6 +115,42 @@
     REQUIRE(response->status == 413);
 }
 
+// Guards against an engine's refusal being taken for a lost connection: Boost 1.74 compares the
+// length of a body with an absent limit, and reports every length as beyond it.
+TEST_CASE("A stream that is refused yields the refusal's status and body", "[network]")
+{
+    net::io_context context;
+    HttpServer server(
+            context, {},
+            [](const HttpRequest &, HttpResponder &responder) -> net::awaitable<void> {
+                HttpResponse refusal;
+                refusal.status = 409;
+                refusal.body = "refused";
+                co_await responder.send(std::move(refusal));
+            },
+            plainError);
+    Error reason;
+    const auto endpoint = server.listen({"127.0.0.1", 0}, reason);
+    REQUIRE(endpoint);
+    std::optional<HttpResponse> response;
+    net::co_spawn(
+            context,
+            [&]() -> net::awaitable<void> {
+                HttpStream stream;
+                const HttpRequest request{"POST", "/", {}, "hello"};
+                const HttpTimeouts timeouts;
+                response = co_await stream.open(*endpoint, request, timeouts, reason);
+                server.stopAccepting();
+                stream.close();
+            },
+            net::detached);
+    context.run_for(std::chrono::seconds(5));
+    INFO(reason.detail);
+    REQUIRE(response);
+    REQUIRE(response->status == 409);
+    REQUIRE(response->body == "refused");
+}
+
 TEST_CASE("Endpoints are parsed strictly", "[network]")
 {
     Error reason;
