--- a/tests/scenarios/runner/scenario.cpp
+++ b/tests/scenarios/runner/scenario.cpp
@@ -198,7 +198,7 @@
              }},
             {"service-mode",
              3,
-             3,
+             4,
              {},
              [](S &s, const T &t) {
                  s.runServiceMode(t);
@@ -389,6 +389,8 @@
     request.method = "POST";
     request.target = "/mode";
     request.body = statement.word(2);
+    if (statement.size() > 3)
+        request.body += "=" + std::to_string(statement.number(3));
     this->ask(this->fleet.process(statement.word(1), ProcessKind::Service).endpoint, request,
               "service-mode");
 }
