Place a request again on another engine than the one that was lost

A request whose engine dies before the first token is placed again, but the engine counted as reachable until two polls had failed, and with nothing running on it it was the first choice: all three attempts went to the dead engine within 1 ms and the caller got an error. The engine now counts as unreachable until the monitor has read its state again (polled every 500 ms). Ruled out: the retry itself, and the time the engine needs to be found dead, which a retry must not wait for.

--- a/packages/entry/http/completionhandler.cpp
+++ b/packages/entry/http/completionhandler.cpp
@@ -199,6 +199,8 @@
         isStarted = co_await stream.start(*engine, completion.generation, startTimeouts, reason);
     if (!isStarted) {
         const bool isRefused = reason.code == ErrorCode::BackendServerRefused;
+        if (!isRefused)
+            this->markUnreachable(grant->server.name);
         this->dispatch.reportFinished(
                 name, isRefused ? WorkOutcome::RefusedByServer : WorkOutcome::ServerLost);
         co_return reason;
@@ -211,6 +213,8 @@
     stream.close();
     if (result.end != RelayEnd::Finished && !relay.generation().isEmpty())
         this->cancelLater(*engine, relay.generation());
+    if (result.end == RelayEnd::ServerLost)
+        this->markUnreachable(grant->server.name);
     this->dispatch.reportFinished(name,
                                   result.end == RelayEnd::Finished ? WorkOutcome::Completed
                                           : result.end == RelayEnd::CallerGone
@@ -350,6 +354,13 @@
     co_return co_await responder.write(text);
 }
 
+void CompletionHandler::markUnreachable(const BackendServerName &server)
+{
+    this->dispatch.post([server](Dispatcher &dispatcher, Milliseconds) {
+        dispatcher.setReachable(server, false);
+    });
+}
+
 void CompletionHandler::cancelLater(const Endpoint &engine, const GenerationName &generation)
 {
     net::co_spawn(
--- a/packages/entry/http/completionhandler.h
+++ b/packages/entry/http/completionhandler.h
@@ -43,6 +43,8 @@
     boost::asio::awaitable<bool> deliver(Completion &completion,
                                          const std::vector<DeliveredToken> &tokens,
                                          HttpResponder &responder);
+    /** Places nothing on an engine that was lost until the monitor has read its state again. */
+    void markUnreachable(const BackendServerName &server);
     void cancelLater(const Endpoint &engine, const GenerationName &generation);
     boost::asio::awaitable<void> cancelAfterGrace(Endpoint engine, GenerationName generation);
 
