--- a/packages/entry/calls/servicecallhandler.cpp
+++ b/packages/entry/calls/servicecallhandler.cpp
@@ -120,7 +120,9 @@
         co_return;
     }
     HttpResponse response;
-    if (call->key.empty())
+    if (call->key.empty() && this->entry.isDraining)
+        response = hostDraining();
+    else if (call->key.empty())
         response = co_await this->runIdempotent(*call);
     else
         response = co_await this->route(request, *call);
