--- a/packages/entry/http/completionhandler.cpp
+++ b/packages/entry/http/completionhandler.cpp
@@ -199,7 +199,9 @@
         isStarted = co_await stream.start(*engine, completion.generation, startTimeouts, reason);
     if (!isStarted) {
         const bool isRefused = reason.code == ErrorCode::BackendServerRefused;
-        if (!isRefused)
+        if (isRefused)
+            this->markLeaving(grant->server.name);
+        else
             this->markUnreachable(grant->server.name);
         this->dispatch.reportFinished(
                 name, isRefused ? WorkOutcome::RefusedByServer : WorkOutcome::ServerLost);
@@ -361,6 +363,13 @@
     });
 }
 
+void CompletionHandler::markLeaving(const BackendServerName &server)
+{
+    this->dispatch.post([server](Dispatcher &dispatcher, Milliseconds) {
+        dispatcher.setLeaving(server, true);
+    });
+}
+
 void CompletionHandler::cancelLater(const Endpoint &engine, const GenerationName &generation)
 {
     net::co_spawn(
--- a/packages/entry/http/completionhandler.h
+++ b/packages/entry/http/completionhandler.h
@@ -45,6 +45,8 @@
                                          HttpResponder &responder);
     /** Places nothing on an engine that was lost until the monitor has read its state again. */
     void markUnreachable(const BackendServerName &server);
+    /** Does the same for an engine that refused work. */
+    void markLeaving(const BackendServerName &server);
     void cancelLater(const Endpoint &engine, const GenerationName &generation);
     boost::asio::awaitable<void> cancelAfterGrace(Endpoint engine, GenerationName generation);
 
