Register a host in the platform after an outage

A host that started while the object API was down joined through its peers but tried to write its own object only once. If its peers were replaced later, a new host found nobody and the fleet was in two parts. The host now tries again every 5 s until it is registered. Ruled out: joining through the address list, which new hosts need not have.

--- a/packages/entry/peers/peerservice.cpp
+++ b/packages/entry/peers/peerservice.cpp
@@ -23,6 +23,8 @@
 constexpr Milliseconds forwardTimeout{35000};
 constexpr Milliseconds pullTimeout{5000};
 constexpr Milliseconds connectionIdleTimeout{60000};
+/** A whole fleet that starts in an outage must stay within the object API's writes per second. */
+constexpr Milliseconds registrationRetryInterval{5000};
 constexpr std::size_t indirectProbeCount = 3;
 constexpr std::size_t updatesPerMessage = 8;
 constexpr std::string_view hostObjectPrefix = "hosts/";
@@ -248,7 +250,13 @@
 
 net::awaitable<void> PeerService::joinAndProbe()
 {
-    co_await this->registerInPlatform();
+    const bool isRegistered = co_await this->registerInPlatform();
+    if (!isRegistered) {
+        net::co_spawn(
+                net::make_strand(this->context), [this] { return this->keepRegistering(); },
+                net::detached);
+    }
+    co_await this->join();
     net::steady_timer timer(co_await net::this_coro::executor);
     boost::system::error_code code;
     while (!code) {
@@ -287,13 +295,27 @@
     }
 }
 
-net::awaitable<void> PeerService::registerInPlatform()
+net::awaitable<bool> PeerService::registerInPlatform()
 {
     Error reason;
-    co_await this->platform.write(std::string(hostObjectPrefix)
-                                          + this->entry.incarnation.toString(),
-                                  this->entry.settings.peerAddress, std::nullopt, reason);
-    co_await this->join();
+    const std::string name = std::string(hostObjectPrefix) + this->entry.incarnation.toString();
+    const auto version = co_await this->platform.write(name, this->entry.settings.peerAddress,
+                                                       std::nullopt, reason);
+    co_return version.has_value();
+}
+
+net::awaitable<void> PeerService::keepRegistering()
+{
+    net::steady_timer timer(co_await net::this_coro::executor);
+    boost::system::error_code code;
+    bool isRegistered = false;
+    while (!isRegistered) {
+        timer.expires_after(registrationRetryInterval);
+        co_await timer.async_wait(net::redirect_error(net::use_awaitable, code));
+        if (code || this->entry.isDraining)
+            co_return;
+        isRegistered = co_await this->registerInPlatform();
+    }
 }
 
 net::awaitable<void> PeerService::probe(MemberRecord target)
--- a/packages/entry/peers/peerservice.h
+++ b/packages/entry/peers/peerservice.h
@@ -47,7 +47,8 @@
                                                                 Error &reason);
     boost::asio::awaitable<void> joinAndProbe();
     boost::asio::awaitable<void> join();
-    boost::asio::awaitable<void> registerInPlatform();
+    boost::asio::awaitable<bool> registerInPlatform();
+    boost::asio::awaitable<void> keepRegistering();
     boost::asio::awaitable<void> probe(MemberRecord target);
     boost::asio::awaitable<bool> probeAddress(std::string address, bool wantsAllMembers);
     boost::asio::awaitable<bool> probeIndirectly(MemberRecord target);
