Do not take a generation back from the host its caller moved to

When a caller left between two tokens and resumed through another host, the engine ended the first host's stream for the new reader. The first host's relay took that for a cut connection and resumed the generation, which ended the second host's stream, which resumed in turn. With a silent engine or a stalled link this repeats and stalls the caller. A relay now checks that its caller is still there before it resumes. A caller that vanished without closing is still only noticed by a write.

--- a/packages/entry/http/completionhandler.cpp
+++ b/packages/entry/http/completionhandler.cpp
@@ -211,7 +211,10 @@
     const StreamRelay::Deliver deliver = [&](const std::vector<DeliveredToken> &tokens) {
         return this->deliver(completion, tokens, responder);
     };
-    const RelayResult result = co_await relay.run(stream, deliver);
+    const StreamRelay::IsCallerGone isCallerGone = [&] {
+        return responder.isCallerGone();
+    };
+    const RelayResult result = co_await relay.run(stream, deliver, isCallerGone);
     stream.close();
     if (result.end != RelayEnd::Finished && !relay.generation().isEmpty())
         this->cancelLater(*engine, relay.generation());
@@ -268,7 +271,10 @@
     const StreamRelay::Deliver deliver = [&](const std::vector<DeliveredToken> &tokens) {
         return this->deliver(completion, tokens, responder);
     };
-    const RelayResult result = co_await relay.run(stream, deliver);
+    const StreamRelay::IsCallerGone isCallerGone = [&] {
+        return responder.isCallerGone();
+    };
+    const RelayResult result = co_await relay.run(stream, deliver, isCallerGone);
     stream.close();
     if (result.end != RelayEnd::Finished)
         this->cancelLater(*engine, relay.generation());
--- a/packages/entry/http/streamrelay.cpp
+++ b/packages/entry/http/streamrelay.cpp
@@ -36,7 +36,8 @@
     this->digest = RollingDigest::fromHex(position.digest);
 }
 
-net::awaitable<RelayResult> StreamRelay::run(GenerationStream &stream, const Deliver &deliver)
+net::awaitable<RelayResult> StreamRelay::run(GenerationStream &stream, const Deliver &deliver,
+                                             const IsCallerGone &isCallerGone)
 {
     RelayResult result;
     std::vector<DeliveredToken> batch;
@@ -69,9 +70,14 @@
                                           static_cast<std::uint32_t>(this->nextIndex));
         }
         bool isConnected = event || !batch.empty();
+        const bool mustResume = !isConnected || this->hasGap;
+        if (mustResume && isCallerGone()) {
+            result.end = RelayEnd::CallerGone;
+            co_return result;
+        }
         if (this->isSuspensionAsked())
             isConnected = co_await this->suspend(stream, result.reason);
-        else if (!isConnected || this->hasGap)
+        else if (mustResume)
             isConnected = co_await this->reconnect(stream, result.reason);
         if (!isConnected)
             co_return result;
--- a/packages/entry/http/streamrelay.h
+++ b/packages/entry/http/streamrelay.h
@@ -46,7 +46,8 @@
  *
  * Events of another generation or with an index already delivered are counted and dropped. After a
  * gap, a stall or a cut connection the relay resumes the generation on the same engine at the next
- * index; it never continues with another generation.
+ * index; it never continues with another generation. If the caller is gone it does not resume,
+ * because the caller may read the generation through another entry host by then.
  */
 class StreamRelay
 {
@@ -55,6 +56,9 @@
     using Deliver =
             std::function<boost::asio::awaitable<bool>(const std::vector<DeliveredToken> &tokens)>;
 
+    /** Returns whether the caller is gone, without waiting. */
+    using IsCallerGone = std::function<bool()>;
+
     /** Creates a relay for a started stream. @param engine the engine's address. */
     StreamRelay(EntryState &state, DispatchService &dispatch, Grant grant, Endpoint engine);
 
@@ -62,7 +66,8 @@
     void continueAfter(const StreamPosition &position);
 
     /** Relays until the end. @param stream has been started or resumed. */
-    boost::asio::awaitable<RelayResult> run(GenerationStream &stream, const Deliver &deliver);
+    boost::asio::awaitable<RelayResult> run(GenerationStream &stream, const Deliver &deliver,
+                                            const IsCallerGone &isCallerGone);
 
     /** Returns the generation's name, empty until the engine told it. */
     const GenerationName &generation() const;
