--- a/tests/scenarios/runner/main.cpp
+++ b/tests/scenarios/runner/main.cpp
@@ -22,10 +22,11 @@
 constexpr int exitFaultyScenario = 2;
 
 constexpr std::string_view usage =
-        "Usage: scenario-runner [--programs=DIRECTORY] [--must-fail-at=WORD] FILE...\n"
+        "Usage: scenario-runner [--programs=DIRECTORY] [--must-fail-at=WORD] [--trace] FILE...\n"
         "Exit code: 0 all conditions held, 1 a condition did not hold, 2 a file is faulty or a\n"
         "process could not be run. --must-fail-at expects that the condition which begins with\n"
-        "WORD does not hold, and exchanges 0 and 1.\n";
+        "WORD does not hold, and exchanges 0 and 1. --trace prints each statement with\n"
+        "the milliseconds since the start before it is carried out.\n";
 
 /** A temporary directory that is removed at the end. */
 class TemporaryDirectory
@@ -104,18 +105,27 @@
     return statements;
 }
 
-int runFile(const std::string &file, const std::string &programs, const std::string &mustFailAt)
+void trace(Milliseconds start, const std::string &text)
+{
+    std::cout << (Clock::steady().now() - start).count() << " ms: " << text << std::endl;
+}
+
+int runFile(const std::string &file, const std::string &programs, const std::string &mustFailAt,
+            bool isTraced)
 {
     bool isValid = true;
     const auto statements = readFile(file, isValid);
     if (!isValid)
         return exitFaultyScenario;
+    const Milliseconds start = Clock::steady().now();
     const TemporaryDirectory logs;
     ContextThread network;
     std::optional<Scenario> scenario(std::in_place, network.context, programs, logs.path);
     int result = mustFailAt.empty() ? exitHeld : exitConditionFailed;
     for (const auto &[statement, text] : statements) {
         try {
+            if (isTraced)
+                trace(start, text);
             scenario->run(statement);
         } catch (const ScenarioError &error) {
             report(file, statement.line(), error);
@@ -142,8 +152,10 @@
 {
     std::string programs = std::filesystem::path(argv[0]).parent_path();
     std::string mustFailAt;
+    bool isTraced = false;
     const option options[] = {{"programs", required_argument, nullptr, 'p'},
                               {"must-fail-at", required_argument, nullptr, 'f'},
+                              {"trace", no_argument, nullptr, 't'},
                               {nullptr, 0, nullptr, 0}};
     int choice = 0;
     while ((choice = getopt_long(argc, argv, "", options, nullptr)) != -1) {
@@ -151,6 +163,8 @@
             programs = optarg;
         } else if (choice == 'f') {
             mustFailAt = optarg;
+        } else if (choice == 't') {
+            isTraced = true;
         } else {
             std::cerr << usage;
             return exitFaultyScenario;
@@ -163,6 +177,6 @@
     std::signal(SIGPIPE, SIG_IGN);
     int worst = exitHeld;
     for (int index = optind; index < argc; ++index)
-        worst = std::max(worst, runFile(argv[index], programs, mustFailAt));
+        worst = std::max(worst, runFile(argv[index], programs, mustFailAt, isTraced));
     return worst;
 }
