Try another replica of a service when one is down or refuses

A call that certainly did not run is attempted up to three times, but nothing kept the attempts from going to the same replica, which was the first choice because nothing ran on it. With one of two replicas down, GET calls failed with connection_failed. A service that refused a connection or a call now receives nothing for 1 s; services are not polled, so it is then tried again. With a single replica the attempts are 1 s apart, so a short restart of a service is survived.

--- a/packages/entry/calls/servicecallhandler.cpp
+++ b/packages/entry/calls/servicecallhandler.cpp
@@ -3,6 +3,13 @@
 #include "entry/calls/callbinding.h"
 #include "entry/http/errorresponse.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <charconv>
 
 namespace sassafrasyard {
@@ -13,6 +20,8 @@
 
 constexpr int maximumAttempts = 3;
 constexpr HttpTimeouts callTimeouts{Milliseconds(1000), Milliseconds(30000)};
+/** Services are not polled, so one that failed is tried again after this time. */
+constexpr Milliseconds avoidanceTime{1000};
 constexpr std::size_t maximumKeyBytes = 200;
 constexpr std::string_view pathPrefix = "/v1/services/";
 
@@ -259,6 +268,13 @@
                                   isLost                             ? WorkOutcome::ServerLost
                                           : (!response || isRefused) ? WorkOutcome::RefusedByServer
                                                                      : WorkOutcome::Completed);
+    const bool isUnreachable = !response && reason.code == ErrorCode::ConnectionFailed;
+    if (isRefused || isUnreachable) {
+        const auto executor = co_await net::this_coro::executor;
+        net::co_spawn(
+                executor, [this, server = grant->server.name] { return this->avoid(server); },
+                net::detached);
+    }
     if (isRefused) {
         reason = {ErrorCode::BackendServerRefused,
                   RunState::NotRun,
@@ -278,4 +294,19 @@
     co_return std::nullopt;
 }
 
+net::awaitable<void> ServiceCallHandler::avoid(BackendServerName server)
+{
+    const auto mark = [this, server](bool isReachable) {
+        this->dispatch.post([server, isReachable](Dispatcher &dispatcher, Milliseconds) {
+            dispatcher.setReachable(server, isReachable);
+        });
+    };
+    mark(false);
+    net::steady_timer timer(co_await net::this_coro::executor);
+    timer.expires_after(avoidanceTime);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
+    mark(true);
+}
+
 } // namespace sassafrasyard
--- a/packages/entry/calls/servicecallhandler.h
+++ b/packages/entry/calls/servicecallhandler.h
@@ -59,6 +59,8 @@
     boost::asio::awaitable<HttpResponse> dispatchBound(const ServiceCall &call, CallKey key);
     boost::asio::awaitable<std::optional<HttpResponse>> attempt(const ServiceCall &call,
                                                                 bool isRetry, Error &reason);
+    /** Places nothing on a service for a short time. */
+    boost::asio::awaitable<void> avoid(BackendServerName server);
 
     EntryState &entry;
     DispatchService &dispatch;
