--- a/tests/scenarios/runner/conditions.cpp
+++ b/tests/scenarios/runner/conditions.cpp
@@ -173,7 +173,7 @@
     for (const auto &[name, caller] : matching(this->streams, condition.word(1))) {
         std::string seen;
         if (!streamHolds(caller->record(), caller->request(), condition, seen))
-            return {false, name + ": " + seen};
+            return {false, seen.insert(0, name + ": ")};
     }
     return {true, "all streams " + condition.word(1)};
 }
@@ -183,7 +183,7 @@
     for (const auto &[name, caller] : matching(this->calls, condition.word(1))) {
         std::string seen;
         if (!callHolds(caller->record(), condition, seen))
-            return {false, name + ": " + seen};
+            return {false, seen.insert(0, name + ": ")};
     }
     return {true, "all calls " + condition.word(1)};
 }
