--- a/packages/entry/http/completionhandler.cpp
+++ b/packages/entry/http/completionhandler.cpp
@@ -207,6 +207,8 @@
         const bool isRefused = reason.code == ErrorCode::BackendServerRefused;
         if (isRefused)
             this->monitor.recordRefusal(grant->server.name);
+        else
+            this->markUnreachable(grant->server.name);
         this->dispatch.reportFinished(
                 name, isRefused ? WorkOutcome::RefusedByServer : WorkOutcome::ServerLost);
         co_return reason;
@@ -215,10 +217,15 @@
     const StreamRelay::Deliver deliver = [&](const std::vector<DeliveredToken> &tokens) {
         return this->deliver(completion, tokens, responder);
     };
-    const RelayResult result = co_await relay.run(stream, deliver);
+    const StreamRelay::IsCallerGone isCallerGone = [&] {
+        return responder.isCallerGone();
+    };
+    const RelayResult result = co_await relay.run(stream, deliver, isCallerGone);
     stream.close();
     if (result.end != RelayEnd::Finished && !relay.generation().isEmpty())
         this->cancelLater(*engine, relay.generation());
+    if (result.end == RelayEnd::ServerLost)
+        this->markUnreachable(grant->server.name);
     this->dispatch.reportFinished(name,
                                   result.end == RelayEnd::Finished ? WorkOutcome::Completed
                                           : result.end == RelayEnd::CallerGone
@@ -274,7 +281,10 @@
     const StreamRelay::Deliver deliver = [&](const std::vector<DeliveredToken> &tokens) {
         return this->deliver(completion, tokens, responder);
     };
-    const RelayResult result = co_await relay.run(stream, deliver);
+    const StreamRelay::IsCallerGone isCallerGone = [&] {
+        return responder.isCallerGone();
+    };
+    const RelayResult result = co_await relay.run(stream, deliver, isCallerGone);
     stream.close();
     if (result.end != RelayEnd::Finished)
         this->cancelLater(*engine, relay.generation());
@@ -362,6 +372,13 @@
     co_return co_await responder.write(text);
 }
 
+void CompletionHandler::markUnreachable(const BackendServerName &server)
+{
+    this->dispatch.post([server](Dispatcher &dispatcher, Milliseconds) {
+        dispatcher.setReachable(server, false);
+    });
+}
+
 void CompletionHandler::cancelLater(const Endpoint &engine, const GenerationName &generation)
 {
     net::co_spawn(
--- a/packages/entry/tests/test_streamrelay.cpp
+++ b/packages/entry/tests/test_streamrelay.cpp
@@ -93,7 +93,10 @@
                             this->text += delivered.text;
                         co_return true;
                     };
-                    result = co_await relay.run(stream, deliver);
+                    const StreamRelay::CallerGone isCallerGone = [] {
+                        return false;
+                    };
+                    result = co_await relay.run(stream, deliver, isCallerGone);
                     this->context.stop();
                 },
                 net::detached);
--- a/tools/measure-relay.sh
+++ b/tools/measure-relay.sh
@@ -39,6 +39,7 @@
   '{"name":"plan-1","kind":"engine","address":"'"$engine"'","models":["plan"],"slots":4000,"memory_tokens":8000000,"failure_domain":"domain-1"}'
 start_entry 1 1
 entry_pid=${pids[-1]}
+apply_configuration
 await has_hosts 1
 measure relayed --watch-pid="$entry_pid"
 stop_all
--- a/tools/measure.sh
+++ b/tools/measure.sh
@@ -42,6 +42,7 @@
   await curl -fs "http://$(address 0)/objects"
   put_configuration "$(accounts_json '[{"name":"'$long'"},{"name":"'$desk'"}]' '["'$desk'-calls"]')" "$servers"
   for n in $(seq $hosts); do start_entry "$n" $((n % domains + 1)) --placement="$1"; done
+  apply_configuration
   await has_hosts $hosts
 }
 
--- a/tools/measurement.sh
+++ b/tools/measurement.sh
@@ -35,9 +35,36 @@
   done
 }
 
-put_configuration() { # accounts, servers
-  curl -fs -X PUT "http://$(address 0)/objects/configuration%2Fcurrent" \
-    -d '{"revision":1,"accounts":['"$1"'],"servers":['"$2"']}' > /dev/null
+# Keeps the configuration for apply_configuration. Arguments: accounts, servers, as JSON lists
+# without brackets.
+put_configuration() {
+  printf '{"accounts":[%s],"servers":[%s]}' "$1" "$2" > "$logs/configuration.json"
+}
+
+# Has the first entry host accept the configuration; it must be listening.
+apply_configuration() {
+  python3 - "$logs/configuration.json" > "$logs/documents.json" << 'EOF'
+import json, sys
+given = json.load(open(sys.argv[1]))
+documents, models = [], set()
+for account in given["accounts"]:
+    name = account.pop("name")
+    models.update(model["name"] for model in account["models"])
+    documents.append({"document": f"template/{name}", "account": account})
+    documents.append({"document": f"account/{name}", "template": name})
+for server in given["servers"]:
+    server["document"] = f"server/{server.pop('name')}"
+    if server["kind"] == "service":
+        server["service"] = server.pop("models")[0]
+    else:
+        models.update(server["models"])
+    documents.append(server)
+documents += [{"document": f"model/{model}", "versions": ["v1"]} for model in sorted(models)]
+print(json.dumps(documents))
+EOF
+  ctl() { "$bin/sassafrasyardctl" --admin-address="$(address 212)" "$@"; }
+  await ctl status
+  ctl apply --author=measurement --file="$logs/documents.json" > /dev/null
 }
 
 export SASSAFRASYARD_POSITION_SECRET=0123456789abcdef SASSAFRASYARD_OPERATOR_TOKEN=0123456789abcdef
