--- a/packages/entry/tests/test_streamrelay.cpp
+++ b/packages/entry/tests/test_streamrelay.cpp
@@ -93,7 +93,7 @@
                             this->text += delivered.text;
                         co_return true;
                     };
-                    const StreamRelay::CallerGone isCallerGone = [] {
+                    const StreamRelay::IsCallerGone isCallerGone = [] {
                         return false;
                     };
                     result = co_await relay.run(stream, deliver, isCallerGone);
