--- a/packages/policy/tests/test_accountlimiter.cpp
+++ b/packages/policy/tests/test_accountlimiter.cpp
@@ -136,3 +136,35 @@
         }
     });
 }
+
+// Guards against more overshoot of the rate than docs/admission.md states.
+TEST_CASE("Starts stay within twice the rate and one burst whatever the reports say", "[policy]")
+{
+    rc::prop("over any 10 s", [] {
+        const auto hosts = *rc::gen::inRange<std::size_t>(1, 9);
+        const double rate = *rc::gen::inRange(8, 100);
+        Fleet fleet(hosts, limitsOf(0, rate));
+        std::vector<int> starts;
+        std::size_t busy = 0;
+        for (int step = 0; step < 240; ++step) {
+            const Milliseconds now(1000 + step * 250);
+            if (*rc::gen::inRange(0, 10) == 0)
+                busy = *rc::gen::inRange<std::size_t>(0, hosts + 1);
+            starts.push_back(0);
+            for (std::size_t host = 0; host < hosts; ++host) {
+                while ((busy == host || busy == hosts)
+                       && !fleet.limiters[host]->tryAdmit(account, false, now)) {
+                    fleet.limiters[host]->release(account);
+                    ++starts.back();
+                }
+            }
+            if (*rc::gen::arbitrary<bool>())
+                fleet.report(*rc::gen::inRange<std::size_t>(0, hosts), now);
+            const std::size_t first = starts.size() > 40 ? starts.size() - 40 : 0;
+            int total = 0;
+            for (std::size_t index = first; index < starts.size(); ++index)
+                total += starts[index];
+            RC_ASSERT(total <= 2.0 * rate * 10.0 + 2.0 * rate + static_cast<double>(hosts));
+        }
+    });
+}
