--- a/packages/policy/dispatch/dispatcher.cpp
+++ b/packages/policy/dispatch/dispatcher.cpp
@@ -146,7 +146,9 @@
     if (outcome == WorkOutcome::ServerLost)
         this->quarantine.recordDeath(work.request.requestDigest, work.server, now);
     this->releaseSlot(work, outcome, now);
-    this->findSuspects(now);
+    // The scan of all running work is kept off the ordinary end of a request.
+    if (outcome == WorkOutcome::ServerLost || work.group->key.isSuspect)
+        this->findSuspects(now);
     this->recordCapacityChange(now);
 }
 
@@ -177,6 +179,8 @@
 
 void Dispatcher::recordPeerQuarantine(std::span<const QuarantineRecord> records, Milliseconds now)
 {
+    if (records.empty())
+        return;
     this->quarantine.merge(records, now);
     this->findSuspects(now);
 }
