Report refused request digests to peers first and fewer records at once

With 256 records of up to 34 bytes (by the encoding, not measured), a probe and a reply each second come near the 19 KB/s that a node may use, and a burst of single deaths pushed out the records that refuse a request everywhere; the test of that order failed first. 64 records, refused requests first.

--- a/packages/policy/dispatch/dispatcher.cpp
+++ b/packages/policy/dispatch/dispatcher.cpp
@@ -146,7 +146,6 @@
     if (outcome == WorkOutcome::ServerLost)
         this->quarantine.recordDeath(work.request.requestDigest, work.server, now);
     this->releaseSlot(work, outcome, now);
-    // The scan of all running work is kept off the ordinary end of a request.
     if (outcome == WorkOutcome::ServerLost || work.group->key.isSuspect)
         this->findSuspects(now);
     this->recordCapacityChange(now);
--- a/packages/policy/quarantine/crashquarantine.cpp
+++ b/packages/policy/quarantine/crashquarantine.cpp
@@ -98,10 +98,13 @@
                 result.push_back({digest, count, remaining, incident, death.serverDigest});
         }
     }
+    const auto rank = [](const QuarantineRecord &record) {
+        return std::tuple(record.deaths < deathLimit, -record.remaining, record.requestDigest,
+                          record.incident);
+    };
     std::sort(result.begin(), result.end(),
-              [](const QuarantineRecord &left, const QuarantineRecord &right) {
-                  return std::tie(right.remaining, left.requestDigest, left.incident)
-                          < std::tie(left.remaining, right.requestDigest, right.incident);
+              [&](const QuarantineRecord &left, const QuarantineRecord &right) {
+                  return rank(left) < rank(right);
               });
     if (result.size() > this->options.reportLimit)
         result.resize(this->options.reportLimit);
--- a/packages/policy/quarantine/crashquarantine.h
+++ b/packages/policy/quarantine/crashquarantine.h
@@ -19,8 +19,8 @@
     std::uint64_t seed = 1;
     /** How many request digests are remembered. */
     std::size_t digestLimit = 4096;
-    /** How many records go to a peer at once. */
-    std::size_t reportLimit = 256;
+    /** How many records go to a peer at once; a record takes up to 34 bytes. */
+    std::size_t reportLimit = 64;
 };
 
 /**
@@ -51,7 +51,7 @@
     std::optional<Milliseconds> refusedFor(std::uint64_t requestDigest, Milliseconds now) const;
     /** Returns whether a request was part of a death that still counts. */
     bool isSuspect(std::uint64_t requestDigest, Milliseconds now) const;
-    /** Returns the records for peers, the latest deaths first; a bounded number. */
+    /** Returns the records for peers, those of refused requests first, then the latest deaths. */
     std::vector<QuarantineRecord> records(Milliseconds now) const;
     /** Forgets what no longer counts. */
     void advance(Milliseconds now);
--- a/packages/policy/tests/test_crashquarantine.cpp
+++ b/packages/policy/tests/test_crashquarantine.cpp
@@ -135,5 +135,8 @@
         quarantine.recordDeath(digest, server(3), Milliseconds(10));
     REQUIRE(quarantine.size() == 16);
     REQUIRE(quarantine.refusedFor(1, Milliseconds(10)));
-    REQUIRE(quarantine.records(Milliseconds(10)).size() == 8);
+    const auto records = quarantine.records(Milliseconds(10));
+    REQUIRE(records.size() == 8);
+    // A request that is refused here must be refused everywhere, whatever else is reported.
+    REQUIRE(records.front().requestDigest == 1);
 }
