--- a/tests/standins/engine/engineserver.h
+++ b/tests/standins/engine/engineserver.h
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json_fwd.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -24,8 +25,11 @@
  *
  * Flags: name, model, version, retain-ms, check-fence, load-ms (time of a "load" order), and the
  * engine's size and pace: slots, memory-tokens, cache-tokens, interval-ms (fixed time of a step;
- * without it the step grows with the batch and with prefill), report-lag-ms, event-loss,
+ * without it the step grows with prefill and with the batch,
+ * from unloaded-step-ms to full-step-ms), report-lag-ms, event-loss,
  * length=max|tail, seed. stamp=true appends the engine's times to the token text, see Generation.
+ * phases=n releases the tokens of a step in n groups, evenly over a fixed step, as if the streams
+ * came from n engines; it needs interval-ms.
  */
 class EngineServer
 {
@@ -48,6 +52,9 @@
     boost::asio::awaitable<void> stream(std::shared_ptr<Generation> generation, std::uint64_t from,
                                         HttpResponder &responder);
     void recordTokens();
+    boost::asio::awaitable<void> release(std::vector<std::uint64_t> numbers,
+                                         std::chrono::microseconds delay);
+    void addTokens(const std::vector<std::uint64_t> &numbers);
     void wakeDecoder();
     void forgetUnread();
     bool isRefused(const std::string &model, const std::string &version) const;
@@ -65,6 +72,8 @@
     Milliseconds loadTime;
     bool checksFence;
     bool isStamping;
+    std::uint64_t phases;
+    ModelTime phaseTime;
     std::uint64_t highestFence = 0;
     bool isLeaving = false;
     std::string runName;
--- a/tools/loadtool/caller.cpp
+++ b/tools/loadtool/caller.cpp
@@ -122,6 +122,9 @@
             this->recordEvent(*event, end);
         if (end != StreamEnd::Cut)
             co_return end;
+        const std::uint32_t cutAfter = this->call.cutAfterTokens;
+        if (cutAfter > 0 && this->record.resumes == 0 && this->record.tokens >= cutAfter)
+            co_return end;
     }
 }
 
--- a/tools/loadtool/callplan.cpp
+++ b/tools/loadtool/callplan.cpp
@@ -32,11 +32,14 @@
 constexpr std::uint32_t longLimitTokens = 2000;
 constexpr std::uint32_t shortMinimumTokens = 4;
 constexpr std::uint32_t shortMaximumTokens = 16;
+/** One long call in 50 loses its connection after this many tokens. */
+constexpr double cutShare = 0.02;
+constexpr std::uint32_t cutTokens = 20;
 constexpr std::size_t templatesPerAccount = 3;
 constexpr std::size_t templateCharacters = 1600;
 constexpr std::size_t shortestDetail = 100;
 constexpr std::size_t longestDetail = 800;
-constexpr double fullStepSeconds = 0.031;
+constexpr double fullStepSeconds = 0.030;
 constexpr double prefillSteps = 2.0;
 
 std::string textOf(std::uint64_t seed, std::size_t characters)
@@ -82,6 +85,7 @@
     const std::size_t detail = shortestDetail + random.below(longestDetail - shortestDetail);
     const std::uint64_t chosenTemplate = random.below(templatesPerAccount);
     const bool isUnlimited = random.unit() < unlimitedShare;
+    const bool isCut = random.unit() < cutShare;
     const auto shortTokens = static_cast<std::uint32_t>(
             shortMinimumTokens + random.below(shortMaximumTokens - shortMinimumTokens + 1));
     if (call.kind == CallKind::Long) {
@@ -89,6 +93,7 @@
                 textOf(call.account * templatesPerAccount + chosenTemplate + 1, templateCharacters)
                 + textOf(call.seed, detail);
         call.maximumTokens = isUnlimited ? 0 : longLimitTokens;
+        call.cutAfterTokens = isCut ? cutTokens : 0;
     } else {
         call.prompt = textOf(call.seed, shortestDetail);
         call.maximumTokens = shortTokens;
--- a/tools/loadtool/callplan.h
+++ b/tools/loadtool/callplan.h
@@ -44,6 +44,8 @@
     std::uint64_t seed = 0;
     /** The limit on the output in tokens; 0 for none. */
     std::uint32_t maximumTokens = 0;
+    /** The caller drops its connection once after this many tokens and resumes; 0 for never. */
+    std::uint32_t cutAfterTokens = 0;
 };
 
 /** A user's fleet and its mix of work. */
--- a/tools/loadtool/loadrun.cpp
+++ b/tools/loadtool/loadrun.cpp
@@ -68,6 +68,7 @@
     : options(std::move(given))
     , shared{mixOf(options.mix), SteadyClock::now(), std::nullopt}
     , fleet(options.engines)
+    , audit(options.services)
 {
 }
 
@@ -94,11 +95,16 @@
     net::io_context last;
     net::co_spawn(
             last, [this] { return this->fleet.readTotals(); }, net::detached);
+    net::co_spawn(
+            last, [this] { return this->audit.read(); }, net::detached);
     last.run();
     rows.push_back(
             {"engine preemptions, whole run", static_cast<double>(this->fleet.preemptions()), 0.0});
     rows.push_back({"engine stall, whole run, ms",
                     static_cast<double>(this->fleet.stallMilliseconds()), 0.0});
+    rows.push_back({"orders run, whole run", static_cast<double>(this->audit.ordersRun()), 0.0});
+    rows.push_back(
+            {"orders run again, whole run", static_cast<double>(this->audit.repeatedRuns()), 0.0});
     return rows;
 }
 
--- a/tools/loadtool/loadrun.h
+++ b/tools/loadtool/loadrun.h
@@ -6,6 +6,7 @@
 #include "callrecord.h"
 #include "enginefleet.h"
 #include "measurements.h"
+#include "serviceaudit.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -26,6 +27,8 @@
     std::vector<Endpoint> entries;
     /** All engines, the long model's first. */
     std::vector<Endpoint> engines;
+    /** The plain services, whose runs are counted at the end. */
+    std::vector<Endpoint> services;
     /** Slots per engine, for the arrival rate. */
     std::size_t slots = 16;
     /** How long calls arrive. */
@@ -80,6 +83,7 @@
     boost::asio::io_context context;
     CallerContext shared;
     EngineFleet fleet;
+    ServiceAudit audit;
     std::vector<std::unique_ptr<AddressBook>> books;
     std::vector<PlannedCall> plan;
     std::vector<CallRecord> records;
--- a/tools/loadtool/main.cpp
+++ b/tools/loadtool/main.cpp
@@ -9,6 +9,7 @@
 
 constexpr const char *help =
         "Usage: loadtool --mix=peach|daugava|relay --entry=IP:port,... --engines=IP:port,...\n"
+        "  --services=IP:port,...\n"
         "  --duration-s=30 --drain-s=5 --load=0.9 --slots=16 --seed=1 --slowdown=3\n"
         "  --output=table|json --threads=1\n"
         "  relay: --streams=1320 --tokens=320 --model=plan --direct=true|false --watch-pid=0\n";
@@ -42,6 +43,7 @@
     options.mix = flags.text("mix", options.mix);
     options.entries = endpoints(flags.text("entry", ""));
     options.engines = endpoints(flags.text("engines", ""));
+    options.services = endpoints(flags.text("services", ""));
     options.slots = static_cast<std::size_t>(flags.number("slots", 16));
     options.duration = seconds(flags, "duration-s", 30);
     options.drain = seconds(flags, "drain-s", 5);
