--- a/tests/standins/engine/engineserver.cpp
+++ b/tests/standins/engine/engineserver.cpp
@@ -30,7 +30,7 @@
 constexpr ModelTime longestCatchUp{200000};
 /** How often a reader without tokens checks that its caller is there. */
 constexpr std::chrono::milliseconds callerCheckInterval{500};
-constexpr std::chrono::milliseconds forgetInterval{1000};
+constexpr std::chrono::milliseconds housekeepingInterval{250};
 
 EngineModelOptions modelOptions(const StandinFlags &flags)
 {
@@ -85,6 +85,10 @@
     , lastClockReading(SteadyClock::now())
     , decodeTimer(context)
 {
+    for (std::size_t phase = 0; phase < this->phases; ++phase) {
+        this->readerTimers.emplace_back(context);
+        this->wakeReaders(phase);
+    }
     net::co_spawn(
             context, [this] { return this->decode(); }, net::detached);
 }
@@ -111,18 +115,20 @@
 
 net::awaitable<void> EngineServer::decode()
 {
-    auto nextForget = SteadyClock::now() + forgetInterval;
+    auto nextHousekeeping = SteadyClock::now() + housekeepingInterval;
     while (true) {
         const ModelTime now = this->advanceClock();
         this->model.advance(now);
         this->recordTokens();
-        if (SteadyClock::now() >= nextForget) {
-            nextForget = SteadyClock::now() + forgetInterval;
+        if (SteadyClock::now() >= nextHousekeeping) {
+            nextHousekeeping = SteadyClock::now() + housekeepingInterval;
             this->forgetUnread();
+            for (std::size_t phase = 0; phase < this->phases; ++phase)
+                this->wakeReaders(phase);
         }
         const auto stepEnd = this->model.stepEnd();
         this->decodeTimer.expires_after(stepEnd ? std::max(ModelTime(0), *stepEnd - now)
-                                                : ModelTime(forgetInterval));
+                                                : ModelTime(housekeepingInterval));
         boost::system::error_code ignored;
         co_await this->decodeTimer.async_wait(net::redirect_error(net::use_awaitable, ignored));
     }
@@ -135,26 +141,29 @@
     std::vector<std::vector<std::uint64_t>> groups(this->phases);
     for (const ProducedToken &token : this->model.takeTokens())
         groups[token.generation % this->phases].push_back(token.generation);
-    this->addTokens(groups.front());
+    if (!groups.front().empty()) {
+        this->addTokens(groups.front());
+        this->wakeReaders(0);
+    }
     for (std::size_t phase = 1; phase < groups.size(); ++phase) {
         if (groups[phase].empty())
             continue;
         net::co_spawn(
                 this->context,
                 [this, phase, numbers = std::move(groups[phase])] {
-                    return this->release(numbers, this->phaseTime * phase);
+                    return this->release(numbers, phase);
                 },
                 net::detached);
     }
 }
 
-net::awaitable<void> EngineServer::release(std::vector<std::uint64_t> numbers,
-                                           std::chrono::microseconds delay)
+net::awaitable<void> EngineServer::release(std::vector<std::uint64_t> numbers, std::size_t phase)
 {
     net::steady_timer timer(co_await net::this_coro::executor);
-    timer.expires_after(delay);
+    timer.expires_after(this->phaseTime * phase);
     co_await timer.async_wait(net::use_awaitable);
     this->addTokens(numbers);
+    this->wakeReaders(phase);
 }
 
 void EngineServer::addTokens(const std::vector<std::uint64_t> &numbers)
@@ -175,6 +184,12 @@
     return this->modelNow;
 }
 
+void EngineServer::wakeReaders(std::size_t phase)
+{
+    this->readerTimers[phase].cancel();
+    this->readerTimers[phase].expires_at(net::steady_timer::time_point::max());
+}
+
 void EngineServer::wakeDecoder()
 {
     this->decodeTimer.cancel();
@@ -225,8 +240,8 @@
         co_return;
     }
     const std::string generationName = this->runName + "-" + std::to_string(*number);
-    auto generation = std::make_shared<Generation>(this->context, generationName, *number,
-                                                   wanted.seed, this->isStamping);
+    auto generation =
+            std::make_shared<Generation>(generationName, *number, wanted.seed, this->isStamping);
     this->generations.emplace(generationName, generation);
     this->byNumber.emplace(*number, generation);
     this->wakeDecoder();
@@ -266,11 +281,13 @@
                                           std::uint64_t from, HttpResponder &responder)
 {
     const std::uint64_t epoch = generation->beginReading();
+    this->wakeReaders(generation->number() % this->phases);
     HttpHeaders headers;
     headers.emplace_back("Content-Type", "text/event-stream");
     bool isOpen = co_await responder.startStream(200, std::move(headers));
     std::uint64_t index = from;
     std::string text;
+    auto nextCallerCheck = SteadyClock::now() + callerCheckInterval;
     while (isOpen && generation->isReadBy(epoch)) {
         const bool isSilent = SteadyClock::now() < this->silentUntil;
         if (!isSilent && index < generation->tokenCount()) {
@@ -291,11 +308,13 @@
             co_await responder.finish();
             break;
         }
-        generation->wake().expires_after(callerCheckInterval);
-        boost::system::error_code code;
-        co_await generation->wake().async_wait(net::redirect_error(net::use_awaitable, code));
-        if (!code)
+        boost::system::error_code ignored;
+        net::steady_timer &timer = this->readerTimers[generation->number() % this->phases];
+        co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
+        if (SteadyClock::now() >= nextCallerCheck) {
+            nextCallerCheck = SteadyClock::now() + callerCheckInterval;
             isOpen = !responder.isCallerGone();
+        }
     }
     generation->endReading();
 }
@@ -307,7 +326,7 @@
     if (grace > 0 && generation.unreadMilliseconds() < grace)
         return jsonResponse(200, "{\"cancelled\":false}");
     this->model.cancel(generation.number(), this->advanceClock());
-    generation.wakeReader();
+    this->wakeReaders(generation.number() % this->phases);
     this->wakeDecoder();
     return jsonResponse(200, "{\"cancelled\":true}");
 }
--- a/tests/standins/engine/engineserver.h
+++ b/tests/standins/engine/engineserver.h
@@ -52,10 +52,10 @@
     boost::asio::awaitable<void> stream(std::shared_ptr<Generation> generation, std::uint64_t from,
                                         HttpResponder &responder);
     void recordTokens();
-    boost::asio::awaitable<void> release(std::vector<std::uint64_t> numbers,
-                                         std::chrono::microseconds delay);
+    boost::asio::awaitable<void> release(std::vector<std::uint64_t> numbers, std::size_t phase);
     void addTokens(const std::vector<std::uint64_t> &numbers);
     void wakeDecoder();
+    void wakeReaders(std::size_t phase);
     void forgetUnread();
     bool isRefused(const std::string &model, const std::string &version) const;
     ModelTime advanceClock();
@@ -82,6 +82,8 @@
     boost::asio::steady_timer::time_point lastClockReading;
     boost::asio::steady_timer::time_point silentUntil{};
     boost::asio::steady_timer decodeTimer;
+    /** One per phase; all readers of a phase wait on one timer, which costs less than one each. */
+    std::vector<boost::asio::steady_timer> readerTimers;
     std::map<std::string, std::shared_ptr<Generation>> generations;
     std::unordered_map<std::uint64_t, std::shared_ptr<Generation>> byNumber;
 };
--- a/tests/standins/engine/generation.cpp
+++ b/tests/standins/engine/generation.cpp
@@ -18,17 +18,14 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
 }
 
-Generation::Generation(boost::asio::io_context &context, std::string name, std::uint64_t number,
-                       std::uint64_t seed, bool isStamping)
+Generation::Generation(std::string name, std::uint64_t number, std::uint64_t seed, bool isStamping)
     : head("data: {\"generation\":\"" + name + "\",\"index\":")
     , tokenHead(",\"token\":\" w" + std::to_string(seed % seedModulus) + ".")
     , modelNumber(number)
     , isStamping(isStamping)
     , receivedAt(steadyMicroseconds())
     , lastRead(steadyMicroseconds())
-    , wakeTimer(context)
 {
-    this->wakeTimer.expires_at(boost::asio::steady_timer::time_point::max());
 }
 
 std::uint64_t Generation::number() const
@@ -44,12 +41,6 @@
 void Generation::addToken()
 {
     ++this->tokens;
-    this->wakeTimer.cancel();
-}
-
-void Generation::wakeReader()
-{
-    this->wakeTimer.cancel();
 }
 
 void Generation::appendEvent(std::uint64_t index, std::string &text) const
@@ -72,7 +63,6 @@
 std::uint64_t Generation::beginReading()
 {
     ++this->readers;
-    this->wakeTimer.cancel();
     return ++this->readerEpoch;
 }
 
@@ -93,9 +83,4 @@
                              : (steadyMicroseconds() - this->lastRead) / microsecondsPerMillisecond;
 }
 
-boost::asio::steady_timer &Generation::wake()
-{
-    return this->wakeTimer;
-}
-
 } // namespace sassafrasyard
--- a/tests/standins/engine/generation.h
+++ b/tests/standins/engine/generation.h
@@ -1,8 +1,5 @@
 #pragma once
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-
 #include <cstdint>
 #include <string>
 
@@ -22,8 +19,7 @@
      * @param number its number in the engine model.
      * @param seed determines the token texts.
      */
-    Generation(boost::asio::io_context &context, std::string name, std::uint64_t number,
-               std::uint64_t seed, bool isStamping);
+    Generation(std::string name, std::uint64_t number, std::uint64_t seed, bool isStamping);
     Generation(const Generation &) = delete;
     Generation &operator=(const Generation &) = delete;
 
@@ -31,10 +27,8 @@
     std::uint64_t number() const;
     /** Returns how many tokens may be read. */
     std::uint64_t tokenCount() const;
-    /** Adds the next token and wakes the reader. */
+    /** Adds the next token. */
     void addToken();
-    /** Wakes the reader without a token. */
-    void wakeReader();
 
     /**
      * Appends the event of one token to a text.
@@ -56,8 +50,6 @@
     bool isReadBy(std::uint64_t epoch) const;
     /** Returns how long nobody has read, in milliseconds; 0 while somebody does. */
     std::int64_t unreadMilliseconds() const;
-    /** Returns the timer that wakes the reader. */
-    boost::asio::steady_timer &wake();
 
 private:
     std::string head;
@@ -69,7 +61,6 @@
     int readers = 0;
     std::uint64_t readerEpoch = 0;
     std::int64_t lastRead;
-    boost::asio::steady_timer wakeTimer;
 };
 
 } // namespace sassafrasyard
--- a/tools/loadtool/loadrun.cpp
+++ b/tools/loadtool/loadrun.cpp
@@ -133,7 +133,7 @@
     auto rows = measureTransport(this->records, relaySettled, this->options.duration);
     const double seconds =
             std::chrono::duration<double>(this->options.duration - relaySettled).count();
-    if (this->watchedSeconds > 0.0) {
+    if (this->options.watchedProcess > 0) {
         const double thousands = rows.front().normal * seconds / 1000.0;
         rows.push_back({"processor ms per 1,000 tokens",
                         this->watchedSeconds * 1000.0 / std::max(thousands, 0.001), 0.0});
