--- a/tools/measure-relay.sh
+++ b/tools/measure-relay.sh
@@ -31,6 +31,7 @@
 echo "$(date -u +%FT%TZ), load average before: $(cut -d' ' -f1-3 /proc/loadavg), $(nproc) cores"
 start_engine
 await curl -fs "http://$engine/v1/load"
+require_running
 measure direct --direct=true --watch-pid="$engine_pid"
 stop_all
 
@@ -42,6 +43,7 @@
 start_entry 1 1 ${threads:+--io-threads="$threads"}
 entry_pid=${pids[-1]}
 await has_hosts 1
+require_running
 measure relayed --watch-pid="$entry_pid"
 stop_all
 echo "load average after: $(cut -d' ' -f1-3 /proc/loadavg)"
--- a/tools/measure.sh
+++ b/tools/measure.sh
@@ -45,6 +45,7 @@
   put_configuration "$(accounts_json '[{"name":"'$long'"},{"name":"'$desk'"}]' '["'$desk'-calls"]')" "$servers"
   for n in $(seq $hosts); do start_entry "$n" $((n % domains + 1)) --placement="$1"; done
   await has_hosts $hosts
+  require_running
 }
 
 entries=$(address 210),$(address 220),$(address 230)
--- a/tools/measurement.sh
+++ b/tools/measurement.sh
@@ -14,7 +14,7 @@
   wait 2> /dev/null || true
   pids=()
 }
-trap 'stop_all; rm -rf "$logs"' EXIT
+trap 'stop_all; [ -n "${KEEP_LOGS:-}" ] && cp -r "$logs" "$KEEP_LOGS"; rm -rf "$logs"' EXIT
 
 start() { "$@" > "$logs/$(basename "$1")-${#pids[@]}.log" 2>&1 & pids+=($!); }
 address() { echo "127.0.0.1:$((base + $1))"; }
@@ -35,6 +35,14 @@
   done
 }
 
+# Fails if a started process has ended, for example because its port is taken.
+require_running() {
+  local pid
+  for pid in "${pids[@]}"; do
+    kill -0 "$pid" 2> /dev/null || { echo "a process ended at its start:" >&2; tail -n 2 "$logs"/*.log >&2; return 1; }
+  done
+}
+
 put_configuration() { # accounts, servers
   curl -fs -X PUT "http://$(address 0)/objects/configuration%2Fcurrent" \
     -d '{"revision":1,"accounts":['"$1"'],"servers":['"$2"']}' > /dev/null
