--- a/tests/standins/engine/generation.h
+++ b/tests/standins/engine/generation.h
@@ -1,11 +1,7 @@
 #pragma once
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-
 #include <cstdint>
 #include <string>
-#include <vector>
 
 namespace sassafrasyard {
 
@@ -23,8 +19,7 @@
      * @param number its number in the engine model.
      * @param seed determines the token texts.
      */
-    Generation(boost::asio::io_context &context, std::string name, std::uint64_t number,
-               std::uint64_t seed, bool isStamping);
+    Generation(std::string name, std::uint64_t number, std::uint64_t seed, bool isStamping);
     Generation(const Generation &) = delete;
     Generation &operator=(const Generation &) = delete;
 
@@ -32,18 +27,16 @@
     std::uint64_t number() const;
     /** Returns how many tokens may be read. */
     std::uint64_t tokenCount() const;
-    /** Adds the next token and wakes the reader. */
+    /** Adds the next token. */
     void addToken();
-    /** Wakes the reader without a token. */
-    void wakeReader();
 
     /**
      * Appends the event of one token to a text.
      *
      * The token's text is " w" + seed modulo 1000 + "." + index. If stamping, it is followed by "@"
-     * and the time at which the token was produced, and for index 0 by "/" and the time at which
-     * the request arrived, in microseconds of the machine's steady clock: entry hosts pass only the
-     * text on, so callers behind them can read the stamps too.
+     * and the time of this call, and for index 0 by "/" and the time at which the request
+     * arrived, in microseconds of the machine's steady clock: entry hosts pass only the text on,
+     * so callers behind them can read the stamps too.
      */
     void appendEvent(std::uint64_t index, std::string &text) const;
     /** Returns the last event's text. @param reason why the generation ended. */
@@ -57,8 +50,6 @@
     bool isReadBy(std::uint64_t epoch) const;
     /** Returns how long nobody has read, in milliseconds; 0 while somebody does. */
     std::int64_t unreadMilliseconds() const;
-    /** Returns the timer that wakes the reader. */
-    boost::asio::steady_timer &wake();
 
 private:
     std::string head;
@@ -66,12 +57,10 @@
     std::uint64_t modelNumber;
     bool isStamping;
     std::uint64_t tokens = 0;
-    std::vector<std::int64_t> producedAt;
     std::int64_t receivedAt;
     int readers = 0;
     std::uint64_t readerEpoch = 0;
     std::int64_t lastRead;
-    boost::asio::steady_timer wakeTimer;
 };
 
 } // namespace sassafrasyard
--- a/tools/loadtool/loadrun.cpp
+++ b/tools/loadtool/loadrun.cpp
@@ -68,6 +68,7 @@
     : options(std::move(given))
     , shared{mixOf(options.mix), SteadyClock::now(), std::nullopt}
     , fleet(options.engines)
+    , audit(options.services)
 {
 }
 
@@ -94,11 +95,16 @@
     net::io_context last;
     net::co_spawn(
             last, [this] { return this->fleet.readTotals(); }, net::detached);
+    net::co_spawn(
+            last, [this] { return this->audit.read(); }, net::detached);
     last.run();
     rows.push_back(
             {"engine preemptions, whole run", static_cast<double>(this->fleet.preemptions()), 0.0});
     rows.push_back({"engine stall, whole run, ms",
                     static_cast<double>(this->fleet.stallMilliseconds()), 0.0});
+    rows.push_back({"orders run, whole run", static_cast<double>(this->audit.ordersRun()), 0.0});
+    rows.push_back(
+            {"orders run again, whole run", static_cast<double>(this->audit.repeatedRuns()), 0.0});
     return rows;
 }
 
@@ -127,7 +133,7 @@
     auto rows = measureTransport(this->records, relaySettled, this->options.duration);
     const double seconds =
             std::chrono::duration<double>(this->options.duration - relaySettled).count();
-    if (this->watchedSeconds > 0.0) {
+    if (this->options.watchedProcess > 0) {
         const double thousands = rows.front().normal * seconds / 1000.0;
         rows.push_back({"processor ms per 1,000 tokens",
                         this->watchedSeconds * 1000.0 / std::max(thousands, 0.001), 0.0});
