Let a rollout repeat a move of new work that an operator took back

The change identifier was the same for every attempt on a server, so after an operator had removed the server's 'versions' the repeated step was answered with the old revision and changed nothing. The identifier now contains the base revision; a change that a predecessor made is recognised by the document. The trial with the killed carrier still gives one change per server.

--- a/packages/control/rollouts/rolloutservice.cpp
+++ b/packages/control/rollouts/rolloutservice.cpp
@@ -235,11 +235,17 @@
     if (stored == source->documents.end())
         co_return false;
     json body = json::parse(*stored->second.body, nullptr, false);
-    body["versions"][rollout.model.toString()] = step.version;
+    json &version = body["versions"][rollout.model.toString()];
+    if (version == step.version) {
+        // A predecessor made the change, and this host has not put it into force yet.
+        co_return this->putIntoForce(source);
+    }
+    version = step.version;
     proposal.body = body.dump();
     ChangeRequest change;
-    // A successor that repeats the step uses the same identifier, so the change is made once.
-    change.identifier = rollout.identifier + "-" + step.server.toString() + "-" + step.version;
+    // With the revision in it, a change that an operator took back can be made again.
+    change.identifier = rollout.identifier + "-" + step.server.toString() + "-" + step.version + "-"
+            + std::to_string(source->revision);
     change.author = "rollout";
     change.comment = "rollout of " + rollout.model.toString() + " " + rollout.version + " on "
             + step.server.toString();
@@ -250,12 +256,18 @@
         logEvent(LogEvent::ConfigurationRejected, "detail", outcome.reason.detail);
         co_return false;
     }
-    std::vector<ConfigurationFault> faults;
-    auto configuration = outcome.source ? resolveSource(outcome.source, faults) : std::nullopt;
-    if (configuration)
-        this->entry.configuration.offer(std::move(*configuration));
     // Without the documents of the new revision this host sees the change in a later pass.
-    co_return outcome.source != nullptr;
+    co_return outcome.source &&this->putIntoForce(outcome.source);
+}
+
+bool RolloutService::putIntoForce(const std::shared_ptr<const ConfigurationSource> &source)
+{
+    std::vector<ConfigurationFault> faults;
+    auto configuration = resolveSource(source, faults);
+    if (!configuration)
+        return false;
+    this->entry.configuration.offer(std::move(*configuration));
+    return true;
 }
 
 net::awaitable<bool> RolloutService::record(Rollout next, StoredObject &object)
--- a/packages/control/rollouts/rolloutservice.h
+++ b/packages/control/rollouts/rolloutservice.h
@@ -11,6 +11,7 @@
 
 #include <deque>
 #include <map>
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -51,6 +52,7 @@
                                           StoredObject &object);
     boost::asio::awaitable<bool> sendOrder(SendOrderStep step, const Rollout &rollout);
     boost::asio::awaitable<bool> moveNewWork(MoveNewWorkStep step, const Rollout &rollout);
+    bool putIntoForce(const std::shared_ptr<const ConfigurationSource> &source);
     boost::asio::awaitable<bool> record(Rollout next, StoredObject &object);
     boost::asio::awaitable<RolloutView> look(const Rollout &rollout);
     boost::asio::awaitable<RolloutServerView> lookAt(BackendServer server, const Rollout &rollout);
