--- a/apps/ctl/commands.cpp
+++ b/apps/ctl/commands.cpp
@@ -45,8 +45,8 @@
 {
     switch (code) {
     case ExitCode::Conflict:
-        return "Look at the winning revision with 'sassafrasyardctl history' and 'diff', then "
-               "apply again.";
+        return "Look at what stands in the way with 'sassafrasyardctl history', 'diff' or 'rollout "
+               "status', then try again.";
     case ExitCode::Unavailable:
         return "Nothing was changed. Running hosts keep their configuration; try again later.";
     case ExitCode::OutcomeUnknown:
--- a/packages/control/rollouts/rolloutservice.cpp
+++ b/packages/control/rollouts/rolloutservice.cpp
@@ -281,10 +281,12 @@
     // After a lost reply the next pass reads what is in force.
     if (!version)
         co_return false;
+    const auto former = parseRollout(object.value, reason);
+    const bool hasStopped = next.state == RolloutState::Stopped
+            && (!former || former->state != RolloutState::Stopped);
     object.value = std::move(text);
     object.version = *version;
-    const bool isStopped = next.state == RolloutState::Stopped;
-    logEvent(isStopped ? LogEvent::RolloutStopped : LogEvent::RolloutAdvanced, "model",
+    logEvent(hasStopped ? LogEvent::RolloutStopped : LogEvent::RolloutAdvanced, "model",
              next.model.toString(), "version", next.version, "state",
              std::string(toString(next.state)), "reason", next.reason);
     co_return true;
