--- a/packages/configuration/documents/configurationdocument.cpp
+++ b/packages/configuration/documents/configurationdocument.cpp
@@ -79,6 +79,10 @@
 
 const ClientAccount *Configuration::findByKeyDigest(std::string_view keyDigest) const
 {
+    if (!this->accountsByKeyDigest.empty()) {
+        const auto known = this->accountsByKeyDigest.find(keyDigest);
+        return known == this->accountsByKeyDigest.end() ? nullptr : &this->accounts[known->second];
+    }
     for (const ClientAccount &account : this->accounts) {
         for (const std::string &digest : account.keyDigests) {
             if (digest == keyDigest)
--- a/packages/configuration/documents/configurationdocument.h
+++ b/packages/configuration/documents/configurationdocument.h
@@ -3,7 +3,9 @@
 #include "core/core.h"
 #include "policy/policy.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -39,6 +41,9 @@
     std::vector<BackendServer> servers;
     /** The versions that new work gets, by backend server and model; a rollout sets them. */
     std::map<BackendServerName, std::map<ModelName, std::string>> servedVersions;
+    /** The accounts' places by key digest; empty for a configuration that was not resolved from
+     * documents. */
+    std::map<std::string, std::size_t, std::less<>> accountsByKeyDigest;
     /** The documents behind it; null for a configuration that was not read from documents. */
     std::shared_ptr<const ConfigurationSource> source;
 
--- a/packages/configuration/documents/documentset.cpp
+++ b/packages/configuration/documents/documentset.cpp
@@ -116,19 +116,19 @@
     return parsed;
 }
 
-void checkKeyDigests(const std::vector<ClientAccount> &accounts,
-                     std::vector<ConfigurationFault> &faults)
+void indexKeyDigests(Configuration &configuration, std::vector<ConfigurationFault> &faults)
 {
-    std::map<std::string, std::string> owners;
-    for (const ClientAccount &account : accounts) {
-        const std::string &name = account.limits.account.toString();
+    for (std::size_t index = 0; index < configuration.accounts.size(); ++index) {
+        const ClientAccount &account = configuration.accounts[index];
         for (const std::string &digest : account.keyDigests) {
-            const auto [owner, isNew] = owners.emplace(digest, name);
-            if (!isNew)
-                faults.push_back({ConfigurationFaultKind::Duplicate, "account/" + name,
-                                  "key_digests",
-                                  "a key that account/" + owner->second + " uses already",
-                                  "give each client account its own keys"});
+            const auto [known, isNew] = configuration.accountsByKeyDigest.emplace(digest, index);
+            if (isNew)
+                continue;
+            const auto &owner = configuration.accounts[known->second].limits.account;
+            faults.push_back({ConfigurationFaultKind::Duplicate,
+                              "account/" + account.limits.account.toString(), "key_digests",
+                              "a key that account/" + owner.toString() + " uses already",
+                              "give each client account its own keys"});
         }
     }
 }
@@ -234,7 +234,7 @@
         if (key.kind == DocumentKind::Account)
             configuration.accounts.push_back(fillTemplate(key, body, templates, known, faults));
     }
-    checkKeyDigests(configuration.accounts, faults);
+    indexKeyDigests(configuration, faults);
     if (faults.size() != before)
         return std::nullopt;
     return configuration;
