Fix the known faults of the relay and the member table, use the estimated placement

Known red before: a crossed first event was relayed (the engine now names the generation in its answer's header), a silent stream was not told to move (an idle hook of the read timer tells it), a dead member was not told of its death (a stale record makes the news be sent again). Only a server that no longer answers counts as dead for the quarantine.

--- a/packages/backends/engine/generationstream.cpp
+++ b/packages/backends/engine/generationstream.cpp
@@ -161,8 +161,10 @@
     this->isMalformed = false;
     Error transport;
     const auto response = co_await this->stream.open(engine, request, timeouts, transport);
-    if (response && response->status == 200)
+    if (response && response->status == 200) {
+        this->announced = GenerationName(findHeader(response->headers, "Generation").value_or(""));
         co_return true;
+    }
     reason = response ? refusal(*response) : lost(transport);
     co_return false;
 }
@@ -205,6 +207,16 @@
     return parsed;
 }
 
+const GenerationName &GenerationStream::announcedGeneration() const
+{
+    return this->announced;
+}
+
+void GenerationStream::setIdleHook(std::function<void()> hook)
+{
+    this->stream.setIdleHook(std::move(hook));
+}
+
 void GenerationStream::close()
 {
     this->stream.close();
--- a/packages/backends/engine/generationstream.h
+++ b/packages/backends/engine/generationstream.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -71,6 +72,12 @@
     /** Returns an event that has already been received, or nothing. Does not wait. */
     std::optional<GenerationEvent> nextBuffered(Error &reason);
 
+    /** Returns the generation that the engine named in its answer; empty if it named none. */
+    const GenerationName &announcedGeneration() const;
+
+    /** Sets what runs now and then while the engine is silent. @see HttpStream::setIdleHook */
+    void setIdleHook(std::function<void()> hook);
+
     /** Closes the connection to the engine. */
     void close();
 
@@ -80,6 +87,7 @@
 
     HttpStream stream;
     ServerEventParser parser;
+    GenerationName announced;
     bool isMalformed = false;
 };
 
--- a/packages/entry/calls/servicecallhandler.cpp
+++ b/packages/entry/calls/servicecallhandler.cpp
@@ -263,11 +263,12 @@
         response = co_await sendHttpRequest(*endpoint, message, callTimeouts, reason);
     const bool isRefused = response && response->status == 409
             && findHeader(response->headers, "Not-Run").value_or("") == "true";
-    const bool isLost = !response && reason.runState != RunState::NotRun;
-    this->dispatch.reportFinished(work.name,
-                                  isLost                             ? WorkOutcome::ServerLost
-                                          : (!response || isRefused) ? WorkOutcome::RefusedByServer
-                                                                     : WorkOutcome::Completed);
+    WorkOutcome outcome = WorkOutcome::Completed;
+    if (isRefused || (!response && reason.runState == RunState::NotRun))
+        outcome = WorkOutcome::RefusedByServer;
+    else if (!response)
+        outcome = reason.code == ErrorCode::Timeout ? WorkOutcome::Failed : WorkOutcome::ServerLost;
+    this->dispatch.reportFinished(work.name, outcome);
     const bool isUnreachable = !response && reason.code == ErrorCode::ConnectionFailed;
     if (isRefused || isUnreachable) {
         const auto executor = co_await net::this_coro::executor;
--- a/packages/entry/dispatch/dispatchservice.cpp
+++ b/packages/entry/dispatch/dispatchservice.cpp
@@ -17,11 +17,13 @@
 
 using DecisionCallback = std::function<void(const Decision &)>;
 
-PlacementPolicy placementFor(const Settings &settings)
+PlacementPolicy placementFor(const Settings &settings, std::uint64_t seed)
 {
     if (settings.placement == "round-robin")
         return roundRobinPlacement();
-    return leastOutstandingPlacement();
+    if (settings.placement == "least-outstanding")
+        return leastOutstandingPlacement();
+    return estimatedLoadPlacement(seed);
 }
 
 DispatcherOptions optionsFor(const EntryState &entry)
@@ -29,8 +31,8 @@
     DispatcherOptions options;
     options.host = entry.settings.host;
     options.failureDomain = entry.settings.failureDomain;
-    options.placement = placementFor(entry.settings);
     options.seed = std::hash<HostIncarnation>()(entry.incarnation);
+    options.placement = placementFor(entry.settings, options.seed);
     return options;
 }
 
--- a/packages/entry/http/completionhandler.cpp
+++ b/packages/entry/http/completionhandler.cpp
@@ -198,8 +198,10 @@
     }
     const auto engine = parseEndpoint(grant->server.address, reason);
     completion.generation.request = name;
+    completion.generation.version = this->versionFor(completion.work, grant->server.name);
     completion.generation.priority = grant->assignment.enginePriority;
     GenerationStream stream;
+    stream.setIdleHook(this->tellToMoveWhileIdle(completion, responder));
     bool isStarted = false;
     if (engine)
         isStarted = co_await stream.start(*engine, completion.generation, startTimeouts, reason);
@@ -209,8 +211,8 @@
             this->monitor.recordRefusal(grant->server.name);
         else
             this->markUnreachable(grant->server.name);
-        this->dispatch.reportFinished(
-                name, isRefused ? WorkOutcome::RefusedByServer : WorkOutcome::ServerLost);
+        const WorkOutcome outcome = co_await this->outcomeOfLoss(grant->server, reason);
+        this->dispatch.reportFinished(name, outcome);
         co_return reason;
     }
     StreamRelay relay(this->entry, this->dispatch, *grant, *engine);
@@ -226,11 +228,12 @@
         this->cancelLater(*engine, relay.generation());
     if (result.end == RelayEnd::ServerLost)
         this->markUnreachable(grant->server.name);
-    this->dispatch.reportFinished(name,
-                                  result.end == RelayEnd::Finished ? WorkOutcome::Completed
-                                          : result.end == RelayEnd::CallerGone
-                                          ? WorkOutcome::Cancelled
-                                          : WorkOutcome::ServerLost);
+    WorkOutcome outcome = WorkOutcome::Completed;
+    if (result.end == RelayEnd::CallerGone)
+        outcome = WorkOutcome::Cancelled;
+    else if (result.end == RelayEnd::ServerLost)
+        outcome = co_await this->outcomeOfLoss(grant->server, result.reason);
+    this->dispatch.reportFinished(name, outcome);
     if (result.end == RelayEnd::ServerLost && !responder.hasStarted())
         co_return result.reason;
     co_await this->endStream(completion, result, responder);
@@ -257,6 +260,7 @@
     }
     const auto engine = parseEndpoint(grant.server.address, reason);
     GenerationStream stream;
+    stream.setIdleHook(this->tellToMoveWhileIdle(completion, responder));
     bool isResumed = false;
     if (engine)
         isResumed = co_await stream.resume(*engine, position->generation, position->index + 1,
@@ -360,14 +364,9 @@
         event.data = tokenData(token);
         text += formatServerEvent(event);
     }
-    if (this->entry.isDraining && !completion.wasToldToMove) {
+    if (this->mustTellToMove(completion)) {
         completion.wasToldToMove = true;
-        json data;
-        data["addresses"] = this->entry.otherCallerAddresses();
-        ServerEvent move;
-        move.type = "draining";
-        move.data = data.dump();
-        text += formatServerEvent(move);
+        text += this->moveEvent();
     }
     co_return co_await responder.write(text);
 }
@@ -379,6 +378,59 @@
     });
 }
 
+std::string CompletionHandler::versionFor(const WorkRequest &work,
+                                          const BackendServerName &server) const
+{
+    if (!work.version.empty())
+        return work.version;
+    // During a rollout each server states which version new work gets.
+    const auto configuration = this->entry.configuration.current();
+    const auto served = configuration->servedVersions.find(server);
+    if (served == configuration->servedVersions.end())
+        return {};
+    const auto version = served->second.find(work.model);
+    return version == served->second.end() ? std::string() : version->second;
+}
+
+net::awaitable<WorkOutcome> CompletionHandler::outcomeOfLoss(BackendServer server, Error reason)
+{
+    if (reason.runState == RunState::NotRun)
+        co_return WorkOutcome::RefusedByServer;
+    if (reason.code != ErrorCode::BackendServerLost)
+        co_return WorkOutcome::Failed;
+    // Only the death of a server may count against the requests that it ran, not a cut link to it.
+    Error ignored;
+    const auto engine = parseEndpoint(server.address, ignored);
+    std::optional<EngineStatus> status;
+    if (engine)
+        status = co_await readEngineStatus(*engine, server.name, cancelTimeouts, ignored);
+    co_return status ? WorkOutcome::Failed : WorkOutcome::ServerLost;
+}
+
+bool CompletionHandler::mustTellToMove(const Completion &completion) const
+{
+    return this->entry.isDraining && completion.isStreamed && !completion.wasToldToMove;
+}
+
+std::string CompletionHandler::moveEvent() const
+{
+    json data;
+    data["addresses"] = this->entry.otherCallerAddresses();
+    ServerEvent move;
+    move.type = "draining";
+    move.data = data.dump();
+    return formatServerEvent(move);
+}
+
+std::function<void()> CompletionHandler::tellToMoveWhileIdle(Completion &completion,
+                                                             HttpResponder &responder) const
+{
+    return [this, &completion, &responder] {
+        if (responder.hasStarted() && this->mustTellToMove(completion))
+            completion.wasToldToMove = responder.tryWrite(this->moveEvent());
+    };
+}
+
 void CompletionHandler::cancelLater(const Endpoint &engine, const GenerationName &generation)
 {
     net::co_spawn(
--- a/packages/entry/http/completionhandler.h
+++ b/packages/entry/http/completionhandler.h
@@ -9,6 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -47,6 +48,12 @@
     /** Places nothing on an engine that was lost until the monitor has read its state again. */
     void markUnreachable(const BackendServerName &server);
     /** Does the same for an engine that refused work. */
+    std::string versionFor(const WorkRequest &work, const BackendServerName &server) const;
+    boost::asio::awaitable<WorkOutcome> outcomeOfLoss(BackendServer server, Error reason);
+    bool mustTellToMove(const Completion &completion) const;
+    std::string moveEvent() const;
+    std::function<void()> tellToMoveWhileIdle(Completion &completion,
+                                              HttpResponder &responder) const;
     void cancelLater(const Endpoint &engine, const GenerationName &generation);
     boost::asio::awaitable<void> cancelAfterGrace(Endpoint engine, GenerationName generation);
 
--- a/packages/entry/http/streamrelay.cpp
+++ b/packages/entry/http/streamrelay.cpp
@@ -41,6 +41,9 @@
 {
     RelayResult result;
     std::vector<DeliveredToken> batch;
+    // An event of another generation may come first, so the answer's header decides.
+    if (this->currentGeneration.isEmpty())
+        this->currentGeneration = stream.announcedGeneration();
     while (true) {
         auto event = co_await stream.next(stallTimeout, result.reason);
         batch.clear();
@@ -50,6 +53,8 @@
         }
         result.tokens = this->nextIndex;
         if (!batch.empty()) {
+            if (batch.front().position.index == 0)
+                this->dispatch.reportFirstToken(this->grant.assignment.request);
             this->reconnects = 0;
             if (!co_await deliver(batch)) {
                 result.end = RelayEnd::CallerGone;
--- a/packages/membership/table/membertable.cpp
+++ b/packages/membership/table/membertable.cpp
@@ -168,9 +168,15 @@
         this->replaceEarlierRuns(update, now);
         return;
     }
-    if (!isNewer(update, known->second.record))
+    Entry &entry = known->second;
+    // A member that does not know of its death is told again, so that it can refute it.
+    if (entry.record.state == MemberState::Dead && update.state != MemberState::Dead
+        && !isNewer(update, entry.record)) {
+        entry.timesSent = 0;
+    }
+    if (!isNewer(update, entry.record))
         return;
-    known->second = Entry{update, now, 0};
+    entry = Entry{update, now, 0};
 }
 
 void MemberTable::applyToSelf(const MemberRecord &update)
--- a/packages/network/http/httpclient.cpp
+++ b/packages/network/http/httpclient.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <limits>
@@ -24,6 +25,9 @@
 
 constexpr std::uint64_t maximumResponseBytes = 64U << 20U;
 
+/** How often the idle hook of a stream runs. */
+constexpr Milliseconds idleInterval{500};
+
 auto redirect(error_code &code)
 {
     return net::redirect_error(net::use_awaitable, code);
@@ -127,7 +131,8 @@
     void watch()
     {
         this->isWatching = true;
-        this->watchdog.expires_at(this->deadline);
+        const auto next = std::chrono::steady_clock::now() + idleInterval;
+        this->watchdog.expires_at(this->idleHook ? std::min(next, this->deadline) : this->deadline);
         this->watchdog.async_wait([weak = this->weak_from_this()](error_code code) {
             const auto self = weak.lock();
             if (!self || code)
@@ -136,6 +141,8 @@
             if (!self->isReading)
                 return;
             if (std::chrono::steady_clock::now() < self->deadline) {
+                if (self->idleHook)
+                    self->idleHook();
                 self->watch();
                 return;
             }
@@ -157,6 +164,7 @@
     beast::tcp_stream stream;
     net::steady_timer watchdog;
     std::chrono::steady_clock::time_point deadline;
+    std::function<void()> idleHook;
     bool isWatching = false;
     bool isReading = false;
     bool hasTimedOut = false;
@@ -177,6 +185,7 @@
     this->implementation = std::make_shared<Implementation>(co_await net::this_coro::executor);
     Implementation &state = *this->implementation;
     state.endpoint = endpoint;
+    state.idleHook = this->idleHook;
     // Boost 1.74 takes every body with a known length for too long if there is no limit.
     state.parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     if (!co_await sendOn(state.stream, endpoint, request, timeouts, reason))
@@ -225,6 +234,13 @@
     co_return std::string_view();
 }
 
+void HttpStream::setIdleHook(std::function<void()> hook)
+{
+    this->idleHook = std::move(hook);
+    if (this->implementation)
+        this->implementation->idleHook = this->idleHook;
+}
+
 void HttpStream::close()
 {
     if (this->implementation)
--- a/packages/network/http/httpclient.h
+++ b/packages/network/http/httpclient.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -62,11 +63,20 @@
     boost::asio::awaitable<std::optional<std::string_view>> read(Milliseconds timeout,
                                                                  Error &reason);
 
+    /**
+     * Sets what runs on the stream's strand about twice a second while a read is pending.
+     *
+     * @param hook must not read from or close the stream; it stays set when the stream is opened
+     *     again.
+     */
+    void setIdleHook(std::function<void()> hook);
+
     /** Closes the connection; a read in progress on the same strand fails. */
     void close();
 
 private:
     struct Implementation;
+    std::function<void()> idleHook;
     // Shared with the handler of the read timer, which may run after the stream is gone.
     std::shared_ptr<Implementation> implementation;
 };
--- a/packages/network/http/httpserver.cpp
+++ b/packages/network/http/httpserver.cpp
@@ -77,6 +77,15 @@
         return sent > 0 ? static_cast<std::size_t>(sent) : 0;
     }
 
+    /** Returns bytes in the form of a chunk; valid until the next call. */
+    const std::string &makeChunk(std::string_view bytes)
+    {
+        char size[24];
+        const int length = std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+        this->chunk.assign(size, static_cast<std::size_t>(length));
+        return this->chunk.append(bytes).append("\r\n");
+    }
+
     beast::tcp_stream stream;
     const HttpServerOptions &options;
     beast::flat_buffer buffer;
@@ -132,11 +141,7 @@
 {
     if (bytes.empty())
         co_return true;
-    std::string &chunk = this->connection->chunk;
-    char size[24];
-    const int length = std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
-    chunk.assign(size, static_cast<std::size_t>(length));
-    chunk.append(bytes).append("\r\n");
+    const std::string &chunk = this->connection->makeChunk(bytes);
     // The kernel nearly always takes a chunk at once; only the rest, if any, is worth awaiting.
     const std::size_t taken = this->connection->writeWithoutWaiting(chunk);
     if (taken == chunk.size())
@@ -150,6 +155,15 @@
     co_return !code;
 }
 
+bool HttpResponder::tryWrite(std::string_view bytes)
+{
+    const std::string &chunk = this->connection->makeChunk(bytes);
+    const std::size_t taken = this->connection->writeWithoutWaiting(chunk);
+    if (taken > 0 && taken < chunk.size())
+        this->connection->stream.close();
+    return taken == chunk.size();
+}
+
 net::awaitable<bool> HttpResponder::finish()
 {
     this->connection->stream.expires_after(this->connection->options.writeTimeout);
--- a/packages/network/http/httpserver.h
+++ b/packages/network/http/httpserver.h
@@ -39,6 +39,13 @@
      */
     boost::asio::awaitable<bool> write(std::string_view bytes);
 
+    /**
+     * Sends one chunk if the kernel takes it whole at once; never waits.
+     *
+     * @return false if it was not sent. The connection is closed if only a part was taken.
+     */
+    bool tryWrite(std::string_view bytes);
+
     /** Ends a chunked response. @return false if the caller has gone away. */
     boost::asio::awaitable<bool> finish();
 
--- a/tests/scenarios/runner/configurationobjects.cpp
+++ b/tests/scenarios/runner/configurationobjects.cpp
@@ -1,7 +1,8 @@
-#include "configurationobjects.h"
+#include "scenarios/runner/configurationobjects.h"
 
 #include "configuration/configuration.h"
-#include "scenarioerror.h"
+#include "configuration/revisions/snapshot.h"
+#include "scenarios/runner/scenarioerror.h"
 
 #include <nlohmann/json.hpp>
 
--- a/tests/scenarios/runner/scenario.cpp
+++ b/tests/scenarios/runner/scenario.cpp
@@ -1,6 +1,7 @@
 #include "scenarios/runner/scenario.h"
 
 #include "configuration/configuration.h"
+#include "scenarios/runner/configurationobjects.h"
 #include "scenarios/runner/scenarioerror.h"
 
 #include <nlohmann/json.hpp>
--- a/tests/standins/engine/engineserver.cpp
+++ b/tests/standins/engine/engineserver.cpp
@@ -284,6 +284,7 @@
     this->wakeReaders(generation->number() % this->phases);
     HttpHeaders headers;
     headers.emplace_back("Content-Type", "text/event-stream");
+    headers.emplace_back("Generation", generation->protocolName());
     bool isOpen = co_await responder.startStream(200, std::move(headers));
     std::uint64_t index = from;
     std::string text;
--- a/tests/standins/engine/generation.cpp
+++ b/tests/standins/engine/generation.cpp
@@ -19,7 +19,8 @@
 }
 
 Generation::Generation(std::string name, std::uint64_t number, std::uint64_t seed, bool isStamping)
-    : head("data: {\"generation\":\"" + name + "\",\"index\":")
+    : name(std::move(name))
+    , head("data: {\"generation\":\"" + this->name + "\",\"index\":")
     , tokenHead(",\"token\":\" w" + std::to_string(seed % seedModulus) + ".")
     , modelNumber(number)
     , isStamping(isStamping)
--- a/tests/standins/engine/generation.h
+++ b/tests/standins/engine/generation.h
@@ -20,6 +20,9 @@
      * @param seed determines the token texts.
      */
     Generation(std::string name, std::uint64_t number, std::uint64_t seed, bool isStamping);
+
+    /** Returns its name in the protocol. */
+    const std::string &protocolName() const { return this->name; }
     Generation(const Generation &) = delete;
     Generation &operator=(const Generation &) = delete;
 
@@ -52,6 +55,7 @@
     std::int64_t unreadMilliseconds() const;
 
 private:
+    std::string name;
     std::string head;
     std::string tokenHead;
     std::uint64_t modelNumber;
