--- a/tests/scenarios/runner/scenario.cpp
+++ b/tests/scenarios/runner/scenario.cpp
@@ -22,11 +22,6 @@
 constexpr std::string_view configurationTarget = "/objects/configuration%2Fcurrent";
 constexpr std::size_t anyCount = 64;
 
-std::string keyOf(const std::string &account)
-{
-    return "key-" + account;
-}
-
 json accountDocument(const std::string &name, const json &servers)
 {
     json models = json::array();
@@ -40,30 +35,11 @@
             models.push_back({{"name", served}});
     }
     return {{"name", name},
-            {"key_digests", json::array({sha256Hex(keyOf(name))})},
+            {"key_digests", json::array({sha256Hex("key-" + name)})},
             {"models", models},
             {"services", services}};
 }
 
-/** Returns a position that was changed in the named way. */
-std::string changedPosition(std::string position, const std::string &change)
-{
-    if (change == "own")
-        return position;
-    if (change == "changed-mac") {
-        position.back() = position.back() == '0' ? '1' : '0';
-        return position;
-    }
-    if (change != "changed-index")
-        throw ScenarioError(ScenarioErrorCode::InvalidArgument, "unknown position: " + change);
-    const std::size_t server = position.find('/');
-    const std::size_t generation = position.find('/', server + 1);
-    const std::size_t index = position.find('/', generation + 1);
-    const std::uint64_t number =
-            parseNumber(std::string_view(position).substr(generation + 1, index - generation - 1));
-    return position.substr(0, generation + 1) + std::to_string(number + 1) + position.substr(index);
-}
-
 RelayFault::Kind relayFaultKind(const std::string &name)
 {
     using Kind = RelayFault::Kind;
@@ -83,11 +59,6 @@
     return known->second;
 }
 
-std::string numbered(const std::string &name, std::uint64_t index, std::uint64_t count)
-{
-    return count == 1 ? name : name + "." + std::to_string(index);
-}
-
 } // namespace
 
 struct Scenario::Command
@@ -407,108 +378,6 @@
               "order");
 }
 
-void Scenario::runStream(const Statement &statement)
-{
-    const std::uint64_t count = statement.numberOption("count", 1);
-    const Endpoint endpoint = this->fleet.endpoint(statement.option("via", ""));
-    for (std::uint64_t index = 1; index <= count; ++index) {
-        const std::string name = numbered(statement.word(1), index, count);
-        this->requireFreeName(name);
-        json body;
-        body["model"] = statement.option("model", "plan");
-        body["prompt"] = statement.option("prompt", "Scenario");
-        body["max_tokens"] = statement.numberOption("length", 20);
-        body["seed"] = statement.numberOption("seed", 1) + index - 1;
-        body["stream"] = true;
-        HttpRequest request;
-        request.method = "POST";
-        request.target = "/v1/completions";
-        request.headers.emplace_back("Authorization",
-                                     "Bearer " + keyOf(statement.option("account", "first")));
-        request.body = body.dump();
-        auto caller = std::make_shared<StreamCaller>(this->context, std::move(request));
-        this->streams[name] = caller;
-        caller->open(endpoint, "");
-    }
-}
-
-void Scenario::runResume(const Statement &statement)
-{
-    StreamCaller &known = this->stream(statement.word(1));
-    const std::string position = known.lastPosition();
-    if (position.empty()) {
-        throw ScenarioError(ScenarioErrorCode::InvalidArgument,
-                            statement.word(1) + " has received no token");
-    }
-    const std::string sent = changedPosition(position, statement.option("position", "own"));
-    const Endpoint endpoint = this->fleet.endpoint(statement.option("via", ""));
-    if (!statement.has("as")) {
-        known.open(endpoint, sent);
-        return;
-    }
-    const std::string name = statement.option("as", "");
-    this->requireFreeName(name);
-    HttpRequest request = known.request();
-    if (statement.has("account"))
-        request.headers[0].second = "Bearer " + keyOf(statement.option("account", ""));
-    if (statement.has("prompt")) {
-        json body = json::parse(request.body);
-        body["prompt"] = statement.option("prompt", "");
-        request.body = body.dump();
-    }
-    auto caller = std::make_shared<StreamCaller>(this->context, std::move(request));
-    this->streams[name] = caller;
-    caller->open(endpoint, sent);
-}
-
-void Scenario::runCall(const Statement &statement)
-{
-    const std::string &method = statement.word(2);
-    const bool isPost = method == "post";
-    if (!isPost && method != "get")
-        throw ScenarioError(ScenarioErrorCode::InvalidArgument, "a call is get or post");
-    const std::string via = statement.option("via", "");
-    const std::string binding =
-            isPost ? this->bindingOf(statement.option("bind", via), via) : std::string();
-    const std::uint64_t count = statement.numberOption("count", 1);
-    for (std::uint64_t index = 1; index <= count; ++index) {
-        const std::string name = numbered(statement.word(1), index, count);
-        this->requireFreeName(name);
-        HttpRequest request;
-        request.method = isPost ? "POST" : "GET";
-        request.target = "/v1/services/" + statement.option("service", "stock")
-                + statement.option("path", "/orders");
-        request.headers.emplace_back("Authorization",
-                                     "Bearer " + keyOf(statement.option("account", "first")));
-        if (isPost) {
-            request.headers.emplace_back("Sassafrasyard-Incarnation", binding);
-            request.headers.emplace_back(
-                    "Idempotency-Key",
-                    numbered(statement.option("key", statement.word(1)), index, count));
-            request.body = statement.option("body", "{}");
-        }
-        auto caller = std::make_shared<PlainCaller>(this->context, std::move(request));
-        this->calls[name] = caller;
-        caller->send(this->fleet.endpoint(via));
-    }
-}
-
-void Scenario::runRetry(const Statement &statement)
-{
-    HttpRequest request = this->call(statement.word(1)).request();
-    const std::string name = statement.option("as", "");
-    this->requireFreeName(name);
-    request.body = statement.option("body", request.body);
-    if (statement.has("key")) {
-        std::erase_if(request.headers,
-                      [](const auto &header) { return header.first == "Idempotency-Key"; });
-        request.headers.emplace_back("Idempotency-Key", statement.option("key", ""));
-    }
-    auto caller = std::make_shared<PlainCaller>(this->context, std::move(request));
-    this->calls[name] = caller;
-    caller->send(this->fleet.endpoint(statement.option("via", "")));
-}
-
 void Scenario::runAwait(const Statement &statement)
 {
     const std::size_t last = statement.size() - 1;
@@ -564,20 +433,6 @@
     return *response;
 }
 
-std::string Scenario::bindingOf(const std::string &host, const std::string &via)
-{
-    HttpRequest request;
-    request.target = "/v1/addresses";
-    request.headers.emplace_back("Authorization", "Bearer " + keyOf("first"));
-    const HttpResponse response = this->ask(this->fleet.endpoint(via), request, "addresses");
-    const json body = json::parse(response.body);
-    for (const json &entry : body["addresses"]) {
-        if (entry["host"] == host)
-            return entry["incarnation"];
-    }
-    throw ScenarioError(ScenarioErrorCode::RequestFailed, host + " is not in the address answer");
-}
-
 StreamCaller &Scenario::stream(const std::string &name)
 {
     const auto known = this->streams.find(name);
