--- a/tests/scenarios/runner/callerstatements.cpp
+++ b/tests/scenarios/runner/callerstatements.cpp
@@ -28,7 +28,8 @@
     if (change != "changed-index")
         throw ScenarioError(ScenarioErrorCode::InvalidArgument, "unknown position: " + change);
     const std::size_t server = position.find('/');
-    const std::size_t generation = position.find('/', server + 1);
+    const std::size_t address = position.find('/', server + 1);
+    const std::size_t generation = position.find('/', address + 1);
     const std::size_t index = position.find('/', generation + 1);
     const std::uint64_t number =
             parseNumber(std::string_view(position).substr(generation + 1, index - generation - 1));
--- a/tests/scenarios/runner/streamcheck.cpp
+++ b/tests/scenarios/runner/streamcheck.cpp
@@ -7,11 +7,12 @@
 constexpr std::uint64_t seedModulus = 1000;
 constexpr char separator = '/';
 
-/** Returns "server/generation" of a position. */
+/** Returns "server/address/generation" of a position. */
 std::string generationOf(const std::string &position)
 {
-    const std::size_t first = position.find(separator);
-    return position.substr(0, position.find(separator, first + 1));
+    const std::size_t server = position.find(separator);
+    const std::size_t address = position.find(separator, server + 1);
+    return position.substr(0, position.find(separator, address + 1));
 }
 
 /** Returns the index that a position names, as text. */
