--- a/packages/policy/dispatch/dispatcher.cpp
+++ b/packages/policy/dispatch/dispatcher.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/** A failed server is looked for twice a second, so one may be back by then. */
+constexpr Milliseconds noServerRetryAfter{1000};
+
 constexpr Milliseconds cleaningInterval{1000};
 constexpr Milliseconds groupLifetime{600'000};
 /** Retries are counted over 10 s, so a second later the budget may permit one again. */
@@ -98,7 +101,7 @@
     const std::size_t level = this->queue.levelOf(request);
     const QueuePosition position = this->queue.positionOf(group.key, request);
     const bool isBlocked = (group.blocked & maskOf(level)) != 0;
-    if (isBlocked && group.load.isTooLate(level, position, group.running, now)
+    if (isBlocked && this->isTooLate(group, request, level, position, now)
         && !this->findHost(group, request, now)) {
         this->refuse(request, ErrorCode::Overloaded, this->retryAfter(group, now));
         return;
@@ -112,8 +115,7 @@
     if (result.displaced)
         this->refuse(*result.displaced, ErrorCode::Overloaded, this->retryAfter(group, now));
     this->placeGroup(group, now);
-    if (this->queue.contains(request.name)
-        && group.load.isTooLate(level, position, group.running, now))
+    if (this->queue.contains(request.name) && this->isTooLate(group, request, level, position, now))
         this->refuseWaiting(request.name, ErrorCode::Overloaded, this->retryAfter(group, now));
 }
 
@@ -334,9 +336,11 @@
     while (const WorkRequest *oldest = this->queue.oldestBefore(first)) {
         const bool hasServer = this->pool.capacity(oldest->model, now).totalSlots > 0;
         Group &group = this->groupFor(*oldest, now);
+        const Milliseconds retryAfter =
+                hasServer ? this->retryAfter(group, now) : noServerRetryAfter;
         this->refuseWaiting(oldest->name,
                             hasServer ? ErrorCode::Overloaded : ErrorCode::NoBackendServer,
-                            this->retryAfter(group, now));
+                            retryAfter);
     }
 }
 
@@ -345,7 +349,8 @@
     for (std::size_t level = AdmissionQueue::levelCount; level-- > 0;) {
         while (const WorkRequest *surplus = this->queue.surplus(group.key, level)) {
             const auto waiting = this->queue.levelSizes(group.key);
-            if (!group.load.isBacklogTooLong(level, waiting, group.running, now))
+            if (!group.load.isBacklogTooLong(level, waiting, group.running, now)
+                || this->pool.capacity(group.key.model, now).totalSlots == 0)
                 break;
             const RequestName name = surplus->name;
             this->refuseWaiting(name, ErrorCode::Overloaded, this->retryAfter(group, now));
@@ -380,7 +385,17 @@
             skipped |= maskOf(level);
         }
     }
-    group.load.recordWaiting(this->queue.levelSizes(group.key), now);
+    // Time without a usable server says nothing about how fast the servers drain the queue.
+    const bool hasServer = this->pool.capacity(group.key.model, now).totalSlots > 0;
+    group.load.recordWaiting(
+            hasServer ? this->queue.levelSizes(group.key) : AdmissionQueue::LevelSizes(), now);
+}
+
+bool Dispatcher::isTooLate(Group &group, const WorkRequest &request, std::size_t level,
+                           const QueuePosition &position, Milliseconds now)
+{
+    return group.load.isTooLate(level, position, group.running, now)
+            && this->pool.capacity(request.model, now).totalSlots > 0;
 }
 
 bool Dispatcher::tryPlace(Group &group, const WorkRequest &request, Milliseconds now)
--- a/packages/policy/dispatch/dispatcher.h
+++ b/packages/policy/dispatch/dispatcher.h
@@ -167,6 +167,8 @@
     void refuseWaiting(const RequestName &name, ErrorCode reason, Milliseconds retryAfter);
     void refuseExpired(Milliseconds now);
     void refuseBacklog(Group &group, Milliseconds now);
+    bool isTooLate(Group &group, const WorkRequest &request, std::size_t level,
+                   const QueuePosition &position, Milliseconds now);
     Milliseconds retryAfter(Group &group, Milliseconds now);
 
     void recordCapacityChange(Milliseconds now);
--- a/tests/scenarios/runner/configurationobjects.cpp
+++ b/tests/scenarios/runner/configurationobjects.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+/** How many changes the head lists, so that hosts read changes rather than whole snapshots. */
+constexpr std::uint64_t listedChanges = 4;
+
 json serverDocument(json server)
 {
     server["document"] = "server/" + server["name"].get<std::string>();
@@ -66,6 +69,17 @@
     head.revision = revision;
     head.snapshot = snapshot.digest;
     head.snapshotRevision = revision;
+    for (std::uint64_t listed = revision > listedChanges ? revision - listedChanges + 1 : 1;
+         listed <= revision; ++listed) {
+        ChangeRecord record;
+        record.revision = listed;
+        record.identifier = "scenario-" + std::to_string(listed);
+        record.contentDigest = snapshot.digest;
+        record.author = "scenario";
+        for (const auto &[key, document] : documents)
+            record.documents.push_back({key, document.digest});
+        head.changes.push_back(std::move(record));
+    }
     std::vector<std::pair<std::string, std::string>> objects = std::move(snapshot.objects);
     for (const auto &[key, document] : documents)
         objects.emplace_back(documentObjectName(document.digest), *document.body);
