--- a/packages/configuration/revisions/configurationloader.cpp
+++ b/packages/configuration/revisions/configurationloader.cpp
@@ -24,7 +24,10 @@
             last[change.key] = change.digest;
     }
     for (const auto &[key, digest] : last) {
-        if (!digest.empty())
+        const auto held = this->base->documents.find(key);
+        const bool isHeld = !this->usesSnapshot && held != this->base->documents.end()
+                && held->second.digest == digest;
+        if (!digest.empty() && !isHeld)
             this->pending.emplace(documentObjectName(digest), digest);
     }
 }
@@ -78,6 +81,9 @@
                 source->documents.erase(change.key);
             else if (body != this->bodies.end())
                 source->documents[change.key] = makeStoredDocument(body->second, record.revision);
+            else if (const auto held = source->documents.find(change.key);
+                     held != source->documents.end() && held->second.digest == change.digest)
+                held->second.revision = record.revision;
         }
     }
     return source;
--- a/packages/control/configuration/configurationstore.cpp
+++ b/packages/control/configuration/configurationstore.cpp
@@ -85,9 +85,11 @@
     ConfigurationLoader loader(std::move(head), std::move(known));
     std::vector<std::string> wanted = loader.wanted();
     while (!wanted.empty()) {
-        for (const std::string &name : wanted) {
-            const auto object = co_await this->platform.read(name, reason);
-            if (!object || !loader.supply(name, object->value, reason))
+        const auto objects = co_await this->platform.readAll(wanted, reason);
+        if (!objects)
+            co_return nullptr;
+        for (const StoredObject &object : *objects) {
+            if (!loader.supply(object.name, object.value, reason))
                 co_return nullptr;
         }
         wanted = loader.wanted();
--- a/packages/platform/objects/objectclient.cpp
+++ b/packages/platform/objects/objectclient.cpp
@@ -1,7 +1,15 @@
 #include "platform/objects/objectclient.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 #include <charconv>
 
 namespace sassafrasyard {
@@ -10,6 +18,9 @@
 
 namespace {
 
+/** How many objects of a batch are read at the same time. */
+constexpr std::size_t concurrentReads = 8;
+
 Error platformError(const Error &transport, bool isWrite)
 {
     if (transport.runState == RunState::NotRun || !isWrite)
@@ -52,6 +63,61 @@
     co_return co_await this->get(std::move(name), std::move(target), this->timeouts, reason);
 }
 
+struct ObjectClient::Batch
+{
+    explicit Batch(const net::any_io_executor &executor)
+        : finished(executor, net::steady_timer::time_point::max())
+    {
+    }
+
+    net::steady_timer finished;
+    std::vector<std::string> names;
+    std::vector<StoredObject> objects;
+    std::size_t next = 0;
+    std::size_t readers = 0;
+    std::optional<Error> failure;
+};
+
+net::awaitable<std::optional<std::vector<StoredObject>>> ObjectClient::readAll(
+        std::vector<std::string> names, Error &reason)
+{
+    if (names.empty())
+        co_return std::vector<StoredObject>();
+    const auto executor = co_await net::this_coro::executor;
+    const auto batch = std::make_shared<Batch>(executor);
+    batch->objects.resize(names.size());
+    batch->names = std::move(names);
+    batch->readers = std::min(concurrentReads, batch->names.size());
+    // The readers share the caller's strand, so nothing of the batch needs a lock.
+    for (std::size_t reader = batch->readers; reader > 0; --reader) {
+        net::co_spawn(
+                executor, [this, batch] { return this->readBatch(batch); }, net::detached);
+    }
+    boost::system::error_code ignored;
+    co_await batch->finished.async_wait(net::redirect_error(net::use_awaitable, ignored));
+    if (batch->failure) {
+        reason = *batch->failure;
+        co_return std::nullopt;
+    }
+    co_return std::move(batch->objects);
+}
+
+net::awaitable<void> ObjectClient::readBatch(std::shared_ptr<Batch> batch)
+{
+    while (batch->next < batch->names.size() && !batch->failure) {
+        const std::size_t index = batch->next++;
+        Error reason;
+        auto object = co_await this->read(batch->names[index], reason);
+        if (object)
+            batch->objects[index] = std::move(*object);
+        else
+            batch->failure = reason;
+    }
+    // Moving the expiry also ends a wait that has not begun yet; cancel() would miss it.
+    if (--batch->readers == 0)
+        batch->finished.expires_at(net::steady_timer::time_point::min());
+}
+
 net::awaitable<std::optional<StoredObject>> ObjectClient::watch(std::string name,
                                                                 std::uint64_t knownVersion,
                                                                 Milliseconds timeout, Error &reason)
--- a/packages/platform/objects/objectclient.h
+++ b/packages/platform/objects/objectclient.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -45,6 +46,16 @@
     /** Reads an object. */
     boost::asio::awaitable<std::optional<StoredObject>> read(std::string name, Error &reason);
 
+    /**
+     * Reads several objects, a bounded number of them at the same time.
+     *
+     * Must be called on a strand or on a context with one thread.
+     *
+     * @return the objects in the order of the names, or nothing with the reason of one failure.
+     */
+    boost::asio::awaitable<std::optional<std::vector<StoredObject>>> readAll(
+            std::vector<std::string> names, Error &reason);
+
     /**
      * Waits until an object's version differs from the known one.
      *
@@ -67,6 +78,9 @@
     boost::asio::awaitable<bool> remove(std::string name, Error &reason);
 
 private:
+    struct Batch;
+
+    boost::asio::awaitable<void> readBatch(std::shared_ptr<Batch> batch);
     boost::asio::awaitable<std::optional<StoredObject>> get(std::string name, std::string target,
                                                             HttpTimeouts limits, Error &reason);
 
