--- a/packages/configuration/revisions/configurationloader.cpp
+++ b/packages/configuration/revisions/configurationloader.cpp
@@ -81,9 +81,13 @@
                 source->documents.erase(change.key);
             else if (body != this->bodies.end())
                 source->documents[change.key] = makeStoredDocument(body->second, record.revision);
-            else if (const auto held = source->documents.find(change.key);
-                     held != source->documents.end() && held->second.digest == change.digest)
-                held->second.revision = record.revision;
+            else if (const auto held = this->base->documents.find(change.key);
+                     held != this->base->documents.end() && held->second.digest == change.digest) {
+                // Not read again; a change in between may have removed it.
+                StoredDocument document = held->second;
+                document.revision = record.revision;
+                source->documents[change.key] = std::move(document);
+            }
         }
     }
     return source;
