--- a/tools/benchmarks/membership_benchmark.cpp
+++ b/tools/benchmarks/membership_benchmark.cpp
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr std::size_t updatesPerMessage = 8;
-constexpr std::size_t indirectProbes = 3;
 constexpr Milliseconds probeInterval{1000};
 
 MemberRecord recordOf(std::size_t number)
