--- a/packages/entry/dispatch/dispatchservice.cpp
+++ b/packages/entry/dispatch/dispatchservice.cpp
@@ -259,6 +259,10 @@
         this->owner->post([this](State &state) {
             state.dispatcher.advance(this->entry.steadyClock.now());
             state.carryOutDecisions();
+            const std::uint64_t tokens = this->entry.uncountedTokens.exchange(0);
+            if (tokens > 0)
+                this->entry.metrics.count("sassafrasyard_tokens_total", {},
+                                          static_cast<double>(tokens));
             this->entry.metrics.set("sassafrasyard_waiting_requests", {},
                                     static_cast<double>(state.dispatcher.waitingCount()));
             this->entry.metrics.set("sassafrasyard_running_requests", {},
--- a/packages/entry/http/completionhandler.cpp
+++ b/packages/entry/http/completionhandler.cpp
@@ -344,7 +344,7 @@
                                                 const std::vector<DeliveredToken> &tokens,
                                                 HttpResponder &responder)
 {
-    this->entry.metrics.count("sassafrasyard_tokens_total", {}, static_cast<double>(tokens.size()));
+    this->entry.uncountedTokens += tokens.size();
     if (!completion.isStreamed) {
         for (const DeliveredToken &token : tokens)
             completion.wholeText += token.text;
--- a/packages/entry/peers/peerservice.cpp
+++ b/packages/entry/peers/peerservice.cpp
@@ -1,6 +1,7 @@
 #include "entry/peers/peerservice.h"
 
 #include "entry/http/errorresponse.h"
+#include "entry/peers/gossipconversion.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -62,32 +63,6 @@
     logEvent(event, "member", record.host.toString(), "incarnation", record.incarnation.toString());
 }
 
-PeerLoadDigest toDigest(const Gossip &gossip)
-{
-    PeerLoadDigest digest;
-    digest.host = HostName(gossip.loadHost);
-    digest.sequence = gossip.loadSequence;
-    for (const LoadEntryMessage &entry : gossip.load)
-        digest.entries.push_back(
-                {BackendServerName(entry.server), entry.running, entry.reservedTokens});
-    digest.hasAccounts = true;
-    for (const AccountUseMessage &use : gossip.accounts)
-        digest.accounts.push_back(
-                {ClientAccountName(use.account), use.running, use.startsPerSecond});
-    return digest;
-}
-
-std::vector<QuarantineRecord> toQuarantine(const Gossip &gossip)
-{
-    std::vector<QuarantineRecord> records;
-    for (const QuarantineMessage &message : gossip.quarantine) {
-        records.push_back({message.requestDigest, message.deaths,
-                           Milliseconds(message.remainingMilliseconds), message.incident,
-                           message.serverDigest});
-    }
-    return records;
-}
-
 HttpResponse incarnationGone(std::string detail)
 {
     return errorResponse(
@@ -412,18 +387,9 @@
 net::awaitable<void> PeerService::addLoad(Gossip &gossip)
 {
     const PeerLoadDigest digest = co_await this->dispatch.loadDigest();
-    gossip.loadHost = digest.host.toString();
-    gossip.loadSequence = digest.sequence;
-    for (const PeerLoadEntry &entry : digest.entries)
-        gossip.load.push_back({entry.server.toString(), entry.running, entry.reservedTokens});
-    for (const PeerAccountUse &use : digest.accounts)
-        gossip.accounts.push_back({use.account.toString(), use.running, use.startsPerSecond});
+    addDigest(gossip, digest);
     const std::vector<QuarantineRecord> quarantine = co_await this->dispatch.quarantineRecords();
-    for (const QuarantineRecord &record : quarantine) {
-        gossip.quarantine.push_back({record.requestDigest, record.deaths,
-                                     static_cast<std::uint64_t>(record.remaining.count()),
-                                     record.incident, record.serverDigest});
-    }
+    addQuarantine(gossip, quarantine);
     for (const BackendServerName &server : this->monitor.leavingServers())
         gossip.leavingServers.push_back(server.toString());
 }
--- a/packages/entry/state/entrystate.h
+++ b/packages/entry/state/entrystate.h
@@ -42,6 +42,8 @@
     std::atomic<bool> isDraining = false;
     /** Callers' requests in progress, streams included. */
     std::atomic<std::size_t> activeRequests = 0;
+    /** Tokens relayed since they were last added to the metrics; counting each there costs more. */
+    std::atomic<std::uint64_t> uncountedTokens = 0;
 
     /** Returns the members as last published. */
     std::shared_ptr<const std::vector<MemberRecord>> members() const;
--- a/packages/network/http/httpserver.cpp
+++ b/packages/network/http/httpserver.cpp
@@ -1,5 +1,7 @@
 #include "network/http/httpserver.h"
 
+#include "network/sockets/listensocket.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -283,27 +285,13 @@
 std::optional<Endpoint> HttpServer::listen(const Endpoint &endpoint, Error &reason)
 {
     tcp::acceptor &acceptor = this->implementation->acceptor;
-    error_code code;
-    const tcp::endpoint address(net::ip::make_address(endpoint.address, code), endpoint.port);
-    if (!code)
-        acceptor.open(address.protocol(), code);
-    if (!code)
-        acceptor.set_option(net::socket_base::reuse_address(true), code);
-    if (!code)
-        acceptor.bind(address, code);
-    if (!code)
-        acceptor.listen(net::socket_base::max_listen_connections, code);
-    if (code) {
-        reason = {ErrorCode::ConnectionFailed,
-                  RunState::NotRun,
-                  "cannot listen on " + endpoint.toString() + ": " + code.message(),
-                  {}};
+    const auto inUse = listenOn(acceptor, endpoint, reason);
+    if (!inUse)
         return std::nullopt;
-    }
     net::co_spawn(
             acceptor.get_executor(), [self = this->implementation] { return self->accept(); },
             net::detached);
-    return Endpoint{endpoint.address, acceptor.local_endpoint().port()};
+    return inUse;
 }
 
 void HttpServer::stopAccepting()
--- a/packages/network/network.h
+++ b/packages/network/network.h
@@ -11,3 +11,4 @@
 #include "network/http/httpmessage.h"
 #include "network/http/httpserver.h"
 #include "network/http/servereventparser.h"
+#include "network/sockets/listensocket.h"
