--- a/packages/network/frames/frameconnection.cpp
+++ b/packages/network/frames/frameconnection.cpp
@@ -184,7 +184,7 @@
 std::optional<Endpoint> FrameServer::listen(const Endpoint &endpoint, Error &reason)
 {
     tcp::acceptor &acceptor = this->implementation->acceptor;
-    const auto inUse = listenOn(acceptor, endpoint, reason);
+    auto inUse = listenOn(acceptor, endpoint, reason);
     if (!inUse)
         return std::nullopt;
     net::co_spawn(
--- a/packages/network/http/httpserver.cpp
+++ b/packages/network/http/httpserver.cpp
@@ -285,7 +285,7 @@
 std::optional<Endpoint> HttpServer::listen(const Endpoint &endpoint, Error &reason)
 {
     tcp::acceptor &acceptor = this->implementation->acceptor;
-    const auto inUse = listenOn(acceptor, endpoint, reason);
+    auto inUse = listenOn(acceptor, endpoint, reason);
     if (!inUse)
         return std::nullopt;
     net::co_spawn(
