--- a/apps/daemon/daemon.cpp
+++ b/apps/daemon/daemon.cpp
@@ -52,9 +52,7 @@
                 [this](const HostIncarnation &incarnation, const ServiceCall &call) {
                     return this->peers.forward(incarnation, call);
                 })
-        , peers(this->entry, this->dispatch, this->monitor, this->platform, this->runtime,
-                this->context,
-                [this](ServiceCall call) { return this->calls.runBound(std::move(call)); })
+        , peers(this->entry, this->dispatch, this->runtime, this->context, this->makePeerHooks())
         , completions(this->entry, this->dispatch, this->monitor, this->context)
         , callers(this->entry, this->completions, this->calls, this->context)
         , store(this->platform, this->entry.systemClock)
@@ -65,6 +63,7 @@
     {
     }
 
+    PeerHooks makePeerHooks();
     std::vector<std::unique_ptr<AdminHandler>> makeAdminHandlers();
     bool start(Error &reason);
     net::awaitable<void> stopOnSignal();
@@ -86,6 +85,22 @@
     net::signal_set signals;
 };
 
+PeerHooks Daemon::Implementation::makePeerHooks()
+{
+    PeerHooks hooks;
+    hooks.registry = objectRegistry(this->platform, this->entry);
+    hooks.leavingServers = [this] {
+        return this->monitor.leavingServers();
+    };
+    hooks.recordLeaving = [this](const std::vector<BackendServerName> &servers) {
+        this->monitor.recordLeaving(servers);
+    };
+    hooks.runCall = [this](ServiceCall call) {
+        return this->calls.runBound(std::move(call));
+    };
+    return hooks;
+}
+
 std::vector<std::unique_ptr<AdminHandler>> Daemon::Implementation::makeAdminHandlers()
 {
     std::vector<std::unique_ptr<AdminHandler>> handlers;
--- a/apps/daemon/main.cpp
+++ b/apps/daemon/main.cpp
@@ -1,4 +1,5 @@
 #include "daemon.h"
+#include "platformdaemon.h"
 
 #include <cstdlib>
 #include <iostream>
@@ -27,6 +28,27 @@
     return name == "error" ? LogLevel::Error : LogLevel::Info;
 }
 
+/** @return the exit code. */
+int runOnPlatform(const std::string &path, bool onlyChecks)
+{
+    std::vector<Error> faults;
+    auto settings = readPlatformSettings(path, faults);
+    if (!settings) {
+        for (const Error &fault : faults)
+            std::cerr << fault.detail << '\n';
+        return exitUsage;
+    }
+    if (onlyChecks)
+        return 0;
+    startLogging(settings->host.toString(), LogLevel::Info, LogTarget::StandardOutput);
+    PlatformDaemon daemon(std::move(*settings), path);
+    const int code = daemon.run();
+    std::cout.flush();
+    // Coroutines of callers that are still open refer to services; there is no order in which both
+    // could be destroyed, and the system takes back what they hold.
+    std::quick_exit(code);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -36,6 +58,10 @@
         std::cout << settingsHelp();
         return 0;
     }
+    const bool onlyChecks = arguments.size() == 1 && arguments[0] == "--check-settings";
+    const auto platformPath = readEnvironment(settingsVariable);
+    if (platformPath)
+        return runOnPlatform(*platformPath, onlyChecks);
     std::vector<Error> faults;
     const auto settings = readSettings(arguments, readEnvironment, faults);
     if (!settings) {
--- a/packages/control/admin/rollouthandler.h
+++ b/packages/control/admin/rollouthandler.h
@@ -3,7 +3,7 @@
 #include "control/admin/adminhandler.h"
 #include "control/rollouts/rollout.h"
 #include "entry/entry.h"
-#include "platform/platform.h"
+#include "objectstore/objectstore.h"
 
 #include <optional>
 #include <string>
--- a/packages/control/configuration/configurationfollower.h
+++ b/packages/control/configuration/configurationfollower.h
@@ -2,7 +2,7 @@
 
 #include "control/configuration/configurationstore.h"
 #include "entry/entry.h"
-#include "platform/platform.h"
+#include "objectstore/objectstore.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
--- a/packages/control/configuration/configurationstore.h
+++ b/packages/control/configuration/configurationstore.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "configuration/configuration.h"
-#include "platform/platform.h"
+#include "objectstore/objectstore.h"
 
 #include <boost/asio/awaitable.hpp>
 
--- a/packages/control/rollouts/rolloutservice.h
+++ b/packages/control/rollouts/rolloutservice.h
@@ -4,7 +4,7 @@
 #include "control/lease/orderlease.h"
 #include "control/rollouts/rolloutplanner.h"
 #include "entry/entry.h"
-#include "platform/platform.h"
+#include "objectstore/objectstore.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
--- a/packages/core/errors/error.cpp
+++ b/packages/core/errors/error.cpp
@@ -16,6 +16,8 @@
 constexpr std::array errorCodes = {
         ErrorCodeEntry{ErrorCode::InvalidRequest, "invalid_request", 400},
         ErrorCodeEntry{ErrorCode::RequestTooLarge, "request_too_large", 413},
+        ErrorCodeEntry{ErrorCode::HeaderTooLarge, "header_too_large", 431},
+        ErrorCodeEntry{ErrorCode::RequestTimeout, "request_timeout", 408},
         ErrorCodeEntry{ErrorCode::UnknownKey, "unknown_key", 401},
         ErrorCodeEntry{ErrorCode::Forbidden, "forbidden", 403},
         ErrorCodeEntry{ErrorCode::NotFound, "not_found", 404},
@@ -37,6 +39,7 @@
         ErrorCodeEntry{ErrorCode::ProtocolViolation, "protocol_violation", 502},
         ErrorCodeEntry{ErrorCode::PlatformUnavailable, "platform_unavailable", 503},
         ErrorCodeEntry{ErrorCode::PlatformOutcomeUnknown, "platform_outcome_unknown", 503},
+        ErrorCodeEntry{ErrorCode::HistoryGone, "history_gone", 503},
         ErrorCodeEntry{ErrorCode::Conflict, "conflict", 409},
         ErrorCodeEntry{ErrorCode::ConfigurationInvalid, "configuration_invalid", 422},
         ErrorCodeEntry{ErrorCode::SettingInvalid, "setting_invalid", 400},
--- a/packages/core/errors/error.h
+++ b/packages/core/errors/error.h
@@ -12,6 +12,8 @@
 enum class ErrorCode {
     InvalidRequest,
     RequestTooLarge,
+    HeaderTooLarge,
+    RequestTimeout,
     UnknownKey,
     Forbidden,
     NotFound,
@@ -33,6 +35,7 @@
     ProtocolViolation,
     PlatformUnavailable,
     PlatformOutcomeUnknown,
+    HistoryGone,
     Conflict,
     ConfigurationInvalid,
     SettingInvalid,
--- a/packages/core/time/clock.cpp
+++ b/packages/core/time/clock.cpp
@@ -1,6 +1,8 @@
 #include "core/time/clock.h"
 
 #include <cassert>
+#include <cstdint>
+#include <ctime>
 
 namespace sassafrasyard {
 
@@ -30,6 +32,15 @@
     return Clock(readStandardClock<std::chrono::system_clock>);
 }
 
+Clock Clock::suspendAware()
+{
+    return Clock([] {
+        timespec time{};
+        ::clock_gettime(CLOCK_BOOTTIME, &time);
+        return Milliseconds(std::int64_t{time.tv_sec} * 1000 + time.tv_nsec / 1'000'000);
+    });
+}
+
 Clock Clock::manual(std::shared_ptr<Milliseconds> value)
 {
     assert(value);
--- a/packages/core/time/clock.h
+++ b/packages/core/time/clock.h
@@ -30,6 +30,9 @@
     /** Returns a clock of milliseconds since the Unix epoch; it may be stepped. */
     static Clock system();
 
+    /** Returns a clock that never goes back and counts the time in which the host is suspended. */
+    static Clock suspendAware();
+
     /** Returns a clock that shows the value behind the pointer. @param value must not be null. */
     static Clock manual(std::shared_ptr<Milliseconds> value);
 
--- a/packages/entry/dispatch/dispatchservice.cpp
+++ b/packages/entry/dispatch/dispatchservice.cpp
@@ -26,9 +26,10 @@
     return estimatedLoadPlacement(seed);
 }
 
-DispatcherOptions optionsFor(const EntryState &entry)
+DispatcherOptions optionsFor(const EntryState &entry, bool canSuspend)
 {
     DispatcherOptions options;
+    options.allowsSuspension = canSuspend;
     options.host = entry.settings.host;
     options.failureDomain = entry.settings.failureDomain;
     options.seed = std::hash<HostIncarnation>()(entry.incarnation);
@@ -65,9 +66,9 @@
 /** Lives in the actor. */
 struct DispatchService::State
 {
-    explicit State(EntryState &entry)
+    State(EntryState &entry, bool canSuspend)
         : entry(entry)
-        , dispatcher(optionsFor(entry))
+        , dispatcher(optionsFor(entry, canSuspend))
     {
     }
 
@@ -119,9 +120,10 @@
     std::unordered_map<RequestName, std::shared_ptr<StreamControl>> controls;
 };
 
-DispatchService::DispatchService(EntryState &state, ActorRuntime &runtime, net::io_context &context)
+DispatchService::DispatchService(EntryState &state, ActorRuntime &runtime, net::io_context &context,
+                                 bool canSuspend)
     : entry(state)
-    , owner(std::make_unique<StateOwner<State>>(runtime, state))
+    , owner(std::make_unique<StateOwner<State>>(runtime, state, canSuspend))
 {
     this->entry.configuration.addListener([this](const auto &configuration) {
         this->post([configuration](Dispatcher &dispatcher, Milliseconds now) {
@@ -214,6 +216,29 @@
     co_return co_await this->owner->ask<bool>(job);
 }
 
+net::awaitable<std::optional<BackendServerName>> DispatchService::reserveCopy(WorkRequest copy)
+{
+    const std::function<std::optional<BackendServerName>(State &)> job = [this,
+                                                                          &copy](State &state) {
+        return state.dispatcher.reserveCopy(copy, this->entry.steadyClock.now());
+    };
+    co_return co_await this->owner->ask<std::optional<BackendServerName>>(job);
+}
+
+void DispatchService::reportPromoted(const RequestName &copy)
+{
+    this->post([copy](Dispatcher &dispatcher, Milliseconds now) {
+        dispatcher.promoteCopy(copy, now);
+    });
+}
+
+void DispatchService::releaseCopy(const RequestName &copy)
+{
+    this->post([copy](Dispatcher &dispatcher, Milliseconds now) {
+        dispatcher.releaseCopy(copy, now);
+    });
+}
+
 void DispatchService::reportFinished(const RequestName &request, WorkOutcome outcome)
 {
     this->owner->post([this, request, outcome](State &state) {
--- a/packages/entry/dispatch/dispatchservice.h
+++ b/packages/entry/dispatch/dispatchservice.h
@@ -38,8 +38,13 @@
 class DispatchService
 {
 public:
-    /** Starts the actor and the periodic advance. */
-    DispatchService(EntryState &state, ActorRuntime &runtime, boost::asio::io_context &context);
+    /**
+     * Starts the actor and the periodic advance.
+     *
+     * @param canSuspend whether the engines can suspend streams.
+     */
+    DispatchService(EntryState &state, ActorRuntime &runtime, boost::asio::io_context &context,
+                    bool canSuspend = true);
     ~DispatchService();
     DispatchService(const DispatchService &) = delete;
     DispatchService &operator=(const DispatchService &) = delete;
@@ -54,6 +59,12 @@
     void reportFirstToken(const RequestName &request);
     /** Asks whether to start a second attempt at a running request now; takes it if so. */
     boost::asio::awaitable<bool> takeHedge(RequestName request);
+    /** Reserves a copy of a running request; see Dispatcher::reserveCopy(). */
+    boost::asio::awaitable<std::optional<BackendServerName>> reserveCopy(WorkRequest copy);
+    /** Reports that a copy goes on in place of its original. */
+    void reportPromoted(const RequestName &copy);
+    /** Frees a copy that was not needed. */
+    void releaseCopy(const RequestName &copy);
     /** Reports the end of a running request. */
     void reportFinished(const RequestName &request, WorkOutcome outcome);
     /** Runs a closure over the dispatcher, for reports of servers and peers. */
--- a/packages/entry/peers/peerservice.cpp
+++ b/packages/entry/peers/peerservice.cpp
@@ -71,15 +71,40 @@
 
 } // namespace
 
-PeerService::PeerService(EntryState &state, DispatchService &dispatch, BackendMonitor &monitor,
-                         ObjectClient &platform, ActorRuntime &runtime, net::io_context &context,
-                         RunCall runCall)
+HostRegistry objectRegistry(ObjectClient &platform, const EntryState &entry)
+{
+    const std::string name = std::string(hostObjectPrefix) + entry.incarnation.toString();
+    HostRegistry registry;
+    registry.readAddresses =
+            [&platform]() -> net::awaitable<std::optional<std::vector<std::string>>> {
+        Error ignored;
+        const auto objects = co_await platform.list(std::string(hostObjectPrefix), ignored);
+        if (!objects)
+            co_return std::nullopt;
+        std::vector<std::string> addresses;
+        for (const StoredObject &object : *objects)
+            addresses.push_back(object.value);
+        co_return addresses;
+    };
+    registry.registerHost = [&platform, &entry, name]() -> net::awaitable<bool> {
+        Error ignored;
+        const auto version =
+                co_await platform.write(name, entry.settings.peerAddress, std::nullopt, ignored);
+        co_return version.has_value();
+    };
+    registry.removeHost = [&platform, name]() -> net::awaitable<void> {
+        Error ignored;
+        co_await platform.remove(name, ignored);
+    };
+    return registry;
+}
+
+PeerService::PeerService(EntryState &state, DispatchService &dispatch, ActorRuntime &runtime,
+                         net::io_context &context, PeerHooks hooks)
     : entry(state)
     , dispatch(dispatch)
-    , monitor(monitor)
-    , platform(platform)
     , context(context)
-    , runCall(std::move(runCall))
+    , hooks(std::move(hooks))
     , members(runtime, selfRecord(state), tableOptions(state))
     , server(context, [this](FrameConnection &connection) { return this->serve(connection); })
     , loadExchange(state, context, [this] { return this->encodeLoadUpdate(); })
@@ -115,9 +140,14 @@
                 },
                 net::detached);
     }
-    Error ignored;
-    co_await this->platform.remove(
-            std::string(hostObjectPrefix) + this->entry.incarnation.toString(), ignored);
+    co_await this->hooks.registry.removeHost();
+}
+
+void PeerService::setServing(bool isServing)
+{
+    this->members.post([isServing](MemberTable &table) { table.setServing(isServing); });
+    net::co_spawn(
+            net::make_strand(this->context), [this] { return this->publish(); }, net::detached);
 }
 
 net::awaitable<HttpResponse> PeerService::forward(const HostIncarnation &incarnation,
@@ -210,10 +240,10 @@
         ForwardReply reply;
         reply.sequence = call->sequence;
         HttpResponse response = incarnationGone("this host is another incarnation");
-        if (call->incarnation == this->entry.incarnation.toString()) {
+        if (call->incarnation == this->entry.incarnation.toString() && this->hooks.runCall) {
             ServiceCall bound{ClientAccountName(call->account), call->service, call->path,
                               call->key, call->body};
-            response = co_await this->runCall(std::move(bound));
+            response = co_await this->hooks.runCall(std::move(bound));
         }
         reply.status = static_cast<std::uint32_t>(response.status);
         reply.body = response.body;
@@ -246,7 +276,7 @@
 
 net::awaitable<void> PeerService::joinAndProbe()
 {
-    const bool isRegistered = co_await this->registerInPlatform();
+    const bool isRegistered = co_await this->hooks.registry.registerHost();
     if (!isRegistered) {
         net::co_spawn(
                 net::make_strand(this->context), [this] { return this->keepRegistering(); },
@@ -279,27 +309,22 @@
 net::awaitable<void> PeerService::join()
 {
     std::vector<std::string> addresses = this->entry.settings.joinAddresses;
-    Error reason;
-    const auto objects = co_await this->platform.list(std::string(hostObjectPrefix), reason);
-    if (objects) {
-        for (const StoredObject &object : *objects)
-            addresses.push_back(object.value);
-    }
+    const auto registered = co_await this->hooks.registry.readAddresses();
+    if (registered)
+        addresses.insert(addresses.end(), registered->begin(), registered->end());
+    // Side by side: hosts that are gone stay registered and cost a time-out each.
     for (const std::string &address : addresses) {
-        if (address != this->entry.settings.peerAddress)
-            co_await this->probeAddress(address, true);
+        if (address == this->entry.settings.peerAddress)
+            continue;
+        net::co_spawn(
+                net::make_strand(this->context),
+                [this, address]() -> net::awaitable<void> {
+                    co_await this->probeAddress(address, true);
+                },
+                net::detached);
     }
 }
 
-net::awaitable<bool> PeerService::registerInPlatform()
-{
-    Error reason;
-    const std::string name = std::string(hostObjectPrefix) + this->entry.incarnation.toString();
-    const auto version = co_await this->platform.write(name, this->entry.settings.peerAddress,
-                                                       std::nullopt, reason);
-    co_return version.has_value();
-}
-
 net::awaitable<void> PeerService::keepRegistering()
 {
     net::steady_timer timer(co_await net::this_coro::executor);
@@ -310,7 +335,7 @@
         co_await timer.async_wait(net::redirect_error(net::use_awaitable, code));
         if (code || this->entry.isDraining)
             co_return;
-        isRegistered = co_await this->registerInPlatform();
+        isRegistered = co_await this->hooks.registry.registerHost();
     }
 }
 
@@ -380,7 +405,8 @@
             };
     gossip.members = co_await this->members.ask<std::vector<MemberRecord>>(take);
     co_await this->addLoad(gossip);
-    gossip.revision = this->entry.configuration.current()->revision;
+    if (this->hooks.sharesConfiguration)
+        gossip.revision = this->entry.configuration.current()->revision;
     co_return gossip;
 }
 
@@ -390,7 +416,7 @@
     addDigest(gossip, digest);
     const std::vector<QuarantineRecord> quarantine = co_await this->dispatch.quarantineRecords();
     addQuarantine(gossip, quarantine);
-    for (const BackendServerName &server : this->monitor.leavingServers())
+    for (const BackendServerName &server : this->hooks.leavingServers())
         gossip.leavingServers.push_back(server.toString());
 }
 
@@ -411,7 +437,8 @@
     });
     this->takeInLoad(gossip);
     const std::uint64_t known = this->entry.configuration.current()->revision;
-    if (gossip.revision > known && !this->isPulling.exchange(true)) {
+    if (this->hooks.sharesConfiguration && gossip.revision > known
+        && !this->isPulling.exchange(true)) {
         net::co_spawn(
                 net::make_strand(this->context),
                 [this, address = sender.peerAddress] { return this->pullConfiguration(address); },
@@ -430,7 +457,7 @@
     std::vector<BackendServerName> leaving;
     for (const std::string &server : gossip.leavingServers)
         leaving.emplace_back(server);
-    this->monitor.recordLeaving(leaving);
+    this->hooks.recordLeaving(leaving);
 }
 
 net::awaitable<void> PeerService::pullConfiguration(std::string address)
--- a/packages/entry/peers/peerservice.h
+++ b/packages/entry/peers/peerservice.h
@@ -6,33 +6,64 @@
 #include "entry/peers/loadexchange.h"
 #include "entry/state/entrystate.h"
 #include "membership/membership.h"
-#include "platform/platform.h"
+#include "objectstore/objectstore.h"
 #include "runtime/runtime.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include <atomic>
+#include <functional>
 #include <memory>
+#include <optional>
+#include <string>
+#include <vector>
 
 namespace sassafrasyard {
 
+/** Where entry hosts find each other before they know any peer. */
+struct HostRegistry
+{
+    /** Returns the peer addresses that hosts registered, or nothing if the registry is away. */
+    std::function<boost::asio::awaitable<std::optional<std::vector<std::string>>>()> readAddresses;
+    /** Registers this host's peer address. @return false to be called again later. */
+    std::function<boost::asio::awaitable<bool>()> registerHost;
+    /** Removes this host's registration. */
+    std::function<boost::asio::awaitable<void>()> removeHost;
+};
+
+/** Returns the registry that keeps one object per run of the daemon in the object API. */
+HostRegistry objectRegistry(ObjectClient &platform, const EntryState &entry);
+
+/** What a PeerService takes from and hands to the rest of its host. */
+struct PeerHooks
+{
+    /** Where hosts find each other. */
+    HostRegistry registry;
+    /** Returns the backend servers that are known to be leaving, for peers. */
+    std::function<std::vector<BackendServerName>()> leavingServers;
+    /** Takes in peers' word that backend servers are leaving. */
+    std::function<void(const std::vector<BackendServerName> &)> recordLeaving;
+    /** Runs a forwarded call that is bound to this host. */
+    std::function<boost::asio::awaitable<HttpResponse>(ServiceCall call)> runCall;
+    /** Whether hosts compare revisions and pull configuration from each other. */
+    bool sharesConfiguration = true;
+};
+
 /** Talks to the other entry hosts: probes, gossip, configuration pulls and forwarded calls. */
 class PeerService
 {
 public:
-    /** Runs a forwarded call that is bound to this host. */
-    using RunCall = std::function<boost::asio::awaitable<HttpResponse>(ServiceCall call)>;
-
-    /** Creates the service. @param platform finds peers at the start; may be unavailable. */
-    PeerService(EntryState &state, DispatchService &dispatch, BackendMonitor &monitor,
-                ObjectClient &platform, ActorRuntime &runtime, boost::asio::io_context &context,
-                RunCall runCall);
+    /** Creates the service. */
+    PeerService(EntryState &state, DispatchService &dispatch, ActorRuntime &runtime,
+                boost::asio::io_context &context, PeerHooks hooks);
     PeerService(const PeerService &) = delete;
     PeerService &operator=(const PeerService &) = delete;
 
     /** Starts listening and joins the other hosts. @param reason receives ConnectionFailed. */
     bool start(Error &reason);
+    /** Announces whether this host takes callers. */
+    void setServing(bool isServing);
     /** Announces the planned stop to the peers. */
     boost::asio::awaitable<void> leave();
     /** Forwards a call to the host of an incarnation; OutcomeUnknown if that host is gone. */
@@ -50,7 +81,6 @@
                                                                 Error &reason);
     boost::asio::awaitable<void> joinAndProbe();
     boost::asio::awaitable<void> join();
-    boost::asio::awaitable<bool> registerInPlatform();
     boost::asio::awaitable<void> keepRegistering();
     boost::asio::awaitable<void> probe(MemberRecord target);
     boost::asio::awaitable<bool> probeAddress(std::string address, bool wantsAllMembers);
@@ -67,10 +97,8 @@
 
     EntryState &entry;
     DispatchService &dispatch;
-    BackendMonitor &monitor;
-    ObjectClient &platform;
     boost::asio::io_context &context;
-    RunCall runCall;
+    PeerHooks hooks;
     StateOwner<MemberTable> members;
     FrameServer server;
     LoadExchange loadExchange;
--- /dev/null
+++ b/packages/gateway/calls/retryrule.cpp
@@ -0,0 +1,70 @@
+#include "gateway/calls/retryrule.h"
+
+namespace sassafrasyard {
+
+namespace {
+
+constexpr int firstServerErrorStatus = 500;
+
+bool mayRunTwice(const Route &route)
+{
+    return route.kind == CallKind::Idempotent
+            || (route.kind == CallKind::Stream && route.isResumable);
+}
+
+} // namespace
+
+std::string_view toString(AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case AttemptOutcome::NotSent:
+        return "not_sent";
+    case AttemptOutcome::RefusedBeforeRun:
+        return "refused_before_run";
+    case AttemptOutcome::Answered:
+        return "answered";
+    case AttemptOutcome::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+void AttemptHistory::record(AttemptOutcome outcome)
+{
+    if (outcome == AttemptOutcome::NotSent)
+        ++this->unsent;
+    else if (outcome == AttemptOutcome::RefusedBeforeRun)
+        ++this->refused;
+    else
+        ++this->mayHaveRun;
+}
+
+bool mayTryAgain(const Route &route, const AttemptHistory &history, AttemptOutcome last, int status)
+{
+    const bool isHarmless =
+            last == AttemptOutcome::NotSent || last == AttemptOutcome::RefusedBeforeRun;
+    if (isHarmless)
+        return history.unsent + history.refused < maximumHarmlessAttempts;
+    if (!mayRunTwice(route) || history.mayHaveRun >= route.maximumAttempts)
+        return false;
+    return last == AttemptOutcome::Unknown || status >= firstServerErrorStatus;
+}
+
+Error finalError(const AttemptHistory &history, Error failure)
+{
+    if (history.mayHaveRun > 0) {
+        failure.runState = RunState::OutcomeUnknown;
+        if (failure.code != ErrorCode::Timeout)
+            failure.code = ErrorCode::BackendServerLost;
+        failure.retryAfter.reset();
+        return failure;
+    }
+    failure.runState = RunState::NotRun;
+    if (history.unsent + history.refused > 0) {
+        failure.code = ErrorCode::BackendServerRefused;
+        failure.retryAfter = refusedRetryAfter;
+    }
+    return failure;
+}
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/gateway/gateway.h
@@ -0,0 +1,21 @@
+/**
+ * Package gateway: routed calls and streams, passed on byte for byte.
+ *
+ * Routes, keys and backend servers come from the platform's store; a codec that the platform's
+ * adapter supplies translates headers. Depends on entry.
+ */
+#pragma once
+
+#include "gateway/calls/callcodec.h"
+#include "gateway/calls/hopheaders.h"
+#include "gateway/calls/retryrule.h"
+#include "gateway/relay/gatewayservice.h"
+#include "gateway/relay/gatewayservices.h"
+#include "gateway/relay/statusservice.h"
+#include "gateway/routes/route.h"
+#include "gateway/routes/routetable.h"
+#include "gateway/servers/servercatalogue.h"
+#include "gateway/state/servingconfiguration.h"
+#include "gateway/state/servingstate.h"
+#include "gateway/store/objectfollower.h"
+#include "gateway/store/objectsource.h"
--- /dev/null
+++ b/packages/gateway/relay/backendattempt.cpp
@@ -0,0 +1,203 @@
+#include "gateway/relay/backendattempt.h"
+
+#include "gateway/calls/hopheaders.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace sassafrasyard {
+
+namespace net = boost::asio;
+
+namespace {
+
+/** The largest answer that is held in memory, in bytes; streams are passed on in pieces. */
+constexpr std::size_t maximumAnswerBytes = 4U << 20U;
+/** A connection takes a round trip, so a part of the target is ample; the bounds cover both ends.
+ */
+constexpr int connectShareOfTarget = 4;
+constexpr Milliseconds shortestConnectTimeout{50};
+constexpr Milliseconds longestConnectTimeout{400};
+/** A server may drop an idle connection unseen, and what was sent then may or may not have run. */
+constexpr Milliseconds freshConnectionIdle{250};
+constexpr Milliseconds keptConnectionIdle{30000};
+/** How many answers to earlier calls are skipped before the connection is given up. */
+constexpr int maximumStrayAnswers = 3;
+constexpr Milliseconds crashCheckTimeout{200};
+
+Milliseconds connectTimeout(const Route &route)
+{
+    return std::clamp(route.targetLatency / connectShareOfTarget, shortestConnectTimeout,
+                      longestConnectTimeout);
+}
+
+Milliseconds maximumIdle(const Route &route)
+{
+    const bool mayRunTwice = route.kind == CallKind::Idempotent
+            || (route.kind == CallKind::Stream && route.isResumable);
+    return mayRunTwice ? keptConnectionIdle : freshConnectionIdle;
+}
+
+AttemptOutcome outcomeOf(const Error &failure)
+{
+    return failure.runState == RunState::NotRun ? AttemptOutcome::NotSent : AttemptOutcome::Unknown;
+}
+
+} // namespace
+
+BackendAttempt::BackendAttempt(GatewayServices &services, RoutedCall &call)
+    : services(services)
+    , call(call)
+{
+}
+
+BackendAttempt::~BackendAttempt()
+{
+    this->call.cancel = nullptr;
+}
+
+net::awaitable<AttemptResult> BackendAttempt::start(std::string address, ForwardingOrder order,
+                                                    Milliseconds timeout)
+{
+    AttemptResult result;
+    const auto endpoint = parseEndpoint(address, result.failure);
+    if (!endpoint)
+        co_return result;
+    this->connection = co_await this->services.connections.acquire(
+            *endpoint, maximumIdle(*this->call.route), connectTimeout(*this->call.route),
+            result.failure);
+    if (!this->connection) {
+        this->services.reachability.recordFailure(order.server);
+        co_return result;
+    }
+    if (this->call.isCallerGone) {
+        result.failure = {ErrorCode::ConnectionFailed, RunState::NotRun, "the caller has left", {}};
+        co_return result;
+    }
+    this->call.cancel = [this] {
+        this->cancel();
+    };
+    result = co_await this->exchange(order, timeout);
+    if (result.outcome == AttemptOutcome::Unknown && !this->call.isCallerGone
+        && result.failure.code == ErrorCode::ConnectionFailed)
+        this->checkForCrash(order.server, address);
+    co_return result;
+}
+
+net::awaitable<AttemptResult> BackendAttempt::exchange(const ForwardingOrder &order,
+                                                       Milliseconds timeout)
+{
+    HttpRequest forwarded;
+    forwarded.method = this->call.request.method;
+    forwarded.target = this->call.request.target;
+    forwarded.headers = this->services.codec.encodeOrder(this->call.request, order);
+    forwarded.body = this->call.request.body;
+    AttemptResult result;
+    auto response = co_await this->connection->exchange(forwarded, timeout, result.failure);
+    for (int strays = 0; response; ++strays) {
+        const ResponseMetadata metadata = this->services.codec.decodeResponse(*response);
+        if (metadata.requestId.empty() || metadata.requestId == this->call.metadata.requestId)
+            break;
+        logEvent(LogEvent::CrossedAnswerDropped, "request", this->call.metadata.requestId,
+                 "answer_to", metadata.requestId, "backend_server", order.server.toString());
+        if (strays >= maximumStrayAnswers) {
+            result.failure = {ErrorCode::ProtocolViolation,
+                              RunState::OutcomeUnknown,
+                              "too many answers to earlier calls",
+                              {}};
+            result.outcome = AttemptOutcome::Unknown;
+            co_return result;
+        }
+        const auto skipped =
+                co_await this->connection->readAll(maximumAnswerBytes, timeout, result.failure);
+        if (!skipped) {
+            response.reset();
+            result.failure.runState = RunState::OutcomeUnknown;
+            break;
+        }
+        response = co_await this->connection->readHeader(timeout, result.failure);
+        if (!response)
+            result.failure.runState = RunState::OutcomeUnknown;
+    }
+    if (!response) {
+        result.outcome = outcomeOf(result.failure);
+        co_return result;
+    }
+    co_return this->classify(std::move(*response), order.server);
+}
+
+AttemptResult BackendAttempt::classify(HttpResponse response, const BackendServerName &server)
+{
+    AttemptResult result;
+    const ResponseMetadata metadata = this->services.codec.decodeResponse(response);
+    this->services.reachability.recordSuccess(server);
+    result.response = std::move(response);
+    if (metadata.hasNotRun) {
+        result.outcome = AttemptOutcome::RefusedBeforeRun;
+        result.failure = {ErrorCode::BackendServerRefused,
+                          RunState::NotRun,
+                          "the backend server refused with status "
+                                  + std::to_string(result.response.status),
+                          {}};
+    } else if (!metadata.isSigned || metadata.isEncoded) {
+        result.outcome = AttemptOutcome::Unknown;
+        result.failure = {ErrorCode::ProtocolViolation,
+                          RunState::OutcomeUnknown,
+                          "the answer with status " + std::to_string(result.response.status)
+                                  + " is not the backend server's own",
+                          {}};
+    } else {
+        result.outcome = AttemptOutcome::Answered;
+    }
+    return result;
+}
+
+net::awaitable<std::optional<std::string_view>> BackendAttempt::read(Milliseconds timeout,
+                                                                     Error &reason)
+{
+    co_return co_await this->connection->read(timeout, reason);
+}
+
+net::awaitable<std::optional<std::string>> BackendAttempt::readAll(Milliseconds timeout,
+                                                                   Error &reason)
+{
+    co_return co_await this->connection->readAll(maximumAnswerBytes, timeout, reason);
+}
+
+void BackendAttempt::cancel()
+{
+    if (this->connection)
+        this->connection->close();
+}
+
+void BackendAttempt::release()
+{
+    this->call.cancel = nullptr;
+    this->services.connections.release(std::move(this->connection));
+}
+
+/** A lost connection is a crash only if no new one can be opened either. */
+void BackendAttempt::checkForCrash(const BackendServerName &server, std::string address)
+{
+    const std::uint64_t digest = this->call.work.requestDigest;
+    net::co_spawn(
+            this->services.context,
+            [&services = this->services, server, address, digest]() -> net::awaitable<void> {
+                Error reason;
+                const auto endpoint = parseEndpoint(address, reason);
+                const net::any_io_executor executor = services.context.get_executor();
+                HttpConnection probe(executor, *endpoint);
+                const bool isOpen = co_await probe.connect(crashCheckTimeout, reason);
+                if (isOpen || !services.servers.isUsable(server))
+                    co_return;
+                services.reachability.recordFailure(server);
+                services.dispatch.post([digest, server](Dispatcher &dispatcher, Milliseconds now) {
+                    dispatcher.recordDeath(digest, server, now);
+                });
+            },
+            net::detached);
+}
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/gateway/relay/callrelay.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "gateway/relay/backendattempt.h"
+#include "gateway/relay/gatewayservices.h"
+#include "gateway/relay/routedcall.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <optional>
+#include <vector>
+
+namespace sassafrasyard {
+
+/** Has a call run whose answer is passed on as a whole. */
+class CallRelay
+{
+public:
+    /** Creates a relay for one call. */
+    CallRelay(GatewayServices &services, RoutedCall &call);
+    CallRelay(const CallRelay &) = delete;
+    CallRelay &operator=(const CallRelay &) = delete;
+
+    /**
+     * Tries backend servers until one answers or no further attempt is permitted.
+     *
+     * @return the answer for the caller: a server's own, or one of the system's that says whether
+     *     the call may have run.
+     */
+    boost::asio::awaitable<HttpResponse> run();
+
+private:
+    boost::asio::awaitable<std::optional<Grant>> place();
+    boost::asio::awaitable<AttemptResult> attempt(const Grant &grant);
+    Milliseconds answerTimeout(Milliseconds now) const;
+    bool mayRepeat(const AttemptResult &last);
+
+    GatewayServices &services;
+    RoutedCall &call;
+    AttemptHistory history;
+    std::vector<BackendServerName> avoided;
+    std::optional<HttpResponse> answer;
+    Error failure;
+};
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/gateway/relay/gatewayservice.cpp
@@ -0,0 +1,235 @@
+#include "gateway/relay/gatewayservice.h"
+
+#include "gateway/calls/hopheaders.h"
+#include "gateway/relay/callrelay.h"
+#include "gateway/relay/eventrelay.h"
+#include "policy/placement/stablehash.h"
+
+#include <algorithm>
+#include <string>
+
+namespace sassafrasyard {
+
+namespace net = boost::asio;
+
+namespace {
+
+/** A host that knows no configuration yet reads one within some round trips to the store. */
+constexpr Milliseconds startingRetryAfter{300};
+/** A store that can't be reached is mostly back within seconds; another host may serve sooner. */
+constexpr Milliseconds staleRetryAfter{1000};
+/** A write to a caller that does not read is given up after this time. */
+constexpr Milliseconds callerWriteTimeout{10000};
+
+/** Returns the only value of a field, or nothing if it is missing or comes twice. */
+std::optional<std::string> singleValue(const HttpHeaders &headers, std::string_view name)
+{
+    std::optional<std::string> found;
+    for (const auto &[field, value] : headers) {
+        if (!isSameField(field, name))
+            continue;
+        if (found)
+            return std::nullopt;
+        found = value;
+    }
+    return found;
+}
+
+/** A transfer coding besides chunked could hide where the call ends. */
+bool hasPlainFraming(const HttpHeaders &headers)
+{
+    return std::all_of(headers.begin(), headers.end(), [](const auto &field) {
+        return !isSameField(field.first, "Transfer-Encoding")
+                || isSameField(field.second, "chunked");
+    });
+}
+
+Priority priorityOf(int rank)
+{
+    if (rank <= 0)
+        return Priority::High;
+    return rank == 1 ? Priority::Normal : Priority::Low;
+}
+
+Error invalid(std::string detail)
+{
+    return {ErrorCode::InvalidRequest, RunState::NotRun, std::move(detail), {}};
+}
+
+} // namespace
+
+GatewayService::GatewayService(GatewayServices &services)
+    : services(services)
+    , server(
+              services.context, HttpServerOptions(),
+              [this](const HttpRequest &request, HttpResponder &responder) {
+                  return this->handle(request, responder);
+              },
+              services.codec.formatError)
+    , random(RandomSource::fromSystem())
+{
+    services.serving.addListener([this](const ServingConfiguration &configuration) {
+        this->applyLimits(configuration.limits);
+    });
+}
+
+bool GatewayService::listen(const Endpoint &endpoint, std::size_t maximumConnections, Error &reason)
+{
+    this->serverOptions.maximumConnections = maximumConnections;
+    this->serverOptions.writeTimeout = callerWriteTimeout;
+    this->server.setOptions(this->serverOptions);
+    return this->server.listen(endpoint, reason).has_value();
+}
+
+void GatewayService::drain()
+{
+    this->server.closeAfterResponses();
+}
+
+net::awaitable<void> GatewayService::handle(const HttpRequest &request, HttpResponder &responder)
+{
+    const ActiveRequest active(this->services.entry);
+    Error reason;
+    auto call = this->route(request, reason);
+    if (!call) {
+        logEvent(LogEvent::CallRefused, "request", "", "path", std::string(request.path()),
+                 "reason", toString(reason.code), "run_state", toString(reason.runState), "detail",
+                 reason.detail);
+        co_await responder.send(this->services.codec.formatError(reason));
+        co_return;
+    }
+    this->services.budget.recordRequest(call->service->name, call->receivedAt);
+    // A call that may run once goes on without its caller, so that its outcome is not left open.
+    if (call->route->kind != CallKind::NonIdempotent) {
+        RoutedCall &watched = *call;
+        responder.setCallerGoneHook([&watched] {
+            watched.isCallerGone = true;
+            if (watched.cancel)
+                watched.cancel();
+        });
+    }
+    co_await this->run(*call, responder);
+}
+
+net::awaitable<void> GatewayService::run(RoutedCall &call, HttpResponder &responder)
+{
+    if (call.route->kind == CallKind::Stream) {
+        EventRelay relay(this->services, call, responder);
+        co_await relay.run();
+    } else {
+        CallRelay relay(this->services, call);
+        HttpResponse response = co_await relay.run();
+        const int status = response.status;
+        if (call.isCallerGone)
+            responder.abort();
+        else
+            co_await responder.send(std::move(response));
+        logEvent(LogEvent::CallAnswered, "request", call.metadata.requestId, "route",
+                 call.route->name, "version", std::to_string(call.configuration->version), "status",
+                 std::to_string(status), "elapsed_ms",
+                 std::to_string((this->services.clock.now() - call.receivedAt).count()));
+        co_return;
+    }
+    logEvent(LogEvent::CallAnswered, "request", call.metadata.requestId, "route", call.route->name,
+             "version", std::to_string(call.configuration->version), "status", "stream",
+             "elapsed_ms", std::to_string((this->services.clock.now() - call.receivedAt).count()));
+}
+
+std::optional<RoutedCall> GatewayService::route(const HttpRequest &request, Error &reason)
+{
+    const Milliseconds now = this->services.clock.now();
+    RoutedCall call{request};
+    call.receivedAt = now;
+    call.configuration = this->services.serving.current();
+    if (!call.configuration || !this->services.serving.serversAge(now)) {
+        reason = {ErrorCode::PlatformUnavailable, RunState::NotRun,
+                  "this host has not read its configuration yet", startingRetryAfter};
+        return std::nullopt;
+    }
+    const auto host = singleValue(request.headers, "Host");
+    if (!host || !hasPlainFraming(request.headers)) {
+        reason = invalid(host ? "unsupported transfer coding" : "one Host field is required");
+        return std::nullopt;
+    }
+    call.route = call.configuration->routes.find(*host, request.path());
+    if (call.route == nullptr) {
+        reason = {ErrorCode::NotFound, RunState::NotRun, "no route for this host and path", {}};
+        if (!this->services.serving.isConfigurationCurrent(now)) {
+            reason = {ErrorCode::PlatformUnavailable, RunState::NotRun,
+                      "no route is known and the configuration may have changed", staleRetryAfter};
+        }
+        return std::nullopt;
+    }
+    auto metadata = this->services.codec.decodeCall(request, reason);
+    if (!metadata)
+        return std::nullopt;
+    call.metadata = std::move(*metadata);
+    const std::string &service = chooseService(*call.route, this->random.unit());
+    call.service = call.configuration->findService(service);
+    if (call.service == nullptr) {
+        reason = {ErrorCode::NoBackendServer, RunState::NotRun,
+                  "the service " + service + " is not configured", staleRetryAfter};
+        return std::nullopt;
+    }
+    if (!this->authenticate(call, now, reason))
+        return std::nullopt;
+    const Milliseconds patience = call.metadata.patience.value_or(call.route->timeout);
+    call.deadlineAt = now + std::min(patience, call.route->timeout);
+    this->describeWork(call);
+    return call;
+}
+
+bool GatewayService::authenticate(RoutedCall &call, Milliseconds now, Error &reason) const
+{
+    if (call.route->isPublic || call.configuration->accounts.empty())
+        return true;
+    if (!this->services.serving.areKeysTrusted(now)) {
+        reason = {ErrorCode::PlatformUnavailable, RunState::NotRun,
+                  "the keys could not be confirmed for too long", staleRetryAfter};
+        return false;
+    }
+    const RoutedAccount *account =
+            call.configuration->findByKeyDigest(sha256Hex(call.metadata.key));
+    if (account == nullptr || call.metadata.key.empty()) {
+        reason = {ErrorCode::UnknownKey, RunState::NotRun, "unknown bearer key", {}};
+        if (!this->services.serving.isConfigurationCurrent(now)) {
+            reason = {ErrorCode::PlatformUnavailable, RunState::NotRun,
+                      "the key is not known and the configuration may have changed",
+                      staleRetryAfter};
+        }
+        return false;
+    }
+    call.work.account = account->name;
+    call.work.priority = priorityOf(account->rank.value_or(call.route->rank));
+    return true;
+}
+
+void GatewayService::describeWork(RoutedCall &call)
+{
+    WorkRequest &work = call.work;
+    if (call.work.account.isEmpty())
+        work.priority = priorityOf(call.route->rank);
+    work.name = this->services.dispatch.nextRequestName();
+    work.model = ModelName(call.service->name);
+    work.promptTokens = call.metadata.promptTokens;
+    work.maximumTokens = call.metadata.maximumTokens;
+    work.prefixDigest = call.metadata.prefixDigest;
+    work.isIdempotent = call.route->kind == CallKind::Idempotent || call.route->isResumable;
+    // Calls without a body are too alike for one to be blamed for what another did.
+    if (!call.request.body.empty()) {
+        work.requestDigest = combineHashes(
+                stableHash(work.account.toString()),
+                combineHashes(stableHash(call.request.target), stableHash(call.request.body)));
+    }
+}
+
+void GatewayService::applyLimits(const CallerLimits &limits)
+{
+    this->serverOptions.maximumHeaderBytes = limits.headerBytes;
+    this->serverOptions.maximumBodyBytes = limits.bodyBytes;
+    this->serverOptions.readTimeout = limits.readTimeout;
+    this->serverOptions.idleTimeout = limits.idleTimeout;
+    this->server.setOptions(this->serverOptions);
+}
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/gateway/servers/servercatalogue.cpp
@@ -0,0 +1,164 @@
+#include "gateway/servers/servercatalogue.h"
+
+#include <algorithm>
+#include <set>
+
+namespace sassafrasyard {
+
+ServerCatalogue::ServerCatalogue(ServerCatalogueOptions options)
+    : options(options)
+{
+}
+
+void ServerCatalogue::setHooks(LeavingHook leaving, ChangeHook change, RestartHook restart)
+{
+    this->leavingHook = std::move(leaving);
+    this->changeHook = std::move(change);
+    this->restartHook = std::move(restart);
+}
+
+void ServerCatalogue::applyList(std::span<const ServerEntry> entries, Milliseconds askedAt,
+                                Milliseconds now)
+{
+    const bool mayHaveLapsed =
+            this->contactAt && askedAt - *this->contactAt >= this->options.lapseTime;
+    std::set<BackendServerName> listed;
+    for (const ServerEntry &entry : entries) {
+        listed.insert(entry.name);
+        this->applyEntry(entry);
+    }
+    std::vector<BackendServerName> missing;
+    for (auto &[name, known] : this->servers) {
+        if (listed.contains(name) || known.droppedAt)
+            continue;
+        if (mayHaveLapsed && !known.entry.isLeaving)
+            known.droppedAt = now + this->options.returnTime;
+        else
+            missing.push_back(name);
+    }
+    for (const BackendServerName &name : missing)
+        this->leave(name);
+    this->recordContact(askedAt);
+    this->notifyChange();
+}
+
+void ServerCatalogue::applyEntry(const ServerEntry &entry)
+{
+    const auto known = this->servers.find(entry.name);
+    if (known == this->servers.end()) {
+        this->servers.emplace(entry.name, Known{entry, {}});
+        this->notifyChange();
+        return;
+    }
+    ServerEntry &before = known->second.entry;
+    known->second.droppedAt.reset();
+    if (entry.revision < before.revision)
+        return;
+    const bool hasRestarted = entry.startedAt != before.startedAt && entry.startedAt != 0;
+    const bool startsLeaving = entry.isLeaving && !before.isLeaving;
+    const bool hasChanged = hasRestarted || entry.isLeaving != before.isLeaving
+            || entry.address != before.address || entry.service != before.service
+            || entry.slots != before.slots;
+    before = entry;
+    if (hasRestarted && this->restartHook)
+        this->restartHook(entry.name);
+    if (startsLeaving && this->leavingHook)
+        this->leavingHook(entry.name);
+    if (hasChanged)
+        this->notifyChange();
+}
+
+void ServerCatalogue::applyRemoval(const BackendServerName &name, std::uint64_t revision)
+{
+    const auto known = this->servers.find(name);
+    if (known == this->servers.end() || known->second.entry.revision > revision)
+        return;
+    this->leave(name);
+    this->notifyChange();
+}
+
+void ServerCatalogue::recordContact(Milliseconds askedAt)
+{
+    this->contactAt = std::max(askedAt, this->contactAt.value_or(askedAt));
+}
+
+void ServerCatalogue::advance(Milliseconds now)
+{
+    std::vector<BackendServerName> overdue;
+    for (const auto &[name, known] : this->servers) {
+        if (known.droppedAt && now >= *known.droppedAt)
+            overdue.push_back(name);
+    }
+    for (const BackendServerName &name : overdue)
+        this->leave(name);
+    if (!overdue.empty())
+        this->notifyChange();
+}
+
+std::vector<BackendServer> ServerCatalogue::backendServers(
+        const ServingConfiguration &configuration) const
+{
+    std::vector<BackendServer> result;
+    for (const auto &[name, known] : this->servers) {
+        const Service *service = configuration.findService(known.entry.service);
+        if (service == nullptr)
+            continue;
+        BackendServer server;
+        server.name = name;
+        server.kind = service->engine ? BackendServerKind::Engine : BackendServerKind::Service;
+        server.address = known.entry.address;
+        server.failureDomain = known.entry.failureDomain;
+        server.models = {ModelName(known.entry.service)};
+        server.slots = known.entry.slots;
+        server.memoryTokens = service->engine ? service->engine->memoryTokens : 0;
+        server.isLeaving = known.entry.isLeaving;
+        result.push_back(std::move(server));
+    }
+    return result;
+}
+
+const ServerEntry *ServerCatalogue::find(const BackendServerName &name) const
+{
+    const auto known = this->servers.find(name);
+    return known == this->servers.end() ? nullptr : &known->second.entry;
+}
+
+bool ServerCatalogue::isUsable(const BackendServerName &name) const
+{
+    const ServerEntry *entry = this->find(name);
+    return entry != nullptr && !entry->isLeaving;
+}
+
+std::vector<BackendServerName> ServerCatalogue::leavingServers() const
+{
+    std::vector<BackendServerName> names;
+    for (const auto &[name, known] : this->servers) {
+        if (known.entry.isLeaving)
+            names.push_back(name);
+    }
+    return names;
+}
+
+std::vector<ServerEntry> ServerCatalogue::entries() const
+{
+    std::vector<ServerEntry> all;
+    for (const auto &[name, known] : this->servers)
+        all.push_back(known.entry);
+    return all;
+}
+
+void ServerCatalogue::leave(const BackendServerName &name)
+{
+    const bool isNews = this->isUsable(name);
+    this->servers.erase(name);
+    if (isNews && this->leavingHook)
+        this->leavingHook(name);
+}
+
+void ServerCatalogue::notifyChange() const
+{
+    if (this->changeHook)
+        this->changeHook();
+}
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/gateway/state/servingconfiguration.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "gateway/routes/route.h"
+#include "gateway/routes/routetable.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sassafrasyard {
+
+/** What one version of the operators' configuration says about routed calls. */
+struct ServingConfiguration
+{
+    /** The version; versions only rise. */
+    std::uint64_t version = 0;
+    /** The routes. */
+    RouteTable routes;
+    /** The services by name. */
+    std::map<std::string, Service, std::less<>> services;
+    /** The client accounts; without any, no call needs a key. */
+    std::vector<RoutedAccount> accounts;
+    /** The accounts' places by key digest. */
+    std::map<std::string, std::size_t, std::less<>> accountsByKeyDigest;
+    /** What callers may send. */
+    CallerLimits limits;
+
+    /** Returns the account of a bearer key, or null. @param keyDigest see sha256Hex(). */
+    const RoutedAccount *findByKeyDigest(std::string_view keyDigest) const;
+    /** Returns a service, or null. */
+    const Service *findService(std::string_view name) const;
+};
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/gateway/store/objectsource.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "core/core.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sassafrasyard {
+
+/** An object of the platform's store. */
+struct RegisteredObject
+{
+    /** Its name, unique within its kind. */
+    std::string name;
+    /** The store's revision of its last change. */
+    std::uint64_t revision = 0;
+    /** What its writer stored, as JSON text. */
+    std::string value;
+};
+
+/** One page of a list. */
+struct ObjectPage
+{
+    /** The objects, ordered by name. */
+    std::vector<RegisteredObject> objects;
+    /** Whether more follow after the last one. */
+    bool hasMore = false;
+    /** The store's revision. */
+    std::uint64_t revision = 0;
+};
+
+/** A change of an object. */
+struct ObjectChange
+{
+    /** The object as it is, or as it was before its removal. */
+    RegisteredObject object;
+    /** Whether it was removed. */
+    bool isRemoved = false;
+};
+
+/** The changes since a revision. */
+struct ObjectChanges
+{
+    /** The changes, oldest first; none if the wait ended without one. */
+    std::vector<ObjectChange> changes;
+    /** The revision to go on from. */
+    std::uint64_t revision = 0;
+};
+
+/** The calls to the platform's store that follow a kind of object. */
+struct ObjectSource
+{
+    /**
+     * Reads a page of a kind. The name after which to go on is empty for the first page.
+     *
+     * Fails with PlatformUnavailable.
+     */
+    std::function<boost::asio::awaitable<std::optional<ObjectPage>>(std::string kind,
+                                                                    std::string after, Error &)>
+            list;
+    /**
+     * Waits for changes of a kind since a revision.
+     *
+     * Fails with HistoryGone if the store no longer knows what happened since, or
+     * PlatformUnavailable.
+     */
+    std::function<boost::asio::awaitable<std::optional<ObjectChanges>>(
+            std::string kind, std::uint64_t revision, Milliseconds wait, Error &)>
+            watch;
+};
+
+} // namespace sassafrasyard
--- a/packages/membership/table/membertable.cpp
+++ b/packages/membership/table/membertable.cpp
@@ -55,6 +55,15 @@
     return static_cast<std::size_t>(live) + 1;
 }
 
+void MemberTable::setServing(bool isServing)
+{
+    if (this->ownRecord.isServing == isServing)
+        return;
+    this->ownRecord.isServing = isServing;
+    ++this->ownRecord.version;
+    this->ownTimesSent = 0;
+}
+
 void MemberTable::leave()
 {
     this->ownRecord.state = MemberState::Leaving;
--- a/packages/membership/table/membertable.h
+++ b/packages/membership/table/membertable.h
@@ -47,6 +47,8 @@
     /** Returns the number of members that are alive or suspected, this host included. */
     std::size_t liveCount() const;
 
+    /** Announces whether this host takes callers. */
+    void setServing(bool isServing);
     /** Announces that this host is leaving. */
     void leave();
     /** Takes in news about members. */
--- /dev/null
+++ b/packages/network/http/httpconnection.cpp
@@ -0,0 +1,263 @@
+#include "network/http/httpconnection.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+#include <charconv>
+#include <limits>
+
+namespace sassafrasyard {
+
+namespace net = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = net::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+/** The largest header of a response, in bytes. */
+constexpr std::uint32_t maximumResponseHeaderBytes = 64U << 10U;
+
+auto redirect(error_code &code)
+{
+    return net::redirect_error(net::use_awaitable, code);
+}
+
+Error failure(error_code code, RunState state, const Endpoint &endpoint)
+{
+    ErrorCode kind = ErrorCode::ConnectionFailed;
+    if (code == beast::error::timeout)
+        kind = ErrorCode::Timeout;
+    else if (code.category() == http::make_error_code(http::error::bad_method).category())
+        kind = ErrorCode::ProtocolViolation;
+    return {kind, state, endpoint.toString() + ": " + code.message(), {}};
+}
+
+bool carriesBody(const HttpRequest &request)
+{
+    return !request.body.empty() || request.method == "POST" || request.method == "PUT"
+            || request.method == "PATCH";
+}
+
+std::optional<Milliseconds> keepAliveOf(const HttpResponse &response)
+{
+    constexpr std::string_view name = "timeout=";
+    const std::string value = findHeader(response.headers, "Keep-Alive").value_or("");
+    const std::size_t at = value.find(name);
+    if (at == std::string::npos)
+        return std::nullopt;
+    long seconds = 0;
+    const char *first = value.data() + at + name.size();
+    const auto [end, code] = std::from_chars(first, value.data() + value.size(), seconds);
+    if (code != std::errc() || end == first || seconds < 0)
+        return std::nullopt;
+    return Milliseconds(seconds * 1000);
+}
+
+} // namespace
+
+struct HttpConnection::Implementation : std::enable_shared_from_this<Implementation>
+{
+    using Message = http::request<http::string_body>;
+
+    Implementation(const net::any_io_executor &executor, Endpoint endpoint)
+        : stream(executor)
+        , endpoint(std::move(endpoint))
+    {
+    }
+
+    void startWriting(const HttpRequest &request)
+    {
+        this->message = Message();
+        this->message.version(11);
+        this->message.method_string(request.method);
+        this->message.target(request.target);
+        for (const auto &[name, value] : request.headers)
+            this->message.insert(name, value);
+        if (carriesBody(request)) {
+            this->message.body() = request.body;
+            this->message.content_length(request.body.size());
+        }
+        this->isWritten = false;
+        this->writtenBytes = 0;
+        http::async_write(this->stream, this->message,
+                          [self = this->shared_from_this()](error_code code, std::size_t bytes) {
+                              self->isWritten = !code;
+                              self->writtenBytes = bytes;
+                          });
+    }
+
+    RunState stateAfterFailure() const
+    {
+        const bool isUntouched = !this->isWritten && this->writtenBytes == 0 && !this->isPending();
+        return isUntouched ? RunState::NotRun : RunState::OutcomeUnknown;
+    }
+
+    /** A pending write may hand over bytes until its handler has run. */
+    bool isPending() const { return this->weak_from_this().use_count() > 1; }
+
+    beast::tcp_stream stream;
+    Endpoint endpoint;
+    beast::flat_buffer buffer;
+    Message message;
+    bool isWritten = true;
+    std::size_t writtenBytes = 0;
+    bool isHeadRequest = false;
+    std::optional<http::response_parser<http::buffer_body>> parser;
+    std::optional<Milliseconds> keepAlive;
+    std::array<char, 8192> bytes{};
+};
+
+HttpConnection::HttpConnection(const net::any_io_executor &executor, Endpoint endpoint)
+    : implementation(std::make_shared<Implementation>(executor, std::move(endpoint)))
+{
+}
+
+HttpConnection::~HttpConnection()
+{
+    this->close();
+}
+
+net::awaitable<bool> HttpConnection::connect(Milliseconds timeout, Error &reason)
+{
+    Implementation &state = *this->implementation;
+    error_code code;
+    const auto address = net::ip::make_address(state.endpoint.address, code);
+    state.stream.expires_after(timeout);
+    if (!code)
+        co_await state.stream.async_connect(tcp::endpoint(address, state.endpoint.port),
+                                            redirect(code));
+    if (code) {
+        reason = failure(code, RunState::NotRun, state.endpoint);
+        co_return false;
+    }
+    state.stream.socket().set_option(tcp::no_delay(true), code);
+    co_return true;
+}
+
+net::awaitable<std::optional<HttpResponse>> HttpConnection::exchange(const HttpRequest &request,
+                                                                     Milliseconds timeout,
+                                                                     Error &reason)
+{
+    Implementation &state = *this->implementation;
+    state.stream.expires_after(timeout);
+    state.isHeadRequest = request.method == "HEAD";
+    state.startWriting(request);
+    co_return co_await this->readHeader(timeout, reason);
+}
+
+net::awaitable<std::optional<HttpResponse>> HttpConnection::readHeader(Milliseconds timeout,
+                                                                       Error &reason)
+{
+    Implementation &state = *this->implementation;
+    constexpr int firstFinalStatus = 200;
+    HttpResponse response;
+    response.status = 0;
+    while (response.status < firstFinalStatus) {
+        state.parser.emplace();
+        state.parser->header_limit(maximumResponseHeaderBytes);
+        // Boost 1.74 takes every body with a known length for too long if there is no limit.
+        state.parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+        state.parser->skip(state.isHeadRequest);
+        state.stream.expires_after(timeout);
+        error_code code;
+        co_await http::async_read_header(state.stream, state.buffer, *state.parser, redirect(code));
+        if (code) {
+            reason = failure(code, state.stateAfterFailure(), state.endpoint);
+            this->close();
+            co_return std::nullopt;
+        }
+        response.status = static_cast<int>(state.parser->get().result_int());
+    }
+    for (const auto &field : state.parser->get())
+        response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    state.keepAlive = keepAliveOf(response);
+    co_return response;
+}
+
+net::awaitable<std::optional<std::string_view>> HttpConnection::read(Milliseconds timeout,
+                                                                     Error &reason)
+{
+    Implementation &state = *this->implementation;
+    while (state.parser && !state.parser->is_done()) {
+        auto &body = state.parser->get().body();
+        body.data = state.bytes.data();
+        body.size = state.bytes.size();
+        state.stream.expires_after(timeout);
+        error_code code;
+        co_await http::async_read_some(state.stream, state.buffer, *state.parser, redirect(code));
+        if (code && code != http::error::need_buffer) {
+            reason = failure(code, RunState::OutcomeUnknown, state.endpoint);
+            this->close();
+            co_return std::nullopt;
+        }
+        const std::size_t received = state.bytes.size() - body.size;
+        if (received > 0)
+            co_return std::string_view(state.bytes.data(), received);
+    }
+    co_return std::string_view();
+}
+
+net::awaitable<std::optional<std::string>> HttpConnection::readAll(std::size_t limit,
+                                                                   Milliseconds timeout,
+                                                                   Error &reason)
+{
+    std::string body;
+    while (true) {
+        const auto bytes = co_await this->read(timeout, reason);
+        if (!bytes)
+            co_return std::nullopt;
+        if (bytes->empty())
+            co_return body;
+        if (body.size() + bytes->size() > limit) {
+            reason = {ErrorCode::RequestTooLarge,
+                      RunState::Completed,
+                      this->endpoint().toString() + ": the response is larger than "
+                              + std::to_string(limit) + " bytes",
+                      {}};
+            this->close();
+            co_return std::nullopt;
+        }
+        body += *bytes;
+    }
+}
+
+bool HttpConnection::isReusable() const
+{
+    const Implementation &state = *this->implementation;
+    return state.isWritten && state.parser && state.parser->is_done() && state.parser->keep_alive()
+            && state.buffer.size() == 0;
+}
+
+bool HttpConnection::isIdle() const
+{
+    const Implementation &state = *this->implementation;
+    auto &socket = const_cast<beast::tcp_stream &>(state.stream).socket();
+    if (!socket.is_open())
+        return false;
+    char byte = 0;
+    const auto received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+std::optional<Milliseconds> HttpConnection::keepAlive() const
+{
+    return this->implementation->keepAlive;
+}
+
+const Endpoint &HttpConnection::endpoint() const
+{
+    return this->implementation->endpoint;
+}
+
+void HttpConnection::close()
+{
+    this->implementation->stream.close();
+}
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/network/http/httpconnection.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "core/core.h"
+#include "network/http/endpoint.h"
+#include "network/http/httpmessage.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace sassafrasyard {
+
+/**
+ * A client's connection that carries one request at a time and may be kept for the next one.
+ *
+ * A connection belongs to one coroutine at a time; close() may be called from others on the same
+ * thread and ends a read in progress.
+ */
+class HttpConnection
+{
+public:
+    /** Creates a connection that is not open. */
+    HttpConnection(const boost::asio::any_io_executor &executor, Endpoint endpoint);
+    /** Closes the connection. */
+    ~HttpConnection();
+    HttpConnection(const HttpConnection &) = delete;
+    HttpConnection &operator=(const HttpConnection &) = delete;
+
+    /** Connects. @param reason receives ConnectionFailed or Timeout with NotRun. */
+    boost::asio::awaitable<bool> connect(Milliseconds timeout, Error &reason);
+
+    /**
+     * Starts to send a request and reads the header of its response.
+     *
+     * The body is written while the response is awaited, because a server may answer before it has
+     * read all of it. Interim responses (1xx) are skipped.
+     *
+     * @param request its headers are sent as they are, in order; Content-Length is added.
+     * @param timeout until the header is complete, in milliseconds.
+     * @param reason receives Timeout, ConnectionFailed or ProtocolViolation; with NotRun if the
+     *     system took no byte of the request, else OutcomeUnknown.
+     * @return the status and the header fields.
+     */
+    boost::asio::awaitable<std::optional<HttpResponse>> exchange(const HttpRequest &request,
+                                                                 Milliseconds timeout,
+                                                                 Error &reason);
+
+    /**
+     * Reads a further response on the connection, as after one that belongs to an earlier request.
+     *
+     * @param reason as for exchange().
+     */
+    boost::asio::awaitable<std::optional<HttpResponse>> readHeader(Milliseconds timeout,
+                                                                   Error &reason);
+
+    /**
+     * Reads the next bytes of the body.
+     *
+     * @param timeout how long to wait for a byte, in milliseconds.
+     * @param reason receives Timeout, ConnectionFailed or ProtocolViolation.
+     * @return the bytes, valid until the next call; empty at the regular end of the body.
+     */
+    boost::asio::awaitable<std::optional<std::string_view>> read(Milliseconds timeout,
+                                                                 Error &reason);
+
+    /**
+     * Reads the rest of the body.
+     *
+     * @param limit the largest accepted body, in bytes.
+     * @param reason receives RequestTooLarge beyond the limit, else as for read().
+     */
+    boost::asio::awaitable<std::optional<std::string>> readAll(std::size_t limit,
+                                                               Milliseconds timeout, Error &reason);
+
+    /**
+     * Returns whether another request may follow: the request was written, its response is complete
+     * and permits it, and no byte came after it.
+     */
+    bool isReusable() const;
+
+    /** Returns whether the peer has neither closed the connection nor sent a byte while idle. */
+    bool isIdle() const;
+
+    /** Returns how long the peer keeps an idle connection, in milliseconds, if it said so. */
+    std::optional<Milliseconds> keepAlive() const;
+
+    /** Returns the peer. */
+    const Endpoint &endpoint() const;
+
+    /** Closes the connection. */
+    void close();
+
+private:
+    struct Implementation;
+    // Shared with a write that may still be pending when the connection is given up.
+    std::shared_ptr<Implementation> implementation;
+};
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/network/http/httpconnectionpool.cpp
@@ -0,0 +1,78 @@
+#include "network/http/httpconnectionpool.h"
+
+#include <utility>
+
+namespace sassafrasyard {
+
+namespace net = boost::asio;
+
+HttpConnectionPool::HttpConnectionPool(net::io_context &context, Clock clock,
+                                       HttpConnectionPoolOptions options)
+    : context(context)
+    , clock(std::move(clock))
+    , options(options)
+{
+}
+
+net::awaitable<std::unique_ptr<HttpConnection>> HttpConnectionPool::acquire(
+        Endpoint endpoint, Milliseconds maximumIdle, Milliseconds connectTimeout, Error &reason)
+{
+    const auto known = this->idle.find(endpoint.toString());
+    const Milliseconds now = this->clock.now();
+    while (known != this->idle.end() && !known->second.empty()) {
+        // The connection used last is the one that the peer closes last.
+        Idle kept = std::move(known->second.back());
+        if (now - kept.since > maximumIdle || now >= kept.until) {
+            known->second.back() = std::move(kept);
+            break;
+        }
+        known->second.pop_back();
+        if (kept.connection->isIdle())
+            co_return std::move(kept.connection);
+    }
+    const net::any_io_executor executor = this->context.get_executor();
+    auto opened = std::make_unique<HttpConnection>(executor, std::move(endpoint));
+    const bool isOpen = co_await opened->connect(connectTimeout, reason);
+    if (!isOpen)
+        co_return nullptr;
+    co_return opened;
+}
+
+void HttpConnectionPool::release(std::unique_ptr<HttpConnection> connection)
+{
+    if (!connection || !connection->isReusable())
+        return;
+    const Milliseconds now = this->clock.now();
+    const auto stated = connection->keepAlive();
+    const Milliseconds lifetime =
+            stated ? *stated - this->options.keepAliveMargin : this->options.idleTimeout;
+    if (lifetime <= Milliseconds(0))
+        return;
+    auto &kept = this->idle[connection->endpoint().toString()];
+    if (kept.size() >= this->options.idlePerPeer)
+        kept.pop_front();
+    kept.push_back({std::move(connection), now, now + lifetime});
+}
+
+void HttpConnectionPool::closeExpired()
+{
+    const Milliseconds now = this->clock.now();
+    for (auto &[peer, kept] : this->idle)
+        std::erase_if(kept, [&](const Idle &entry) { return now >= entry.until; });
+    std::erase_if(this->idle, [](const auto &entry) { return entry.second.empty(); });
+}
+
+void HttpConnectionPool::forget(const Endpoint &endpoint)
+{
+    this->idle.erase(endpoint.toString());
+}
+
+std::size_t HttpConnectionPool::idleCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[peer, kept] : this->idle)
+        count += kept.size();
+    return count;
+}
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/network/http/httpconnectionpool.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "core/core.h"
+#include "network/http/endpoint.h"
+#include "network/http/httpconnection.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace sassafrasyard {
+
+/** Bounds of an HttpConnectionPool. */
+struct HttpConnectionPoolOptions
+{
+    /** How many idle connections are kept to one peer. */
+    std::size_t idlePerPeer = 8;
+    /** How long an idle connection is kept if the peer does not say, in milliseconds. */
+    Milliseconds idleTimeout{900};
+    /** How much earlier than the peer an idle connection is given up, in milliseconds. */
+    Milliseconds keepAliveMargin{500};
+};
+
+/** Kept connections to HTTP servers. All calls come from one thread. */
+class HttpConnectionPool
+{
+public:
+    /** Creates an empty pool. @param clock dates idle connections. */
+    HttpConnectionPool(boost::asio::io_context &context, Clock clock,
+                       HttpConnectionPoolOptions options = {});
+    HttpConnectionPool(const HttpConnectionPool &) = delete;
+    HttpConnectionPool &operator=(const HttpConnectionPool &) = delete;
+
+    /**
+     * Returns a kept connection or opens one.
+     *
+     * @param maximumIdle the longest time that a kept connection may have been idle; zero opens a
+     *     new one always. A peer may drop an idle connection unseen, so what must not run twice
+     *     wants a fresh one.
+     * @param reason receives ConnectionFailed or Timeout with NotRun.
+     */
+    boost::asio::awaitable<std::unique_ptr<HttpConnection>> acquire(Endpoint endpoint,
+                                                                    Milliseconds maximumIdle,
+                                                                    Milliseconds connectTimeout,
+                                                                    Error &reason);
+
+    /** Takes a connection back; it is closed unless another request may follow on it. */
+    void release(std::unique_ptr<HttpConnection> connection);
+
+    /** Closes what has been idle for too long. Call it about once a second. */
+    void closeExpired();
+
+    /** Closes the idle connections to a peer. */
+    void forget(const Endpoint &endpoint);
+
+    /** Returns the number of idle connections. */
+    std::size_t idleCount() const;
+
+private:
+    struct Idle
+    {
+        std::unique_ptr<HttpConnection> connection;
+        Milliseconds since{0};
+        Milliseconds until{0};
+    };
+
+    boost::asio::io_context &context;
+    Clock clock;
+    HttpConnectionPoolOptions options;
+    std::map<std::string, std::deque<Idle>> idle;
+};
+
+} // namespace sassafrasyard
--- a/packages/network/http/httpserver.cpp
+++ b/packages/network/http/httpserver.cpp
@@ -6,13 +6,17 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
 #include <atomic>
 #include <cassert>
+#include <mutex>
+#include <utility>
 
 namespace sassafrasyard {
 
@@ -24,6 +28,12 @@
 
 namespace {
 
+/** A descriptor is free again when some connection has ended, which takes a round trip or so. */
+constexpr std::chrono::milliseconds acceptRetryDelay{20};
+
+/** Room for a usual request's header; a longer one is read in further parts. */
+constexpr std::size_t firstReadBytes = 2048;
+
 auto redirect(error_code &code)
 {
     return net::redirect_error(net::use_awaitable, code);
@@ -40,18 +50,21 @@
     return request;
 }
 
+/** Keeps the order and fields that occur more than once, such as Set-Cookie. */
 void setHeaders(http::fields &fields, const HttpHeaders &headers)
 {
     for (const auto &[name, value] : headers)
-        fields.set(name, value);
+        fields.insert(name, value);
 }
 
 Error readError(error_code code)
 {
-    if (code == http::error::body_limit || code == http::error::header_limit
-        || code == http::error::buffer_overflow) {
-        return {ErrorCode::RequestTooLarge, RunState::NotRun, "the request is too large", {}};
-    }
+    if (code == http::error::header_limit || code == http::error::buffer_overflow)
+        return {ErrorCode::HeaderTooLarge, RunState::NotRun, "the header is too large", {}};
+    if (code == http::error::body_limit)
+        return {ErrorCode::RequestTooLarge, RunState::NotRun, "the body is too large", {}};
+    if (code == beast::error::timeout)
+        return {ErrorCode::RequestTimeout, RunState::NotRun, "the request came too slowly", {}};
     return {ErrorCode::InvalidRequest, RunState::NotRun, "malformed HTTP: " + code.message(), {}};
 }
 
@@ -63,7 +76,7 @@
 
 } // namespace
 
-struct HttpResponder::Connection
+struct HttpResponder::Connection : std::enable_shared_from_this<HttpResponder::Connection>
 {
     Connection(tcp::socket socket, const HttpServerOptions &options)
         : stream(std::move(socket))
@@ -71,6 +84,33 @@
     {
     }
 
+    /** Waits for a byte or the end of the caller's side; at most one wait is pending. */
+    void watchCaller()
+    {
+        if (this->isWatching)
+            return;
+        this->isWatching = true;
+        this->stream.socket().async_wait(
+                tcp::socket::wait_read, [weak = this->weak_from_this()](error_code code) {
+                    const auto self = weak.lock();
+                    if (!self)
+                        return;
+                    self->isWatching = false;
+                    if (!code && self->callerGoneHook && self->isCallerGone())
+                        std::exchange(self->callerGoneHook, nullptr)();
+                });
+    }
+
+    bool isCallerGone()
+    {
+        char byte = 0;
+        const int handle = this->stream.socket().native_handle();
+        const auto received = ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (received == 0)
+            return true;
+        return received < 0 && errno != EAGAIN && errno != EWOULDBLOCK;
+    }
+
     /** Hands bytes to the kernel as far as it takes them now; an error shows at the next write. */
     std::size_t writeWithoutWaiting(std::string_view bytes)
     {
@@ -89,8 +129,10 @@
     }
 
     beast::tcp_stream stream;
-    const HttpServerOptions &options;
+    HttpServerOptions options;
     beast::flat_buffer buffer;
+    std::function<void()> callerGoneHook;
+    bool isWatching = false;
     bool hasStarted = false;
     bool keepAlive = false;
     std::string chunk;
@@ -181,14 +223,22 @@
     return this->connection->hasStarted;
 }
 
+void HttpResponder::abort()
+{
+    this->connection->hasStarted = true;
+    this->connection->keepAlive = false;
+    this->connection->stream.close();
+}
+
+void HttpResponder::setCallerGoneHook(std::function<void()> hook)
+{
+    this->connection->callerGoneHook = std::move(hook);
+    this->connection->watchCaller();
+}
+
 bool HttpResponder::isCallerGone() const
 {
-    char byte = 0;
-    const int handle = this->connection->stream.socket().native_handle();
-    const auto received = ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (received == 0)
-        return true;
-    return received < 0 && errno != EAGAIN && errno != EWOULDBLOCK;
+    return this->connection->isCallerGone();
 }
 
 struct HttpServer::Implementation : std::enable_shared_from_this<HttpServer::Implementation>
@@ -206,8 +256,10 @@
     net::awaitable<void> accept();
     net::awaitable<void> serve(tcp::socket socket);
     net::awaitable<bool> serveOne(HttpResponder::Connection &connection);
+    HttpServerOptions currentOptions();
 
     net::io_context &context;
+    std::mutex optionsMutex;
     HttpServerOptions options;
     Handler handler;
     ErrorFormatter formatError;
@@ -225,7 +277,13 @@
         tcp::socket socket = co_await this->acceptor.async_accept(strand, redirect(code));
         if (code == net::error::operation_aborted)
             co_return;
-        if (code || this->open >= this->options.maximumConnections)
+        if (code) {
+            // Without descriptors accept() fails at once, again and again.
+            net::steady_timer pause(co_await net::this_coro::executor, acceptRetryDelay);
+            co_await pause.async_wait(redirect(code));
+            continue;
+        }
+        if (this->open >= this->currentOptions().maximumConnections)
             continue;
         ++this->open;
         net::co_spawn(
@@ -242,7 +300,8 @@
     auto self = this->shared_from_this();
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    auto connection = std::make_unique<HttpResponder::Connection>(std::move(socket), this->options);
+    auto connection =
+            std::make_shared<HttpResponder::Connection>(std::move(socket), this->currentOptions());
     while (co_await this->serveOne(*connection)) { }
     connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     --this->open;
@@ -250,26 +309,45 @@
 
 net::awaitable<bool> HttpServer::Implementation::serveOne(HttpResponder::Connection &connection)
 {
+    connection.options = this->currentOptions();
     http::request_parser<http::string_body> parser;
-    parser.body_limit(this->options.maximumBodyBytes);
-    parser.header_limit(static_cast<std::uint32_t>(this->options.maximumHeaderBytes));
-    connection.stream.expires_after(this->options.idleTimeout);
+    parser.body_limit(connection.options.maximumBodyBytes);
+    parser.header_limit(static_cast<std::uint32_t>(connection.options.maximumHeaderBytes));
     error_code code;
-    co_await http::async_read(connection.stream, connection.buffer, parser, redirect(code));
+    if (connection.buffer.size() == 0) {
+        connection.stream.expires_after(connection.options.idleTimeout);
+        const auto space = connection.buffer.prepare(firstReadBytes);
+        const std::size_t received =
+                co_await connection.stream.async_read_some(space, redirect(code));
+        connection.buffer.commit(received);
+    }
+    const bool hasBegun = connection.buffer.size() > 0;
+    connection.stream.expires_after(connection.options.readTimeout);
+    if (!code)
+        co_await http::async_read(connection.stream, connection.buffer, parser, redirect(code));
     connection.hasStarted = false;
     connection.keepAlive = !code && parser.get().keep_alive() && !this->isClosing;
     HttpResponder responder(connection);
     if (code) {
-        if (isHttpError(code))
+        // Nobody asked for anything on a connection that stayed idle, so it gets no answer.
+        const bool isSlow = code == beast::error::timeout && hasBegun;
+        if (isHttpError(code) || isSlow)
             co_await responder.send(this->formatError(readError(code)));
         co_return false;
     }
     connection.stream.expires_never();
     co_await this->handler(toRequest(parser.get()), responder);
+    connection.callerGoneHook = nullptr;
     assert(connection.hasStarted);
     co_return connection.keepAlive;
 }
 
+HttpServerOptions HttpServer::Implementation::currentOptions()
+{
+    const std::lock_guard lock(this->optionsMutex);
+    return this->options;
+}
+
 HttpServer::HttpServer(net::io_context &context, HttpServerOptions options, Handler handler,
                        ErrorFormatter formatError)
     : implementation(std::make_shared<Implementation>(context, options, std::move(handler),
@@ -294,6 +372,12 @@
     return inUse;
 }
 
+void HttpServer::setOptions(const HttpServerOptions &options)
+{
+    const std::lock_guard lock(this->implementation->optionsMutex);
+    this->implementation->options = options;
+}
+
 void HttpServer::stopAccepting()
 {
     net::post(this->implementation->acceptor.get_executor(), [self = this->implementation] {
--- a/packages/network/http/httpserver.h
+++ b/packages/network/http/httpserver.h
@@ -49,6 +49,17 @@
     /** Ends a chunked response. @return false if the caller has gone away. */
     boost::asio::awaitable<bool> finish();
 
+    /** Closes the connection, so that an answer that was started does not look complete. */
+    void abort();
+
+    /**
+     * Sets what is called once, on the connection's strand, when the caller closes its side before
+     * the handler returns.
+     *
+     * @param hook must not outlive what it refers to beyond the handler; it is dropped afterwards.
+     */
+    void setCallerGoneHook(std::function<void()> hook);
+
     /** Returns whether a response was sent or started. */
     bool hasStarted() const;
 
@@ -68,6 +79,8 @@
     std::size_t maximumHeaderBytes = 16U << 10U;
     /** How long a connection may stay idle between requests, in milliseconds. */
     Milliseconds idleTimeout{60000};
+    /** How long the header and body may take from the first byte on, in milliseconds. */
+    Milliseconds readTimeout{60000};
     /** How long one write may take, in milliseconds. */
     Milliseconds writeTimeout{30000};
     /** How many connections may be open. */
@@ -99,6 +112,9 @@
      */
     std::optional<Endpoint> listen(const Endpoint &endpoint, Error &reason);
 
+    /** Replaces the limits; requests that are being read keep the former ones. */
+    void setOptions(const HttpServerOptions &options);
+
     /** Stops accepting connections; open ones go on. */
     void stopAccepting();
 
--- a/packages/network/network.h
+++ b/packages/network/network.h
@@ -8,6 +8,8 @@
 #include "network/frames/frameconnection.h"
 #include "network/http/endpoint.h"
 #include "network/http/httpclient.h"
+#include "network/http/httpconnection.h"
+#include "network/http/httpconnectionpool.h"
 #include "network/http/httpmessage.h"
 #include "network/http/httpserver.h"
 #include "network/http/servereventparser.h"
--- a/packages/platform/objects/objectclient.cpp
+++ b/packages/objectstore/objects/objectclient.cpp
@@ -1,4 +1,4 @@
-#include "platform/objects/objectclient.h"
+#include "objectstore/objects/objectclient.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/packages/observability/logging/eventlog.cpp
+++ b/packages/observability/logging/eventlog.cpp
@@ -57,11 +57,12 @@
 
 } // namespace
 
-void startLogging(std::string_view host, LogLevel minimum)
+void startLogging(std::string_view host, LogLevel minimum, LogTarget target)
 {
     loggingState = std::make_unique<LoggingState>();
     loggingState->host = host;
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    log4cplus::SharedAppenderPtr appender(
+            new log4cplus::ConsoleAppender(target == LogTarget::StandardError, true));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
     loggingState->logger.addAppender(appender);
     loggingState->logger.setLogLevel(toLibraryLevel(minimum));
--- a/packages/observability/logging/eventlog.h
+++ b/packages/observability/logging/eventlog.h
@@ -20,8 +20,15 @@
     std::string value;
 };
 
-/** Sets up logging to standard error, one JSON object a line. @param minimum drops lower levels. */
-void startLogging(std::string_view host, LogLevel minimum);
+/** Where the log goes. */
+enum class LogTarget {
+    StandardError,
+    StandardOutput,
+};
+
+/** Sets up logging, one JSON object a line. @param minimum drops lower levels. */
+void startLogging(std::string_view host, LogLevel minimum,
+                  LogTarget target = LogTarget::StandardError);
 
 /** Writes a numbered event. May be called from any thread; does nothing before startLogging(). */
 void logFields(LogEvent event, std::span<const LogField> fields);
--- a/packages/observability/logging/logevent.cpp
+++ b/packages/observability/logging/logevent.cpp
@@ -12,6 +12,8 @@
         LogEventEntry{LogEvent::DaemonStopped, LogLevel::Info, "daemon_stopped"},
         LogEventEntry{LogEvent::SettingsInvalid, LogLevel::Error, "settings_invalid"},
         LogEventEntry{LogEvent::ListenFailed, LogLevel::Error, "listen_failed"},
+        LogEventEntry{LogEvent::SettingsReloaded, LogLevel::Info, "settings_reloaded"},
+        LogEventEntry{LogEvent::SettingsKept, LogLevel::Warning, "settings_kept"},
         LogEventEntry{LogEvent::MemberAlive, LogLevel::Info, "member_alive"},
         LogEventEntry{LogEvent::MemberSuspect, LogLevel::Warning, "member_suspect"},
         LogEventEntry{LogEvent::MemberLeaving, LogLevel::Info, "member_leaving"},
@@ -43,6 +45,18 @@
         LogEventEntry{LogEvent::OrderRefused, LogLevel::Warning, "order_refused"},
         LogEventEntry{LogEvent::RolloutAdvanced, LogLevel::Info, "rollout_advanced"},
         LogEventEntry{LogEvent::RolloutStopped, LogLevel::Warning, "rollout_stopped"},
+        LogEventEntry{LogEvent::StoreLost, LogLevel::Warning, "store_lost"},
+        LogEventEntry{LogEvent::StoreRegained, LogLevel::Info, "store_regained"},
+        LogEventEntry{LogEvent::StoreHistoryGone, LogLevel::Info, "store_history_gone"},
+        LogEventEntry{LogEvent::ObjectUnreadable, LogLevel::Warning, "object_unreadable"},
+        LogEventEntry{LogEvent::RoutesApplied, LogLevel::Info, "routes_applied"},
+        LogEventEntry{LogEvent::ReadinessChanged, LogLevel::Info, "readiness_changed"},
+        LogEventEntry{LogEvent::ServerLeaving, LogLevel::Info, "server_leaving"},
+        LogEventEntry{LogEvent::CallRefused, LogLevel::Info, "call_refused"},
+        LogEventEntry{LogEvent::CallAnswered, LogLevel::Info, "call_answered"},
+        LogEventEntry{LogEvent::AttemptFailed, LogLevel::Info, "attempt_failed"},
+        LogEventEntry{LogEvent::StreamContinued, LogLevel::Info, "stream_continued"},
+        LogEventEntry{LogEvent::StreamCut, LogLevel::Warning, "stream_cut"},
 };
 
 } // namespace
--- a/packages/observability/logging/logevent.h
+++ b/packages/observability/logging/logevent.h
@@ -20,6 +20,8 @@
     DaemonStopped = 1003,
     SettingsInvalid = 1004,
     ListenFailed = 1005,
+    SettingsReloaded = 1006,
+    SettingsKept = 1007,
     MemberAlive = 2001,
     MemberSuspect = 2002,
     MemberLeaving = 2003,
@@ -49,6 +51,18 @@
     OrderRefused = 7004,
     RolloutAdvanced = 7005,
     RolloutStopped = 7006,
+    StoreLost = 8001,
+    StoreRegained = 8002,
+    StoreHistoryGone = 8003,
+    ObjectUnreadable = 8004,
+    RoutesApplied = 8005,
+    ReadinessChanged = 8006,
+    ServerLeaving = 8007,
+    CallRefused = 8010,
+    CallAnswered = 8011,
+    AttemptFailed = 8012,
+    StreamContinued = 8013,
+    StreamCut = 8014,
 };
 
 /** An entry of the event catalogue. */
--- a/packages/policy/dispatch/dispatcher.cpp
+++ b/packages/policy/dispatch/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "policy/dispatch/dispatcher.h"
 
+#include "policy/placement/copyplacement.h"
 #include "policy/quarantine/suspectplacement.h"
 
 #include <algorithm>
@@ -130,7 +131,7 @@
     if (work.host)
         return;
     this->pool.recordProgress(request, tokens, now);
-    if (work.hasOutput && !this->queue.isShort(work.request))
+    if (this->options.allowsSuspension && work.hasOutput && !this->queue.isShort(work.request))
         this->suspension.add(request, work.group->number, work.request.priority, work.assignedAt);
 }
 
@@ -153,6 +154,13 @@
     this->recordCapacityChange(now);
 }
 
+void Dispatcher::recordDeath(std::uint64_t requestDigest, const BackendServerName &server,
+                             Milliseconds now)
+{
+    this->quarantine.recordDeath(requestDigest, server, now);
+    this->findSuspects(now);
+}
+
 void Dispatcher::withdraw(const RequestName &request, Milliseconds)
 {
     if (const auto waiting = this->queue.remove(request))
@@ -213,6 +221,44 @@
     return work.isHedged && !query.isFurtherAttempt;
 }
 
+std::optional<BackendServerName> Dispatcher::reserveCopy(const WorkRequest &copy, Milliseconds now)
+{
+    this->isPlacingCopy = true;
+    const auto placement = this->pool.place(copy, now);
+    this->isPlacingCopy = false;
+    if (!placement)
+        return std::nullopt;
+    this->copies.emplace(copy.name, Copy{copy, placement->server});
+    return placement->server;
+}
+
+void Dispatcher::promoteCopy(const RequestName &copy, Milliseconds now)
+{
+    auto node = this->copies.extract(copy);
+    if (node.empty())
+        return;
+    const WorkRequest &request = node.mapped().request;
+    // The original was admitted; its release must not free a place that the copy goes on using.
+    this->limiter.tryAdmit(request.account, true, now);
+    Group &group = this->groupFor(request, now);
+    Running &work = this->running[copy];
+    work.request = request;
+    work.group = &group;
+    work.server = node.mapped().server;
+    work.assignedAt = now;
+    work.cost = this->costs.estimate(request);
+    work.hasOutput = true;
+    ++group.running;
+}
+
+void Dispatcher::releaseCopy(const RequestName &copy, Milliseconds now)
+{
+    if (this->copies.erase(copy) == 0)
+        return;
+    this->pool.release(copy, WorkOutcome::Cancelled, now);
+    this->recordCapacityChange(now);
+}
+
 void Dispatcher::advance(Milliseconds now)
 {
     this->pool.advance(now);
@@ -477,11 +523,16 @@
                                               const WorkRequest &request,
                                               std::span<const PlacementCandidate> candidates) const
 {
+    if (this->isPlacingCopy)
+        return chooseForCopy(request, candidates);
     const auto hedged = this->running.find(request.hedgeOf);
-    if (hedged == this->running.end() && this->suspectServers.empty() && !this->isPlacingSuspect)
+    if (hedged == this->running.end() && this->suspectServers.empty() && request.avoided.empty()
+        && !this->isPlacingSuspect) {
         return policy(request, candidates);
+    }
     PlacementAvoidance avoidance;
     avoidance.servers = this->suspectServers;
+    avoidance.servers.insert(request.avoided.begin(), request.avoided.end());
     avoidance.prefersIdle = this->isPlacingSuspect;
     avoidance.mayFallBack = !this->isPlacingSuspect && hedged == this->running.end();
     if (hedged != this->running.end())
--- a/packages/policy/dispatch/dispatcher.h
+++ b/packages/policy/dispatch/dispatcher.h
@@ -48,6 +48,8 @@
     Milliseconds maximumWait{550};
     /** A request with maximumTokens set to at most this is short, in tokens. */
     std::uint32_t shortTokens = 256;
+    /** Whether the engines can suspend a stream, so that short work may use its slot. */
+    bool allowsSuspension = true;
     /** Bounds on suspensions. */
     SuspensionOptions suspension;
     /** Bounds on retries. */
@@ -91,6 +93,9 @@
     void recordProgress(const RequestName &request, std::uint32_t tokens, Milliseconds now);
     /** Records the end of a running request and frees what it held. */
     void recordFinished(const RequestName &request, WorkOutcome outcome, Milliseconds now);
+    /** Records that a request was running on a server that crashed; a digest of 0 is ignored. */
+    void recordDeath(std::uint64_t requestDigest, const BackendServerName &server,
+                     Milliseconds now);
     /** Withdraws a request that is still waiting; does nothing if it is not waiting. */
     void withdraw(const RequestName &request, Milliseconds now);
     /** Records an engine's load report. */
@@ -108,6 +113,18 @@
      * budget. The second attempt is submitted with WorkRequest::hedgeOf set.
      */
     bool takeHedge(const RequestName &request, Milliseconds now);
+    /**
+     * Reserves memory for a copy of a running request's memory on another engine.
+     *
+     * @param copy describes the request; its name must not be in use, and avoided must hold the
+     *     servers that the copy is to survive.
+     * @return the engine, or nothing if none has room.
+     */
+    std::optional<BackendServerName> reserveCopy(const WorkRequest &copy, Milliseconds now);
+    /** Turns a copy into a running request, as when its original was lost. */
+    void promoteCopy(const RequestName &copy, Milliseconds now);
+    /** Frees what a copy reserved; does nothing for an unknown one. */
+    void releaseCopy(const RequestName &copy, Milliseconds now);
     /** Lets time pass: refuses requests that can't be served in time, places others. */
     void advance(Milliseconds now);
 
@@ -142,6 +159,12 @@
         Milliseconds usedAt{0};
     };
 
+    struct Copy
+    {
+        WorkRequest request;
+        BackendServerName server;
+    };
+
     struct Running
     {
         WorkRequest request;
@@ -194,6 +217,7 @@
     HedgePolicy hedging;
     std::map<QueueGroup, Group> groups;
     std::unordered_map<RequestName, Running> running;
+    std::unordered_map<RequestName, Copy> copies;
     /** Requests that ended while a guest used their slot, which the pool still counts. */
     std::unordered_map<RequestName, WorkOutcome> heldSlots;
     ServerFlags servers;
@@ -205,6 +229,7 @@
     std::uint64_t refusalCount = 0;
     Milliseconds cleanedAt{0};
     bool isPlacingSuspect = false;
+    bool isPlacingCopy = false;
 };
 
 } // namespace sassafrasyard
--- /dev/null
+++ b/packages/policy/placement/copyplacement.cpp
@@ -0,0 +1,37 @@
+#include "policy/placement/copyplacement.h"
+
+#include <algorithm>
+
+namespace sassafrasyard {
+
+namespace {
+
+/** A copy between failure domains takes twice as long, so room elsewhere must be this much more. */
+constexpr double farPenalty = 0.1;
+
+} // namespace
+
+std::optional<std::size_t> chooseForCopy(const WorkRequest &request,
+                                         std::span<const PlacementCandidate> candidates)
+{
+    std::optional<std::size_t> best;
+    double leastCost = 0.0;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const PlacementCandidate &candidate = candidates[index];
+        const auto &avoided = request.avoided;
+        const bool isAvoided =
+                std::find(avoided.begin(), avoided.end(), candidate.server->name) != avoided.end();
+        if (isAvoided || candidate.memoryTotal <= 0.0)
+            continue;
+        const double share =
+                (candidate.memoryEstimate + candidate.memoryNeeded) / candidate.memoryTotal;
+        const double cost = share + (candidate.isNear ? 0.0 : farPenalty);
+        if (share <= copyMemoryLimit && (!best || cost < leastCost)) {
+            best = index;
+            leastCost = cost;
+        }
+    }
+    return best;
+}
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/policy/placement/copyplacement.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "policy/placement/placementpolicy.h"
+
+#include <optional>
+#include <span>
+
+namespace sassafrasyard {
+
+/**
+ * The largest share of an engine's memory, with the copy, up to which it takes copies. Copies don't
+ * yield, so beyond it they would make the engine preempt runs.
+ */
+constexpr double copyMemoryLimit = 0.7;
+
+/**
+ * Chooses a server for a copy of a run's memory: the one with the most room, never one that the
+ * request avoids.
+ *
+ * @return an index into candidates, or nothing if none has room.
+ */
+std::optional<std::size_t> chooseForCopy(const WorkRequest &request,
+                                         std::span<const PlacementCandidate> candidates);
+
+} // namespace sassafrasyard
--- a/packages/policy/work/workrequest.h
+++ b/packages/policy/work/workrequest.h
@@ -3,6 +3,7 @@
 #include "core/core.h"
 
 #include <cstdint>
+#include <vector>
 
 namespace sassafrasyard {
 
@@ -38,6 +39,8 @@
     bool isIdempotent = true;
     /** Whether this is a further attempt at a request that was placed before. */
     bool isRetry = false;
+    /** Backend servers that an earlier attempt failed on; chosen only if there is no other. */
+    std::vector<BackendServerName> avoided;
     /** The running request that this one hedges, or empty; a hedge avoids its server. */
     RequestName hedgeOf;
 };
--- a/packages/protocol/messages/messagecodec.cpp
+++ b/packages/protocol/messages/messagecodec.cpp
@@ -16,7 +16,7 @@
         std::is_same_v<std::remove_cvref_t<decltype(record)>, MemberRecord>
 {
     visit(record.host, record.incarnation, record.failureDomain, record.region, record.peerAddress,
-          record.callerAddress, record.state, record.version);
+          record.callerAddress, record.state, record.version, record.isServing);
 }
 
 template <typename Visitor>
--- a/packages/protocol/messages/peermessage.h
+++ b/packages/protocol/messages/peermessage.h
@@ -34,8 +34,10 @@
     std::string callerAddress;
     /** The believed state. */
     MemberState state = MemberState::Alive;
-    /** Raised by the member itself to refute a wrong state. */
+    /** Raised by the member itself to refute a wrong state or to announce a change. */
     std::uint32_t version = 0;
+    /** Whether the member takes callers; one that lost what it decides by is alive but does not. */
+    bool isServing = true;
 
     /** Compares all fields. */
     bool operator==(const MemberRecord &) const = default;
