Move a run without a copy when its engine leaves

Cause: a quarter of the long streams were cut because their engine was reclaimed while no copy of their run existed: no engine had room below 0.7 of its memory, or the copy's engine left in the same batch of changes.

The pause of a moved run is the next cause.

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -157,10 +157,18 @@
     , storeConnections(this->context, this->clock)
     , budget(this->settings.retries)
     , reachability(this->dispatch, this->clock)
-    , services{this->context,       this->entry,        this->dispatch,
-               this->serving,       this->servers,      this->serverConnections,
-               this->budget,        this->reachability, this->streams,
-               platformCallCodec(), this->clock}
+    , services{this->context,
+               this->entry,
+               this->dispatch,
+               this->serving,
+               this->servers,
+               this->serverConnections,
+               this->budget,
+               this->reachability,
+               this->streams,
+               platformCallCodec(),
+               platformEngineCalls(this->serverConnections),
+               this->clock}
     , gateway(this->services)
     , store(this->settings.store, this->storeConnections)
     , configurationFollower(
@@ -215,7 +223,9 @@
                 this->dispatch.post([server](Dispatcher &dispatcher, Milliseconds) {
                     dispatcher.setLeaving(server, true);
                 });
-                this->streams.notifyLeaving(server);
+                // Several servers may go in one batch of changes; streams look for a place after
+                // it.
+                net::post(this->context, [this, server] { this->streams.notifyLeaving(server); });
             },
             [this] { this->publishServersSoon(); },
             [this](const BackendServerName &server) {
--- a/packages/entry/dispatch/dispatchservice.cpp
+++ b/packages/entry/dispatch/dispatchservice.cpp
@@ -216,11 +216,12 @@
     co_return co_await this->owner->ask<bool>(job);
 }
 
-net::awaitable<std::optional<BackendServerName>> DispatchService::reserveCopy(WorkRequest copy)
+net::awaitable<std::optional<BackendServerName>> DispatchService::reserveCopy(WorkRequest copy,
+                                                                              bool isUrgent)
 {
-    const std::function<std::optional<BackendServerName>(State &)> job = [this,
-                                                                          &copy](State &state) {
-        return state.dispatcher.reserveCopy(copy, this->entry.steadyClock.now());
+    const std::function<std::optional<BackendServerName>(State &)> job = [this, &copy,
+                                                                          isUrgent](State &state) {
+        return state.dispatcher.reserveCopy(copy, isUrgent, this->entry.steadyClock.now());
     };
     co_return co_await this->owner->ask<std::optional<BackendServerName>>(job);
 }
--- a/packages/entry/dispatch/dispatchservice.h
+++ b/packages/entry/dispatch/dispatchservice.h
@@ -60,7 +60,8 @@
     /** Asks whether to start a second attempt at a running request now; takes it if so. */
     boost::asio::awaitable<bool> takeHedge(RequestName request);
     /** Reserves a copy of a running request; see Dispatcher::reserveCopy(). */
-    boost::asio::awaitable<std::optional<BackendServerName>> reserveCopy(WorkRequest copy);
+    boost::asio::awaitable<std::optional<BackendServerName>> reserveCopy(WorkRequest copy,
+                                                                         bool isUrgent);
     /** Reports that a copy goes on in place of its original. */
     void reportPromoted(const RequestName &copy);
     /** Frees a copy that was not needed. */
--- a/packages/gateway/calls/callcodec.h
+++ b/packages/gateway/calls/callcodec.h
@@ -29,13 +29,16 @@
     std::optional<std::uint64_t> lastEvent;
 };
 
-/** A copy of a run's memory on a server. */
+/** Names a copy of a run's memory to the server that holds it. */
 struct MemoryCopy
 {
-    /** The address of the server that holds it, "IP:port". */
+    /**
+     * For a backup, the address of the server that holds it; for a moved run, that of the server it
+     * comes from; "IP:port".
+     */
     std::string address;
-    /** The call whose run was copied. */
-    std::string requestId;
+    /** For a backup, the call whose run was copied; for a moved run, the move's handle. */
+    std::string name;
 };
 
 /** What the system tells a backend server about a call. */
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -63,6 +63,7 @@
             attempt.release();
             this->reportPartEnd(WorkOutcome::Completed);
             this->dropCopy();
+            this->dropMove();
             co_await this->responder.finish();
             co_return;
         }
@@ -77,8 +78,11 @@
         this->reportPartEnd(hasRun ? WorkOutcome::Failed : WorkOutcome::RefusedByServer);
         goesOn = partEnd == PartEnd::Lost && !this->call.isCallerGone
                 && this->partCount < maximumParts;
-        if (goesOn && hasRun && this->takeCopy())
-            continue;
+        if (goesOn && hasRun) {
+            const bool isMoved = co_await this->takeMovedRun();
+            if (isMoved || this->takeCopy())
+                continue;
+        }
         this->dropCopy();
         const AttemptOutcome outcome = isStream ? AttemptOutcome::Unknown : result.outcome;
         goesOn = goesOn && this->mayGoOn(outcome, result.response.status);
@@ -119,14 +123,34 @@
 {
     if (!this->copy || !this->services.servers.isUsable(this->copy->server))
         return false;
-    this->place = *std::exchange(this->copy, std::nullopt);
-    this->place.source = MemoryCopy{this->place.address, this->call.metadata.requestId};
+    StreamPlace next = *std::exchange(this->copy, std::nullopt);
+    next.source = MemoryCopy{next.address, this->call.metadata.requestId};
+    this->goOnAt(std::move(next));
+    return true;
+}
+
+/** Waits for the move of the run, if there is one. @return whether it goes on elsewhere. */
+net::awaitable<bool> EventRelay::takeMovedRun()
+{
+    if (!this->move)
+        co_return false;
+    const auto ended = std::exchange(this->move, nullptr);
+    auto next = co_await ended->finish();
+    if (!next)
+        co_return false;
+    this->dropCopy();
+    this->goOnAt(std::move(*next));
+    co_return true;
+}
+
+void EventRelay::goOnAt(StreamPlace next)
+{
+    this->place = std::move(next);
     this->services.dispatch.reportPromoted(this->place.name);
     this->services.budget.recordRepeat(this->call.service->name, this->services.clock.now());
     logEvent(LogEvent::StreamContinued, "request", this->call.metadata.requestId, "backend_server",
              this->place.server.toString(), "last_event",
              this->lastEvent ? std::to_string(*this->lastEvent) : std::string("none"));
-    return true;
 }
 
 net::awaitable<void> EventRelay::reserveCopy()
@@ -136,14 +160,21 @@
     WorkRequest work = this->call.work;
     work.name = RequestName(work.name.toString() + "/copy-" + std::to_string(this->partCount));
     work.avoided = {this->place.server};
-    const auto server = co_await this->services.dispatch.reserveCopy(work);
+    const auto server = co_await this->services.dispatch.reserveCopy(work, false);
     if (!server)
         co_return;
     const ServerEntry *entry = this->services.servers.find(*server);
     if (entry == nullptr)
         this->services.dispatch.releaseCopy(work.name);
     else
-        this->copy = Place{work.name, *server, entry->address, {}};
+        this->copy = StreamPlace{work.name, *server, entry->address, {}};
+}
+
+void EventRelay::dropMove()
+{
+    if (this->move)
+        this->move->abandon();
+    this->move.reset();
 }
 
 void EventRelay::dropCopy()
@@ -186,6 +217,8 @@
             co_return PartEnd::Deadline;
         if (this->isServerLeaving && this->canSwitch(now))
             co_return PartEnd::Lost;
+        if (this->isServerLeaving)
+            this->startMove();
         Error reason;
         const Milliseconds timeout = this->pauseTimeout(now);
         const auto bytes = co_await attempt.read(timeout, reason);
@@ -257,6 +290,7 @@
 net::awaitable<void> EventRelay::end()
 {
     this->dropCopy();
+    this->dropMove();
     if (this->hasStarted || this->call.isCallerGone) {
         if (!this->call.isCallerGone) {
             logEvent(LogEvent::StreamCut, "request", this->call.metadata.requestId,
@@ -278,6 +312,28 @@
     this->isServerLeaving = true;
     if (this->canSwitch(this->services.clock.now()))
         attempt.cancel();
+    else
+        this->startMove();
+}
+
+/** Moves the run unless it is still young, has a copy that survives or is on its way already. */
+void EventRelay::startMove()
+{
+    const EngineProperties *engine =
+            this->call.service->engine ? &*this->call.service->engine : nullptr;
+    const bool hasCopy = this->copy && this->services.servers.isUsable(this->copy->server);
+    if (this->move || hasCopy || !this->partFirstEventAt || engine == nullptr
+        || !engine->supportsMoves) {
+        return;
+    }
+    WorkRequest work = this->call.work;
+    work.name = RequestName(work.name.toString() + "/move-" + std::to_string(this->partCount));
+    work.avoided = {this->place.server};
+    if (this->copy)
+        work.avoided.push_back(this->copy->server);
+    this->move = std::make_shared<MemoryMove>(this->services, this->place, std::move(work),
+                                              this->call.metadata.requestId);
+    this->move->start();
 }
 
 void EventRelay::reportProgress(Milliseconds now)
--- a/packages/gateway/relay/eventrelay.h
+++ b/packages/gateway/relay/eventrelay.h
@@ -3,11 +3,13 @@
 #include "gateway/relay/backendattempt.h"
 #include "gateway/relay/eventsplitter.h"
 #include "gateway/relay/gatewayservices.h"
+#include "gateway/relay/memorymove.h"
 #include "gateway/relay/routedcall.h"
 
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -41,26 +43,21 @@
         CallerGone,
     };
 
-    /** Where the next part of the stream runs. */
-    struct Place
-    {
-        RequestName name;
-        BackendServerName server;
-        std::string address;
-        std::optional<MemoryCopy> source;
-    };
-
     boost::asio::awaitable<bool> placeAnew();
     bool takeCopy();
     boost::asio::awaitable<void> reserveCopy();
     void dropCopy();
+    void dropMove();
     boost::asio::awaitable<AttemptResult> startPart(BackendAttempt &attempt);
     boost::asio::awaitable<PartEnd> passOn(BackendAttempt &attempt);
     boost::asio::awaitable<bool> passOnEvents();
     boost::asio::awaitable<bool> sendHeader(const HttpResponse &response);
     boost::asio::awaitable<void> passOnAnswer(BackendAttempt &attempt, HttpResponse response);
     boost::asio::awaitable<void> end();
+    boost::asio::awaitable<bool> takeMovedRun();
+    void goOnAt(StreamPlace next);
     void leaveServer(BackendAttempt &attempt);
+    void startMove();
     void reportProgress(Milliseconds now);
     void reportPartEnd(WorkOutcome outcome);
     Milliseconds headerTimeout(Milliseconds now) const;
@@ -73,8 +70,11 @@
     HttpResponder &responder;
     AttemptHistory history;
     std::vector<BackendServerName> avoided;
-    Place place;
-    std::optional<Place> copy;
+    StreamPlace place;
+    /** Where the run's memory is copied as it grows. */
+    std::optional<StreamPlace> copy;
+    /** The move of the run, once its server is about to go and there is no copy. */
+    std::shared_ptr<MemoryMove> move;
     EventSplitter splitter;
     std::optional<std::uint64_t> lastEvent;
     std::uint32_t eventCount = 0;
--- a/packages/gateway/relay/gatewayservices.h
+++ b/packages/gateway/relay/gatewayservices.h
@@ -2,6 +2,7 @@
 
 #include "entry/entry.h"
 #include "gateway/calls/callcodec.h"
+#include "gateway/calls/enginecalls.h"
 #include "gateway/relay/activestreams.h"
 #include "gateway/relay/serverreachability.h"
 #include "gateway/servers/servercatalogue.h"
@@ -36,6 +37,8 @@
     ActiveStreams &streams;
     /** Translates headers. */
     CallCodec codec;
+    /** Calls to engines that no caller made. */
+    EngineCalls engines;
     /** Counts suspension. */
     Clock clock;
 };
--- a/packages/gateway/routes/route.h
+++ b/packages/gateway/routes/route.h
@@ -68,6 +68,8 @@
     std::uint32_t tokensPerEvent = 1;
     /** Whether a run's memory can be copied to another server as it grows. */
     bool supportsBackup = false;
+    /** Whether a run can be moved to another server. */
+    bool supportsMoves = false;
 };
 
 /** A service that calls are routed to. */
--- a/packages/observability/logging/logevent.cpp
+++ b/packages/observability/logging/logevent.cpp
@@ -57,6 +57,7 @@
         LogEventEntry{LogEvent::AttemptFailed, LogLevel::Info, "attempt_failed"},
         LogEventEntry{LogEvent::StreamContinued, LogLevel::Info, "stream_continued"},
         LogEventEntry{LogEvent::StreamCut, LogLevel::Warning, "stream_cut"},
+        LogEventEntry{LogEvent::MoveFailed, LogLevel::Info, "move_failed"},
 };
 
 } // namespace
--- a/packages/observability/logging/logevent.h
+++ b/packages/observability/logging/logevent.h
@@ -63,6 +63,7 @@
     AttemptFailed = 8012,
     StreamContinued = 8013,
     StreamCut = 8014,
+    MoveFailed = 8015,
 };
 
 /** An entry of the event catalogue. */
--- a/packages/policy/dispatch/dispatcher.cpp
+++ b/packages/policy/dispatch/dispatcher.cpp
@@ -221,11 +221,12 @@
     return work.isHedged && !query.isFurtherAttempt;
 }
 
-std::optional<BackendServerName> Dispatcher::reserveCopy(const WorkRequest &copy, Milliseconds now)
+std::optional<BackendServerName> Dispatcher::reserveCopy(const WorkRequest &copy, bool isUrgent,
+                                                         Milliseconds now)
 {
-    this->isPlacingCopy = true;
+    this->copyLimit = isUrgent ? movedRunMemoryLimit : copyMemoryLimit;
     const auto placement = this->pool.place(copy, now);
-    this->isPlacingCopy = false;
+    this->copyLimit.reset();
     if (!placement)
         return std::nullopt;
     this->copies.emplace(copy.name, Copy{copy, placement->server});
@@ -523,8 +524,8 @@
                                               const WorkRequest &request,
                                               std::span<const PlacementCandidate> candidates) const
 {
-    if (this->isPlacingCopy)
-        return chooseForCopy(request, candidates);
+    if (this->copyLimit)
+        return chooseForCopy(request, candidates, *this->copyLimit);
     const auto hedged = this->running.find(request.hedgeOf);
     if (hedged == this->running.end() && this->suspectServers.empty() && request.avoided.empty()
         && !this->isPlacingSuspect) {
--- a/packages/policy/dispatch/dispatcher.h
+++ b/packages/policy/dispatch/dispatcher.h
@@ -118,9 +118,11 @@
      *
      * @param copy describes the request; its name must not be in use, and avoided must hold the
      *     servers that the copy is to survive.
+     * @param isUrgent whether the request will go on there at once, so that more room may be used.
      * @return the engine, or nothing if none has room.
      */
-    std::optional<BackendServerName> reserveCopy(const WorkRequest &copy, Milliseconds now);
+    std::optional<BackendServerName> reserveCopy(const WorkRequest &copy, bool isUrgent,
+                                                 Milliseconds now);
     /** Turns a copy into a running request, as when its original was lost. */
     void promoteCopy(const RequestName &copy, Milliseconds now);
     /** Frees what a copy reserved; does nothing for an unknown one. */
@@ -229,7 +231,8 @@
     std::uint64_t refusalCount = 0;
     Milliseconds cleanedAt{0};
     bool isPlacingSuspect = false;
-    bool isPlacingCopy = false;
+    /** The memory share up to which a copy that is being placed may fill an engine. */
+    std::optional<double> copyLimit;
 };
 
 } // namespace sassafrasyard
--- a/packages/policy/placement/copyplacement.cpp
+++ b/packages/policy/placement/copyplacement.cpp
@@ -12,7 +12,8 @@
 } // namespace
 
 std::optional<std::size_t> chooseForCopy(const WorkRequest &request,
-                                         std::span<const PlacementCandidate> candidates)
+                                         std::span<const PlacementCandidate> candidates,
+                                         double memoryLimit)
 {
     std::optional<std::size_t> best;
     double leastCost = 0.0;
@@ -26,7 +27,7 @@
         const double share =
                 (candidate.memoryEstimate + candidate.memoryNeeded) / candidate.memoryTotal;
         const double cost = share + (candidate.isNear ? 0.0 : farPenalty);
-        if (share <= copyMemoryLimit && (!best || cost < leastCost)) {
+        if (share <= memoryLimit && (!best || cost < leastCost)) {
             best = index;
             leastCost = cost;
         }
