Start a stream's continuation before its engine is left

Cause: streams left their engine and were then refused by the engine that was to hold the copy, because a young run had none yet; runs whose copy's engine had left stayed without one.

Change: the continuation is started while the old engine still produces, and a refusal costs nothing; runs without a copy are kept copied by moves.

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -128,7 +128,6 @@
     HttpConnectionPool storeConnections;
     ServiceRetryBudget budget;
     ServerReachability reachability;
-    ActiveStreams streams;
     GatewayServices services;
     GatewayService gateway;
     StoreClient store;
@@ -157,17 +156,11 @@
     , storeConnections(this->context, this->clock)
     , budget(this->settings.retries)
     , reachability(this->dispatch, this->clock)
-    , services{this->context,
-               this->entry,
-               this->dispatch,
-               this->serving,
-               this->servers,
-               this->serverConnections,
-               this->budget,
-               this->reachability,
-               this->streams,
-               platformCallCodec(),
-               platformEngineCalls(this->serverConnections),
+    , services{this->context,       this->entry,
+               this->dispatch,      this->serving,
+               this->servers,       this->serverConnections,
+               this->budget,        this->reachability,
+               platformCallCodec(), platformEngineCalls(this->serverConnections),
                this->clock}
     , gateway(this->services)
     , store(this->settings.store, this->storeConnections)
@@ -223,9 +216,6 @@
                 this->dispatch.post([server](Dispatcher &dispatcher, Milliseconds) {
                     dispatcher.setLeaving(server, true);
                 });
-                // Several servers may go in one batch of changes; streams look for a place after
-                // it.
-                net::post(this->context, [this, server] { this->streams.notifyLeaving(server); });
             },
             [this] { this->publishServersSoon(); },
             [this](const BackendServerName &server) {
@@ -404,7 +394,6 @@
     this->entry.metrics.set("sassafrasyard_configuration_age_ms", {},
                             age(this->serving.configurationAge(now)));
     this->entry.metrics.set("sassafrasyard_servers_age_ms", {}, age(this->serving.serversAge(now)));
-    this->entry.metrics.set("sassafrasyard_streams", {}, static_cast<double>(this->streams.size()));
     this->checkSettings();
 }
 
--- a/packages/gateway/relay/backendattempt.cpp
+++ b/packages/gateway/relay/backendattempt.cpp
@@ -55,7 +55,7 @@
 
 BackendAttempt::~BackendAttempt()
 {
-    this->call.cancel = nullptr;
+    this->call.cancels.erase(this);
 }
 
 net::awaitable<AttemptResult> BackendAttempt::start(std::string address, ForwardingOrder order,
@@ -76,7 +76,7 @@
         result.failure = {ErrorCode::ConnectionFailed, RunState::NotRun, "the caller has left", {}};
         co_return result;
     }
-    this->call.cancel = [this] {
+    this->call.cancels[this] = [this] {
         this->cancel();
     };
     result = co_await this->exchange(order, timeout);
@@ -174,7 +174,7 @@
 
 void BackendAttempt::release()
 {
-    this->call.cancel = nullptr;
+    this->call.cancels.erase(this);
     this->services.connections.release(std::move(this->connection));
 }
 
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -21,8 +21,10 @@
 constexpr int silenceInTargets = 2;
 /** An engine copies a run's memory several times a second, so by then there is a copy. */
 constexpr Milliseconds copyAge{400};
+/** How often a stream without a copy looks for room for one. */
+constexpr Milliseconds protectInterval{1000};
 /** Parts of one stream; bounds what a request that crashes engines can do. */
-constexpr std::uint32_t maximumParts = 6;
+constexpr std::uint32_t maximumParts = 8;
 constexpr int streamStatus = 200;
 
 } // namespace
@@ -39,55 +41,30 @@
 {
     bool goesOn = co_await this->placeAnew();
     while (goesOn) {
-        ++this->partCount;
-        BackendAttempt attempt(this->services, this->call);
-        const AttemptResult result = co_await this->startPart(attempt);
-        this->history.record(result.outcome);
-        this->avoided.push_back(this->place.server);
-        const bool isStream = result.outcome == AttemptOutcome::Answered
-                && result.response.status == streamStatus;
-        PartEnd partEnd = PartEnd::Lost;
+        const AttemptResult result = co_await this->startPart();
+        const bool isAnswered = result.outcome == AttemptOutcome::Answered;
+        const bool isStream = isAnswered && result.response.status == streamStatus;
+        if (isAnswered && !isStream && !this->hasStarted
+            && !this->mayGoOn(result.outcome, result.response.status)) {
+            co_await this->passOnAnswer(result.response);
+            co_return;
+        }
+        ReadEnd readEnd = ReadEnd::Lost;
         if (isStream) {
             const bool isOpen = co_await this->sendHeader(result.response);
-            partEnd = PartEnd::CallerGone;
+            readEnd = ReadEnd::CallerGone;
             if (isOpen)
-                partEnd = co_await this->passOn(attempt);
-        } else if (result.outcome == AttemptOutcome::Answered && !this->hasStarted
-                   && !this->mayGoOn(result.outcome, result.response.status)) {
-            this->reportPartEnd(WorkOutcome::Completed);
-            this->dropCopy();
-            co_await this->passOnAnswer(attempt, result.response);
-            co_return;
+                readEnd = co_await this->passOn();
         }
-        if (partEnd == PartEnd::Complete) {
-            attempt.release();
-            this->reportPartEnd(WorkOutcome::Completed);
-            this->dropCopy();
-            this->dropMove();
-            co_await this->responder.finish();
+        if (readEnd == ReadEnd::Complete) {
+            co_await this->complete();
             co_return;
         }
-        attempt.cancel();
-        if (!isStream) {
-            this->failure = result.failure;
-            logEvent(LogEvent::AttemptFailed, "request", this->call.metadata.requestId,
-                     "backend_server", this->place.server.toString(), "outcome",
-                     toString(result.outcome), "detail", result.failure.detail);
-        }
-        const bool hasRun = result.outcome == AttemptOutcome::Unknown || isStream;
-        this->reportPartEnd(hasRun ? WorkOutcome::Failed : WorkOutcome::RefusedByServer);
-        goesOn = partEnd == PartEnd::Lost && !this->call.isCallerGone
-                && this->partCount < maximumParts;
-        if (goesOn && hasRun) {
-            const bool isMoved = co_await this->takeMovedRun();
-            if (isMoved || this->takeCopy())
-                continue;
-        }
-        this->dropCopy();
-        const AttemptOutcome outcome = isStream ? AttemptOutcome::Unknown : result.outcome;
-        goesOn = goesOn && this->mayGoOn(outcome, result.response.status);
-        if (goesOn)
-            goesOn = co_await this->placeAnew();
+        goesOn = false;
+        if (readEnd == ReadEnd::Lost && !this->call.isCallerGone)
+            goesOn = co_await this->findNextPart(result, isStream);
+        else
+            this->reportPartEnd(WorkOutcome::Cancelled);
     }
     co_await this->end();
 }
@@ -114,141 +91,70 @@
                          refusedRetryAfter};
         co_return false;
     }
-    co_await this->reserveCopy();
-    co_return true;
-}
-
-/** Goes on where the run's memory was copied to. @return whether there is such a place. */
-bool EventRelay::takeCopy()
-{
-    if (!this->copy || !this->services.servers.isUsable(this->copy->server))
-        return false;
-    StreamPlace next = *std::exchange(this->copy, std::nullopt);
-    next.source = MemoryCopy{next.address, this->call.metadata.requestId};
-    this->goOnAt(std::move(next));
-    return true;
-}
-
-/** Waits for the move of the run, if there is one. @return whether it goes on elsewhere. */
-net::awaitable<bool> EventRelay::takeMovedRun()
-{
-    if (!this->move)
-        co_return false;
-    const auto ended = std::exchange(this->move, nullptr);
-    auto next = co_await ended->finish();
-    if (!next)
-        co_return false;
-    this->dropCopy();
-    this->goOnAt(std::move(*next));
     co_return true;
 }
 
-void EventRelay::goOnAt(StreamPlace next)
-{
-    this->place = std::move(next);
-    this->services.dispatch.reportPromoted(this->place.name);
-    this->services.budget.recordRepeat(this->call.service->name, this->services.clock.now());
-    logEvent(LogEvent::StreamContinued, "request", this->call.metadata.requestId, "backend_server",
-             this->place.server.toString(), "last_event",
-             this->lastEvent ? std::to_string(*this->lastEvent) : std::string("none"));
-}
-
-net::awaitable<void> EventRelay::reserveCopy()
+net::awaitable<AttemptResult> EventRelay::startPart()
 {
-    if (!this->call.service->engine || !this->call.service->engine->supportsBackup)
-        co_return;
-    WorkRequest work = this->call.work;
-    work.name = RequestName(work.name.toString() + "/copy-" + std::to_string(this->partCount));
-    work.avoided = {this->place.server};
-    const auto server = co_await this->services.dispatch.reserveCopy(work, false);
-    if (!server)
-        co_return;
-    const ServerEntry *entry = this->services.servers.find(*server);
-    if (entry == nullptr)
-        this->services.dispatch.releaseCopy(work.name);
-    else
-        this->copy = StreamPlace{work.name, *server, entry->address, {}};
-}
-
-void EventRelay::dropMove()
-{
-    if (this->move)
-        this->move->abandon();
-    this->move.reset();
-}
-
-void EventRelay::dropCopy()
-{
-    if (this->copy)
-        this->services.dispatch.releaseCopy(this->copy->name);
-    this->copy.reset();
-}
-
-net::awaitable<AttemptResult> EventRelay::startPart(BackendAttempt &attempt)
-{
-    if (this->place.source && !this->copy)
-        co_await this->reserveCopy();
+    ++this->partCount;
+    if (!this->copy)
+        co_await this->reserveCopy(this->place);
     const Milliseconds now = this->services.clock.now();
-    ForwardingOrder order;
-    order.server = this->place.server;
-    order.patience = this->call.timeLeft(now);
-    order.account = this->call.work.account;
-    order.lastEvent = this->lastEvent;
-    order.source = this->place.source;
-    if (this->copy)
-        order.backupAddress = this->copy->address;
     this->splitter.clear();
     this->partFirstEventAt.reset();
-    this->isServerLeaving = false;
+    this->attempt = std::make_unique<BackendAttempt>(this->services, this->call);
+    const ForwardingOrder order = this->makeOrder(this->place, now);
     const Milliseconds timeout = this->headerTimeout(now);
-    co_return co_await attempt.start(this->place.address, order, timeout);
+    const AttemptResult result = co_await this->attempt->start(this->place.address, order, timeout);
+    this->history.record(result.outcome);
+    this->avoided.push_back(this->place.server);
+    if (result.outcome != AttemptOutcome::Answered) {
+        this->failure = result.failure;
+        logEvent(LogEvent::AttemptFailed, "request", this->call.metadata.requestId,
+                 "backend_server", this->place.server.toString(), "outcome",
+                 toString(result.outcome), "detail", result.failure.detail);
+    }
+    co_return result;
 }
 
-net::awaitable<EventRelay::PartEnd> EventRelay::passOn(BackendAttempt &attempt)
+net::awaitable<EventRelay::ReadEnd> EventRelay::passOn()
 {
-    const ActiveStreams::Registration registration(
-            this->services.streams, this->place.server,
-            [this, &attempt] { this->leaveServer(attempt); });
-    if (!this->services.servers.isUsable(this->place.server))
-        this->isServerLeaving = true;
     while (true) {
         const Milliseconds now = this->services.clock.now();
         if (this->call.timeLeft(now) <= Milliseconds(0))
-            co_return PartEnd::Deadline;
-        if (this->isServerLeaving && this->canSwitch(now))
-            co_return PartEnd::Lost;
-        if (this->isServerLeaving)
-            this->startMove();
+            co_return ReadEnd::Deadline;
+        if (this->services.servers.isUsable(this->place.server))
+            this->protect(now);
+        else
+            co_await this->prepareToLeave(now);
         Error reason;
         const Milliseconds timeout = this->pauseTimeout(now);
-        const auto bytes = co_await attempt.read(timeout, reason);
+        const auto bytes = co_await this->attempt->read(timeout, reason);
         if (this->call.isCallerGone)
-            co_return PartEnd::CallerGone;
+            co_return ReadEnd::CallerGone;
         if (!bytes) {
+            const bool isSwitched = co_await this->switchToTakeover();
+            if (isSwitched)
+                continue;
             this->failure = reason;
             const bool isOver = this->call.timeLeft(this->services.clock.now()) <= Milliseconds(0);
-            co_return isOver ? PartEnd::Deadline : PartEnd::Lost;
+            co_return isOver ? ReadEnd::Deadline : ReadEnd::Lost;
         }
         const bool isComplete = bytes->empty();
         this->splitter.append(*bytes);
-        const bool isTaken = co_await this->passOnEvents();
+        bool isTaken = co_await this->passOnEvents();
+        if (isTaken && isComplete)
+            isTaken = co_await this->passOnRemainder();
         if (!isTaken)
-            co_return PartEnd::CallerGone;
-        if (!isComplete)
-            continue;
-        // A complete body may end without a blank line; its last bytes are the server's own.
-        if (!this->splitter.remainder().empty()) {
-            const bool isLastTaken = co_await this->responder.write(this->splitter.remainder());
-            if (!isLastTaken)
-                co_return PartEnd::CallerGone;
-        }
-        co_return PartEnd::Complete;
+            co_return ReadEnd::CallerGone;
+        if (isComplete)
+            co_return ReadEnd::Complete;
     }
 }
 
 net::awaitable<bool> EventRelay::passOnEvents()
 {
-    const EventBatch batch = this->splitter.takeEvents();
+    const EventBatch batch = this->splitter.takeEvents(this->lastEvent);
     if (batch.count == 0)
         co_return true;
     const Milliseconds now = this->services.clock.now();
@@ -261,36 +167,80 @@
     co_return co_await this->responder.write(batch.bytes);
 }
 
+/** A complete body may end without a blank line; its last bytes are the server's own. */
+net::awaitable<bool> EventRelay::passOnRemainder()
+{
+    if (this->splitter.remainder().empty())
+        co_return true;
+    co_return co_await this->responder.write(this->splitter.remainder());
+}
+
 net::awaitable<bool> EventRelay::sendHeader(const HttpResponse &response)
 {
     if (this->hasStarted)
         co_return true;
     this->hasStarted = true;
-    co_return co_await this->responder.startStream(response.status,
-                                                   withoutHopFields(response.headers));
+    HttpHeaders headers = withoutHopFields(response.headers);
+    co_return co_await this->responder.startStream(response.status, std::move(headers));
 }
 
 /** Passes on an answer that is no stream. */
-net::awaitable<void> EventRelay::passOnAnswer(BackendAttempt &attempt, HttpResponse response)
+net::awaitable<void> EventRelay::passOnAnswer(HttpResponse response)
 {
+    this->reportPartEnd(WorkOutcome::Completed);
     const Milliseconds left =
             std::max(Milliseconds(1), this->call.timeLeft(this->services.clock.now()));
-    auto body = co_await attempt.readAll(left, this->failure);
+    auto body = co_await this->attempt->readAll(left, this->failure);
     if (!body) {
         co_await this->end();
         co_return;
     }
-    attempt.release();
+    this->attempt->release();
+    this->dropCopy();
     response.headers = withoutHopFields(response.headers);
     response.body = std::move(*body);
     co_await this->responder.send(std::move(response));
 }
 
+/** Looks for a place where the stream goes on after a part that was lost or did not begin. */
+net::awaitable<bool> EventRelay::findNextPart(const AttemptResult &result, bool wasStream)
+{
+    this->attempt->cancel();
+    const bool hasRun = wasStream || result.outcome == AttemptOutcome::Unknown;
+    this->reportPartEnd(hasRun ? WorkOutcome::Failed : WorkOutcome::RefusedByServer);
+    if (this->partCount >= maximumParts)
+        co_return false;
+    if (hasRun) {
+        const bool isMoved = co_await this->takeMovedRun();
+        if (isMoved || this->takeCopy())
+            co_return true;
+    }
+    this->dropCopy();
+    this->dropMove();
+    const AttemptOutcome outcome = wasStream ? AttemptOutcome::Unknown : result.outcome;
+    if (!this->mayGoOn(outcome, result.response.status))
+        co_return false;
+    co_return co_await this->placeAnew();
+}
+
+net::awaitable<void> EventRelay::complete()
+{
+    this->attempt->release();
+    this->reportPartEnd(WorkOutcome::Completed);
+    this->dropCopy();
+    this->dropMove();
+    co_await this->responder.finish();
+    co_await this->dropTakeover();
+}
+
 /** Ends a call whose stream is not complete. */
 net::awaitable<void> EventRelay::end()
 {
+    if (this->attempt)
+        this->attempt->cancel();
     this->dropCopy();
     this->dropMove();
+    co_await this->dropTakeover();
     if (this->hasStarted || this->call.isCallerGone) {
         if (!this->call.isCallerGone) {
             logEvent(LogEvent::StreamCut, "request", this->call.metadata.requestId,
@@ -306,42 +256,209 @@
     co_await this->responder.send(this->services.codec.formatError(error));
 }
 
-/** Called while the relay reads; the read then fails if the run can go on elsewhere. */
-void EventRelay::leaveServer(BackendAttempt &attempt)
+ForwardingOrder EventRelay::makeOrder(const StreamPlace &at, Milliseconds now) const
+{
+    ForwardingOrder order;
+    order.server = at.server;
+    order.patience = this->call.timeLeft(now);
+    order.account = this->call.work.account;
+    order.lastEvent = this->lastEvent;
+    order.source = at.source;
+    if (this->copy && this->copy->server != at.server)
+        order.backupAddress = this->copy->address;
+    return order;
+}
+
+/** Describes a further copy of the run to the dispatcher. */
+WorkRequest EventRelay::copyWork(std::string_view purpose)
 {
-    this->isServerLeaving = true;
-    if (this->canSwitch(this->services.clock.now()))
-        attempt.cancel();
+    WorkRequest work = this->call.work;
+    work.name = RequestName(work.name.toString() + "/" + std::string(purpose) + "-"
+                            + std::to_string(++this->copyCount));
+    return work;
+}
+
+/** Reserves room for a copy that grows with a run. */
+net::awaitable<void> EventRelay::reserveCopy(const StreamPlace &of)
+{
+    if (this->engine() == nullptr || !this->engine()->supportsBackup)
+        co_return;
+    WorkRequest work = this->copyWork("copy");
+    work.avoided = {of.server, this->place.server};
+    const auto server = co_await this->services.dispatch.reserveCopy(work, false);
+    if (!server)
+        co_return;
+    const ServerEntry *entry = this->services.servers.find(*server);
+    if (entry == nullptr)
+        this->services.dispatch.releaseCopy(work.name);
     else
-        this->startMove();
+        this->copy = StreamPlace{work.name, *server, entry->address, {}};
+}
+
+bool EventRelay::isCopyUsable() const
+{
+    return this->copy && this->services.servers.isUsable(this->copy->server);
+}
+
+void EventRelay::dropCopy()
+{
+    if (this->copy)
+        this->services.dispatch.releaseCopy(this->copy->name);
+    this->copy.reset();
+}
+
+void EventRelay::dropMove()
+{
+    if (this->move)
+        this->move->abandon();
+    this->move.reset();
+}
+
+/** The takeover refers to the call, so it must have ended before the call does. */
+net::awaitable<void> EventRelay::dropTakeover()
+{
+    if (!this->takeover)
+        co_return;
+    const auto dropped = std::exchange(this->takeover, nullptr);
+    dropped->cancel();
+    co_await dropped->finish();
+    dropped->cancel();
+    this->services.dispatch.releaseCopy(dropped->place().name);
+    // It was for the continuation and holds nothing.
+    this->dropCopy();
+}
+
+/** Goes on where the run's memory was copied to. @return whether there is such a place. */
+bool EventRelay::takeCopy()
+{
+    if (!this->isCopyUsable())
+        return false;
+    StreamPlace next = *std::exchange(this->copy, std::nullopt);
+    next.source = MemoryCopy{next.address, this->call.metadata.requestId};
+    this->goOnAt(std::move(next));
+    return true;
+}
+
+/** Waits for the move of the run, if there is one. @return whether it goes on elsewhere. */
+net::awaitable<bool> EventRelay::takeMovedRun()
+{
+    if (!this->move)
+        co_return false;
+    const auto ended = std::exchange(this->move, nullptr);
+    ended->reportLost();
+    auto next = co_await ended->finish();
+    if (!next)
+        co_return false;
+    this->dropCopy();
+    this->goOnAt(std::move(*next));
+    co_return true;
+}
+
+void EventRelay::goOnAt(StreamPlace next)
+{
+    this->place = std::move(next);
+    this->services.dispatch.reportPromoted(this->place.name);
+    this->services.budget.recordRepeat(this->call.service->name, this->services.clock.now());
+    logEvent(LogEvent::StreamContinued, "request", this->call.metadata.requestId, "backend_server",
+             this->place.server.toString(), "last_event",
+             this->lastEvent ? std::to_string(*this->lastEvent) : std::string("none"));
 }
 
-/** Moves the run unless it is still young, has a copy that survives or is on its way already. */
-void EventRelay::startMove()
+/** Sees to it that a run has a copy, by moves where it has no other one. */
+void EventRelay::protect(Milliseconds now)
 {
-    const EngineProperties *engine =
-            this->call.service->engine ? &*this->call.service->engine : nullptr;
-    const bool hasCopy = this->copy && this->services.servers.isUsable(this->copy->server);
-    if (this->move || hasCopy || !this->partFirstEventAt || engine == nullptr
-        || !engine->supportsMoves) {
+    if (this->isCopyUsable() || !this->partFirstEventAt
+        || now - *this->partFirstEventAt < protectInterval) {
         return;
     }
-    WorkRequest work = this->call.work;
-    work.name = RequestName(work.name.toString() + "/move-" + std::to_string(this->partCount));
+    if (this->move && (this->move->hasFailed() || this->move->isTargetLeaving()))
+        this->dropMove();
+    if (!this->move && now - this->protectedAt >= protectInterval)
+        this->startMove(false, now);
+}
+
+/** Lets a run whose engine is about to go continue elsewhere, if possible without a pause. */
+net::awaitable<void> EventRelay::prepareToLeave(Milliseconds now)
+{
+    if (this->takeover && this->takeover->hasFailed())
+        co_await this->dropTakeover();
+    if (this->takeover || !this->partFirstEventAt)
+        co_return;
+    if (this->isCopyUsable()) {
+        if (now - *this->partFirstEventAt >= copyAge)
+            co_await this->startTakeover(now);
+        co_return;
+    }
+    if (this->move && (this->move->hasFailed() || this->move->isTargetLeaving()))
+        this->dropMove();
+    if (this->move)
+        this->move->requestFinal();
+    else if (now - this->protectedAt >= progressInterval)
+        this->startMove(true, now);
+}
+
+net::awaitable<void> EventRelay::startTakeover(Milliseconds now)
+{
+    StreamPlace next = *std::exchange(this->copy, std::nullopt);
+    next.source = MemoryCopy{next.address, this->call.metadata.requestId};
+    // The continued run gets a copy of its own from the start.
+    co_await this->reserveCopy(next);
+    const ForwardingOrder order = this->makeOrder(next, now);
+    const Milliseconds timeout =
+            std::min(std::max(Milliseconds(1), this->call.timeLeft(now)), shortestSilence);
+    this->takeover = std::make_shared<StreamTakeover>(this->services, this->call, std::move(next),
+                                                      order, [this] { this->wakeUp(); });
+    this->takeover->start(timeout);
+}
+
+/** Goes on with the continuation that a takeover started. @return whether there is one. */
+net::awaitable<bool> EventRelay::switchToTakeover()
+{
+    if (!this->takeover)
+        co_return false;
+    const bool isReady = co_await this->takeover->finish();
+    if (!isReady) {
+        co_await this->dropTakeover();
+        co_return false;
+    }
+    const auto ready = std::exchange(this->takeover, nullptr);
+    this->attempt->cancel();
+    this->reportPartEnd(WorkOutcome::Cancelled);
+    this->attempt = ready->takeAttempt();
+    this->goOnAt(ready->place());
+    this->dropMove();
+    ++this->partCount;
+    this->splitter.clear();
+    this->partFirstEventAt.reset();
+    co_return true;
+}
+
+void EventRelay::startMove(bool isUrgent, Milliseconds now)
+{
+    this->protectedAt = now;
+    if (this->engine() == nullptr || !this->engine()->supportsMoves)
+        return;
+    this->dropCopy();
+    WorkRequest work = this->copyWork("move");
     work.avoided = {this->place.server};
-    if (this->copy)
-        work.avoided.push_back(this->copy->server);
     this->move = std::make_shared<MemoryMove>(this->services, this->place, std::move(work),
-                                              this->call.metadata.requestId);
-    this->move->start();
+                                              this->call.metadata.requestId,
+                                              this->engine()->copyLifetime / 2);
+    this->move->start(isUrgent);
+}
+
+/** Called when a takeover is decided: a read from the engine before it ends, if it goes on. */
+void EventRelay::wakeUp()
+{
+    if (this->takeover && !this->takeover->hasFailed())
+        this->attempt->cancel();
 }
 
 void EventRelay::reportProgress(Milliseconds now)
 {
     if (this->reportedEvents > 0 && now - this->reportedAt < progressInterval)
         return;
-    const std::uint32_t perEvent =
-            this->call.service->engine ? this->call.service->engine->tokensPerEvent : 1;
+    const std::uint32_t perEvent = this->engine() == nullptr ? 1 : this->engine()->tokensPerEvent;
     if (this->reportedEvents == 0)
         this->services.dispatch.reportFirstToken(this->place.name);
     this->services.dispatch.reportProgress(this->place.name, this->eventCount * perEvent);
@@ -364,10 +481,11 @@
 
 Milliseconds EventRelay::pauseTimeout(Milliseconds now) const
 {
-    const Milliseconds left = std::max(Milliseconds(1), this->call.timeLeft(now));
     if (!this->partFirstEventAt)
         return this->headerTimeout(now);
-    const bool hasOther = this->copy.has_value() || this->call.route->isResumable;
+    const Milliseconds left = std::max(Milliseconds(1), this->call.timeLeft(now));
+    const bool hasOther =
+            this->isCopyUsable() || this->takeover || this->move || this->call.route->isResumable;
     const Milliseconds silence =
             std::max(shortestSilence, silenceInPauses * this->call.route->targetPause);
     return hasOther ? std::min(left, silence) : left;
@@ -389,10 +507,9 @@
             || this->services.budget.tryRepeat(this->call.service->name, now);
 }
 
-bool EventRelay::canSwitch(Milliseconds now) const
+const EngineProperties *EventRelay::engine() const
 {
-    return this->copy && this->partFirstEventAt && now - *this->partFirstEventAt >= copyAge
-            && this->services.servers.isUsable(this->copy->server);
+    return this->call.service->engine ? &*this->call.service->engine : nullptr;
 }
 
 } // namespace sassafrasyard
--- a/packages/gateway/relay/eventrelay.h
+++ b/packages/gateway/relay/eventrelay.h
@@ -5,13 +5,14 @@
 #include "gateway/relay/gatewayservices.h"
 #include "gateway/relay/memorymove.h"
 #include "gateway/relay/routedcall.h"
+#include "gateway/relay/streamplace.h"
+#include "gateway/relay/streamtakeover.h"
 
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
 #include <memory>
 #include <optional>
-#include <string>
 #include <vector>
 
 namespace sassafrasyard {
@@ -35,8 +36,8 @@
     boost::asio::awaitable<void> run();
 
 private:
-    /** How one server's part of the stream ended. */
-    enum class PartEnd {
+    /** How the reading of a stream ended. */
+    enum class ReadEnd {
         Complete,
         Lost,
         Deadline,
@@ -44,26 +45,39 @@
     };
 
     boost::asio::awaitable<bool> placeAnew();
-    bool takeCopy();
-    boost::asio::awaitable<void> reserveCopy();
-    void dropCopy();
-    void dropMove();
-    boost::asio::awaitable<AttemptResult> startPart(BackendAttempt &attempt);
-    boost::asio::awaitable<PartEnd> passOn(BackendAttempt &attempt);
+    boost::asio::awaitable<AttemptResult> startPart();
+    boost::asio::awaitable<ReadEnd> passOn();
     boost::asio::awaitable<bool> passOnEvents();
+    boost::asio::awaitable<bool> passOnRemainder();
     boost::asio::awaitable<bool> sendHeader(const HttpResponse &response);
-    boost::asio::awaitable<void> passOnAnswer(BackendAttempt &attempt, HttpResponse response);
+    boost::asio::awaitable<void> passOnAnswer(HttpResponse response);
+    boost::asio::awaitable<bool> findNextPart(const AttemptResult &result, bool wasStream);
+    boost::asio::awaitable<void> complete();
     boost::asio::awaitable<void> end();
+
+    ForwardingOrder makeOrder(const StreamPlace &at, Milliseconds now) const;
+    WorkRequest copyWork(std::string_view purpose);
+    boost::asio::awaitable<void> reserveCopy(const StreamPlace &of);
+    bool isCopyUsable() const;
+    void dropCopy();
+    void dropMove();
+    boost::asio::awaitable<void> dropTakeover();
+    bool takeCopy();
     boost::asio::awaitable<bool> takeMovedRun();
     void goOnAt(StreamPlace next);
-    void leaveServer(BackendAttempt &attempt);
-    void startMove();
+    void protect(Milliseconds now);
+    boost::asio::awaitable<void> prepareToLeave(Milliseconds now);
+    boost::asio::awaitable<void> startTakeover(Milliseconds now);
+    boost::asio::awaitable<bool> switchToTakeover();
+    void startMove(bool isUrgent, Milliseconds now);
+    void wakeUp();
+
     void reportProgress(Milliseconds now);
     void reportPartEnd(WorkOutcome outcome);
     Milliseconds headerTimeout(Milliseconds now) const;
     Milliseconds pauseTimeout(Milliseconds now) const;
     bool mayGoOn(AttemptOutcome outcome, int status);
-    bool canSwitch(Milliseconds now) const;
+    const EngineProperties *engine() const;
 
     GatewayServices &services;
     RoutedCall &call;
@@ -71,19 +85,23 @@
     AttemptHistory history;
     std::vector<BackendServerName> avoided;
     StreamPlace place;
+    std::unique_ptr<BackendAttempt> attempt;
     /** Where the run's memory is copied as it grows. */
     std::optional<StreamPlace> copy;
-    /** The move of the run, once its server is about to go and there is no copy. */
+    /** The start of the run's continuation at its copy, while its engine is about to go. */
+    std::shared_ptr<StreamTakeover> takeover;
+    /** A copy by moves, where there is no other, or the move of the run. */
     std::shared_ptr<MemoryMove> move;
     EventSplitter splitter;
     std::optional<std::uint64_t> lastEvent;
     std::uint32_t eventCount = 0;
     std::uint32_t reportedEvents = 0;
     Milliseconds reportedAt{0};
+    Milliseconds protectedAt{0};
     std::optional<Milliseconds> partFirstEventAt;
-    bool isServerLeaving = false;
     bool hasStarted = false;
     std::uint32_t partCount = 0;
+    std::uint32_t copyCount = 0;
     Error failure;
 };
 
--- a/packages/gateway/relay/eventsplitter.cpp
+++ b/packages/gateway/relay/eventsplitter.cpp
@@ -48,7 +48,7 @@
     this->buffer += bytes;
 }
 
-EventBatch EventSplitter::takeEvents()
+EventBatch EventSplitter::takeEvents(std::optional<std::uint64_t> after)
 {
     EventBatch batch;
     std::size_t taken = 0;
@@ -60,14 +60,17 @@
         const std::size_t length = firstEventLength(rest, from);
         if (length == 0)
             break;
-        const auto number = eventNumber(rest.substr(0, length));
+        const std::string_view event = rest.substr(0, length);
+        taken += length;
+        from = 0;
+        const auto number = eventNumber(event);
+        if (number && after && *number <= *after)
+            continue;
         if (number)
             batch.lastEvent = number;
         ++batch.count;
-        taken += length;
-        from = 0;
+        batch.bytes += event;
     }
-    batch.bytes = this->buffer.substr(0, taken);
     this->buffer.erase(0, taken);
     this->searchedTo = this->buffer.size();
     return batch;
--- a/packages/gateway/relay/eventsplitter.h
+++ b/packages/gateway/relay/eventsplitter.h
@@ -29,8 +29,12 @@
 public:
     /** Adds received bytes. */
     void append(std::string_view bytes);
-    /** Returns the whole events received since the last call; empty if there is none. */
-    EventBatch takeEvents();
+    /**
+     * Returns the whole events received since the last call; empty if there is none.
+     *
+     * @param after events with this number or a lower one are left out, as the caller has them.
+     */
+    EventBatch takeEvents(std::optional<std::uint64_t> after = {});
     /** Returns what was received after the last whole event. */
     const std::string &remainder() const;
     /** Drops what was received after the last whole event. */
--- a/packages/gateway/relay/gatewayservice.cpp
+++ b/packages/gateway/relay/gatewayservice.cpp
@@ -104,8 +104,7 @@
         RoutedCall &watched = *call;
         responder.setCallerGoneHook([&watched] {
             watched.isCallerGone = true;
-            if (watched.cancel)
-                watched.cancel();
+            watched.cancelAll();
         });
     }
     co_await this->run(*call, responder);
--- a/packages/gateway/relay/gatewayservices.h
+++ b/packages/gateway/relay/gatewayservices.h
@@ -3,7 +3,6 @@
 #include "entry/entry.h"
 #include "gateway/calls/callcodec.h"
 #include "gateway/calls/enginecalls.h"
-#include "gateway/relay/activestreams.h"
 #include "gateway/relay/serverreachability.h"
 #include "gateway/servers/servercatalogue.h"
 #include "gateway/state/servingstate.h"
@@ -33,8 +32,6 @@
     ServiceRetryBudget &budget;
     /** Which backend servers could be connected to. */
     ServerReachability &reachability;
-    /** The streams that are being relayed. */
-    ActiveStreams &streams;
     /** Translates headers. */
     CallCodec codec;
     /** Calls to engines that no caller made. */
--- a/packages/gateway/relay/memorymove.h
+++ b/packages/gateway/relay/memorymove.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gateway/relay/gatewayservices.h"
-#include "gateway/relay/routedcall.h"
+#include "gateway/relay/streamplace.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -9,28 +9,14 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace sassafrasyard {
 
-/** Where a part of a stream runs. */
-struct StreamPlace
-{
-    /** The name under which the dispatcher knows it. */
-    RequestName name;
-    /** The backend server. */
-    BackendServerName server;
-    /** The server's address, "IP:port". */
-    std::string address;
-    /** The copy of the run's memory that it goes on from. */
-    std::optional<MemoryCopy> source;
-};
-
 /**
- * Moves a run from an engine that is about to go to another one.
+ * Keeps a copy of a run's memory on another engine, and moves the run there when it has to go.
  *
- * The run continues during the first copy, which takes a while, and stops for the second, which
- * holds only what came in between. The move outlives the stream's relay where needed.
+ * The run continues while it is copied, which takes a while; only the last copy, which holds what
+ * came since the one before, stops it. Needs nothing of the stream's relay, which may end first.
  */
 class MemoryMove : public std::enable_shared_from_this<MemoryMove>
 {
@@ -40,31 +26,47 @@
      *
      * @param source where the run is.
      * @param work describes the run; its name is that of the copy.
+     * @param refreshInterval how often the copy is brought up to date, in milliseconds.
      */
     MemoryMove(GatewayServices &services, StreamPlace source, WorkRequest work,
-               std::string requestId);
+               std::string requestId, Milliseconds refreshInterval);
     MemoryMove(const MemoryMove &) = delete;
     MemoryMove &operator=(const MemoryMove &) = delete;
 
-    /** Starts the move. */
-    void start();
-    /** Waits for its end. @return where the run can go on, or nothing; the caller owns the place.
+    /** Starts to copy. @param isUrgent whether the run has to go at once. */
+    void start(bool isUrgent);
+    /** Moves the run after the copy in progress, if there is one. */
+    void requestFinal();
+    /** Tells the move that the run's engine is lost, so that only what was copied counts. */
+    void reportLost();
+    /** Waits for the end. @return where the run can go on, or nothing; the caller owns the place.
      */
     boost::asio::awaitable<std::optional<StreamPlace>> finish();
     /** Tells the move that its result is not wanted any more. */
     void abandon();
+    /** Returns whether it has ended without a copy. */
+    bool hasFailed() const;
+    /** Returns whether the copy's engine is about to go itself. */
+    bool isTargetLeaving() const;
 
 private:
-    boost::asio::awaitable<void> run();
-    boost::asio::awaitable<bool> copyTo(const ServerEntry &target);
+    boost::asio::awaitable<void> run(bool isUrgent);
+    boost::asio::awaitable<bool> copyTo(const ServerEntry &chosen);
+    boost::asio::awaitable<bool> copyOnce(bool isFinal);
+    boost::asio::awaitable<void> waitForRefresh();
+    bool isKept() const;
     void end();
 
     GatewayServices &services;
     StreamPlace source;
     WorkRequest work;
     std::string requestId;
+    Milliseconds refreshInterval;
+    boost::asio::steady_timer wake;
     boost::asio::steady_timer ended;
-    std::optional<StreamPlace> result;
+    std::optional<StreamPlace> target;
+    bool isFinalWanted = false;
+    bool isSourceLost = false;
     bool isAbandoned = false;
     bool hasEnded = false;
 };
--- a/packages/gateway/relay/routedcall.h
+++ b/packages/gateway/relay/routedcall.h
@@ -7,8 +7,10 @@
 #include "network/network.h"
 #include "policy/policy.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -35,8 +37,15 @@
     Milliseconds deadlineAt{0};
     /** Whether the caller has closed its connection. */
     bool isCallerGone = false;
-    /** Ends the exchange in progress; set while there is one. */
-    std::function<void()> cancel;
+    /** End the exchanges in progress. */
+    std::map<const void *, std::function<void()>> cancels;
+
+    /** Ends all exchanges in progress. */
+    void cancelAll() const
+    {
+        for (const auto &[owner, cancel] : this->cancels)
+            cancel();
+    }
 
     /** Returns the time left, in milliseconds; not below 0. */
     Milliseconds timeLeft(Milliseconds now) const
--- a/packages/gateway/relay/statusservice.cpp
+++ b/packages/gateway/relay/statusservice.cpp
@@ -85,7 +85,6 @@
     for (const MemberRecord &record : *members)
         state["members"].push_back(describe(record));
     state["active_requests"] = services.entry.activeRequests.load();
-    state["streams"] = services.streams.size();
     state["idle_connections"] = services.connections.idleCount();
     return state.dump(2);
 }
--- /dev/null
+++ b/packages/gateway/relay/streamtakeover.cpp
@@ -0,0 +1,82 @@
+#include "gateway/relay/streamtakeover.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace sassafrasyard {
+
+namespace net = boost::asio;
+
+StreamTakeover::StreamTakeover(GatewayServices &services, RoutedCall &call, StreamPlace place,
+                               ForwardingOrder order, std::function<void()> onEnd)
+    : call(call)
+    , target(std::move(place))
+    , order(std::move(order))
+    , onEnd(std::move(onEnd))
+    , attempt(std::make_unique<BackendAttempt>(services, call))
+    , ended(services.context, net::steady_timer::time_point::max())
+{
+}
+
+void StreamTakeover::start(Milliseconds timeout)
+{
+    net::co_spawn(
+            this->ended.get_executor(),
+            [self = this->shared_from_this(), timeout] { return self->run(timeout); },
+            net::detached);
+}
+
+net::awaitable<bool> StreamTakeover::finish()
+{
+    if (!this->hasEnded) {
+        boost::system::error_code ignored;
+        co_await this->ended.async_wait(net::redirect_error(net::use_awaitable, ignored));
+    }
+    co_return this->goesOn;
+}
+
+bool StreamTakeover::hasFailed() const
+{
+    return this->hasEnded && !this->goesOn;
+}
+
+void StreamTakeover::cancel()
+{
+    if (this->attempt)
+        this->attempt->cancel();
+}
+
+std::unique_ptr<BackendAttempt> StreamTakeover::takeAttempt()
+{
+    return std::move(this->attempt);
+}
+
+const StreamPlace &StreamTakeover::place() const
+{
+    return this->target;
+}
+
+net::awaitable<void> StreamTakeover::run(Milliseconds timeout)
+{
+    constexpr int streamStatus = 200;
+    const AttemptResult result =
+            co_await this->attempt->start(this->target.address, this->order, timeout);
+    this->goesOn =
+            result.outcome == AttemptOutcome::Answered && result.response.status == streamStatus;
+    if (!this->goesOn) {
+        this->attempt->cancel();
+        logEvent(LogEvent::AttemptFailed, "request", this->call.metadata.requestId,
+                 "backend_server", this->target.server.toString(), "outcome",
+                 toString(result.outcome), "detail", result.failure.detail);
+    }
+    this->hasEnded = true;
+    // Moving the expiry also ends a wait that has not begun yet; cancel() would miss it.
+    this->ended.expires_at(net::steady_timer::time_point::min());
+    this->onEnd();
+}
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/gateway/relay/streamtakeover.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "gateway/relay/backendattempt.h"
+#include "gateway/relay/gatewayservices.h"
+#include "gateway/relay/routedcall.h"
+#include "gateway/relay/streamplace.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace sassafrasyard {
+
+/**
+ * Starts a run's continuation on another engine while the engine before still produces events.
+ *
+ * A continuation that is refused then costs the stream nothing. The call must stay until finish()
+ * has returned.
+ */
+class StreamTakeover : public std::enable_shared_from_this<StreamTakeover>
+{
+public:
+    /** Creates a takeover that has not begun. @param onEnd is called once it is decided. */
+    StreamTakeover(GatewayServices &services, RoutedCall &call, StreamPlace place,
+                   ForwardingOrder order, std::function<void()> onEnd);
+    StreamTakeover(const StreamTakeover &) = delete;
+    StreamTakeover &operator=(const StreamTakeover &) = delete;
+
+    /** Starts it. @param timeout until the engine goes on, in milliseconds. */
+    void start(Milliseconds timeout);
+    /** Waits for its end. @return whether the stream goes on with takeAttempt(). */
+    boost::asio::awaitable<bool> finish();
+    /** Returns whether it has ended and the stream does not go on there. */
+    bool hasFailed() const;
+    /** Ends it. */
+    void cancel();
+    /** Returns the exchange with the engine. Call it once, after finish() has returned true. */
+    std::unique_ptr<BackendAttempt> takeAttempt();
+    /** Returns where the stream goes on. */
+    const StreamPlace &place() const;
+
+private:
+    boost::asio::awaitable<void> run(Milliseconds timeout);
+
+    RoutedCall &call;
+    StreamPlace target;
+    ForwardingOrder order;
+    std::function<void()> onEnd;
+    std::unique_ptr<BackendAttempt> attempt;
+    boost::asio::steady_timer ended;
+    bool hasEnded = false;
+    bool goesOn = false;
+};
+
+} // namespace sassafrasyard
--- a/packages/gateway/routes/route.h
+++ b/packages/gateway/routes/route.h
@@ -70,6 +70,8 @@
     bool supportsBackup = false;
     /** Whether a run can be moved to another server. */
     bool supportsMoves = false;
+    /** How long a server keeps a moved copy that is not asked for, in milliseconds. */
+    Milliseconds copyLifetime{5000};
 };
 
 /** A service that calls are routed to. */
