Copy only runs that can't start again, and wait for a continuation's first event

Cause: pauses at a switch came from last copies that queued behind others on the engines' links while the run was stopped, and from headers that arrive before a run is admitted; copies of short resumable streams filled memory and links.

Change: RunCopy replaces the stopping move by copies that are brought up to date while the run goes on; a takeover counts once its first bytes are there; resumable streams run again instead of being copied.

--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -158,6 +158,7 @@
     if (batch.count == 0)
         co_return true;
     const Milliseconds now = this->services.clock.now();
+    this->recordPause(now);
     if (!this->partFirstEventAt)
         this->partFirstEventAt = now;
     if (batch.lastEvent)
@@ -211,12 +212,12 @@
     if (this->partCount >= maximumParts)
         co_return false;
     if (hasRun) {
-        const bool isMoved = co_await this->takeMovedRun();
-        if (isMoved || this->takeCopy())
+        const bool isKept = co_await this->takeKeptCopy();
+        if (isKept || this->takeCopy())
             co_return true;
     }
     this->dropCopy();
-    this->dropMove();
+    this->dropKeptCopy();
     const AttemptOutcome outcome = wasStream ? AttemptOutcome::Unknown : result.outcome;
     if (!this->mayGoOn(outcome, result.response.status))
         co_return false;
@@ -228,8 +229,9 @@
     this->attempt->release();
     this->reportPartEnd(WorkOutcome::Completed);
     this->dropCopy();
-    this->dropMove();
+    this->dropKeptCopy();
     co_await this->responder.finish();
+    this->logEnd("complete");
     co_await this->dropTakeover();
 }
 
@@ -239,7 +241,7 @@
     if (this->attempt)
         this->attempt->cancel();
     this->dropCopy();
-    this->dropMove();
+    this->dropKeptCopy();
     co_await this->dropTakeover();
     if (this->hasStarted || this->call.isCallerGone) {
         if (!this->call.isCallerGone) {
@@ -248,6 +250,7 @@
                      std::to_string(this->eventCount), "detail", this->failure.detail);
         }
         this->responder.abort();
+        this->logEnd(this->call.isCallerGone ? "caller_gone" : "cut");
         co_return;
     }
     const Error error = finalError(this->history, this->failure);
@@ -281,7 +284,7 @@
 /** Reserves room for a copy that grows with a run. */
 net::awaitable<void> EventRelay::reserveCopy(const StreamPlace &of)
 {
-    if (this->engine() == nullptr || !this->engine()->supportsBackup)
+    if (!this->needsCopy() || !this->engine()->supportsBackup)
         co_return;
     WorkRequest work = this->copyWork("copy");
     work.avoided = {of.server, this->place.server};
@@ -295,6 +298,13 @@
         this->copy = StreamPlace{work.name, *server, entry->address, {}};
 }
 
+/** A resumable stream runs again where its engine is lost, so it takes no memory of a second one.
+ */
+bool EventRelay::needsCopy() const
+{
+    return this->engine() != nullptr && !this->call.route->isResumable;
+}
+
 bool EventRelay::isCopyUsable() const
 {
     return this->copy && this->services.servers.isUsable(this->copy->server);
@@ -307,11 +317,11 @@
     this->copy.reset();
 }
 
-void EventRelay::dropMove()
+void EventRelay::dropKeptCopy()
 {
-    if (this->move)
-        this->move->abandon();
-    this->move.reset();
+    if (this->keptCopy)
+        this->keptCopy->abandon();
+    this->keptCopy.reset();
 }
 
 /** The takeover refers to the call, so it must have ended before the call does. */
@@ -339,14 +349,13 @@
     return true;
 }
 
-/** Waits for the move of the run, if there is one. @return whether it goes on elsewhere. */
-net::awaitable<bool> EventRelay::takeMovedRun()
+/** Goes on at the copy that was kept up to date. @return whether there is one. */
+net::awaitable<bool> EventRelay::takeKeptCopy()
 {
-    if (!this->move)
+    if (!this->keptCopy)
         co_return false;
-    const auto ended = std::exchange(this->move, nullptr);
-    ended->reportLost();
-    auto next = co_await ended->finish();
+    const auto kept = std::exchange(this->keptCopy, nullptr);
+    auto next = co_await kept->waitAndTake();
     if (!next)
         co_return false;
     this->dropCopy();
@@ -364,20 +373,20 @@
              this->lastEvent ? std::to_string(*this->lastEvent) : std::string("none"));
 }
 
-/** Sees to it that a run has a copy, by moves where it has no other one. */
+/** Sees to it that a run has a copy. */
 void EventRelay::protect(Milliseconds now)
 {
     if (this->isCopyUsable() || !this->partFirstEventAt
         || now - *this->partFirstEventAt < protectInterval) {
         return;
     }
-    if (this->move && (this->move->hasFailed() || this->move->isTargetLeaving()))
-        this->dropMove();
-    if (!this->move && now - this->protectedAt >= protectInterval)
-        this->startMove(false, now);
+    if (this->keptCopy && this->keptCopy->hasFailed())
+        this->dropKeptCopy();
+    if (!this->keptCopy && now - this->protectedAt >= protectInterval)
+        this->startKeptCopy(false, now);
 }
 
-/** Lets a run whose engine is about to go continue elsewhere, if possible without a pause. */
+/** Lets a run whose engine is about to go continue elsewhere without a pause. */
 net::awaitable<void> EventRelay::prepareToLeave(Milliseconds now)
 {
     if (this->takeover && this->takeover->hasFailed())
@@ -385,30 +394,36 @@
     if (this->takeover || !this->partFirstEventAt)
         co_return;
     if (this->isCopyUsable()) {
-        if (now - *this->partFirstEventAt >= copyAge)
-            co_await this->startTakeover(now);
+        if (now - *this->partFirstEventAt < copyAge)
+            co_return;
+        StreamPlace next = *std::exchange(this->copy, std::nullopt);
+        next.source = MemoryCopy{next.address, this->call.metadata.requestId};
+        co_await this->startTakeover(std::move(next), now);
         co_return;
     }
-    if (this->move && (this->move->hasFailed() || this->move->isTargetLeaving()))
-        this->dropMove();
-    if (this->move)
-        this->move->requestFinal();
-    else if (now - this->protectedAt >= progressInterval)
-        this->startMove(true, now);
+    if (this->keptCopy && this->keptCopy->hasFailed())
+        this->dropKeptCopy();
+    if (this->keptCopy) {
+        auto next = this->keptCopy->take();
+        if (next) {
+            this->keptCopy.reset();
+            co_await this->startTakeover(std::move(*next), now);
+        }
+    } else if (now - this->protectedAt >= progressInterval) {
+        this->startKeptCopy(true, now);
+    }
 }
 
-net::awaitable<void> EventRelay::startTakeover(Milliseconds now)
+net::awaitable<void> EventRelay::startTakeover(StreamPlace next, Milliseconds now)
 {
-    StreamPlace next = *std::exchange(this->copy, std::nullopt);
-    next.source = MemoryCopy{next.address, this->call.metadata.requestId};
+    this->dropCopy();
     // The continued run gets a copy of its own from the start.
     co_await this->reserveCopy(next);
     const ForwardingOrder order = this->makeOrder(next, now);
-    const Milliseconds timeout =
-            std::min(std::max(Milliseconds(1), this->call.timeLeft(now)), shortestSilence);
+    const Milliseconds left = std::max(Milliseconds(1), this->call.timeLeft(now));
     this->takeover = std::make_shared<StreamTakeover>(this->services, this->call, std::move(next),
                                                       order, [this] { this->wakeUp(); });
-    this->takeover->start(timeout);
+    this->takeover->start(std::min(left, shortestSilence));
 }
 
 /** Goes on with the continuation that a takeover started. @return whether there is one. */
@@ -426,25 +441,26 @@
     this->reportPartEnd(WorkOutcome::Cancelled);
     this->attempt = ready->takeAttempt();
     this->goOnAt(ready->place());
-    this->dropMove();
+    this->dropKeptCopy();
     ++this->partCount;
     this->splitter.clear();
     this->partFirstEventAt.reset();
-    co_return true;
+    this->splitter.append(ready->firstBytes());
+    co_return co_await this->passOnEvents();
 }
 
-void EventRelay::startMove(bool isUrgent, Milliseconds now)
+void EventRelay::startKeptCopy(bool isUrgent, Milliseconds now)
 {
     this->protectedAt = now;
-    if (this->engine() == nullptr || !this->engine()->supportsMoves)
+    if (!this->needsCopy() || !this->engine()->supportsMoves)
         return;
     this->dropCopy();
-    WorkRequest work = this->copyWork("move");
+    WorkRequest work = this->copyWork("kept");
     work.avoided = {this->place.server};
-    this->move = std::make_shared<MemoryMove>(this->services, this->place, std::move(work),
-                                              this->call.metadata.requestId,
-                                              this->engine()->copyLifetime / 2);
-    this->move->start(isUrgent);
+    this->keptCopy = std::make_shared<RunCopy>(this->services, this->place, std::move(work),
+                                               this->call.metadata.requestId,
+                                               this->engine()->copyLifetime / 2);
+    this->keptCopy->start(isUrgent);
 }
 
 /** Called when a takeover is decided: a read from the engine before it ends, if it goes on. */
@@ -454,6 +470,32 @@
         this->attempt->cancel();
 }
 
+void EventRelay::recordPause(Milliseconds now)
+{
+    if (!this->eventAt) {
+        this->firstEventAfter = now - this->call.receivedAt;
+    } else if (now - *this->eventAt > this->longestPause) {
+        this->longestPause = now - *this->eventAt;
+        this->longestPauseBefore = this->lastEvent.value_or(0);
+        this->isPauseAtSwitch = !this->partFirstEventAt;
+    }
+    this->eventAt = now;
+}
+
+void EventRelay::logEnd(std::string_view outcome) const
+{
+    logEvent(LogEvent::CallAnswered, "request", this->call.metadata.requestId, "route",
+             this->call.route->name, "version", std::to_string(this->call.configuration->version),
+             "status", std::string(outcome), "elapsed_ms",
+             std::to_string((this->services.clock.now() - this->call.receivedAt).count()), "events",
+             std::to_string(this->eventCount), "first_event_ms",
+             std::to_string(this->firstEventAfter.count()), "longest_pause_ms",
+             std::to_string(this->longestPause.count()), "pause_after_event",
+             std::to_string(this->longestPauseBefore), "pause_at_switch",
+             std::string(this->isPauseAtSwitch ? "1" : "0"), "parts",
+             std::to_string(this->partCount), "backend_server", this->place.server.toString());
+}
+
 void EventRelay::reportProgress(Milliseconds now)
 {
     if (this->reportedEvents > 0 && now - this->reportedAt < progressInterval)
@@ -484,8 +526,8 @@
     if (!this->partFirstEventAt)
         return this->headerTimeout(now);
     const Milliseconds left = std::max(Milliseconds(1), this->call.timeLeft(now));
-    const bool hasOther =
-            this->isCopyUsable() || this->takeover || this->move || this->call.route->isResumable;
+    const bool hasOther = this->isCopyUsable() || this->takeover || this->keptCopy
+            || this->call.route->isResumable;
     const Milliseconds silence =
             std::max(shortestSilence, silenceInPauses * this->call.route->targetPause);
     return hasOther ? std::min(left, silence) : left;
--- a/packages/gateway/relay/eventrelay.h
+++ b/packages/gateway/relay/eventrelay.h
@@ -3,8 +3,8 @@
 #include "gateway/relay/backendattempt.h"
 #include "gateway/relay/eventsplitter.h"
 #include "gateway/relay/gatewayservices.h"
-#include "gateway/relay/memorymove.h"
 #include "gateway/relay/routedcall.h"
+#include "gateway/relay/runcopy.h"
 #include "gateway/relay/streamplace.h"
 #include "gateway/relay/streamtakeover.h"
 
@@ -58,20 +58,23 @@
     ForwardingOrder makeOrder(const StreamPlace &at, Milliseconds now) const;
     WorkRequest copyWork(std::string_view purpose);
     boost::asio::awaitable<void> reserveCopy(const StreamPlace &of);
+    bool needsCopy() const;
     bool isCopyUsable() const;
     void dropCopy();
-    void dropMove();
+    void dropKeptCopy();
     boost::asio::awaitable<void> dropTakeover();
     bool takeCopy();
-    boost::asio::awaitable<bool> takeMovedRun();
+    boost::asio::awaitable<bool> takeKeptCopy();
     void goOnAt(StreamPlace next);
     void protect(Milliseconds now);
     boost::asio::awaitable<void> prepareToLeave(Milliseconds now);
-    boost::asio::awaitable<void> startTakeover(Milliseconds now);
+    boost::asio::awaitable<void> startTakeover(StreamPlace next, Milliseconds now);
     boost::asio::awaitable<bool> switchToTakeover();
-    void startMove(bool isUrgent, Milliseconds now);
+    void startKeptCopy(bool isUrgent, Milliseconds now);
     void wakeUp();
 
+    void recordPause(Milliseconds now);
+    void logEnd(std::string_view outcome) const;
     void reportProgress(Milliseconds now);
     void reportPartEnd(WorkOutcome outcome);
     Milliseconds headerTimeout(Milliseconds now) const;
@@ -90,8 +93,8 @@
     std::optional<StreamPlace> copy;
     /** The start of the run's continuation at its copy, while its engine is about to go. */
     std::shared_ptr<StreamTakeover> takeover;
-    /** A copy by moves, where there is no other, or the move of the run. */
-    std::shared_ptr<MemoryMove> move;
+    /** A copy that is brought up to date at intervals, where none grows with the run. */
+    std::shared_ptr<RunCopy> keptCopy;
     EventSplitter splitter;
     std::optional<std::uint64_t> lastEvent;
     std::uint32_t eventCount = 0;
@@ -99,6 +102,12 @@
     Milliseconds reportedAt{0};
     Milliseconds protectedAt{0};
     std::optional<Milliseconds> partFirstEventAt;
+    /** When the last event was passed on, and the longest pause so far with what ended it. */
+    std::optional<Milliseconds> eventAt;
+    Milliseconds firstEventAfter{0};
+    Milliseconds longestPause{0};
+    std::uint64_t longestPauseBefore = 0;
+    bool isPauseAtSwitch = false;
     bool hasStarted = false;
     std::uint32_t partCount = 0;
     std::uint32_t copyCount = 0;
--- a/packages/gateway/relay/gatewayservice.cpp
+++ b/packages/gateway/relay/gatewayservice.cpp
@@ -115,23 +115,19 @@
     if (call.route->kind == CallKind::Stream) {
         EventRelay relay(this->services, call, responder);
         co_await relay.run();
-    } else {
-        CallRelay relay(this->services, call);
-        HttpResponse response = co_await relay.run();
-        const int status = response.status;
-        if (call.isCallerGone)
-            responder.abort();
-        else
-            co_await responder.send(std::move(response));
-        logEvent(LogEvent::CallAnswered, "request", call.metadata.requestId, "route",
-                 call.route->name, "version", std::to_string(call.configuration->version), "status",
-                 std::to_string(status), "elapsed_ms",
-                 std::to_string((this->services.clock.now() - call.receivedAt).count()));
         co_return;
     }
+    CallRelay relay(this->services, call);
+    HttpResponse response = co_await relay.run();
+    const int status = response.status;
+    if (call.isCallerGone)
+        responder.abort();
+    else
+        co_await responder.send(std::move(response));
     logEvent(LogEvent::CallAnswered, "request", call.metadata.requestId, "route", call.route->name,
-             "version", std::to_string(call.configuration->version), "status", "stream",
-             "elapsed_ms", std::to_string((this->services.clock.now() - call.receivedAt).count()));
+             "version", std::to_string(call.configuration->version), "status",
+             std::to_string(status), "elapsed_ms",
+             std::to_string((this->services.clock.now() - call.receivedAt).count()));
 }
 
 std::optional<RoutedCall> GatewayService::route(const HttpRequest &request, Error &reason)
--- /dev/null
+++ b/packages/gateway/relay/runcopy.cpp
@@ -0,0 +1,154 @@
+#include "gateway/relay/runcopy.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace sassafrasyard {
+
+namespace net = boost::asio;
+
+namespace {
+
+/** Copies queue on the engines' links; one that takes longer comes too late to be of use. */
+constexpr Milliseconds copyTimeout{4000};
+/** A target without room refuses at once, so another one is worth a try. */
+constexpr int maximumTargets = 2;
+
+} // namespace
+
+RunCopy::RunCopy(GatewayServices &services, StreamPlace source, WorkRequest work,
+                 std::string requestId, Milliseconds refreshInterval)
+    : services(services)
+    , source(std::move(source))
+    , work(std::move(work))
+    , requestId(std::move(requestId))
+    , refreshInterval(refreshInterval)
+    , wake(services.context)
+    , decided(services.context, net::steady_timer::time_point::max())
+{
+}
+
+void RunCopy::start(bool isUrgent)
+{
+    net::co_spawn(
+            this->services.context,
+            [self = this->shared_from_this(), isUrgent] { return self->run(isUrgent); },
+            net::detached);
+}
+
+std::optional<StreamPlace> RunCopy::take()
+{
+    if (!this->target || !this->target->source || !this->isTargetUsable())
+        return std::nullopt;
+    this->isEnding = true;
+    this->wake.cancel();
+    return std::exchange(this->target, std::nullopt);
+}
+
+net::awaitable<std::optional<StreamPlace>> RunCopy::waitAndTake()
+{
+    if (!this->isDecided) {
+        boost::system::error_code ignored;
+        co_await this->decided.async_wait(net::redirect_error(net::use_awaitable, ignored));
+    }
+    auto place = this->take();
+    if (!place)
+        this->abandon();
+    co_return place;
+}
+
+void RunCopy::abandon()
+{
+    this->isEnding = true;
+    this->wake.cancel();
+    // Before that, run() frees the place.
+    if (this->isDecided)
+        this->release();
+}
+
+bool RunCopy::hasFailed() const
+{
+    return this->isDecided && (!this->target || !this->isTargetUsable());
+}
+
+net::awaitable<void> RunCopy::run(bool isUrgent)
+{
+    for (int targets = 0; targets < maximumTargets && !this->isEnding; ++targets) {
+        const auto server = co_await this->services.dispatch.reserveCopy(this->work, isUrgent);
+        if (!server)
+            break;
+        const ServerEntry *entry = this->services.servers.find(*server);
+        bool isCopied = false;
+        if (entry != nullptr) {
+            const ServerEntry chosen = *entry;
+            isCopied = co_await this->copyTo(chosen);
+        }
+        if (isCopied)
+            break;
+        this->services.dispatch.releaseCopy(this->work.name);
+        this->target.reset();
+        this->work.avoided.push_back(*server);
+    }
+    this->isDecided = true;
+    // Moving the expiry also ends a wait that has not begun yet; cancel() would miss it.
+    this->decided.expires_at(net::steady_timer::time_point::min());
+    bool isUpdated = true;
+    while (isUpdated && this->target && !this->isEnding) {
+        co_await this->pause();
+        if (this->target && !this->isEnding && this->isTargetUsable())
+            isUpdated = co_await this->update();
+    }
+}
+
+/** @return whether the engine holds a first copy that somebody still wants. */
+net::awaitable<bool> RunCopy::copyTo(const ServerEntry &chosen)
+{
+    this->target = StreamPlace{this->work.name, chosen.name, chosen.address, {}};
+    const bool isCopied = co_await this->update();
+    if (isCopied && this->isEnding)
+        co_await this->services.engines.dropMemory(*this->target->source);
+    co_return isCopied && !this->isEnding;
+}
+
+/** Copies what is new. A failure leaves the copy before, which may still serve. */
+net::awaitable<bool> RunCopy::update()
+{
+    const MoveOrder order{this->source.address, this->target->address, this->requestId, false};
+    const BackendServerName name = this->target->server;
+    Error reason;
+    auto copy = co_await this->services.engines.moveMemory(order, copyTimeout, reason);
+    if (!copy) {
+        logEvent(LogEvent::MoveFailed, "request", this->requestId, "from",
+                 this->source.server.toString(), "to", name.toString(), "detail", reason.detail);
+        co_return false;
+    }
+    // The place may have been taken or freed meanwhile.
+    if (this->target)
+        this->target->source = std::move(copy);
+    co_return true;
+}
+
+net::awaitable<void> RunCopy::pause()
+{
+    this->wake.expires_after(this->refreshInterval);
+    boost::system::error_code ignored;
+    co_await this->wake.async_wait(net::redirect_error(net::use_awaitable, ignored));
+}
+
+bool RunCopy::isTargetUsable() const
+{
+    return this->target && this->services.servers.isUsable(this->target->server);
+}
+
+void RunCopy::release()
+{
+    if (!std::exchange(this->target, std::nullopt))
+        return;
+    this->services.dispatch.releaseCopy(this->work.name);
+}
+
+} // namespace sassafrasyard
--- a/packages/gateway/relay/streamtakeover.cpp
+++ b/packages/gateway/relay/streamtakeover.cpp
@@ -55,18 +55,34 @@
     return std::move(this->attempt);
 }
 
+const std::string &StreamTakeover::firstBytes() const
+{
+    return this->received;
+}
+
 const StreamPlace &StreamTakeover::place() const
 {
     return this->target;
 }
 
+/** The header may come long before the first event, while the engine before could go on. */
+net::awaitable<bool> StreamTakeover::readFirstBytes(Milliseconds timeout)
+{
+    Error ignored;
+    const auto bytes = co_await this->attempt->read(timeout, ignored);
+    if (!bytes || bytes->empty())
+        co_return false;
+    this->received = *bytes;
+    co_return true;
+}
+
 net::awaitable<void> StreamTakeover::run(Milliseconds timeout)
 {
     constexpr int streamStatus = 200;
     const AttemptResult result =
             co_await this->attempt->start(this->target.address, this->order, timeout);
-    this->goesOn =
-            result.outcome == AttemptOutcome::Answered && result.response.status == streamStatus;
+    if (result.outcome == AttemptOutcome::Answered && result.response.status == streamStatus)
+        this->goesOn = co_await this->readFirstBytes(timeout);
     if (!this->goesOn) {
         this->attempt->cancel();
         logEvent(LogEvent::AttemptFailed, "request", this->call.metadata.requestId,
--- a/packages/gateway/relay/streamtakeover.h
+++ b/packages/gateway/relay/streamtakeover.h
@@ -10,14 +10,15 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace sassafrasyard {
 
 /**
  * Starts a run's continuation on another engine while the engine before still produces events.
  *
- * A continuation that is refused then costs the stream nothing. The call must stay until finish()
- * has returned.
+ * A continuation that is refused then costs the stream nothing, and the stream does not pause while
+ * the other engine admits it. The call must stay until finish() has returned.
  */
 class StreamTakeover : public std::enable_shared_from_this<StreamTakeover>
 {
@@ -38,17 +39,21 @@
     void cancel();
     /** Returns the exchange with the engine. Call it once, after finish() has returned true. */
     std::unique_ptr<BackendAttempt> takeAttempt();
+    /** Returns the first bytes of the continuation. */
+    const std::string &firstBytes() const;
     /** Returns where the stream goes on. */
     const StreamPlace &place() const;
 
 private:
     boost::asio::awaitable<void> run(Milliseconds timeout);
+    boost::asio::awaitable<bool> readFirstBytes(Milliseconds timeout);
 
     RoutedCall &call;
     StreamPlace target;
     ForwardingOrder order;
     std::function<void()> onEnd;
     std::unique_ptr<BackendAttempt> attempt;
+    std::string received;
     boost::asio::steady_timer ended;
     bool hasEnded = false;
     bool goesOn = false;
