Place prompts where the fewest prompt tokens wait

Change: hosts count the prompt tokens that they sent and that have produced nothing, share them at once with a bounded number of peers, and the new prompt-queue placement takes the engine with the least ahead.

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -61,6 +61,7 @@
     // Routed calls carry no positions of ours; nothing is signed with this.
     settings.positionSecret = RandomSource::fromSystem().nextHex();
     settings.ioThreads = 1;
+    settings.placement = "prompt-queue";
     return settings;
 }
 
@@ -270,6 +271,7 @@
     hooks.recordLeaving = [](const std::vector<BackendServerName> &) {
     };
     hooks.sharesConfiguration = false;
+    hooks.sharesPromptsAtOnce = true;
     return hooks;
 }
 
--- a/packages/configuration/settings/settings.cpp
+++ b/packages/configuration/settings/settings.cpp
@@ -77,7 +77,8 @@
                           [](Settings &s, const std::string &v) {
                               s.operatorToken = v;
                           }},
-        SettingDefinition{"placement", "estimated, least-outstanding or round-robin", false,
+        SettingDefinition{"placement", "estimated, prompt-queue, least-outstanding or round-robin",
+                          false,
                           [](Settings &s, const std::string &v) {
                               s.placement = v;
                           }},
@@ -149,8 +150,8 @@
         checkAddress("join", address, faults);
     checkSecret("position-secret", settings.positionSecret, faults);
     checkSecret("operator-token", settings.operatorToken, faults);
-    checkChoice("placement", settings.placement, {"estimated", "least-outstanding", "round-robin"},
-                faults);
+    checkChoice("placement", settings.placement,
+                {"estimated", "prompt-queue", "least-outstanding", "round-robin"}, faults);
     checkChoice("log-level", settings.logLevel, {"debug", "info", "warning", "error"}, faults);
     if (settings.ioThreads < 1 || settings.ioThreads > maximumThreads)
         faults.push_back(fault("io-threads", "not a number from 1 to 64"));
--- a/packages/configuration/settings/settings.h
+++ b/packages/configuration/settings/settings.h
@@ -34,7 +34,7 @@
     std::string positionSecret;
     /** The operators' bearer token. */
     std::string operatorToken;
-    /** "estimated", "least-outstanding" or "round-robin". */
+    /** "estimated", "prompt-queue", "least-outstanding" or "round-robin". */
     std::string placement = "estimated";
     /** Threads for input and output. */
     int ioThreads = 2;
--- a/packages/entry/dispatch/dispatchservice.cpp
+++ b/packages/entry/dispatch/dispatchservice.cpp
@@ -23,6 +23,8 @@
         return roundRobinPlacement();
     if (settings.placement == "least-outstanding")
         return leastOutstandingPlacement();
+    if (settings.placement == "prompt-queue")
+        return promptQueuePlacement(seed);
     return estimatedLoadPlacement(seed);
 }
 
@@ -80,6 +82,7 @@
 
     void carryOut(const Assignment &assignment, const Decision &decision)
     {
+        this->notifyLoadChange();
         this->controls.emplace(assignment.request, std::make_shared<StreamControl>());
         this->answer(assignment.request, decision);
     }
@@ -114,8 +117,15 @@
             node.mapped()(decision);
     }
 
+    void notifyLoadChange() const
+    {
+        if (this->loadChangeHook)
+            this->loadChangeHook();
+    }
+
     EntryState &entry;
     Dispatcher dispatcher;
+    std::function<void()> loadChangeHook;
     std::unordered_map<RequestName, DecisionCallback> callbacks;
     std::unordered_map<RequestName, std::shared_ptr<StreamControl>> controls;
 };
@@ -203,11 +213,17 @@
 
 void DispatchService::reportFirstToken(const RequestName &request)
 {
-    this->post([request](Dispatcher &dispatcher, Milliseconds now) {
-        dispatcher.recordFirstToken(request, now);
+    this->owner->post([this, request](State &state) {
+        state.dispatcher.recordFirstToken(request, this->entry.steadyClock.now());
+        state.notifyLoadChange();
     });
 }
 
+void DispatchService::setLoadChangeHook(std::function<void()> hook)
+{
+    this->owner->post([hook = std::move(hook)](State &state) { state.loadChangeHook = hook; });
+}
+
 net::awaitable<bool> DispatchService::takeHedge(RequestName request)
 {
     const std::function<bool(State &)> job = [this, request](State &state) {
--- a/packages/entry/dispatch/dispatchservice.h
+++ b/packages/entry/dispatch/dispatchservice.h
@@ -70,6 +70,9 @@
     void reportFinished(const RequestName &request, WorkOutcome outcome);
     /** Runs a closure over the dispatcher, for reports of servers and peers. */
     void post(std::function<void(Dispatcher &, Milliseconds)> job);
+    /** Sets what is called, on any thread, when prompts were sent or read; it must return at once.
+     */
+    void setLoadChangeHook(std::function<void()> hook);
     /** Returns this host's load digest for its peers. */
     boost::asio::awaitable<PeerLoadDigest> loadDigest();
     /** Returns the quarantine records for peers. */
--- a/packages/entry/peers/gossipconversion.cpp
+++ b/packages/entry/peers/gossipconversion.cpp
@@ -8,8 +8,8 @@
     digest.host = HostName(gossip.loadHost);
     digest.sequence = gossip.loadSequence;
     for (const LoadEntryMessage &entry : gossip.load)
-        digest.entries.push_back(
-                {BackendServerName(entry.server), entry.running, entry.reservedTokens});
+        digest.entries.push_back({BackendServerName(entry.server), entry.running,
+                                  entry.reservedTokens, entry.pendingPromptTokens});
     digest.hasAccounts = true;
     for (const AccountUseMessage &use : gossip.accounts)
         digest.accounts.push_back(
@@ -33,7 +33,8 @@
     gossip.loadHost = digest.host.toString();
     gossip.loadSequence = digest.sequence;
     for (const PeerLoadEntry &entry : digest.entries)
-        gossip.load.push_back({entry.server.toString(), entry.running, entry.reservedTokens});
+        gossip.load.push_back({entry.server.toString(), entry.running, entry.reservedTokens,
+                               entry.pendingPromptTokens});
     for (const PeerAccountUse &use : digest.accounts)
         gossip.accounts.push_back({use.account.toString(), use.running, use.startsPerSecond});
 }
--- a/packages/entry/peers/loadexchange.cpp
+++ b/packages/entry/peers/loadexchange.cpp
@@ -2,12 +2,15 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <utility>
+
 namespace sassafrasyard {
 
 namespace net = boost::asio;
@@ -17,6 +20,10 @@
 constexpr Milliseconds sendInterval{250};
 constexpr Milliseconds sendTimeout{500};
 constexpr std::size_t peersPerTick = 4;
+/** Changes within this time share one update; an engine takes longer to read a prompt. */
+constexpr Milliseconds changeDelay{25};
+/** Bounds the traffic of an update at once; in a larger fleet each host tells a part of it. */
+constexpr std::size_t peersPerChange = 16;
 
 } // namespace
 
@@ -38,21 +45,43 @@
     net::steady_timer timer(co_await net::this_coro::executor);
     boost::system::error_code code;
     while (!code) {
-        const std::vector<std::string> peers = this->nextPeers();
-        if (!peers.empty()) {
-            const std::string update = co_await this->encodeUpdate();
-            for (const std::string &address : peers) {
-                net::co_spawn(
-                        this->strand,
-                        [this, address, update] { return this->sendTo(address, update); },
-                        net::detached);
-            }
-        }
+        co_await this->sendTo(this->nextPeers(peersPerTick));
         timer.expires_after(sendInterval);
         co_await timer.async_wait(net::redirect_error(net::use_awaitable, code));
     }
 }
 
+void LoadExchange::requestSend()
+{
+    net::post(this->strand, [this] {
+        if (std::exchange(this->isSendingSoon, true))
+            return;
+        net::co_spawn(
+                this->strand, [this] { return this->sendSoon(); }, net::detached);
+    });
+}
+
+net::awaitable<void> LoadExchange::sendSoon()
+{
+    net::steady_timer timer(co_await net::this_coro::executor, changeDelay);
+    boost::system::error_code code;
+    co_await timer.async_wait(net::redirect_error(net::use_awaitable, code));
+    this->isSendingSoon = false;
+    co_await this->sendTo(this->nextPeers(peersPerChange));
+}
+
+net::awaitable<void> LoadExchange::sendTo(std::vector<std::string> peers)
+{
+    if (peers.empty())
+        co_return;
+    const std::string update = co_await this->encodeUpdate();
+    for (const std::string &address : peers) {
+        net::co_spawn(
+                this->strand, [this, address, update] { return this->sendTo(address, update); },
+                net::detached);
+    }
+}
+
 net::awaitable<void> LoadExchange::sendTo(std::string address, std::string update)
 {
     // A peer that still has not taken the last update gets the next one after it.
@@ -71,7 +100,7 @@
     this->sending.erase(address);
 }
 
-std::vector<std::string> LoadExchange::nextPeers()
+std::vector<std::string> LoadExchange::nextPeers(std::size_t limit)
 {
     const auto known = this->entry.members();
     std::vector<std::string> peers;
@@ -85,7 +114,7 @@
                 && std::find(peers.begin(), peers.end(), pair.first) == peers.end();
     });
     std::vector<std::string> chosen;
-    const std::size_t count = std::min(peersPerTick, peers.size());
+    const std::size_t count = std::min(limit, peers.size());
     for (std::size_t index = 0; index < count; ++index)
         chosen.push_back(peers[this->nextIndex++ % peers.size()]);
     return chosen;
--- a/packages/entry/peers/loadexchange.h
+++ b/packages/entry/peers/loadexchange.h
@@ -37,11 +37,15 @@
 
     /** Starts sending. */
     void start();
+    /** Sends soon, to a bounded number of peers; safe from any thread. */
+    void requestSend();
 
 private:
     boost::asio::awaitable<void> sendPeriodically();
     boost::asio::awaitable<void> sendTo(std::string address, std::string update);
-    std::vector<std::string> nextPeers();
+    boost::asio::awaitable<void> sendTo(std::vector<std::string> peers);
+    boost::asio::awaitable<void> sendSoon();
+    std::vector<std::string> nextPeers(std::size_t limit);
 
     EntryState &entry;
     boost::asio::strand<boost::asio::io_context::executor_type> strand;
@@ -49,6 +53,7 @@
     std::map<std::string, std::unique_ptr<FrameConnection>> connections;
     std::set<std::string> sending;
     std::size_t nextIndex = 0;
+    bool isSendingSoon = false;
 };
 
 } // namespace sassafrasyard
--- a/packages/entry/peers/peerservice.cpp
+++ b/packages/entry/peers/peerservice.cpp
@@ -110,6 +110,8 @@
     , loadExchange(state, context, [this] { return this->encodeLoadUpdate(); })
 {
     state.publishMembers({selfRecord(state)});
+    if (this->hooks.sharesPromptsAtOnce)
+        dispatch.setLoadChangeHook([this] { this->loadExchange.requestSend(); });
 }
 
 bool PeerService::start(Error &reason)
--- a/packages/entry/peers/peerservice.h
+++ b/packages/entry/peers/peerservice.h
@@ -48,6 +48,8 @@
     std::function<boost::asio::awaitable<HttpResponse>(ServiceCall call)> runCall;
     /** Whether hosts compare revisions and pull configuration from each other. */
     bool sharesConfiguration = true;
+    /** Whether peers hear at once of prompts that were sent or read, not only at intervals. */
+    bool sharesPromptsAtOnce = false;
 };
 
 /** Talks to the other entry hosts: probes, gossip, configuration pulls and forwarded calls. */
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -276,6 +276,7 @@
 WorkRequest EventRelay::copyWork(std::string_view purpose)
 {
     WorkRequest work = this->call.work;
+    work.readsPrompt = false;
     work.name = RequestName(work.name.toString() + "/" + std::string(purpose) + "-"
                             + std::to_string(++this->copyCount));
     return work;
--- a/packages/policy/load/loadtracker.cpp
+++ b/packages/policy/load/loadtracker.cpp
@@ -163,6 +163,7 @@
         Server &server = this->servers[load.slot];
         server.peersRunning += sign * load.running;
         server.peersReserved += sign * load.reservedTokens;
+        server.peersPending += sign * load.pendingPromptTokens;
         if (isBaseline)
             this->shiftBaseline(load.slot, sign * load.running);
         else
--- a/packages/policy/load/loadtracker.h
+++ b/packages/policy/load/loadtracker.h
@@ -34,6 +34,8 @@
     std::uint32_t running = 0;
     /** Tokens of engine memory that the peer has reserved there. */
     std::uint32_t reservedTokens = 0;
+    /** Tokens of the peer's prompts that are still to be read there. */
+    std::uint32_t pendingPromptTokens = 0;
 };
 
 /** The estimated load of one server. */
@@ -45,6 +47,8 @@
     double othersMemory = 0.0;
     /** The memory that the server last reported to have, in tokens; 0 if unknown. */
     std::uint32_t reportedMemory = 0;
+    /** Tokens of peers' prompts that are still to be read there. */
+    double peersPendingPrompts = 0.0;
 };
 
 /**
@@ -108,6 +112,7 @@
         std::int64_t ownRunning = 0;
         std::int64_t peersRunning = 0;
         std::int64_t peersReserved = 0;
+        std::int64_t peersPending = 0;
         std::int64_t knownAtReport = 0;
         double reportedRunning = 0.0;
         double reportedOthersMemory = 0.0;
@@ -173,7 +178,7 @@
     return {std::max(blended, static_cast<double>(server.ownRunning)),
             std::max(weight * server.reportedOthersMemory,
                      static_cast<double>(server.peersReserved)),
-            server.memoryTotal};
+            server.memoryTotal, static_cast<double>(server.peersPending)};
 }
 
 } // namespace sassafrasyard
--- a/packages/policy/placement/copyplacement.h
+++ b/packages/policy/placement/copyplacement.h
@@ -11,7 +11,7 @@
  * The largest share of an engine's memory, with the copy, up to which it takes copies. Copies don't
  * yield, so beyond it they would make the engine preempt runs.
  */
-constexpr double copyMemoryLimit = 0.9;
+constexpr double copyMemoryLimit = 0.75;
 
 /** The same for a run that moves there: it needs the memory anyway. */
 constexpr double movedRunMemoryLimit = 1.0;
--- a/packages/policy/placement/placementpolicy.h
+++ b/packages/policy/placement/placementpolicy.h
@@ -23,6 +23,8 @@
     double memoryTotal = 0.0;
     /** Memory that the request would reserve there, in tokens. */
     double memoryNeeded = 0.0;
+    /** Tokens of prompts sent there that have produced nothing yet, as far as is known. */
+    double pendingPromptTokens = 0.0;
     /** This host's own outstanding requests there. */
     std::uint32_t ownRunning = 0;
     /** Whether the prompt's prefix is believed to be cached there. */
@@ -57,4 +59,17 @@
  */
 PlacementPolicy estimatedLoadPlacement(std::uint64_t seed);
 
+/**
+ * Returns a policy that keeps prompts from queuing behind each other.
+ *
+ * An engine reads prompts one after another, so a prompt that is sent to an engine with another one
+ * still to be read waits for it whatever else the engine's load is. The policy takes the engine
+ * with the least prompt tokens ahead, then the least decode load and memory; hosts must hear of
+ * each other's prompts sooner than one is read. Requests without a prompt are placed as by
+ * estimatedLoadPlacement().
+ *
+ * @param seed seed of the jitter that keeps hosts with the same view apart; hosts should differ.
+ */
+PlacementPolicy promptQueuePlacement(std::uint64_t seed);
+
 } // namespace sassafrasyard
--- a/packages/policy/pool/serverpool.cpp
+++ b/packages/policy/pool/serverpool.cpp
@@ -108,7 +108,8 @@
     slotLoads.reserve(digest.entries.size());
     for (const PeerLoadEntry &entry : digest.entries) {
         if (const auto slot = this->findSlot(entry.server))
-            slotLoads.push_back({*slot, entry.running, entry.reservedTokens});
+            slotLoads.push_back(
+                    {*slot, entry.running, entry.reservedTokens, entry.pendingPromptTokens});
     }
     ++this->version;
     this->loads.recordPeer(digest.host, digest.sequence, slotLoads, now);
@@ -133,6 +134,7 @@
             LengthEstimator::classOf(request.account, request.model, request.promptTokens);
     entry.promptTokens = request.promptTokens;
     entry.maximumTokens = request.maximumTokens;
+    entry.pendingTokens = request.readsPrompt ? request.promptTokens : 0;
     const double needed = static_cast<double>(entry.promptTokens) + this->expectedTotal(entry, now);
     if (this->isKnownRefusal(slots, needed, now))
         return std::nullopt;
@@ -165,6 +167,7 @@
     ++this->version;
     PlacedRequest &entry = known->second;
     ServerState &state = this->states[entry.slot];
+    this->endPending(entry);
     this->recordPace(entry, tokens, now);
     state.ownUsed += tokens - entry.produced;
     this->loads.recordOwn(entry.slot, state.ownRunning, state.ownUsed, now);
@@ -183,9 +186,10 @@
     const auto known = this->placed.find(request);
     if (known == this->placed.end())
         return;
-    const PlacedRequest entry = known->second;
+    PlacedRequest entry = known->second;
     ++this->version;
     this->placed.erase(known);
+    this->endPending(entry);
     ServerState &state = this->states[entry.slot];
     --state.ownRunning;
     state.ownReserved -= entry.reservedTokens;
@@ -210,7 +214,8 @@
         if (state.ownRunning == 0)
             continue;
         digest.entries.push_back({this->descriptions[slot].name, state.ownRunning,
-                                  clampTokens(static_cast<double>(state.ownReserved))});
+                                  clampTokens(static_cast<double>(state.ownReserved)),
+                                  clampTokens(static_cast<double>(state.ownPending))});
     }
     keepLargest(digest, this->options.digestLimit);
     return digest;
@@ -388,6 +393,7 @@
     ServerState &state = this->states[request.slot];
     ++state.ownRunning;
     state.ownUsed += request.promptTokens;
+    state.ownPending += request.pendingTokens;
     this->updateReservation(request, now);
     this->loads.recordOwn(request.slot, state.ownRunning, state.ownUsed, now);
     if (state.isEngine)
@@ -448,12 +454,20 @@
     candidate.memoryEstimate = used;
     candidate.memoryTotal = total;
     candidate.memoryNeeded = fitting;
+    candidate.pendingPromptTokens =
+            static_cast<double>(state.ownPending) + load.peersPendingPrompts;
     candidate.ownRunning = state.ownRunning;
     candidate.hasPrefix = state.prefixMark == this->placeCount;
     candidate.paceRatio = this->paces.ratio(slot);
     candidate.isNear = state.isNear;
 }
 
+void ServerPool::endPending(PlacedRequest &request)
+{
+    this->states[request.slot].ownPending -= request.pendingTokens;
+    request.pendingTokens = 0;
+}
+
 void ServerPool::updateReservation(PlacedRequest &request, Milliseconds now)
 {
     ServerState &state = this->states[request.slot];
--- a/packages/policy/pool/serverpool.h
+++ b/packages/policy/pool/serverpool.h
@@ -138,6 +138,7 @@
         std::uint32_t maximumTokens = 0;
         std::uint32_t reservedTokens = 0;
         std::uint32_t produced = 0;
+        std::uint32_t pendingTokens = 0;
         std::uint32_t pacedTokens = 0;
         Milliseconds pacedAt{0};
     };
@@ -151,6 +152,7 @@
         std::uint32_t ownDecoding = 0;
         std::uint64_t ownReserved = 0;
         std::uint64_t ownUsed = 0;
+        std::uint64_t ownPending = 0;
         std::uint64_t prefixMark = 0;
         bool isKnown = false;
         bool isEngine = false;
@@ -185,6 +187,7 @@
     bool fillCandidates(std::span<const ServerSlot> slots, double needed, bool heedsPace,
                         Milliseconds now);
     void addCandidate(ServerSlot slot, double needed, Milliseconds now);
+    void endPending(PlacedRequest &request);
     void updateReservation(PlacedRequest &request, Milliseconds now);
     void recordPace(PlacedRequest &request, std::uint32_t tokens, Milliseconds now);
 
--- a/packages/policy/servers/loadreport.h
+++ b/packages/policy/servers/loadreport.h
@@ -53,6 +53,8 @@
     std::uint32_t running = 0;
     /** Tokens of engine memory that the host has reserved there. */
     std::uint32_t reservedTokens = 0;
+    /** Tokens of prompts that the host sent there and that have produced nothing yet. */
+    std::uint32_t pendingPromptTokens = 0;
 };
 
 /** One host's own use of a client account's limits. */
--- a/packages/policy/work/workrequest.h
+++ b/packages/policy/work/workrequest.h
@@ -29,6 +29,8 @@
     std::uint32_t promptTokens = 0;
     /** The caller's limit on the output in tokens; 0 for none. */
     std::uint32_t maximumTokens = 0;
+    /** Whether the server has to read the prompt; a copy of a run's memory needs no reading. */
+    bool readsPrompt = true;
     /** A digest of the prompt's leading part, for prefix cache affinity; 0 for none. */
     std::uint64_t prefixDigest = 0;
     /** A digest of the account and the whole body, for the crash quarantine. */
--- a/packages/protocol/messages/messagecodec.cpp
+++ b/packages/protocol/messages/messagecodec.cpp
@@ -23,7 +23,7 @@
 void visitFields(Visitor &visit, auto &entry) requires
         std::is_same_v<std::remove_cvref_t<decltype(entry)>, LoadEntryMessage>
 {
-    visit(entry.server, entry.running, entry.reservedTokens);
+    visit(entry.server, entry.running, entry.reservedTokens, entry.pendingPromptTokens);
 }
 
 template <typename Visitor>
--- a/packages/protocol/messages/peermessage.h
+++ b/packages/protocol/messages/peermessage.h
@@ -52,6 +52,8 @@
     std::uint32_t running = 0;
     /** Reserved engine memory in tokens. */
     std::uint32_t reservedTokens = 0;
+    /** Tokens of prompts that have produced nothing yet. */
+    std::uint32_t pendingPromptTokens = 0;
 
     /** Compares all fields. */
     bool operator==(const LoadEntryMessage &) const = default;
