--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -264,7 +264,7 @@
     PeerHooks hooks;
     hooks.registry =
             this->store.hostRegistry(this->settings.host, this->entry.settings.peerAddress);
-    hooks.leavingServers = [this] {
+    hooks.leavingServers = [] {
         std::vector<BackendServerName> none;
         return none;
     };
@@ -326,15 +326,15 @@
                                                          Milliseconds askedAt)
 {
     for (const ObjectChange &change : changes) {
-        const BackendServerName name(change.object.name);
-        if (change.isRemoved) {
-            this->servers.applyRemoval(name, change.object.revision);
-        } else if (const auto entry = this->readServer(change.object)) {
+        std::optional<ServerEntry> entry;
+        if (!change.isRemoved)
+            entry = this->readServer(change.object);
+        // An entry that another writer spoiled names no server to use either.
+        if (entry)
             this->servers.applyEntry(*entry);
-        } else {
-            // An entry that another writer spoiled names no server to use.
-            this->servers.applyRemoval(name, change.object.revision);
-        }
+        else
+            this->servers.applyRemoval(BackendServerName(change.object.name),
+                                       change.object.revision);
     }
     this->servers.recordContact(askedAt);
     this->serving.confirmServers(askedAt);
--- a/packages/gateway/relay/gatewayservice.cpp
+++ b/packages/gateway/relay/gatewayservice.cpp
@@ -133,7 +133,7 @@
 std::optional<RoutedCall> GatewayService::route(const HttpRequest &request, Error &reason)
 {
     const Milliseconds now = this->services.clock.now();
-    RoutedCall call{request};
+    RoutedCall call(request);
     call.receivedAt = now;
     call.configuration = this->services.serving.current();
     if (!call.configuration || !this->services.serving.serversAge(now)) {
--- a/packages/gateway/relay/routedcall.h
+++ b/packages/gateway/relay/routedcall.h
@@ -19,6 +19,12 @@
 /** A caller's call from its arrival to its end. */
 struct RoutedCall
 {
+    /** Creates a call without a route. @param request must outlive it. */
+    explicit RoutedCall(const HttpRequest &request)
+        : request(request)
+    {
+    }
+
     /** The call as it came. */
     const HttpRequest &request;
     /** What its header says. */
--- /dev/null
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -0,0 +1,313 @@
+#pragma once
+
+#include "entry/http/errorresponse.h"
+#include "gateway/gateway.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sassafrasyard {
+
+/** A codec with short field names of its own. */
+inline CallCodec testCodec()
+{
+    CallCodec codec;
+    codec.decodeCall = [](const HttpRequest &request, Error &) -> std::optional<CallMetadata> {
+        CallMetadata metadata;
+        metadata.requestId = findHeader(request.headers, "Id").value_or("");
+        metadata.key = findHeader(request.headers, "Key").value_or("");
+        metadata.patience =
+                Milliseconds(std::stoll(findHeader(request.headers, "Patience").value_or("5000")));
+        metadata.promptTokens = 100;
+        metadata.maximumTokens = 100;
+        return metadata;
+    };
+    codec.encodeOrder = [](const HttpRequest &request, const ForwardingOrder &order) {
+        HttpHeaders headers = withoutHopFields(request.headers);
+        headers.emplace_back("Server-Name", order.server.toString());
+        headers.emplace_back("Left", std::to_string(order.patience.count()));
+        if (order.lastEvent)
+            headers.emplace_back("Last", std::to_string(*order.lastEvent));
+        if (order.source)
+            headers.emplace_back("Source", order.source->name);
+        if (!order.backupAddress.empty())
+            headers.emplace_back("Backup", order.backupAddress);
+        return headers;
+    };
+    codec.decodeResponse = [](const HttpResponse &response) {
+        ResponseMetadata metadata;
+        metadata.requestId = findHeader(response.headers, "Id").value_or("");
+        metadata.isSigned = findHeader(response.headers, "Signature").has_value();
+        metadata.hasNotRun = findHeader(response.headers, "Not-Run").has_value();
+        return metadata;
+    };
+    codec.formatError = [](const Error &error) {
+        return errorResponse(error);
+    };
+    return codec;
+}
+
+/** What a stand-in for a backend server was asked. */
+struct ReceivedCall
+{
+    /** The stand-in's name. */
+    std::string server;
+    /** The request. */
+    HttpRequest request;
+};
+
+/** A gateway on loopback before stand-ins for backend servers, all on one thread. */
+class GatewayFixture
+{
+public:
+    /** Answers a request at a stand-in. */
+    using Handler =
+            std::function<boost::asio::awaitable<void>(const HttpRequest &, HttpResponder &)>;
+
+    GatewayFixture()
+        : runtime(1)
+        , entry(makeSettings(), HostIncarnation("run"))
+        , dispatch(this->entry, this->runtime, this->context, false)
+        , serving({true, Milliseconds(60000), Milliseconds(60000)})
+        , connections(this->context, Clock::steady())
+        , reachability(this->dispatch, Clock::steady())
+        , services{this->context,  this->entry,
+                   this->dispatch, this->serving,
+                   this->servers,  this->connections,
+                   this->budget,   this->reachability,
+                   testCodec(),    this->makeEngineCalls(),
+                   Clock::steady()}
+        , gateway(this->services)
+    {
+    }
+
+    /** Puts a route "/KIND/" into force for the given service. */
+    void addRoute(Route route, std::optional<EngineProperties> engine = {})
+    {
+        route.host = "h";
+        route.services = {{"service", 1.0}};
+        this->routes.push_back(route);
+        ServingConfiguration configuration;
+        configuration.version = ++this->version;
+        configuration.routes = RouteTable(this->routes);
+        Service service;
+        service.name = "service";
+        service.engine = engine;
+        configuration.services.emplace("service", service);
+        RoutedAccount account;
+        account.name = ClientAccountName("account");
+        account.keyDigests = {sha256Hex("key")};
+        configuration.accounts.push_back(account);
+        configuration.accountsByKeyDigest.emplace(account.keyDigests[0], 0);
+        this->serving.offer(configuration);
+        this->serving.confirmConfiguration(Clock::steady().now());
+        this->publish();
+    }
+
+    /** Starts a stand-in and registers it. */
+    void addServer(const std::string &name, Handler handler)
+    {
+        auto server = std::make_unique<HttpServer>(
+                this->context, HttpServerOptions(),
+                [this, name, handler](const HttpRequest &request, HttpResponder &responder) {
+                    this->received.push_back({name, request});
+                    return handler(request, responder);
+                },
+                errorResponse);
+        Error reason;
+        const auto endpoint = server->listen({"127.0.0.1", 0}, reason);
+        ServerEntry serverEntry;
+        serverEntry.name = BackendServerName(name);
+        serverEntry.service = "service";
+        serverEntry.address = endpoint->toString();
+        serverEntry.slots = 8;
+        serverEntry.revision = 1;
+        this->servers.applyEntry(serverEntry);
+        this->serving.confirmServers(Clock::steady().now());
+        this->standIns.push_back(std::move(server));
+        this->publish();
+    }
+
+    /** Marks a stand-in as leaving. */
+    void leave(const std::string &name)
+    {
+        ServerEntry changed = *this->servers.find(BackendServerName(name));
+        changed.isLeaving = true;
+        ++changed.revision;
+        this->servers.applyEntry(changed);
+    }
+
+    /** Sends a call through the gateway and runs until its answer is there. */
+    HttpResponse call(const std::string &path, const std::string &id, HttpHeaders headers = {})
+    {
+        Error reason;
+        if (!this->isListening) {
+            this->gateway.listen({"127.0.0.1", this->port()}, 100, reason);
+            this->isListening = true;
+        }
+        HttpRequest request;
+        request.method = "POST";
+        request.target = path;
+        request.body = "body of " + id;
+        request.headers = std::move(headers);
+        request.headers.emplace_back("Host", "h");
+        request.headers.emplace_back("Id", id);
+        request.headers.emplace_back("Key", "key");
+        std::optional<HttpResponse> answer;
+        bool isDone = false;
+        boost::asio::co_spawn(
+                this->context,
+                [&]() -> boost::asio::awaitable<void> {
+                    const boost::asio::any_io_executor executor = this->context.get_executor();
+                    const Endpoint endpoint{"127.0.0.1", this->port()};
+                    HttpConnection connection(executor, endpoint);
+                    const bool isOpen = co_await connection.connect(Milliseconds(1000), reason);
+                    if (isOpen)
+                        answer = co_await connection.exchange(request, Milliseconds(8000), reason);
+                    if (answer) {
+                        auto body =
+                                co_await connection.readAll(1U << 20U, Milliseconds(8000), reason);
+                        if (body)
+                            answer->body = *body;
+                        else
+                            answer.reset();
+                    }
+                    isDone = true;
+                },
+                boost::asio::detached);
+        while (!isDone)
+            this->context.run_one();
+        // Status 0 stands for an answer that did not end.
+        return answer.value_or(HttpResponse{0, {}, reason.detail});
+    }
+
+    /** Returns how many calls a stand-in got. */
+    std::size_t callsTo(const std::string &name) const
+    {
+        std::size_t count = 0;
+        for (const ReceivedCall &call : this->received)
+            count += call.server == name ? 1 : 0;
+        return count;
+    }
+
+    /** Answers in the name of a server that ran the call. */
+    static HttpResponse signedAnswer(const HttpRequest &request, int status = 200)
+    {
+        HttpResponse response;
+        response.status = status;
+        response.headers = {{"Id", findHeader(request.headers, "Id").value_or("")},
+                            {"Signature", "s"}};
+        response.body = "answer";
+        return response;
+    }
+
+    /** Answers that the call was not run. */
+    static HttpResponse refusal(const HttpRequest &request)
+    {
+        HttpResponse response;
+        response.status = 503;
+        response.headers = {{"Id", findHeader(request.headers, "Id").value_or("")},
+                            {"Not-Run", "1"}};
+        return response;
+    }
+
+    /** Waits on the fixture's thread. */
+    static boost::asio::awaitable<void> pause(Milliseconds time)
+    {
+        boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, time);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+
+    std::vector<ReceivedCall> received;
+    /** The copies that the engines were asked for; the hook decides their outcome. */
+    std::vector<MoveOrder> moves;
+    std::function<bool(const MoveOrder &)> allowsMove = [](const MoveOrder &) {
+        return true;
+    };
+    boost::asio::io_context context;
+
+private:
+    static Settings makeSettings()
+    {
+        Settings settings;
+        settings.host = HostName("host");
+        settings.positionSecret = "0123456789abcdef";
+        settings.placement = "prompt-queue";
+        return settings;
+    }
+
+    EngineCalls makeEngineCalls()
+    {
+        EngineCalls calls;
+        calls.moveMemory = [this](MoveOrder order, Milliseconds,
+                                  Error &) -> boost::asio::awaitable<std::optional<MemoryCopy>> {
+            this->moves.push_back(order);
+            if (!this->allowsMove(order))
+                co_return std::nullopt;
+            co_return MemoryCopy{order.sourceAddress, "handle"};
+        };
+        calls.dropMemory = [](MemoryCopy) -> boost::asio::awaitable<void> {
+            co_return;
+        };
+        return calls;
+    }
+
+    void publish()
+    {
+        const auto configuration = this->serving.current();
+        if (!configuration)
+            return;
+        Configuration published;
+        published.revision = ++this->revision;
+        published.servers = this->servers.backendServers(*configuration);
+        this->entry.configuration.offer(std::move(published));
+    }
+
+    /** A port that was free a moment ago. */
+    std::uint16_t port()
+    {
+        if (this->chosenPort == 0) {
+            HttpServer probe(
+                    this->context, HttpServerOptions(),
+                    [](const HttpRequest &, HttpResponder &) -> boost::asio::awaitable<void> {
+                        co_return;
+                    },
+                    errorResponse);
+            Error reason;
+            this->chosenPort = probe.listen({"127.0.0.1", 0}, reason)->port;
+            probe.stopAccepting();
+            this->context.run_for(std::chrono::milliseconds(20));
+        }
+        return this->chosenPort;
+    }
+
+    ActorRuntime runtime;
+    EntryState entry;
+    DispatchService dispatch;
+    ServingState serving;
+    ServerCatalogue servers;
+    HttpConnectionPool connections;
+    ServiceRetryBudget budget;
+    ServerReachability reachability;
+    GatewayServices services;
+    GatewayService gateway;
+    std::vector<Route> routes;
+    std::vector<std::unique_ptr<HttpServer>> standIns;
+    std::uint64_t version = 0;
+    std::uint64_t revision = 0;
+    std::uint16_t chosenPort = 0;
+    bool isListening = false;
+};
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/gateway/tests/test_callrelay.cpp
@@ -0,0 +1,151 @@
+#include "gatewayfixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sassafrasyard;
+
+namespace net = boost::asio;
+
+namespace {
+
+Route plainRoute(CallKind kind, std::uint32_t attempts)
+{
+    Route route;
+    route.name = "plain";
+    route.pathPrefix = "/plain/";
+    route.kind = kind;
+    route.maximumAttempts = attempts;
+    route.timeout = Milliseconds(2000);
+    route.targetLatency = Milliseconds(150);
+    return route;
+}
+
+GatewayFixture::Handler answering(int status)
+{
+    return [status](const HttpRequest &request, HttpResponder &responder) -> net::awaitable<void> {
+        co_await responder.send(GatewayFixture::signedAnswer(request, status));
+    };
+}
+
+GatewayFixture::Handler refusing()
+{
+    return [](const HttpRequest &request, HttpResponder &responder) -> net::awaitable<void> {
+        co_await responder.send(GatewayFixture::refusal(request));
+    };
+}
+
+GatewayFixture::Handler breakingOff()
+{
+    return [](const HttpRequest &, HttpResponder &responder) -> net::awaitable<void> {
+        responder.abort();
+        co_return;
+    };
+}
+
+} // namespace
+
+// Guards against an answer that is changed on its way.
+TEST_CASE("A server's answer is passed on with its status and body", "[relay]")
+{
+    GatewayFixture fixture;
+    fixture.addRoute(plainRoute(CallKind::NonIdempotent, 1));
+    fixture.addServer("a", answering(418));
+    const HttpResponse answer = fixture.call("/plain/x?y=1", "r1");
+    REQUIRE(answer.status == 418);
+    REQUIRE(answer.body == "answer");
+    REQUIRE(fixture.received.size() == 1);
+    REQUIRE(fixture.received[0].request.target == "/plain/x?y=1");
+    REQUIRE(fixture.received[0].request.body == "body of r1");
+    REQUIRE(findHeader(fixture.received[0].request.headers, "Server-Name") == "a");
+}
+
+// Guards against an order that runs at two servers because the first one broke off.
+TEST_CASE("An order whose server breaks off is not sent again", "[relay]")
+{
+    GatewayFixture fixture;
+    fixture.addRoute(plainRoute(CallKind::NonIdempotent, 3));
+    fixture.addServer("a", breakingOff());
+    fixture.addServer("b", breakingOff());
+    const HttpResponse answer = fixture.call("/plain/", "r1");
+    REQUIRE(answer.status == 502);
+    REQUIRE(fixture.received.size() == 1);
+}
+
+// Guards against an order that is given up although a server stated that it did not run it.
+TEST_CASE("An order that a server refused before running goes to another one", "[relay]")
+{
+    GatewayFixture fixture;
+    fixture.addRoute(plainRoute(CallKind::NonIdempotent, 1));
+    fixture.addServer("a", refusing());
+    fixture.addServer("b", answering(200));
+    for (int call = 0; call < 6; ++call)
+        REQUIRE(fixture.call("/plain/", "r" + std::to_string(call)).status == 200);
+    REQUIRE(fixture.callsTo("b") == 6);
+}
+
+// Guards against a refusal without the time to come back, or one that says the call may have run.
+TEST_CASE("A call that all servers refuse is answered as not run", "[relay]")
+{
+    GatewayFixture fixture;
+    fixture.addRoute(plainRoute(CallKind::NonIdempotent, 1));
+    fixture.addServer("a", refusing());
+    fixture.addServer("b", refusing());
+    const HttpResponse answer = fixture.call("/plain/", "r1");
+    REQUIRE(answer.status == 503);
+    REQUIRE(findHeader(answer.headers, "Retry-After"));
+    REQUIRE(answer.body.find("not_run") != std::string::npos);
+}
+
+// Guards against failures of a faulty server that reach callers of calls that may run again.
+TEST_CASE("A call that may run twice is tried at a second server after a failure", "[relay]")
+{
+    GatewayFixture fixture;
+    fixture.addRoute(plainRoute(CallKind::Idempotent, 2));
+    fixture.addServer("a", answering(500));
+    fixture.addServer("b", answering(200));
+    for (int call = 0; call < 6; ++call)
+        REQUIRE(fixture.call("/plain/", "r" + std::to_string(call)).status == 200);
+}
+
+// Guards against a success that no server signed.
+TEST_CASE("An answer without the server's signature is not passed on", "[relay]")
+{
+    GatewayFixture fixture;
+    fixture.addRoute(plainRoute(CallKind::NonIdempotent, 1));
+    fixture.addServer(
+            "a", [](const HttpRequest &request, HttpResponder &responder) -> net::awaitable<void> {
+                HttpResponse response = GatewayFixture::signedAnswer(request);
+                response.headers.pop_back();
+                co_await responder.send(std::move(response));
+            });
+    REQUIRE(fixture.call("/plain/", "r1").status == 502);
+}
+
+// Guards against a call that waits for a silent server until its caller has gone.
+TEST_CASE("A silent server ends an order at its route's time-out", "[relay]")
+{
+    GatewayFixture fixture;
+    Route route = plainRoute(CallKind::NonIdempotent, 1);
+    route.timeout = Milliseconds(300);
+    fixture.addRoute(route);
+    fixture.addServer(
+            "a", [](const HttpRequest &request, HttpResponder &responder) -> net::awaitable<void> {
+                co_await GatewayFixture::pause(Milliseconds(1500));
+                co_await responder.send(GatewayFixture::signedAnswer(request));
+            });
+    const Milliseconds before = Clock::steady().now();
+    REQUIRE(fixture.call("/plain/", "r1").status == 504);
+    REQUIRE(Clock::steady().now() - before < Milliseconds(1000));
+    REQUIRE(findHeader(fixture.received[0].request.headers, "Left").value_or("") <= "300");
+}
+
+// Guards against calls that run with a key that nobody holds, or on no route.
+TEST_CASE("Unknown keys and routes are refused without a server", "[relay]")
+{
+    GatewayFixture fixture;
+    fixture.addRoute(plainRoute(CallKind::NonIdempotent, 1));
+    fixture.addServer("a", answering(200));
+    REQUIRE(fixture.call("/other/", "r1").status == 404);
+    REQUIRE(fixture.call("/plain/", "r2", {{"Key", "wrong"}}).status == 401);
+    REQUIRE(fixture.received.empty());
+}
--- /dev/null
+++ b/packages/gateway/tests/test_calls.cpp
@@ -0,0 +1,142 @@
+#include "gateway/gateway.h"
+#include "gateway/relay/eventsplitter.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace sassafrasyard;
+
+namespace {
+
+Route routeOf(CallKind kind, std::uint32_t attempts, bool isResumable = false)
+{
+    Route route;
+    route.kind = kind;
+    route.maximumAttempts = attempts;
+    route.isResumable = isResumable;
+    return route;
+}
+
+std::string eventText(int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: token " + std::to_string(number) + "\n\n";
+}
+
+} // namespace
+
+// Guards against an order that runs twice.
+TEST_CASE("A call that may run once is never sent again after it may have run", "[retries]")
+{
+    rc::prop("non-idempotent calls", [](const std::vector<std::uint8_t> &outcomes) {
+        const Route route = routeOf(CallKind::NonIdempotent, 9);
+        AttemptHistory history;
+        for (const std::uint8_t number : outcomes) {
+            const auto outcome = static_cast<AttemptOutcome>(number % 4);
+            history.record(outcome);
+            const bool goesOn = mayTryAgain(route, history, outcome, 500);
+            if (history.mayHaveRun > 0)
+                RC_ASSERT(finalError(history, {}).runState == RunState::OutcomeUnknown);
+            else
+                RC_ASSERT(finalError(history, {}).runState == RunState::NotRun);
+            if (outcome == AttemptOutcome::Answered || outcome == AttemptOutcome::Unknown)
+                RC_ASSERT_FALSE(goesOn);
+            if (!goesOn)
+                break;
+        }
+    });
+}
+
+// Guards against more runs of a call than its route permits, and against endless harmless attempts.
+TEST_CASE("Attempts are bounded by the route and in all", "[retries]")
+{
+    const Route route = routeOf(CallKind::Idempotent, 2);
+    AttemptHistory history;
+    history.record(AttemptOutcome::Answered);
+    REQUIRE(mayTryAgain(route, history, AttemptOutcome::Answered, 500));
+    REQUIRE_FALSE(mayTryAgain(route, history, AttemptOutcome::Answered, 404));
+    history.record(AttemptOutcome::Unknown);
+    REQUIRE_FALSE(mayTryAgain(route, history, AttemptOutcome::Unknown, 0));
+
+    AttemptHistory harmless;
+    harmless.record(AttemptOutcome::NotSent);
+    harmless.record(AttemptOutcome::RefusedBeforeRun);
+    REQUIRE(mayTryAgain(route, harmless, AttemptOutcome::NotSent, 0));
+    harmless.record(AttemptOutcome::NotSent);
+    REQUIRE_FALSE(mayTryAgain(route, harmless, AttemptOutcome::NotSent, 0));
+}
+
+// Guards against a refusal as "not run" of what a server may still run.
+TEST_CASE("A refusal after an unknown outcome is not called not run", "[retries]")
+{
+    AttemptHistory history;
+    history.record(AttemptOutcome::Unknown);
+    history.record(AttemptOutcome::RefusedBeforeRun);
+    const Error error = finalError(history, {ErrorCode::Overloaded, RunState::NotRun, "", {}});
+    REQUIRE(error.runState == RunState::OutcomeUnknown);
+    REQUIRE(httpStatus(error.code) == 502);
+    REQUIRE_FALSE(error.retryAfter);
+}
+
+// Guards against half an event that is joined with the events of the server that goes on.
+TEST_CASE("Only whole events are passed on", "[events]")
+{
+    EventSplitter splitter;
+    splitter.append(eventText(1) + "id: 2\ndata: ha");
+    EventBatch batch = splitter.takeEvents();
+    REQUIRE(batch.bytes == eventText(1));
+    REQUIRE(batch.lastEvent == 1);
+    REQUIRE(splitter.takeEvents().count == 0);
+    splitter.clear();
+    splitter.append(eventText(2));
+    batch = splitter.takeEvents(1);
+    REQUIRE(batch.bytes == eventText(2));
+}
+
+// Guards against events that the caller gets twice where two engines overlap.
+TEST_CASE("Events that the caller has are left out", "[events]")
+{
+    EventSplitter splitter;
+    splitter.append(eventText(3) + eventText(4) + eventText(5));
+    const EventBatch batch = splitter.takeEvents(4);
+    REQUIRE(batch.bytes == eventText(5));
+    REQUIRE(batch.count == 1);
+}
+
+// Guards against boundaries that are missed where a read ends inside of them.
+TEST_CASE("Events come out the same however the bytes arrive", "[events]")
+{
+    rc::prop("chunking", [](const std::vector<std::uint8_t> &sizes) {
+        std::string all;
+        for (int number = 1; number <= 6; ++number)
+            all += number % 2 == 0 ? eventText(number)
+                                   : "id: " + std::to_string(number) + "\r\ndata: x\r\n\r\n";
+        EventSplitter splitter;
+        std::string received;
+        std::uint32_t count = 0;
+        std::size_t at = 0;
+        std::size_t next = 0;
+        while (at < all.size()) {
+            const std::size_t size = sizes.empty() ? 1 : sizes[next++ % sizes.size()] % 9 + 1;
+            splitter.append(std::string_view(all).substr(at, size));
+            at += size;
+            const EventBatch batch = splitter.takeEvents();
+            received += batch.bytes;
+            count += batch.count;
+        }
+        RC_ASSERT(received == all);
+        RC_ASSERT(count == 6U);
+        RC_ASSERT(splitter.remainder().empty());
+    });
+}
+
+// Guards against fields of one connection that reach the next one, such as a hidden framing.
+TEST_CASE("Fields of one connection are dropped, also those that Connection names", "[headers]")
+{
+    const HttpHeaders headers{{"Host", "a"},       {"connection", "X-Hop, close"},
+                              {"X-Hop", "1"},      {"Transfer-Encoding", "chunked"},
+                              {"Keep-Alive", "5"}, {"X-Kept", "2"},
+                              {"Set-Cookie", "1"}, {"Set-Cookie", "2"}};
+    const HttpHeaders expected{
+            {"Host", "a"}, {"X-Kept", "2"}, {"Set-Cookie", "1"}, {"Set-Cookie", "2"}};
+    REQUIRE(withoutHopFields(headers) == expected);
+}
--- /dev/null
+++ b/packages/gateway/tests/test_eventrelay.cpp
@@ -0,0 +1,244 @@
+#include "gatewayfixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sassafrasyard;
+
+namespace net = boost::asio;
+
+namespace {
+
+Route streamRoute(bool isResumable)
+{
+    Route route;
+    route.name = "stream";
+    route.pathPrefix = "/stream/";
+    route.kind = CallKind::Stream;
+    route.isResumable = isResumable;
+    route.maximumAttempts = isResumable ? 2 : 1;
+    route.timeout = Milliseconds(8000);
+    route.targetLatency = Milliseconds(500);
+    route.targetPause = Milliseconds(100);
+    return route;
+}
+
+EngineProperties engineProperties()
+{
+    EngineProperties engine;
+    engine.slots = 8;
+    engine.memoryTokens = 100000;
+    engine.tokensPerEvent = 4;
+    engine.supportsBackup = true;
+    engine.supportsMoves = true;
+    engine.copyLifetime = Milliseconds(200);
+    return engine;
+}
+
+std::string eventText(std::uint64_t number)
+{
+    return "id: " + std::to_string(number) + "\ndata: t" + std::to_string(number) + "\n\n";
+}
+
+std::string eventsUpTo(std::uint64_t last)
+{
+    std::string all;
+    for (std::uint64_t number = 1; number <= last; ++number)
+        all += eventText(number);
+    return all;
+}
+
+std::uint64_t lastEventOf(const HttpRequest &request)
+{
+    return std::stoull(findHeader(request.headers, "Last").value_or("0"));
+}
+
+/** Streams the events after the request's last one, one every few milliseconds. */
+GatewayFixture::Handler streaming(std::uint64_t last, Milliseconds interval)
+{
+    return [last, interval](const HttpRequest &request,
+                            HttpResponder &responder) -> net::awaitable<void> {
+        HttpHeaders headers = GatewayFixture::signedAnswer(request).headers;
+        bool isOpen = co_await responder.startStream(200, headers);
+        for (std::uint64_t number = lastEventOf(request) + 1; isOpen && number <= last; ++number) {
+            co_await GatewayFixture::pause(interval);
+            isOpen = co_await responder.write(eventText(number));
+        }
+        if (isOpen)
+            co_await responder.finish();
+        else
+            responder.abort();
+    };
+}
+
+/** Streams some events and half of the next one, then breaks off. */
+GatewayFixture::Handler breakingOffAfter(std::uint64_t count)
+{
+    return [count](const HttpRequest &request, HttpResponder &responder) -> net::awaitable<void> {
+        HttpHeaders headers = GatewayFixture::signedAnswer(request).headers;
+        co_await responder.startStream(200, headers);
+        const std::string half = eventText(count + 1).substr(0, 6);
+        co_await responder.write(eventsUpTo(count) + half);
+        co_await GatewayFixture::pause(Milliseconds(30));
+        responder.abort();
+    };
+}
+
+} // namespace
+
+// Guards against events that are lost, doubled or changed on their way.
+TEST_CASE("A stream is passed on byte for byte", "[streams]")
+{
+    GatewayFixture fixture;
+    fixture.addRoute(streamRoute(false), engineProperties());
+    fixture.addServer("a", streaming(20, Milliseconds(1)));
+    const HttpResponse answer = fixture.call("/stream/", "r1");
+    REQUIRE(answer.status == 200);
+    REQUIRE(answer.body == eventsUpTo(20));
+}
+
+// Guards against a stream that looks complete although its engine was lost.
+TEST_CASE("A stream that can't go on does not look complete", "[streams]")
+{
+    GatewayFixture fixture;
+    fixture.addRoute(streamRoute(false), engineProperties());
+    fixture.addServer("a", breakingOffAfter(3));
+    REQUIRE(fixture.call("/stream/", "r1").status == 0);
+    REQUIRE(fixture.received.size() == 1);
+}
+
+// Guards against half an event that is joined with the events of the next run.
+TEST_CASE("A resumable stream goes on after its last whole event", "[streams]")
+{
+    GatewayFixture fixture;
+    fixture.addRoute(streamRoute(true), engineProperties());
+    int calls = 0;
+    const auto first = breakingOffAfter(3);
+    const auto second = streaming(8, Milliseconds(1));
+    const auto handler = [&](const HttpRequest &request, HttpResponder &responder) {
+        return ++calls == 1 ? first(request, responder) : second(request, responder);
+    };
+    fixture.addServer("a", handler);
+    fixture.addServer("b", handler);
+    const HttpResponse answer = fixture.call("/stream/", "r1");
+    REQUIRE(answer.body == eventsUpTo(8));
+    REQUIRE(fixture.received.size() == 2);
+    REQUIRE(lastEventOf(fixture.received[1].request) == 3);
+    REQUIRE(fixture.received[0].server != fixture.received[1].server);
+}
+
+// Guards against a long stream that is lost with its engine although a copy of its run exists.
+TEST_CASE("A stream whose engine is lost goes on from the copy of its run", "[streams]")
+{
+    GatewayFixture fixture;
+    fixture.addRoute(streamRoute(false), engineProperties());
+    int calls = 0;
+    const auto first = breakingOffAfter(3);
+    const auto second = streaming(8, Milliseconds(1));
+    const auto handler = [&](const HttpRequest &request, HttpResponder &responder) {
+        return ++calls == 1 ? first(request, responder) : second(request, responder);
+    };
+    fixture.addServer("a", handler);
+    fixture.addServer("b", handler);
+    const HttpResponse answer = fixture.call("/stream/", "r1");
+    REQUIRE(answer.body == eventsUpTo(8));
+    REQUIRE(fixture.received.size() == 2);
+    REQUIRE(findHeader(fixture.received[0].request.headers, "Backup"));
+    REQUIRE(findHeader(fixture.received[1].request.headers, "Source") == "r1");
+}
+
+// Guards against a stream that stays on an engine until it is taken away.
+TEST_CASE("A stream leaves an engine that is about to go, without a gap or a double", "[streams]")
+{
+    GatewayFixture fixture;
+    fixture.addRoute(streamRoute(false), engineProperties());
+    std::string leaving;
+    const auto events = streaming(120, Milliseconds(10));
+    for (const std::string name : {"a", "b"}) {
+        fixture.addServer(name,
+                          [&, name](const HttpRequest &request,
+                                    HttpResponder &responder) -> net::awaitable<void> {
+                              if (leaving.empty()) {
+                                  leaving = name;
+                                  net::co_spawn(
+                                          fixture.context,
+                                          [&fixture, name]() -> net::awaitable<void> {
+                                              co_await GatewayFixture::pause(Milliseconds(200));
+                                              fixture.leave(name);
+                                          },
+                                          net::detached);
+                              }
+                              co_await events(request, responder);
+                          });
+    }
+    const HttpResponse answer = fixture.call("/stream/", "r1");
+    REQUIRE(answer.body == eventsUpTo(120));
+    REQUIRE(fixture.received.size() == 2);
+    REQUIRE(lastEventOf(fixture.received[1].request) > 0);
+    REQUIRE(findHeader(fixture.received[1].request.headers, "Source") == "r1");
+}
+
+// Guards against a stream that is lost because the engine with its copy refuses it.
+TEST_CASE("A refused continuation leaves the stream where it is", "[streams]")
+{
+    GatewayFixture fixture;
+    fixture.addRoute(streamRoute(false), engineProperties());
+    fixture.allowsMove = [](const MoveOrder &) {
+        return false;
+    };
+    std::string leaving;
+    const auto events = streaming(100, Milliseconds(10));
+    for (const std::string name : {"a", "b"}) {
+        fixture.addServer(name,
+                          [&, name](const HttpRequest &request,
+                                    HttpResponder &responder) -> net::awaitable<void> {
+                              if (findHeader(request.headers, "Source")) {
+                                  co_await responder.send(GatewayFixture::refusal(request));
+                                  co_return;
+                              }
+                              leaving = name;
+                              net::co_spawn(
+                                      fixture.context,
+                                      [&fixture, name]() -> net::awaitable<void> {
+                                          co_await GatewayFixture::pause(Milliseconds(100));
+                                          fixture.leave(name);
+                                      },
+                                      net::detached);
+                              co_await events(request, responder);
+                          });
+    }
+    const HttpResponse answer = fixture.call("/stream/", "r1");
+    REQUIRE(answer.body == eventsUpTo(100));
+    REQUIRE(fixture.received.size() >= 2);
+}
+
+// Guards against runs without a copy that are lost with their engine.
+TEST_CASE("A run that no engine copies as it grows is kept copied by moves", "[streams]")
+{
+    GatewayFixture fixture;
+    EngineProperties engine = engineProperties();
+    engine.supportsBackup = false;
+    fixture.addRoute(streamRoute(false), engine);
+    std::string leaving;
+    const auto events = streaming(200, Milliseconds(10));
+    for (const std::string name : {"a", "b"}) {
+        fixture.addServer(name,
+                          [&, name](const HttpRequest &request,
+                                    HttpResponder &responder) -> net::awaitable<void> {
+                              if (leaving.empty()) {
+                                  leaving = name;
+                                  net::co_spawn(
+                                          fixture.context,
+                                          [&fixture, name]() -> net::awaitable<void> {
+                                              co_await GatewayFixture::pause(Milliseconds(1400));
+                                              fixture.leave(name);
+                                          },
+                                          net::detached);
+                              }
+                              co_await events(request, responder);
+                          });
+    }
+    const HttpResponse answer = fixture.call("/stream/", "r1");
+    REQUIRE(answer.body == eventsUpTo(200));
+    REQUIRE(fixture.moves.size() >= 2);
+    REQUIRE(findHeader(fixture.received.back().request.headers, "Source") == "handle");
+}
--- /dev/null
+++ b/packages/gateway/tests/test_routetable.cpp
@@ -0,0 +1,74 @@
+#include "gateway/gateway.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace sassafrasyard;
+
+namespace {
+
+Route routeFor(const std::string &host, const std::string &prefix)
+{
+    Route route;
+    route.name = host + prefix;
+    route.host = host;
+    route.pathPrefix = prefix;
+    route.services = {{"service", 1.0}};
+    return route;
+}
+
+} // namespace
+
+// Guards against a call that goes to a shorter prefix's service, or to another host's.
+TEST_CASE("The longest prefix of the caller's host wins", "[routes]")
+{
+    const RouteTable table({routeFor("a.example", "/"), routeFor("a.example", "/x/"),
+                            routeFor("a.example", "/x/y/"), routeFor("b.example", "/x/")});
+    REQUIRE(table.find("a.example", "/x/y/z")->pathPrefix == "/x/y/");
+    REQUIRE(table.find("a.example", "/x/yz")->pathPrefix == "/x/");
+    REQUIRE(table.find("a.example", "/other")->pathPrefix == "/");
+    REQUIRE(table.find("b.example", "/other") == nullptr);
+    REQUIRE(table.find("c.example", "/x/") == nullptr);
+}
+
+// Guards against routes that are missed because of how a caller writes the host.
+TEST_CASE("A port and the case of the host are ignored", "[routes]")
+{
+    const RouteTable table({routeFor("A.example", "/x/")});
+    REQUIRE(table.find("a.EXAMPLE:8740", "/x/1") != nullptr);
+}
+
+// Guards against an index that disagrees with the definition of the longest prefix.
+TEST_CASE("The table finds what a search through all routes finds", "[routes]")
+{
+    rc::prop("longest prefix", [](const std::vector<std::uint8_t> &shape) {
+        std::vector<Route> routes;
+        std::string prefix = "/";
+        for (const std::uint8_t part : shape) {
+            prefix = part % 4 == 0 ? "/" : prefix + std::string(1, char('a' + part % 3)) + "/";
+            routes.push_back(routeFor("h", prefix));
+        }
+        const RouteTable table(routes);
+        const std::string path =
+                *rc::gen::container<std::string>(rc::gen::elementOf(std::string("ab/")));
+        const std::string absolute = "/" + path;
+        std::string longest;
+        for (const Route &route : routes) {
+            if (absolute.starts_with(route.pathPrefix) && route.pathPrefix.size() > longest.size())
+                longest = route.pathPrefix;
+        }
+        const Route *found = table.find("h", absolute);
+        RC_ASSERT((found == nullptr ? std::string() : found->pathPrefix) == longest);
+    });
+}
+
+// Guards against a split that sends everything to one service or anything to a weight of 0.
+TEST_CASE("Services get their part of a split route", "[routes]")
+{
+    Route route = routeFor("h", "/");
+    route.services = {{"a", 90.0}, {"none", 0.0}, {"b", 10.0}};
+    REQUIRE(chooseService(route, 0.0) == "a");
+    REQUIRE(chooseService(route, 0.899) == "a");
+    REQUIRE(chooseService(route, 0.901) == "b");
+    REQUIRE(chooseService(route, 0.999999) == "b");
+}
--- /dev/null
+++ b/packages/gateway/tests/test_servercatalogue.cpp
@@ -0,0 +1,126 @@
+#include "gateway/gateway.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sassafrasyard;
+
+namespace {
+
+ServerEntry entryOf(const std::string &name, std::uint64_t revision, bool isLeaving = false)
+{
+    ServerEntry entry;
+    entry.name = BackendServerName(name);
+    entry.service = "model";
+    entry.address = "10.0.0.1:80";
+    entry.revision = revision;
+    entry.isLeaving = isLeaving;
+    entry.startedAt = 1;
+    return entry;
+}
+
+struct Observed
+{
+    std::vector<std::string> leaving;
+    std::vector<std::string> restarted;
+    int changes = 0;
+
+    void watch(ServerCatalogue &catalogue)
+    {
+        catalogue.setHooks(
+                [this](const BackendServerName &name) { this->leaving.push_back(name.toString()); },
+                [this] { ++this->changes; },
+                [this](const BackendServerName &name) {
+                    this->restarted.push_back(name.toString());
+                });
+    }
+};
+
+} // namespace
+
+// Guards against new work on a server that announced its leaving or whose entry went.
+TEST_CASE("A server that drains or whose entry is removed is leaving once", "[servers]")
+{
+    ServerCatalogue catalogue;
+    Observed observed;
+    observed.watch(catalogue);
+    catalogue.applyEntry(entryOf("a", 1));
+    catalogue.applyEntry(entryOf("b", 2));
+    REQUIRE(catalogue.isUsable(BackendServerName("a")));
+    catalogue.applyEntry(entryOf("a", 3, true));
+    REQUIRE_FALSE(catalogue.isUsable(BackendServerName("a")));
+    catalogue.applyRemoval(BackendServerName("a"), 4);
+    catalogue.applyRemoval(BackendServerName("b"), 5);
+    REQUIRE(observed.leaving == std::vector<std::string>{"a", "b"});
+}
+
+// Guards against an old entry that makes a leaving server usable again.
+TEST_CASE("News that is older than what is known changes nothing", "[servers]")
+{
+    ServerCatalogue catalogue;
+    catalogue.applyEntry(entryOf("a", 5, true));
+    catalogue.applyEntry(entryOf("a", 4, false));
+    REQUIRE_FALSE(catalogue.isUsable(BackendServerName("a")));
+    catalogue.applyEntry(entryOf("b", 7));
+    catalogue.applyRemoval(BackendServerName("b"), 6);
+    REQUIRE(catalogue.isUsable(BackendServerName("b")));
+}
+
+// Guards against losing every server after an outage in which the store let their entries lapse.
+TEST_CASE("Entries that lapsed in an outage wait for their return", "[servers]")
+{
+    ServerCatalogue catalogue({Milliseconds(2000), Milliseconds(3000)});
+    const std::vector<ServerEntry> both{entryOf("a", 1), entryOf("b", 2)};
+    catalogue.applyList(both, Milliseconds(0), Milliseconds(0));
+    const std::vector<ServerEntry> none;
+    catalogue.applyList(none, Milliseconds(10000), Milliseconds(10000));
+    REQUIRE(catalogue.isUsable(BackendServerName("a")));
+    catalogue.applyEntry(entryOf("a", 3));
+    catalogue.advance(Milliseconds(11999));
+    REQUIRE(catalogue.isUsable(BackendServerName("b")));
+    catalogue.advance(Milliseconds(12000));
+    REQUIRE(catalogue.isUsable(BackendServerName("a")));
+    REQUIRE_FALSE(catalogue.isUsable(BackendServerName("b")));
+}
+
+// Guards against work on a server that left while the store was in contact.
+TEST_CASE("Without an outage a missing entry means that its server left", "[servers]")
+{
+    ServerCatalogue catalogue({Milliseconds(2000), Milliseconds(3000)});
+    const std::vector<ServerEntry> both{entryOf("a", 1), entryOf("b", 2)};
+    catalogue.applyList(both, Milliseconds(0), Milliseconds(0));
+    catalogue.recordContact(Milliseconds(8000));
+    const std::vector<ServerEntry> one{entryOf("a", 1)};
+    catalogue.applyList(one, Milliseconds(10000), Milliseconds(10000));
+    REQUIRE_FALSE(catalogue.isUsable(BackendServerName("b")));
+}
+
+// Guards against trust in the cache and load of a server that started again under its name.
+TEST_CASE("A server that starts again under its name is told apart", "[servers]")
+{
+    ServerCatalogue catalogue;
+    Observed observed;
+    observed.watch(catalogue);
+    catalogue.applyEntry(entryOf("a", 1));
+    ServerEntry restarted = entryOf("a", 2);
+    restarted.startedAt = 99;
+    catalogue.applyEntry(restarted);
+    REQUIRE(observed.restarted == std::vector<std::string>{"a"});
+}
+
+// Guards against servers of services that the configuration does not know.
+TEST_CASE("Servers get the properties of their service", "[servers]")
+{
+    ServerCatalogue catalogue;
+    catalogue.applyEntry(entryOf("a", 1));
+    ServingConfiguration configuration;
+    REQUIRE(catalogue.backendServers(configuration).empty());
+    Service service;
+    service.name = "model";
+    service.engine = EngineProperties();
+    service.engine->memoryTokens = 34161;
+    configuration.services.emplace("model", service);
+    const auto servers = catalogue.backendServers(configuration);
+    REQUIRE(servers.size() == 1);
+    REQUIRE(servers[0].kind == BackendServerKind::Engine);
+    REQUIRE(servers[0].memoryTokens == 34161);
+}
--- /dev/null
+++ b/packages/network/tests/test_httpconnection.cpp
@@ -0,0 +1,245 @@
+#include "network/network.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+using namespace sassafrasyard;
+
+namespace net = boost::asio;
+using tcp = net::ip::tcp;
+
+namespace {
+
+/** A peer that accepts connections and answers every read with the next of some texts. */
+class ScriptedPeer
+{
+public:
+    explicit ScriptedPeer(std::vector<std::string> answers)
+        : acceptor(this->context, tcp::endpoint(net::ip::make_address("127.0.0.1"), 0))
+        , answers(std::move(answers))
+    {
+        net::co_spawn(
+                this->context, [this] { return this->accept(); }, net::detached);
+    }
+
+    Endpoint endpoint() const { return {"127.0.0.1", this->acceptor.local_endpoint().port()}; }
+
+    void run(std::function<net::awaitable<void>()> job)
+    {
+        bool isDone = false;
+        net::co_spawn(
+                this->context,
+                [&]() -> net::awaitable<void> {
+                    co_await job();
+                    isDone = true;
+                },
+                net::detached);
+        while (!isDone)
+            this->context.run_one();
+    }
+
+    net::io_context context;
+    tcp::acceptor acceptor;
+    std::vector<std::string> answers;
+    std::size_t accepted = 0;
+    std::size_t next = 0;
+
+private:
+    net::awaitable<void> accept()
+    {
+        while (true) {
+            auto socket = std::make_shared<tcp::socket>(
+                    co_await this->acceptor.async_accept(net::use_awaitable));
+            ++this->accepted;
+            net::co_spawn(
+                    this->context, [this, socket] { return this->answer(socket); }, net::detached);
+        }
+    }
+
+    /** An empty text closes the connection. */
+    net::awaitable<void> answer(std::shared_ptr<tcp::socket> socket)
+    {
+        std::array<char, 4096> bytes{};
+        while (this->next < this->answers.size()) {
+            co_await socket->async_read_some(net::buffer(bytes), net::use_awaitable);
+            const std::string text = this->answers[this->next++];
+            if (text.empty())
+                co_return;
+            co_await net::async_write(*socket, net::buffer(text), net::use_awaitable);
+        }
+        co_await socket->async_read_some(net::buffer(bytes), net::use_awaitable);
+    }
+};
+
+const std::string shortAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+HttpRequest postRequest()
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.headers = {{"Host", "h"}};
+    request.body = "body";
+    return request;
+}
+
+} // namespace
+
+// Guards against a new connection for every request.
+TEST_CASE("A connection is kept for the next request", "[connection]")
+{
+    ScriptedPeer peer({shortAnswer, shortAnswer});
+    HttpConnectionPool pool(peer.context, Clock::steady());
+    peer.run([&]() -> net::awaitable<void> {
+        for (int index = 0; index < 2; ++index) {
+            Error reason;
+            auto connection = co_await pool.acquire(peer.endpoint(), Milliseconds(5000),
+                                                    Milliseconds(500), reason);
+            const HttpRequest request = postRequest();
+            const auto response = co_await connection->exchange(request, Milliseconds(500), reason);
+            REQUIRE(response);
+            const auto body = co_await connection->readAll(100, Milliseconds(500), reason);
+            REQUIRE(body == "ok");
+            pool.release(std::move(connection));
+        }
+    });
+    REQUIRE(peer.accepted == 1);
+}
+
+// Guards against bytes after an answer that are taken for the next request's answer.
+TEST_CASE("A connection with bytes after its answer is not kept", "[connection]")
+{
+    ScriptedPeer peer({shortAnswer + "HTTP/1.1 200 OK\r\n"});
+    HttpConnectionPool pool(peer.context, Clock::steady());
+    peer.run([&]() -> net::awaitable<void> {
+        Error reason;
+        auto connection = co_await pool.acquire(peer.endpoint(), Milliseconds(5000),
+                                                Milliseconds(500), reason);
+        const HttpRequest request = postRequest();
+        co_await connection->exchange(request, Milliseconds(500), reason);
+        co_await connection->readAll(100, Milliseconds(500), reason);
+        REQUIRE_FALSE(connection->isReusable());
+        pool.release(std::move(connection));
+    });
+    REQUIRE(pool.idleCount() == 0);
+}
+
+// Guards against the use of a connection that its peer closed or wrote to while it was idle.
+TEST_CASE("An idle connection that shows a sign of its peer is given up", "[connection]")
+{
+    ScriptedPeer peer({shortAnswer, "", shortAnswer});
+    HttpConnectionPool pool(peer.context, Clock::steady());
+    peer.run([&]() -> net::awaitable<void> {
+        Error reason;
+        auto first = co_await pool.acquire(peer.endpoint(), Milliseconds(5000), Milliseconds(500),
+                                           reason);
+        const HttpRequest request = postRequest();
+        co_await first->exchange(request, Milliseconds(500), reason);
+        co_await first->readAll(100, Milliseconds(500), reason);
+        // The second read of the peer makes it close.
+        const auto lost = co_await first->exchange(request, Milliseconds(500), reason);
+        REQUIRE_FALSE(lost);
+        REQUIRE(reason.runState == RunState::OutcomeUnknown);
+        REQUIRE_FALSE(first->isIdle());
+    });
+}
+
+// Guards against a peer's time-out that strikes while a request is on its way.
+TEST_CASE("A connection is given up before its peer's stated time", "[connection]")
+{
+    ScriptedPeer peer({"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=2\r\nContent-Length: 0\r\n\r\n",
+                       "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"});
+    const auto now = std::make_shared<Milliseconds>(Milliseconds(0));
+    HttpConnectionPool pool(peer.context, Clock::manual(now));
+    peer.run([&]() -> net::awaitable<void> {
+        Error reason;
+        auto connection = co_await pool.acquire(peer.endpoint(), Milliseconds(5000),
+                                                Milliseconds(500), reason);
+        const HttpRequest request = postRequest();
+        co_await connection->exchange(request, Milliseconds(500), reason);
+        co_await connection->readAll(100, Milliseconds(500), reason);
+        REQUIRE(connection->keepAlive() == Milliseconds(2000));
+        pool.release(std::move(connection));
+        REQUIRE(pool.idleCount() == 1);
+        *now = Milliseconds(1500);
+        auto next = co_await pool.acquire(peer.endpoint(), Milliseconds(5000), Milliseconds(500),
+                                          reason);
+        REQUIRE(next);
+        pool.closeExpired();
+    });
+    // The system accepts a connection before the peer does.
+    peer.context.run_for(std::chrono::milliseconds(50));
+    REQUIRE(pool.idleCount() == 0);
+    REQUIRE(peer.accepted == 2);
+}
+
+// Guards against an order on a connection that its peer may have dropped unseen.
+TEST_CASE("A connection that was idle for too long for a call is left alone", "[connection]")
+{
+    ScriptedPeer peer({shortAnswer, shortAnswer});
+    const auto now = std::make_shared<Milliseconds>(Milliseconds(0));
+    HttpConnectionPool pool(peer.context, Clock::manual(now));
+    peer.run([&]() -> net::awaitable<void> {
+        Error reason;
+        auto connection = co_await pool.acquire(peer.endpoint(), Milliseconds(5000),
+                                                Milliseconds(500), reason);
+        const HttpRequest request = postRequest();
+        co_await connection->exchange(request, Milliseconds(500), reason);
+        co_await connection->readAll(100, Milliseconds(500), reason);
+        pool.release(std::move(connection));
+        *now = Milliseconds(300);
+        auto fresh = co_await pool.acquire(peer.endpoint(), Milliseconds(250), Milliseconds(500),
+                                           reason);
+        REQUIRE(fresh);
+        REQUIRE(pool.idleCount() == 1);
+    });
+}
+
+// Guards against a truncated answer that passes for whole.
+TEST_CASE("A body that ends early is an error", "[connection]")
+{
+    ScriptedPeer peer({"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nshort", ""});
+    peer.run([&]() -> net::awaitable<void> {
+        Error reason;
+        const net::any_io_executor executor = peer.context.get_executor();
+        HttpConnection connection(executor, peer.endpoint());
+        co_await connection.connect(Milliseconds(500), reason);
+        const HttpRequest request = postRequest();
+        const auto response = co_await connection.exchange(request, Milliseconds(500), reason);
+        REQUIRE(response);
+        const auto body = co_await connection.readAll(100, Milliseconds(200), reason);
+        REQUIRE_FALSE(body);
+        REQUIRE(reason.runState == RunState::OutcomeUnknown);
+    });
+}
+
+// Guards against a request that is called not sent although it went out, or the reverse.
+TEST_CASE("A refused connection means that nothing was sent", "[connection]")
+{
+    net::io_context context;
+    Endpoint closed;
+    {
+        tcp::acceptor acceptor(context, tcp::endpoint(net::ip::make_address("127.0.0.1"), 0));
+        closed = {"127.0.0.1", acceptor.local_endpoint().port()};
+    }
+    bool isDone = false;
+    net::co_spawn(
+            context,
+            [&]() -> net::awaitable<void> {
+                Error reason;
+                const net::any_io_executor executor = context.get_executor();
+                HttpConnection connection(executor, closed);
+                const bool isOpen = co_await connection.connect(Milliseconds(500), reason);
+                REQUIRE_FALSE(isOpen);
+                REQUIRE(reason.runState == RunState::NotRun);
+                isDone = true;
+            },
+            net::detached);
+    context.run();
+    REQUIRE(isDone);
+}
--- a/tests/acceptance/test_secrets.cpp
+++ b/tests/acceptance/test_secrets.cpp
@@ -17,7 +17,9 @@
     EntryState entry(settings, HostIncarnation("run"));
     DispatchService dispatch(entry, runtime, platform.context);
     BackendMonitor monitor(entry, dispatch, platform.context);
-    PeerService peers(entry, dispatch, monitor, platform.client, runtime, platform.context, {});
+    PeerHooks hooks;
+    hooks.registry = objectRegistry(platform.client, entry);
+    PeerService peers(entry, dispatch, runtime, platform.context, hooks);
     StatusHandler handler(entry, monitor, peers, platform.context);
     for (const char *target : {"/v1/dump", "/v1/status", "/v1/addresses", "/metrics"}) {
         HttpRequest request;
