--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -116,7 +116,7 @@
     }
 
     /** Starts a stand-in and registers it. */
-    void addServer(const std::string &name, Handler handler)
+    void addServer(const std::string &name, const Handler &handler)
     {
         auto server = std::make_unique<HttpServer>(
                 this->context, HttpServerOptions(),
--- a/packages/gateway/tests/test_routetable.cpp
+++ b/packages/gateway/tests/test_routetable.cpp
@@ -45,7 +45,10 @@
         std::vector<Route> routes;
         std::string prefix = "/";
         for (const std::uint8_t part : shape) {
-            prefix = part % 4 == 0 ? "/" : prefix + std::string(1, char('a' + part % 3)) + "/";
+            if (part % 4 == 0)
+                prefix = "/";
+            else
+                prefix.append(1, char('a' + part % 3)).append("/");
             routes.push_back(routeFor("h", prefix));
         }
         const RouteTable table(routes);
