Build the HTTP client on one connection class and seed from getrandom

Cause: sendHttpRequest and HttpStream repeated HttpConnection's connect, write and read with a read timer of their own; StoreClient and the engine calls repeated one exchange on a kept connection; the relay turned its backup into a place twice.

Change: HttpStream and sendHttpRequest use HttpConnection, which takes over the read timer and the idle hook; HttpConnectionPool::call() is the one exchange; EventRelay::takeCopy() the one place. RandomSource::fromSystem() asks getrandom(2). HttpConnectionPool::forget() had no caller.

--- a/packages/core/identity/randomsource.cpp
+++ b/packages/core/identity/randomsource.cpp
@@ -1,7 +1,10 @@
 #include "core/identity/randomsource.h"
 
 #include <cassert>
-#include <random>
+#include <cerrno>
+#include <system_error>
+
+#include <sys/random.h>
 
 namespace sassafrasyard {
 
@@ -12,8 +15,15 @@
 
 RandomSource RandomSource::fromSystem()
 {
-    std::random_device device;
-    return RandomSource((static_cast<std::uint64_t>(device()) << 32U) | device());
+    // std::random_device may read the processor's generator, which no simulation can repeat.
+    std::uint64_t seed = 0;
+    ssize_t length = 0;
+    do
+        length = ::getrandom(&seed, sizeof seed, 0);
+    while (length < 0 && errno == EINTR);
+    if (length != sizeof seed)
+        throw std::system_error(errno, std::generic_category(), "getrandom");
+    return RandomSource(seed);
 }
 
 std::uint64_t RandomSource::next()
--- a/packages/core/identity/randomsource.h
+++ b/packages/core/identity/randomsource.h
@@ -12,7 +12,11 @@
     /** Creates a generator. @param seed equal seeds give equal sequences. */
     explicit RandomSource(std::uint64_t seed);
 
-    /** Returns a generator seeded from the operating system. */
+    /**
+     * Returns a generator seeded from the operating system.
+     *
+     * @throws std::system_error if the system gives no random bytes.
+     */
     static RandomSource fromSystem();
 
     /** Returns the next 64 random bits. */
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -212,8 +212,8 @@
     if (this->partCount >= maximumParts)
         co_return false;
     if (hasRun) {
-        const bool isKept = co_await this->takeKeptCopy();
-        if (isKept || this->takeCopy())
+        const bool isKept = co_await this->goOnAtKeptCopy();
+        if (isKept || this->goOnAtCopy())
             co_return true;
     }
     this->dropCopy();
@@ -340,18 +340,27 @@
 }
 
 /** Goes on where the run's memory was copied to. @return whether there is such a place. */
-bool EventRelay::takeCopy()
+bool EventRelay::goOnAtCopy()
 {
-    if (!this->isCopyUsable())
+    auto next = this->takeCopy();
+    if (!next)
         return false;
-    StreamPlace next = *std::exchange(this->copy, std::nullopt);
-    next.source = MemoryCopy{next.address, this->call.metadata.requestId};
-    this->goOnAt(std::move(next));
+    this->goOnAt(std::move(*next));
     return true;
 }
 
+/** Returns the place of the copy that grew with the run, if it is usable; it is no copy then. */
+std::optional<StreamPlace> EventRelay::takeCopy()
+{
+    if (!this->isCopyUsable())
+        return std::nullopt;
+    auto next = std::exchange(this->copy, std::nullopt);
+    next->source = MemoryCopy{next->address, this->call.metadata.requestId};
+    return next;
+}
+
 /** Goes on at the copy that was kept up to date. @return whether there is one. */
-net::awaitable<bool> EventRelay::takeKeptCopy()
+net::awaitable<bool> EventRelay::goOnAtKeptCopy()
 {
     if (!this->keptCopy)
         co_return false;
@@ -397,9 +406,8 @@
     if (this->isCopyUsable()) {
         if (now - *this->partFirstEventAt < copyAge)
             co_return;
-        StreamPlace next = *std::exchange(this->copy, std::nullopt);
-        next.source = MemoryCopy{next.address, this->call.metadata.requestId};
-        co_await this->startTakeover(std::move(next), now);
+        auto next = this->takeCopy();
+        co_await this->startTakeover(std::move(*next), now);
         co_return;
     }
     if (this->keptCopy && this->keptCopy->hasFailed())
--- a/packages/gateway/relay/eventrelay.h
+++ b/packages/gateway/relay/eventrelay.h
@@ -63,8 +63,9 @@
     void dropCopy();
     void dropKeptCopy();
     boost::asio::awaitable<void> dropTakeover();
-    bool takeCopy();
-    boost::asio::awaitable<bool> takeKeptCopy();
+    bool goOnAtCopy();
+    std::optional<StreamPlace> takeCopy();
+    boost::asio::awaitable<bool> goOnAtKeptCopy();
     void goOnAt(StreamPlace next);
     void protect(Milliseconds now);
     boost::asio::awaitable<void> prepareToLeave(Milliseconds now);
--- a/packages/network/http/httpclient.h
+++ b/packages/network/http/httpclient.h
@@ -9,9 +9,12 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string_view>
 
 namespace sassafrasyard {
 
+class HttpConnection;
+
 /** Time limits of an outgoing HTTP request. */
 struct HttpTimeouts
 {
@@ -75,10 +78,8 @@
     void close();
 
 private:
-    struct Implementation;
     std::function<void()> idleHook;
-    // Shared with the handler of the read timer, which may run after the stream is gone.
-    std::shared_ptr<Implementation> implementation;
+    std::unique_ptr<HttpConnection> connection;
 };
 
 } // namespace sassafrasyard
--- a/packages/network/http/httpconnection.cpp
+++ b/packages/network/http/httpconnection.cpp
@@ -2,12 +2,15 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
+#include <chrono>
 #include <limits>
 
 namespace sassafrasyard {
@@ -22,6 +25,8 @@
 
 /** The largest header of a response, in bytes. */
 constexpr std::uint32_t maximumResponseHeaderBytes = 64U << 10U;
+/** How often the idle hook runs; often enough to notice a caller that has left. */
+constexpr Milliseconds idleInterval{500};
 
 auto redirect(error_code &code)
 {
@@ -61,16 +66,58 @@
 
 } // namespace
 
+/**
+ * The socket of an HttpConnection.
+ *
+ * Reads of the body are guarded by one timer that is set again only when it fires. Beast's own
+ * timer, set and cancelled at each read, costs about as much as the read of a small event.
+ */
 struct HttpConnection::Implementation : std::enable_shared_from_this<Implementation>
 {
     using Message = http::request<http::string_body>;
 
     Implementation(const net::any_io_executor &executor, Endpoint endpoint)
         : stream(executor)
+        , watchdog(executor)
         , endpoint(std::move(endpoint))
     {
     }
 
+    /** Closes the connection if the pending read is not done by the deadline. */
+    void watch()
+    {
+        this->isWatching = true;
+        const auto next = std::chrono::steady_clock::now() + idleInterval;
+        this->watchdog.expires_at(this->idleHook ? std::min(next, this->deadline) : this->deadline);
+        this->watchdog.async_wait([weak = this->weak_from_this()](error_code code) {
+            const auto self = weak.lock();
+            if (!self || code)
+                return;
+            self->isWatching = false;
+            if (!self->isReading)
+                return;
+            if (std::chrono::steady_clock::now() < self->deadline) {
+                if (self->idleHook)
+                    self->idleHook();
+                self->watch();
+                return;
+            }
+            self->hasTimedOut = true;
+            self->stream.close();
+        });
+    }
+
+    /** Starts guarding a read. @param timeout for the read, in milliseconds. */
+    void beginRead(Milliseconds timeout)
+    {
+        this->stream.expires_never();
+        this->deadline = std::chrono::steady_clock::now() + timeout;
+        this->isReading = true;
+        // A timer set for an earlier read fires first and is then set to this deadline.
+        if (!this->isWatching || this->watchdog.expiry() > this->deadline)
+            this->watch();
+    }
+
     void startWriting(const HttpRequest &request)
     {
         this->message = Message();
@@ -102,6 +149,12 @@
     bool isPending() const { return this->weak_from_this().use_count() > 1; }
 
     beast::tcp_stream stream;
+    net::steady_timer watchdog;
+    std::chrono::steady_clock::time_point deadline;
+    std::function<void()> idleHook;
+    bool isWatching = false;
+    bool isReading = false;
+    bool hasTimedOut = false;
     Endpoint endpoint;
     beast::flat_buffer buffer;
     Message message;
@@ -188,9 +241,12 @@
         auto &body = state.parser->get().body();
         body.data = state.bytes.data();
         body.size = state.bytes.size();
-        state.stream.expires_after(timeout);
+        state.beginRead(timeout);
         error_code code;
         co_await http::async_read_some(state.stream, state.buffer, *state.parser, redirect(code));
+        state.isReading = false;
+        if (code && state.hasTimedOut)
+            code = beast::error::timeout;
         if (code && code != http::error::need_buffer) {
             reason = failure(code, RunState::OutcomeUnknown, state.endpoint);
             this->close();
@@ -255,6 +311,11 @@
     return this->implementation->endpoint;
 }
 
+void HttpConnection::setIdleHook(std::function<void()> hook)
+{
+    this->implementation->idleHook = std::move(hook);
+}
+
 void HttpConnection::close()
 {
     this->implementation->stream.close();
--- a/packages/network/http/httpconnection.h
+++ b/packages/network/http/httpconnection.h
@@ -7,6 +7,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -91,12 +92,20 @@
     /** Returns the peer. */
     const Endpoint &endpoint() const;
 
+    /**
+     * Sets what runs about twice a second while a read of the body is pending.
+     *
+     * @param hook must not read from or close the connection.
+     */
+    void setIdleHook(std::function<void()> hook);
+
     /** Closes the connection. */
     void close();
 
 private:
     struct Implementation;
-    // Shared with a write that may still be pending when the connection is given up.
+    // Shared with a write that may still be pending when the connection is given up, and with the
+    // handler of the read timer.
     std::shared_ptr<Implementation> implementation;
 };
 
--- a/packages/network/http/httpconnectionpool.cpp
+++ b/packages/network/http/httpconnectionpool.cpp
@@ -54,6 +54,27 @@
     kept.push_back({std::move(connection), now, now + lifetime});
 }
 
+net::awaitable<std::optional<HttpResponse>> HttpConnectionPool::call(Endpoint endpoint,
+                                                                     HttpRequest request,
+                                                                     HttpCallLimits limits,
+                                                                     Error &reason)
+{
+    request.headers.insert(request.headers.begin(), {"Host", endpoint.toString()});
+    auto connection =
+            co_await this->acquire(std::move(endpoint), limits.maximumIdle, limits.connect, reason);
+    if (!connection)
+        co_return std::nullopt;
+    auto response = co_await connection->exchange(request, limits.answer, reason);
+    if (!response)
+        co_return std::nullopt;
+    auto body = co_await connection->readAll(limits.answerBytes, limits.answer, reason);
+    if (!body)
+        co_return std::nullopt;
+    this->release(std::move(connection));
+    response->body = std::move(*body);
+    co_return response;
+}
+
 void HttpConnectionPool::closeExpired()
 {
     const Milliseconds now = this->clock.now();
@@ -62,11 +83,6 @@
     std::erase_if(this->idle, [](const auto &entry) { return entry.second.empty(); });
 }
 
-void HttpConnectionPool::forget(const Endpoint &endpoint)
-{
-    this->idle.erase(endpoint.toString());
-}
-
 std::size_t HttpConnectionPool::idleCount() const
 {
     std::size_t count = 0;
--- a/packages/network/http/httpconnectionpool.h
+++ b/packages/network/http/httpconnectionpool.h
@@ -11,6 +11,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace sassafrasyard {
@@ -26,6 +27,19 @@
     Milliseconds keepAliveMargin{500};
 };
 
+/** Bounds of HttpConnectionPool::call(). */
+struct HttpCallLimits
+{
+    /** The longest time that a kept connection may have been idle, in milliseconds. */
+    Milliseconds maximumIdle{0};
+    /** Until a new connection stands, in milliseconds. */
+    Milliseconds connect{0};
+    /** For the header of the answer, and for each piece of its body, in milliseconds. */
+    Milliseconds answer{0};
+    /** The largest body of an answer, in bytes. */
+    std::size_t answerBytes = 0;
+};
+
 /** Kept connections to HTTP servers. All calls come from one thread. */
 class HttpConnectionPool
 {
@@ -52,12 +66,18 @@
     /** Takes a connection back; it is closed unless another request may follow on it. */
     void release(std::unique_ptr<HttpConnection> connection);
 
+    /**
+     * Sends a request on a kept or new connection and reads the whole response.
+     *
+     * @param request gets a Host field.
+     * @param reason as for acquire(), HttpConnection::exchange() and HttpConnection::readAll().
+     */
+    boost::asio::awaitable<std::optional<HttpResponse>> call(Endpoint endpoint, HttpRequest request,
+                                                             HttpCallLimits limits, Error &reason);
+
     /** Closes what has been idle for too long. Call it about once a second. */
     void closeExpired();
 
-    /** Closes the idle connections to a peer. */
-    void forget(const Endpoint &endpoint);
-
     /** Returns the number of idle connections. */
     std::size_t idleCount() const;
 
