Count short work of peers' digests for its typical time only

Cause: with 65 hosts a peer's digest is renewed every few seconds, while a plain call lasts 30 ms and a prompt some hundred.

Change: LoadTracker drops a digest's plain calls and unread prompts after twice the time that this host measured for such work. Engine runs and memory count as before.

The test of the tracker fails without the change.

--- a/packages/policy/load/loadtracker.cpp
+++ b/packages/policy/load/loadtracker.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace sassafrasyard {
 
@@ -26,6 +27,8 @@
 
 LoadTracker::LoadTracker(LoadTrackerOptions options)
     : options(options)
+    , shortWork{ShortWorkState{ShortWork::Requests, options.shortWorkBelieved, {}},
+                ShortWorkState{ShortWork::Prompts, options.shortWorkBelieved, {}}}
 {
     assert(options.reportTrusted < options.reportWorthless);
 }
@@ -92,10 +95,29 @@
     known.receivedAt = now;
     known.loads.assign(loads.begin(), loads.end());
     this->applyPeer(known, 1, isNew, now);
+    for (ShortWorkState &work : this->shortWork)
+        work.digests.push_back({peer, sequence, now});
+}
+
+void LoadTracker::setBelieved(ShortWork kind, Milliseconds time)
+{
+    for (ShortWorkState &work : this->shortWork) {
+        if (work.kind == kind)
+            work.believed = time;
+    }
 }
 
 void LoadTracker::advance(Milliseconds now)
 {
+    for (ShortWorkState &work : this->shortWork) {
+        while (!work.digests.empty() && now - work.digests.front().receivedAt >= work.believed) {
+            const FreshDigest digest = std::move(work.digests.front());
+            work.digests.pop_front();
+            const auto peer = this->peers.find(digest.peer);
+            if (peer != this->peers.end() && peer->second.sequence == digest.sequence)
+                this->dropShortWork(peer->second, work.kind, now);
+        }
+    }
     for (auto peer = this->peers.begin(); peer != this->peers.end();) {
         if (now - peer->second.receivedAt < this->options.peerSilence) {
             ++peer;
@@ -157,6 +179,18 @@
     this->servers[slot].knownAtReport += amount;
 }
 
+void LoadTracker::dropShortWork(Peer &peer, ShortWork kind, Milliseconds now)
+{
+    this->applyPeer(peer, -1, false, now);
+    for (PeerSlotLoad &load : peer.loads) {
+        if (kind == ShortWork::Prompts)
+            load.pendingPromptTokens = 0;
+        else if (load.isShortWork)
+            load.running = 0;
+    }
+    this->applyPeer(peer, 1, false, now);
+}
+
 void LoadTracker::applyPeer(const Peer &peer, std::int64_t sign, bool isBaseline, Milliseconds now)
 {
     for (const PeerSlotLoad &load : peer.loads) {
--- a/packages/policy/load/loadtracker.h
+++ b/packages/policy/load/loadtracker.h
@@ -3,8 +3,10 @@
 #include "policy/servers/loadreport.h"
 
 #include <algorithm>
+#include <array>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <span>
 #include <vector>
@@ -23,6 +25,19 @@
     Milliseconds reportWorthless{10000};
     /** A peer's digest is dropped when it was not renewed for so long, in milliseconds. */
     Milliseconds peerSilence{15000};
+    /**
+     * How long each kind of short work in a peer's digest counts until its typical time is known,
+     * in milliseconds.
+     */
+    Milliseconds shortWorkBelieved{1000};
+};
+
+/** Work in a peer's digest that ends soon after the digest was made. */
+enum class ShortWork : std::uint8_t {
+    /** Requests on a server that is no engine. */
+    Requests,
+    /** Prompts that an engine has not read yet. */
+    Prompts,
 };
 
 /** One entry of a peer's digest with the server's slot. */
@@ -36,6 +51,8 @@
     std::uint32_t reservedTokens = 0;
     /** Tokens of the peer's prompts that are still to be read there. */
     std::uint32_t pendingPromptTokens = 0;
+    /** Whether the requests that run there are short, so that they count for a short time only. */
+    bool isShortWork = false;
 };
 
 /** The estimated load of one server. */
@@ -82,7 +99,14 @@
     /** Records a peer's digest; one that is not newer than the last known one is ignored. */
     void recordPeer(const HostName &peer, std::uint64_t sequence,
                     std::span<const PeerSlotLoad> loads, Milliseconds now);
-    /** Drops the digests of silent peers. */
+    /**
+     * Sets how long short work of a peer's digest counts.
+     *
+     * In a large fleet each host hears of a peer only every few seconds, when such work has long
+     * ended; counting it for that long makes idle servers look full.
+     */
+    void setBelieved(ShortWork kind, Milliseconds time);
+    /** Drops the digests of silent peers, and the short work of those that are not fresh. */
     void advance(Milliseconds now);
 
     /** Returns the estimated load of a server. */
@@ -135,17 +159,35 @@
         std::vector<PeerSlotLoad> loads;
     };
 
+    /** A digest of which some short work still counts. */
+    struct FreshDigest
+    {
+        HostName peer;
+        std::uint64_t sequence = 0;
+        Milliseconds receivedAt{0};
+    };
+
+    struct ShortWorkState
+    {
+        ShortWork kind = ShortWork::Requests;
+        Milliseconds believed{0};
+        /** Oldest first. */
+        std::deque<FreshDigest> digests;
+    };
+
     static std::int64_t known(const Server &server);
     const Sample &sampleAt(ServerSlot slot, Milliseconds time) const;
     void addSample(ServerSlot slot, Milliseconds now);
     void shiftBaseline(ServerSlot slot, std::int64_t amount);
     void applyPeer(const Peer &peer, std::int64_t sign, bool isBaseline, Milliseconds now);
+    void dropShortWork(Peer &peer, ShortWork kind, Milliseconds now);
     double reportWeight(const Server &server, Milliseconds now) const;
 
     LoadTrackerOptions options;
     std::vector<Server> servers;
     std::vector<History> histories;
     std::map<HostName, Peer> peers;
+    std::array<ShortWorkState, 2> shortWork;
 };
 
 inline std::int64_t LoadTracker::known(const Server &server)
--- a/packages/policy/pool/serverpool.cpp
+++ b/packages/policy/pool/serverpool.cpp
@@ -12,6 +12,10 @@
 
 /** How much of a slot must be free by the estimate for one more request. */
 constexpr double slotTolerance = 0.5;
+/** Weight of one more measured time; the last ten or so decide. */
+constexpr double workTimeWeight = 0.1;
+/** A peer's short work counts for twice its typical time, since some takes longer. */
+constexpr double believedInWorkTimes = 2.0;
 
 std::uint32_t clampTokens(double tokens)
 {
@@ -108,8 +112,8 @@
     slotLoads.reserve(digest.entries.size());
     for (const PeerLoadEntry &entry : digest.entries) {
         if (const auto slot = this->findSlot(entry.server))
-            slotLoads.push_back(
-                    {*slot, entry.running, entry.reservedTokens, entry.pendingPromptTokens});
+            slotLoads.push_back({*slot, entry.running, entry.reservedTokens,
+                                 entry.pendingPromptTokens, !this->states[*slot].isEngine});
     }
     ++this->version;
     this->loads.recordPeer(digest.host, digest.sequence, slotLoads, now);
@@ -135,6 +139,7 @@
     entry.promptTokens = request.promptTokens;
     entry.maximumTokens = request.maximumTokens;
     entry.pendingTokens = request.readsPrompt ? request.promptTokens : 0;
+    entry.placedAt = now;
     const double needed = static_cast<double>(entry.promptTokens) + this->expectedTotal(entry, now);
     if (this->isKnownRefusal(slots, needed, now))
         return std::nullopt;
@@ -167,6 +172,8 @@
     ++this->version;
     PlacedRequest &entry = known->second;
     ServerState &state = this->states[entry.slot];
+    if (entry.pendingTokens > 0)
+        this->recordWorkTime(ShortWork::Prompts, now - entry.placedAt);
     this->endPending(entry);
     this->recordPace(entry, tokens, now);
     state.ownUsed += tokens - entry.produced;
@@ -191,6 +198,8 @@
     this->placed.erase(known);
     this->endPending(entry);
     ServerState &state = this->states[entry.slot];
+    if (outcome == WorkOutcome::Completed && !state.isEngine)
+        this->recordWorkTime(ShortWork::Requests, now - entry.placedAt);
     --state.ownRunning;
     state.ownReserved -= entry.reservedTokens;
     state.ownUsed -= std::uint64_t{entry.promptTokens} + entry.produced;
@@ -468,6 +477,15 @@
     request.pendingTokens = 0;
 }
 
+void ServerPool::recordWorkTime(ShortWork kind, Milliseconds time)
+{
+    auto &typical = this->workTimes[static_cast<std::size_t>(kind)];
+    const auto measured = static_cast<double>(time.count());
+    typical = typical ? *typical + workTimeWeight * (measured - *typical) : measured;
+    const double believed = std::max(1.0, believedInWorkTimes * *typical);
+    this->loads.setBelieved(kind, Milliseconds(static_cast<std::int64_t>(believed)));
+}
+
 void ServerPool::updateReservation(PlacedRequest &request, Milliseconds now)
 {
     ServerState &state = this->states[request.slot];
--- a/packages/policy/pool/serverpool.h
+++ b/packages/policy/pool/serverpool.h
@@ -9,6 +9,7 @@
 #include "policy/servers/loadreport.h"
 #include "policy/work/workrequest.h"
 
+#include <array>
 #include <cstddef>
 #include <optional>
 #include <span>
@@ -141,6 +142,7 @@
         std::uint32_t pendingTokens = 0;
         std::uint32_t pacedTokens = 0;
         Milliseconds pacedAt{0};
+        Milliseconds placedAt{0};
     };
 
     /** What place() reads of a server; kept apart from its names, which are large. */
@@ -188,6 +190,7 @@
                         Milliseconds now);
     void addCandidate(ServerSlot slot, double needed, Milliseconds now);
     void endPending(PlacedRequest &request);
+    void recordWorkTime(ShortWork kind, Milliseconds time);
     void updateReservation(PlacedRequest &request, Milliseconds now);
     void recordPace(PlacedRequest &request, std::uint32_t tokens, Milliseconds now);
 
@@ -204,6 +207,8 @@
     std::unordered_map<RequestName, PlacedRequest> placed;
     std::vector<PlacementCandidate> candidates;
     std::uint64_t placeCount = 0;
+    /** The typical times of short work by kind, in milliseconds, once one was measured. */
+    std::array<std::optional<double>, 2> workTimes;
     /** Rises with each event that may make room for a request. */
     std::uint64_t version = 1;
     std::uint64_t digestSequence = 0;
--- a/packages/policy/tests/test_loadtracker.cpp
+++ b/packages/policy/tests/test_loadtracker.cpp
@@ -57,6 +57,34 @@
     REQUIRE(tracker.running(0, at(2300)) == Approx(5.0));
 }
 
+// Guards against idle servers that look full in a large fleet, where a peer's digest is renewed
+// only every few seconds but the work in it lasts some milliseconds.
+TEST_CASE("Short work of a peer's digest counts for its typical time only", "[load]")
+{
+    LoadTracker tracker;
+    tracker.addServer(0);
+    tracker.addServer(1);
+    tracker.setBelieved(ShortWork::Requests, at(60));
+    tracker.setBelieved(ShortWork::Prompts, at(400));
+    const std::vector<PeerSlotLoad> loads = {{0, 3, 0, 0, true}, {1, 2, 5000, 3000, false}};
+    tracker.recordPeer(HostName("peer"), 1, loads, at(1000));
+    tracker.advance(at(1050));
+    REQUIRE(tracker.running(0, at(1050)) == Approx(3.0));
+    tracker.advance(at(1060));
+    REQUIRE(tracker.running(0, at(1060)) == Approx(0.0));
+    REQUIRE(tracker.running(1, at(1060)) == Approx(2.0));
+    REQUIRE(tracker.estimate(1, at(1060)).peersPendingPrompts == Approx(3000.0));
+    tracker.advance(at(1400));
+    REQUIRE(tracker.estimate(1, at(1400)).peersPendingPrompts == Approx(0.0));
+    REQUIRE(tracker.running(1, at(1400)) == Approx(2.0));
+    REQUIRE(tracker.othersMemory(1, at(1400)) == Approx(5000.0));
+    // A newer digest counts in full, and the time of the older one does not end it.
+    tracker.recordPeer(HostName("peer"), 2, loads, at(1500));
+    tracker.recordPeer(HostName("peer"), 3, loads, at(1540));
+    tracker.advance(at(1570));
+    REQUIRE(tracker.running(0, at(1570)) == Approx(3.0));
+}
+
 // Guards against a late report compared with too young a memory of the own work.
 TEST_CASE("A late report meets what was known when it was taken", "[load]")
 {
