Compare with old lists instead of reading everything anew

Change: the periodic read may be seconds old, which costs a tenth; ObjectVersions tells whether it shows a change that the watch did not tell, and only then everything is read. A failed watch is followed by a full read, since it may have been cut after changes that it did not tell. Watches keep a spacing after the first two of a group.

--- a/packages/gateway/store/objectfollower.cpp
+++ b/packages/gateway/store/objectfollower.cpp
@@ -15,6 +15,13 @@
 
 namespace net = boost::asio;
 
+namespace {
+
+/** Watches that may begin before the spacing holds; the first two bring a group of changes. */
+constexpr int watchesAtOnce = 2;
+
+} // namespace
+
 ObjectFollower::ObjectFollower(std::string kind, ObjectSource source, Clock clock, ListHook onList,
                                ChangesHook onChanges, ObjectFollowerOptions options)
     : kind(std::move(kind))
@@ -38,10 +45,12 @@
     boost::system::error_code code;
     Milliseconds delay = this->options.firstRetryDelay;
     while (!code) {
-        const bool isDue = this->clock.now() - this->listedAt >= this->options.resyncInterval;
+        const bool isDue = this->clock.now() - this->comparedAt >= this->options.resyncInterval;
         bool hasSucceeded = false;
-        if (this->needsList || isDue)
+        if (this->needsList)
             hasSucceeded = co_await this->readAll();
+        else if (isDue)
+            hasSucceeded = co_await this->compare();
         else
             hasSucceeded = co_await this->readChanges();
         if (hasSucceeded) {
@@ -57,33 +66,52 @@
 net::awaitable<bool> ObjectFollower::readAll()
 {
     const Milliseconds askedAt = this->clock.now();
-    std::vector<RegisteredObject> objects;
-    std::uint64_t firstRevision = 0;
-    std::string after;
-    bool hasMore = true;
-    while (hasMore) {
-        Error reason;
-        auto page = co_await this->source.list(this->kind, after, reason);
-        this->recordResult(page.has_value(), reason);
-        if (!page)
-            co_return false;
-        // Changes between two pages come again from here; the entries' revisions tell them.
-        if (after.empty())
-            firstRevision = page->revision;
-        hasMore = page->hasMore && !page->objects.empty();
-        if (hasMore)
-            after = page->objects.back().name;
-        std::move(page->objects.begin(), page->objects.end(), std::back_inserter(objects));
-    }
-    this->revision = firstRevision;
+    Error reason;
+    const auto all = co_await readAllObjects(this->source, this->kind, ReadAge::Current, reason);
+    this->recordResult(all.has_value(), reason);
+    if (!all)
+        co_return false;
+    this->revision = all->revision;
     this->needsList = false;
-    this->listedAt = askedAt;
-    this->onList(objects, askedAt);
+    this->comparedAt = askedAt;
+    this->versions.assign(all->objects);
+    this->onList(all->objects, askedAt);
     co_return true;
 }
 
+/** Looks for changes that the watch did not tell. */
+net::awaitable<bool> ObjectFollower::compare()
+{
+    this->comparedAt = this->clock.now();
+    Error reason;
+    const auto old = co_await readAllObjects(this->source, this->kind, ReadAge::Seconds, reason);
+    this->recordResult(old.has_value(), reason);
+    if (!old)
+        co_return false;
+    this->needsList = !this->versions.agreesWith(*old);
+    if (this->needsList) {
+        logEvent(LogEvent::StoreChangeMissed, "kind", this->kind, "revision",
+                 std::to_string(old->revision));
+    }
+    co_return true;
+}
+
+net::awaitable<void> ObjectFollower::spaceWatches()
+{
+    const Milliseconds now = this->clock.now();
+    const Milliseconds ahead = (watchesAtOnce - 1) * this->options.watchSpacing;
+    const Milliseconds dueAt = std::max(this->watchDueAt, now);
+    this->watchDueAt = dueAt + this->options.watchSpacing;
+    if (dueAt - now <= ahead)
+        co_return;
+    net::steady_timer timer(co_await net::this_coro::executor, dueAt - now - ahead);
+    boost::system::error_code code;
+    co_await timer.async_wait(net::redirect_error(net::use_awaitable, code));
+}
+
 net::awaitable<bool> ObjectFollower::readChanges()
 {
+    co_await this->spaceWatches();
     const Milliseconds askedAt = this->clock.now();
     Error reason;
     const auto changes = co_await this->source.watch(this->kind, this->revision,
@@ -95,8 +123,12 @@
         co_return true;
     }
     this->recordResult(changes.has_value(), reason);
-    if (!changes)
+    if (!changes) {
+        // A watch may be cut after changes that it did not tell, as when the store compacts.
+        this->needsList = true;
         co_return false;
+    }
+    this->versions.apply(changes->changes);
     this->revision = std::max(this->revision, changes->revision);
     this->onChanges(changes->changes, askedAt);
     co_return true;
--- a/packages/gateway/store/objectfollower.h
+++ b/packages/gateway/store/objectfollower.h
@@ -2,6 +2,7 @@
 
 #include "core/core.h"
 #include "gateway/store/objectsource.h"
+#include "gateway/store/objectversions.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -18,10 +19,16 @@
     /** How long one watch waits for a change, in milliseconds. */
     Milliseconds watchWait{1200};
     /**
-     * How often everything is read although the watch hears nothing, in milliseconds. A store that
-     * compacts its history may leave watches without news of changes.
+     * How often what the watch told is compared with a list, in milliseconds. A store that compacts
+     * its history may leave watches without news of changes. The list may be seconds old, which the
+     * store serves at a fraction of the price; everything is read if it shows an unknown change.
      */
     Milliseconds resyncInterval{3000};
+    /**
+     * How often a watch may begin on average while there are changes, in milliseconds. Changes come
+     * in groups, and each watch is a call to the store.
+     */
+    Milliseconds watchSpacing{250};
     /** The pause after a first failed call; it doubles with each further one. */
     Milliseconds firstRetryDelay{100};
     /** The longest pause after failed calls. */
@@ -50,6 +57,8 @@
     boost::asio::awaitable<void> follow();
     boost::asio::awaitable<bool> readAll();
     boost::asio::awaitable<bool> readChanges();
+    boost::asio::awaitable<bool> compare();
+    boost::asio::awaitable<void> spaceWatches();
     void recordResult(bool hasSucceeded, const Error &reason);
 
     std::string kind;
@@ -60,8 +69,10 @@
     ObjectFollowerOptions options;
     std::uint64_t revision = 0;
     bool needsList = true;
-    Milliseconds listedAt{0};
-    Error lastFailure;
+    Milliseconds comparedAt{0};
+    /** When the next watch would begin if all kept the spacing. */
+    Milliseconds watchDueAt{0};
+    ObjectVersions versions;
     bool isAvailable = true;
 };
 
--- /dev/null
+++ b/packages/gateway/store/objectsource.cpp
@@ -0,0 +1,30 @@
+#include "gateway/store/objectsource.h"
+
+#include <iterator>
+#include <utility>
+
+namespace sassafrasyard {
+
+boost::asio::awaitable<std::optional<ObjectPage>> readAllObjects(const ObjectSource &source,
+                                                                 std::string kind, ReadAge age,
+                                                                 Error &reason)
+{
+    ObjectPage all;
+    std::string after;
+    bool isFirst = true;
+    bool hasMore = true;
+    while (hasMore) {
+        auto page = co_await source.list(kind, after, age, reason);
+        if (!page)
+            co_return std::nullopt;
+        if (std::exchange(isFirst, false))
+            all.revision = page->revision;
+        hasMore = page->hasMore && !page->objects.empty();
+        if (hasMore)
+            after = page->objects.back().name;
+        std::move(page->objects.begin(), page->objects.end(), std::back_inserter(all.objects));
+    }
+    co_return all;
+}
+
+} // namespace sassafrasyard
--- a/packages/gateway/store/objectsource.h
+++ b/packages/gateway/store/objectsource.h
@@ -52,6 +52,14 @@
     std::uint64_t revision = 0;
 };
 
+/** How old the answer to a read of the store may be. */
+enum class ReadAge {
+    /** As of the instant of asking. */
+    Current,
+    /** Some seconds; such reads are cheap for the store. */
+    Seconds,
+};
+
 /** The calls to the platform's store that follow a kind of object. */
 struct ObjectSource
 {
@@ -60,8 +68,8 @@
      *
      * Fails with PlatformUnavailable.
      */
-    std::function<boost::asio::awaitable<std::optional<ObjectPage>>(std::string kind,
-                                                                    std::string after, Error &)>
+    std::function<boost::asio::awaitable<std::optional<ObjectPage>>(
+            std::string kind, std::string after, ReadAge age, Error &)>
             list;
     /**
      * Waits for changes of a kind since a revision.
@@ -74,4 +82,15 @@
             watch;
 };
 
+/**
+ * Reads all objects of a kind, page by page.
+ *
+ * @param reason as for ObjectSource::list.
+ * @return the objects, with the revision of the first page. A watch from there repeats what changed
+ *     between two pages.
+ */
+boost::asio::awaitable<std::optional<ObjectPage>> readAllObjects(const ObjectSource &source,
+                                                                 std::string kind, ReadAge age,
+                                                                 Error &reason);
+
 } // namespace sassafrasyard
--- a/packages/observability/logging/logevent.cpp
+++ b/packages/observability/logging/logevent.cpp
@@ -52,6 +52,7 @@
         LogEventEntry{LogEvent::RoutesApplied, LogLevel::Info, "routes_applied"},
         LogEventEntry{LogEvent::ReadinessChanged, LogLevel::Info, "readiness_changed"},
         LogEventEntry{LogEvent::ServerLeaving, LogLevel::Info, "server_leaving"},
+        LogEventEntry{LogEvent::StoreChangeMissed, LogLevel::Warning, "store_change_missed"},
         LogEventEntry{LogEvent::CallRefused, LogLevel::Info, "call_refused"},
         LogEventEntry{LogEvent::CallAnswered, LogLevel::Info, "call_answered"},
         LogEventEntry{LogEvent::AttemptFailed, LogLevel::Info, "attempt_failed"},
--- a/packages/observability/logging/logevent.h
+++ b/packages/observability/logging/logevent.h
@@ -58,6 +58,7 @@
     RoutesApplied = 8005,
     ReadinessChanged = 8006,
     ServerLeaving = 8007,
+    StoreChangeMissed = 8008,
     CallRefused = 8010,
     CallAnswered = 8011,
     AttemptFailed = 8012,
