Tell peers at once which servers leave

What a peer told counts for drain-ms, is not told on and means one run only, so a server that starts again under its name is not meant.

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -31,6 +31,9 @@
 constexpr double watchShareOfApply = 0.6;
 /** A part of revoke-ms, so that keys are confirmed by a full read before they expire. */
 constexpr double resyncShareOfTrust = 0.6;
+/** A part of drain-ms, so that a host that hears of a leaving server from the store alone stops in
+ * time; peers tell each other sooner. */
+constexpr double watchShareOfDrain = 0.25;
 /** A server's entry is removed after so many heartbeats without a sign of it. */
 constexpr int heartbeatsUntilLapse = 3;
 /** Entries of living servers are back this long after an outage of the store. */
@@ -67,7 +70,7 @@
 
 ServerCatalogueOptions catalogueOptions(const PlatformSettings &settings)
 {
-    return {entryReturnTime, heartbeatsUntilLapse * settings.heartbeat};
+    return {entryReturnTime, heartbeatsUntilLapse * settings.heartbeat, settings.drain};
 }
 
 ObjectFollowerOptions followerOptions(const PlatformSettings &settings)
@@ -78,6 +81,7 @@
     ObjectFollowerOptions options;
     options.watchWait = part(settings.serving.configurationApply, watchShareOfApply);
     options.resyncInterval = part(settings.serving.keyTrust, resyncShareOfTrust);
+    options.watchSpacing = part(settings.drain, watchShareOfDrain);
     return options;
 }
 
@@ -214,6 +218,7 @@
     this->servers.setHooks(
             [this](const BackendServerName &server) {
                 logEvent(LogEvent::ServerLeaving, "backend_server", server.toString());
+                this->peers.announceSoon();
                 this->dispatch.post([server](Dispatcher &dispatcher, Milliseconds) {
                     dispatcher.setLeaving(server, true);
                 });
@@ -264,11 +269,11 @@
     PeerHooks hooks;
     hooks.registry =
             this->store.hostRegistry(this->settings.host, this->entry.settings.peerAddress);
-    hooks.leavingServers = [] {
-        std::vector<BackendServerName> none;
-        return none;
+    hooks.leavingServers = [this] {
+        return this->servers.leavingRuns();
     };
-    hooks.recordLeaving = [](const std::vector<BackendServerName> &) {
+    hooks.recordLeaving = [this](const std::vector<BackendServerName> &runs) {
+        this->servers.recordTold(runs, this->clock.now());
     };
     hooks.sharesConfiguration = false;
     hooks.sharesPromptsAtOnce = true;
--- a/packages/entry/peers/peerservice.cpp
+++ b/packages/entry/peers/peerservice.cpp
@@ -114,6 +114,11 @@
         dispatch.setLoadChangeHook([this] { this->loadExchange.requestSend(); });
 }
 
+void PeerService::announceSoon()
+{
+    this->loadExchange.requestSend();
+}
+
 bool PeerService::start(Error &reason)
 {
     const auto endpoint = parseEndpoint(this->entry.settings.peerAddress, reason);
--- a/packages/entry/peers/peerservice.h
+++ b/packages/entry/peers/peerservice.h
@@ -66,6 +66,10 @@
     bool start(Error &reason);
     /** Announces whether this host takes callers. */
     void setServing(bool isServing);
+    /** Tells peers within some milliseconds of load and leaving servers, as when one begins to
+     * leave.
+     */
+    void announceSoon();
     /** Announces the planned stop to the peers. */
     boost::asio::awaitable<void> leave();
     /** Forwards a call to the host of an incarnation; OutcomeUnknown if that host is gone. */
--- a/packages/gateway/servers/servercatalogue.cpp
+++ b/packages/gateway/servers/servercatalogue.cpp
@@ -46,7 +46,7 @@
 {
     const auto known = this->servers.find(entry.name);
     if (known == this->servers.end()) {
-        this->servers.emplace(entry.name, Known{entry, {}});
+        this->servers.emplace(entry.name, Known{entry, {}, {}});
         this->notifyChange();
         return;
     }
@@ -55,7 +55,11 @@
     if (entry.revision < before.revision)
         return;
     const bool hasRestarted = entry.startedAt != before.startedAt && entry.startedAt != 0;
-    const bool startsLeaving = entry.isLeaving && !before.isLeaving;
+    // A peer told of the run that the entry was of before.
+    const bool wasTold = known->second.toldUntil.has_value() && !hasRestarted;
+    const bool startsLeaving = entry.isLeaving && !before.isLeaving && !wasTold;
+    if (hasRestarted || entry.isLeaving)
+        known->second.toldUntil.reset();
     const bool hasChanged = hasRestarted || entry.isLeaving != before.isLeaving
             || entry.address != before.address || entry.service != before.service
             || entry.slots != before.slots;
@@ -82,16 +86,42 @@
     this->contactAt = std::max(askedAt, this->contactAt.value_or(askedAt));
 }
 
+void ServerCatalogue::recordTold(std::span<const BackendServerName> runs, Milliseconds now)
+{
+    if (runs.empty())
+        return;
+    const std::set<BackendServerName> told(runs.begin(), runs.end());
+    bool hasChanged = false;
+    for (auto &[name, known] : this->servers) {
+        if (known.entry.isLeaving || !told.contains(runName(known.entry)))
+            continue;
+        const bool isNews = !known.toldUntil;
+        known.toldUntil = now + this->options.toldTime;
+        hasChanged = hasChanged || isNews;
+        if (isNews && this->leavingHook)
+            this->leavingHook(name);
+    }
+    if (hasChanged)
+        this->notifyChange();
+}
+
 void ServerCatalogue::advance(Milliseconds now)
 {
     std::vector<BackendServerName> overdue;
-    for (const auto &[name, known] : this->servers) {
+    bool hasChanged = false;
+    for (auto &[name, known] : this->servers) {
+        if (known.toldUntil && now >= *known.toldUntil) {
+            known.toldUntil.reset();
+            hasChanged = true;
+            if (this->restartHook)
+                this->restartHook(name);
+        }
         if (known.droppedAt && now >= *known.droppedAt)
             overdue.push_back(name);
     }
     for (const BackendServerName &name : overdue)
         this->leave(name);
-    if (!overdue.empty())
+    if (hasChanged || !overdue.empty())
         this->notifyChange();
 }
 
@@ -111,7 +141,7 @@
         server.models = {ModelName(known.entry.service)};
         server.slots = known.entry.slots;
         server.memoryTokens = service->engine ? service->engine->memoryTokens : 0;
-        server.isLeaving = known.entry.isLeaving;
+        server.isLeaving = known.entry.isLeaving || known.toldUntil.has_value();
         result.push_back(std::move(server));
     }
     return result;
@@ -125,18 +155,19 @@
 
 bool ServerCatalogue::isUsable(const BackendServerName &name) const
 {
-    const ServerEntry *entry = this->find(name);
-    return entry != nullptr && !entry->isLeaving;
+    const auto known = this->servers.find(name);
+    return known != this->servers.end() && !known->second.entry.isLeaving
+            && !known->second.toldUntil;
 }
 
-std::vector<BackendServerName> ServerCatalogue::leavingServers() const
+std::vector<BackendServerName> ServerCatalogue::leavingRuns() const
 {
-    std::vector<BackendServerName> names;
+    std::vector<BackendServerName> runs;
     for (const auto &[name, known] : this->servers) {
         if (known.entry.isLeaving)
-            names.push_back(name);
+            runs.push_back(runName(known.entry));
     }
-    return names;
+    return runs;
 }
 
 std::vector<ServerEntry> ServerCatalogue::entries() const
@@ -147,6 +178,11 @@
     return all;
 }
 
+BackendServerName ServerCatalogue::runName(const ServerEntry &entry)
+{
+    return BackendServerName(entry.name.toString() + "/" + std::to_string(entry.startedAt));
+}
+
 void ServerCatalogue::leave(const BackendServerName &name)
 {
     const bool isNews = this->isUsable(name);
--- a/packages/gateway/servers/servercatalogue.h
+++ b/packages/gateway/servers/servercatalogue.h
@@ -42,6 +42,11 @@
     Milliseconds returnTime{2000};
     /** Without contact for so long, entries of living servers may have lapsed in the store. */
     Milliseconds lapseTime{3000};
+    /**
+     * How long a peer's word that a server leaves counts without the store's, in milliseconds; the
+     * store tells it within this time.
+     */
+    Milliseconds toldTime{2000};
 };
 
 /**
@@ -58,7 +63,10 @@
     using LeavingHook = std::function<void(const BackendServerName &)>;
     /** Called after the set of usable servers or their properties have changed. */
     using ChangeHook = std::function<void()>;
-    /** Called with a server that runs anew under its name and holds nothing of before. */
+    /**
+     * Called with a server that runs anew under its name and holds nothing of before, and with one
+     * whose leaving a peer told and the store did not confirm.
+     */
     using RestartHook = std::function<void(const BackendServerName &)>;
 
     /** Creates an empty catalogue. */
@@ -77,7 +85,9 @@
     void applyRemoval(const BackendServerName &name, std::uint64_t revision);
     /** Records that the store answered a read that was asked at an instant. */
     void recordContact(Milliseconds askedAt);
-    /** Lets time pass: drops servers that did not return after an outage. */
+    /** Takes in peers' word that servers leave. @param runs as of a peer's leavingRuns(). */
+    void recordTold(std::span<const BackendServerName> runs, Milliseconds now);
+    /** Lets time pass: drops servers that did not return after an outage, and unconfirmed words. */
     void advance(Milliseconds now);
 
     /** Returns the servers for the policy, with the properties of their services. */
@@ -86,8 +96,13 @@
     const ServerEntry *find(const BackendServerName &name) const;
     /** Returns whether a server is registered and not leaving. */
     bool isUsable(const BackendServerName &name) const;
-    /** Returns the leaving servers. */
-    std::vector<BackendServerName> leavingServers() const;
+    /**
+     * Returns the runs of servers that leave by the store's word, for peers.
+     *
+     * A run's name tells it from a later one of the same server. What peers told is left out, so
+     * that a wrong word does not go round.
+     */
+    std::vector<BackendServerName> leavingRuns() const;
     /** Returns all entries. */
     std::vector<ServerEntry> entries() const;
 
@@ -97,8 +112,11 @@
         ServerEntry entry;
         /** Set while the entry is missing after an outage. */
         std::optional<Milliseconds> droppedAt;
+        /** Until when a peer's word that it leaves counts. */
+        std::optional<Milliseconds> toldUntil;
     };
 
+    static BackendServerName runName(const ServerEntry &entry);
     void leave(const BackendServerName &name);
     void notifyChange() const;
 
--- a/packages/gateway/tests/test_servercatalogue.cpp
+++ b/packages/gateway/tests/test_servercatalogue.cpp
@@ -124,3 +124,56 @@
     REQUIRE(servers[0].kind == BackendServerKind::Engine);
     REQUIRE(servers[0].memoryTokens == 34161);
 }
+
+// Guards against a host that goes on using a leaving server because its own watch is late or cut.
+TEST_CASE("A peer's word that a server leaves counts until the store has had time to tell",
+          "[servers]")
+{
+    ServerCatalogue teller;
+    teller.applyEntry(entryOf("a", 2, true));
+    teller.applyEntry(entryOf("b", 3));
+    const std::vector<BackendServerName> runs = teller.leavingRuns();
+    REQUIRE(runs.size() == 1);
+    ServerCatalogue catalogue;
+    Observed observed;
+    observed.watch(catalogue);
+    catalogue.applyEntry(entryOf("a", 1));
+    catalogue.applyEntry(entryOf("b", 3));
+    catalogue.recordTold(runs, Milliseconds(1000));
+    catalogue.recordTold(runs, Milliseconds(1100));
+    REQUIRE_FALSE(catalogue.isUsable(BackendServerName("a")));
+    REQUIRE(catalogue.isUsable(BackendServerName("b")));
+    REQUIRE(observed.leaving == std::vector<std::string>{"a"});
+    SECTION("What a peer told is not told on")
+    {
+        REQUIRE(catalogue.leavingRuns().empty());
+    }
+    SECTION("The store's word confirms it without a second notice")
+    {
+        catalogue.applyEntry(entryOf("a", 2, true));
+        catalogue.advance(Milliseconds(9000));
+        REQUIRE_FALSE(catalogue.isUsable(BackendServerName("a")));
+        REQUIRE(observed.leaving == std::vector<std::string>{"a"});
+        REQUIRE(observed.restarted.empty());
+        REQUIRE(catalogue.leavingRuns() == runs);
+    }
+    SECTION("An entry of before does not end it, the time does")
+    {
+        catalogue.applyEntry(entryOf("a", 1));
+        REQUIRE_FALSE(catalogue.isUsable(BackendServerName("a")));
+        catalogue.advance(Milliseconds(3099));
+        REQUIRE_FALSE(catalogue.isUsable(BackendServerName("a")));
+        catalogue.advance(Milliseconds(3100));
+        REQUIRE(catalogue.isUsable(BackendServerName("a")));
+        REQUIRE(observed.restarted == std::vector<std::string>{"a"});
+    }
+    SECTION("A later run of the server is not meant")
+    {
+        ServerEntry later = entryOf("a", 4);
+        later.startedAt = 2;
+        catalogue.applyEntry(later);
+        REQUIRE(catalogue.isUsable(BackendServerName("a")));
+        catalogue.recordTold(runs, Milliseconds(1200));
+        REQUIRE(catalogue.isUsable(BackendServerName("a")));
+    }
+}
