Tell 64 peers of engine work at once, within 19 KB/s a host

Updates also held plain calls, which are over before peers could use them, and a list of leaving servers.

Change: an update at once is sent for engine work only, holds this host's load only and goes to up to 64 peers; ByteBudget bounds all updates of a host to the planned 19 KB/s. Leaving servers are told at once when one begins to leave, and at intervals.

--- a/packages/entry/dispatch/dispatchservice.cpp
+++ b/packages/entry/dispatch/dispatchservice.cpp
@@ -82,7 +82,9 @@
 
     void carryOut(const Assignment &assignment, const Decision &decision)
     {
-        this->notifyLoadChange();
+        // A plain call is over before peers could use the news of it.
+        if (assignment.reservedTokens > 0)
+            this->notifyLoadChange();
         this->controls.emplace(assignment.request, std::make_shared<StreamControl>());
         this->answer(assignment.request, decision);
     }
--- a/packages/entry/peers/loadexchange.cpp
+++ b/packages/entry/peers/loadexchange.cpp
@@ -22,8 +22,10 @@
 constexpr std::size_t peersPerTick = 4;
 /** Changes within this time share one update; an engine takes longer to read a prompt. */
 constexpr Milliseconds changeDelay{25};
-/** Bounds the traffic of an update at once; in a larger fleet each host tells a part of it. */
-constexpr std::size_t peersPerChange = 16;
+/** Peers that hear of a change at once; those that don't place prompts on engines that are full. */
+constexpr std::size_t peersPerChange = 64;
+/** The share of a host's control traffic at the planned size (docs/CAPACITY.md). */
+constexpr double updateBytesPerSecond = 19'000.0;
 
 } // namespace
 
@@ -31,6 +33,7 @@
     : entry(state)
     , strand(net::make_strand(context))
     , encodeUpdate(std::move(encodeUpdate))
+    , budget(updateBytesPerSecond)
 {
 }
 
@@ -45,15 +48,17 @@
     net::steady_timer timer(co_await net::this_coro::executor);
     boost::system::error_code code;
     while (!code) {
-        co_await this->sendTo(this->nextPeers(peersPerTick));
+        co_await this->sendTo(peersPerTick, Content::All, false);
         timer.expires_after(sendInterval);
         co_await timer.async_wait(net::redirect_error(net::use_awaitable, code));
     }
 }
 
-void LoadExchange::requestSend()
+void LoadExchange::requestSend(Content content)
 {
-    net::post(this->strand, [this] {
+    net::post(this->strand, [this, content] {
+        if (content == Content::All)
+            this->contentSoon = Content::All;
         if (std::exchange(this->isSendingSoon, true))
             return;
         net::co_spawn(
@@ -67,14 +72,22 @@
     boost::system::error_code code;
     co_await timer.async_wait(net::redirect_error(net::use_awaitable, code));
     this->isSendingSoon = false;
-    co_await this->sendTo(this->nextPeers(peersPerChange));
+    const Content content = std::exchange(this->contentSoon, Content::Load);
+    co_await this->sendTo(peersPerChange, content, true);
 }
 
-net::awaitable<void> LoadExchange::sendTo(std::vector<std::string> peers)
+/** Updates at intervals are always sent, so that no peer goes without news for long. */
+net::awaitable<void> LoadExchange::sendTo(std::size_t peerCount, Content content, bool isAtOnce)
 {
-    if (peers.empty())
-        co_return;
-    const std::string update = co_await this->encodeUpdate();
+    const std::string update = co_await this->encodeUpdate(content);
+    std::vector<std::string> peers = this->nextPeers(peerCount);
+    const std::size_t permitted =
+            this->budget.take(peers.size(), update.size(), this->entry.steadyClock.now());
+    if (isAtOnce && permitted < peers.size()) {
+        // The others are next in turn.
+        this->nextIndex -= peers.size() - permitted;
+        peers.resize(permitted);
+    }
     for (const std::string &address : peers) {
         net::co_spawn(
                 this->strand, [this, address, update] { return this->sendTo(address, update); },
--- a/packages/entry/peers/loadexchange.h
+++ b/packages/entry/peers/loadexchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entry/peers/bytebudget.h"
 #include "entry/state/entrystate.h"
 #include "network/network.h"
 
@@ -27,8 +28,16 @@
 class LoadExchange
 {
 public:
+    /** What an update tells. */
+    enum class Content {
+        /** This host's load only, which is what changes most often. */
+        Load,
+        /** Also the crash quarantine and the leaving backend servers. */
+        All,
+    };
+
     /** Encodes the update to send. */
-    using EncodeUpdate = std::function<boost::asio::awaitable<std::string>()>;
+    using EncodeUpdate = std::function<boost::asio::awaitable<std::string>(Content)>;
 
     /** Creates an exchange that does not send yet. */
     LoadExchange(EntryState &state, boost::asio::io_context &context, EncodeUpdate encodeUpdate);
@@ -37,13 +46,13 @@
 
     /** Starts sending. */
     void start();
-    /** Sends soon, to a bounded number of peers; safe from any thread. */
-    void requestSend();
+    /** Sends soon, to as many peers as the bytes per second permit; safe from any thread. */
+    void requestSend(Content content);
 
 private:
     boost::asio::awaitable<void> sendPeriodically();
     boost::asio::awaitable<void> sendTo(std::string address, std::string update);
-    boost::asio::awaitable<void> sendTo(std::vector<std::string> peers);
+    boost::asio::awaitable<void> sendTo(std::size_t peerCount, Content content, bool isAtOnce);
     boost::asio::awaitable<void> sendSoon();
     std::vector<std::string> nextPeers(std::size_t limit);
 
@@ -53,7 +62,9 @@
     std::map<std::string, std::unique_ptr<FrameConnection>> connections;
     std::set<std::string> sending;
     std::size_t nextIndex = 0;
+    ByteBudget budget;
     bool isSendingSoon = false;
+    Content contentSoon = Content::Load;
 };
 
 } // namespace sassafrasyard
--- a/packages/entry/peers/peerservice.cpp
+++ b/packages/entry/peers/peerservice.cpp
@@ -107,16 +107,19 @@
     , hooks(std::move(hooks))
     , members(runtime, selfRecord(state), tableOptions(state))
     , server(context, [this](FrameConnection &connection) { return this->serve(connection); })
-    , loadExchange(state, context, [this] { return this->encodeLoadUpdate(); })
+    , loadExchange(state, context, [this](LoadExchange::Content content) {
+        return this->encodeLoadUpdate(content);
+    })
 {
     state.publishMembers({selfRecord(state)});
     if (this->hooks.sharesPromptsAtOnce)
-        dispatch.setLoadChangeHook([this] { this->loadExchange.requestSend(); });
+        dispatch.setLoadChangeHook(
+                [this] { this->loadExchange.requestSend(LoadExchange::Content::Load); });
 }
 
 void PeerService::announceSoon()
 {
-    this->loadExchange.requestSend();
+    this->loadExchange.requestSend(LoadExchange::Content::All);
 }
 
 bool PeerService::start(Error &reason)
@@ -427,10 +430,15 @@
         gossip.leavingServers.push_back(server.toString());
 }
 
-net::awaitable<std::string> PeerService::encodeLoadUpdate()
+net::awaitable<std::string> PeerService::encodeLoadUpdate(LoadExchange::Content content)
 {
     LoadUpdate update;
-    co_await this->addLoad(update.gossip);
+    if (content == LoadExchange::Content::All) {
+        co_await this->addLoad(update.gossip);
+    } else {
+        const PeerLoadDigest digest = co_await this->dispatch.loadDigest();
+        addDigest(update.gossip, digest);
+    }
     const PeerMessage message = std::move(update);
     co_return encodeMessage(message);
 }
--- a/packages/entry/peers/peerservice.h
+++ b/packages/entry/peers/peerservice.h
@@ -93,7 +93,7 @@
     boost::asio::awaitable<bool> probeIndirectly(MemberRecord target);
     boost::asio::awaitable<Gossip> collectGossip(bool includesAllMembers);
     boost::asio::awaitable<void> addLoad(Gossip &gossip);
-    boost::asio::awaitable<std::string> encodeLoadUpdate();
+    boost::asio::awaitable<std::string> encodeLoadUpdate(LoadExchange::Content content);
     void takeInLoad(const Gossip &gossip);
     boost::asio::awaitable<void> takeIn(MemberRecord sender, Gossip gossip);
     boost::asio::awaitable<void> pullConfiguration(std::string address);
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -82,6 +82,8 @@
         co_return false;
     }
     this->place = {work.name, grant->server.name, grant->server.address, {}};
+    if (this->partCount == 0)
+        this->placedAfter = this->services.clock.now() - this->call.receivedAt;
     const bool isLate = this->call.timeLeft(this->services.clock.now()) <= Milliseconds(0);
     if (isLate || this->call.isCallerGone || !this->services.servers.isUsable(this->place.server)) {
         this->reportPartEnd(WorkOutcome::Cancelled);
@@ -497,7 +499,8 @@
              this->call.route->name, "version", std::to_string(this->call.configuration->version),
              "status", std::string(outcome), "elapsed_ms",
              std::to_string((this->services.clock.now() - this->call.receivedAt).count()), "events",
-             std::to_string(this->eventCount), "first_event_ms",
+             std::to_string(this->eventCount), "placed_ms",
+             std::to_string(this->placedAfter.count()), "first_event_ms",
              std::to_string(this->firstEventAfter.count()), "longest_pause_ms",
              std::to_string(this->longestPause.count()), "pause_after_event",
              std::to_string(this->longestPauseBefore), "pause_at_switch",
--- a/packages/gateway/relay/eventrelay.h
+++ b/packages/gateway/relay/eventrelay.h
@@ -105,6 +105,8 @@
     std::optional<Milliseconds> partFirstEventAt;
     /** When the last event was passed on, and the longest pause so far with what ended it. */
     std::optional<Milliseconds> eventAt;
+    /** From the call's arrival until it was first placed, and until its first event. */
+    Milliseconds placedAfter{0};
     Milliseconds firstEventAfter{0};
     Milliseconds longestPause{0};
     std::uint64_t longestPauseBefore = 0;
