Avoid a server that breaks off new connections, count calls by outcome

A connection closed by its peer before the answer was taken for a protocol violation, so it was not even looked into.

Change: a break on a new connection makes this host avoid the server for ServerReachability's pause; one on a kept connection does not, since servers may drop idle ones unseen. An early close is ConnectionFailed.

--- a/packages/gateway/relay/backendattempt.cpp
+++ b/packages/gateway/relay/backendattempt.cpp
@@ -79,10 +79,15 @@
     this->call.cancels[this] = [this] {
         this->cancel();
     };
+    // A server may drop a kept connection while it is idle, so only a new one tells of the server.
+    const bool isNew = !this->connection->hasAnswered();
     result = co_await this->exchange(order, timeout);
     if (result.outcome == AttemptOutcome::Unknown && !this->call.isCallerGone
-        && result.failure.code == ErrorCode::ConnectionFailed)
+        && result.failure.code == ErrorCode::ConnectionFailed) {
+        if (isNew)
+            this->services.reachability.recordFailure(order.server);
         this->checkForCrash(order.server, address);
+    }
     co_return result;
 }
 
--- /dev/null
+++ b/packages/gateway/relay/callmetrics.cpp
@@ -0,0 +1,67 @@
+#include "gateway/relay/callmetrics.h"
+
+#include <array>
+#include <string>
+
+namespace sassafrasyard {
+
+namespace {
+
+std::string toLabel(CallKind kind)
+{
+    switch (kind) {
+    case CallKind::Idempotent:
+        return "idempotent";
+    case CallKind::NonIdempotent:
+        return "non_idempotent";
+    case CallKind::Stream:
+        return "stream";
+    }
+    return "unknown";
+}
+
+double toNumber(Milliseconds time)
+{
+    return static_cast<double>(time.count());
+}
+
+} // namespace
+
+void recordCall(Metrics &metrics, CallKind kind, std::string_view outcome, Milliseconds elapsed)
+{
+    metrics.count("sassafrasyard_routed_calls_total",
+                  {{"kind", toLabel(kind)}, {"outcome", std::string(outcome)}});
+    metrics.observe("sassafrasyard_routed_call_ms", {{"kind", toLabel(kind)}}, toNumber(elapsed));
+}
+
+void recordRefusal(Metrics &metrics, ErrorCode reason, RunState runState)
+{
+    metrics.count("sassafrasyard_routed_refusals_total",
+                  {{"reason", std::string(toString(reason))},
+                   {"run_state", std::string(toString(runState))}});
+}
+
+void recordFailedAttempt(Metrics &metrics, CallKind kind, AttemptOutcome outcome)
+{
+    metrics.count("sassafrasyard_failed_attempts_total",
+                  {{"kind", toLabel(kind)}, {"outcome", std::string(toString(outcome))}});
+}
+
+void recordStreamPace(Metrics &metrics, Milliseconds firstEvent, Milliseconds longestPause)
+{
+    metrics.observe("sassafrasyard_stream_first_event_ms", {}, toNumber(firstEvent));
+    metrics.observe("sassafrasyard_stream_longest_pause_ms", {}, toNumber(longestPause));
+}
+
+std::string_view statusClass(int status)
+{
+    constexpr std::array<std::string_view, 6> classes = {"other", "1xx", "2xx",
+                                                         "3xx",   "4xx", "5xx"};
+    constexpr int classSize = 100;
+    const int index = status / classSize;
+    return index > 0 && index < static_cast<int>(classes.size())
+            ? classes[static_cast<std::size_t>(index)]
+            : classes[0];
+}
+
+} // namespace sassafrasyard
--- a/packages/gateway/relay/callrelay.cpp
+++ b/packages/gateway/relay/callrelay.cpp
@@ -1,6 +1,7 @@
 #include "gateway/relay/callrelay.h"
 
 #include "gateway/calls/hopheaders.h"
+#include "gateway/relay/callmetrics.h"
 
 #include <algorithm>
 #include <string>
@@ -54,6 +55,8 @@
         else
             this->failure = result.failure;
         if (result.outcome != AttemptOutcome::Answered) {
+            recordFailedAttempt(this->services.entry.metrics, this->call.route->kind,
+                                result.outcome);
             logEvent(LogEvent::AttemptFailed, "request", this->call.metadata.requestId,
                      "backend_server", grant->server.name.toString(), "outcome",
                      toString(result.outcome), "detail", result.failure.detail);
@@ -62,7 +65,9 @@
     }
     if (this->answer)
         co_return *this->answer;
-    co_return this->services.codec.formatError(finalError(this->history, this->failure));
+    const Error error = finalError(this->history, this->failure);
+    recordRefusal(this->services.entry.metrics, error.code, error.runState);
+    co_return this->services.codec.formatError(error);
 }
 
 net::awaitable<std::optional<Grant>> CallRelay::place()
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -1,6 +1,7 @@
 #include "gateway/relay/eventrelay.h"
 
 #include "gateway/calls/hopheaders.h"
+#include "gateway/relay/callmetrics.h"
 
 #include <algorithm>
 #include <string>
@@ -112,6 +113,7 @@
     this->avoided.push_back(this->place.server);
     if (result.outcome != AttemptOutcome::Answered) {
         this->failure = result.failure;
+        recordFailedAttempt(this->services.entry.metrics, this->call.route->kind, result.outcome);
         logEvent(LogEvent::AttemptFailed, "request", this->call.metadata.requestId,
                  "backend_server", this->place.server.toString(), "outcome",
                  toString(result.outcome), "detail", result.failure.detail);
@@ -200,6 +202,8 @@
     }
     this->attempt->release();
     this->dropCopy();
+    recordCall(this->services.entry.metrics, this->call.route->kind, statusClass(response.status),
+               this->services.clock.now() - this->call.receivedAt);
     response.headers = withoutHopFields(response.headers);
     response.body = std::move(*body);
     co_await this->responder.send(std::move(response));
@@ -256,6 +260,7 @@
         co_return;
     }
     const Error error = finalError(this->history, this->failure);
+    recordRefusal(this->services.entry.metrics, error.code, error.runState);
     logEvent(LogEvent::CallRefused, "request", this->call.metadata.requestId, "reason",
              toString(error.code), "run_state", toString(error.runState), "detail", error.detail);
     co_await this->responder.send(this->services.codec.formatError(error));
@@ -495,11 +500,14 @@
 
 void EventRelay::logEnd(std::string_view outcome) const
 {
+    const Milliseconds elapsed = this->services.clock.now() - this->call.receivedAt;
+    recordCall(this->services.entry.metrics, this->call.route->kind, outcome, elapsed);
+    if (this->eventCount > 0)
+        recordStreamPace(this->services.entry.metrics, this->firstEventAfter, this->longestPause);
     logEvent(LogEvent::CallAnswered, "request", this->call.metadata.requestId, "route",
              this->call.route->name, "version", std::to_string(this->call.configuration->version),
-             "status", std::string(outcome), "elapsed_ms",
-             std::to_string((this->services.clock.now() - this->call.receivedAt).count()), "events",
-             std::to_string(this->eventCount), "placed_ms",
+             "status", std::string(outcome), "elapsed_ms", std::to_string(elapsed.count()),
+             "events", std::to_string(this->eventCount), "placed_ms",
              std::to_string(this->placedAfter.count()), "first_event_ms",
              std::to_string(this->firstEventAfter.count()), "longest_pause_ms",
              std::to_string(this->longestPause.count()), "pause_after_event",
--- a/packages/gateway/relay/gatewayservice.cpp
+++ b/packages/gateway/relay/gatewayservice.cpp
@@ -1,6 +1,7 @@
 #include "gateway/relay/gatewayservice.h"
 
 #include "gateway/calls/hopheaders.h"
+#include "gateway/relay/callmetrics.h"
 #include "gateway/relay/callrelay.h"
 #include "gateway/relay/eventrelay.h"
 #include "policy/placement/stablehash.h"
@@ -95,6 +96,7 @@
         logEvent(LogEvent::CallRefused, "request", "", "path", std::string(request.path()),
                  "reason", toString(reason.code), "run_state", toString(reason.runState), "detail",
                  reason.detail);
+        recordRefusal(this->services.entry.metrics, reason.code, reason.runState);
         co_await responder.send(this->services.codec.formatError(reason));
         co_return;
     }
@@ -124,10 +126,12 @@
         responder.abort();
     else
         co_await responder.send(std::move(response));
+    const Milliseconds elapsed = this->services.clock.now() - call.receivedAt;
+    recordCall(this->services.entry.metrics, call.route->kind,
+               call.isCallerGone ? "caller_gone" : statusClass(status), elapsed);
     logEvent(LogEvent::CallAnswered, "request", call.metadata.requestId, "route", call.route->name,
              "version", std::to_string(call.configuration->version), "status",
-             std::to_string(status), "elapsed_ms",
-             std::to_string((this->services.clock.now() - call.receivedAt).count()));
+             std::to_string(status), "elapsed_ms", std::to_string(elapsed.count()));
 }
 
 std::optional<RoutedCall> GatewayService::route(const HttpRequest &request, Error &reason)
--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -237,6 +237,9 @@
     };
     boost::asio::io_context context;
 
+    /** Returns the metrics in the Prometheus text format. */
+    std::string metricsText() const { return this->entry.metrics.toText(); }
+
 private:
     static Settings makeSettings()
     {
--- a/packages/gateway/tests/test_callrelay.cpp
+++ b/packages/gateway/tests/test_callrelay.cpp
@@ -150,3 +150,39 @@
     REQUIRE(fixture.call("/plain/", "r2", {{"Key", "wrong"}}).status == 401);
     REQUIRE(fixture.received.empty());
 }
+
+// Guards against failures that on-call engineers see in no figure.
+TEST_CASE("Calls, failed attempts and refusals are counted by kind and outcome", "[metrics]")
+{
+    GatewayFixture fixture;
+    fixture.addRoute(plainRoute(CallKind::NonIdempotent, 1));
+    fixture.addServer("a", breakingOff());
+    REQUIRE(fixture.call("/plain/x", "r1").status == 502);
+    REQUIRE(fixture.call("/none/x", "r2").status == 404);
+    const std::string text = fixture.metricsText();
+    const auto has = [&](const std::string &line) {
+        return text.find(line) != std::string::npos;
+    };
+    INFO(text);
+    REQUIRE(has("sassafrasyard_routed_calls_total{kind=\"non_idempotent\",outcome=\"5xx\"} 1"));
+    REQUIRE(has("sassafrasyard_failed_attempts_total{kind=\"non_idempotent\",outcome=\"unknown\"} "
+                "1"));
+    REQUIRE(has("sassafrasyard_routed_refusals_total{reason=\"backend_server_lost\","
+                "run_state=\"outcome_unknown\"} 1"));
+    REQUIRE(has(
+            "sassafrasyard_routed_refusals_total{reason=\"not_found\",run_state=\"not_run\"} 1"));
+    REQUIRE(has("sassafrasyard_routed_call_ms_count{kind=\"non_idempotent\"} 1"));
+}
+
+// Guards against calls that are sent again and again to a server that accepts connections but
+// resets them, as one that goes down and up by turns.
+TEST_CASE("A server that breaks off a new connection gets no work for a while", "[relay]")
+{
+    GatewayFixture fixture;
+    fixture.addRoute(plainRoute(CallKind::NonIdempotent, 1));
+    fixture.addServer("a", breakingOff());
+    REQUIRE(fixture.call("/plain/x", "r1").status == 502);
+    fixture.addServer("b", answering(200));
+    for (int number = 2; number < 8; ++number)
+        REQUIRE(fixture.call("/plain/x", "r" + std::to_string(number)).status == 200);
+}
--- a/packages/network/http/httpconnection.cpp
+++ b/packages/network/http/httpconnection.cpp
@@ -36,9 +36,13 @@
 Error failure(error_code code, RunState state, const Endpoint &endpoint)
 {
     ErrorCode kind = ErrorCode::ConnectionFailed;
+    // The parser reports a connection that was closed early as an error of its own.
+    const bool isClosed =
+            code == http::error::end_of_stream || code == http::error::partial_message;
     if (code == beast::error::timeout)
         kind = ErrorCode::Timeout;
-    else if (code.category() == http::make_error_code(http::error::bad_method).category())
+    else if (!isClosed
+             && code.category() == http::make_error_code(http::error::bad_method).category())
         kind = ErrorCode::ProtocolViolation;
     return {kind, state, endpoint.toString() + ": " + code.message(), {}};
 }
@@ -290,6 +294,11 @@
             && state.buffer.size() == 0;
 }
 
+bool HttpConnection::hasAnswered() const
+{
+    return this->implementation->parser.has_value();
+}
+
 bool HttpConnection::isIdle() const
 {
     const Implementation &state = *this->implementation;
--- a/packages/network/http/httpconnection.h
+++ b/packages/network/http/httpconnection.h
@@ -83,6 +83,9 @@
      */
     bool isReusable() const;
 
+    /** Returns whether a response was read on the connection. */
+    bool hasAnswered() const;
+
     /** Returns whether the peer has neither closed the connection nor sent a byte while idle. */
     bool isIdle() const;
 
