Bound what endless answers, malformed frames and unexpected errors can do

A body's time began anew with each read. - The buffer for chunk extensions and trailers had no limit. - A peer's frame of five bytes could claim a list of four thousand million elements, for which msgpack takes memory at once. - A detached coroutine that throws ends without a trace, a closure that throws ends its actor, and a handler that throws ends the process.

Change: one deadline for a header with its provisional responses (16 at most) and for a body; 128 KB of read ahead; lists of at most 65,536 elements, 8 levels deep; loops run as guarded tasks that log event 1008 and start again; state owners log and go on.

--- a/packages/entry/peers/loadexchange.cpp
+++ b/packages/entry/peers/loadexchange.cpp
@@ -1,5 +1,7 @@
 #include "entry/peers/loadexchange.h"
 
+#include "entry/tasks/guardedtask.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -39,8 +41,7 @@
 
 void LoadExchange::start()
 {
-    net::co_spawn(
-            this->strand, [this] { return this->sendPeriodically(); }, net::detached);
+    spawnGuarded(this->strand, "load exchange", [this] { return this->sendPeriodically(); });
 }
 
 net::awaitable<void> LoadExchange::sendPeriodically()
--- /dev/null
+++ b/packages/entry/tests/test_guardedtask.cpp
@@ -0,0 +1,42 @@
+#include "entry/entry.h"
+
+#include <boost/asio/post.hpp>
+#include <catch2/catch.hpp>
+
+#include <stdexcept>
+
+using namespace sassafrasyard;
+
+namespace net = boost::asio;
+
+// Guards against a loop that ends for good, unseen, on one unexpected value.
+TEST_CASE("A task that throws runs again, one that returns does not", "[tasks]")
+{
+    net::io_context context;
+    int runs = 0;
+    spawnGuarded(context.get_executor(), "task", [&runs]() -> net::awaitable<void> {
+        if (++runs < 3)
+            throw std::runtime_error("a value that nobody expected");
+        co_return;
+    });
+    const auto start = std::chrono::steady_clock::now();
+    runGuarded(context);
+    REQUIRE(runs == 3);
+    REQUIRE(std::chrono::steady_clock::now() - start >= 2 * taskRestartDelay);
+}
+
+// Guards against a process that ends with the first exception of any handler.
+TEST_CASE("A handler that throws does not end the others", "[tasks]")
+{
+    net::io_context context;
+    int done = 0;
+    for (int handler = 0; handler < 4; ++handler) {
+        net::post(context, [&done, handler] {
+            if (handler % 2 == 0)
+                throw std::runtime_error("a fault in one handler");
+            ++done;
+        });
+    }
+    runGuarded(context);
+    REQUIRE(done == 2);
+}
--- a/packages/membership/table/membertable.cpp
+++ b/packages/membership/table/membertable.cpp
@@ -2,11 +2,15 @@
 
 #include <algorithm>
 #include <bit>
+#include <limits>
 
 namespace sassafrasyard {
 
 namespace {
 
+/** The count of a record that is never sent. */
+constexpr std::uint32_t sentEnough = std::numeric_limits<std::uint32_t>::max();
+
 bool isNewer(const MemberRecord &update, const MemberRecord &known)
 {
     if (update.version != known.version)
@@ -62,18 +66,26 @@
     this->ownRecord.isServing = isServing;
     ++this->ownRecord.version;
     this->ownTimesSent = 0;
+    ++this->changes;
 }
 
 void MemberTable::leave()
 {
     this->ownRecord.state = MemberState::Leaving;
     this->ownTimesSent = 0;
+    ++this->changes;
 }
 
 void MemberTable::applyUpdates(std::span<const MemberRecord> updates, Milliseconds now)
 {
     for (const MemberRecord &update : updates)
-        this->apply(update, now);
+        this->apply(update, now, 0);
+}
+
+void MemberTable::learn(std::span<const MemberRecord> records, Milliseconds now)
+{
+    for (const MemberRecord &record : records)
+        this->apply(record, now, sentEnough);
 }
 
 std::optional<MemberRecord> MemberTable::nextProbe()
@@ -122,7 +134,7 @@
     MemberRecord update = known->second.record;
     // A leaving member that no longer answers has stopped; there is nobody left to refute.
     update.state = update.state == MemberState::Leaving ? MemberState::Dead : MemberState::Suspect;
-    this->apply(update, now);
+    this->apply(update, now, 0);
 }
 
 void MemberTable::advance(Milliseconds now)
@@ -133,12 +145,14 @@
             entry.record.state = MemberState::Dead;
             entry.changedAt = now;
             entry.timesSent = 0;
+            ++this->changes;
         }
     }
-    std::erase_if(this->entries, [&](const auto &pair) {
+    const std::size_t erased = std::erase_if(this->entries, [&](const auto &pair) {
         return pair.second.record.state == MemberState::Dead
                 && now - pair.second.changedAt >= this->options.deadRetention;
     });
+    this->changes += erased;
 }
 
 std::vector<MemberRecord> MemberTable::takeUpdates(std::size_t limit)
@@ -163,7 +177,12 @@
     return updates;
 }
 
-void MemberTable::apply(const MemberRecord &update, Milliseconds now)
+std::uint64_t MemberTable::changeCount() const
+{
+    return this->changes;
+}
+
+void MemberTable::apply(const MemberRecord &update, Milliseconds now, std::uint32_t timesSent)
 {
     if (update.incarnation == this->ownRecord.incarnation) {
         this->applyToSelf(update);
@@ -173,7 +192,8 @@
         return; // an earlier run of this host's daemon
     const auto known = this->entries.find(update.incarnation);
     if (known == this->entries.end()) {
-        this->entries.emplace(update.incarnation, Entry{update, now, 0});
+        this->entries.emplace(update.incarnation, Entry{update, now, timesSent});
+        ++this->changes;
         this->replaceEarlierRuns(update, now);
         return;
     }
@@ -185,7 +205,8 @@
     }
     if (!isNewer(update, entry.record))
         return;
-    entry = Entry{update, now, 0};
+    entry = Entry{update, now, timesSent};
+    ++this->changes;
 }
 
 void MemberTable::applyToSelf(const MemberRecord &update)
@@ -197,6 +218,7 @@
         return;
     this->ownRecord.version = update.version + 1;
     this->ownTimesSent = 0;
+    ++this->changes;
 }
 
 void MemberTable::replaceEarlierRuns(const MemberRecord &update, Milliseconds now)
@@ -211,6 +233,7 @@
         entry.record.state = MemberState::Dead;
         entry.changedAt = now;
         entry.timesSent = 0;
+        ++this->changes;
     }
 }
 
--- a/packages/membership/table/membertable.h
+++ b/packages/membership/table/membertable.h
@@ -53,6 +53,8 @@
     void leave();
     /** Takes in news about members. */
     void applyUpdates(std::span<const MemberRecord> updates, Milliseconds now);
+    /** Takes in news that every member reads from one place, so that it is not passed on. */
+    void learn(std::span<const MemberRecord> records, Milliseconds now);
     /** Returns the member to probe next, or nothing if there is none. */
     std::optional<MemberRecord> nextProbe();
     /** Returns up to count members to ask for indirect probes of the target. */
@@ -63,6 +65,8 @@
     void advance(Milliseconds now);
     /** Returns up to limit updates to send, least sent first, and counts them as sent. */
     std::vector<MemberRecord> takeUpdates(std::size_t limit);
+    /** Returns a number that rises with each change of a record, this host's own included. */
+    std::uint64_t changeCount() const;
 
 private:
     struct Entry
@@ -72,7 +76,7 @@
         std::uint32_t timesSent = 0;
     };
 
-    void apply(const MemberRecord &update, Milliseconds now);
+    void apply(const MemberRecord &update, Milliseconds now, std::uint32_t timesSent);
     void applyToSelf(const MemberRecord &update);
     void replaceEarlierRuns(const MemberRecord &update, Milliseconds now);
     void refillProbeOrder();
@@ -85,6 +89,7 @@
     std::map<HostIncarnation, Entry> entries;
     std::vector<HostIncarnation> probeOrder;
     std::uint32_t probeCount = 0;
+    std::uint64_t changes = 1;
 };
 
 } // namespace sassafrasyard
--- a/packages/membership/tests/test_membertable.cpp
+++ b/packages/membership/tests/test_membertable.cpp
@@ -34,6 +34,40 @@
     REQUIRE(other.find(HostIncarnation("run1"))->state == MemberState::Alive);
 }
 
+// Guards against messages full of news that every host reads from the registry anyway.
+TEST_CASE("Registered members are known but not passed on, their later news is", "[membership]")
+{
+    MemberTable table(member(1), {});
+    while (!table.takeUpdates(8).empty()) { }
+    const std::uint64_t before = table.changeCount();
+    table.learn(std::vector{member(2), member(3)}, Milliseconds(0));
+    REQUIRE(table.changeCount() > before);
+    REQUIRE(table.members().size() == 3);
+    // This host's own record goes out more often in a larger table, the registered ones never do.
+    for (const MemberRecord &sent : table.takeUpdates(8))
+        REQUIRE(sent == table.self());
+    table.applyUpdates(std::vector{member(2, MemberState::Suspect)}, Milliseconds(1));
+    REQUIRE(table.takeUpdates(1) == std::vector{member(2, MemberState::Suspect)});
+    // An old registration does not bring a dead member back.
+    table.applyUpdates(std::vector{member(3, MemberState::Dead)}, Milliseconds(1));
+    table.learn(std::vector{member(3)}, Milliseconds(2));
+    REQUIRE(table.find(HostIncarnation("run3"))->state == MemberState::Dead);
+}
+
+// Guards against hosts that copy the whole table for each message though nothing changed.
+TEST_CASE("Known news does not count as a change", "[membership]")
+{
+    MemberTable table(member(1), {});
+    table.applyUpdates(std::vector{member(2)}, Milliseconds(0));
+    const std::uint64_t before = table.changeCount();
+    table.applyUpdates(std::vector{member(2)}, Milliseconds(1));
+    table.setServing(table.self().isServing);
+    table.advance(Milliseconds(1));
+    REQUIRE(table.changeCount() == before);
+    table.setServing(!table.self().isServing);
+    REQUIRE(table.changeCount() > before);
+}
+
 // Guards against a suspect that is never declared dead, and against one declared dead too early.
 TEST_CASE("A suspect is dead after the suspicion timeout", "[membership]")
 {
--- a/packages/network/http/httpconnection.cpp
+++ b/packages/network/http/httpconnection.cpp
@@ -25,6 +25,13 @@
 
 /** The largest header of a response, in bytes. */
 constexpr std::uint32_t maximumResponseHeaderBytes = 64U << 10U;
+/**
+ * The most bytes that are read ahead of the body, as in a header, a chunk's extension or a trailer
+ * that does not end.
+ */
+constexpr std::size_t maximumReadAheadBytes = 2 * maximumResponseHeaderBytes;
+/** Provisional (1xx) responses before the final one; a sound server sends one or two. */
+constexpr int maximumProvisionalResponses = 16;
 /** How often the idle hook runs; often enough to notice a caller that has left. */
 constexpr Milliseconds idleInterval{500};
 
@@ -111,11 +118,11 @@
         });
     }
 
-    /** Starts guarding a read. @param timeout for the read, in milliseconds. */
-    void beginRead(Milliseconds timeout)
+    /** Starts guarding a read. */
+    void beginRead(std::chrono::steady_clock::time_point end)
     {
         this->stream.expires_never();
-        this->deadline = std::chrono::steady_clock::now() + timeout;
+        this->deadline = end;
         this->isReading = true;
         // A timer set for an earlier read fires first and is then set to this deadline.
         if (!this->isWatching || this->watchdog.expiry() > this->deadline)
@@ -160,7 +167,7 @@
     bool isReading = false;
     bool hasTimedOut = false;
     Endpoint endpoint;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{maximumReadAheadBytes};
     Message message;
     bool isWritten = true;
     std::size_t writtenBytes = 0;
@@ -213,15 +220,26 @@
 {
     Implementation &state = *this->implementation;
     constexpr int firstFinalStatus = 200;
+    // One deadline for all: provisional responses may come without end.
+    const auto end = std::chrono::steady_clock::now() + timeout;
     HttpResponse response;
     response.status = 0;
+    int provisional = 0;
     while (response.status < firstFinalStatus) {
+        if (provisional++ > maximumProvisionalResponses) {
+            reason = {ErrorCode::ProtocolViolation,
+                      RunState::OutcomeUnknown,
+                      state.endpoint.toString() + ": provisional responses without end",
+                      {}};
+            this->close();
+            co_return std::nullopt;
+        }
         state.parser.emplace();
         state.parser->header_limit(maximumResponseHeaderBytes);
         // Boost 1.74 takes every body with a known length for too long if there is no limit.
         state.parser->body_limit(std::numeric_limits<std::uint64_t>::max());
         state.parser->skip(state.isHeadRequest);
-        state.stream.expires_after(timeout);
+        state.stream.expires_at(end);
         error_code code;
         co_await http::async_read_header(state.stream, state.buffer, *state.parser, redirect(code));
         if (code) {
@@ -241,11 +259,13 @@
                                                                      Error &reason)
 {
     Implementation &state = *this->implementation;
+    // Chunk headers and trailers are no progress, so they don't extend the time.
+    const auto end = std::chrono::steady_clock::now() + timeout;
     while (state.parser && !state.parser->is_done()) {
         auto &body = state.parser->get().body();
         body.data = state.bytes.data();
         body.size = state.bytes.size();
-        state.beginRead(timeout);
+        state.beginRead(end);
         error_code code;
         co_await http::async_read_some(state.stream, state.buffer, *state.parser, redirect(code));
         state.isReading = false;
@@ -268,8 +288,11 @@
                                                                    Error &reason)
 {
     std::string body;
+    const auto end = std::chrono::steady_clock::now() + timeout;
     while (true) {
-        const auto bytes = co_await this->read(timeout, reason);
+        const auto left =
+                std::chrono::duration_cast<Milliseconds>(end - std::chrono::steady_clock::now());
+        const auto bytes = co_await this->read(std::max(Milliseconds(1), left), reason);
         if (!bytes)
             co_return std::nullopt;
         if (bytes->empty())
--- a/packages/network/http/httpconnection.h
+++ b/packages/network/http/httpconnection.h
@@ -61,7 +61,7 @@
     /**
      * Reads the next bytes of the body.
      *
-     * @param timeout how long to wait for a byte, in milliseconds.
+     * @param timeout how long to wait for a byte of the body, in milliseconds.
      * @param reason receives Timeout, ConnectionFailed or ProtocolViolation.
      * @return the bytes, valid until the next call; empty at the regular end of the body.
      */
@@ -72,6 +72,7 @@
      * Reads the rest of the body.
      *
      * @param limit the largest accepted body, in bytes.
+     * @param timeout until the body is complete, in milliseconds.
      * @param reason receives RequestTooLarge beyond the limit, else as for read().
      */
     boost::asio::awaitable<std::optional<std::string>> readAll(std::size_t limit,
--- a/packages/observability/logging/logevent.cpp
+++ b/packages/observability/logging/logevent.cpp
@@ -14,6 +14,7 @@
         LogEventEntry{LogEvent::ListenFailed, LogLevel::Error, "listen_failed"},
         LogEventEntry{LogEvent::SettingsReloaded, LogLevel::Info, "settings_reloaded"},
         LogEventEntry{LogEvent::SettingsKept, LogLevel::Warning, "settings_kept"},
+        LogEventEntry{LogEvent::UnexpectedError, LogLevel::Error, "unexpected_error"},
         LogEventEntry{LogEvent::MemberAlive, LogLevel::Info, "member_alive"},
         LogEventEntry{LogEvent::MemberSuspect, LogLevel::Warning, "member_suspect"},
         LogEventEntry{LogEvent::MemberLeaving, LogLevel::Info, "member_leaving"},
@@ -36,6 +37,7 @@
         LogEventEntry{LogEvent::BackendServerReadmitted, LogLevel::Info,
                       "backend_server_readmitted"},
         LogEventEntry{LogEvent::RequestQuarantined, LogLevel::Warning, "request_quarantined"},
+        LogEventEntry{LogEvent::BackendServerPaused, LogLevel::Info, "backend_server_paused"},
         LogEventEntry{LogEvent::DuplicateCallPrevented, LogLevel::Info, "duplicate_call_prevented"},
         LogEventEntry{LogEvent::CallOutcomeUnknown, LogLevel::Warning, "call_outcome_unknown"},
         LogEventEntry{LogEvent::CallForwarded, LogLevel::Debug, "call_forwarded"},
@@ -53,12 +55,15 @@
         LogEventEntry{LogEvent::ReadinessChanged, LogLevel::Info, "readiness_changed"},
         LogEventEntry{LogEvent::ServerLeaving, LogLevel::Info, "server_leaving"},
         LogEventEntry{LogEvent::StoreChangeMissed, LogLevel::Warning, "store_change_missed"},
+        LogEventEntry{LogEvent::StoreReaderSkipped, LogLevel::Info, "store_reader_skipped"},
         LogEventEntry{LogEvent::CallRefused, LogLevel::Info, "call_refused"},
         LogEventEntry{LogEvent::CallAnswered, LogLevel::Info, "call_answered"},
         LogEventEntry{LogEvent::AttemptFailed, LogLevel::Info, "attempt_failed"},
         LogEventEntry{LogEvent::StreamContinued, LogLevel::Info, "stream_continued"},
         LogEventEntry{LogEvent::StreamCut, LogLevel::Warning, "stream_cut"},
         LogEventEntry{LogEvent::MoveFailed, LogLevel::Info, "move_failed"},
+        LogEventEntry{LogEvent::ServerFieldUnreadable, LogLevel::Warning,
+                      "server_field_unreadable"},
 };
 
 } // namespace
--- a/packages/observability/logging/logevent.h
+++ b/packages/observability/logging/logevent.h
@@ -22,6 +22,7 @@
     ListenFailed = 1005,
     SettingsReloaded = 1006,
     SettingsKept = 1007,
+    UnexpectedError = 1008,
     MemberAlive = 2001,
     MemberSuspect = 2002,
     MemberLeaving = 2003,
@@ -42,6 +43,7 @@
     BackendServerSlow = 5003,
     BackendServerReadmitted = 5004,
     RequestQuarantined = 5005,
+    BackendServerPaused = 5006,
     DuplicateCallPrevented = 6001,
     CallOutcomeUnknown = 6002,
     CallForwarded = 6003,
@@ -59,12 +61,14 @@
     ReadinessChanged = 8006,
     ServerLeaving = 8007,
     StoreChangeMissed = 8008,
+    StoreReaderSkipped = 8009,
     CallRefused = 8010,
     CallAnswered = 8011,
     AttemptFailed = 8012,
     StreamContinued = 8013,
     StreamCut = 8014,
     MoveFailed = 8015,
+    ServerFieldUnreadable = 8016,
 };
 
 /** An entry of the event catalogue. */
--- a/packages/protocol/messages/messagecodec.cpp
+++ b/packages/protocol/messages/messagecodec.cpp
@@ -2,6 +2,7 @@
 
 #include <msgpack.hpp>
 
+#include <algorithm>
 #include <array>
 #include <type_traits>
 #include <utility>
@@ -113,6 +114,29 @@
     visit(message.gossip);
 }
 
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &message) requires
+        std::is_same_v<std::remove_cvref_t<decltype(message)>, ObjectRead>
+{
+    visit(message.sequence, message.kind, message.wantsAll, message.since,
+          message.waitMilliseconds);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &object) requires
+        std::is_same_v<std::remove_cvref_t<decltype(object)>, SharedObject>
+{
+    visit(object.name, object.revision, object.value, object.isRemoved);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &message) requires
+        std::is_same_v<std::remove_cvref_t<decltype(message)>, ObjectReadReply>
+{
+    visit(message.sequence, message.result, message.revision, message.newestRevision,
+          message.ageMilliseconds, message.digest, message.objects);
+}
+
 class Encoder
 {
 public:
@@ -134,6 +158,8 @@
 
     void put(MemberState value) { this->packer.pack(static_cast<std::uint8_t>(value)); }
 
+    void put(ObjectReadResult value) { this->packer.pack(static_cast<std::uint8_t>(value)); }
+
     template <typename Element>
     void put(const std::vector<Element> &values)
     {
@@ -190,6 +216,14 @@
         value = static_cast<MemberState>(number);
     }
 
+    void get(const msgpack::object &from, ObjectReadResult &value)
+    {
+        const auto number = from.as<std::uint8_t>();
+        if (number > static_cast<std::uint8_t>(ObjectReadResult::TooLarge))
+            throw msgpack::type_error();
+        value = static_cast<ObjectReadResult>(number);
+    }
+
     template <typename Element>
     void get(const msgpack::object &from, std::vector<Element> &values)
     {
@@ -229,6 +263,13 @@
     }
 }
 
+/**
+ * Bounds on what a message may claim to hold. Memory is taken for as many elements as a list
+ * claims, before they are read; the messages have some thousand at most, four levels deep.
+ */
+constexpr std::size_t maximumElements = 65536;
+constexpr std::size_t maximumDepth = 8;
+
 Error violation(std::string detail)
 {
     return {ErrorCode::ProtocolViolation, RunState::NotRun, std::move(detail), std::nullopt};
@@ -253,13 +294,16 @@
 
 std::optional<PeerMessage> decodeMessage(std::string_view payload, Error &reason)
 {
+    const std::size_t count = std::min(payload.size(), maximumElements);
+    const msgpack::unpack_limit limit(count, count, payload.size(), payload.size(), 0,
+                                      maximumDepth);
     if (payload.size() < 3 || static_cast<unsigned char>(payload[0]) != protocolVersion) {
         reason = violation("unknown protocol version");
         return std::nullopt;
     }
     try {
         const msgpack::object_handle handle =
-                msgpack::unpack(payload.data() + 2, payload.size() - 2);
+                msgpack::unpack(payload.data() + 2, payload.size() - 2, nullptr, nullptr, limit);
         auto message = decodeKind<0>(static_cast<unsigned char>(payload[1]), handle.get());
         if (!message)
             reason = violation("unknown message kind");
--- a/packages/protocol/messages/peermessage.h
+++ b/packages/protocol/messages/peermessage.h
@@ -218,9 +218,71 @@
     Gossip gossip;
 };
 
+/** Asks a peer for what it has read of one kind of object in the platform's store. */
+struct ObjectRead
+{
+    /** Matches the reply. */
+    std::uint64_t sequence = 0;
+    /** The kind of object. */
+    std::string kind;
+    /** Whether all objects are wanted, or only changes. */
+    bool wantsAll = false;
+    /** The revision up to which the sender knows everything. */
+    std::uint64_t since = 0;
+    /** How long to wait for changes, in milliseconds. */
+    std::uint64_t waitMilliseconds = 0;
+};
+
+/** What the answer to an ObjectRead says. */
+enum class ObjectReadResult : std::uint8_t {
+    /** The objects and changes that were asked for. */
+    Known = 0,
+    /** The changes since then are not known; all objects have to be read. */
+    HistoryGone = 1,
+    /** The peer does not know the kind, or less than the sender. */
+    Unknown = 2,
+    /** The objects are too large to be passed on. */
+    TooLarge = 3,
+};
+
+/** One object of the platform's store, or its removal. */
+struct SharedObject
+{
+    /** Its name, unique within its kind. */
+    std::string name;
+    /** The store's revision of its last change. */
+    std::uint64_t revision = 0;
+    /** What its writer stored, as JSON text. */
+    std::string value;
+    /** Whether it was removed. */
+    bool isRemoved = false;
+
+    /** Compares all fields. */
+    bool operator==(const SharedObject &) const = default;
+};
+
+/** Answers an ObjectRead. */
+struct ObjectReadReply
+{
+    /** The request's sequence. */
+    std::uint64_t sequence = 0;
+    /** What the answer says; the other fields count only with Known. */
+    ObjectReadResult result = ObjectReadResult::Unknown;
+    /** The store's revision up to which the peer knows everything. */
+    std::uint64_t revision = 0;
+    /** The highest revision of an object that the peer knows. */
+    std::uint64_t newestRevision = 0;
+    /** How long before this answer that was true, in milliseconds. */
+    std::uint64_t ageMilliseconds = 0;
+    /** A digest of all objects' names and revisions at the peer. */
+    std::uint64_t digest = 0;
+    /** The objects or changes, oldest first. */
+    std::vector<SharedObject> objects;
+};
+
 /** Any message between entry hosts. */
-using PeerMessage =
-        std::variant<Probe, ProbeReply, IndirectProbe, IndirectProbeReply, ConfigurationPull,
-                     ConfigurationReply, ForwardCall, ForwardReply, LoadUpdate>;
+using PeerMessage = std::variant<Probe, ProbeReply, IndirectProbe, IndirectProbeReply,
+                                 ConfigurationPull, ConfigurationReply, ForwardCall, ForwardReply,
+                                 LoadUpdate, ObjectRead, ObjectReadReply>;
 
 } // namespace sassafrasyard
--- a/packages/protocol/tests/test_messagecodec.cpp
+++ b/packages/protocol/tests/test_messagecodec.cpp
@@ -62,3 +62,44 @@
         RC_ASSERT(!decodeMessage(payload.substr(0, length), reason));
     });
 }
+
+// Guards against a frame of some bytes that makes the process take gigabytes for the list that it
+// claims to hold.
+TEST_CASE("A list that claims more than it holds is refused", "[protocol]")
+{
+    std::string payload = encodeMessage(LoadUpdate());
+    payload.resize(2);
+    for (int depth = 0; depth < 64; ++depth)
+        payload += std::string("\xdd\x00\x10\x00\x00", 5);
+    Error reason;
+    REQUIRE_FALSE(decodeMessage(payload, reason));
+    REQUIRE(reason.code == ErrorCode::ProtocolViolation);
+    payload.resize(2);
+    payload += std::string("\xdd\xff\xff\xff\xff", 5);
+    REQUIRE_FALSE(decodeMessage(payload, reason));
+    REQUIRE(reason.code == ErrorCode::ProtocolViolation);
+}
+
+// Guards against fields of a read that are lost or swapped on the way.
+TEST_CASE("Reads of the store survive encoding and decoding", "[protocol]")
+{
+    ObjectReadReply reply;
+    reply.sequence = 1;
+    reply.result = ObjectReadResult::HistoryGone;
+    reply.revision = 2;
+    reply.newestRevision = 3;
+    reply.ageMilliseconds = 4;
+    reply.digest = 5;
+    reply.objects = {{"a", 6, "{}", true}, {"b", 7, "", false}};
+    Error reason;
+    const auto decoded = decodeMessage(encodeMessage(reply), reason);
+    REQUIRE(decoded);
+    const auto &copy = std::get<ObjectReadReply>(*decoded);
+    REQUIRE(copy.sequence == 1);
+    REQUIRE(copy.result == ObjectReadResult::HistoryGone);
+    REQUIRE(copy.revision == 2);
+    REQUIRE(copy.newestRevision == 3);
+    REQUIRE(copy.ageMilliseconds == 4);
+    REQUIRE(copy.digest == 5);
+    REQUIRE(copy.objects == reply.objects);
+}
--- a/packages/runtime/actors/serialactor.cpp
+++ b/packages/runtime/actors/serialactor.cpp
@@ -1,11 +1,16 @@
 #include "runtime/actors/serialactor.h"
 
+#include "observability/observability.h"
+
 #include <caf/actor_system.hpp>
 #include <caf/allowed_unsafe_message_type.hpp>
 #include <caf/event_based_actor.hpp>
 #include <caf/scoped_actor.hpp>
 #include <caf/send.hpp>
 
+#include <exception>
+#include <string>
+
 namespace sassafrasyard {
 
 namespace {
@@ -19,6 +24,17 @@
 {
 };
 
+/** An exception would end the actor, and with it everything that the state is needed for. */
+void runGuarded(const Job &job)
+{
+    try {
+        job.run();
+    } catch (const std::exception &exception) {
+        logEvent(LogEvent::UnexpectedError, "where", std::string("state owner"), "detail",
+                 std::string(exception.what()));
+    }
+}
+
 } // namespace
 
 } // namespace sassafrasyard
@@ -40,7 +56,7 @@
     this->implementation->system = &runtime.actorSystem();
     this->implementation->actor = runtime.actorSystem().spawn([](caf::event_based_actor *self) {
         return caf::behavior{
-                [](const Job &job) { job.run(); },
+                [](const Job &job) { runGuarded(job); },
                 [self](Stop) { self->quit(); },
         };
     });
--- a/packages/runtime/tests/test_stateowner.cpp
+++ b/packages/runtime/tests/test_stateowner.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <chrono>
 #include <ctime>
+#include <stdexcept>
 #include <thread>
 #include <vector>
 
@@ -29,6 +30,19 @@
     REQUIRE(std::is_sorted(seen.begin(), seen.end()));
 }
 
+// Guards against a state that nobody serves any more after one unexpected value.
+TEST_CASE("A closure that throws does not stop its state owner", "[runtime]")
+{
+    ActorRuntime runtime(1);
+    int seen = 0;
+    {
+        StateOwner<int> owner(runtime, 7);
+        owner.post([](int &) { throw std::runtime_error("a value that nobody expected"); });
+        owner.post([&seen](int &state) { seen = state; });
+    }
+    REQUIRE(seen == 7);
+}
+
 TEST_CASE("A coroutine receives the answer of a state owner", "[runtime]")
 {
     ActorRuntime runtime(2);
