Heed servers that say that they leave or ask for a pause, and cut endless answers

A server that left or paused between the choice and the sending made the call fail although others were free. An event without an end grew without limit, and a byte now and then kept a stalled stream.

Change: Server-Leaving in any answer takes the server's run out of use at once, tells the peers, and is undone by a new run only.

--- a/packages/gateway/calls/callcodec.h
+++ b/packages/gateway/calls/callcodec.h
@@ -70,6 +70,14 @@
     bool hasNotRun = false;
     /** Whether the body is encoded, so that it is not the server's own body. */
     bool isEncoded = false;
+    /** Whether another server answered than the call was meant for. */
+    bool isMisdirected = false;
+    /** Whether the server says that it is leaving. */
+    bool isLeaving = false;
+    /** For how long the server that turned the call away wants nothing from this host. */
+    std::optional<Milliseconds> retryAfter;
+    /** A field that can't be read and counts as missing, as "NAME: VALUE"; empty for none. */
+    std::string unreadableField;
 };
 
 /** Translates headers between the wire and the types above; supplied by the platform's adapter. */
--- a/packages/gateway/calls/retryrule.cpp
+++ b/packages/gateway/calls/retryrule.cpp
@@ -62,7 +62,7 @@
     failure.runState = RunState::NotRun;
     if (history.unsent + history.refused > 0) {
         failure.code = ErrorCode::BackendServerRefused;
-        failure.retryAfter = refusedRetryAfter;
+        failure.retryAfter = failure.retryAfter.value_or(refusedRetryAfter);
     }
     return failure;
 }
--- a/packages/gateway/relay/backendattempt.cpp
+++ b/packages/gateway/relay/backendattempt.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <chrono>
 
 namespace sassafrasyard {
 
@@ -56,6 +57,7 @@
 BackendAttempt::~BackendAttempt()
 {
     this->call.cancels.erase(this);
+    this->services.answerMemory.giveBack(this->heldBytes);
 }
 
 net::awaitable<AttemptResult> BackendAttempt::start(std::string address, ForwardingOrder order,
@@ -65,6 +67,8 @@
     const auto endpoint = parseEndpoint(address, result.failure);
     if (!endpoint)
         co_return result;
+    if (const ServerEntry *entry = this->services.servers.find(order.server))
+        this->serverStartedAt = entry->startedAt;
     this->connection = co_await this->services.connections.acquire(
             *endpoint, maximumIdle(*this->call.route), connectTimeout(*this->call.route),
             result.failure);
@@ -101,6 +105,11 @@
     forwarded.body = this->call.request.body;
     AttemptResult result;
     auto response = co_await this->connection->exchange(forwarded, timeout, result.failure);
+    const auto end = std::chrono::steady_clock::now() + timeout;
+    const auto left = [end] {
+        const auto rest = end - std::chrono::steady_clock::now();
+        return std::max(Milliseconds(1), std::chrono::duration_cast<Milliseconds>(rest));
+    };
     for (int strays = 0; response; ++strays) {
         const ResponseMetadata metadata = this->services.codec.decodeResponse(*response);
         if (metadata.requestId.empty() || metadata.requestId == this->call.metadata.requestId)
@@ -116,13 +125,13 @@
             co_return result;
         }
         const auto skipped =
-                co_await this->connection->readAll(maximumAnswerBytes, timeout, result.failure);
+                co_await this->connection->readAll(maximumAnswerBytes, left(), result.failure);
         if (!skipped) {
             response.reset();
             result.failure.runState = RunState::OutcomeUnknown;
             break;
         }
-        response = co_await this->connection->readHeader(timeout, result.failure);
+        response = co_await this->connection->readHeader(left(), result.failure);
         if (!response)
             result.failure.runState = RunState::OutcomeUnknown;
     }
@@ -138,6 +147,7 @@
     AttemptResult result;
     const ResponseMetadata metadata = this->services.codec.decodeResponse(response);
     this->services.reachability.recordSuccess(server);
+    this->takeInStatements(metadata, server);
     result.response = std::move(response);
     if (metadata.hasNotRun) {
         result.outcome = AttemptOutcome::RefusedBeforeRun;
@@ -159,6 +169,22 @@
     return result;
 }
 
+/** Takes in what an answer says of the server itself, whether or not the call ran. */
+void BackendAttempt::takeInStatements(const ResponseMetadata &metadata,
+                                      const BackendServerName &server)
+{
+    if (!metadata.unreadableField.empty())
+        logEvent(LogEvent::ServerFieldUnreadable, "backend_server", server.toString(), "field",
+                 metadata.unreadableField);
+    // Then the address belongs to another server now, and the statements are that one's.
+    if (metadata.isMisdirected)
+        return;
+    if (metadata.isLeaving)
+        this->services.servers.recordAnnounced(server, this->serverStartedAt);
+    if (metadata.retryAfter)
+        this->services.reachability.recordPause(server, *metadata.retryAfter);
+}
+
 net::awaitable<std::optional<std::string_view>> BackendAttempt::read(Milliseconds timeout,
                                                                      Error &reason)
 {
@@ -168,7 +194,34 @@
 net::awaitable<std::optional<std::string>> BackendAttempt::readAll(Milliseconds timeout,
                                                                    Error &reason)
 {
-    co_return co_await this->connection->readAll(maximumAnswerBytes, timeout, reason);
+    const auto end = std::chrono::steady_clock::now() + timeout;
+    std::string body;
+    while (true) {
+        const auto left =
+                std::chrono::duration_cast<Milliseconds>(end - std::chrono::steady_clock::now());
+        const auto bytes = co_await this->read(std::max(Milliseconds(1), left), reason);
+        if (!bytes)
+            co_return std::nullopt;
+        if (bytes->empty())
+            co_return body;
+        if (body.size() + bytes->size() > maximumAnswerBytes || !this->holdMemory(bytes->size())) {
+            reason = {ErrorCode::ProtocolViolation,
+                      RunState::OutcomeUnknown,
+                      "the answer takes more memory than an answer may",
+                      {}};
+            this->cancel();
+            co_return std::nullopt;
+        }
+        body += *bytes;
+    }
+}
+
+bool BackendAttempt::holdMemory(std::size_t bytes)
+{
+    if (!this->services.answerMemory.tryTake(bytes))
+        return false;
+    this->heldBytes += bytes;
+    return true;
 }
 
 void BackendAttempt::cancel()
--- a/packages/gateway/relay/backendattempt.h
+++ b/packages/gateway/relay/backendattempt.h
@@ -57,11 +57,17 @@
     boost::asio::awaitable<AttemptResult> exchange(const ForwardingOrder &order,
                                                    Milliseconds timeout);
     AttemptResult classify(HttpResponse response, const BackendServerName &server);
+    void takeInStatements(const ResponseMetadata &metadata, const BackendServerName &server);
+    bool holdMemory(std::size_t bytes);
     void checkForCrash(const BackendServerName &server, std::string address);
 
     GatewayServices &services;
     RoutedCall &call;
     std::unique_ptr<HttpConnection> connection;
+    /** The start of the server's run that the call was sent to, as its entry says. */
+    std::int64_t serverStartedAt = 0;
+    /** Memory of the answer, until this object ends. */
+    std::size_t heldBytes = 0;
 };
 
 } // namespace sassafrasyard
--- a/packages/gateway/relay/callrelay.cpp
+++ b/packages/gateway/relay/callrelay.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/calls/hopheaders.h"
 #include "gateway/relay/callmetrics.h"
+#include "gateway/relay/callplacement.h"
 
 #include <algorithm>
 #include <string>
@@ -78,24 +79,11 @@
     if (attempts > 0)
         work.name = RequestName(work.name.toString() + "/" + std::to_string(attempts));
     Error refusal;
-    auto grant = co_await this->services.dispatch.acquire(work, refusal);
-    if (!grant) {
-        if (attempts == 0)
-            this->failure = refusal;
-        co_return std::nullopt;
-    }
-    const Milliseconds now = this->services.clock.now();
-    const bool isLate = this->call.timeLeft(now) <= Milliseconds(0);
-    if (!isLate && !this->call.isCallerGone && this->services.servers.isUsable(grant->server.name))
-        co_return grant;
-    this->services.dispatch.reportFinished(grant->assignment.request, WorkOutcome::Cancelled);
-    if (attempts == 0) {
-        this->failure = {ErrorCode::Overloaded, RunState::NotRun,
-                         isLate ? "no backend server was free in time"
-                                : "the backend server began to leave",
-                         refusedRetryAfter};
-    }
-    co_return std::nullopt;
+    auto grant = co_await placeCall(this->services, this->call, std::move(work), refusal);
+    // Of a call that has not run, the last refusal knows best when to come back.
+    if (!grant && this->history.mayHaveRun == 0)
+        this->failure = refusal;
+    co_return grant;
 }
 
 net::awaitable<AttemptResult> CallRelay::attempt(const Grant &grant)
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/calls/hopheaders.h"
 #include "gateway/relay/callmetrics.h"
+#include "gateway/relay/callplacement.h"
 
 #include <algorithm>
 #include <string>
@@ -27,6 +28,8 @@
 /** Parts of one stream; bounds what a request that crashes engines can do. */
 constexpr std::uint32_t maximumParts = 8;
 constexpr int streamStatus = 200;
+/** The longest event, in bytes; those of the deployments have some thousand. */
+constexpr std::size_t maximumEventBytes = 256U << 10U;
 
 } // namespace
 
@@ -77,23 +80,14 @@
     if (this->partCount > 0)
         work.name = RequestName(work.name.toString() + "/" + std::to_string(this->partCount));
     Error refusal;
-    const auto grant = co_await this->services.dispatch.acquire(work, refusal);
+    const auto grant = co_await placeCall(this->services, this->call, std::move(work), refusal);
     if (!grant) {
         this->failure = refusal;
         co_return false;
     }
-    this->place = {work.name, grant->server.name, grant->server.address, {}};
+    this->place = {grant->assignment.request, grant->server.name, grant->server.address, {}};
     if (this->partCount == 0)
         this->placedAfter = this->services.clock.now() - this->call.receivedAt;
-    const bool isLate = this->call.timeLeft(this->services.clock.now()) <= Milliseconds(0);
-    if (isLate || this->call.isCallerGone || !this->services.servers.isUsable(this->place.server)) {
-        this->reportPartEnd(WorkOutcome::Cancelled);
-        this->failure = {ErrorCode::Overloaded, RunState::NotRun,
-                         isLate ? "no backend server was free in time"
-                                : "the backend server began to leave",
-                         refusedRetryAfter};
-        co_return false;
-    }
     co_return true;
 }
 
@@ -105,6 +99,7 @@
     const Milliseconds now = this->services.clock.now();
     this->splitter.clear();
     this->partFirstEventAt.reset();
+    this->silentSince = now;
     this->attempt = std::make_unique<BackendAttempt>(this->services, this->call);
     const ForwardingOrder order = this->makeOrder(this->place, now);
     const Milliseconds timeout = this->headerTimeout(now);
@@ -153,6 +148,13 @@
             co_return ReadEnd::CallerGone;
         if (isComplete)
             co_return ReadEnd::Complete;
+        if (this->splitter.remainder().size() > maximumEventBytes) {
+            this->failure = {ErrorCode::ProtocolViolation,
+                             RunState::OutcomeUnknown,
+                             "an event has no end",
+                             {}};
+            co_return ReadEnd::Lost;
+        }
     }
 }
 
@@ -162,6 +164,7 @@
     if (batch.count == 0)
         co_return true;
     const Milliseconds now = this->services.clock.now();
+    this->silentSince = now;
     this->recordPause(now);
     if (!this->partFirstEventAt)
         this->partFirstEventAt = now;
@@ -315,7 +318,8 @@
 
 bool EventRelay::isCopyUsable() const
 {
-    return this->copy && this->services.servers.isUsable(this->copy->server);
+    return this->copy && this->services.servers.isUsable(this->copy->server)
+            && !this->services.reachability.pauseLeft(this->copy->server);
 }
 
 void EventRelay::dropCopy()
@@ -461,6 +465,7 @@
     ++this->partCount;
     this->splitter.clear();
     this->partFirstEventAt.reset();
+    this->silentSince = this->services.clock.now();
     this->splitter.append(ready->firstBytes());
     co_return co_await this->passOnEvents();
 }
@@ -533,24 +538,35 @@
     this->services.dispatch.reportFinished(this->place.name, outcome);
 }
 
+/** Returns how long an engine may be silent while the stream could go on elsewhere. */
+std::optional<Milliseconds> EventRelay::longestSilence() const
+{
+    const Route &route = *this->call.route;
+    if (!this->partFirstEventAt) {
+        const bool hasOther =
+                route.isResumable && this->history.mayHaveRun + 1 < route.maximumAttempts;
+        return hasOther ? std::optional(silenceInTargets * route.targetLatency) : std::nullopt;
+    }
+    const bool hasOther =
+            this->isCopyUsable() || this->takeover || this->keptCopy || route.isResumable;
+    const Milliseconds silence = std::max(shortestSilence, silenceInPauses * route.targetPause);
+    return hasOther ? std::optional(silence) : std::nullopt;
+}
+
 Milliseconds EventRelay::headerTimeout(Milliseconds now) const
 {
     const Milliseconds left = std::max(Milliseconds(1), this->call.timeLeft(now));
-    const Route &route = *this->call.route;
-    const bool hasOther = route.isResumable && this->history.mayHaveRun + 1 < route.maximumAttempts;
-    return hasOther ? std::min(left, silenceInTargets * route.targetLatency) : left;
+    return std::min(left, this->longestSilence().value_or(left));
 }
 
+/** Returns how long to read for; an engine that sends bytes without whole events is silent too. */
 Milliseconds EventRelay::pauseTimeout(Milliseconds now) const
 {
-    if (!this->partFirstEventAt)
-        return this->headerTimeout(now);
     const Milliseconds left = std::max(Milliseconds(1), this->call.timeLeft(now));
-    const bool hasOther = this->isCopyUsable() || this->takeover || this->keptCopy
-            || this->call.route->isResumable;
-    const Milliseconds silence =
-            std::max(shortestSilence, silenceInPauses * this->call.route->targetPause);
-    return hasOther ? std::min(left, silence) : left;
+    const auto silence = this->longestSilence();
+    if (!silence)
+        return left;
+    return std::clamp(*silence - (now - this->silentSince), Milliseconds(1), left);
 }
 
 /** Returns whether a new run, or a first one, is permitted after an attempt. */
--- a/packages/gateway/relay/eventrelay.h
+++ b/packages/gateway/relay/eventrelay.h
@@ -78,6 +78,7 @@
     void logEnd(std::string_view outcome) const;
     void reportProgress(Milliseconds now);
     void reportPartEnd(WorkOutcome outcome);
+    std::optional<Milliseconds> longestSilence() const;
     Milliseconds headerTimeout(Milliseconds now) const;
     Milliseconds pauseTimeout(Milliseconds now) const;
     bool mayGoOn(AttemptOutcome outcome, int status);
@@ -103,6 +104,8 @@
     Milliseconds reportedAt{0};
     Milliseconds protectedAt{0};
     std::optional<Milliseconds> partFirstEventAt;
+    /** When the part began or its last whole event came; bytes without an event don't count. */
+    Milliseconds silentSince{0};
     /** When the last event was passed on, and the longest pause so far with what ended it. */
     std::optional<Milliseconds> eventAt;
     /** From the call's arrival until it was first placed, and until its first event. */
--- a/packages/gateway/relay/gatewayservices.h
+++ b/packages/gateway/relay/gatewayservices.h
@@ -3,6 +3,7 @@
 #include "entry/entry.h"
 #include "gateway/calls/callcodec.h"
 #include "gateway/calls/enginecalls.h"
+#include "gateway/relay/answermemory.h"
 #include "gateway/relay/serverreachability.h"
 #include "gateway/servers/servercatalogue.h"
 #include "gateway/state/servingstate.h"
@@ -38,6 +39,8 @@
     EngineCalls engines;
     /** Counts suspension. */
     Clock clock;
+    /** Bounds the answers that are held until they are complete. */
+    AnswerMemory answerMemory{};
 };
 
 } // namespace sassafrasyard
--- a/packages/gateway/relay/runcopy.cpp
+++ b/packages/gateway/relay/runcopy.cpp
@@ -141,7 +141,8 @@
 
 bool RunCopy::isTargetUsable() const
 {
-    return this->target && this->services.servers.isUsable(this->target->server);
+    return this->target && this->services.servers.isUsable(this->target->server)
+            && !this->services.reachability.pauseLeft(this->target->server);
 }
 
 void RunCopy::release()
--- a/packages/gateway/relay/serverreachability.cpp
+++ b/packages/gateway/relay/serverreachability.cpp
@@ -31,7 +31,7 @@
     failure.isAvoided = true;
     logEvent(LogEvent::BackendServerLost, "backend_server", server.toString(), "pause_ms",
              std::to_string(pause.count()));
-    this->setReachable(server, false);
+    this->publish(server);
 }
 
 void ServerReachability::recordSuccess(const BackendServerName &server)
@@ -39,9 +39,43 @@
     const auto known = this->failures.find(server);
     if (known == this->failures.end())
         return;
-    if (known->second.isAvoided)
-        this->setReachable(server, true);
+    const bool wasAvoided = known->second.isAvoided;
     this->failures.erase(known);
+    if (wasAvoided)
+        this->publish(server);
+}
+
+void ServerReachability::recordPause(const BackendServerName &server, Milliseconds time)
+{
+    const Milliseconds until = this->clock.now() + time;
+    Milliseconds &known = this->pauses[server];
+    if (until <= known)
+        return;
+    known = until;
+    logEvent(LogEvent::BackendServerPaused, "backend_server", server.toString(), "pause_ms",
+             std::to_string(time.count()));
+    this->publish(server);
+}
+
+std::optional<Milliseconds> ServerReachability::pauseLeft(const BackendServerName &server) const
+{
+    const auto known = this->pauses.find(server);
+    const Milliseconds now = this->clock.now();
+    if (known == this->pauses.end() || now >= known->second)
+        return std::nullopt;
+    return known->second - now;
+}
+
+bool ServerReachability::hasPauses() const
+{
+    return !this->pauses.empty();
+}
+
+void ServerReachability::forget(const BackendServerName &server)
+{
+    this->failures.erase(server);
+    this->pauses.erase(server);
+    this->publish(server);
 }
 
 void ServerReachability::advance()
@@ -51,15 +85,26 @@
         if (!failure.isAvoided || now < failure.until)
             continue;
         failure.isAvoided = false;
-        this->setReachable(server, true);
+        this->publish(server);
+    }
+    for (auto pause = this->pauses.begin(); pause != this->pauses.end();) {
+        const BackendServerName server = pause->first;
+        const bool isOver = now >= pause->second;
+        pause = isOver ? this->pauses.erase(pause) : std::next(pause);
+        if (isOver)
+            this->publish(server);
     }
     std::erase_if(this->failures, [&](const auto &entry) {
         return !entry.second.isAvoided && now >= entry.second.until + longestPause;
     });
 }
 
-void ServerReachability::setReachable(const BackendServerName &server, bool isReachable)
+/** Tells the dispatcher whether a server gets work. */
+void ServerReachability::publish(const BackendServerName &server)
 {
+    const auto failure = this->failures.find(server);
+    const bool isAvoided = failure != this->failures.end() && failure->second.isAvoided;
+    const bool isReachable = !isAvoided && !this->pauseLeft(server);
     this->dispatch.post([server, isReachable](Dispatcher &dispatcher, Milliseconds) {
         dispatcher.setReachable(server, isReachable);
     });
--- a/packages/gateway/servers/servercatalogue.cpp
+++ b/packages/gateway/servers/servercatalogue.cpp
@@ -5,6 +5,13 @@
 
 namespace sassafrasyard {
 
+namespace {
+
+/** Bounds what is remembered of servers that are long gone. */
+constexpr std::size_t maximumAnnouncedRuns = 4096;
+
+} // namespace
+
 ServerCatalogue::ServerCatalogue(ServerCatalogueOptions options)
     : options(options)
 {
@@ -46,7 +53,9 @@
 {
     const auto known = this->servers.find(entry.name);
     if (known == this->servers.end()) {
-        this->servers.emplace(entry.name, Known{entry, {}, {}});
+        Known &added = this->servers.emplace(entry.name, Known{entry, {}, {}, false}).first->second;
+        added.hasAnnounced = this->announcedRuns.contains(runName(entry));
+        added.entry.isLeaving = entry.isLeaving || added.hasAnnounced;
         this->notifyChange();
         return;
     }
@@ -55,15 +64,19 @@
     if (entry.revision < before.revision)
         return;
     const bool hasRestarted = entry.startedAt != before.startedAt && entry.startedAt != 0;
+    if (hasRestarted)
+        known->second.hasAnnounced = this->announcedRuns.contains(runName(entry));
+    const bool isLeaving = entry.isLeaving || known->second.hasAnnounced;
     // A peer told of the run that the entry was of before.
     const bool wasTold = known->second.toldUntil.has_value() && !hasRestarted;
-    const bool startsLeaving = entry.isLeaving && !before.isLeaving && !wasTold;
-    if (hasRestarted || entry.isLeaving)
+    const bool startsLeaving = isLeaving && !before.isLeaving && !wasTold;
+    if (hasRestarted || isLeaving)
         known->second.toldUntil.reset();
-    const bool hasChanged = hasRestarted || entry.isLeaving != before.isLeaving
+    const bool hasChanged = hasRestarted || isLeaving != before.isLeaving
             || entry.address != before.address || entry.service != before.service
             || entry.slots != before.slots;
     before = entry;
+    before.isLeaving = isLeaving;
     if (hasRestarted && this->restartHook)
         this->restartHook(entry.name);
     if (startsLeaving && this->leavingHook)
@@ -105,6 +118,25 @@
         this->notifyChange();
 }
 
+void ServerCatalogue::recordAnnounced(const BackendServerName &name, std::int64_t startedAt)
+{
+    const auto known = this->servers.find(name);
+    if (known == this->servers.end() || known->second.entry.startedAt != startedAt
+        || known->second.hasAnnounced) {
+        return;
+    }
+    known->second.hasAnnounced = true;
+    if (this->announcedRuns.size() >= maximumAnnouncedRuns)
+        this->announcedRuns.erase(this->announcedRuns.begin());
+    this->announcedRuns.insert(runName(known->second.entry));
+    const bool isNews = this->isUsable(name);
+    known->second.entry.isLeaving = true;
+    known->second.toldUntil.reset();
+    if (isNews && this->leavingHook)
+        this->leavingHook(name);
+    this->notifyChange();
+}
+
 void ServerCatalogue::advance(Milliseconds now)
 {
     std::vector<BackendServerName> overdue;
@@ -160,6 +192,16 @@
             && !known->second.toldUntil;
 }
 
+std::vector<BackendServerName> ServerCatalogue::usableServers(std::string_view service) const
+{
+    std::vector<BackendServerName> usable;
+    for (const auto &[name, known] : this->servers) {
+        if (known.entry.service == service && this->isUsable(name))
+            usable.push_back(name);
+    }
+    return usable;
+}
+
 std::vector<BackendServerName> ServerCatalogue::leavingRuns() const
 {
     std::vector<BackendServerName> runs;
--- a/packages/gateway/servers/servercatalogue.h
+++ b/packages/gateway/servers/servercatalogue.h
@@ -8,8 +8,10 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace sassafrasyard {
@@ -87,6 +89,12 @@
     void recordContact(Milliseconds askedAt);
     /** Takes in peers' word that servers leave. @param runs as of a peer's leavingRuns(). */
     void recordTold(std::span<const BackendServerName> runs, Milliseconds now);
+    /**
+     * Takes in a server's own word that it leaves, which only a new run of it takes back.
+     *
+     * @param startedAt the start of the run that said so; a word of another run changes nothing.
+     */
+    void recordAnnounced(const BackendServerName &name, std::int64_t startedAt);
     /** Lets time pass: drops servers that did not return after an outage, and unconfirmed words. */
     void advance(Milliseconds now);
 
@@ -96,8 +104,10 @@
     const ServerEntry *find(const BackendServerName &name) const;
     /** Returns whether a server is registered and not leaving. */
     bool isUsable(const BackendServerName &name) const;
+    /** Returns the servers of a service that are registered and not leaving. */
+    std::vector<BackendServerName> usableServers(std::string_view service) const;
     /**
-     * Returns the runs of servers that leave by the store's word, for peers.
+     * Returns the runs of servers that leave by the store's word or their own, for peers.
      *
      * A run's name tells it from a later one of the same server. What peers told is left out, so
      * that a wrong word does not go round.
@@ -114,6 +124,8 @@
         std::optional<Milliseconds> droppedAt;
         /** Until when a peer's word that it leaves counts. */
         std::optional<Milliseconds> toldUntil;
+        /** Whether the run said itself that it leaves, whatever its entry says. */
+        bool hasAnnounced = false;
     };
 
     static BackendServerName runName(const ServerEntry &entry);
@@ -126,6 +138,8 @@
     RestartHook restartHook;
     std::map<BackendServerName, Known> servers;
     std::optional<Milliseconds> contactAt;
+    /** Runs that said that they leave; their entries may go and come back meanwhile. */
+    std::set<BackendServerName> announcedRuns;
 };
 
 } // namespace sassafrasyard
--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -15,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace sassafrasyard {
@@ -50,6 +52,10 @@
         metadata.requestId = findHeader(response.headers, "Id").value_or("");
         metadata.isSigned = findHeader(response.headers, "Signature").has_value();
         metadata.hasNotRun = findHeader(response.headers, "Not-Run").has_value();
+        metadata.isLeaving = findHeader(response.headers, "Leaving").has_value();
+        metadata.isMisdirected = response.status == 421;
+        if (const auto pause = findHeader(response.headers, "Pause"))
+            metadata.retryAfter = Milliseconds(std::stoll(*pause));
         return metadata;
     };
     codec.formatError = [](const Error &error) {
@@ -115,6 +121,47 @@
         this->publish();
     }
 
+    /** Serves one raw connection of a stand-in whose bytes need not be HTTP. */
+    using RawHandler = std::function<boost::asio::awaitable<void>(boost::asio::ip::tcp::socket &)>;
+
+    /** Starts a stand-in that writes what it likes, and registers it. */
+    void addRawServer(const std::string &name, const RawHandler &handler)
+    {
+        namespace net = boost::asio;
+        auto acceptor = std::make_shared<net::ip::tcp::acceptor>(
+                this->context,
+                net::ip::tcp::endpoint(net::ip::make_address("127.0.0.1"), std::uint16_t{0}));
+        const std::uint16_t port = acceptor->local_endpoint().port();
+        net::co_spawn(
+                this->context,
+                [this, acceptor, handler]() -> net::awaitable<void> {
+                    while (true) {
+                        auto socket = std::make_shared<net::ip::tcp::socket>(
+                                co_await acceptor->async_accept(net::use_awaitable));
+                        net::co_spawn(
+                                this->context, [socket, handler] { return handler(*socket); },
+                                net::detached);
+                    }
+                },
+                net::detached);
+        this->registerServer(name, "127.0.0.1:" + std::to_string(port), 200);
+    }
+
+    /** Registers a server at an address. */
+    void registerServer(const std::string &name, const std::string &address,
+                        std::uint32_t slots = 8)
+    {
+        ServerEntry serverEntry;
+        serverEntry.name = BackendServerName(name);
+        serverEntry.service = "service";
+        serverEntry.address = address;
+        serverEntry.slots = slots;
+        serverEntry.revision = 1;
+        this->servers.applyEntry(serverEntry);
+        this->serving.confirmServers(Clock::steady().now());
+        this->publish();
+    }
+
     /** Starts a stand-in and registers it. */
     void addServer(const std::string &name, const Handler &handler)
     {
@@ -127,16 +174,8 @@
                 errorResponse);
         Error reason;
         const auto endpoint = server->listen({"127.0.0.1", 0}, reason);
-        ServerEntry serverEntry;
-        serverEntry.name = BackendServerName(name);
-        serverEntry.service = "service";
-        serverEntry.address = endpoint->toString();
-        serverEntry.slots = 8;
-        serverEntry.revision = 1;
-        this->servers.applyEntry(serverEntry);
-        this->serving.confirmServers(Clock::steady().now());
         this->standIns.push_back(std::move(server));
-        this->publish();
+        this->registerServer(name, endpoint->toString());
     }
 
     /** Marks a stand-in as leaving. */
@@ -148,50 +187,65 @@
         this->servers.applyEntry(changed);
     }
 
+    /** Begins the gateway's planned stop. */
+    void drain() { this->gateway.drain(); }
+
+    /** Sends calls side by side and runs until all have ended; status 0 stands for no answer. */
+    std::vector<HttpResponse> callAtOnce(const std::string &path, int count,
+                                         const std::function<void()> &meanwhile = {})
+    {
+        namespace net = boost::asio;
+        this->listen();
+        std::vector<HttpResponse> answers(static_cast<std::size_t>(count));
+        int ended = 0;
+        for (int index = 0; index < count; ++index) {
+            net::co_spawn(
+                    this->context,
+                    [this, &answers, &ended, path, index]() -> net::awaitable<void> {
+                        const std::string id = "at-once-" + std::to_string(index);
+                        auto answer = co_await this->exchange(this->makeCall(path, id, {}));
+                        answers[static_cast<std::size_t>(index)] =
+                                answer.value_or(HttpResponse{0, {}, ""});
+                        ++ended;
+                    },
+                    net::detached);
+        }
+        if (meanwhile) {
+            net::co_spawn(
+                    this->context,
+                    [meanwhile]() -> net::awaitable<void> {
+                        co_await pause(Milliseconds(50));
+                        meanwhile();
+                    },
+                    net::detached);
+        }
+        while (ended < count)
+            this->context.run_one();
+        return answers;
+    }
+
     /** Sends a call through the gateway and runs until its answer is there. */
     HttpResponse call(const std::string &path, const std::string &id, HttpHeaders headers = {})
     {
-        Error reason;
-        if (!this->isListening) {
-            this->gateway.listen({"127.0.0.1", this->port()}, 100, reason);
-            this->isListening = true;
-        }
-        HttpRequest request;
-        request.method = "POST";
-        request.target = path;
-        request.body = "body of " + id;
-        request.headers = std::move(headers);
-        request.headers.emplace_back("Host", "h");
-        request.headers.emplace_back("Id", id);
-        request.headers.emplace_back("Key", "key");
+        this->listen();
         std::optional<HttpResponse> answer;
         bool isDone = false;
         boost::asio::co_spawn(
                 this->context,
                 [&]() -> boost::asio::awaitable<void> {
-                    const boost::asio::any_io_executor executor = this->context.get_executor();
-                    const Endpoint endpoint{"127.0.0.1", this->port()};
-                    HttpConnection connection(executor, endpoint);
-                    const bool isOpen = co_await connection.connect(Milliseconds(1000), reason);
-                    if (isOpen)
-                        answer = co_await connection.exchange(request, Milliseconds(8000), reason);
-                    if (answer) {
-                        auto body =
-                                co_await connection.readAll(1U << 20U, Milliseconds(8000), reason);
-                        if (body)
-                            answer->body = *body;
-                        else
-                            answer.reset();
-                    }
+                    answer = co_await this->exchange(this->makeCall(path, id, headers));
                     isDone = true;
                 },
                 boost::asio::detached);
         while (!isDone)
             this->context.run_one();
         // Status 0 stands for an answer that did not end.
-        return answer.value_or(HttpResponse{0, {}, reason.detail});
+        return answer.value_or(HttpResponse{0, {}, ""});
     }
 
+    /** Does what the daemon does several times a second. */
+    void advance() { this->reachability.advance(); }
+
     /** Returns how many calls a stand-in got. */
     std::size_t callsTo(const std::string &name) const
     {
@@ -250,6 +304,47 @@
         return settings;
     }
 
+    void listen()
+    {
+        if (std::exchange(this->isListening, true))
+            return;
+        Error reason;
+        this->gateway.listen({"127.0.0.1", this->port()}, 300, reason);
+    }
+
+    static HttpRequest makeCall(const std::string &path, const std::string &id, HttpHeaders headers)
+    {
+        HttpRequest request;
+        request.method = "POST";
+        request.target = path;
+        request.body = "body of " + id;
+        request.headers = std::move(headers);
+        request.headers.emplace_back("Host", "h");
+        request.headers.emplace_back("Id", id);
+        request.headers.emplace_back("Key", "key");
+        return request;
+    }
+
+    /** Sends a call and reads the answer; nothing if it did not end regularly. */
+    boost::asio::awaitable<std::optional<HttpResponse>> exchange(HttpRequest request)
+    {
+        Error reason;
+        const boost::asio::any_io_executor executor = this->context.get_executor();
+        const Endpoint endpoint{"127.0.0.1", this->port()};
+        HttpConnection connection(executor, endpoint);
+        const bool isOpen = co_await connection.connect(Milliseconds(1000), reason);
+        if (!isOpen)
+            co_return std::nullopt;
+        auto answer = co_await connection.exchange(request, Milliseconds(8000), reason);
+        if (!answer)
+            co_return std::nullopt;
+        auto body = co_await connection.readAll(1U << 20U, Milliseconds(8000), reason);
+        if (!body)
+            co_return std::nullopt;
+        answer->body = *body;
+        co_return answer;
+    }
+
     EngineCalls makeEngineCalls()
     {
         EngineCalls calls;
--- a/packages/gateway/tests/test_callrelay.cpp
+++ b/packages/gateway/tests/test_callrelay.cpp
@@ -186,3 +186,74 @@
     for (int number = 2; number < 8; ++number)
         REQUIRE(fixture.call("/plain/x", "r" + std::to_string(number)).status == 200);
 }
+
+// Guards against new calls on a server that said in any answer that it leaves.
+TEST_CASE("A server that says that it leaves gets no further call", "[relay]")
+{
+    for (const int status : {200, 503, 500}) {
+        CAPTURE(status);
+        GatewayFixture fixture;
+        fixture.addRoute(plainRoute(CallKind::Idempotent, 1));
+        fixture.addServer("a",
+                          [status](const HttpRequest &request,
+                                   HttpResponder &responder) -> net::awaitable<void> {
+                              HttpResponse response = GatewayFixture::signedAnswer(request, status);
+                              response.headers.emplace_back("Leaving", "1");
+                              co_await responder.send(std::move(response));
+                          });
+        fixture.call("/plain/1", "1");
+        REQUIRE(fixture.callsTo("a") == 1);
+        for (const char *id : {"2", "3", "4"})
+            REQUIRE(fixture.call("/plain/1", id).status == 503);
+        REQUIRE(fixture.callsTo("a") == 1);
+    }
+}
+
+// Guards against calls to a server that turned one away and wants nothing for a time, and against
+// callers that wait for longer than the server asked for, or come back too early.
+TEST_CASE("A server that asked for a pause gets nothing until its end", "[relay]")
+{
+    GatewayFixture fixture;
+    fixture.addRoute(plainRoute(CallKind::NonIdempotent, 1));
+    bool isFull = true;
+    fixture.addServer("a",
+                      [&isFull](const HttpRequest &request,
+                                HttpResponder &responder) -> net::awaitable<void> {
+                          HttpResponse response = isFull ? GatewayFixture::refusal(request)
+                                                         : GatewayFixture::signedAnswer(request);
+                          if (isFull)
+                              response.headers.emplace_back("Pause", "1200");
+                          co_await responder.send(std::move(response));
+                      });
+    const Milliseconds start = Clock::steady().now();
+    REQUIRE(fixture.call("/plain/1", "1").status == 503);
+    isFull = false;
+    const HttpResponse refused = fixture.call("/plain/1", "2");
+    REQUIRE(refused.status == 503);
+    REQUIRE(findHeader(refused.headers, "Retry-After") == "2");
+    REQUIRE(Clock::steady().now() - start < Milliseconds(600));
+    REQUIRE(fixture.callsTo("a") == 1);
+    fixture.context.run_for(start + Milliseconds(1300) - Clock::steady().now());
+    fixture.advance();
+    REQUIRE(fixture.call("/plain/1", "3").status == 200);
+}
+
+// Guards against a call that is refused although another server takes work.
+TEST_CASE("While one server pauses the others get its calls", "[relay]")
+{
+    GatewayFixture fixture;
+    fixture.addRoute(plainRoute(CallKind::NonIdempotent, 1));
+    fixture.addServer(
+            "a", [](const HttpRequest &request, HttpResponder &responder) -> net::awaitable<void> {
+                HttpResponse response = GatewayFixture::refusal(request);
+                response.headers.emplace_back("Pause", "60000");
+                co_await responder.send(std::move(response));
+            });
+    fixture.addServer(
+            "b", [](const HttpRequest &request, HttpResponder &responder) -> net::awaitable<void> {
+                co_await responder.send(GatewayFixture::signedAnswer(request));
+            });
+    for (int number = 0; number < 12; ++number)
+        REQUIRE(fixture.call("/plain/1", std::to_string(number)).status == 200);
+    REQUIRE(fixture.callsTo("a") <= 1);
+}
--- a/packages/gateway/tests/test_servercatalogue.cpp
+++ b/packages/gateway/tests/test_servercatalogue.cpp
@@ -177,3 +177,32 @@
         REQUIRE(catalogue.isUsable(BackendServerName("a")));
     }
 }
+
+// Guards against work for a server that said that it leaves, on the word of an entry that is older
+// or was written again.
+TEST_CASE("A server's own word that it leaves holds until it runs anew", "[servers]")
+{
+    ServerCatalogue catalogue;
+    Observed observed;
+    observed.watch(catalogue);
+    catalogue.applyEntry(entryOf("a", 1));
+    catalogue.recordAnnounced(BackendServerName("a"), 7);
+    REQUIRE(catalogue.isUsable(BackendServerName("a")));
+    catalogue.recordAnnounced(BackendServerName("a"), 1);
+    catalogue.recordAnnounced(BackendServerName("a"), 1);
+    REQUIRE_FALSE(catalogue.isUsable(BackendServerName("a")));
+    REQUIRE(observed.leaving == std::vector<std::string>{"a"});
+    REQUIRE(catalogue.leavingRuns().size() == 1);
+    catalogue.applyEntry(entryOf("a", 2));
+    REQUIRE_FALSE(catalogue.isUsable(BackendServerName("a")));
+    // Its entry lapses and comes back, as in an outage of the store.
+    catalogue.applyRemoval(BackendServerName("a"), 3);
+    catalogue.applyEntry(entryOf("a", 4));
+    REQUIRE_FALSE(catalogue.isUsable(BackendServerName("a")));
+    ServerEntry anew = entryOf("a", 5);
+    anew.startedAt = 2;
+    catalogue.applyEntry(anew);
+    REQUIRE(catalogue.isUsable(BackendServerName("a")));
+    REQUIRE(catalogue.leavingRuns().empty());
+    REQUIRE(observed.restarted == std::vector<std::string>{"a"});
+}
--- /dev/null
+++ b/packages/gateway/tests/test_troubledservers.cpp
@@ -0,0 +1,341 @@
+#include "gatewayfixture.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <cstdio>
+#include <fstream>
+
+using namespace sassafrasyard;
+
+namespace net = boost::asio;
+using tcp = net::ip::tcp;
+
+namespace {
+
+constexpr Milliseconds routeTimeout{1500};
+/** What the end of a call may take beyond its route's time-out. */
+constexpr Milliseconds endSlack{500};
+
+Route routeOf(CallKind kind, bool isResumable = false)
+{
+    Route route;
+    route.name = "route";
+    route.pathPrefix = "/route/";
+    route.kind = kind;
+    route.isResumable = isResumable;
+    route.maximumAttempts = isResumable ? 2 : 1;
+    route.timeout = routeTimeout;
+    route.targetLatency = Milliseconds(300);
+    route.targetPause = Milliseconds(100);
+    return route;
+}
+
+net::awaitable<bool> readSome(tcp::socket &socket)
+{
+    std::array<char, 4096> bytes{};
+    boost::system::error_code code;
+    co_await socket.async_read_some(net::buffer(bytes),
+                                    net::redirect_error(net::use_awaitable, code));
+    co_return !code;
+}
+
+net::awaitable<bool> send(tcp::socket &socket, std::string text)
+{
+    boost::system::error_code code;
+    co_await net::async_write(socket, net::buffer(text),
+                              net::redirect_error(net::use_awaitable, code));
+    co_return !code;
+}
+
+/** Sends a beginning, then a text again and again until the caller closes. */
+GatewayFixture::RawHandler endless(std::string beginning, std::string repeated,
+                                   Milliseconds pause = Milliseconds(0))
+{
+    return [=](tcp::socket &socket) -> net::awaitable<void> {
+        bool isOpen = co_await readSome(socket);
+        if (isOpen)
+            isOpen = co_await send(socket, beginning);
+        while (isOpen) {
+            isOpen = co_await send(socket, repeated);
+            if (pause > Milliseconds(0))
+                co_await GatewayFixture::pause(pause);
+        }
+    };
+}
+
+/** Returns the value of a header field in a raw request. */
+std::string fieldOf(const std::string &request, const std::string &name)
+{
+    const std::size_t at = request.find("\r\n" + name + ": ");
+    if (at == std::string::npos)
+        return {};
+    const std::size_t from = at + name.size() + 4;
+    return request.substr(from, request.find("\r\n", from) - from);
+}
+
+net::awaitable<std::string> readRequest(tcp::socket &socket)
+{
+    std::string request;
+    std::array<char, 4096> bytes{};
+    boost::system::error_code code;
+    while (!code && request.find("\r\n\r\nbody of") == std::string::npos) {
+        const std::size_t count = co_await socket.async_read_some(
+                net::buffer(bytes), net::redirect_error(net::use_awaitable, code));
+        request.append(bytes.data(), count);
+    }
+    co_return request;
+}
+
+std::string answerTo(const std::string &id, const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nSignature: s\r\nContent-Length: "
+            + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+const std::string streamHead = "HTTP/1.1 200 OK\r\nSignature: s\r\n"
+                               "Content-Type: text/event-stream\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n";
+
+std::string chunk(const std::string &text)
+{
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+    return size.data() + text + "\r\n";
+}
+
+/** The largest memory that this process has used, in bytes. */
+std::size_t peakMemory()
+{
+    std::ifstream status("/proc/self/status");
+    std::string line;
+    while (std::getline(status, line)) {
+        if (line.starts_with("VmHWM:"))
+            return std::stoull(line.substr(6)) * 1024;
+    }
+    return 0;
+}
+
+struct Endless
+{
+    const char *name;
+    std::string beginning;
+    std::string repeated;
+};
+
+std::vector<Endless> endlessAnswers()
+{
+    const std::string block(8192, 'x');
+    const std::string signedHead = "HTTP/1.1 200 OK\r\nSignature: s\r\n";
+    return {
+            {"status line", "HTTP/1.1 200 ", block},
+            {"header", signedHead, "X-" + block.substr(0, 200) + ": 1\r\n"},
+            {"one header field", signedHead + "X: ", block},
+            {"provisional answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+            {"no protocol at all", "", block},
+            {"body with a length", signedHead + "Content-Length: 99999999999\r\n\r\n", block},
+            {"body without a length", signedHead + "\r\n", block},
+            {"chunks", signedHead + "Transfer-Encoding: chunked\r\n\r\n",
+             "2000\r\n" + block + "\r\n"},
+            {"chunk extension", signedHead + "Transfer-Encoding: chunked\r\n\r\n1;x=", block},
+            {"trailer", signedHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+             "X-" + block.substr(0, 200) + ": 1\r\n"},
+    };
+}
+
+} // namespace
+
+// Guards against bytes without end that keep a call for ever or fill the memory.
+TEST_CASE("Answers without end are cut within the route's time", "[troubled]")
+{
+    for (const Endless &answer : endlessAnswers()) {
+        for (const CallKind kind : {CallKind::NonIdempotent, CallKind::Stream}) {
+            CAPTURE(answer.name, kind);
+            GatewayFixture fixture;
+            fixture.addRoute(routeOf(kind));
+            fixture.addRawServer("a", endless(answer.beginning, answer.repeated));
+            const Milliseconds start = Clock::steady().now();
+            const HttpResponse response = fixture.call("/route/1", "1");
+            REQUIRE(Clock::steady().now() - start < routeTimeout + endSlack);
+            // An answer that was begun is cut, one that was not is a failure of unknown outcome.
+            REQUIRE((response.status == 0 || response.status == 502 || response.status == 504));
+        }
+    }
+}
+
+// Guards against endless answers that come slowly, so that no limit on bytes is met.
+TEST_CASE("Answers that trickle without end are cut within the route's time", "[troubled]")
+{
+    for (const Endless &answer : endlessAnswers()) {
+        CAPTURE(answer.name);
+        GatewayFixture fixture;
+        fixture.addRoute(routeOf(CallKind::NonIdempotent));
+        fixture.addRawServer(
+                "a", endless(answer.beginning, answer.repeated.substr(0, 200), Milliseconds(100)));
+        const Milliseconds start = Clock::steady().now();
+        const HttpResponse response = fixture.call("/route/1", "1");
+        REQUIRE(Clock::steady().now() - start < routeTimeout + endSlack);
+        REQUIRE((response.status == 502 || response.status == 504));
+    }
+}
+
+// Guards against a host of 88 MB that is killed by a hundred servers that send without end.
+TEST_CASE("A hundred answers without end take little memory", "[troubled]")
+{
+    constexpr std::size_t permitted = 48U << 20U;
+    const std::string block(8192, 'x');
+    const std::string head = "HTTP/1.1 200 OK\r\nSignature: s\r\n";
+    for (const std::string &beginning :
+         {head + "\r\n", head + "Transfer-Encoding: chunked\r\n\r\n1;x=", head + "X: "}) {
+        GatewayFixture fixture;
+        fixture.addRoute(routeOf(CallKind::NonIdempotent));
+        fixture.addRawServer("a", endless(beginning, block));
+        const std::size_t before = peakMemory();
+        for (const HttpResponse &response : fixture.callAtOnce("/route/1", 100))
+            REQUIRE(response.status != 200);
+        REQUIRE(peakMemory() - before < permitted);
+    }
+}
+
+// Guards against a second, late copy of an answer that is taken for the next caller's answer.
+TEST_CASE("A late second copy of an answer is no answer to the next call", "[troubled]")
+{
+    for (const bool isLate : {false, true}) {
+        CAPTURE(isLate);
+        GatewayFixture fixture;
+        fixture.addRoute(routeOf(CallKind::Idempotent));
+        fixture.addRawServer("a", [isLate](tcp::socket &socket) -> net::awaitable<void> {
+            std::string copy;
+            bool isOpen = true;
+            while (isOpen) {
+                const std::string request = co_await readRequest(socket);
+                const std::string id = fieldOf(request, "Id");
+                if (id.empty())
+                    co_return;
+                // The copy of the answer before comes where the answer to this call is expected.
+                if (isLate && !copy.empty())
+                    co_await send(socket, copy);
+                copy = answerTo(id, "for " + id);
+                isOpen = co_await send(socket, copy);
+                if (!isLate)
+                    isOpen = co_await send(socket, copy);
+            }
+        });
+        for (int number = 0; number < 6; ++number) {
+            const std::string id = "r" + std::to_string(number);
+            const HttpResponse response = fixture.call("/route/1", id);
+            REQUIRE(response.status == 200);
+            REQUIRE(response.body == "for " + id);
+        }
+    }
+}
+
+// Guards against an answer that broke off halfway and looks complete.
+TEST_CASE("An answer that breaks off is no success", "[troubled]")
+{
+    for (const std::string &part : {std::string("HTTP/1.1 200 OK\r\nSignature: s\r\n"
+                                                "Content-Length: 100\r\n\r\nhalf"),
+                                    std::string("HTTP/1.1 200 OK\r\nSignature: s\r\n"
+                                                "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"),
+                                    std::string("HTTP/1.1 200 OK\r\nSignature: s\r\nX-Ha")}) {
+        for (const CallKind kind : {CallKind::NonIdempotent, CallKind::Stream}) {
+            CAPTURE(part, kind);
+            GatewayFixture fixture;
+            fixture.addRoute(routeOf(kind));
+            fixture.addRawServer("a", [part](tcp::socket &socket) -> net::awaitable<void> {
+                co_await readRequest(socket);
+                co_await send(socket, part);
+            });
+            const HttpResponse response = fixture.call("/route/1", "1");
+            REQUIRE((response.status == 0 || response.status == 502));
+        }
+    }
+}
+
+// Guards against slow but sound streams that are cut.
+TEST_CASE("A stream whose events come slowly is passed on whole", "[troubled]")
+{
+    GatewayFixture fixture;
+    Route route = routeOf(CallKind::Stream, true);
+    route.timeout = Milliseconds(8000);
+    fixture.addRoute(route);
+    fixture.addRawServer("a", [](tcp::socket &socket) -> net::awaitable<void> {
+        co_await readRequest(socket);
+        co_await send(socket, streamHead);
+        for (int number = 1; number <= 4; ++number) {
+            const std::string event = "id: " + std::to_string(number) + "\ndata: x\n\n";
+            // Each event in two halves, with a pause of most of the permitted silence.
+            co_await send(socket, chunk(event.substr(0, 4)));
+            co_await GatewayFixture::pause(Milliseconds(700));
+            co_await send(socket, chunk(event.substr(4)));
+        }
+        co_await send(socket, "0\r\n\r\n");
+        co_await GatewayFixture::pause(Milliseconds(100));
+    });
+    const HttpResponse response = fixture.call("/route/1", "1", {{"Patience", "8000"}});
+    REQUIRE(response.status == 200);
+    REQUIRE(response.body.find("id: 4\ndata: x\n\n") != std::string::npos);
+}
+
+// Guards against a stalled stream that never ends because a byte comes now and then.
+TEST_CASE("Bytes without an event don't keep a stalled stream", "[troubled]")
+{
+    GatewayFixture fixture;
+    Route route = routeOf(CallKind::Stream, true);
+    route.timeout = Milliseconds(8000);
+    fixture.addRoute(route);
+    fixture.addRawServer("a", [](tcp::socket &socket) -> net::awaitable<void> {
+        const std::string request = co_await readRequest(socket);
+        if (!fieldOf(request, "Last").empty()) {
+            co_await send(socket, streamHead + chunk("id: 2\ndata: x\n\n") + "0\r\n\r\n");
+            co_await GatewayFixture::pause(Milliseconds(100));
+            co_return;
+        }
+        co_await send(socket, streamHead + chunk("id: 1\ndata: x\n\n"));
+        bool isOpen = true;
+        while (isOpen) {
+            co_await GatewayFixture::pause(Milliseconds(200));
+            isOpen = co_await send(socket, chunk(":"));
+        }
+    });
+    const Milliseconds start = Clock::steady().now();
+    const HttpResponse response = fixture.call("/route/1", "1", {{"Patience", "8000"}});
+    REQUIRE(Clock::steady().now() - start < Milliseconds(3000));
+    REQUIRE(response.status == 200);
+    REQUIRE(response.body == "id: 1\ndata: x\n\nid: 2\ndata: x\n\n");
+}
+
+// Guards against an event without an end that fills the memory.
+TEST_CASE("An event without an end is cut at its limit", "[troubled]")
+{
+    GatewayFixture fixture;
+    Route route = routeOf(CallKind::Stream);
+    route.timeout = Milliseconds(8000);
+    fixture.addRoute(route);
+    fixture.addRawServer("a", endless(streamHead, chunk(std::string(8192, 'x'))));
+    const Milliseconds start = Clock::steady().now();
+    const HttpResponse response = fixture.call("/route/1", "1", {{"Patience", "8000"}});
+    REQUIRE(response.status == 0);
+    REQUIRE(Clock::steady().now() - start < Milliseconds(2000));
+}
+
+// Guards against calls that were just accepted and are cut without an answer by a planned stop.
+TEST_CASE("A planned stop under load answers every accepted call", "[troubled]")
+{
+    GatewayFixture fixture;
+    fixture.addRoute(routeOf(CallKind::NonIdempotent));
+    for (const char *name : {"a", "b", "c", "d"}) {
+        fixture.addServer(
+                name,
+                [](const HttpRequest &request, HttpResponder &responder) -> net::awaitable<void> {
+                    co_await GatewayFixture::pause(Milliseconds(120));
+                    co_await responder.send(GatewayFixture::signedAnswer(request));
+                });
+    }
+    const auto answers = fixture.callAtOnce("/route/1", 60, [&fixture] { fixture.drain(); });
+    for (const HttpResponse &answer : answers)
+        REQUIRE((answer.status == 200 || answer.status == 503));
+}
