Read the store through a few hosts, join by registered records, confirm within the bounds

Every message also copied the table. - A watch waited for 0.6 x config-apply-ms, and what it says holds from when it was asked, so that before the end of the next one the age was twice that. With config-apply-ms 4,000 and revoke-ms 5,000 that is 4.8 s against 4.5 s of trust in keys: a calm host of the large deployment refused every call with a key, and was not ready, for 0.3 s of every 2.4 s.

Changes: - One host for every 24 of a failure domain reads the store, chosen by rendezvous hashing; the others hold a read open at one of them. Answers carry their age, which adds up over hosts and counts from the question, and a digest in place of the comparison with a list. Silent, old or ignorant readers are skipped, the store is the last resort; a reader that the store turns away asks others. - Hosts register their member record, again when they begin or cease to take callers, and follow the others' records; a joining host asks four hosts. The table is published only after a change. - A watch waits for at most 0.45 x config-apply-ms and 0.35 x revoke-ms, half of that at readers. - The load exchange can be told who hears of a changed load at once; nothing uses that yet.

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -27,13 +27,10 @@
 constexpr Milliseconds maintenanceInterval{100};
 /** How often idle connections, metrics and the settings file are looked at. */
 constexpr Milliseconds slowMaintenanceInterval{1000};
-/** A part of config-apply-ms, so that a watch that hears nothing still confirms in time. */
-constexpr double watchShareOfApply = 0.6;
-/** A part of revoke-ms, so that keys are confirmed by a full read before they expire. */
-constexpr double resyncShareOfTrust = 0.6;
-/** A part of drain-ms, so that a host that hears of a leaving server from the store alone stops in
- * time; peers tell each other sooner. */
-constexpr double watchShareOfDrain = 0.25;
+/** How long a watch for other hosts waits; probes find out sooner which of them live. */
+constexpr Milliseconds hostWatchWait{5000};
+constexpr Milliseconds hostWatchSpacing{1000};
+constexpr Milliseconds hostResyncInterval{30000};
 /** A server's entry is removed after so many heartbeats without a sign of it. */
 constexpr int heartbeatsUntilLapse = 3;
 /** Entries of living servers are back this long after an outage of the store. */
@@ -73,18 +70,29 @@
     return {entryReturnTime, heartbeatsUntilLapse * settings.heartbeat, settings.drain};
 }
 
+/** The store is read by some hosts for all, so these can afford watches of half the longest wait.
+ */
 ObjectFollowerOptions followerOptions(const PlatformSettings &settings)
 {
-    const auto part = [](Milliseconds whole, double share) {
-        return Milliseconds(static_cast<std::int64_t>(static_cast<double>(whole.count()) * share));
-    };
+    auto options = ObjectFollowerOptions::within(settings.serving, settings.drain);
+    options.watchWait /= 2;
+    return options;
+}
+
+ObjectFollowerOptions hostFollowerOptions()
+{
     ObjectFollowerOptions options;
-    options.watchWait = part(settings.serving.configurationApply, watchShareOfApply);
-    options.resyncInterval = part(settings.serving.keyTrust, resyncShareOfTrust);
-    options.watchSpacing = part(settings.drain, watchShareOfDrain);
+    options.watchWait = hostWatchWait;
+    options.watchSpacing = hostWatchSpacing;
+    options.resyncInterval = hostResyncInterval;
     return options;
 }
 
+SharedSourceOptions sharedOptions(const ObjectFollowerOptions &follower)
+{
+    return SharedSourceOptions::forWatches(follower.watchWait);
+}
+
 HttpResponse plainText(int status, std::string body)
 {
     HttpResponse response;
@@ -102,9 +110,11 @@
 
     bool start(Error &reason);
     PeerHooks makePeerHooks();
+    SharedSourceHooks makeSharedHooks();
     void takeInConfiguration(std::span<const RegisteredObject> objects, Milliseconds askedAt);
     void takeInConfiguration(const RegisteredObject &object);
     void takeInServers(std::span<const RegisteredObject> objects, Milliseconds askedAt);
+    void takeInHosts(std::span<const RegisteredObject> objects);
     void takeInServerChanges(std::span<const ObjectChange> changes, Milliseconds askedAt);
     std::optional<ServerEntry> readServer(const RegisteredObject &object);
     void publishServersSoon();
@@ -136,8 +146,13 @@
     GatewayServices services;
     GatewayService gateway;
     StoreClient store;
+    SharedObjectSource configurationSource;
+    SharedObjectSource serverSource;
+    SharedObjectSource hostSource;
+    MirrorService mirrors;
     ObjectFollower configurationFollower;
     ObjectFollower serverFollower;
+    ObjectFollower hostFollower;
     PeerService peers;
     HttpServer readinessServer;
     HttpServer directoryServer;
@@ -169,8 +184,16 @@
                this->clock}
     , gateway(this->services)
     , store(this->settings.store, this->storeConnections)
+    , configurationSource(this->store.source(), this->makeSharedHooks(), this->clock,
+                          sharedOptions(followerOptions(this->settings)))
+    , serverSource(this->store.source(), this->makeSharedHooks(), this->clock,
+                   sharedOptions(followerOptions(this->settings)))
+    , hostSource(this->store.source(), this->makeSharedHooks(), this->clock,
+                 sharedOptions(hostFollowerOptions()))
+    , mirrors(this->context, this->clock)
     , configurationFollower(
-              std::string(objectkind::configuration), this->store.source(), this->clock,
+              std::string(objectkind::configuration), this->configurationSource.source(),
+              this->clock,
               [this](std::span<const RegisteredObject> objects, Milliseconds askedAt) {
                   this->takeInConfiguration(objects, askedAt);
               },
@@ -183,7 +206,7 @@
               },
               followerOptions(this->settings))
     , serverFollower(
-              std::string(objectkind::servers), this->store.source(), this->clock,
+              std::string(objectkind::servers), this->serverSource.source(), this->clock,
               [this](std::span<const RegisteredObject> objects, Milliseconds askedAt) {
                   this->takeInServers(objects, askedAt);
               },
@@ -191,6 +214,20 @@
                   this->takeInServerChanges(changes, askedAt);
               },
               followerOptions(this->settings))
+    , hostFollower(
+              std::string(objectkind::hosts), this->hostSource.source(), this->clock,
+              [this](std::span<const RegisteredObject> objects, Milliseconds) {
+                  this->takeInHosts(objects);
+              },
+              [this](std::span<const ObjectChange> changes, Milliseconds) {
+                  std::vector<RegisteredObject> present;
+                  for (const ObjectChange &change : changes) {
+                      if (!change.isRemoved)
+                          present.push_back(change.object);
+                  }
+                  this->takeInHosts(present);
+              },
+              hostFollowerOptions())
     , peers(this->entry, this->dispatch, this->runtime, this->context, this->makePeerHooks())
     , readinessServer(
               this->context, HttpServerOptions(),
@@ -213,6 +250,9 @@
     , stopSignals(this->context, SIGTERM, SIGINT)
     , reloadSignals(this->context, SIGHUP)
 {
+    this->mirrors.add(std::string(objectkind::configuration), this->configurationFollower.mirror());
+    this->mirrors.add(std::string(objectkind::servers), this->serverFollower.mirror());
+    this->mirrors.add(std::string(objectkind::hosts), this->hostFollower.mirror());
     std::error_code ignored;
     this->settingsWrittenAt = std::filesystem::last_write_time(this->settingsPath, ignored);
     this->servers.setHooks(
@@ -225,6 +265,7 @@
             },
             [this] { this->publishServersSoon(); },
             [this](const BackendServerName &server) {
+                this->reachability.forget(server);
                 // Its load and cache are gone; both are forgotten with its reachability.
                 this->dispatch.post([server](Dispatcher &dispatcher, Milliseconds) {
                     dispatcher.setReachable(server, false);
@@ -253,22 +294,41 @@
     }
     this->configurationFollower.start(this->context);
     this->serverFollower.start(this->context);
-    net::co_spawn(
-            this->context, [this] { return this->maintain(); }, net::detached);
-    net::co_spawn(
-            this->context, [this] { return this->reloadOnSignal(); }, net::detached);
-    net::co_spawn(
-            this->context, [this] { return this->stopOnSignal(); }, net::detached);
+    this->hostFollower.start(this->context);
+    const net::any_io_executor executor = this->context.get_executor();
+    spawnGuarded(executor, "maintenance", [this] { return this->maintain(); });
+    spawnGuarded(executor, "reload", [this] { return this->reloadOnSignal(); });
+    spawnGuarded(executor, "stop", [this] { return this->stopOnSignal(); });
     logEvent(LogEvent::DaemonStarted, "incarnation", this->entry.incarnation.toString(),
              "caller_address", this->entry.settings.callerAddress);
     return true;
 }
 
+SharedSourceHooks PlatformDaemon::Implementation::makeSharedHooks()
+{
+    SharedSourceHooks hooks;
+    hooks.readers = [this] {
+        const auto members = this->entry.members();
+        const auto self =
+                std::find_if(members->begin(), members->end(), [this](const MemberRecord &record) {
+                    return record.incarnation == this->entry.incarnation;
+                });
+        return self == members->end() ? StoreReaders() : selectStoreReaders(*members, *self);
+    };
+    hooks.ask = [this](std::string address, ObjectRead read, Milliseconds timeout, Error &reason) {
+        return this->peers.readObjects(std::move(address), std::move(read), timeout, reason);
+    };
+    return hooks;
+}
+
 PeerHooks PlatformDaemon::Implementation::makePeerHooks()
 {
     PeerHooks hooks;
-    hooks.registry =
-            this->store.hostRegistry(this->settings.host, this->entry.settings.peerAddress);
+    hooks.registry = this->store.hostRegistry(this->settings.host);
+    hooks.servesFromStart = false;
+    hooks.answerRead = [this](ObjectRead read) {
+        return this->mirrors.answer(std::move(read));
+    };
     hooks.leavingServers = [this] {
         return this->servers.leavingRuns();
     };
@@ -327,6 +387,23 @@
     this->serving.confirmServers(askedAt);
 }
 
+/** Probes find out which of the hosts live; a removed entry says nothing that they don't. */
+void PlatformDaemon::Implementation::takeInHosts(std::span<const RegisteredObject> objects)
+{
+    std::vector<MemberRecord> records;
+    for (const RegisteredObject &object : objects) {
+        Error reason;
+        if (auto record = decodeHost(object, reason)) {
+            records.push_back(std::move(*record));
+        } else {
+            logEvent(LogEvent::ObjectUnreadable, "object", object.name, "revision",
+                     std::to_string(object.revision), "detail", reason.detail);
+        }
+    }
+    if (!records.empty())
+        this->peers.recordRegistered(std::move(records));
+}
+
 void PlatformDaemon::Implementation::takeInServerChanges(std::span<const ObjectChange> changes,
                                                          Milliseconds askedAt)
 {
@@ -536,7 +613,7 @@
         logEvent(LogEvent::ListenFailed, "detail", reason.detail);
         return 1;
     }
-    this->implementation->context.run();
+    runGuarded(this->implementation->context);
     return 0;
 }
 
--- a/packages/entry/peers/loadexchange.cpp
+++ b/packages/entry/peers/loadexchange.cpp
@@ -31,10 +31,12 @@
 
 } // namespace
 
-LoadExchange::LoadExchange(EntryState &state, net::io_context &context, EncodeUpdate encodeUpdate)
+LoadExchange::LoadExchange(EntryState &state, net::io_context &context, EncodeUpdate encodeUpdate,
+                           SelectPeers selectPeers)
     : entry(state)
     , strand(net::make_strand(context))
     , encodeUpdate(std::move(encodeUpdate))
+    , selectPeers(std::move(selectPeers))
     , budget(updateBytesPerSecond)
 {
 }
@@ -49,7 +51,11 @@
     net::steady_timer timer(co_await net::this_coro::executor);
     boost::system::error_code code;
     while (!code) {
-        co_await this->sendTo(peersPerTick, Content::All, false);
+        const Update update = co_await this->encodeUpdate(Content::All);
+        const std::vector<std::string> peers = this->nextPeers(peersPerTick);
+        // Updates at intervals are always sent, so that no peer goes without news for long.
+        this->budget.take(peers.size(), update.bytes.size(), this->entry.steadyClock.now());
+        this->sendTo(peers, update.bytes);
         timer.expires_after(sendInterval);
         co_await timer.async_wait(net::redirect_error(net::use_awaitable, code));
     }
@@ -74,21 +80,29 @@
     co_await timer.async_wait(net::redirect_error(net::use_awaitable, code));
     this->isSendingSoon = false;
     const Content content = std::exchange(this->contentSoon, Content::Load);
-    co_await this->sendTo(peersPerChange, content, true);
+    co_await this->sendAtOnce(content);
 }
 
-/** Updates at intervals are always sent, so that no peer goes without news for long. */
-net::awaitable<void> LoadExchange::sendTo(std::size_t peerCount, Content content, bool isAtOnce)
+/** Tells a change to as many peers as the bytes per second permit. */
+net::awaitable<void> LoadExchange::sendAtOnce(Content content)
 {
-    const std::string update = co_await this->encodeUpdate(content);
-    std::vector<std::string> peers = this->nextPeers(peerCount);
+    const Update update = co_await this->encodeUpdate(content);
+    const bool isSelected = content == Content::Load && this->selectPeers;
+    std::vector<std::string> peers =
+            isSelected ? this->selectPeers(update.changed) : this->nextPeers(peersPerChange);
     const std::size_t permitted =
-            this->budget.take(peers.size(), update.size(), this->entry.steadyClock.now());
-    if (isAtOnce && permitted < peers.size()) {
+            this->budget.take(peers.size(), update.bytes.size(), this->entry.steadyClock.now());
+    if (permitted < peers.size()) {
         // The others are next in turn.
-        this->nextIndex -= peers.size() - permitted;
+        if (!isSelected)
+            this->nextIndex -= peers.size() - permitted;
         peers.resize(permitted);
     }
+    this->sendTo(peers, update.bytes);
+}
+
+void LoadExchange::sendTo(const std::vector<std::string> &peers, const std::string &update)
+{
     for (const std::string &address : peers) {
         net::co_spawn(
                 this->strand, [this, address, update] { return this->sendTo(address, update); },
--- a/packages/entry/peers/loadexchange.h
+++ b/packages/entry/peers/loadexchange.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -36,11 +37,28 @@
         All,
     };
 
+    /** An encoded update. */
+    struct Update
+    {
+        /** The bytes to send. */
+        std::string bytes;
+        /** The backend servers whose load differs from the last update of this content. */
+        std::vector<BackendServerName> changed;
+    };
+
     /** Encodes the update to send. */
-    using EncodeUpdate = std::function<boost::asio::awaitable<std::string>(Content)>;
+    using EncodeUpdate = std::function<boost::asio::awaitable<Update>(Content)>;
+    /** Returns the peer addresses of the hosts that place work on one of the servers. */
+    using SelectPeers = std::function<std::vector<std::string>(std::span<const BackendServerName>)>;
 
-    /** Creates an exchange that does not send yet. */
-    LoadExchange(EntryState &state, boost::asio::io_context &context, EncodeUpdate encodeUpdate);
+    /**
+     * Creates an exchange that does not send yet.
+     *
+     * @param selectPeers chooses who hears of a changed load at once; if it is empty, the next
+     *     peers in turn do.
+     */
+    LoadExchange(EntryState &state, boost::asio::io_context &context, EncodeUpdate encodeUpdate,
+                 SelectPeers selectPeers);
     LoadExchange(const LoadExchange &) = delete;
     LoadExchange &operator=(const LoadExchange &) = delete;
 
@@ -52,13 +70,15 @@
 private:
     boost::asio::awaitable<void> sendPeriodically();
     boost::asio::awaitable<void> sendTo(std::string address, std::string update);
-    boost::asio::awaitable<void> sendTo(std::size_t peerCount, Content content, bool isAtOnce);
+    boost::asio::awaitable<void> sendAtOnce(Content content);
+    void sendTo(const std::vector<std::string> &peers, const std::string &update);
     boost::asio::awaitable<void> sendSoon();
     std::vector<std::string> nextPeers(std::size_t limit);
 
     EntryState &entry;
     boost::asio::strand<boost::asio::io_context::executor_type> strand;
     EncodeUpdate encodeUpdate;
+    SelectPeers selectPeers;
     std::map<std::string, std::unique_ptr<FrameConnection>> connections;
     std::set<std::string> sending;
     std::size_t nextIndex = 0;
--- a/packages/entry/peers/peerservice.cpp
+++ b/packages/entry/peers/peerservice.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/http/errorresponse.h"
 #include "entry/peers/gossipconversion.h"
+#include "entry/tasks/guardedtask.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -11,6 +12,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <charconv>
 #include <limits>
 #include <map>
 
@@ -29,12 +31,18 @@
 constexpr Milliseconds registrationRetryInterval{5000};
 constexpr std::size_t indirectProbeCount = 3;
 constexpr std::size_t updatesPerMessage = 8;
+/** Peers that a joining host asks for their members; asking all costs the square of the hosts. */
+constexpr std::size_t joinProbes = 4;
+/** Rounds of joining, a probe interval apart; each multiplies what hosts that start at once know.
+ */
+constexpr int maximumJoinRounds = 5;
 constexpr int maximumPullPages = 256;
 constexpr std::string_view hostObjectPrefix = "hosts/";
 
-MemberRecord selfRecord(const EntryState &entry)
+MemberRecord selfRecord(const EntryState &entry, bool isServing)
 {
     MemberRecord record;
+    record.isServing = isServing;
     record.host = entry.settings.host;
     record.incarnation = entry.incarnation;
     record.failureDomain = entry.settings.failureDomain;
@@ -63,6 +71,14 @@
     logEvent(event, "member", record.host.toString(), "incarnation", record.incarnation.toString());
 }
 
+/** Reads the whole seconds of this host's own answer; 0 if there are none. */
+std::uint64_t wholeSeconds(std::string_view text)
+{
+    std::uint64_t seconds = 0;
+    std::from_chars(text.data(), text.data() + text.size(), seconds);
+    return seconds;
+}
+
 HttpResponse incarnationGone(std::string detail)
 {
     return errorResponse(
@@ -86,10 +102,9 @@
             addresses.push_back(object.value);
         co_return addresses;
     };
-    registry.registerHost = [&platform, &entry, name]() -> net::awaitable<bool> {
+    registry.registerHost = [&platform, name](MemberRecord self) -> net::awaitable<bool> {
         Error ignored;
-        const auto version =
-                co_await platform.write(name, entry.settings.peerAddress, std::nullopt, ignored);
+        const auto version = co_await platform.write(name, self.peerAddress, std::nullopt, ignored);
         co_return version.has_value();
     };
     registry.removeHost = [&platform, name]() -> net::awaitable<void> {
@@ -105,13 +120,14 @@
     , dispatch(dispatch)
     , context(context)
     , hooks(std::move(hooks))
-    , members(runtime, selfRecord(state), tableOptions(state))
+    , members(runtime, selfRecord(state, this->hooks.servesFromStart), tableOptions(state))
     , server(context, [this](FrameConnection &connection) { return this->serve(connection); })
-    , loadExchange(state, context, [this](LoadExchange::Content content) {
-        return this->encodeLoadUpdate(content);
-    })
+    , loadExchange(
+              state, context,
+              [this](LoadExchange::Content content) { return this->encodeLoadUpdate(content); },
+              this->hooks.selectPeers)
 {
-    state.publishMembers({selfRecord(state)});
+    state.publishMembers({selfRecord(state, this->hooks.servesFromStart)}, 0);
     if (this->hooks.sharesPromptsAtOnce)
         dispatch.setLoadChangeHook(
                 [this] { this->loadExchange.requestSend(LoadExchange::Content::Load); });
@@ -127,9 +143,8 @@
     const auto endpoint = parseEndpoint(this->entry.settings.peerAddress, reason);
     if (!endpoint || !this->server.listen(*endpoint, reason))
         return false;
-    net::co_spawn(
-            net::make_strand(this->context), [this] { return this->joinAndProbe(); },
-            net::detached);
+    spawnGuarded(net::make_strand(this->context), "membership",
+                 [this] { return this->joinAndProbe(); });
     this->loadExchange.start();
     return true;
 }
@@ -156,6 +171,19 @@
 void PeerService::setServing(bool isServing)
 {
     this->members.post([isServing](MemberTable &table) { table.setServing(isServing); });
+    net::co_spawn(
+            net::make_strand(this->context),
+            [this]() -> net::awaitable<void> {
+                co_await this->publish();
+                co_await this->registerIfChanged();
+            },
+            net::detached);
+}
+
+void PeerService::recordRegistered(std::vector<MemberRecord> records)
+{
+    this->members.post([records = std::move(records), now = this->entry.steadyClock.now()](
+                               MemberTable &table) { table.learn(records, now); });
     net::co_spawn(
             net::make_strand(this->context), [this] { return this->publish(); }, net::detached);
 }
@@ -246,6 +274,11 @@
                     formatTransfer(*sourceOf(*configuration), pull->knownRevision, pull->after);
         co_return reply;
     }
+    if (auto *read = std::get_if<ObjectRead>(&message)) {
+        if (!this->hooks.answerRead)
+            co_return std::nullopt;
+        co_return co_await this->hooks.answerRead(std::move(*read));
+    }
     if (const auto *call = std::get_if<ForwardCall>(&message)) {
         ForwardReply reply;
         reply.sequence = call->sequence;
@@ -258,7 +291,8 @@
         reply.status = static_cast<std::uint32_t>(response.status);
         reply.body = response.body;
         const auto retryAfter = findHeader(response.headers, "Retry-After");
-        reply.retryAfterMilliseconds = retryAfter ? std::stoull(*retryAfter) * 1000 : 0;
+        if (retryAfter)
+            reply.retryAfterMilliseconds = wholeSeconds(*retryAfter) * 1000;
         co_return reply;
     }
     co_return std::nullopt;
@@ -286,13 +320,8 @@
 
 net::awaitable<void> PeerService::joinAndProbe()
 {
-    const bool isRegistered = co_await this->hooks.registry.registerHost();
-    if (!isRegistered) {
-        net::co_spawn(
-                net::make_strand(this->context), [this] { return this->keepRegistering(); },
-                net::detached);
-    }
-    co_await this->join();
+    co_await this->registerSelf();
+    int joinRounds = co_await this->join() ? 1 : 0;
     net::steady_timer timer(co_await net::this_coro::executor);
     boost::system::error_code code;
     while (!code) {
@@ -303,29 +332,42 @@
                 };
         const auto target = co_await this->members.ask<std::optional<MemberRecord>>(pickTarget);
         const auto known = this->entry.members();
-        if (known->size() <= 1)
-            co_await this->join();
+        const bool isIncomplete =
+                joinRounds < maximumJoinRounds && known->size() < this->registeredCount;
+        if (known->size() <= 1 || joinRounds == 0 || isIncomplete)
+            joinRounds += co_await this->join() ? 1 : 0;
         if (target) {
             net::co_spawn(
                     net::make_strand(this->context),
                     [this, record = *target] { return this->probe(record); }, net::detached);
         }
         co_await this->publish();
+        net::co_spawn(
+                net::make_strand(this->context), [this] { return this->registerIfChanged(); },
+                net::detached);
         timer.expires_after(probeInterval);
         co_await timer.async_wait(net::redirect_error(net::use_awaitable, code));
     }
 }
 
-net::awaitable<void> PeerService::join()
+/** @return whether there was a host to ask. */
+net::awaitable<bool> PeerService::join()
 {
-    std::vector<std::string> addresses = this->entry.settings.joinAddresses;
-    const auto registered = co_await this->hooks.registry.readAddresses();
-    if (registered)
-        addresses.insert(addresses.end(), registered->begin(), registered->end());
+    std::vector<std::string> registered;
+    if (this->hooks.registry.readAddresses) {
+        if (auto addresses = co_await this->hooks.registry.readAddresses())
+            registered = std::move(*addresses);
+        this->registeredCount = registered.size();
+    } else {
+        const auto known = this->entry.members();
+        for (const MemberRecord &record : *known) {
+            if (record.state == MemberState::Alive)
+                registered.push_back(record.peerAddress);
+        }
+    }
     // Side by side: hosts that are gone stay registered and cost a time-out each.
+    const std::vector<std::string> addresses = this->joinAddresses(registered);
     for (const std::string &address : addresses) {
-        if (address == this->entry.settings.peerAddress)
-            continue;
         net::co_spawn(
                 net::make_strand(this->context),
                 [this, address]() -> net::awaitable<void> {
@@ -333,20 +375,55 @@
                 },
                 net::detached);
     }
+    co_return !addresses.empty();
 }
 
-net::awaitable<void> PeerService::keepRegistering()
+/** Returns the addresses to ask for members: those of the settings and some of the others. */
+std::vector<std::string> PeerService::joinAddresses(const std::vector<std::string> &registered)
 {
-    net::steady_timer timer(co_await net::this_coro::executor);
-    boost::system::error_code code;
-    bool isRegistered = false;
-    while (!isRegistered) {
-        timer.expires_after(registrationRetryInterval);
-        co_await timer.async_wait(net::redirect_error(net::use_awaitable, code));
-        if (code || this->entry.isDraining)
-            co_return;
-        isRegistered = co_await this->hooks.registry.registerHost();
+    std::vector<std::string> others;
+    for (const std::string &address : registered) {
+        if (address != this->entry.settings.peerAddress)
+            others.push_back(address);
     }
+    RandomSource random = RandomSource::fromSystem();
+    const std::size_t count = std::min(joinProbes, others.size());
+    for (std::size_t index = 0; index < count; ++index)
+        std::swap(others[index], others[index + random.below(others.size() - index)]);
+    others.resize(count);
+    const std::vector<std::string> &named = this->entry.settings.joinAddresses;
+    others.insert(others.end(), named.begin(), named.end());
+    return others;
+}
+
+net::awaitable<void> PeerService::registerIfChanged()
+{
+    const std::function<std::int64_t(MemberTable &)> readVersion = [](MemberTable &table) {
+        return static_cast<std::int64_t>(table.self().version);
+    };
+    const std::int64_t version = co_await this->members.ask<std::int64_t>(readVersion);
+    const std::int64_t registered = this->registeredVersion;
+    const bool isDue =
+            registered < 0 || (this->hooks.registry.followsRecord && registered != version);
+    const bool mayTry = this->entry.steadyClock.now().count() >= this->registerAgainAt;
+    if (isDue && mayTry && !this->entry.isDraining)
+        co_await this->registerSelf();
+}
+
+net::awaitable<void> PeerService::registerSelf()
+{
+    if (this->isRegistering.exchange(true))
+        co_return;
+    const std::function<MemberRecord(MemberTable &)> readSelf = [](MemberTable &table) {
+        return table.self();
+    };
+    const MemberRecord self = co_await this->members.ask<MemberRecord>(readSelf);
+    const bool isRegistered = co_await this->hooks.registry.registerHost(self);
+    if (isRegistered)
+        this->registeredVersion = self.version;
+    else
+        this->registerAgainAt = (this->entry.steadyClock.now() + registrationRetryInterval).count();
+    this->isRegistering = false;
 }
 
 net::awaitable<void> PeerService::probe(MemberRecord target)
@@ -369,7 +446,7 @@
     Probe probe;
     probe.sequence = ++this->sequence;
     probe.wantsAllMembers = wantsAllMembers;
-    probe.gossip = co_await this->collectGossip(wantsAllMembers);
+    probe.gossip = co_await this->collectGossip(false);
     const std::function<MemberRecord(MemberTable &)> readSelf = [](MemberTable &table) {
         return table.self();
     };
@@ -430,17 +507,40 @@
         gossip.leavingServers.push_back(server.toString());
 }
 
-net::awaitable<std::string> PeerService::encodeLoadUpdate(LoadExchange::Content content)
+net::awaitable<LoadExchange::Update> PeerService::encodeLoadUpdate(LoadExchange::Content content)
 {
-    LoadUpdate update;
+    LoadUpdate message;
+    LoadExchange::Update update;
     if (content == LoadExchange::Content::All) {
-        co_await this->addLoad(update.gossip);
+        co_await this->addLoad(message.gossip);
     } else {
         const PeerLoadDigest digest = co_await this->dispatch.loadDigest();
-        addDigest(update.gossip, digest);
+        addDigest(message.gossip, digest);
+        update.changed = this->takeChanged(digest);
     }
-    const PeerMessage message = std::move(update);
-    co_return encodeMessage(message);
+    const PeerMessage encoded = std::move(message);
+    update.bytes = encodeMessage(encoded);
+    co_return update;
+}
+
+/** Returns the servers whose load differs from what was told last, which it replaces. */
+std::vector<BackendServerName> PeerService::takeChanged(const PeerLoadDigest &digest)
+{
+    std::map<BackendServerName, PeerLoadEntry> load;
+    for (const PeerLoadEntry &entry : digest.entries)
+        load.emplace(entry.server, entry);
+    std::vector<BackendServerName> changed;
+    for (const auto &[server, entry] : load) {
+        const auto told = this->toldLoad.find(server);
+        if (told == this->toldLoad.end() || !(told->second == entry))
+            changed.push_back(server);
+    }
+    for (const auto &[server, entry] : this->toldLoad) {
+        if (!load.contains(server))
+            changed.push_back(server);
+    }
+    this->toldLoad = std::move(load);
+    return changed;
 }
 
 net::awaitable<void> PeerService::takeIn(MemberRecord sender, Gossip gossip)
@@ -516,6 +616,41 @@
     co_return reader.result();
 }
 
+net::awaitable<std::optional<ObjectReadReply>> PeerService::readObjects(std::string address,
+                                                                        ObjectRead read,
+                                                                        Milliseconds timeout,
+                                                                        Error &reason)
+{
+    const auto endpoint = parseEndpoint(address, reason);
+    if (!endpoint)
+        co_return std::nullopt;
+    read.sequence = ++this->sequence;
+    // Out of the map while it is in use, so that another read of the kind opens its own.
+    ReadConnection kept = std::move(this->readConnections[read.kind]);
+    if (kept.address != address || !kept.connection) {
+        kept.connection = co_await FrameConnection::connect(*endpoint, probeTimeout, reason);
+        kept.address = address;
+    }
+    if (!kept.connection)
+        co_return std::nullopt;
+    const PeerMessage message = read;
+    const std::string payload = encodeMessage(message);
+    if (!co_await kept.connection->send(payload, probeTimeout, reason))
+        co_return std::nullopt;
+    const auto answered = co_await kept.connection->receive(timeout, reason);
+    if (!answered)
+        co_return std::nullopt;
+    auto reply = decodeMessage(*answered, reason);
+    auto *answer = reply ? std::get_if<ObjectReadReply>(&*reply) : nullptr;
+    if (answer == nullptr || answer->sequence != read.sequence) {
+        reason = {
+                ErrorCode::ProtocolViolation, RunState::NotRun, "not the answer to this read", {}};
+        co_return std::nullopt;
+    }
+    this->readConnections[read.kind] = std::move(kept);
+    co_return std::move(*answer);
+}
+
 net::awaitable<std::optional<std::uint64_t>> PeerService::askRevision(std::string peerAddress)
 {
     ConfigurationPull pull;
@@ -533,10 +668,20 @@
 
 net::awaitable<void> PeerService::publish()
 {
-    const std::function<std::vector<MemberRecord>(MemberTable &)> read = [](MemberTable &table) {
-        return table.members();
+    struct Change
+    {
+        std::uint64_t number = 0;
+        std::vector<MemberRecord> records;
+    };
+    const std::function<Change(MemberTable &)> read = [this](MemberTable &table) {
+        Change change{table.changeCount(), {}};
+        if (change.number > this->entry.publishedChange())
+            change.records = table.members();
+        return change;
     };
-    auto records = co_await this->members.ask<std::vector<MemberRecord>>(read);
+    auto [number, records] = co_await this->members.ask<Change>(read);
+    if (records.empty())
+        co_return;
     const auto before = this->entry.members();
     std::map<HostIncarnation, MemberState> states;
     std::size_t live = 0;
@@ -548,7 +693,7 @@
         if (known == states.end() || known->second != record.state)
             logStateChange(record);
     }
-    this->entry.publishMembers(std::move(records));
+    this->entry.publishMembers(std::move(records), number);
     this->dispatch.post(
             [live](Dispatcher &dispatcher, Milliseconds) { dispatcher.setLiveHostCount(live); });
 }
--- a/packages/entry/state/entrystate.cpp
+++ b/packages/entry/state/entrystate.cpp
@@ -32,13 +32,22 @@
     return this->publishedMembers;
 }
 
-void EntryState::publishMembers(std::vector<MemberRecord> records)
+void EntryState::publishMembers(std::vector<MemberRecord> records, std::uint64_t change)
 {
     auto published = std::make_shared<const std::vector<MemberRecord>>(std::move(records));
     const std::lock_guard lock(this->mutex);
+    if (change < this->membersChange)
+        return;
+    this->membersChange = change;
     this->publishedMembers = std::move(published);
 }
 
+std::uint64_t EntryState::publishedChange() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->membersChange;
+}
+
 std::vector<std::string> EntryState::otherCallerAddresses() const
 {
     const auto known = this->members();
--- a/packages/entry/state/entrystate.h
+++ b/packages/entry/state/entrystate.h
@@ -47,14 +47,17 @@
 
     /** Returns the members as last published. */
     std::shared_ptr<const std::vector<MemberRecord>> members() const;
-    /** Publishes the members. */
-    void publishMembers(std::vector<MemberRecord> records);
+    /** Publishes the members as of a change of their table, unless a later one is published. */
+    void publishMembers(std::vector<MemberRecord> records, std::uint64_t change);
+    /** Returns the change of the member table that is published. */
+    std::uint64_t publishedChange() const;
     /** Returns the callers' addresses of the live members other than this host, nearest first. */
     std::vector<std::string> otherCallerAddresses() const;
 
 private:
     mutable std::mutex mutex;
     std::shared_ptr<const std::vector<MemberRecord>> publishedMembers;
+    std::uint64_t membersChange = 0;
 };
 
 /** Counts a request as active for the life of the object. */
--- /dev/null
+++ b/packages/gateway/store/mirrorservice.cpp
@@ -0,0 +1,113 @@
+#include "gateway/store/mirrorservice.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace sassafrasyard {
+
+namespace net = boost::asio;
+
+namespace {
+
+void addObject(ObjectReadReply &reply, RegisteredObject object, bool isRemoved)
+{
+    reply.objects.push_back(
+            {std::move(object.name), object.revision, std::move(object.value), isRemoved});
+}
+
+std::size_t sizeOf(const ObjectReadReply &reply)
+{
+    std::size_t bytes = 0;
+    for (const SharedObject &object : reply.objects)
+        bytes += object.name.size() + object.value.size();
+    return bytes;
+}
+
+void addAll(ObjectReadReply &reply, const ObjectMirror &mirror, const ObjectRead &read,
+            Milliseconds now)
+{
+    auto all = mirror.page(now);
+    // A list that is older than what the asking host knows would take it back in time.
+    if (!all || all->revision < read.since)
+        return;
+    reply.result = ObjectReadResult::Known;
+    reply.revision = all->revision;
+    reply.ageMilliseconds = static_cast<std::uint64_t>(all->age.count());
+    for (RegisteredObject &object : all->objects)
+        addObject(reply, std::move(object), false);
+}
+
+void addChanges(ObjectReadReply &reply, const ObjectMirror &mirror, const ObjectRead &read,
+                Milliseconds now)
+{
+    if (!mirror.isFilled())
+        return;
+    auto news = mirror.changesSince(read.since, now);
+    if (!news) {
+        reply.result = ObjectReadResult::HistoryGone;
+        return;
+    }
+    reply.result = ObjectReadResult::Known;
+    reply.revision = news->revision;
+    reply.newestRevision = mirror.newestRevision();
+    reply.ageMilliseconds = static_cast<std::uint64_t>(news->age.count());
+    reply.digest = mirror.digest();
+    for (ObjectChange &change : news->changes)
+        addObject(reply, std::move(change.object), change.isRemoved);
+}
+
+} // namespace
+
+MirrorService::MirrorService(net::io_context &context, Clock clock)
+    : context(context)
+    , clock(std::move(clock))
+{
+}
+
+void MirrorService::add(const std::string &kind, ObjectMirror &mirror)
+{
+    Served &served = this->kinds[kind];
+    served.mirror = &mirror;
+    mirror.setChangeHook([&served] {
+        for (net::steady_timer *timer : served.waiting)
+            timer->cancel();
+    });
+}
+
+net::awaitable<ObjectReadReply> MirrorService::answer(ObjectRead read)
+{
+    ObjectReadReply reply;
+    reply.sequence = read.sequence;
+    const auto known = this->kinds.find(read.kind);
+    if (known == this->kinds.end())
+        co_return reply;
+    Served &served = known->second;
+    if (read.wantsAll) {
+        addAll(reply, *served.mirror, read, this->clock.now());
+    } else {
+        co_await this->waitForNews(served, read);
+        addChanges(reply, *served.mirror, read, this->clock.now());
+    }
+    if (sizeOf(reply) > maximumAnswerBytes) {
+        reply.result = ObjectReadResult::TooLarge;
+        reply.objects.clear();
+    }
+    co_return reply;
+}
+
+net::awaitable<void> MirrorService::waitForNews(Served &served, const ObjectRead &read)
+{
+    if (!served.mirror->isFilled() || served.mirror->hasNewsSince(read.since))
+        co_return;
+    const auto longest = static_cast<std::uint64_t>(longestWait.count());
+    net::steady_timer timer(this->context, Milliseconds(std::min(read.waitMilliseconds, longest)));
+    served.waiting.insert(&timer);
+    boost::system::error_code code;
+    co_await timer.async_wait(net::redirect_error(net::use_awaitable, code));
+    served.waiting.erase(&timer);
+}
+
+} // namespace sassafrasyard
--- a/packages/gateway/store/objectfollower.cpp
+++ b/packages/gateway/store/objectfollower.cpp
@@ -1,9 +1,8 @@
 #include "gateway/store/objectfollower.h"
 
+#include "entry/tasks/guardedtask.h"
 #include "observability/observability.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -19,9 +18,35 @@
 
 /** Watches that may begin before the spacing holds; the first two bring a group of changes. */
 constexpr int watchesAtOnce = 2;
+/**
+ * Parts of the bounds. A watch confirms what is known as of when it was asked, and only by its end,
+ * so that just before the end of the next one the age is twice the wait.
+ */
+constexpr double watchShareOfApply = 0.45;
+constexpr double watchShareOfTrust = 0.35;
+/** A part of the trust in keys, so that a full read comes before they expire. */
+constexpr double resyncShareOfTrust = 0.6;
+/** A part of the drain, so that a host that hears of a leaving server from the store alone stops in
+ * time; peers tell each other sooner. */
+constexpr double watchShareOfDrain = 0.25;
+
+Milliseconds part(Milliseconds whole, double share)
+{
+    return Milliseconds(static_cast<std::int64_t>(static_cast<double>(whole.count()) * share));
+}
 
 } // namespace
 
+ObjectFollowerOptions ObjectFollowerOptions::within(const ServingBounds &bounds, Milliseconds drain)
+{
+    ObjectFollowerOptions options;
+    options.watchWait = std::min(part(bounds.configurationApply, watchShareOfApply),
+                                 part(bounds.keyTrust, watchShareOfTrust));
+    options.resyncInterval = part(bounds.keyTrust, resyncShareOfTrust);
+    options.watchSpacing = part(drain, watchShareOfDrain);
+    return options;
+}
+
 ObjectFollower::ObjectFollower(std::string kind, ObjectSource source, Clock clock, ListHook onList,
                                ChangesHook onChanges, ObjectFollowerOptions options)
     : kind(std::move(kind))
@@ -35,8 +60,8 @@
 
 void ObjectFollower::start(net::io_context &context)
 {
-    net::co_spawn(
-            context, [this] { return this->follow(); }, net::detached);
+    spawnGuarded(context.get_executor(), "follower of " + this->kind,
+                 [this] { return this->follow(); });
 }
 
 net::awaitable<void> ObjectFollower::follow()
@@ -74,8 +99,10 @@
     this->revision = all->revision;
     this->needsList = false;
     this->comparedAt = askedAt;
+    this->wasShared = all->isShared;
     this->versions.assign(all->objects);
-    this->onList(all->objects, askedAt);
+    this->content.assign(*all, askedAt - all->age);
+    this->onList(all->objects, askedAt - all->age);
     co_return true;
 }
 
@@ -111,7 +138,8 @@
 
 net::awaitable<bool> ObjectFollower::readChanges()
 {
-    co_await this->spaceWatches();
+    if (!this->wasShared)
+        co_await this->spaceWatches();
     const Milliseconds askedAt = this->clock.now();
     Error reason;
     const auto changes = co_await this->source.watch(this->kind, this->revision,
@@ -128,12 +156,34 @@
         this->needsList = true;
         co_return false;
     }
+    this->wasShared = changes->isShared;
     this->versions.apply(changes->changes);
     this->revision = std::max(this->revision, changes->revision);
-    this->onChanges(changes->changes, askedAt);
+    this->content.apply(*changes, askedAt - changes->age);
+    this->onChanges(changes->changes, askedAt - changes->age);
+    if (changes->digest && this->agreesWith(*changes)) {
+        // Equal digests replace the comparison with a list.
+        this->comparedAt = askedAt;
+    } else if (changes->digest) {
+        logEvent(LogEvent::StoreChangeMissed, "kind", this->kind, "revision",
+                 std::to_string(changes->revision));
+        this->needsList = true;
+    }
     co_return true;
 }
 
+/** Returns whether another host, if it knows as much as this one, knows the same. */
+bool ObjectFollower::agreesWith(const ObjectChanges &news) const
+{
+    const bool isComparable = news.revision >= this->content.newestRevision();
+    return !isComparable || *news.digest == this->content.digest();
+}
+
+ObjectMirror &ObjectFollower::mirror()
+{
+    return this->content;
+}
+
 void ObjectFollower::recordResult(bool hasSucceeded, const Error &reason)
 {
     if (hasSucceeded == this->isAvailable)
--- a/packages/gateway/store/objectfollower.h
+++ b/packages/gateway/store/objectfollower.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "core/core.h"
+#include "gateway/state/servingstate.h"
+#include "gateway/store/objectmirror.h"
 #include "gateway/store/objectsource.h"
 #include "gateway/store/objectversions.h"
 
@@ -33,6 +35,13 @@
     Milliseconds firstRetryDelay{100};
     /** The longest pause after failed calls. */
     Milliseconds longestRetryDelay{1000};
+
+    /**
+     * Returns the times that keep what is read within the bounds of its use.
+     *
+     * @param drain how long a server that leaves still takes work, in milliseconds.
+     */
+    static ObjectFollowerOptions within(const ServingBounds &bounds, Milliseconds drain);
 };
 
 /** Keeps up with one kind of object in the platform's store. */
@@ -52,6 +61,8 @@
 
     /** Starts to read; the follower must outlive the context's work. */
     void start(boost::asio::io_context &context);
+    /** Returns what was read, for other hosts. */
+    ObjectMirror &mirror();
 
 private:
     boost::asio::awaitable<void> follow();
@@ -59,6 +70,7 @@
     boost::asio::awaitable<bool> readChanges();
     boost::asio::awaitable<bool> compare();
     boost::asio::awaitable<void> spaceWatches();
+    bool agreesWith(const ObjectChanges &news) const;
     void recordResult(bool hasSucceeded, const Error &reason);
 
     std::string kind;
@@ -73,6 +85,9 @@
     /** When the next watch would begin if all kept the spacing. */
     Milliseconds watchDueAt{0};
     ObjectVersions versions;
+    ObjectMirror content;
+    /** Whether the last answer came from another host, whose reads cost the store nothing. */
+    bool wasShared = false;
     bool isAvailable = true;
 };
 
--- /dev/null
+++ b/packages/gateway/store/objectmirror.cpp
@@ -0,0 +1,157 @@
+#include "gateway/store/objectmirror.h"
+
+#include "policy/placement/stablehash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sassafrasyard {
+
+namespace {
+
+std::uint64_t digestOf(const RegisteredObject &object)
+{
+    return combineHashes(stableHash(object.name), object.revision);
+}
+
+} // namespace
+
+ObjectMirror::ObjectMirror(std::size_t maximumBatches)
+    : maximumBatches(maximumBatches)
+{
+}
+
+void ObjectMirror::setChangeHook(ChangeHook hook)
+{
+    this->changeHook = std::move(hook);
+}
+
+void ObjectMirror::assign(const ObjectPage &all, Milliseconds askedAt)
+{
+    if (this->differsFrom(all.objects)) {
+        this->objects.clear();
+        this->contentDigest = 0;
+        this->batches.clear();
+        this->historyStart = all.revision;
+        for (const RegisteredObject &object : all.objects)
+            this->put(object);
+    }
+    this->confirm(all.revision, askedAt);
+    this->notify();
+}
+
+void ObjectMirror::apply(const ObjectChanges &news, Milliseconds askedAt)
+{
+    for (const ObjectChange &change : news.changes) {
+        if (change.isRemoved)
+            this->erase(change.object.name);
+        else
+            this->put(change.object);
+    }
+    if (!news.changes.empty())
+        this->batches.push_back({std::max(news.revision, this->knownRevision), news.changes});
+    if (this->batches.size() > this->maximumBatches) {
+        this->historyStart = this->batches.front().revision;
+        this->batches.pop_front();
+    }
+    this->confirm(news.revision, askedAt);
+    if (!news.changes.empty())
+        this->notify();
+}
+
+std::optional<ObjectPage> ObjectMirror::page(Milliseconds now) const
+{
+    if (!this->confirmedAt)
+        return std::nullopt;
+    ObjectPage all;
+    for (const auto &[name, object] : this->objects)
+        all.objects.push_back(object);
+    all.revision = this->knownRevision;
+    all.age = now - *this->confirmedAt;
+    all.isShared = true;
+    return all;
+}
+
+std::optional<ObjectChanges> ObjectMirror::changesSince(std::uint64_t revision,
+                                                        Milliseconds now) const
+{
+    if (!this->confirmedAt || revision < this->historyStart)
+        return std::nullopt;
+    ObjectChanges news;
+    for (const Batch &batch : this->batches) {
+        if (batch.revision > revision)
+            news.changes.insert(news.changes.end(), batch.changes.begin(), batch.changes.end());
+    }
+    news.revision = this->knownRevision;
+    news.age = now - *this->confirmedAt;
+    news.digest = this->contentDigest;
+    news.isShared = true;
+    return news;
+}
+
+bool ObjectMirror::hasNewsSince(std::uint64_t revision) const
+{
+    return revision < this->historyStart
+            || (!this->batches.empty() && this->batches.back().revision > revision);
+}
+
+bool ObjectMirror::isFilled() const
+{
+    return this->confirmedAt.has_value();
+}
+
+std::uint64_t ObjectMirror::revision() const
+{
+    return this->knownRevision;
+}
+
+std::uint64_t ObjectMirror::newestRevision() const
+{
+    return std::max(this->knownRevision, this->newestObject);
+}
+
+std::uint64_t ObjectMirror::digest() const
+{
+    return this->contentDigest;
+}
+
+bool ObjectMirror::differsFrom(std::span<const RegisteredObject> list) const
+{
+    if (list.size() != this->objects.size() || !this->confirmedAt)
+        return true;
+    return std::any_of(list.begin(), list.end(), [this](const RegisteredObject &object) {
+        const auto known = this->objects.find(object.name);
+        return known == this->objects.end() || known->second.revision != object.revision;
+    });
+}
+
+void ObjectMirror::put(const RegisteredObject &object)
+{
+    this->erase(object.name);
+    this->contentDigest += digestOf(object);
+    this->newestObject = std::max(this->newestObject, object.revision);
+    this->objects.emplace(object.name, object);
+}
+
+void ObjectMirror::erase(const std::string &name)
+{
+    const auto known = this->objects.find(name);
+    if (known == this->objects.end())
+        return;
+    this->contentDigest -= digestOf(known->second);
+    this->objects.erase(known);
+}
+
+void ObjectMirror::confirm(std::uint64_t revision, Milliseconds askedAt)
+{
+    this->knownRevision = std::max(this->knownRevision, revision);
+    this->confirmedAt = std::max(askedAt, this->confirmedAt.value_or(askedAt));
+}
+
+void ObjectMirror::notify() const
+{
+    if (this->changeHook)
+        this->changeHook();
+}
+
+} // namespace sassafrasyard
--- a/packages/gateway/store/objectsource.cpp
+++ b/packages/gateway/store/objectsource.cpp
@@ -17,8 +17,11 @@
         auto page = co_await source.list(kind, after, age, reason);
         if (!page)
             co_return std::nullopt;
-        if (std::exchange(isFirst, false))
+        if (std::exchange(isFirst, false)) {
             all.revision = page->revision;
+            all.age = page->age;
+            all.isShared = page->isShared;
+        }
         hasMore = page->hasMore && !page->objects.empty();
         if (hasMore)
             after = page->objects.back().name;
--- a/packages/gateway/store/objectsource.h
+++ b/packages/gateway/store/objectsource.h
@@ -32,6 +32,10 @@
     bool hasMore = false;
     /** The store's revision. */
     std::uint64_t revision = 0;
+    /** How long before the question this was true, in milliseconds; 0 from the store itself. */
+    Milliseconds age{0};
+    /** Whether another host told it. */
+    bool isShared = false;
 };
 
 /** A change of an object. */
@@ -50,6 +54,12 @@
     std::vector<ObjectChange> changes;
     /** The revision to go on from. */
     std::uint64_t revision = 0;
+    /** How long before the question this was true, in milliseconds; 0 from the store itself. */
+    Milliseconds age{0};
+    /** The digest of all objects after these changes, if another host told it. */
+    std::optional<std::uint64_t> digest;
+    /** Whether another host told it. */
+    bool isShared = false;
 };
 
 /** How old the answer to a read of the store may be. */
--- a/packages/gateway/tests/test_objectfollower.cpp
+++ b/packages/gateway/tests/test_objectfollower.cpp
@@ -239,3 +239,25 @@
         REQUIRE_FALSE(versions.agreesWith(listOf({{"a", 5, "{}"}, {"b", 12, "{}"}}, 13)));
     }
 }
+
+// Guards against hosts of a calm deployment that refuse keyed calls, or deny none, because a watch
+// that hears nothing confirms too late.
+TEST_CASE("Watches that hear nothing confirm within the bounds", "[store]")
+{
+    constexpr Milliseconds answerTime{20};
+    for (const int apply : {1000, 2000, 3000, 4000, 8000}) {
+        for (const int trust : {2000, 5000, 10000}) {
+            ServingBounds bounds;
+            bounds.configurationApply = Milliseconds(apply);
+            bounds.keyTrust = Milliseconds(trust);
+            const auto options = ObjectFollowerOptions::within(bounds, Milliseconds(2000));
+            // As old as it gets: just before the next watch ends.
+            const Milliseconds oldest = 2 * (options.watchWait + answerTime);
+            ServingState state(bounds);
+            state.confirmConfiguration(Milliseconds(0));
+            CAPTURE(apply, trust, oldest.count());
+            REQUIRE(state.areKeysTrusted(oldest));
+            REQUIRE(state.isConfigurationCurrent(oldest));
+        }
+    }
+}
--- a/packages/policy/placement/trackedsubset.cpp
+++ b/packages/policy/placement/trackedsubset.cpp
@@ -5,8 +5,11 @@
 #include <algorithm>
 #include <cassert>
 #include <cstdint>
+#include <iterator>
 #include <map>
 #include <numeric>
+#include <string>
+#include <utility>
 
 namespace sassafrasyard {
 
@@ -127,8 +130,74 @@
                       hostCount);
 }
 
+const ModelName &firstModel(const BackendServer &server)
+{
+    static const ModelName none;
+    return server.models.empty() ? none : server.models.front();
+}
+
+std::map<ModelName, std::vector<std::size_t>> groupByModel(std::span<const BackendServer> servers)
+{
+    std::map<ModelName, std::vector<std::size_t>> groups;
+    for (std::size_t index = 0; index < servers.size(); ++index)
+        groups[firstModel(servers[index])].push_back(index);
+    return groups;
+}
+
+/** Returns each group's share of the limit, in the groups' order. */
+std::vector<std::size_t> sharesOf(const std::map<ModelName, std::vector<std::size_t>> &groups,
+                                  std::size_t limit)
+{
+    std::vector<std::size_t> sizes;
+    for (const auto &[model, members] : groups)
+        sizes.push_back(members.size());
+    return shareLimit(sizes, limit);
+}
+
+std::vector<HostName> allNames(std::span<const TrackingHost> hosts)
+{
+    std::vector<HostName> names;
+    for (const TrackingHost &host : hosts)
+        names.push_back(host.name);
+    return names;
+}
+
 } // namespace
 
+std::vector<HostName> trackingHosts(std::span<const BackendServer> servers,
+                                    std::span<const TrackingHost> liveHosts,
+                                    const BackendServerName &server, std::size_t limit)
+{
+    const auto known = std::find_if(servers.begin(), servers.end(),
+                                    [&](const auto &other) { return other.name == server; });
+    if (known == servers.end())
+        return {};
+    if (servers.size() <= limit)
+        return allNames(liveHosts);
+    const auto groups = groupByModel(servers);
+    const std::vector<std::size_t> shares = sharesOf(groups, limit);
+    const auto group = groups.find(firstModel(*known));
+    const auto position = static_cast<std::size_t>(std::distance(groups.begin(), group));
+    const std::size_t copies = copiesFor(shares[position], group->second.size(), liveHosts.size());
+    std::vector<std::pair<std::uint64_t, const TrackingHost *>> near;
+    std::vector<std::pair<std::uint64_t, const TrackingHost *>> far;
+    const std::uint64_t hash = stableHash(server.toString());
+    for (const TrackingHost &host : liveHosts) {
+        auto &side = host.failureDomain == known->failureDomain ? near : far;
+        side.emplace_back(combineHashes(hash, stableHash(host.name.toString())), &host);
+    }
+    const std::size_t nearCopies = std::min(near.size(), (copies + 1) / 2);
+    std::vector<HostName> names;
+    const auto take = [&names](auto &side, std::size_t count) {
+        std::sort(side.rbegin(), side.rend());
+        for (std::size_t index = 0; index < std::min(count, side.size()); ++index)
+            names.push_back(side[index].second->name);
+    };
+    take(near, nearCopies);
+    take(far, copies - nearCopies);
+    return names;
+}
+
 std::vector<std::size_t> trackedSubset(std::span<const BackendServer> servers,
                                        std::span<const TrackingHost> liveHosts,
                                        const TrackingHost &self, std::size_t limit)
@@ -139,14 +208,8 @@
         std::iota(tracked.begin(), tracked.end(), std::size_t{0});
         return tracked;
     }
-    std::map<ModelName, std::vector<std::size_t>> groups;
-    for (std::size_t index = 0; index < servers.size(); ++index)
-        groups[servers[index].models.empty() ? ModelName() : servers[index].models.front()]
-                .push_back(index);
-    std::vector<std::size_t> sizes;
-    for (const auto &[model, members] : groups)
-        sizes.push_back(members.size());
-    const std::vector<std::size_t> shares = shareLimit(sizes, limit);
+    const auto groups = groupByModel(servers);
+    const std::vector<std::size_t> shares = sharesOf(groups, limit);
     const std::vector<HashedHost> hosts = hashHosts(liveHosts, self);
     ServerRanking ranking(hosts);
     std::size_t group = 0;
--- a/packages/policy/placement/trackedsubset.h
+++ b/packages/policy/placement/trackedsubset.h
@@ -35,4 +35,15 @@
                                        std::span<const TrackingHost> liveHosts,
                                        const TrackingHost &self, std::size_t limit);
 
+/**
+ * Returns the hosts that track a backend server, all that do and a few that gave it up at their
+ * limit.
+ *
+ * @param servers and limit as for trackedSubset().
+ * @param server one of the servers; no host tracks another one.
+ */
+std::vector<HostName> trackingHosts(std::span<const BackendServer> servers,
+                                    std::span<const TrackingHost> liveHosts,
+                                    const BackendServerName &server, std::size_t limit);
+
 } // namespace sassafrasyard
--- a/packages/policy/servers/loadreport.h
+++ b/packages/policy/servers/loadreport.h
@@ -55,6 +55,9 @@
     std::uint32_t reservedTokens = 0;
     /** Tokens of prompts that the host sent there and that have produced nothing yet. */
     std::uint32_t pendingPromptTokens = 0;
+
+    /** Compares all fields. */
+    bool operator==(const PeerLoadEntry &) const = default;
 };
 
 /** One host's own use of a client account's limits. */
