Use some engines a host, and tell their work to the hosts that share them

Cause: at 195 hosts a change of engine work reached 64 peers at once and the others within twelve seconds, so two hosts in three chose engines by old news, and checks and write-ups waited in engines that others had filled.

Change: each host uses 20 servers at most (trackedSubset(), half of them in its own failure domain; services of few servers whole), and a change goes at once to the hosts that use the changed engine: some 40 of 195. Fleets with 20 servers or fewer are served as before.

Tests: every user of an engine is among those told, and 200 hosts spread a wave of prompts over 60 engines better than with 64 peers in turn.

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -139,6 +139,7 @@
     DispatchService dispatch;
     ServingState serving;
     ServerCatalogue servers;
+    ServerSubset usedServers;
     HttpConnectionPool serverConnections;
     HttpConnectionPool storeConnections;
     ServiceRetryBudget budget;
@@ -172,6 +173,7 @@
     , dispatch(this->entry, this->runtime, this->context, false)
     , serving(this->settings.serving)
     , servers(catalogueOptions(this->settings))
+    , usedServers({this->settings.host, this->settings.failureDomain})
     , serverConnections(this->context, this->clock)
     , storeConnections(this->context, this->clock)
     , budget(this->settings.retries)
@@ -337,6 +339,9 @@
     };
     hooks.sharesConfiguration = false;
     hooks.sharesPromptsAtOnce = true;
+    hooks.selectPeers = [this](std::span<const BackendServerName> changed) {
+        return this->usedServers.peersUsing(changed);
+    };
     return hooks;
 }
 
@@ -440,7 +445,8 @@
         return;
     Configuration published;
     published.revision = ++this->serverRevision;
-    published.servers = this->servers.backendServers(*configuration);
+    this->usedServers.setServers(this->servers.backendServers(*configuration));
+    published.servers = this->usedServers.used();
     this->entry.configuration.offer(std::move(published));
 }
 
@@ -471,6 +477,8 @@
     for (const MemberRecord &record : *members)
         live += record.state != MemberState::Dead ? 1 : 0;
     this->budget.setHostCount(live);
+    if (this->usedServers.setHosts(*members))
+        this->publishServersSoon();
     const Milliseconds now = this->clock.now();
     const auto age = [&](std::optional<Milliseconds> value) {
         return static_cast<double>(value.value_or(Milliseconds(-1)).count());
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "gateway/routes/route.h"
 #include "gateway/routes/routetable.h"
 #include "gateway/servers/servercatalogue.h"
+#include "gateway/servers/serversubset.h"
 #include "gateway/state/servingconfiguration.h"
 #include "gateway/state/servingstate.h"
 #include "gateway/store/mirrorservice.h"
--- /dev/null
+++ b/packages/gateway/tests/test_serversubset.cpp
@@ -0,0 +1,151 @@
+#include "gateway/gateway.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+using namespace sassafrasyard;
+
+namespace {
+
+std::vector<BackendServer> enginesOf(std::size_t count, std::size_t domains)
+{
+    std::vector<BackendServer> servers(count);
+    for (std::size_t index = 0; index < count; ++index) {
+        servers[index].name = BackendServerName("engine-" + std::to_string(index));
+        servers[index].failureDomain = FailureDomainName("d" + std::to_string(index % domains));
+        servers[index].models = {ModelName("model")};
+    }
+    return servers;
+}
+
+std::vector<MemberRecord> membersOf(std::size_t count, std::size_t domains)
+{
+    std::vector<MemberRecord> members(count);
+    for (std::size_t index = 0; index < count; ++index) {
+        members[index].host = HostName("host-" + std::to_string(index));
+        members[index].incarnation = HostIncarnation("run-" + std::to_string(index));
+        members[index].failureDomain = FailureDomainName("d" + std::to_string(index % domains));
+        members[index].peerAddress = "10.0.0.1:" + std::to_string(7000 + index);
+    }
+    return members;
+}
+
+ServerSubset subsetOf(const MemberRecord &self, const std::vector<MemberRecord> &members,
+                      std::vector<BackendServer> servers)
+{
+    ServerSubset subset({self.host, self.failureDomain});
+    subset.setServers(std::move(servers));
+    subset.setHosts(members);
+    return subset;
+}
+
+/** Where each host sends its next work, by what it was told of the engines' work. */
+struct Spread
+{
+    /** Returns the most work on an engine when each of some rounds of work was placed. */
+    double mostWork(std::size_t peersAtOnce, bool usesSubset)
+    {
+        const auto servers = enginesOf(60, 5);
+        const auto members = membersOf(200, 5);
+        std::map<std::string, std::size_t> hostsByAddress;
+        std::vector<ServerSubset> subsets;
+        std::vector<std::vector<std::size_t>> used;
+        for (std::size_t host = 0; host < members.size(); ++host) {
+            hostsByAddress[members[host].peerAddress] = host;
+            subsets.push_back(subsetOf(members[host], members, servers));
+            std::vector<std::size_t> indices;
+            for (const BackendServer &server : usesSubset ? subsets[host].used() : servers)
+                indices.push_back(std::stoul(server.name.toString().substr(7)));
+            used.push_back(indices);
+        }
+        RandomSource random(7);
+        std::vector<std::vector<int>> believed(members.size(), std::vector<int>(60, 0));
+        std::vector<int> work(60, 0);
+        std::size_t turn = 0;
+        for (int placed = 0; placed < 300; ++placed) {
+            const std::size_t host = random.below(members.size());
+            std::size_t best = used[host][random.below(used[host].size())];
+            for (const std::size_t engine : used[host]) {
+                if (believed[host][engine] < believed[host][best])
+                    best = engine;
+            }
+            ++work[best];
+            ++believed[host][best];
+            std::vector<std::size_t> told;
+            if (usesSubset) {
+                for (const std::string &address : subsets[host].peersUsing(
+                             std::vector{BackendServerName("engine-" + std::to_string(best))}))
+                    told.push_back(hostsByAddress.at(address));
+            } else {
+                for (std::size_t peer = 0; peer < peersAtOnce; ++peer)
+                    told.push_back(turn++ % members.size());
+            }
+            told.resize(std::min(told.size(), peersAtOnce));
+            for (const std::size_t peer : told)
+                believed[peer][best] += peer == host ? 0 : 1;
+        }
+        return *std::max_element(work.begin(), work.end());
+    }
+};
+
+} // namespace
+
+// Guards against small fleets that place less well, and services of few servers that some hosts
+// don't use.
+TEST_CASE("Few servers are used by every host", "[subset]")
+{
+    const auto members = membersOf(9, 3);
+    for (const MemberRecord &self : members)
+        REQUIRE(subsetOf(self, members, enginesOf(17, 3)).used().size() == 17);
+    const auto many = membersOf(195, 5);
+    auto servers = enginesOf(62, 5);
+    for (std::size_t index = 0; index < 5; ++index) {
+        servers.push_back(servers[index]);
+        servers.back().name = BackendServerName("desk-" + std::to_string(index));
+        servers.back().models = {ModelName("desk")};
+    }
+    for (const MemberRecord &self : many) {
+        const auto used = subsetOf(self, many, servers).used();
+        REQUIRE(used.size() <= ServerSubset::defaultLimit);
+        REQUIRE(std::count_if(used.begin(), used.end(),
+                              [](const BackendServer &server) {
+                                  return server.models.front() == ModelName("desk");
+                              })
+                == 5);
+    }
+}
+
+// Guards against engine work that a host which uses the engine does not hear of at once.
+TEST_CASE("Every host that uses an engine is told of its work, and few others", "[subset]")
+{
+    const auto members = membersOf(195, 5);
+    const auto servers = enginesOf(62, 5);
+    std::map<BackendServerName, std::set<std::string>> users;
+    for (const MemberRecord &self : members) {
+        for (const BackendServer &server : subsetOf(self, members, servers).used())
+            users[server.name].insert(self.peerAddress);
+    }
+    REQUIRE(users.size() == servers.size());
+    const ServerSubset subset = subsetOf(members[0], members, servers);
+    for (const BackendServer &server : servers) {
+        const auto told = subset.peersUsing(std::vector{server.name});
+        REQUIRE(told.size() <= 64);
+        for (const std::string &address : users[server.name]) {
+            if (address != members[0].peerAddress)
+                REQUIRE(std::find(told.begin(), told.end(), address) != told.end());
+        }
+    }
+    REQUIRE(subset.peersUsing(std::vector{BackendServerName("unknown")}).empty());
+}
+
+// Guards against many hosts that choose the same engines because each hears of a part of the work.
+TEST_CASE("200 hosts spread a wave of prompts over 60 engines", "[subset][load]")
+{
+    Spread spread;
+    // 300 pieces of work on 60 engines are 5 each.
+    REQUIRE(spread.mostWork(64, true) <= 8);
+    REQUIRE(spread.mostWork(64, true) < spread.mostWork(64, false));
+}
