--- a/packages/gateway/store/objectsource.h
+++ b/packages/gateway/store/objectsource.h
@@ -57,7 +57,7 @@
     /** How long before the question this was true, in milliseconds; 0 from the store itself. */
     Milliseconds age{0};
     /** The digest of all objects after these changes, if another host told it. */
-    std::optional<std::uint64_t> digest;
+    std::optional<std::uint64_t> digest{};
     /** Whether another host told it. */
     bool isShared = false;
 };
--- a/packages/network/http/httpconnection.cpp
+++ b/packages/network/http/httpconnection.cpp
@@ -29,7 +29,7 @@
  * The most bytes that are read ahead of the body, as in a header, a chunk's extension or a trailer
  * that does not end.
  */
-constexpr std::size_t maximumReadAheadBytes = 2 * maximumResponseHeaderBytes;
+constexpr std::size_t maximumReadAheadBytes = std::size_t{2} * maximumResponseHeaderBytes;
 /** Provisional (1xx) responses before the final one; a sound server sends one or two. */
 constexpr int maximumProvisionalResponses = 16;
 /** How often the idle hook runs; often enough to notice a caller that has left. */
