Make the times of the readers' test long against a paused process

A reader had 22 ms to answer in the test, so a process that is kept waiting for longer makes every host fall back to the store, which is what the product should do then.

Change: waits of 60 ms and a slack of 150 ms, all other times of the model in proportion.

--- a/packages/gateway/tests/test_sharedobjectsource.cpp
+++ b/packages/gateway/tests/test_sharedobjectsource.cpp
@@ -18,7 +18,9 @@
 
 namespace {
 
-constexpr Milliseconds watchWait{12};
+/** Long against the times for which a busy machine keeps a process waiting. */
+constexpr Milliseconds watchWait{60};
+constexpr Milliseconds answerSlack{150};
 
 MemberRecord hostOf(int number, const std::string &domain)
 {
@@ -232,7 +234,7 @@
 {
     ObjectFollowerOptions options;
     options.watchWait = watchWait;
-    options.resyncInterval = Milliseconds(40);
+    options.resyncInterval = Milliseconds(200);
     options.watchSpacing = Milliseconds(2);
     options.firstRetryDelay = Milliseconds(2);
     options.longestRetryDelay = Milliseconds(5);
@@ -242,9 +244,9 @@
 SharedSourceOptions modelSharedOptions()
 {
     auto options = SharedSourceOptions::forWatches(watchWait);
-    options.answerSlack = Milliseconds(10);
-    options.maximumAge = 3 * watchWait + Milliseconds(10);
-    options.pause = Milliseconds(20);
+    options.answerSlack = answerSlack;
+    options.maximumAge = 3 * watchWait + answerSlack;
+    options.pause = Milliseconds(100);
     return options;
 }
 
@@ -322,7 +324,7 @@
             host.isCutFromStore = !host.isCutFromStore;
             break;
         case 2:
-            host.frozenUntil = fleet.clock.now() + Milliseconds(random.below(40));
+            host.frozenUntil = fleet.clock.now() + Milliseconds(random.below(200));
             break;
         case 3:
             if (!fleet.cuts.erase({one, other}))
@@ -332,7 +334,7 @@
             fleet.store.change("object" + std::to_string(random.below(6)), random.below(4) == 0);
             break;
         }
-        fleet.run(Milliseconds(random.below(8)));
+        fleet.run(Milliseconds(random.below(40)));
     }
     fleet.cuts.clear();
     for (auto &host : fleet.hosts)
@@ -447,11 +449,11 @@
         CAPTURE(seed);
         RandomSource random(seed);
         ModelFleet fleet(7, 2);
-        fleet.run(Milliseconds(20));
+        fleet.run(Milliseconds(100));
         playTroubles(fleet, random);
         bool hasConverged = false;
         for (int round = 0; round < 40 && !hasConverged; ++round) {
-            fleet.run(Milliseconds(25));
+            fleet.run(Milliseconds(100));
             hasConverged = fleet.hasConverged();
         }
         REQUIRE(hasConverged);
@@ -466,11 +468,11 @@
     std::vector<std::size_t> calls;
     for (const int count : {10, 20}) {
         ModelFleet fleet(count, 1);
-        fleet.run(Milliseconds(60));
+        fleet.run(Milliseconds(400));
         const std::size_t before = fleet.store.calls;
         for (int change = 0; change < 10; ++change) {
             fleet.store.change("object", false);
-            fleet.run(Milliseconds(15));
+            fleet.run(Milliseconds(60));
         }
         calls.push_back(fleet.store.calls - before);
         REQUIRE(fleet.hasConverged());
@@ -483,7 +485,7 @@
 TEST_CASE("A host that the store turns away hears of changes from others", "[readers]")
 {
     ModelFleet fleet(4, 1);
-    fleet.run(Milliseconds(40));
+    fleet.run(Milliseconds(300));
     for (auto &host : fleet.hosts)
         host->isCutFromStore = true;
     const auto reader = std::find_if(fleet.members.begin(), fleet.members.end(), [&](auto &self) {
@@ -491,15 +493,15 @@
     });
     fleet.hosts[static_cast<std::size_t>(reader - fleet.members.begin())]->isCutFromStore = false;
     fleet.store.change("object", false);
-    fleet.run(Milliseconds(60));
+    fleet.run(Milliseconds(600));
     REQUIRE(fleet.hasConverged());
     // A reader that is turned away itself asks one of another failure domain.
     ModelFleet wide(6, 2);
-    wide.run(Milliseconds(40));
+    wide.run(Milliseconds(300));
     for (std::size_t index = 0; index < wide.hosts.size(); ++index)
         wide.hosts[index]->isCutFromStore = index % 2 == 0;
     wide.store.change("object", false);
-    wide.run(Milliseconds(150));
+    wide.run(Milliseconds(1500));
     REQUIRE(wide.hasConverged());
 }
 
