Log which request crashed a server, the outcome of crash checks and when a request is refused

Failed attempts carry the request's digest and the size of its body, 8017 tells the outcome of a crash check, 5005 is written when a host begins to refuse a request, refusals of plain calls are logged as those of streams. Attempts of a takeover are counted now, too: one function serves the three places that log them.

--- a/packages/entry/dispatch/dispatchservice.cpp
+++ b/packages/entry/dispatch/dispatchservice.cpp
@@ -72,6 +72,11 @@
         : entry(entry)
         , dispatcher(optionsFor(entry, canSuspend))
     {
+        this->dispatcher.setQuarantineHook([this](std::uint64_t digest, std::uint32_t deaths) {
+            logEvent(LogEvent::RequestQuarantined, "digest", digestText(digest), "deaths",
+                     std::to_string(deaths));
+            this->entry.metrics.count("sassafrasyard_quarantined_requests_total");
+        });
     }
 
     void carryOutDecisions()
--- a/packages/gateway/relay/backendattempt.cpp
+++ b/packages/gateway/relay/backendattempt.cpp
@@ -1,6 +1,7 @@
 #include "gateway/relay/backendattempt.h"
 
 #include "gateway/calls/hopheaders.h"
+#include "gateway/relay/callmetrics.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -240,15 +241,25 @@
 void BackendAttempt::checkForCrash(const BackendServerName &server, std::string address)
 {
     const std::uint64_t digest = this->call.work.requestDigest;
+    const std::string request = this->call.metadata.requestId;
     net::co_spawn(
             this->services.context,
-            [&services = this->services, server, address, digest]() -> net::awaitable<void> {
+            [&services = this->services, server, address, digest,
+             request]() -> net::awaitable<void> {
                 Error reason;
                 const auto endpoint = parseEndpoint(address, reason);
                 const net::any_io_executor executor = services.context.get_executor();
                 HttpConnection probe(executor, *endpoint);
                 const bool isOpen = co_await probe.connect(crashCheckTimeout, reason);
-                if (isOpen || !services.servers.isUsable(server))
+                const bool hasCrashed = !isOpen && services.servers.isUsable(server);
+                const std::string outcome =
+                        hasCrashed ? "crashed" : (isOpen ? "reachable" : "leaving");
+                logEvent(LogEvent::ServerCrashChecked, "request", request, "backend_server",
+                         server.toString(), "outcome", outcome, "digest", digestText(digest),
+                         "detail", reason.detail);
+                services.entry.metrics.count("sassafrasyard_crash_checks_total",
+                                             {{"outcome", outcome}});
+                if (!hasCrashed)
                     co_return;
                 services.reachability.recordFailure(server);
                 services.dispatch.post([digest, server](Dispatcher &dispatcher, Milliseconds now) {
--- a/packages/gateway/relay/callmetrics.cpp
+++ b/packages/gateway/relay/callmetrics.cpp
@@ -41,10 +41,23 @@
                    {"run_state", std::string(toString(runState))}});
 }
 
-void recordFailedAttempt(Metrics &metrics, CallKind kind, AttemptOutcome outcome)
+void recordFailedAttempt(Metrics &metrics, const RoutedCall &call, const BackendServerName &server,
+                         AttemptOutcome outcome, const Error &failure)
 {
     metrics.count("sassafrasyard_failed_attempts_total",
-                  {{"kind", toLabel(kind)}, {"outcome", std::string(toString(outcome))}});
+                  {{"kind", toLabel(call.route->kind)}, {"outcome", std::string(toString(outcome))}});
+    logEvent(LogEvent::AttemptFailed, "request", call.metadata.requestId, "backend_server",
+             server.toString(), "outcome", toString(outcome), "digest",
+             digestText(call.work.requestDigest), "body_bytes",
+             std::to_string(call.request.body.size()), "detail", failure.detail);
+}
+
+void recordRefusal(Metrics &metrics, const RoutedCall &call, const Error &error)
+{
+    recordRefusal(metrics, error.code, error.runState);
+    logEvent(LogEvent::CallRefused, "request", call.metadata.requestId, "reason",
+             toString(error.code), "run_state", toString(error.runState), "digest",
+             digestText(call.work.requestDigest), "detail", error.detail);
 }
 
 void recordStreamPace(Metrics &metrics, Milliseconds firstEvent, Milliseconds longestPause)
--- a/packages/gateway/relay/callmetrics.h
+++ b/packages/gateway/relay/callmetrics.h
@@ -2,6 +2,7 @@
 
 #include "core/core.h"
 #include "gateway/calls/retryrule.h"
+#include "gateway/relay/routedcall.h"
 #include "gateway/routes/route.h"
 #include "observability/observability.h"
 
@@ -15,8 +16,16 @@
 /** Counts a call that this host refused or could not have answered. */
 void recordRefusal(Metrics &metrics, ErrorCode reason, RunState runState);
 
-/** Counts an attempt that brought no answer. */
-void recordFailedAttempt(Metrics &metrics, CallKind kind, AttemptOutcome outcome);
+/**
+ * Counts and logs an attempt that brought no answer, or only a part of one.
+ *
+ * @param failure says what is known about it.
+ */
+void recordFailedAttempt(Metrics &metrics, const RoutedCall &call, const BackendServerName &server,
+                         AttemptOutcome outcome, const Error &failure);
+
+/** Counts and logs a refusal, or another answer of the system's own, to a routed call. */
+void recordRefusal(Metrics &metrics, const RoutedCall &call, const Error &error);
 
 /** Records how a stream that has begun came: its first event and its longest pause. */
 void recordStreamPace(Metrics &metrics, Milliseconds firstEvent, Milliseconds longestPause);
--- a/packages/gateway/relay/callrelay.cpp
+++ b/packages/gateway/relay/callrelay.cpp
@@ -56,18 +56,15 @@
         else
             this->failure = result.failure;
         if (result.outcome != AttemptOutcome::Answered) {
-            recordFailedAttempt(this->services.entry.metrics, this->call.route->kind,
-                                result.outcome);
-            logEvent(LogEvent::AttemptFailed, "request", this->call.metadata.requestId,
-                     "backend_server", grant->server.name.toString(), "outcome",
-                     toString(result.outcome), "detail", result.failure.detail);
+            recordFailedAttempt(this->services.entry.metrics, this->call, grant->server.name,
+                                result.outcome, result.failure);
         }
         goesOn = this->mayRepeat(result);
     }
     if (this->answer)
         co_return *this->answer;
     const Error error = finalError(this->history, this->failure);
-    recordRefusal(this->services.entry.metrics, error.code, error.runState);
+    recordRefusal(this->services.entry.metrics, this->call, error);
     co_return this->services.codec.formatError(error);
 }
 
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -108,10 +108,8 @@
     this->avoided.push_back(this->place.server);
     if (result.outcome != AttemptOutcome::Answered) {
         this->failure = result.failure;
-        recordFailedAttempt(this->services.entry.metrics, this->call.route->kind, result.outcome);
-        logEvent(LogEvent::AttemptFailed, "request", this->call.metadata.requestId,
-                 "backend_server", this->place.server.toString(), "outcome",
-                 toString(result.outcome), "detail", result.failure.detail);
+        recordFailedAttempt(this->services.entry.metrics, this->call, this->place.server,
+                            result.outcome, result.failure);
     }
     co_return result;
 }
@@ -263,9 +261,7 @@
         co_return;
     }
     const Error error = finalError(this->history, this->failure);
-    recordRefusal(this->services.entry.metrics, error.code, error.runState);
-    logEvent(LogEvent::CallRefused, "request", this->call.metadata.requestId, "reason",
-             toString(error.code), "run_state", toString(error.runState), "detail", error.detail);
+    recordRefusal(this->services.entry.metrics, this->call, error);
     co_await this->responder.send(this->services.codec.formatError(error));
 }
 
--- a/packages/gateway/relay/streamtakeover.cpp
+++ b/packages/gateway/relay/streamtakeover.cpp
@@ -1,5 +1,7 @@
 #include "gateway/relay/streamtakeover.h"
 
+#include "gateway/relay/callmetrics.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -13,7 +15,8 @@
 
 StreamTakeover::StreamTakeover(GatewayServices &services, RoutedCall &call, StreamPlace place,
                                ForwardingOrder order, std::function<void()> onEnd)
-    : call(call)
+    : services(services)
+    , call(call)
     , target(std::move(place))
     , order(std::move(order))
     , onEnd(std::move(onEnd))
@@ -66,10 +69,9 @@
 }
 
 /** The header may come long before the first event, while the engine before could go on. */
-net::awaitable<bool> StreamTakeover::readFirstBytes(Milliseconds timeout)
+net::awaitable<bool> StreamTakeover::readFirstBytes(Milliseconds timeout, Error &reason)
 {
-    Error ignored;
-    const auto bytes = co_await this->attempt->read(timeout, ignored);
+    const auto bytes = co_await this->attempt->read(timeout, reason);
     if (!bytes || bytes->empty())
         co_return false;
     this->received = *bytes;
@@ -79,15 +81,14 @@
 net::awaitable<void> StreamTakeover::run(Milliseconds timeout)
 {
     constexpr int streamStatus = 200;
-    const AttemptResult result =
+    AttemptResult result =
             co_await this->attempt->start(this->target.address, this->order, timeout);
     if (result.outcome == AttemptOutcome::Answered && result.response.status == streamStatus)
-        this->goesOn = co_await this->readFirstBytes(timeout);
+        this->goesOn = co_await this->readFirstBytes(timeout, result.failure);
     if (!this->goesOn) {
         this->attempt->cancel();
-        logEvent(LogEvent::AttemptFailed, "request", this->call.metadata.requestId,
-                 "backend_server", this->target.server.toString(), "outcome",
-                 toString(result.outcome), "detail", result.failure.detail);
+        recordFailedAttempt(this->services.entry.metrics, this->call, this->target.server, result.outcome,
+                            result.failure);
     }
     this->hasEnded = true;
     // Moving the expiry also ends a wait that has not begun yet; cancel() would miss it.
--- a/packages/gateway/relay/streamtakeover.h
+++ b/packages/gateway/relay/streamtakeover.h
@@ -46,8 +46,9 @@
 
 private:
     boost::asio::awaitable<void> run(Milliseconds timeout);
-    boost::asio::awaitable<bool> readFirstBytes(Milliseconds timeout);
+    boost::asio::awaitable<bool> readFirstBytes(Milliseconds timeout, Error &reason);
 
+    GatewayServices &services;
     RoutedCall &call;
     StreamPlace target;
     ForwardingOrder order;
--- a/packages/observability/logging/logevent.cpp
+++ b/packages/observability/logging/logevent.cpp
@@ -64,6 +64,7 @@
         LogEventEntry{LogEvent::MoveFailed, LogLevel::Info, "move_failed"},
         LogEventEntry{LogEvent::ServerFieldUnreadable, LogLevel::Warning,
                       "server_field_unreadable"},
+        LogEventEntry{LogEvent::ServerCrashChecked, LogLevel::Info, "server_crash_checked"},
 };
 
 } // namespace
--- a/packages/observability/logging/logevent.h
+++ b/packages/observability/logging/logevent.h
@@ -69,6 +69,7 @@
     StreamCut = 8014,
     MoveFailed = 8015,
     ServerFieldUnreadable = 8016,
+    ServerCrashChecked = 8017,
 };
 
 /** An entry of the event catalogue. */
--- a/packages/policy/dispatch/dispatcher.cpp
+++ b/packages/policy/dispatch/dispatcher.cpp
@@ -186,6 +186,11 @@
     this->limiter.recordPeerUse(digest, now);
 }
 
+void Dispatcher::setQuarantineHook(CrashQuarantine::RefusalHook hook)
+{
+    this->quarantine.setRefusalHook(std::move(hook));
+}
+
 void Dispatcher::recordPeerQuarantine(std::span<const QuarantineRecord> records, Milliseconds now)
 {
     if (records.empty())
--- a/packages/policy/dispatch/dispatcher.h
+++ b/packages/policy/dispatch/dispatcher.h
@@ -104,6 +104,8 @@
     void recordCacheEvent(const CacheEvent &event, Milliseconds now);
     /** Records a peer's digest of its own dispatches. */
     void recordPeerLoad(const PeerLoadDigest &digest, Milliseconds now);
+    /** Sets what is called when a request begins to be refused for the servers that it crashed. */
+    void setQuarantineHook(CrashQuarantine::RefusalHook hook);
     /** Records a peer's quarantine records. */
     void recordPeerQuarantine(std::span<const QuarantineRecord> records, Milliseconds now);
     /** Records that a running request delivered its first output. */
--- a/packages/policy/policy.h
+++ b/packages/policy/policy.h
@@ -25,6 +25,7 @@
 #include "policy/placement/trackedsubset.h"
 #include "policy/pool/serverpool.h"
 #include "policy/quarantine/crashquarantine.h"
+#include "policy/quarantine/requestdigest.h"
 #include "policy/quarantine/suspectplacement.h"
 #include "policy/retries/retrybudget.h"
 #include "policy/retries/serviceretrybudget.h"
--- a/packages/policy/quarantine/crashquarantine.cpp
+++ b/packages/policy/quarantine/crashquarantine.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <string_view>
 #include <tuple>
+#include <utility>
 
 namespace sassafrasyard {
 
@@ -39,6 +40,11 @@
 {
 }
 
+void CrashQuarantine::setRefusalHook(RefusalHook hook)
+{
+    this->refusalHook = std::move(hook);
+}
+
 void CrashQuarantine::recordDeath(std::uint64_t requestDigest, const BackendServerName &server,
                                   Milliseconds now)
 {
@@ -50,7 +56,7 @@
         incident.name = mix(mix(this->options.seed ^ serverDigest) + ++this->incidentCount) | 1U;
         incident.at = now;
     }
-    this->add(requestDigest, incident.name, {serverDigest, incident.at});
+    this->add(requestDigest, incident.name, {serverDigest, incident.at}, now);
 }
 
 void CrashQuarantine::merge(std::span<const QuarantineRecord> records, Milliseconds now)
@@ -62,7 +68,7 @@
         }
         const Milliseconds remaining = std::min(record.remaining, recordLifetime);
         this->add(record.requestDigest, record.incident,
-                  {record.serverDigest, now + remaining - recordLifetime});
+                  {record.serverDigest, now + remaining - recordLifetime}, now);
     }
 }
 
@@ -154,8 +160,10 @@
     return separate;
 }
 
-void CrashQuarantine::add(std::uint64_t requestDigest, std::uint64_t incident, const Death &death)
+void CrashQuarantine::add(std::uint64_t requestDigest, std::uint64_t incident, const Death &death,
+                          Milliseconds now)
 {
+    const bool wasRefused = this->refusedFor(requestDigest, now).has_value();
     Deaths &deaths = this->digests[requestDigest];
     const auto [known, isNew] = deaths.emplace(incident, death);
     // Transit makes a copy look younger than the original, so the earliest time is the true one.
@@ -168,6 +176,10 @@
                                                   < std::tie(right.second.at, right.first);
                                       }));
     }
+    if (this->refusalHook && !wasRefused && this->refusedFor(requestDigest, now)) {
+        const std::size_t count = this->separateDeaths(deaths, now).size();
+        this->refusalHook(requestDigest, static_cast<std::uint32_t>(count));
+    }
     if (this->digests.size() > this->options.digestLimit)
         this->evict();
 }
--- a/packages/policy/quarantine/crashquarantine.h
+++ b/packages/policy/quarantine/crashquarantine.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <span>
@@ -42,6 +43,12 @@
     /** Creates a quarantine without records. */
     explicit CrashQuarantine(CrashQuarantineOptions options = {});
 
+    /** Is called with a request's digest and its deaths when the request begins to be refused. */
+    using RefusalHook = std::function<void(std::uint64_t, std::uint32_t)>;
+
+    /** Sets the hook; it must not call back. */
+    void setRefusalHook(RefusalHook hook);
+
     /** Records that a server was lost while it ran a request; a digest of 0 is ignored. */
     void recordDeath(std::uint64_t requestDigest, const BackendServerName &server,
                      Milliseconds now);
@@ -74,13 +81,15 @@
     using Deaths = std::map<std::uint64_t, Death>;
 
     std::vector<Milliseconds> separateDeaths(const Deaths &deaths, Milliseconds now) const;
-    void add(std::uint64_t requestDigest, std::uint64_t incident, const Death &death);
+    void add(std::uint64_t requestDigest, std::uint64_t incident, const Death &death,
+             Milliseconds now);
     void evict();
 
     CrashQuarantineOptions options;
     std::unordered_map<std::uint64_t, Deaths> digests;
     std::unordered_map<std::uint64_t, Incident> incidents;
     std::uint64_t incidentCount = 0;
+    RefusalHook refusalHook;
 };
 
 } // namespace sassafrasyard
