--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -6,9 +6,10 @@
 
 # Defines the library NAME from packages/NAME and its test program test_NAME.
 # ROOT and INCLUDES: its directory and include path, if it stands elsewhere.
+# SEPARATE: tags whose tests are a ctest test NAME_TAG of their own.
 # DEPENDS: targets the library links publicly. PRIVATE: targets only its sources use.
 function(sassafrasyard_package NAME)
-  cmake_parse_arguments(ARG "" "ROOT;INCLUDES" "DEPENDS;PRIVATE" ${ARGN})
+  cmake_parse_arguments(ARG "" "ROOT;INCLUDES" "DEPENDS;PRIVATE;SEPARATE" ${ARGN})
   set(ROOT ${CMAKE_SOURCE_DIR}/packages/${NAME})
   set(INCLUDES ${CMAKE_SOURCE_DIR}/packages)
   if(ARG_ROOT)
@@ -31,8 +32,15 @@
   if(TESTS AND SASSAFRASYARD_TESTS)
     add_executable(test_${NAME} ${TESTS})
     target_link_libraries(test_${NAME} PRIVATE ${NAME} ${ARG_PRIVATE} test_main)
-    add_test(NAME ${NAME} COMMAND test_${NAME})
-    set_tests_properties(${NAME} PROPERTIES TIMEOUT 300
+    set(PROGRAM_TESTS ${NAME})
+    set(OTHER_TAGS "")
+    foreach(TAG ${ARG_SEPARATE})
+      add_test(NAME ${NAME}_${TAG} COMMAND test_${NAME} "[${TAG}]")
+      list(APPEND PROGRAM_TESTS ${NAME}_${TAG})
+      string(APPEND OTHER_TAGS "~[${TAG}]")
+    endforeach()
+    add_test(NAME ${NAME} COMMAND test_${NAME} ${OTHER_TAGS})
+    set_tests_properties(${PROGRAM_TESTS} PROPERTIES TIMEOUT 300
       ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=200")
   endif()
 endfunction()
--- /dev/null
+++ b/packages/gateway/tests/crashingservers.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include "gatewayfixture.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace sassafrasyard {
+
+/** What stand-ins that can crash do with a call. */
+struct CrashPlan
+{
+    /** Returns whether the raw request crashes a server that begins to run it. */
+    std::function<bool(const std::string &)> isCrash;
+    /** What a server sends of its answer before it crashes. */
+    std::string bytesBefore;
+    /** How long a crashed server is down. */
+    Milliseconds downTime{100};
+    /** What a sound call gets after its head, in pieces. */
+    std::string answer;
+};
+
+/** Stand-ins that lose their listener and all connections when they crash, then start again. */
+class CrashingServers
+{
+public:
+    /** Starts stand-ins named PREFIX1 to PREFIXcount and registers them. */
+    CrashingServers(GatewayFixture &fixture, const std::string &prefix, int count, CrashPlan plan)
+        : fixture(fixture)
+        , plan(std::move(plan))
+    {
+        for (int number = 1; number <= count; ++number) {
+            auto server = std::make_shared<Server>();
+            this->listen(server);
+            this->servers.push_back(server);
+            fixture.registerServer(prefix + std::to_string(number),
+                                   "127.0.0.1:" + std::to_string(server->port));
+        }
+    }
+
+    /** Crashes a stand-in from outside. @param index its place, from 0. */
+    void crash(std::size_t index) { this->crash(this->servers.at(index)); }
+
+    /** How often a request that crashes servers has reached one. */
+    int crashCount = 0;
+    /** How many sound calls were answered. */
+    int answerCount = 0;
+
+private:
+    using Tcp = boost::asio::ip::tcp;
+
+    struct Server
+    {
+        std::uint16_t port = 0;
+        std::unique_ptr<Tcp::acceptor> acceptor;
+        std::set<std::shared_ptr<Tcp::socket>> sockets;
+    };
+
+    void listen(const std::shared_ptr<Server> &server)
+    {
+        namespace net = boost::asio;
+        const Tcp::endpoint endpoint(net::ip::make_address("127.0.0.1"), server->port);
+        server->acceptor = std::make_unique<Tcp::acceptor>(this->fixture.context, endpoint);
+        server->port = server->acceptor->local_endpoint().port();
+        net::co_spawn(
+                this->fixture.context, [this, server] { return this->accept(server); },
+                net::detached);
+    }
+
+    boost::asio::awaitable<void> accept(std::shared_ptr<Server> server)
+    {
+        namespace net = boost::asio;
+        boost::system::error_code code;
+        while (!code) {
+            auto socket = std::make_shared<Tcp::socket>(this->fixture.context);
+            co_await server->acceptor->async_accept(*socket,
+                                                    net::redirect_error(net::use_awaitable, code));
+            if (code)
+                break;
+            server->sockets.insert(socket);
+            net::co_spawn(
+                    this->fixture.context,
+                    [this, server, socket] { return this->serve(server, socket); }, net::detached);
+        }
+    }
+
+    boost::asio::awaitable<void> serve(std::shared_ptr<Server> server,
+                                       std::shared_ptr<Tcp::socket> socket)
+    {
+        namespace net = boost::asio;
+        std::string request;
+        std::array<char, 4096> bytes{};
+        boost::system::error_code code;
+        while (!code && request.find("\r\n\r\n") == std::string::npos) {
+            const std::size_t count = co_await socket->async_read_some(
+                    net::buffer(bytes), net::redirect_error(net::use_awaitable, code));
+            request.append(bytes.data(), count);
+        }
+        const bool isCrash = !code && this->plan.isCrash(request);
+        const std::string &text = isCrash ? this->plan.bytesBefore : this->plan.answer;
+        if (!code) {
+            co_await net::async_write(*socket, net::buffer(text),
+                                      net::redirect_error(net::use_awaitable, code));
+        }
+        if (isCrash) {
+            ++this->crashCount;
+            co_await GatewayFixture::pause(Milliseconds(5));
+            this->crash(server);
+        } else if (!code) {
+            ++this->answerCount;
+            boost::system::error_code ignored;
+            socket->close(ignored);
+        }
+        server->sockets.erase(socket);
+    }
+
+    void crash(const std::shared_ptr<Server> &server)
+    {
+        namespace net = boost::asio;
+        if (!server->acceptor->is_open())
+            return;
+        boost::system::error_code ignored;
+        server->acceptor->close(ignored);
+        for (const auto &socket : server->sockets) {
+            // A process that ends with unread data resets its connections.
+            socket->set_option(net::socket_base::linger(true, 0), ignored);
+            socket->close(ignored);
+        }
+        server->sockets.clear();
+        net::co_spawn(
+                this->fixture.context,
+                [this, server]() -> net::awaitable<void> {
+                    co_await GatewayFixture::pause(this->plan.downTime);
+                    this->listen(server);
+                },
+                net::detached);
+    }
+
+    GatewayFixture &fixture;
+    CrashPlan plan;
+    std::vector<std::shared_ptr<Server>> servers;
+};
+
+} // namespace sassafrasyard
--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -226,6 +226,12 @@
 
     /** Sends a call through the gateway and runs until its answer is there. */
     HttpResponse call(const std::string &path, const std::string &id, HttpHeaders headers = {})
+    {
+        return this->call(makeCall(path, id, std::move(headers)));
+    }
+
+    /** Sends a call that was made with makeCall() and perhaps changed. */
+    HttpResponse call(const HttpRequest &request)
     {
         this->listen();
         std::optional<HttpResponse> answer;
@@ -233,7 +239,7 @@
         boost::asio::co_spawn(
                 this->context,
                 [&]() -> boost::asio::awaitable<void> {
-                    answer = co_await this->exchange(this->makeCall(path, id, headers));
+                    answer = co_await this->exchange(request);
                     isDone = true;
                 },
                 boost::asio::detached);
@@ -246,6 +252,31 @@
     /** Does what the daemon does several times a second. */
     void advance() { this->reachability.advance(); }
 
+    /** Runs the gateway for a time, as the daemon does between calls. */
+    void runFor(Milliseconds time)
+    {
+        const Milliseconds end = Clock::steady().now() + time;
+        while (Clock::steady().now() < end) {
+            this->context.run_for(std::chrono::milliseconds(20));
+            this->advance();
+        }
+    }
+
+    /** Makes a POST call with a body of its own. */
+    static HttpRequest makeCall(const std::string &path, const std::string &id,
+                                HttpHeaders headers = {})
+    {
+        HttpRequest request;
+        request.method = "POST";
+        request.target = path;
+        request.body = "body of " + id;
+        request.headers = std::move(headers);
+        request.headers.emplace_back("Host", "h");
+        request.headers.emplace_back("Id", id);
+        request.headers.emplace_back("Key", "key");
+        return request;
+    }
+
     /** Returns how many calls a stand-in got. */
     std::size_t callsTo(const std::string &name) const
     {
@@ -312,19 +343,6 @@
         this->gateway.listen({"127.0.0.1", this->port()}, 300, reason);
     }
 
-    static HttpRequest makeCall(const std::string &path, const std::string &id, HttpHeaders headers)
-    {
-        HttpRequest request;
-        request.method = "POST";
-        request.target = path;
-        request.body = "body of " + id;
-        request.headers = std::move(headers);
-        request.headers.emplace_back("Host", "h");
-        request.headers.emplace_back("Id", id);
-        request.headers.emplace_back("Key", "key");
-        return request;
-    }
-
     /** Sends a call and reads the answer; nothing if it did not end regularly. */
     boost::asio::awaitable<std::optional<HttpResponse>> exchange(HttpRequest request)
     {
--- /dev/null
+++ b/packages/gateway/tests/test_crashingcalls.cpp
@@ -0,0 +1,125 @@
+#include "crashingservers.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace sassafrasyard;
+
+namespace {
+
+/** The users' bounds: what may reach servers once a call has crashed three of them. */
+constexpr int crashesBeforeBound = 3;
+constexpr int retriesAfterBound = 3;
+constexpr int serverCount = 6;
+
+Route routeOf(CallKind kind, std::uint32_t attempts)
+{
+    Route route;
+    route.name = "route";
+    route.pathPrefix = "/route/";
+    route.kind = kind;
+    route.maximumAttempts = attempts;
+    route.timeout = Milliseconds(3000);
+    route.targetLatency = Milliseconds(300);
+    route.targetPause = Milliseconds(100);
+    return route;
+}
+
+CrashPlan planFor(const std::string &crashingPath)
+{
+    CrashPlan plan;
+    plan.isCrash = [crashingPath](const std::string &request) {
+        return request.find(" " + crashingPath) != std::string::npos;
+    };
+    plan.answer = "HTTP/1.1 200 OK\r\nSignature: s\r\nConnection: close\r\n"
+                  "Content-Length: 6\r\n\r\nanswer";
+    return plan;
+}
+
+HttpRequest bodylessCall(const std::string &path, const std::string &id)
+{
+    HttpRequest request = GatewayFixture::makeCall(path, id);
+    request.method = "GET";
+    request.body.clear();
+    return request;
+}
+
+/**
+ * Sends a call again and again, each time under another id and query, beside a sound call.
+ *
+ * @return how many of the sound calls were answered.
+ */
+int sendAgainAndAgain(GatewayFixture &fixture, const HttpRequest &crashing, int times)
+{
+    int answered = 0;
+    for (int time = 0; time < times; ++time) {
+        HttpRequest request = crashing;
+        const std::string id = "again-" + std::to_string(time);
+        for (auto &[name, value] : request.headers)
+            value = name == "Id" ? id : value;
+        request.target += "?page=" + std::to_string(time);
+        fixture.call(request);
+        answered += fixture.call("/route/sound", "sound-" + std::to_string(time)).status == 200;
+        fixture.runFor(Milliseconds(250));
+    }
+    return answered;
+}
+
+} // namespace
+
+// Guards against a call without a body that crashes servers as often as its caller sends it.
+TEST_CASE("A call without a body that crashes its servers is soon refused", "[crash]")
+{
+    GatewayFixture fixture;
+    fixture.addRoute(routeOf(CallKind::Idempotent, 2));
+    CrashingServers servers(fixture, "server", serverCount, planFor("/route/crash"));
+    const int answered = sendAgainAndAgain(fixture, bodylessCall("/route/crash", "first"), 12);
+    REQUIRE(servers.crashCount >= 2);
+    REQUIRE(servers.crashCount <= crashesBeforeBound + retriesAfterBound);
+    REQUIRE(answered == 12);
+    REQUIRE(fixture.call(bodylessCall("/route/crash", "last")).status == 503);
+}
+
+// Guards against a crash that is not noticed because it comes after the head of the answer.
+TEST_CASE("A call that crashes its servers while they answer is soon refused", "[crash]")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nSignature: s\r\n";
+    GatewayFixture fixture;
+    fixture.addRoute(routeOf(CallKind::NonIdempotent, 1));
+    CrashPlan plan = planFor("/route/crash");
+    plan.bytesBefore = head + "Content-Length: 600\r\n\r\nansw";
+    CrashingServers servers(fixture, "server", serverCount, plan);
+    HttpRequest crashing = GatewayFixture::makeCall("/route/crash", "first");
+    const int answered = sendAgainAndAgain(fixture, crashing, 12);
+    REQUIRE(servers.crashCount >= 2);
+    REQUIRE(servers.crashCount <= crashesBeforeBound + retriesAfterBound);
+    REQUIRE(answered == 12);
+    REQUIRE(fixture.call(crashing).status == 503);
+}
+
+// Guards against a stream that goes on at the copy of its run and crashes that engine too.
+TEST_CASE("A stream that crashes its engines does not go on from engine to engine", "[crash]")
+{
+    GatewayFixture fixture;
+    EngineProperties engine;
+    engine.slots = 8;
+    engine.memoryTokens = 100000;
+    engine.supportsBackup = true;
+    fixture.addRoute(routeOf(CallKind::Stream, 1), engine);
+    CrashPlan plan = planFor("/route/crash");
+    const std::string head =
+            "HTTP/1.1 200 OK\r\nSignature: s\r\nConnection: close\r\n"
+            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string event = "f\r\nid: 1\ndata: a\n\n\r\n";
+    plan.bytesBefore = head + event;
+    plan.answer = head + event + "0\r\n\r\n";
+    CrashingServers servers(fixture, "engine", serverCount, plan);
+    const HttpRequest crashing = GatewayFixture::makeCall("/route/crash", "first");
+    fixture.call(crashing);
+    REQUIRE(servers.crashCount >= 1);
+    REQUIRE(servers.crashCount <= crashesBeforeBound);
+    REQUIRE(sendAgainAndAgain(fixture, crashing, 8) == 8);
+    REQUIRE(servers.crashCount <= crashesBeforeBound + retriesAfterBound);
+    REQUIRE(fixture.call(crashing).status == 503);
+}
