Let a planned stop wait for calls that peers forwarded

Cause: the stop waits for active requests, and only calls that came to the host itself were counted. In the log kept with the finding the host began to drain with active_requests 3 while five calls ran, two of them forwarded, and stopped 3.0 s later, as soon as its own three had ended. The calls were started milliseconds apart, so the forwarded ones mostly ended in time.

Change: a forwarded call counts from its arrival until its answer has been sent.

--- a/packages/entry/peers/peerservice.cpp
+++ b/packages/entry/peers/peerservice.cpp
@@ -235,6 +235,10 @@
             this->takeInLoad(update->gossip);
             continue;
         }
+        // A planned stop waits until the answer to a forwarded call has been sent.
+        std::optional<ActiveRequest> active;
+        if (std::holds_alternative<ForwardCall>(*message))
+            active.emplace(this->entry);
         const auto reply = co_await this->answer(std::move(*message));
         if (!reply)
             co_return;
