Start at a different peer on each host, so that news spreads in seconds

Cause: each host sends its news to four peers in turn each 250 ms, and all began at the head of the same sorted list. Hosts that start together tell the same four peers at a time, so news needs a whole round to reach the last.

Change: PeerTurn starts at a place drawn from the host's incarnation.

--- a/packages/entry/peers/loadexchange.cpp
+++ b/packages/entry/peers/loadexchange.cpp
@@ -1,6 +1,7 @@
 #include "entry/peers/loadexchange.h"
 
 #include "entry/tasks/guardedtask.h"
+#include "policy/placement/stablehash.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -37,6 +38,7 @@
     , strand(net::make_strand(context))
     , encodeUpdate(std::move(encodeUpdate))
     , selectPeers(std::move(selectPeers))
+    , turn(stableHash(state.incarnation.toString()))
     , budget(updateBytesPerSecond)
 {
 }
@@ -95,7 +97,7 @@
     if (permitted < peers.size()) {
         // The others are next in turn.
         if (!isSelected)
-            this->nextIndex -= peers.size() - permitted;
+            this->turn.giveBack(peers.size() - permitted);
         peers.resize(permitted);
     }
     this->sendTo(peers, update.bytes);
@@ -141,11 +143,7 @@
         return !this->sending.contains(pair.first)
                 && std::find(peers.begin(), peers.end(), pair.first) == peers.end();
     });
-    std::vector<std::string> chosen;
-    const std::size_t count = std::min(limit, peers.size());
-    for (std::size_t index = 0; index < count; ++index)
-        chosen.push_back(peers[this->nextIndex++ % peers.size()]);
-    return chosen;
+    return this->turn.take(peers, limit);
 }
 
 } // namespace sassafrasyard
--- a/packages/entry/peers/loadexchange.h
+++ b/packages/entry/peers/loadexchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entry/peers/bytebudget.h"
+#include "entry/peers/peerturn.h"
 #include "entry/state/entrystate.h"
 #include "network/network.h"
 
@@ -81,7 +82,7 @@
     SelectPeers selectPeers;
     std::map<std::string, std::unique_ptr<FrameConnection>> connections;
     std::set<std::string> sending;
-    std::size_t nextIndex = 0;
+    PeerTurn turn;
     ByteBudget budget;
     bool isSendingSoon = false;
     Content contentSoon = Content::Load;
