Know a request without a body again when it has crashed servers

What callers saw: servers that ended one after another; a look-up under which three had ended was sent on each time it came again.

Cause: the crash quarantine knows a request by a digest, and a call without a body got none, because such calls look alike. So no death of it was ever counted. The digest of the others held the query, which may differ when a request comes again.

Change: each call has a digest of its account, path and body. One without a body is marked as shared: it is refused from the third death on, for a minute that doubles up to ten, and a run that does not crash its server takes its deaths back, on all hosts. Requests with a body are judged as before. The plain calls of the project's own interface had a digest without the account, so one account could be refused for another's; they use the same now.

--- a/packages/entry/calls/servicecallhandler.cpp
+++ b/packages/entry/calls/servicecallhandler.cpp
@@ -243,7 +243,8 @@
     work.model = ModelName(call.service);
     work.promptTokens = 1;
     work.maximumTokens = 1;
-    work.requestDigest = digestOf(call);
+    work.requestDigest =
+            makeRequestDigest(call.account.toString(), call.service + "\n" + call.path, call.body);
     work.priority = Priority::High;
     work.isIdempotent = call.key.empty();
     work.isRetry = isRetry;
--- a/packages/entry/http/completionhandler.cpp
+++ b/packages/entry/http/completionhandler.cpp
@@ -148,8 +148,7 @@
     work.maximumTokens = completion.generation.maximumTokens;
     work.prefixDigest =
             leadingDigits(sha256Hex(std::string_view(prompt).substr(0, prefixCharacters)));
-    work.requestDigest =
-            leadingDigits(sha256Hex(work.account.toString() + "/" + completion.binding.bodyDigest));
+    work.requestDigest = makeRequestDigest(work.account.toString(), "", request.body);
     work.priority = std::min(*parsedPriority, account.limits.highestPriority);
     return completion;
 }
--- a/packages/entry/peers/gossipconversion.cpp
+++ b/packages/entry/peers/gossipconversion.cpp
@@ -21,9 +21,10 @@
 {
     std::vector<QuarantineRecord> records;
     for (const QuarantineMessage &message : gossip.quarantine) {
-        records.push_back({message.requestDigest, message.deaths,
-                           Milliseconds(message.remainingMilliseconds), message.incident,
-                           message.serverDigest});
+        QuarantineRecord record{message.requestDigest, message.deaths,
+                                Milliseconds(message.remainingMilliseconds), message.incident};
+        (message.incident == 0 ? record.soundRun : record.serverDigest) = message.serverDigest;
+        records.push_back(record);
     }
     return records;
 }
@@ -42,9 +43,10 @@
 void addQuarantine(Gossip &gossip, const std::vector<QuarantineRecord> &records)
 {
     for (const QuarantineRecord &record : records) {
+        const std::uint64_t name = record.incident == 0 ? record.soundRun : record.serverDigest;
         gossip.quarantine.push_back({record.requestDigest, record.deaths,
                                      static_cast<std::uint64_t>(record.remaining.count()),
-                                     record.incident, record.serverDigest});
+                                     record.incident, name});
     }
 }
 
--- a/packages/gateway/relay/callmetrics.cpp
+++ b/packages/gateway/relay/callmetrics.cpp
@@ -44,8 +44,9 @@
 void recordFailedAttempt(Metrics &metrics, const RoutedCall &call, const BackendServerName &server,
                          AttemptOutcome outcome, const Error &failure)
 {
-    metrics.count("sassafrasyard_failed_attempts_total",
-                  {{"kind", toLabel(call.route->kind)}, {"outcome", std::string(toString(outcome))}});
+    metrics.count(
+            "sassafrasyard_failed_attempts_total",
+            {{"kind", toLabel(call.route->kind)}, {"outcome", std::string(toString(outcome))}});
     logEvent(LogEvent::AttemptFailed, "request", call.metadata.requestId, "backend_server",
              server.toString(), "outcome", toString(outcome), "digest",
              digestText(call.work.requestDigest), "body_bytes",
--- a/packages/gateway/relay/gatewayservice.cpp
+++ b/packages/gateway/relay/gatewayservice.cpp
@@ -4,7 +4,6 @@
 #include "gateway/relay/callmetrics.h"
 #include "gateway/relay/callrelay.h"
 #include "gateway/relay/eventrelay.h"
-#include "policy/placement/stablehash.h"
 
 #include <algorithm>
 #include <string>
@@ -214,12 +213,9 @@
     work.maximumTokens = call.metadata.maximumTokens;
     work.prefixDigest = call.metadata.prefixDigest;
     work.isIdempotent = call.route->kind == CallKind::Idempotent || call.route->isResumable;
-    // Calls without a body are too alike for one to be blamed for what another did.
-    if (!call.request.body.empty()) {
-        work.requestDigest = combineHashes(
-                stableHash(work.account.toString()),
-                combineHashes(stableHash(call.request.target), stableHash(call.request.body)));
-    }
+    // A caller that sends a call again may change its query.
+    work.requestDigest =
+            makeRequestDigest(work.account.toString(), call.request.path(), call.request.body);
 }
 
 void GatewayService::applyLimits(const CallerLimits &limits)
--- a/packages/gateway/relay/streamtakeover.cpp
+++ b/packages/gateway/relay/streamtakeover.cpp
@@ -87,8 +87,8 @@
         this->goesOn = co_await this->readFirstBytes(timeout, result.failure);
     if (!this->goesOn) {
         this->attempt->cancel();
-        recordFailedAttempt(this->services.entry.metrics, this->call, this->target.server, result.outcome,
-                            result.failure);
+        recordFailedAttempt(this->services.entry.metrics, this->call, this->target.server,
+                            result.outcome, result.failure);
     }
     this->hasEnded = true;
     // Moving the expiry also ends a wait that has not begun yet; cancel() would miss it.
--- a/packages/policy/dispatch/dispatcher.cpp
+++ b/packages/policy/dispatch/dispatcher.cpp
@@ -128,6 +128,8 @@
     Running &work = known->second;
     work.tokens = std::max(work.tokens, tokens);
     work.hasOutput = work.hasOutput || tokens > 0;
+    if (tokens > 0)
+        this->recordOutput(work, now);
     if (work.host)
         return;
     this->pool.recordProgress(request, tokens, now);
@@ -148,6 +150,8 @@
     this->recordUse(work, outcome);
     if (outcome == WorkOutcome::ServerLost)
         this->quarantine.recordDeath(work.request.requestDigest, work.server, now);
+    else if (outcome == WorkOutcome::Completed)
+        this->quarantine.recordSoundRun(work.request.requestDigest, now);
     this->releaseSlot(work, outcome, now);
     if (outcome == WorkOutcome::ServerLost || work.group->key.isSuspect)
         this->findSuspects(now);
@@ -339,6 +343,17 @@
     return known->second;
 }
 
+/** Output over some time shows that a run does not crash its server. */
+void Dispatcher::recordOutput(Running &work, Milliseconds now)
+{
+    if (!work.outputAt)
+        work.outputAt = now;
+    if (work.isSound || now - *work.outputAt < CrashQuarantine::soundRunTime)
+        return;
+    work.isSound = true;
+    this->quarantine.recordSoundRun(work.request.requestDigest, now);
+}
+
 void Dispatcher::recordUse(const Running &work, WorkOutcome outcome)
 {
     if (work.tokens == 0)
--- a/packages/policy/dispatch/dispatcher.h
+++ b/packages/policy/dispatch/dispatcher.h
@@ -178,6 +178,9 @@
         std::uint32_t tokens = 0;
         double cost = 0.0;
         bool hasOutput = false;
+        /** When the request's first output was recorded. */
+        std::optional<Milliseconds> outputAt;
+        bool isSound = false;
         bool isHedged = false;
         /** For a guest, the request whose slot it uses. */
         std::optional<RequestName> host;
@@ -187,6 +190,7 @@
 
     std::optional<Refusal> checkAdmission(const WorkRequest &request, Milliseconds now);
     Group &groupFor(const WorkRequest &request, Milliseconds now);
+    void recordOutput(Running &work, Milliseconds now);
     void recordUse(const Running &work, WorkOutcome outcome);
     void releaseSlot(const Running &work, WorkOutcome outcome, Milliseconds now);
 
--- a/packages/policy/quarantine/crashquarantine.cpp
+++ b/packages/policy/quarantine/crashquarantine.cpp
@@ -1,5 +1,7 @@
 #include "policy/quarantine/crashquarantine.h"
 
+#include "policy/quarantine/requestdigest.h"
+
 #include <algorithm>
 #include <string_view>
 #include <tuple>
@@ -33,6 +35,21 @@
     return value ^ (value >> 31);
 }
 
+std::uint32_t deathLimitOf(std::uint64_t requestDigest)
+{
+    return isSharedDigest(requestDigest) ? CrashQuarantine::sharedDeathLimit
+                                         : CrashQuarantine::deathLimit;
+}
+
+/** Returns how long a request is refused after its last death. */
+Milliseconds refusalTime(std::uint64_t requestDigest, std::size_t deaths)
+{
+    if (!isSharedDigest(requestDigest))
+        return CrashQuarantine::duration;
+    const std::size_t doublings = deaths - CrashQuarantine::sharedDeathLimit;
+    return std::min(CrashQuarantine::duration, CrashQuarantine::sharedDuration * (1 << doublings));
+}
+
 } // namespace
 
 CrashQuarantine::CrashQuarantine(CrashQuarantineOptions options)
@@ -53,22 +70,39 @@
     const std::uint64_t serverDigest = hashText(server.toString());
     Incident &incident = this->incidents[serverDigest];
     if (incident.name == 0 || now - incident.at >= incidentWindow) {
-        incident.name = mix(mix(this->options.seed ^ serverDigest) + ++this->incidentCount) | 1U;
+        incident.name = this->nextName(serverDigest);
         incident.at = now;
     }
     this->add(requestDigest, incident.name, {serverDigest, incident.at}, now);
 }
 
+void CrashQuarantine::recordSoundRun(std::uint64_t requestDigest, Milliseconds now)
+{
+    const auto known = this->digests.find(requestDigest);
+    if (known == this->digests.end() || !isSharedDigest(requestDigest)
+        || this->separateDeaths(known->second, now).empty()) {
+        return;
+    }
+    this->addSoundRun(requestDigest, {this->nextName(requestDigest), now});
+}
+
 void CrashQuarantine::merge(std::span<const QuarantineRecord> records, Milliseconds now)
 {
+    const auto timeOf = [now](const QuarantineRecord &record) {
+        return now + std::min(record.remaining, recordLifetime) - recordLifetime;
+    };
+    const auto counts = [](const QuarantineRecord &record) {
+        return record.requestDigest != 0 && record.remaining > Milliseconds(0);
+    };
     for (const QuarantineRecord &record : records) {
-        if (record.requestDigest == 0 || record.incident == 0
-            || record.remaining <= Milliseconds(0)) {
-            continue;
-        }
-        const Milliseconds remaining = std::min(record.remaining, recordLifetime);
-        this->add(record.requestDigest, record.incident,
-                  {record.serverDigest, now + remaining - recordLifetime}, now);
+        if (counts(record) && record.incident != 0)
+            this->add(record.requestDigest, record.incident, {record.serverDigest, timeOf(record)},
+                      now);
+    }
+    // A sound run says something only of deaths that are known.
+    for (const QuarantineRecord &record : records) {
+        if (counts(record) && record.incident == 0 && record.soundRun != 0)
+            this->addSoundRun(record.requestDigest, {record.soundRun, timeOf(record)});
     }
 }
 
@@ -79,10 +113,12 @@
     if (known == this->digests.end())
         return std::nullopt;
     const std::vector<Milliseconds> deaths = this->separateDeaths(known->second, now);
-    for (std::size_t index = deaths.size(); index >= deathLimit; --index) {
+    const std::size_t limit = deathLimitOf(requestDigest);
+    for (std::size_t index = deaths.size(); index >= limit; --index) {
         const Milliseconds last = deaths[index - 1];
-        if (last - deaths[index - deathLimit] <= duration && now < last + duration)
-            return last + duration - now;
+        const Milliseconds end = last + refusalTime(requestDigest, index);
+        if (last - deaths[index - limit] <= duration && now < end)
+            return end - now;
     }
     return std::nullopt;
 }
@@ -95,36 +131,43 @@
 
 std::vector<QuarantineRecord> CrashQuarantine::records(Milliseconds now) const
 {
-    std::vector<QuarantineRecord> result;
-    for (const auto &[digest, deaths] : this->digests) {
-        const auto count = static_cast<std::uint32_t>(this->separateDeaths(deaths, now).size());
-        for (const auto &[incident, death] : deaths) {
-            const Milliseconds remaining = death.at + recordLifetime - now;
-            if (remaining > Milliseconds(0))
-                result.push_back({digest, count, remaining, incident, death.serverDigest});
-        }
+    std::vector<QuarantineRecord> refused;
+    std::vector<QuarantineRecord> others;
+    for (const auto &[digest, history] : this->digests) {
+        std::vector<QuarantineRecord> &result = this->refusedFor(digest, now) ? refused : others;
+        const auto count = static_cast<std::uint32_t>(this->separateDeaths(history, now).size());
+        const auto add = [&](Milliseconds at, QuarantineRecord record) {
+            record.requestDigest = digest;
+            record.deaths = count;
+            record.remaining = at + recordLifetime - now;
+            if (record.remaining > Milliseconds(0))
+                result.push_back(record);
+        };
+        for (const auto &[incident, death] : history.deaths)
+            add(death.at, {.incident = incident, .serverDigest = death.serverDigest});
+        if (history.soundRun)
+            add(history.soundRun->at, {.soundRun = history.soundRun->name});
     }
-    const auto rank = [](const QuarantineRecord &record) {
-        return std::tuple(record.deaths < deathLimit, -record.remaining, record.requestDigest,
-                          record.incident);
+    const auto isBefore = [](const QuarantineRecord &left, const QuarantineRecord &right) {
+        return std::tuple(-left.remaining, left.requestDigest, left.incident, left.soundRun)
+                < std::tuple(-right.remaining, right.requestDigest, right.incident, right.soundRun);
     };
-    std::sort(result.begin(), result.end(),
-              [&](const QuarantineRecord &left, const QuarantineRecord &right) {
-                  return rank(left) < rank(right);
-              });
-    if (result.size() > this->options.reportLimit)
-        result.resize(this->options.reportLimit);
-    return result;
+    std::sort(refused.begin(), refused.end(), isBefore);
+    std::sort(others.begin(), others.end(), isBefore);
+    refused.insert(refused.end(), others.begin(), others.end());
+    if (refused.size() > this->options.reportLimit)
+        refused.resize(this->options.reportLimit);
+    return refused;
 }
 
 void CrashQuarantine::advance(Milliseconds now)
 {
-    for (auto &[digest, deaths] : this->digests) {
-        std::erase_if(deaths, [&](const auto &item) {
+    for (auto &[digest, history] : this->digests) {
+        std::erase_if(history.deaths, [&](const auto &item) {
             return now >= item.second.at + recordLifetime + graceTime;
         });
     }
-    std::erase_if(this->digests, [](const auto &item) { return item.second.empty(); });
+    std::erase_if(this->digests, [](const auto &item) { return item.second.deaths.empty(); });
     std::erase_if(this->incidents,
                   [&](const auto &item) { return now - item.second.at >= incidentWindow; });
 }
@@ -134,12 +177,13 @@
     return this->digests.size();
 }
 
-std::vector<Milliseconds> CrashQuarantine::separateDeaths(const Deaths &deaths,
+std::vector<Milliseconds> CrashQuarantine::separateDeaths(const History &history,
                                                           Milliseconds now) const
 {
     std::vector<Death> counted;
-    for (const auto &[incident, death] : deaths) {
-        if (now < death.at + recordLifetime)
+    for (const auto &[incident, death] : history.deaths) {
+        const bool isTakenBack = history.soundRun && death.at <= history.soundRun->at;
+        if (now < death.at + recordLifetime && !isTakenBack)
             counted.push_back(death);
     }
     std::sort(counted.begin(), counted.end(), [](const Death &left, const Death &right) {
@@ -164,7 +208,8 @@
                           Milliseconds now)
 {
     const bool wasRefused = this->refusedFor(requestDigest, now).has_value();
-    Deaths &deaths = this->digests[requestDigest];
+    History &history = this->digests[requestDigest];
+    Deaths &deaths = history.deaths;
     const auto [known, isNew] = deaths.emplace(incident, death);
     // Transit makes a copy look younger than the original, so the earliest time is the true one.
     if (!isNew)
@@ -177,13 +222,32 @@
                                       }));
     }
     if (this->refusalHook && !wasRefused && this->refusedFor(requestDigest, now)) {
-        const std::size_t count = this->separateDeaths(deaths, now).size();
+        const std::size_t count = this->separateDeaths(history, now).size();
         this->refusalHook(requestDigest, static_cast<std::uint32_t>(count));
     }
     if (this->digests.size() > this->options.digestLimit)
         this->evict();
 }
 
+void CrashQuarantine::addSoundRun(std::uint64_t requestDigest, const Incident &run)
+{
+    const auto known = this->digests.find(requestDigest);
+    if (known == this->digests.end())
+        return;
+    std::optional<Incident> &latest = known->second.soundRun;
+    // A copy looks younger than the original, as with deaths.
+    if (latest && latest->name == run.name)
+        latest->at = std::min(latest->at, run.at);
+    else if (!latest || latest->at < run.at)
+        latest = run;
+}
+
+/** Returns a name that no other host or run draws. */
+std::uint64_t CrashQuarantine::nextName(std::uint64_t salt)
+{
+    return mix(mix(this->options.seed ^ salt) + ++this->nameCount) | 1U;
+}
+
 void CrashQuarantine::evict()
 {
     const auto latest = [](const Deaths &deaths) {
@@ -192,9 +256,10 @@
             at = std::max(at, death.at);
         return at;
     };
-    // Requests with a single death go first: forgetting one costs at most one more death.
+    // Requests with few deaths go first: forgetting one costs at most as many more.
     const auto rank = [&](const auto &item) {
-        return std::tuple(item.second.size() >= deathLimit, latest(item.second), item.first);
+        const Deaths &deaths = item.second.deaths;
+        return std::tuple(deaths.size() >= deathLimitOf(item.first), latest(deaths), item.first);
     };
     this->digests.erase(std::min_element(
             this->digests.begin(), this->digests.end(),
--- a/packages/policy/quarantine/crashquarantine.h
+++ b/packages/policy/quarantine/crashquarantine.h
@@ -31,6 +31,10 @@
  * hosts that have seen the same records in any order agree. Deaths of the same server within 5 s
  * count once, whichever hosts saw them. Two deaths within 10 min refuse the request for 10 min
  * after the second.
+ *
+ * A shared digest (isSharedDigest()) may stand for many requests, so three deaths refuse it, for a
+ * minute that doubles with each further death, and a run that did not crash its server takes back
+ * all deaths before it.
  */
 class CrashQuarantine
 {
@@ -39,6 +43,12 @@
     static constexpr std::uint32_t deathLimit = 2;
     /** How long a request is refused, and how far apart its deaths may be, in milliseconds. */
     static constexpr Milliseconds duration{600'000};
+    /** A run that has produced output for this long is sound: it did not crash its server. */
+    static constexpr Milliseconds soundRunTime{1000};
+    /** Deaths after which a shared digest is refused. */
+    static constexpr std::uint32_t sharedDeathLimit = 3;
+    /** How long a shared digest is refused at first; one run in that time costs few servers. */
+    static constexpr Milliseconds sharedDuration{60'000};
 
     /** Creates a quarantine without records. */
     explicit CrashQuarantine(CrashQuarantineOptions options = {});
@@ -52,7 +62,9 @@
     /** Records that a server was lost while it ran a request; a digest of 0 is ignored. */
     void recordDeath(std::uint64_t requestDigest, const BackendServerName &server,
                      Milliseconds now);
-    /** Merges a peer's records; those without an incident are ignored. */
+    /** Records a run that did not crash its server; counts for shared digests with deaths only. */
+    void recordSoundRun(std::uint64_t requestDigest, Milliseconds now);
+    /** Merges a peer's records. */
     void merge(std::span<const QuarantineRecord> records, Milliseconds now);
     /** Returns how long a request is still refused, or nothing if it may run. */
     std::optional<Milliseconds> refusedFor(std::uint64_t requestDigest, Milliseconds now) const;
@@ -80,15 +92,26 @@
 
     using Deaths = std::map<std::uint64_t, Death>;
 
-    std::vector<Milliseconds> separateDeaths(const Deaths &deaths, Milliseconds now) const;
+    /** What is known of one request. */
+    struct History
+    {
+        /** The deaths by incident. */
+        Deaths deaths;
+        /** The latest run that did not crash its server. */
+        std::optional<Incident> soundRun;
+    };
+
+    std::vector<Milliseconds> separateDeaths(const History &history, Milliseconds now) const;
+    void addSoundRun(std::uint64_t requestDigest, const Incident &run);
+    std::uint64_t nextName(std::uint64_t salt);
     void add(std::uint64_t requestDigest, std::uint64_t incident, const Death &death,
              Milliseconds now);
     void evict();
 
     CrashQuarantineOptions options;
-    std::unordered_map<std::uint64_t, Deaths> digests;
+    std::unordered_map<std::uint64_t, History> digests;
     std::unordered_map<std::uint64_t, Incident> incidents;
-    std::uint64_t incidentCount = 0;
+    std::uint64_t nameCount = 0;
     RefusalHook refusalHook;
 };
 
--- a/packages/policy/quarantine/requestdigest.cpp
+++ b/packages/policy/quarantine/requestdigest.cpp
@@ -1,11 +1,33 @@
 #include "policy/quarantine/requestdigest.h"
 
+#include "policy/placement/stablehash.h"
+
 #include <array>
 #include <cinttypes>
 #include <cstdio>
 
 namespace sassafrasyard {
 
+namespace {
+
+/** Travels with the digest, so that all hosts judge a request by the same rule. */
+constexpr std::uint64_t sharedBit = 1ULL << 63U;
+
+} // namespace
+
+std::uint64_t makeRequestDigest(std::string_view account, std::string_view target,
+                                std::string_view body)
+{
+    const std::uint64_t hash =
+            combineHashes(stableHash(account), combineHashes(stableHash(target), stableHash(body)));
+    return body.empty() ? hash | sharedBit : hash & ~sharedBit;
+}
+
+bool isSharedDigest(std::uint64_t requestDigest)
+{
+    return (requestDigest & sharedBit) != 0;
+}
+
 std::string digestText(std::uint64_t requestDigest)
 {
     std::array<char, 17> text{};
--- a/packages/policy/servers/loadreport.h
+++ b/packages/policy/servers/loadreport.h
@@ -89,7 +89,10 @@
 /** Drops the smallest entries beyond a number and sorts the rest by name. */
 void keepLargest(PeerLoadDigest &digest, std::size_t limit);
 
-/** One death of a backend server on which a request was running. */
+/**
+ * One death of a backend server on which a request was running, or a run of the request that did
+ * not crash its server.
+ */
 struct QuarantineRecord
 {
     /** WorkRequest::requestDigest of the request. */
@@ -98,10 +101,12 @@
     std::uint32_t deaths = 0;
     /** How long the record still counts. */
     Milliseconds remaining{0};
-    /** Names the death; the same on all hosts that heard of it from the same host. */
+    /** Names the death; the same on all hosts that heard of it from the same host. 0 for a run. */
     std::uint64_t incident = 0;
-    /** A digest of the name of the backend server that died. */
+    /** A digest of the name of the backend server that died; 0 for a run. */
     std::uint64_t serverDigest = 0;
+    /** Names the run that did not crash its server; 0 for a death. */
+    std::uint64_t soundRun = 0;
 };
 
 } // namespace sassafrasyard
--- /dev/null
+++ b/packages/policy/tests/test_requestblame.cpp
@@ -0,0 +1,79 @@
+#include "policy/policy.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace sassafrasyard;
+
+namespace {
+
+const std::uint64_t sharedDigest = makeRequestDigest("account", "/path", "");
+const std::uint64_t distinctDigest = makeRequestDigest("account", "/path", "body");
+
+BackendServerName server(int number)
+{
+    return BackendServerName("server-" + std::to_string(number));
+}
+
+} // namespace
+
+// Guards against requests with bodies that are judged by the rule for look-alikes, and the reverse.
+TEST_CASE("Only requests without a body have a shared digest", "[policy]")
+{
+    REQUIRE(isSharedDigest(sharedDigest));
+    REQUIRE_FALSE(isSharedDigest(distinctDigest));
+    REQUIRE(makeRequestDigest("other", "/path", "") != sharedDigest);
+    REQUIRE(makeRequestDigest("account", "/other", "") != sharedDigest);
+    REQUIRE(digestText(0x1aU) == "000000000000001a");
+}
+
+// Guards against requests that are refused for ten minutes because they look like a bad one.
+TEST_CASE("A shared digest is refused from the third death on, for a minute at first", "[policy]")
+{
+    CrashQuarantine quarantine;
+    Milliseconds now{0};
+    quarantine.recordDeath(sharedDigest, server(1), now);
+    quarantine.recordDeath(sharedDigest, server(2), now);
+    REQUIRE_FALSE(quarantine.refusedFor(sharedDigest, now));
+    quarantine.recordDeath(sharedDigest, server(3), now);
+    REQUIRE(quarantine.refusedFor(sharedDigest, now) == CrashQuarantine::sharedDuration);
+    now += CrashQuarantine::sharedDuration;
+    REQUIRE_FALSE(quarantine.refusedFor(sharedDigest, now));
+    quarantine.recordDeath(sharedDigest, server(4), now);
+    REQUIRE(quarantine.refusedFor(sharedDigest, now) == 2 * CrashQuarantine::sharedDuration);
+}
+
+// Guards against a popular request that is blamed for servers that crash for another reason.
+TEST_CASE("A run that does not crash its server takes earlier deaths back", "[policy]")
+{
+    CrashQuarantine quarantine;
+    for (int flap = 0; flap < 20; ++flap) {
+        const Milliseconds now(10'000 * flap);
+        quarantine.recordDeath(sharedDigest, server(2 * flap), now);
+        quarantine.recordDeath(sharedDigest, server(2 * flap + 1), now);
+        REQUIRE(quarantine.isSuspect(sharedDigest, now));
+        quarantine.recordSoundRun(sharedDigest, now + Milliseconds(100));
+        REQUIRE_FALSE(quarantine.isSuspect(sharedDigest, now + Milliseconds(100)));
+        REQUIRE_FALSE(quarantine.refusedFor(sharedDigest, now + Milliseconds(100)));
+    }
+}
+
+// Guards against a host without traffic of its own that refuses what runs well on its peers.
+TEST_CASE("Hosts hear of sound runs as they hear of deaths", "[policy]")
+{
+    CrashQuarantine first({1, 4096, 64});
+    CrashQuarantine second({2, 4096, 64});
+    for (int number = 0; number < 3; ++number)
+        first.recordDeath(sharedDigest, server(number), Milliseconds(1000));
+    second.merge(first.records(Milliseconds(1000)), Milliseconds(1001));
+    REQUIRE(second.refusedFor(sharedDigest, Milliseconds(1001)));
+    first.recordSoundRun(sharedDigest, Milliseconds(1200));
+    second.merge(first.records(Milliseconds(1200)), Milliseconds(1201));
+    REQUIRE_FALSE(second.isSuspect(sharedDigest, Milliseconds(1201)));
+    // A copy that comes back late is not a later run.
+    first.merge(second.records(Milliseconds(1400)), Milliseconds(1900));
+    first.recordDeath(sharedDigest, server(4), Milliseconds(1300));
+    REQUIRE(first.isSuspect(sharedDigest, Milliseconds(1900)));
+}
--- a/packages/policy/work/workrequest.h
+++ b/packages/policy/work/workrequest.h
@@ -33,7 +33,7 @@
     bool readsPrompt = true;
     /** A digest of the prompt's leading part, for prefix cache affinity; 0 for none. */
     std::uint64_t prefixDigest = 0;
-    /** A digest of the account and the whole body, for the crash quarantine. */
+    /** Identifies the request to the crash quarantine, see makeRequestDigest(); 0 for none. */
     std::uint64_t requestDigest = 0;
     /** The caller's priority, limited by the account's. */
     Priority priority = Priority::Normal;
--- a/packages/protocol/messages/peermessage.h
+++ b/packages/protocol/messages/peermessage.h
@@ -82,9 +82,9 @@
     std::uint32_t deaths = 0;
     /** How long the record still counts, in milliseconds. */
     std::uint64_t remainingMilliseconds = 0;
-    /** Names the death. */
+    /** Names the death; 0 for a run that did not crash its server, which older hosts ignore. */
     std::uint64_t incident = 0;
-    /** A digest of the backend server's name. */
+    /** A digest of the backend server's name; the run's name if incident is 0. */
     std::uint64_t serverDigest = 0;
 
     /** Compares all fields. */
