Check for a crash when a server is lost within its answer, too

What callers saw: a call that crashed each server that answered it was sent on as often as it came.

Cause: only a connection that was lost before the head of the answer started a crash check. The read of a body or of events failed without one. The check also ran beside the call, which could be repeated before its outcome was known.

A death names the run of the server, since one that starts again may keep its name.

--- a/packages/gateway/relay/backendattempt.cpp
+++ b/packages/gateway/relay/backendattempt.cpp
@@ -3,9 +3,6 @@
 #include "gateway/calls/hopheaders.h"
 #include "gateway/relay/callmetrics.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 #include <chrono>
 
@@ -68,6 +65,8 @@
     const auto endpoint = parseEndpoint(address, result.failure);
     if (!endpoint)
         co_return result;
+    this->server = order.server;
+    this->endpoint = *endpoint;
     if (const ServerEntry *entry = this->services.servers.find(order.server))
         this->serverStartedAt = entry->startedAt;
     this->connection = co_await this->services.connections.acquire(
@@ -87,12 +86,11 @@
     // A server may drop a kept connection while it is idle, so only a new one tells of the server.
     const bool isNew = !this->connection->hasAnswered();
     result = co_await this->exchange(order, timeout);
-    if (result.outcome == AttemptOutcome::Unknown && !this->call.isCallerGone
-        && result.failure.code == ErrorCode::ConnectionFailed) {
-        if (isNew)
-            this->services.reachability.recordFailure(order.server);
-        this->checkForCrash(order.server, address);
-    }
+    if (result.outcome != AttemptOutcome::Unknown || !this->isServerLoss(result.failure))
+        co_return result;
+    if (isNew)
+        this->services.reachability.recordFailure(order.server);
+    co_await this->checkForCrash();
     co_return result;
 }
 
@@ -189,7 +187,18 @@
 net::awaitable<std::optional<std::string_view>> BackendAttempt::read(Milliseconds timeout,
                                                                      Error &reason)
 {
-    co_return co_await this->connection->read(timeout, reason);
+    const auto bytes = co_await this->connection->read(timeout, reason);
+    const Milliseconds now = this->services.clock.now();
+    if (bytes) {
+        if (!this->firstBytesAt)
+            this->firstBytesAt = now;
+        co_return bytes;
+    }
+    const bool isSound =
+            this->firstBytesAt && now - *this->firstBytesAt >= CrashQuarantine::soundRunTime;
+    if (!isSound && this->isServerLoss(reason))
+        co_await this->checkForCrash();
+    co_return std::nullopt;
 }
 
 net::awaitable<std::optional<std::string>> BackendAttempt::readAll(Milliseconds timeout,
@@ -227,6 +236,7 @@
 
 void BackendAttempt::cancel()
 {
+    this->isCancelled = true;
     if (this->connection)
         this->connection->close();
 }
@@ -237,36 +247,43 @@
     this->services.connections.release(std::move(this->connection));
 }
 
-/** A lost connection is a crash only if no new one can be opened either. */
-void BackendAttempt::checkForCrash(const BackendServerName &server, std::string address)
+/** Returns whether a failure is the server's doing, not that of this host or of the caller. */
+bool BackendAttempt::isServerLoss(const Error &failure) const
+{
+    return failure.code == ErrorCode::ConnectionFailed && !this->isCancelled
+            && !this->call.isCallerGone;
+}
+
+/**
+ * Blames the call if its server has crashed: no new connection can be opened either.
+ *
+ * The call waits for it, so that whatever it is sent to next knows of the crash.
+ */
+net::awaitable<void> BackendAttempt::checkForCrash()
+{
+    Error reason;
+    const net::any_io_executor executor = this->services.context.get_executor();
+    HttpConnection probe(executor, *this->endpoint);
+    const bool isOpen = co_await probe.connect(crashCheckTimeout, reason);
+    const bool hasCrashed = !isOpen && this->services.servers.isUsable(this->server);
+    const std::string outcome = hasCrashed ? "crashed" : (isOpen ? "reachable" : "leaving");
+    logEvent(LogEvent::ServerCrashChecked, "request", this->call.metadata.requestId,
+             "backend_server", this->server.toString(), "outcome", outcome, "digest",
+             digestText(this->call.work.requestDigest), "detail", reason.detail);
+    this->services.entry.metrics.count("sassafrasyard_crash_checks_total", {{"outcome", outcome}});
+    if (!hasCrashed)
+        co_return;
+    this->services.reachability.recordFailure(this->server);
+    this->services.dispatch.post([digest = this->call.work.requestDigest, run = this->serverRun()](
+                                         Dispatcher &dispatcher, Milliseconds now) {
+        dispatcher.recordDeath(digest, run, now);
+    });
+}
+
+/** A server that starts again may keep its name, and each of its runs can crash once. */
+BackendServerName BackendAttempt::serverRun() const
 {
-    const std::uint64_t digest = this->call.work.requestDigest;
-    const std::string request = this->call.metadata.requestId;
-    net::co_spawn(
-            this->services.context,
-            [&services = this->services, server, address, digest,
-             request]() -> net::awaitable<void> {
-                Error reason;
-                const auto endpoint = parseEndpoint(address, reason);
-                const net::any_io_executor executor = services.context.get_executor();
-                HttpConnection probe(executor, *endpoint);
-                const bool isOpen = co_await probe.connect(crashCheckTimeout, reason);
-                const bool hasCrashed = !isOpen && services.servers.isUsable(server);
-                const std::string outcome =
-                        hasCrashed ? "crashed" : (isOpen ? "reachable" : "leaving");
-                logEvent(LogEvent::ServerCrashChecked, "request", request, "backend_server",
-                         server.toString(), "outcome", outcome, "digest", digestText(digest),
-                         "detail", reason.detail);
-                services.entry.metrics.count("sassafrasyard_crash_checks_total",
-                                             {{"outcome", outcome}});
-                if (!hasCrashed)
-                    co_return;
-                services.reachability.recordFailure(server);
-                services.dispatch.post([digest, server](Dispatcher &dispatcher, Milliseconds now) {
-                    dispatcher.recordDeath(digest, server, now);
-                });
-            },
-            net::detached);
+    return BackendServerName(this->server.toString() + "/" + std::to_string(this->serverStartedAt));
 }
 
 } // namespace sassafrasyard
--- a/packages/gateway/relay/backendattempt.h
+++ b/packages/gateway/relay/backendattempt.h
@@ -59,11 +59,17 @@
     AttemptResult classify(HttpResponse response, const BackendServerName &server);
     void takeInStatements(const ResponseMetadata &metadata, const BackendServerName &server);
     bool holdMemory(std::size_t bytes);
-    void checkForCrash(const BackendServerName &server, std::string address);
+    bool isServerLoss(const Error &failure) const;
+    boost::asio::awaitable<void> checkForCrash();
+    BackendServerName serverRun() const;
 
     GatewayServices &services;
     RoutedCall &call;
     std::unique_ptr<HttpConnection> connection;
+    BackendServerName server;
+    std::optional<Endpoint> endpoint;
+    std::optional<Milliseconds> firstBytesAt;
+    bool isCancelled = false;
     /** The start of the server's run that the call was sent to, as its entry says. */
     std::int64_t serverStartedAt = 0;
     /** Memory of the answer, until this object ends. */
