Refuse a crashing request before every way to a server

What callers saw: one call for a stream crashed an engine, went on at the copy of its run and crashed that one, too.

Cause: the quarantine was asked when a request arrived. A stream that goes on at a copy, and a request that was already waiting, were placed without asking again.

Change: a stream asks before it goes on, and the dispatcher when it places a waiting request.

--- a/packages/entry/dispatch/dispatchservice.cpp
+++ b/packages/entry/dispatch/dispatchservice.cpp
@@ -287,6 +287,15 @@
     });
 }
 
+net::awaitable<bool> DispatchService::isQuarantined(std::uint64_t requestDigest)
+{
+    const std::function<bool(State &)> job = [this, requestDigest](State &state) {
+        const Milliseconds now = this->entry.steadyClock.now();
+        return state.dispatcher.quarantinedFor(requestDigest, now).has_value();
+    };
+    co_return co_await this->owner->ask<bool>(job);
+}
+
 net::awaitable<std::vector<QuarantineRecord>> DispatchService::quarantineRecords()
 {
     return this->owner->ask<std::vector<QuarantineRecord>>([this](State &state) {
--- a/packages/entry/dispatch/dispatchservice.h
+++ b/packages/entry/dispatch/dispatchservice.h
@@ -75,6 +75,8 @@
     void setLoadChangeHook(std::function<void()> hook);
     /** Returns this host's load digest for its peers. */
     boost::asio::awaitable<PeerLoadDigest> loadDigest();
+    /** Returns whether a request is refused for the servers that it crashed. */
+    boost::asio::awaitable<bool> isQuarantined(std::uint64_t requestDigest);
     /** Returns the quarantine records for peers. */
     boost::asio::awaitable<std::vector<QuarantineRecord>> quarantineRecords();
     /** Returns a name for a new request, unique in this run. */
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -219,6 +219,16 @@
     if (this->partCount >= maximumParts)
         co_return false;
     if (hasRun) {
+        // A copy of the run would crash its server, too.
+        const bool isRefused =
+                co_await this->services.dispatch.isQuarantined(this->call.work.requestDigest);
+        if (isRefused) {
+            this->failure = {ErrorCode::RequestQuarantined,
+                             RunState::OutcomeUnknown,
+                             "the request has crashed several backend servers",
+                             {}};
+            co_return false;
+        }
         const bool isKept = co_await this->goOnAtKeptCopy();
         if (isKept || this->goOnAtCopy())
             co_return true;
--- a/packages/policy/dispatch/dispatcher.cpp
+++ b/packages/policy/dispatch/dispatcher.cpp
@@ -190,6 +190,12 @@
     this->limiter.recordPeerUse(digest, now);
 }
 
+std::optional<Milliseconds> Dispatcher::quarantinedFor(std::uint64_t requestDigest,
+                                                       Milliseconds now) const
+{
+    return this->quarantine.refusedFor(requestDigest, now);
+}
+
 void Dispatcher::setQuarantineHook(CrashQuarantine::RefusalHook hook)
 {
     this->quarantine.setRefusalHook(std::move(hook));
@@ -445,6 +451,11 @@
     while (const WorkRequest *next = this->queue.next(group.key, skipped)) {
         const std::size_t level = this->queue.levelOf(*next);
         const RequestName name = next->name;
+        // Others may have crashed servers while it waited.
+        if (const auto time = this->quarantine.refusedFor(next->requestDigest, now)) {
+            this->refuseWaiting(name, ErrorCode::RequestQuarantined, *time);
+            continue;
+        }
         if (this->tryPlace(group, *next, now)) {
             this->queue.recordPlaced(name);
             group.load.recordPlaced(level, this->queue.levelSizes(group.key), now);
--- a/packages/policy/dispatch/dispatcher.h
+++ b/packages/policy/dispatch/dispatcher.h
@@ -104,6 +104,8 @@
     void recordCacheEvent(const CacheEvent &event, Milliseconds now);
     /** Records a peer's digest of its own dispatches. */
     void recordPeerLoad(const PeerLoadDigest &digest, Milliseconds now);
+    /** Returns how long a request is refused for the servers that it crashed; nothing if not. */
+    std::optional<Milliseconds> quarantinedFor(std::uint64_t requestDigest, Milliseconds now) const;
     /** Sets what is called when a request begins to be refused for the servers that it crashed. */
     void setQuarantineHook(CrashQuarantine::RefusalHook hook);
     /** Records a peer's quarantine records. */
