Keep requests that are refused for crashes in the store

What callers would see: after all hosts have lost power at once, a request that crashed servers before crashes as many again, since hosts tell each other of it and nobody is left to tell.

Change: a host that saw one of the deaths keeps a refused request in the store, one write for each; a host that starts reads what is kept, once and with a cheap read. What has expired is removed, one object a start. A store that is away is asked again every 2 s and logged (8018).

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -147,6 +147,7 @@
     GatewayServices services;
     GatewayService gateway;
     StoreClient store;
+    CrashMemory crashMemory;
     SharedObjectSource configurationSource;
     SharedObjectSource serverSource;
     SharedObjectSource hostSource;
@@ -186,6 +187,7 @@
                this->clock}
     , gateway(this->services)
     , store(this->settings.store, this->storeConnections)
+    , crashMemory(this->dispatch, this->context, this->store.crashMemoryCalls(), Clock::system())
     , configurationSource(this->store.source(), this->makeSharedHooks(), this->clock,
                           sharedOptions(followerOptions(this->settings)))
     , serverSource(this->store.source(), this->makeSharedHooks(), this->clock,
@@ -297,6 +299,9 @@
     this->configurationFollower.start(this->context);
     this->serverFollower.start(this->context);
     this->hostFollower.start(this->context);
+    this->crashMemory.start();
+    this->dispatch.setQuarantineHook(
+            [this](std::uint64_t digest) { this->crashMemory.keep(digest); });
     const net::any_io_executor executor = this->context.get_executor();
     spawnGuarded(executor, "maintenance", [this] { return this->maintain(); });
     spawnGuarded(executor, "reload", [this] { return this->reloadOnSignal(); });
--- a/packages/entry/dispatch/dispatchservice.cpp
+++ b/packages/entry/dispatch/dispatchservice.cpp
@@ -72,10 +72,13 @@
         : entry(entry)
         , dispatcher(optionsFor(entry, canSuspend))
     {
-        this->dispatcher.setQuarantineHook([this](std::uint64_t digest, std::uint32_t deaths) {
-            logEvent(LogEvent::RequestQuarantined, "digest", digestText(digest), "deaths",
-                     std::to_string(deaths));
+        this->dispatcher.setQuarantineHook([this](const CrashQuarantine::Verdict &verdict) {
+            logEvent(LogEvent::RequestQuarantined, "digest", digestText(verdict.requestDigest),
+                     "deaths", std::to_string(verdict.deaths), "own",
+                     std::string(verdict.isOwn ? "1" : "0"));
             this->entry.metrics.count("sassafrasyard_quarantined_requests_total");
+            if (verdict.isOwn && this->quarantineHook)
+                this->quarantineHook(verdict.requestDigest);
         });
     }
 
@@ -133,6 +136,7 @@
     EntryState &entry;
     Dispatcher dispatcher;
     std::function<void()> loadChangeHook;
+    std::function<void(std::uint64_t)> quarantineHook;
     std::unordered_map<RequestName, DecisionCallback> callbacks;
     std::unordered_map<RequestName, std::shared_ptr<StreamControl>> controls;
 };
@@ -231,6 +235,11 @@
     this->owner->post([hook = std::move(hook)](State &state) { state.loadChangeHook = hook; });
 }
 
+void DispatchService::setQuarantineHook(std::function<void(std::uint64_t)> hook)
+{
+    this->owner->post([hook = std::move(hook)](State &state) { state.quarantineHook = hook; });
+}
+
 net::awaitable<bool> DispatchService::takeHedge(RequestName request)
 {
     const std::function<bool(State &)> job = [this, request](State &state) {
--- a/packages/entry/dispatch/dispatchservice.h
+++ b/packages/entry/dispatch/dispatchservice.h
@@ -73,6 +73,11 @@
     /** Sets what is called, on any thread, when prompts were sent or read; it must return at once.
      */
     void setLoadChangeHook(std::function<void()> hook);
+    /**
+     * Sets what is called, on any thread, with the digest of a request that begins to be refused
+     * and of whose deaths this host saw one; it must return at once.
+     */
+    void setQuarantineHook(std::function<void(std::uint64_t)> hook);
     /** Returns this host's load digest for its peers. */
     boost::asio::awaitable<PeerLoadDigest> loadDigest();
     /** Returns whether a request is refused for the servers that it crashed. */
--- /dev/null
+++ b/packages/gateway/state/crashmemory.cpp
@@ -0,0 +1,165 @@
+#include "gateway/state/crashmemory.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace sassafrasyard {
+
+namespace net = boost::asio;
+
+using Json = nlohmann::json;
+
+namespace {
+
+/** A store that is away is mostly back within seconds; its rate is shared by all hosts. */
+constexpr Milliseconds readAgainAfter{2000};
+constexpr int hexadecimal = 16;
+
+/** Numbers of 64 bits are kept as text, because JSON readers may round them. */
+std::uint64_t parseHex(const std::string &text)
+{
+    std::uint64_t value = 0;
+    const auto [end, code] =
+            std::from_chars(text.data(), text.data() + text.size(), value, hexadecimal);
+    if (code != std::errc() || end != text.data() + text.size())
+        throw std::invalid_argument(text + " is not a hexadecimal number");
+    return value;
+}
+
+QuarantineRecord decodeRecord(std::uint64_t requestDigest, const Json &run, Milliseconds wallTime)
+{
+    QuarantineRecord record;
+    record.requestDigest = requestDigest;
+    record.incident = parseHex(run.at("incident").get<std::string>());
+    record.serverDigest = parseHex(run.at("server").get<std::string>());
+    record.soundRun = parseHex(run.at("sound_run").get<std::string>());
+    record.remaining = Milliseconds(run.at("expires_at_ms").get<std::int64_t>()) - wallTime;
+    return record;
+}
+
+} // namespace
+
+CrashMemory::CrashMemory(DispatchService &dispatch, net::io_context &context,
+                         CrashMemoryCalls calls, Clock wallClock)
+    : dispatch(dispatch)
+    , context(context)
+    , calls(std::move(calls))
+    , wallClock(std::move(wallClock))
+{
+}
+
+void CrashMemory::start()
+{
+    spawnGuarded(this->context.get_executor(), "kept requests",
+                 [this] { return this->readKept(); });
+}
+
+void CrashMemory::keep(std::uint64_t requestDigest)
+{
+    net::co_spawn(
+            this->context, [this, requestDigest] { return this->keepRecords(requestDigest); },
+            net::detached);
+}
+
+std::string CrashMemory::encode(std::span<const QuarantineRecord> records, Milliseconds wallTime)
+{
+    Json value;
+    value["runs"] = Json::array();
+    for (const QuarantineRecord &record : records) {
+        Json run;
+        run["incident"] = digestText(record.incident);
+        run["server"] = digestText(record.serverDigest);
+        run["sound_run"] = digestText(record.soundRun);
+        run["expires_at_ms"] = (wallTime + record.remaining).count();
+        value["runs"].push_back(std::move(run));
+    }
+    return value.dump();
+}
+
+std::optional<std::vector<QuarantineRecord>> CrashMemory::decode(const RegisteredObject &object,
+                                                                 Milliseconds wallTime,
+                                                                 Error &reason)
+{
+    try {
+        const std::uint64_t digest = parseHex(object.name);
+        const Json value = Json::parse(object.value);
+        std::vector<QuarantineRecord> records;
+        for (const Json &run : value.at("runs")) {
+            const QuarantineRecord record = decodeRecord(digest, run, wallTime);
+            if (record.remaining > Milliseconds(0))
+                records.push_back(record);
+        }
+        return records;
+    } catch (const std::exception &fault) {
+        reason = {ErrorCode::InvalidRequest, RunState::NotRun, fault.what(), {}};
+        return std::nullopt;
+    }
+}
+
+net::awaitable<void> CrashMemory::readKept()
+{
+    net::steady_timer timer(this->context);
+    while (true) {
+        Error reason;
+        const auto objects = co_await this->calls.readAll(reason);
+        if (objects) {
+            co_await this->takeIn(*objects);
+            co_return;
+        }
+        logEvent(LogEvent::RefusedRequestsUnavailable, "detail", reason.detail);
+        timer.expires_after(readAgainAfter);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
+    }
+}
+
+net::awaitable<void> CrashMemory::takeIn(std::span<const RegisteredObject> objects)
+{
+    std::vector<QuarantineRecord> records;
+    std::string expired;
+    for (const RegisteredObject &object : objects) {
+        Error reason;
+        const auto kept = CrashMemory::decode(object, this->wallClock.now(), reason);
+        if (!kept) {
+            logEvent(LogEvent::ObjectUnreadable, "object", object.name, "revision",
+                     std::to_string(object.revision), "detail", reason.detail);
+        } else if (kept->empty()) {
+            expired = object.name;
+        } else {
+            records.insert(records.end(), kept->begin(), kept->end());
+        }
+    }
+    this->dispatch.post([records](Dispatcher &dispatcher, Milliseconds now) {
+        dispatcher.recordPeerQuarantine(records, now);
+    });
+    if (expired.empty())
+        co_return;
+    // One a start, because all hosts may start at once and see the same objects.
+    Error reason;
+    const bool isRemoved = co_await this->calls.remove(expired, reason);
+    if (!isRemoved)
+        logEvent(LogEvent::RefusedRequestsUnavailable, "detail", reason.detail);
+}
+
+net::awaitable<void> CrashMemory::keepRecords(std::uint64_t requestDigest)
+{
+    std::vector<QuarantineRecord> records = co_await this->dispatch.quarantineRecords();
+    std::erase_if(records, [requestDigest](const QuarantineRecord &record) {
+        return record.requestDigest != requestDigest;
+    });
+    const std::string value = CrashMemory::encode(records, this->wallClock.now());
+    Error reason;
+    const bool isKept = co_await this->calls.keep(digestText(requestDigest), value, reason);
+    if (!isKept)
+        logEvent(LogEvent::RefusedRequestsUnavailable, "detail", reason.detail);
+}
+
+} // namespace sassafrasyard
--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -252,6 +252,24 @@
     /** Does what the daemon does several times a second. */
     void advance() { this->reachability.advance(); }
 
+    /** Returns the dispatch service. */
+    DispatchService &dispatchService() { return this->dispatch; }
+
+    /** Returns whether a request is refused for the servers that it crashed. */
+    bool isQuarantined(std::uint64_t requestDigest)
+    {
+        std::optional<bool> answer;
+        boost::asio::co_spawn(
+                this->context,
+                [this, &answer, requestDigest]() -> boost::asio::awaitable<void> {
+                    answer = co_await this->dispatch.isQuarantined(requestDigest);
+                },
+                boost::asio::detached);
+        while (!answer)
+            this->context.run_one();
+        return *answer;
+    }
+
     /** Runs the gateway for a time, as the daemon does between calls. */
     void runFor(Milliseconds time)
     {
--- /dev/null
+++ b/packages/gateway/tests/test_crashmemory.cpp
@@ -0,0 +1,124 @@
+#include "gatewayfixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace sassafrasyard;
+
+namespace net = boost::asio;
+
+namespace {
+
+const std::uint64_t requestDigest = makeRequestDigest("account", "/path", "body");
+
+/** A store in memory that can be away. */
+struct KeptObjects
+{
+    std::map<std::string, std::string> objects;
+    bool isAway = false;
+    int reads = 0;
+
+    CrashMemoryCalls calls()
+    {
+        CrashMemoryCalls result;
+        result.readAll = [this](Error &reason)
+                -> net::awaitable<std::optional<std::vector<RegisteredObject>>> {
+            ++this->reads;
+            reason = {ErrorCode::PlatformUnavailable, RunState::NotRun, "away", {}};
+            if (this->isAway)
+                co_return std::nullopt;
+            std::vector<RegisteredObject> all;
+            for (const auto &[name, value] : this->objects)
+                all.push_back({name, 1, value});
+            co_return all;
+        };
+        result.keep = [this](std::string name, std::string value, Error &) -> net::awaitable<bool> {
+            this->objects[name] = value;
+            co_return true;
+        };
+        result.remove = [this](std::string name, Error &) -> net::awaitable<bool> {
+            this->objects.erase(name);
+            co_return true;
+        };
+        return result;
+    }
+};
+
+Clock wallClockAt(Milliseconds time)
+{
+    return Clock::manual(std::make_shared<Milliseconds>(time));
+}
+
+std::vector<QuarantineRecord> twoDeaths()
+{
+    CrashQuarantine quarantine;
+    for (const char *server : {"a", "b"})
+        quarantine.recordDeath(requestDigest, BackendServerName(server), Milliseconds(0));
+    return quarantine.records(Milliseconds(0));
+}
+
+} // namespace
+
+// Guards against a crashing request that starts anew when all hosts have lost power at once.
+TEST_CASE("Hosts that start refuse what the hosts before them refused", "[crashmemory]")
+{
+    constexpr Milliseconds wallTime{1'800'000'000'000};
+    KeptObjects store;
+    {
+        GatewayFixture before;
+        CrashMemory memory(before.dispatchService(), before.context, store.calls(),
+                           wallClockAt(wallTime));
+        before.dispatchService().post([](Dispatcher &dispatcher, Milliseconds now) {
+            for (const char *server : {"a", "b"})
+                dispatcher.recordDeath(requestDigest, BackendServerName(server), now);
+        });
+        memory.keep(requestDigest);
+        before.runFor(Milliseconds(100));
+    }
+    REQUIRE(store.objects.size() == 1);
+    store.isAway = true;
+    GatewayFixture after;
+    CrashMemory memory(after.dispatchService(), after.context, store.calls(),
+                       wallClockAt(wallTime + Milliseconds(5000)));
+    memory.start();
+    after.runFor(Milliseconds(100));
+    REQUIRE(store.reads == 1);
+    REQUIRE_FALSE(after.isQuarantined(requestDigest));
+    store.isAway = false;
+    after.runFor(Milliseconds(2500));
+    REQUIRE(after.isQuarantined(requestDigest));
+}
+
+// Guards against objects of other writers that end the process, and against ones that stay for
+// ever.
+TEST_CASE("Unreadable objects are skipped and expired ones removed", "[crashmemory]")
+{
+    constexpr Milliseconds wallTime{1'800'000'000'000};
+    const std::vector<QuarantineRecord> records = twoDeaths();
+    const std::string value = CrashMemory::encode(records, wallTime);
+    Error reason;
+    const RegisteredObject object{digestText(requestDigest), 1, value};
+    const auto decoded = CrashMemory::decode(object, wallTime, reason);
+    REQUIRE(decoded);
+    REQUIRE(decoded->size() == 2);
+    REQUIRE(decoded->at(0).incident == records[0].incident);
+    REQUIRE(decoded->at(0).serverDigest == records[0].serverDigest);
+    REQUIRE(decoded->at(0).remaining == records[0].remaining);
+    for (const char *text : {"", "null", "[]", "{}", "{\"runs\":1}", "{\"runs\":[{}]}",
+                             "{\"runs\":[{\"incident\":\"g\",\"server\":\"1\"}]}"}) {
+        CAPTURE(text);
+        REQUIRE_FALSE(CrashMemory::decode({digestText(1), 1, text}, wallTime, reason));
+        REQUIRE(reason.code == ErrorCode::InvalidRequest);
+    }
+    REQUIRE_FALSE(CrashMemory::decode({"no digest", 1, value}, wallTime, reason));
+    KeptObjects store;
+    store.objects = {{digestText(requestDigest), value}, {"spoilt", "{}"}};
+    GatewayFixture late;
+    CrashMemory memory(late.dispatchService(), late.context, store.calls(),
+                       wallClockAt(wallTime + Milliseconds(3'600'000)));
+    memory.start();
+    late.runFor(Milliseconds(100));
+    REQUIRE_FALSE(store.objects.contains(digestText(requestDigest)));
+    REQUIRE(store.objects.contains("spoilt"));
+}
--- a/packages/observability/logging/logevent.cpp
+++ b/packages/observability/logging/logevent.cpp
@@ -65,6 +65,8 @@
         LogEventEntry{LogEvent::ServerFieldUnreadable, LogLevel::Warning,
                       "server_field_unreadable"},
         LogEventEntry{LogEvent::ServerCrashChecked, LogLevel::Info, "server_crash_checked"},
+        LogEventEntry{LogEvent::RefusedRequestsUnavailable, LogLevel::Warning,
+                      "refused_requests_unavailable"},
 };
 
 } // namespace
--- a/packages/observability/logging/logevent.h
+++ b/packages/observability/logging/logevent.h
@@ -70,6 +70,7 @@
     MoveFailed = 8015,
     ServerFieldUnreadable = 8016,
     ServerCrashChecked = 8017,
+    RefusedRequestsUnavailable = 8018,
 };
 
 /** An entry of the event catalogue. */
--- a/packages/policy/quarantine/crashquarantine.cpp
+++ b/packages/policy/quarantine/crashquarantine.cpp
@@ -73,6 +73,7 @@
         incident.name = this->nextName(serverDigest);
         incident.at = now;
     }
+    this->digests[requestDigest].hasOwnDeath = true;
     this->add(requestDigest, incident.name, {serverDigest, incident.at}, now);
 }
 
@@ -222,8 +223,8 @@
                                       }));
     }
     if (this->refusalHook && !wasRefused && this->refusedFor(requestDigest, now)) {
-        const std::size_t count = this->separateDeaths(history, now).size();
-        this->refusalHook(requestDigest, static_cast<std::uint32_t>(count));
+        const auto count = static_cast<std::uint32_t>(this->separateDeaths(history, now).size());
+        this->refusalHook({requestDigest, count, history.hasOwnDeath});
     }
     if (this->digests.size() > this->options.digestLimit)
         this->evict();
--- a/packages/policy/quarantine/crashquarantine.h
+++ b/packages/policy/quarantine/crashquarantine.h
@@ -53,8 +53,19 @@
     /** Creates a quarantine without records. */
     explicit CrashQuarantine(CrashQuarantineOptions options = {});
 
-    /** Is called with a request's digest and its deaths when the request begins to be refused. */
-    using RefusalHook = std::function<void(std::uint64_t, std::uint32_t)>;
+    /** What is known of a request when it begins to be refused. */
+    struct Verdict
+    {
+        /** The request's digest. */
+        std::uint64_t requestDigest = 0;
+        /** The deaths that count. */
+        std::uint32_t deaths = 0;
+        /** Whether this host saw one of the deaths itself. */
+        bool isOwn = false;
+    };
+
+    /** Is called when a request begins to be refused. */
+    using RefusalHook = std::function<void(const Verdict &)>;
 
     /** Sets the hook; it must not call back. */
     void setRefusalHook(RefusalHook hook);
@@ -99,6 +110,8 @@
         Deaths deaths;
         /** The latest run that did not crash its server. */
         std::optional<Incident> soundRun;
+        /** Whether this host saw one of the deaths itself. */
+        bool hasOwnDeath = false;
     };
 
     std::vector<Milliseconds> separateDeaths(const History &history, Milliseconds now) const;
