--- a/packages/policy/quarantine/crashquarantine.cpp
+++ b/packages/policy/quarantine/crashquarantine.cpp
@@ -134,7 +134,9 @@
 {
     std::vector<QuarantineRecord> refused;
     std::vector<QuarantineRecord> others;
-    for (const auto &[digest, history] : this->digests) {
+    for (const auto &known : this->digests) {
+        const std::uint64_t digest = known.first;
+        const History &history = known.second;
         std::vector<QuarantineRecord> &result = this->refusedFor(digest, now) ? refused : others;
         const auto count = static_cast<std::uint32_t>(this->separateDeaths(history, now).size());
         const auto add = [&](Milliseconds at, QuarantineRecord record) {
