--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -147,7 +147,7 @@
     GatewayServices services;
     GatewayService gateway;
     StoreClient store;
-    CrashMemory crashMemory;
+    QuarantineArchive quarantineArchive;
     SharedObjectSource configurationSource;
     SharedObjectSource serverSource;
     SharedObjectSource hostSource;
@@ -187,7 +187,8 @@
                this->clock}
     , gateway(this->services)
     , store(this->settings.store, this->storeConnections)
-    , crashMemory(this->dispatch, this->context, this->store.crashMemoryCalls(), Clock::system())
+    , quarantineArchive(this->dispatch, this->context, this->store.quarantineArchiveCalls(),
+                        Clock::system())
     , configurationSource(this->store.source(), this->makeSharedHooks(), this->clock,
                           sharedOptions(followerOptions(this->settings)))
     , serverSource(this->store.source(), this->makeSharedHooks(), this->clock,
@@ -299,9 +300,9 @@
     this->configurationFollower.start(this->context);
     this->serverFollower.start(this->context);
     this->hostFollower.start(this->context);
-    this->crashMemory.start();
+    this->quarantineArchive.start();
     this->dispatch.setQuarantineHook(
-            [this](std::uint64_t digest) { this->crashMemory.keep(digest); });
+            [this](std::uint64_t digest) { this->quarantineArchive.keep(digest); });
     const net::any_io_executor executor = this->context.get_executor();
     spawnGuarded(executor, "maintenance", [this] { return this->maintain(); });
     spawnGuarded(executor, "reload", [this] { return this->reloadOnSignal(); });
--- a/packages/entry/dispatch/dispatchservice.cpp
+++ b/packages/entry/dispatch/dispatchservice.cpp
@@ -72,13 +72,13 @@
         : entry(entry)
         , dispatcher(optionsFor(entry, canSuspend))
     {
-        this->dispatcher.setQuarantineHook([this](const CrashQuarantine::Verdict &verdict) {
-            logEvent(LogEvent::RequestQuarantined, "digest", digestText(verdict.requestDigest),
-                     "deaths", std::to_string(verdict.deaths), "own",
-                     std::string(verdict.isOwn ? "1" : "0"));
+        this->dispatcher.setQuarantineHook([this](const CrashQuarantine::RefusalNotice &notice) {
+            logEvent(LogEvent::RequestQuarantined, "digest", digestText(notice.requestDigest),
+                     "deaths", std::to_string(notice.deaths), "own",
+                     std::string(notice.isOwn ? "1" : "0"));
             this->entry.metrics.count("sassafrasyard_quarantined_requests_total");
-            if (verdict.isOwn && this->quarantineHook)
-                this->quarantineHook(verdict.requestDigest);
+            if (notice.isOwn && this->quarantineHook)
+                this->quarantineHook(notice.requestDigest);
         });
     }
 
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -16,7 +16,7 @@
 #include "gateway/routes/routetable.h"
 #include "gateway/servers/servercatalogue.h"
 #include "gateway/servers/serversubset.h"
-#include "gateway/state/crashmemory.h"
+#include "gateway/state/quarantinearchive.h"
 #include "gateway/state/servingconfiguration.h"
 #include "gateway/state/servingstate.h"
 #include "gateway/store/mirrorservice.h"
--- a/packages/gateway/state/crashmemory.cpp
+++ b/packages/gateway/state/quarantinearchive.cpp
@@ -1,4 +1,4 @@
-#include "gateway/state/crashmemory.h"
+#include "gateway/state/quarantinearchive.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -47,8 +47,8 @@
 
 } // namespace
 
-CrashMemory::CrashMemory(DispatchService &dispatch, net::io_context &context,
-                         CrashMemoryCalls calls, Clock wallClock)
+QuarantineArchive::QuarantineArchive(DispatchService &dispatch, net::io_context &context,
+                                     QuarantineArchiveCalls calls, Clock wallClock)
     : dispatch(dispatch)
     , context(context)
     , calls(std::move(calls))
@@ -56,20 +56,21 @@
 {
 }
 
-void CrashMemory::start()
+void QuarantineArchive::start()
 {
     spawnGuarded(this->context.get_executor(), "kept requests",
                  [this] { return this->readKept(); });
 }
 
-void CrashMemory::keep(std::uint64_t requestDigest)
+void QuarantineArchive::keep(std::uint64_t requestDigest)
 {
     net::co_spawn(
             this->context, [this, requestDigest] { return this->keepRecords(requestDigest); },
             net::detached);
 }
 
-std::string CrashMemory::encode(std::span<const QuarantineRecord> records, Milliseconds wallTime)
+std::string QuarantineArchive::encode(std::span<const QuarantineRecord> records,
+                                      Milliseconds wallTime)
 {
     Json value;
     value["runs"] = Json::array();
@@ -84,9 +85,8 @@
     return value.dump();
 }
 
-std::optional<std::vector<QuarantineRecord>> CrashMemory::decode(const RegisteredObject &object,
-                                                                 Milliseconds wallTime,
-                                                                 Error &reason)
+std::optional<std::vector<QuarantineRecord>> QuarantineArchive::decode(
+        const RegisteredObject &object, Milliseconds wallTime, Error &reason)
 {
     try {
         const std::uint64_t digest = parseHex(object.name);
@@ -104,7 +104,7 @@
     }
 }
 
-net::awaitable<void> CrashMemory::readKept()
+net::awaitable<void> QuarantineArchive::readKept()
 {
     net::steady_timer timer(this->context);
     while (true) {
@@ -121,13 +121,13 @@
     }
 }
 
-net::awaitable<void> CrashMemory::takeIn(std::span<const RegisteredObject> objects)
+net::awaitable<void> QuarantineArchive::takeIn(std::span<const RegisteredObject> objects)
 {
     std::vector<QuarantineRecord> records;
     std::string expired;
     for (const RegisteredObject &object : objects) {
         Error reason;
-        const auto kept = CrashMemory::decode(object, this->wallClock.now(), reason);
+        const auto kept = QuarantineArchive::decode(object, this->wallClock.now(), reason);
         if (!kept) {
             logEvent(LogEvent::ObjectUnreadable, "object", object.name, "revision",
                      std::to_string(object.revision), "detail", reason.detail);
@@ -149,13 +149,13 @@
         logEvent(LogEvent::RefusedRequestsUnavailable, "detail", reason.detail);
 }
 
-net::awaitable<void> CrashMemory::keepRecords(std::uint64_t requestDigest)
+net::awaitable<void> QuarantineArchive::keepRecords(std::uint64_t requestDigest)
 {
     std::vector<QuarantineRecord> records = co_await this->dispatch.quarantineRecords();
     std::erase_if(records, [requestDigest](const QuarantineRecord &record) {
         return record.requestDigest != requestDigest;
     });
-    const std::string value = CrashMemory::encode(records, this->wallClock.now());
+    const std::string value = QuarantineArchive::encode(records, this->wallClock.now());
     Error reason;
     const bool isKept = co_await this->calls.keep(digestText(requestDigest), value, reason);
     if (!isKept)
--- a/packages/gateway/state/crashmemory.h
+++ b/packages/gateway/state/quarantinearchive.h
@@ -16,7 +16,7 @@
 namespace sassafrasyard {
 
 /** The calls by which refused requests are kept in the store. */
-struct CrashMemoryCalls
+struct QuarantineArchiveCalls
 {
     /** Reads all kept requests; nothing if the store is away. */
     std::function<boost::asio::awaitable<std::optional<std::vector<RegisteredObject>>>(Error &)>
@@ -30,17 +30,17 @@
 /**
  * Keeps the requests that are refused because they crashed servers in the store.
  *
- * Hosts tell each other of them, but hosts that all start at once have nobody to tell them. One
- * call is made for each request that this host helped to convict, and one when the host starts.
+ * Hosts tell each other of them, but hosts that all start at once have nobody to tell them. A host
+ * writes a request of whose deaths it saw one, and reads all once when it starts.
  */
-class CrashMemory
+class QuarantineArchive
 {
 public:
-    /** Creates a memory that does nothing yet. @param wallClock dates deaths for later runs. */
-    CrashMemory(DispatchService &dispatch, boost::asio::io_context &context, CrashMemoryCalls calls,
-                Clock wallClock);
-    CrashMemory(const CrashMemory &) = delete;
-    CrashMemory &operator=(const CrashMemory &) = delete;
+    /** Creates an archive that does nothing yet. @param wallClock dates deaths for later runs. */
+    QuarantineArchive(DispatchService &dispatch, boost::asio::io_context &context,
+                      QuarantineArchiveCalls calls, Clock wallClock);
+    QuarantineArchive(const QuarantineArchive &) = delete;
+    QuarantineArchive &operator=(const QuarantineArchive &) = delete;
 
     /** Reads what is kept, again and again until the store answers. */
     void start();
@@ -61,7 +61,7 @@
 
     DispatchService &dispatch;
     boost::asio::io_context &context;
-    CrashMemoryCalls calls;
+    QuarantineArchiveCalls calls;
     Clock wallClock;
 };
 
--- a/packages/gateway/tests/test_crashmemory.cpp
+++ b/packages/gateway/tests/test_quarantinearchive.cpp
@@ -19,9 +19,9 @@
     bool isAway = false;
     int reads = 0;
 
-    CrashMemoryCalls calls()
+    QuarantineArchiveCalls calls()
     {
-        CrashMemoryCalls result;
+        QuarantineArchiveCalls result;
         result.readAll = [this](Error &reason)
                 -> net::awaitable<std::optional<std::vector<RegisteredObject>>> {
             ++this->reads;
@@ -61,14 +61,14 @@
 } // namespace
 
 // Guards against a crashing request that starts anew when all hosts have lost power at once.
-TEST_CASE("Hosts that start refuse what the hosts before them refused", "[crashmemory]")
+TEST_CASE("Hosts that start refuse what the hosts before them refused", "[quarantinearchive]")
 {
     constexpr Milliseconds wallTime{1'800'000'000'000};
     KeptObjects store;
     {
         GatewayFixture before;
-        CrashMemory memory(before.dispatchService(), before.context, store.calls(),
-                           wallClockAt(wallTime));
+        QuarantineArchive memory(before.dispatchService(), before.context, store.calls(),
+                                 wallClockAt(wallTime));
         before.dispatchService().post([](Dispatcher &dispatcher, Milliseconds now) {
             for (const char *server : {"a", "b"})
                 dispatcher.recordDeath(requestDigest, BackendServerName(server), now);
@@ -79,8 +79,8 @@
     REQUIRE(store.objects.size() == 1);
     store.isAway = true;
     GatewayFixture after;
-    CrashMemory memory(after.dispatchService(), after.context, store.calls(),
-                       wallClockAt(wallTime + Milliseconds(5000)));
+    QuarantineArchive memory(after.dispatchService(), after.context, store.calls(),
+                             wallClockAt(wallTime + Milliseconds(5000)));
     memory.start();
     after.runFor(Milliseconds(100));
     REQUIRE(store.reads == 1);
@@ -92,14 +92,14 @@
 
 // Guards against objects of other writers that end the process, and against ones that stay for
 // ever.
-TEST_CASE("Unreadable objects are skipped and expired ones removed", "[crashmemory]")
+TEST_CASE("Unreadable objects are skipped and expired ones removed", "[quarantinearchive]")
 {
     constexpr Milliseconds wallTime{1'800'000'000'000};
     const std::vector<QuarantineRecord> records = twoDeaths();
-    const std::string value = CrashMemory::encode(records, wallTime);
+    const std::string value = QuarantineArchive::encode(records, wallTime);
     Error reason;
     const RegisteredObject object{digestText(requestDigest), 1, value};
-    const auto decoded = CrashMemory::decode(object, wallTime, reason);
+    const auto decoded = QuarantineArchive::decode(object, wallTime, reason);
     REQUIRE(decoded);
     REQUIRE(decoded->size() == 2);
     REQUIRE(decoded->at(0).incident == records[0].incident);
@@ -108,15 +108,15 @@
     for (const char *text : {"", "null", "[]", "{}", "{\"runs\":1}", "{\"runs\":[{}]}",
                              "{\"runs\":[{\"incident\":\"g\",\"server\":\"1\"}]}"}) {
         CAPTURE(text);
-        REQUIRE_FALSE(CrashMemory::decode({digestText(1), 1, text}, wallTime, reason));
+        REQUIRE_FALSE(QuarantineArchive::decode({digestText(1), 1, text}, wallTime, reason));
         REQUIRE(reason.code == ErrorCode::InvalidRequest);
     }
-    REQUIRE_FALSE(CrashMemory::decode({"no digest", 1, value}, wallTime, reason));
+    REQUIRE_FALSE(QuarantineArchive::decode({"no digest", 1, value}, wallTime, reason));
     KeptObjects store;
     store.objects = {{digestText(requestDigest), value}, {"spoilt", "{}"}};
     GatewayFixture late;
-    CrashMemory memory(late.dispatchService(), late.context, store.calls(),
-                       wallClockAt(wallTime + Milliseconds(3'600'000)));
+    QuarantineArchive memory(late.dispatchService(), late.context, store.calls(),
+                             wallClockAt(wallTime + Milliseconds(3'600'000)));
     memory.start();
     late.runFor(Milliseconds(100));
     REQUIRE_FALSE(store.objects.contains(digestText(requestDigest)));
--- a/packages/policy/quarantine/crashquarantine.h
+++ b/packages/policy/quarantine/crashquarantine.h
@@ -54,7 +54,7 @@
     explicit CrashQuarantine(CrashQuarantineOptions options = {});
 
     /** What is known of a request when it begins to be refused. */
-    struct Verdict
+    struct RefusalNotice
     {
         /** The request's digest. */
         std::uint64_t requestDigest = 0;
@@ -65,7 +65,7 @@
     };
 
     /** Is called when a request begins to be refused. */
-    using RefusalHook = std::function<void(const Verdict &)>;
+    using RefusalHook = std::function<void(const RefusalNotice &)>;
 
     /** Sets the hook; it must not call back. */
     void setRefusalHook(RefusalHook hook);
