Blame no plain call for a cut link

What callers saw, on the project's own interface: after the replies to two calls with the same body had been lost, the third was refused for ten minutes with request_quarantined, though the service had never stopped.

Cause: each lost connection of a plain call was reported as the loss of its server, which the crash quarantine counts as a death. Streams and the gateway ask for a new connection first.

Change: plain calls do so, too.

--- a/packages/entry/calls/servicecallhandler.cpp
+++ b/packages/entry/calls/servicecallhandler.cpp
@@ -22,6 +22,8 @@
 constexpr HttpTimeouts callTimeouts{Milliseconds(1000), Milliseconds(30000)};
 /** Services are not polled, so one that failed is tried again after this time. */
 constexpr Milliseconds avoidanceTime{1000};
+/** A host that is up accepts or refuses a connection within a round trip. */
+constexpr Milliseconds crashCheckTimeout{200};
 constexpr std::size_t maximumKeyBytes = 200;
 constexpr std::string_view pathPrefix = "/v1/services/";
 
@@ -92,6 +94,20 @@
     }
 }
 
+/** Only a service that takes no new connection has crashed; else a link may have been cut. */
+net::awaitable<WorkOutcome> outcomeOfLoss(Endpoint endpoint, ErrorCode failure)
+{
+    if (failure == ErrorCode::Timeout)
+        co_return WorkOutcome::Failed;
+    Error reason;
+    const net::any_io_executor executor = co_await net::this_coro::executor;
+    HttpConnection connection(executor, endpoint);
+    const bool isOpen = co_await connection.connect(crashCheckTimeout, reason);
+    logEvent(LogEvent::ServerCrashChecked, "backend_server", endpoint.toString(), "outcome",
+             std::string(isOpen ? "reachable" : "crashed"), "detail", reason.detail);
+    co_return isOpen ? WorkOutcome::Failed : WorkOutcome::ServerLost;
+}
+
 HttpResponse hostDraining()
 {
     return errorResponse({ErrorCode::HostDraining, RunState::NotRun,
@@ -267,8 +283,10 @@
     WorkOutcome outcome = WorkOutcome::Completed;
     if (isRefused || (!response && reason.runState == RunState::NotRun))
         outcome = WorkOutcome::RefusedByServer;
+    else if (!response && endpoint)
+        outcome = co_await outcomeOfLoss(*endpoint, reason.code);
     else if (!response)
-        outcome = reason.code == ErrorCode::Timeout ? WorkOutcome::Failed : WorkOutcome::ServerLost;
+        outcome = WorkOutcome::Failed;
     this->dispatch.reportFinished(work.name, outcome);
     const bool isUnreachable = !response && reason.code == ErrorCode::ConnectionFailed;
     if (isRefused || isUnreachable) {
