Log the call limits that backend servers state and the calls sent to them

The field is decoded now, events 5007 and 5008 and a metric show the limit and the calls sent under it by kind of attempt, and /state shows call_limit. A response without the field ends a limit only if its call was sent after the limit was stated. No decision uses any of it yet.

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -147,6 +147,7 @@
     HttpConnectionPool storeConnections;
     ServiceRetryBudget retryBudget;
     ServerReachability reachability;
+    ServerLimiter limiter;
     GatewayDependencies services;
     GatewayService gateway;
     StoreClient store;
@@ -182,11 +183,18 @@
     , storeConnections(this->context, this->clock)
     , retryBudget(this->settings.retryBudget)
     , reachability(this->dispatch, this->clock)
-    , services{this->context,       this->entry,
-               this->dispatch,      this->serving,
-               this->servers,       this->serverConnections,
-               this->retryBudget,   this->reachability,
-               platformCallCodec(), platformEngineCalls(this->serverConnections),
+    , limiter(this->entry, this->clock)
+    , services{this->context,
+               this->entry,
+               this->dispatch,
+               this->serving,
+               this->servers,
+               this->serverConnections,
+               this->retryBudget,
+               this->reachability,
+               this->limiter,
+               platformCallCodec(),
+               platformEngineCalls(this->serverConnections),
                this->clock}
     , gateway(this->services)
     , store(this->settings.storeEndpoint, this->storeConnections)
@@ -468,6 +476,7 @@
         const Milliseconds now = this->clock.now();
         this->servers.advance(now);
         this->reachability.advance();
+        this->limiter.advance();
         this->checkReadiness();
         if (now - this->lastSlowMaintenanceAt >= slowMaintenanceInterval) {
             this->lastSlowMaintenanceAt = now;
--- a/packages/gateway/calls/callcodec.h
+++ b/packages/gateway/calls/callcodec.h
@@ -74,6 +74,9 @@
     bool isLeaving = false;
     /** How long the server asks this host to send no calls, in milliseconds. */
     std::optional<Milliseconds> retryAfter;
+    /** How many calls a second the server takes from all entry hosts together, if it states that.
+     */
+    std::optional<double> callLimit;
     /** A field that cannot be decoded and is ignored, as "NAME: VALUE"; empty for none. */
     std::string unreadableField;
 };
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "gateway/calls/callcodec.h"
 #include "gateway/calls/hopheaders.h"
 #include "gateway/calls/retryrule.h"
+#include "gateway/limits/serverlimiter.h"
 #include "gateway/relay/gatewaydependencies.h"
 #include "gateway/relay/gatewayservice.h"
 #include "gateway/relay/gatewaystatus.h"
--- a/packages/gateway/relay/backendattempt.cpp
+++ b/packages/gateway/relay/backendattempt.cpp
@@ -112,6 +112,7 @@
     forwarded.headers = this->dependencies.codec.encodeOrder(this->call.request, order);
     forwarded.body = this->call.request.body;
     AttemptResult result;
+    this->recordSending(order);
     auto response = co_await this->connection->exchange(forwarded, timeout, result.failure);
     const auto end = std::chrono::steady_clock::now() + timeout;
     const auto timeLeft = [end] {
@@ -150,6 +151,18 @@
     co_return this->classify(std::move(*response), order.server);
 }
 
+void BackendAttempt::recordSending(const ForwardingOrder &order)
+{
+    this->sentAt = this->dependencies.clock.now();
+    AttemptKind kind = AttemptKind::First;
+    if (order.source)
+        kind = AttemptKind::Continued;
+    else if (this->call.sentAttempts > 0)
+        kind = AttemptKind::Repeated;
+    ++this->call.sentAttempts;
+    this->dependencies.limiter.recordCall(this->serverRunName(), kind);
+}
+
 AttemptResult BackendAttempt::classify(HttpResponse response, const BackendServerName &server)
 {
     AttemptResult result;
@@ -189,6 +202,11 @@
         return;
     if (metadata.isLeaving)
         this->dependencies.servers.recordLeavingAnnouncement(server, this->serverStartedAt);
+    // Only a response that is certainly the server's shows that it no longer states a limit.
+    if (metadata.callLimit || metadata.isSigned) {
+        this->dependencies.limiter.recordResponse(this->serverRunName(), metadata.callLimit,
+                                                  this->sentAt);
+    }
     if (metadata.retryAfter)
         this->dependencies.reachability.recordPause(server, *metadata.retryAfter);
 }
--- a/packages/gateway/relay/backendattempt.h
+++ b/packages/gateway/relay/backendattempt.h
@@ -58,6 +58,7 @@
                                                    Milliseconds timeout);
     AttemptResult classify(HttpResponse response, const BackendServerName &server);
     void applyServerStatements(const ResponseMetadata &metadata, const BackendServerName &server);
+    void recordSending(const ForwardingOrder &order);
     bool reserveMemory(std::size_t bytes);
     bool isServerFailure(const Error &failure) const;
     boost::asio::awaitable<void> checkForCrash();
@@ -69,6 +70,8 @@
     BackendServerName server;
     std::optional<Endpoint> endpoint;
     std::optional<Milliseconds> firstBytesAt;
+    /** When the call was sent. */
+    Milliseconds sentAt{0};
     bool isCancelled = false;
     /** When the server process that got the call was started, as stated by the server's entry. */
     std::int64_t serverStartedAt = 0;
--- a/packages/gateway/relay/gatewaydependencies.h
+++ b/packages/gateway/relay/gatewaydependencies.h
@@ -3,6 +3,7 @@
 #include "entry/entry.h"
 #include "gateway/calls/callcodec.h"
 #include "gateway/calls/enginecalls.h"
+#include "gateway/limits/serverlimiter.h"
 #include "gateway/relay/answermemorybudget.h"
 #include "gateway/relay/serverreachability.h"
 #include "gateway/servers/servercatalogue.h"
@@ -33,6 +34,8 @@
     ServiceRetryBudget &budget;
     /** Tracks backend servers that refuse connections or asked for a pause. */
     ServerReachability &reachability;
+    /** Tracks backend servers that state a limit on their calls. */
+    ServerLimiter &limiter;
     /** Translates headers between the wire and the types of this package. */
     CallCodec codec;
     /** Requests to engines that the gateway makes itself. */
--- a/packages/gateway/relay/gatewaystatus.cpp
+++ b/packages/gateway/relay/gatewaystatus.cpp
@@ -79,8 +79,12 @@
     state["configuration"]["age_ms"] = toJson(dependencies.serving.configurationAge(now));
     state["servers"]["age_ms"] = toJson(dependencies.serving.serversAge(now));
     state["servers"]["entries"] = nlohmann::json::array();
-    for (const ServerEntry &entry : dependencies.servers.entries())
-        state["servers"]["entries"].push_back(describe(entry));
+    for (const ServerEntry &entry : dependencies.servers.entries()) {
+        nlohmann::json server = describe(entry);
+        if (const auto limit = dependencies.limiter.limit(ServerCatalogue::runName(entry)))
+            server["call_limit"] = *limit;
+        state["servers"]["entries"].push_back(std::move(server));
+    }
     state["members"] = nlohmann::json::array();
     const auto members = dependencies.entry.members();
     for (const MemberRecord &record : *members)
--- a/packages/gateway/servers/servercatalogue.h
+++ b/packages/gateway/servers/servercatalogue.h
@@ -142,6 +142,8 @@
      * peers are left out, so that a wrong report does not circulate.
      */
     std::vector<BackendServerName> leavingRuns() const;
+    /** Returns a name for the server process that an entry describes; a restart changes it. */
+    static BackendServerName runName(const ServerEntry &entry);
     /** Returns all entries. */
     std::vector<ServerEntry> entries() const;
 
@@ -157,7 +159,6 @@
         bool hasAnnouncedLeaving = false;
     };
 
-    static BackendServerName runName(const ServerEntry &entry);
     void removeServer(const BackendServerName &name);
     void notifyChange() const;
 
--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -56,6 +56,8 @@
         metadata.isMisdirected = response.status == 421;
         if (const auto pause = findHeader(response.headers, "Pause"))
             metadata.retryAfter = Milliseconds(std::stoll(*pause));
+        if (const auto limit = findHeader(response.headers, "Limit"))
+            metadata.callLimit = std::stod(*limit);
         return metadata;
     };
     codec.formatError = [](const Error &error) {
@@ -81,18 +83,35 @@
     using Handler =
             std::function<boost::asio::awaitable<void>(const HttpRequest &, HttpResponder &)>;
 
-    GatewayFixture()
-        : runtime(1)
-        , entry(makeSettings(), HostIncarnation("run"))
+    /**
+     * Creates a gateway without servers.
+     *
+     * @param sharedContext runs the gateway and others that were created with it.
+     * @param host the name of the gateway's host.
+     */
+    explicit GatewayFixture(std::shared_ptr<boost::asio::io_context> sharedContext =
+                                    std::make_shared<boost::asio::io_context>(),
+                            const std::string &host = "host")
+        : ownedContext(std::move(sharedContext))
+        , context(*this->ownedContext)
+        , runtime(1)
+        , entry(makeSettings(host), HostIncarnation(host + "-run"))
         , dispatch(this->entry, this->runtime, this->context, false)
         , serving({true, Milliseconds(60000), Milliseconds(60000)})
         , connections(this->context, Clock::steady())
         , reachability(this->dispatch, Clock::steady())
-        , dependencies{this->context,  this->entry,
-                       this->dispatch, this->serving,
-                       this->servers,  this->connections,
-                       this->budget,   this->reachability,
-                       testCodec(),    this->makeEngineCalls(),
+        , limiter(this->entry, Clock::steady())
+        , dependencies{this->context,
+                       this->entry,
+                       this->dispatch,
+                       this->serving,
+                       this->servers,
+                       this->connections,
+                       this->budget,
+                       this->reachability,
+                       this->limiter,
+                       testCodec(),
+                       this->makeEngineCalls(),
                        Clock::steady()}
         , gateway(this->dependencies)
     {
@@ -251,8 +270,26 @@
         return answer.value_or(HttpResponse{0, {}, ""});
     }
 
+    /** Sends a request without waiting; status 0 means no complete response. */
+    void send(HttpRequest request, std::function<void(HttpResponse)> onResponse)
+    {
+        this->listen();
+        boost::asio::co_spawn(
+                this->context,
+                [this, request = std::move(request),
+                 onResponse = std::move(onResponse)]() -> boost::asio::awaitable<void> {
+                    auto answer = co_await this->exchange(request);
+                    onResponse(answer.value_or(HttpResponse{0, {}, ""}));
+                },
+                boost::asio::detached);
+    }
+
     /** Performs the periodic work of the daemon. */
-    void advance() { this->reachability.advance(); }
+    void advance()
+    {
+        this->reachability.advance();
+        this->limiter.advance();
+    }
 
     /** Returns the dispatch service. */
     DispatchService &dispatchService() { return this->dispatch; }
@@ -340,16 +377,17 @@
     std::function<bool(const MoveOrder &)> allowsMove = [](const MoveOrder &) {
         return true;
     };
-    boost::asio::io_context context;
+    std::shared_ptr<boost::asio::io_context> ownedContext;
+    boost::asio::io_context &context;
 
     /** Returns the metrics in the Prometheus text format. */
     std::string metricsText() const { return this->entry.metrics.toText(); }
 
 private:
-    static Settings makeSettings()
+    static Settings makeSettings(const std::string &host)
     {
         Settings settings;
-        settings.host = HostName("host");
+        settings.host = HostName(host);
         settings.positionSecret = "0123456789abcdef";
         settings.placement = "prompt-queue";
         return settings;
@@ -436,6 +474,7 @@
     HttpConnectionPool connections;
     ServiceRetryBudget budget;
     ServerReachability reachability;
+    ServerLimiter limiter;
     GatewayDependencies dependencies;
     GatewayService gateway;
     std::vector<Route> routes;
--- a/packages/observability/logging/logevent.cpp
+++ b/packages/observability/logging/logevent.cpp
@@ -38,6 +38,8 @@
                       "backend_server_readmitted"},
         LogEventEntry{LogEvent::RequestQuarantined, LogLevel::Warning, "request_quarantined"},
         LogEventEntry{LogEvent::BackendServerPaused, LogLevel::Info, "backend_server_paused"},
+        LogEventEntry{LogEvent::ServerLimitStated, LogLevel::Info, "server_limit_stated"},
+        LogEventEntry{LogEvent::LimitedServerCalls, LogLevel::Info, "limited_server_calls"},
         LogEventEntry{LogEvent::DuplicateCallPrevented, LogLevel::Info, "duplicate_call_prevented"},
         LogEventEntry{LogEvent::CallOutcomeUnknown, LogLevel::Warning, "call_outcome_unknown"},
         LogEventEntry{LogEvent::CallForwarded, LogLevel::Debug, "call_forwarded"},
--- a/packages/observability/logging/logevent.h
+++ b/packages/observability/logging/logevent.h
@@ -44,6 +44,8 @@
     BackendServerReadmitted = 5004,
     RequestQuarantined = 5005,
     BackendServerPaused = 5006,
+    ServerLimitStated = 5007,
+    LimitedServerCalls = 5008,
     DuplicateCallPrevented = 6001,
     CallOutcomeUnknown = 6002,
     CallForwarded = 6003,
--- a/packages/policy/policy.h
+++ b/packages/policy/policy.h
@@ -18,6 +18,7 @@
 #include "policy/dispatch/dispatcher.h"
 #include "policy/hedging/hedgepolicy.h"
 #include "policy/length/lengthestimator.h"
+#include "policy/limits/calllimitstatements.h"
 #include "policy/load/loadtracker.h"
 #include "policy/load/prefixindex.h"
 #include "policy/pace/pacemonitor.h"
