Keep the call limits of backend servers over all hosts together

Each call to a server with a limit now needs a permit from one host, the granter, which all hosts choose by rendezvous hashing. BackendAttempt::start(), the only place that sends calls, asks for it, so further attempts and continued streams count too. A call without a permit goes to another server or is refused at once with the time of the next permit. Hosts tell each other of limits with their load updates. Permits and limits are messages of kinds of their own, since older hosts reject a longer Gossip message.

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -183,7 +183,7 @@
     , storeConnections(this->context, this->clock)
     , retryBudget(this->settings.retryBudget)
     , reachability(this->dispatch, this->clock)
-    , limiter(this->entry, this->clock)
+    , limiter(this->entry, this->dispatch, this->clock)
     , services{this->context,
                this->entry,
                this->dispatch,
@@ -271,6 +271,14 @@
     this->mirrors.add(std::string(objectkind::hosts), this->hostFollower.mirror());
     std::error_code ignored;
     this->settingsWrittenAt = std::filesystem::last_write_time(this->settingsPath, ignored);
+    this->limiter.setHooks({[this](std::string address, CallPermitRequest request,
+                                   Milliseconds timeout, Error &reason) {
+                                return this->peers.askPermit(std::move(address), std::move(request),
+                                                             timeout, reason);
+                            },
+                            [this] {
+                                this->peers.requestLoadUpdate();
+                            }});
     this->servers.setHooks(
             [this](const BackendServerName &server) {
                 logEvent(LogEvent::ServerLeaving, "backend_server", server.toString());
@@ -355,6 +363,15 @@
     hooks.recordLeaving = [this](const std::vector<BackendServerName> &runs) {
         this->servers.recordPeerReport(runs, this->clock.now());
     };
+    hooks.answerPermitRequest = [this](const CallPermitRequest &request) {
+        return this->limiter.answer(request);
+    };
+    hooks.callLimits = [this] {
+        return this->limiter.messages();
+    };
+    hooks.recordCallLimits = [this](std::span<const CallLimitMessage> messages) {
+        this->limiter.recordMessages(messages);
+    };
     hooks.sharesConfiguration = false;
     hooks.announcesLoadChanges = true;
     hooks.selectPeers = [this](std::span<const BackendServerName> changed) {
--- a/packages/entry/peers/loadexchange.cpp
+++ b/packages/entry/peers/loadexchange.cpp
@@ -30,6 +30,11 @@
 /** The share of a host's control traffic at the planned size (docs/CAPACITY.md). */
 constexpr double updateBytesPerSecond = 19'000.0;
 
+std::size_t byteCount(const LoadExchange::Update &update)
+{
+    return update.bytes.size() + update.limits.size();
+}
+
 } // namespace
 
 LoadExchange::LoadExchange(EntryState &state, net::io_context &context, EncodeUpdate encodeUpdate,
@@ -56,8 +61,8 @@
         const Update update = co_await this->encodeUpdate(Content::All);
         const std::vector<std::string> peers = this->nextPeers(peersPerInterval);
         // Sent even without budget, so that every peer gets updates regularly.
-        this->budget.take(peers.size(), update.bytes.size(), this->entry.steadyClock.now());
-        this->sendTo(peers, update.bytes);
+        this->budget.take(peers.size(), byteCount(update), this->entry.steadyClock.now());
+        this->sendTo(peers, update);
         timer.expires_after(sendInterval);
         co_await timer.async_wait(net::redirect_error(net::use_awaitable, code));
     }
@@ -93,17 +98,17 @@
     std::vector<std::string> peers = hasSelectedPeers ? this->selectPeers(update.changedServers)
                                                       : this->nextPeers(maximumPeersPerChange);
     const std::size_t permittedCount =
-            this->budget.take(peers.size(), update.bytes.size(), this->entry.steadyClock.now());
+            this->budget.take(peers.size(), byteCount(update), this->entry.steadyClock.now());
     if (permittedCount < peers.size()) {
         // The peers that were left out come first in the next selection.
         if (!hasSelectedPeers)
             this->rotation.rewind(peers.size() - permittedCount);
         peers.resize(permittedCount);
     }
-    this->sendTo(peers, update.bytes);
+    this->sendTo(peers, update);
 }
 
-void LoadExchange::sendTo(const std::vector<std::string> &peers, const std::string &update)
+void LoadExchange::sendTo(const std::vector<std::string> &peers, const Update &update)
 {
     for (const std::string &address : peers) {
         net::co_spawn(
@@ -112,7 +117,7 @@
     }
 }
 
-net::awaitable<void> LoadExchange::sendTo(std::string address, std::string update)
+net::awaitable<void> LoadExchange::sendTo(std::string address, Update update)
 {
     // Skip a peer whose last update is still being sent; it receives a later one.
     if (!this->addressesBeingSent.insert(address).second)
@@ -124,7 +129,9 @@
         connection = co_await FrameConnection::connect(*endpoint, sendTimeout, reason);
     bool isSent = false;
     if (connection)
-        isSent = co_await connection->send(update, sendTimeout, reason);
+        isSent = co_await connection->send(update.bytes, sendTimeout, reason);
+    if (isSent && !update.limits.empty())
+        isSent = co_await connection->send(update.limits, sendTimeout, reason);
     if (!isSent)
         this->connections.erase(address);
     this->addressesBeingSent.erase(address);
--- a/packages/entry/peers/loadexchange.h
+++ b/packages/entry/peers/loadexchange.h
@@ -43,6 +43,8 @@
     {
         /** The bytes to send. */
         std::string bytes;
+        /** The encoded call limits of backend servers; empty if there are none to send. */
+        std::string limits;
         /** The backend servers whose load changed since the last Load update; empty for All. */
         std::vector<BackendServerName> changedServers;
     };
@@ -70,9 +72,9 @@
 
 private:
     boost::asio::awaitable<void> sendPeriodically();
-    boost::asio::awaitable<void> sendTo(std::string address, std::string update);
+    boost::asio::awaitable<void> sendTo(std::string address, Update update);
     boost::asio::awaitable<void> sendNow(Content content);
-    void sendTo(const std::vector<std::string> &peers, const std::string &update);
+    void sendTo(const std::vector<std::string> &peers, const Update &update);
     boost::asio::awaitable<void> sendAfterDelay();
     std::vector<std::string> nextPeers(std::size_t limit);
 
--- a/packages/entry/peers/peerservice.cpp
+++ b/packages/entry/peers/peerservice.cpp
@@ -37,6 +37,8 @@
 constexpr int maximumJoinRounds = 5;
 constexpr int maximumPullPages = 256;
 constexpr std::string_view hostObjectPrefix = "hosts/";
+/** Limits the descriptors of idle connections for permit requests. */
+constexpr std::size_t maximumPermitConnections = 32;
 
 MemberRecord selfRecord(const EntryState &entry, bool isServing)
 {
@@ -234,6 +236,11 @@
             this->applyLoad(update->gossip);
             continue;
         }
+        if (const auto *update = std::get_if<CallLimitUpdate>(&*message)) {
+            if (this->hooks.recordCallLimits)
+                this->hooks.recordCallLimits(update->limits);
+            continue;
+        }
         // Counted as active, so that a planned stop waits until the reply to the call is sent.
         std::optional<ActiveRequest> active;
         if (std::holds_alternative<ForwardCall>(*message))
@@ -282,6 +289,11 @@
             co_return std::nullopt;
         co_return co_await this->hooks.answerObjectRead(std::move(*read));
     }
+    if (const auto *request = std::get_if<CallPermitRequest>(&message)) {
+        if (!this->hooks.answerPermitRequest)
+            co_return std::nullopt;
+        co_return this->hooks.answerPermitRequest(*request);
+    }
     if (const auto *call = std::get_if<ForwardCall>(&message)) {
         ForwardReply reply;
         reply.sequence = call->sequence;
@@ -518,6 +530,11 @@
     LoadExchange::Update update;
     if (content == LoadExchange::Content::All) {
         co_await this->addLoad(message.gossip);
+        CallLimitUpdate limits;
+        if (this->hooks.callLimits)
+            limits.limits = this->hooks.callLimits();
+        if (!limits.limits.empty())
+            update.limits = encodeMessage(limits);
     } else {
         const PeerLoadDigest digest = co_await this->dispatch.loadDigest();
         addLoadDigest(message.gossip, digest);
@@ -658,6 +675,65 @@
     co_return std::move(*answer);
 }
 
+net::awaitable<std::optional<CallPermitReply>> PeerService::askPermit(std::string address,
+                                                                      CallPermitRequest request,
+                                                                      Milliseconds timeout,
+                                                                      Error &reason)
+{
+    const auto endpoint = parseEndpoint(address, reason);
+    if (!endpoint)
+        co_return std::nullopt;
+    request.sequence = ++this->sequence;
+    const PeerMessage message = request;
+    const std::string payload = encodeMessage(message);
+    const Milliseconds end = this->entry.steadyClock.now() + timeout;
+    const auto timeLeft = [this, end] {
+        return std::max(Milliseconds(1), end - this->entry.steadyClock.now());
+    };
+    auto connection = this->takePermitConnection(address);
+    bool wasIdle = connection != nullptr;
+    std::optional<std::string> answered;
+    while (!answered) {
+        if (!connection)
+            connection = co_await FrameConnection::connect(*endpoint, timeLeft(), reason);
+        if (!connection)
+            co_return std::nullopt;
+        const bool isSent = co_await connection->send(payload, timeLeft(), reason);
+        if (isSent)
+            answered = co_await connection->receive(timeLeft(), reason);
+        // The peer closes idle connections; a request on one that it closed is sent again.
+        if (!answered && (!wasIdle || reason.code == ErrorCode::Timeout))
+            co_return std::nullopt;
+        if (!answered)
+            connection.reset();
+        wasIdle = false;
+    }
+    const auto reply = decodeMessage(*answered, reason);
+    const auto *answer = reply ? std::get_if<CallPermitReply>(&*reply) : nullptr;
+    if (answer == nullptr || answer->sequence != request.sequence) {
+        reason = {ErrorCode::ProtocolViolation,
+                  RunState::NotRun,
+                  "the reply does not match the permit request",
+                  {}};
+        co_return std::nullopt;
+    }
+    this->keepPermitConnection(address, std::move(connection));
+    co_return *answer;
+}
+
+std::unique_ptr<FrameConnection> PeerService::takePermitConnection(const std::string &address)
+{
+    auto node = this->permitConnections.extract(address);
+    return node.empty() ? nullptr : std::move(node.mapped());
+}
+
+void PeerService::keepPermitConnection(const std::string &address,
+                                       std::unique_ptr<FrameConnection> connection)
+{
+    if (this->permitConnections.size() < maximumPermitConnections)
+        this->permitConnections.emplace(address, std::move(connection));
+}
+
 net::awaitable<std::optional<std::uint64_t>> PeerService::askRevision(std::string peerAddress)
 {
     ConfigurationPull pull;
--- a/packages/entry/peers/peerservice.h
+++ b/packages/entry/peers/peerservice.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,12 @@
     std::function<boost::asio::awaitable<HttpResponse>(ServiceCall call)> runCall;
     /** Answers a peer's read of this host's mirror of the platform's store; may be empty. */
     std::function<boost::asio::awaitable<ObjectReadReply>(ObjectRead read)> answerObjectRead;
+    /** Answers a peer that asks to send a call to a backend server with a limit; may be empty. */
+    std::function<CallPermitReply(const CallPermitRequest &)> answerPermitRequest;
+    /** Returns the call limits of backend servers to send to peers; may be empty. */
+    std::function<std::vector<CallLimitMessage>()> callLimits;
+    /** Records the call limits that a peer sent; may be empty. */
+    std::function<void(std::span<const CallLimitMessage>)> recordCallLimits;
     /** Whether hosts compare configuration revisions and pull newer ones from each other. */
     bool sharesConfiguration = true;
     /**
@@ -113,6 +120,16 @@
                                                                        ObjectRead read,
                                                                        Milliseconds timeout,
                                                                        Error &reason);
+    /**
+     * Asks a peer for the permit to send a call to a backend server with a limit, over a connection
+     * that is reused.
+     *
+     * @param reason receives ConnectionFailed, Timeout or ProtocolViolation.
+     */
+    boost::asio::awaitable<std::optional<CallPermitReply>> askPermit(std::string address,
+                                                                     CallPermitRequest request,
+                                                                     Milliseconds timeout,
+                                                                     Error &reason);
     /** Asks a peer for its configuration revision in force; nothing if it does not answer. */
     boost::asio::awaitable<std::optional<std::uint64_t>> askRevision(std::string peerAddress);
 
@@ -123,6 +140,9 @@
                                                                 PeerMessage message,
                                                                 Milliseconds timeout,
                                                                 Error &reason);
+    std::unique_ptr<FrameConnection> takePermitConnection(const std::string &address);
+    void keepPermitConnection(const std::string &address,
+                              std::unique_ptr<FrameConnection> connection);
     boost::asio::awaitable<void> joinAndProbe();
     boost::asio::awaitable<bool> join();
     boost::asio::awaitable<void> registerSelf();
@@ -159,6 +179,8 @@
     };
 
     std::map<std::string, ReadConnection> readConnections;
+    /** Idle connections for permit requests, by peer address. */
+    std::multimap<std::string, std::unique_ptr<FrameConnection>> permitConnections;
     std::atomic<std::uint64_t> sequence = 0;
     std::atomic<bool> isPulling = false;
     std::atomic<bool> isRegistering = false;
--- /dev/null
+++ b/packages/entry/tests/test_permits.cpp
@@ -0,0 +1,161 @@
+#include "entry/entry.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+
+using namespace sassafrasyard;
+
+namespace {
+
+namespace net = boost::asio;
+
+/** Returns a port that is free now. */
+std::uint16_t freePort(net::io_context &context)
+{
+    const net::ip::tcp::endpoint any(net::ip::make_address("127.0.0.1"), std::uint16_t{0});
+    return net::ip::tcp::acceptor(context, any).local_endpoint().port();
+}
+
+/** A host that answers its peers. */
+class PeerHost
+{
+public:
+    PeerHost(net::io_context &context, const std::string &name,
+             std::function<CallPermitReply(const CallPermitRequest &)> answer)
+        : runtime(1)
+        , entry(makeSettings(name, freePort(context)), HostIncarnation(name))
+        , dispatch(this->entry, this->runtime, context, false)
+        , peers(this->entry, this->dispatch, this->runtime, context, makeHooks(std::move(answer)))
+    {
+        Error reason;
+        this->isListening = this->peers.start(reason);
+    }
+
+    /** Returns the member record by which other hosts know this one. */
+    MemberRecord record() const
+    {
+        MemberRecord result;
+        result.host = this->entry.settings.host;
+        result.incarnation = this->entry.incarnation;
+        result.peerAddress = this->address();
+        return result;
+    }
+
+    std::string address() const { return this->entry.settings.peerAddress; }
+
+    std::vector<CallLimitMessage> ownLimits;
+    std::vector<CallLimitMessage> receivedLimits;
+    ActorRuntime runtime;
+    EntryState entry;
+    DispatchService dispatch;
+    PeerService peers;
+    bool isListening = false;
+
+private:
+    static Settings makeSettings(const std::string &name, std::uint16_t port)
+    {
+        Settings settings;
+        settings.host = HostName(name);
+        settings.peerAddress = "127.0.0.1:" + std::to_string(port);
+        settings.positionSecret = "0123456789abcdef";
+        return settings;
+    }
+
+    PeerHooks makeHooks(std::function<CallPermitReply(const CallPermitRequest &)> answer)
+    {
+        PeerHooks hooks;
+        hooks.registry.registerHost = [](MemberRecord) -> net::awaitable<bool> {
+            co_return true;
+        };
+        hooks.registry.removeHost = []() -> net::awaitable<void> {
+            co_return;
+        };
+        hooks.leavingServers = [] {
+            return std::vector<BackendServerName>();
+        };
+        hooks.recordLeaving = [](const std::vector<BackendServerName> &) {
+        };
+        hooks.answerPermitRequest = std::move(answer);
+        hooks.callLimits = [this] {
+            return this->ownLimits;
+        };
+        hooks.recordCallLimits = [this](std::span<const CallLimitMessage> messages) {
+            this->receivedLimits.assign(messages.begin(), messages.end());
+        };
+        hooks.sharesConfiguration = false;
+        return hooks;
+    }
+};
+
+/** Asks for a permit and runs until the request has ended. */
+std::optional<CallPermitReply> ask(net::io_context &context, PeerHost &host,
+                                   const std::string &address, Error &reason)
+{
+    std::optional<CallPermitReply> reply;
+    bool hasEnded = false;
+    net::co_spawn(
+            context,
+            [&]() -> net::awaitable<void> {
+                CallPermitRequest request;
+                request.limit = {"server/1", true, 2.0, 0, 7};
+                reply = co_await host.peers.askPermit(address, request, Milliseconds(500), reason);
+                hasEnded = true;
+            },
+            net::detached);
+    while (!hasEnded)
+        context.run_one();
+    return reply;
+}
+
+} // namespace
+
+// Guards against permits that get lost between hosts, and against a call that waits for a host that
+// can't answer.
+TEST_CASE("A host asks a peer for permits and notices one that does not answer", "[permits]")
+{
+    net::io_context context;
+    PeerHost asking(context, "asking", {});
+    PeerHost granter(context, "granter", [](const CallPermitRequest &request) {
+        CallPermitReply reply;
+        reply.sequence = request.sequence;
+        reply.isGranted = true;
+        reply.pauseMilliseconds = 250;
+        reply.limit = request.limit;
+        return reply;
+    });
+    REQUIRE(asking.isListening);
+    REQUIRE(granter.isListening);
+    Error reason;
+    for (int time = 0; time < 3; ++time) {
+        const auto reply = ask(context, asking, granter.address(), reason);
+        REQUIRE(reply);
+        REQUIRE(reply->isGranted);
+        REQUIRE(reply->pauseMilliseconds == 250);
+        REQUIRE(reply->limit.run == "server/1");
+    }
+    const Milliseconds start = Clock::steady().now();
+    REQUIRE_FALSE(ask(context, granter, asking.address(), reason));
+    REQUIRE_FALSE(ask(context, asking, "127.0.0.1:1", reason));
+    REQUIRE_FALSE(ask(context, asking, "no address", reason));
+    REQUIRE(Clock::steady().now() - start < Milliseconds(1000));
+}
+
+// Guards against a limit that only the hosts keep which were told by the server itself.
+TEST_CASE("A host tells its peers the call limits that it knows", "[permits]")
+{
+    net::io_context context;
+    PeerHost first(context, "first", {});
+    PeerHost second(context, "second", {});
+    REQUIRE(first.isListening);
+    REQUIRE(second.isListening);
+    first.ownLimits = {{"server/1", true, 2.0, 5, 7}, {"server/2", false, 0.0, 6, 8}};
+    first.peers.recordRegisteredHosts({second.record()});
+    first.peers.requestLoadUpdate();
+    const Milliseconds end = Clock::steady().now() + Milliseconds(3000);
+    while (second.receivedLimits.empty() && Clock::steady().now() < end)
+        context.run_for(std::chrono::milliseconds(10));
+    REQUIRE(second.receivedLimits == first.ownLimits);
+}
--- a/packages/gateway/limits/serverlimiter.cpp
+++ b/packages/gateway/limits/serverlimiter.cpp
@@ -2,11 +2,35 @@
 
 #include "policy/placement/stablehash.h"
 
-#include <string>
+#include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace sassafrasyard {
 
+namespace net = boost::asio;
+
+namespace {
+
+/** A round trip between hosts takes some milliseconds; a call does not wait longer for a permit. */
+constexpr Milliseconds permitTimeout{150};
+/** A shorter pause is over before the next check, so the dispatcher is not told of it. */
+constexpr Milliseconds minimumPublishedPause{50};
+
+bool isValid(const CallLimitMessage &message)
+{
+    return !message.run.empty()
+            && (!message.isLimited
+                || (std::isfinite(message.callsPerSecond) && message.callsPerSecond >= 0.0));
+}
+
+std::string describeLimit(std::optional<double> limit)
+{
+    return limit ? std::to_string(*limit) : std::string("none");
+}
+
+} // namespace
+
 std::string_view toString(AttemptKind kind)
 {
     switch (kind) {
@@ -20,23 +44,32 @@
     return "unknown";
 }
 
-ServerLimiter::ServerLimiter(EntryState &entry, Clock clock)
+ServerLimiter::ServerLimiter(EntryState &entry, DispatchService &dispatch, Clock clock)
     : entry(entry)
+    , dispatch(dispatch)
     , clock(std::move(clock))
-    , statements(stableHash(entry.incarnation.toString()))
+    , limits(entry.settings.host, stableHash(entry.incarnation.toString()))
+{
+}
+
+void ServerLimiter::setHooks(LimiterHooks newHooks)
 {
+    this->hooks = std::move(newHooks);
 }
 
 void ServerLimiter::recordResponse(const BackendServerName &run,
                                    std::optional<double> callsPerSecond, Milliseconds sentAt)
 {
-    if (this->statements.recordResponse(run, callsPerSecond, sentAt, this->clock.now()))
-        this->logLimit(run, "response");
+    if (!this->limits.recordResponse(run, callsPerSecond, sentAt, this->clock.now()))
+        return;
+    this->logLimit(run, "response");
+    if (this->hooks.announce)
+        this->hooks.announce();
 }
 
 void ServerLimiter::recordCall(const BackendServerName &run, AttemptKind kind)
 {
-    if (!this->statements.limit(run))
+    if (!this->limit(run))
         return;
     ++this->calls[run][static_cast<std::size_t>(kind)];
     this->entry.metrics.count("sassafrasyard_limited_server_calls_total",
@@ -45,24 +78,200 @@
 
 std::optional<double> ServerLimiter::limit(const BackendServerName &run) const
 {
-    return this->statements.limit(run);
+    return this->limits.statements().limit(run);
+}
+
+net::awaitable<CallPermit> ServerLimiter::acquire(BackendServerName server, BackendServerName run,
+                                                  AttemptKind kind, Milliseconds timeLeft)
+{
+    CallPermit permit{true, Milliseconds(0)};
+    if (!this->limit(run))
+        co_return permit;
+    const Milliseconds now = this->clock.now();
+    const bool isUrgent = kind == AttemptKind::Continued;
+    const auto pause = this->limits.pauseLeft(run, now);
+    if (pause && !isUrgent) {
+        permit = {false, *pause};
+        co_return permit;
+    }
+    const HostName granter = this->limits.granter(run);
+    if (granter == this->entry.settings.host)
+        permit = this->limits.grant(run, isUrgent, now);
+    else
+        permit = co_await this->askGranter(granter, run, kind, timeLeft);
+    this->limits.recordPermit(run, permit, this->clock.now());
+    this->publishPause(server, run);
+    if (!permit.isGranted)
+        this->entry.metrics.count("sassafrasyard_call_permits_denied_total");
+    co_return permit;
+}
+
+std::optional<Milliseconds> ServerLimiter::pauseLeft(const BackendServerName &run) const
+{
+    return this->limits.pauseLeft(run, this->clock.now());
+}
+
+bool ServerLimiter::hasLimits() const
+{
+    return !this->limits.statements().isEmpty();
+}
+
+CallPermitReply ServerLimiter::answer(const CallPermitRequest &request)
+{
+    this->recordMessage(request.limit);
+    const BackendServerName run(request.limit.run);
+    const CallPermit permit = this->limits.grant(run, request.isUrgent, this->clock.now());
+    CallPermitReply reply;
+    reply.sequence = request.sequence;
+    reply.isGranted = permit.isGranted;
+    reply.pauseMilliseconds = static_cast<std::uint64_t>(permit.pause.count());
+    reply.limit = request.limit;
+    if (const CallLimitStatement *statement = this->limits.statements().find(run))
+        reply.limit = this->toMessage(*statement);
+    return reply;
+}
+
+std::vector<CallLimitMessage> ServerLimiter::messages() const
+{
+    std::vector<CallLimitMessage> result;
+    for (const CallLimitStatement &statement : this->limits.statements().all())
+        result.push_back(this->toMessage(statement));
+    return result;
+}
+
+void ServerLimiter::recordMessages(std::span<const CallLimitMessage> messages)
+{
+    for (const CallLimitMessage &message : messages)
+        this->recordMessage(message);
 }
 
 void ServerLimiter::advance()
 {
     const Milliseconds now = this->clock.now();
+    this->updateHosts(now);
+    this->endPauses();
     if (now - this->loggedAt < reportInterval)
         return;
-    this->statements.removeExpired(now);
+    this->limits.removeExpired(now);
     this->logCalls();
     this->loggedAt = now;
 }
 
+void ServerLimiter::updateHosts(Milliseconds now)
+{
+    auto current = this->entry.members();
+    if (current == this->members)
+        return;
+    this->members = std::move(current);
+    std::map<HostName, bool> states;
+    for (const MemberRecord &record : *this->members) {
+        if (record.state == MemberState::Leaving)
+            continue;
+        const bool isLive = record.state <= MemberState::Suspect;
+        bool &isAnyRunLive = states[record.host];
+        isAnyRunLive = isAnyRunLive || isLive;
+    }
+    std::vector<PermitHost> hosts;
+    for (const auto &[name, isLive] : states)
+        hosts.push_back({name, isLive});
+    this->limits.setHosts(hosts, now);
+}
+
+/** Returns the peer address of a host; empty if no run of it is alive. */
+std::string ServerLimiter::granterAddress(const HostName &granter) const
+{
+    const auto known = this->entry.members();
+    for (const MemberRecord &record : *known) {
+        if (record.host == granter && record.state <= MemberState::Suspect)
+            return record.peerAddress;
+    }
+    return {};
+}
+
+net::awaitable<CallPermit> ServerLimiter::askGranter(HostName granter, BackendServerName run,
+                                                     AttemptKind kind, Milliseconds timeLeft)
+{
+    CallPermitRequest request;
+    request.isUrgent = kind == AttemptKind::Continued;
+    if (const CallLimitStatement *statement = this->limits.statements().find(run))
+        request.limit = this->toMessage(*statement);
+    Error reason;
+    std::optional<CallPermitReply> reply;
+    const std::string address = this->granterAddress(granter);
+    if (this->hooks.ask && !address.empty()) {
+        const Milliseconds timeout = std::clamp(timeLeft, Milliseconds(1), permitTimeout);
+        reply = co_await this->hooks.ask(address, request, timeout, reason);
+    }
+    CallPermit permit;
+    if (!reply) {
+        logEvent(LogEvent::PermitUnavailable, "backend_server", run.toString(), "granter",
+                 granter.toString(), "detail", reason.detail);
+        this->limits.recordSilence(granter, this->clock.now());
+        permit.pause = SharedCallLimits::silentGranterPause;
+        co_return permit;
+    }
+    this->recordMessage(reply->limit);
+    constexpr std::uint64_t longestPause = 60000;
+    permit.isGranted = reply->isGranted;
+    permit.pause = Milliseconds(
+            static_cast<std::int64_t>(std::min(reply->pauseMilliseconds, longestPause)));
+    co_return permit;
+}
+
+CallLimitMessage ServerLimiter::toMessage(const CallLimitStatement &statement) const
+{
+    const Milliseconds age = std::max(Milliseconds(0), this->clock.now() - statement.statedAt);
+    return {statement.run.toString(), statement.callsPerSecond.has_value(),
+            statement.callsPerSecond.value_or(0.0), static_cast<std::uint64_t>(age.count()),
+            statement.id};
+}
+
+void ServerLimiter::recordMessage(const CallLimitMessage &message)
+{
+    if (!isValid(message)) {
+        logEvent(LogEvent::PeerMessageInvalid, "detail", "malformed call limit of " + message.run);
+        return;
+    }
+    const Milliseconds now = this->clock.now();
+    const auto longestAge = static_cast<std::uint64_t>(CallLimitStatements::retention.count());
+    const Milliseconds age(
+            static_cast<std::int64_t>(std::min(message.ageMilliseconds, longestAge)));
+    CallLimitStatement statement{BackendServerName(message.run), {}, now - age, message.id};
+    if (message.isLimited)
+        statement.callsPerSecond = message.callsPerSecond;
+    if (this->limits.recordPeerStatement(statement, now))
+        this->logLimit(statement.run, "peer");
+}
+
+/** Tells the dispatcher whether a server gets no calls for a time because of its limit. */
+void ServerLimiter::publishPause(const BackendServerName &server, const BackendServerName &run)
+{
+    const auto pause = this->pauseLeft(run);
+    const bool isPaused = pause && *pause >= minimumPublishedPause;
+    const bool wasPaused = this->pausedServers.contains(server);
+    if (isPaused)
+        this->pausedServers.insert_or_assign(server, run);
+    else
+        this->pausedServers.erase(server);
+    if (isPaused == wasPaused)
+        return;
+    this->dispatch.post([server, isPaused](Dispatcher &dispatcher, Milliseconds) {
+        dispatcher.setPaused(server, isPaused);
+    });
+}
+
+void ServerLimiter::endPauses()
+{
+    const auto paused = this->pausedServers;
+    for (const auto &[server, run] : paused)
+        this->publishPause(server, run);
+}
+
 void ServerLimiter::logLimit(const BackendServerName &run, std::string_view source) const
 {
-    const auto limit = this->statements.limit(run);
     logEvent(LogEvent::ServerLimitStated, "backend_server", run.toString(), "limit",
-             limit ? std::to_string(*limit) : std::string("none"), "from", source);
+             describeLimit(this->limit(run)), "granter", this->limits.granter(run).toString(),
+             "from", source);
 }
 
 void ServerLimiter::logCalls()
--- a/packages/gateway/limits/serverlimiter.h
+++ b/packages/gateway/limits/serverlimiter.h
@@ -3,11 +3,18 @@
 #include "entry/entry.h"
 #include "policy/policy.h"
 
+#include <boost/asio/awaitable.hpp>
+
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <memory>
 #include <optional>
+#include <set>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace sassafrasyard {
 
@@ -24,9 +31,23 @@
 /** Returns the name of an attempt kind for logs and metrics. */
 std::string_view toString(AttemptKind kind);
 
+/** The functions that connect a ServerLimiter to the other hosts; all of them may be empty. */
+struct LimiterHooks
+{
+    /** Asks the host at a peer address for a permit; nothing if there is no valid reply. */
+    std::function<boost::asio::awaitable<std::optional<CallPermitReply>>(
+            std::string address, CallPermitRequest request, Milliseconds timeout, Error &reason)>
+            ask;
+    /** Called when a limit has changed that peers should learn of. */
+    std::function<void()> announce;
+};
+
 /**
- * Tracks the backend servers that state how many calls a second they take from all entry hosts
- * together.
+ * Keeps the limits of backend servers that state how many calls a second they take from all entry
+ * hosts together.
+ *
+ * Each call to such a server needs a permit from the host that grants them for this server; see
+ * SharedCallLimits.
  */
 class ServerLimiter
 {
@@ -35,10 +56,13 @@
     static constexpr Milliseconds reportInterval{4000};
 
     /** Creates a limiter that knows no limits. @param clock must count suspension. */
-    ServerLimiter(EntryState &entry, Clock clock);
+    ServerLimiter(EntryState &entry, DispatchService &dispatch, Clock clock);
     ServerLimiter(const ServerLimiter &) = delete;
     ServerLimiter &operator=(const ServerLimiter &) = delete;
 
+    /** Sets the hooks. Without them this host keeps limits as if it were the only one. */
+    void setHooks(LimiterHooks newHooks);
+
     /**
      * Records what a response states about its server.
      *
@@ -52,18 +76,56 @@
     void recordCall(const BackendServerName &run, AttemptKind kind);
     /** Returns the limit of a server process in calls a second, or nothing if there is none. */
     std::optional<double> limit(const BackendServerName &run) const;
-    /** Logs the calls to limited servers and drops old limits. Call it periodically. */
+
+    /**
+     * Obtains the permit to send a call.
+     *
+     * The result is granted at once if the server has no limit. A call that is not granted must not
+     * be sent. The server then gets no calls of this host for the pause in the result.
+     *
+     * @param server the server, and run its process.
+     * @param timeLeft until the deadline of the call, in milliseconds.
+     */
+    boost::asio::awaitable<CallPermit> acquire(BackendServerName server, BackendServerName run,
+                                               AttemptKind kind, Milliseconds timeLeft);
+    /** Returns for how long a server process gets no calls of this host, or nothing. */
+    std::optional<Milliseconds> pauseLeft(const BackendServerName &run) const;
+    /** Returns whether any server process has a limit. */
+    bool hasLimits() const;
+
+    /** Answers a peer that asks for a permit. */
+    CallPermitReply answer(const CallPermitRequest &request);
+    /** Returns the statements of servers to send to peers. */
+    std::vector<CallLimitMessage> messages() const;
+    /** Records the statements that a peer sent; malformed ones are logged and ignored. */
+    void recordMessages(std::span<const CallLimitMessage> messages);
+
+    /** Applies changes of the members, ends pauses, and logs calls. Call it several times a second.
+     */
     void advance();
 
 private:
     using CallCounts = std::array<std::uint64_t, 3>;
 
+    void updateHosts(Milliseconds now);
+    std::string granterAddress(const HostName &granter) const;
+    boost::asio::awaitable<CallPermit> askGranter(HostName granter, BackendServerName run,
+                                                  AttemptKind kind, Milliseconds timeLeft);
+    CallLimitMessage toMessage(const CallLimitStatement &statement) const;
+    void recordMessage(const CallLimitMessage &message);
+    void publishPause(const BackendServerName &server, const BackendServerName &run);
+    void endPauses();
     void logLimit(const BackendServerName &run, std::string_view source) const;
     void logCalls();
 
     EntryState &entry;
+    DispatchService &dispatch;
     Clock clock;
-    CallLimitStatements statements;
+    LimiterHooks hooks;
+    SharedCallLimits limits;
+    std::shared_ptr<const std::vector<MemberRecord>> members;
+    /** The paused servers and the processes whose limit pauses them. */
+    std::map<BackendServerName, BackendServerName> pausedServers;
     std::map<BackendServerName, CallCounts> calls;
     Milliseconds loggedAt{0};
 };
--- a/packages/gateway/relay/backendattempt.cpp
+++ b/packages/gateway/relay/backendattempt.cpp
@@ -74,6 +74,14 @@
     this->endpoint = *endpoint;
     if (const ServerEntry *entry = this->dependencies.servers.find(order.server))
         this->serverStartedAt = entry->startedAt;
+    const CallPermit permit = co_await this->dependencies.limiter.acquire(
+            order.server, this->serverRunName(), this->kindOf(order),
+            this->call.timeLeft(this->dependencies.clock.now()));
+    if (!permit.isGranted) {
+        result.failure = {ErrorCode::Overloaded, RunState::NotRun,
+                          "the backend server has no room under its call limit", permit.pause};
+        co_return result;
+    }
     this->connection = co_await this->dependencies.connections.acquire(
             *endpoint, maximumIdleTime(*this->call.route), connectTimeout(*this->call.route),
             result.failure);
@@ -151,16 +159,18 @@
     co_return this->classify(std::move(*response), order.server);
 }
 
+AttemptKind BackendAttempt::kindOf(const ForwardingOrder &order) const
+{
+    if (order.source)
+        return AttemptKind::Continued;
+    return this->call.sentAttempts > 0 ? AttemptKind::Repeated : AttemptKind::First;
+}
+
 void BackendAttempt::recordSending(const ForwardingOrder &order)
 {
     this->sentAt = this->dependencies.clock.now();
-    AttemptKind kind = AttemptKind::First;
-    if (order.source)
-        kind = AttemptKind::Continued;
-    else if (this->call.sentAttempts > 0)
-        kind = AttemptKind::Repeated;
+    this->dependencies.limiter.recordCall(this->serverRunName(), this->kindOf(order));
     ++this->call.sentAttempts;
-    this->dependencies.limiter.recordCall(this->serverRunName(), kind);
 }
 
 AttemptResult BackendAttempt::classify(HttpResponse response, const BackendServerName &server)
--- a/packages/gateway/relay/backendattempt.h
+++ b/packages/gateway/relay/backendattempt.h
@@ -36,7 +36,8 @@
     /**
      * Sends the call and reads the header of the response.
      *
-     * A response to an earlier call on the same connection is skipped.
+     * A call for which the server has no room under its limit is not sent. A response to an earlier
+     * call on the same connection is skipped.
      *
      * @param address the server's "IP:port".
      * @param timeout for the header, in milliseconds.
@@ -58,6 +59,7 @@
                                                    Milliseconds timeout);
     AttemptResult classify(HttpResponse response, const BackendServerName &server);
     void applyServerStatements(const ResponseMetadata &metadata, const BackendServerName &server);
+    AttemptKind kindOf(const ForwardingOrder &order) const;
     void recordSending(const ForwardingOrder &order);
     bool reserveMemory(std::size_t bytes);
     bool isServerFailure(const Error &failure) const;
--- a/packages/gateway/relay/callplacement.cpp
+++ b/packages/gateway/relay/callplacement.cpp
@@ -18,15 +18,26 @@
 /** Retries are spread over this fraction of the pause after its end. */
 constexpr std::int64_t jitterDivisor = 4;
 
+/** Returns the time until a server accepts calls of this host, or nothing if it does now. */
+std::optional<Milliseconds> remainingPause(const GatewayDependencies &dependencies,
+                                           const BackendServerName &server)
+{
+    const auto requested = dependencies.reachability.pauseLeft(server);
+    const ServerEntry *entry = dependencies.servers.find(server);
+    if (entry == nullptr)
+        return requested;
+    return std::max(requested, dependencies.limiter.pauseLeft(ServerCatalogue::runName(*entry)));
+}
+
 /** Returns the time until a server of the service accepts calls, or nothing if one does now. */
 std::optional<Milliseconds> remainingServicePause(const GatewayDependencies &dependencies,
                                                   const RoutedCall &call)
 {
-    if (!dependencies.reachability.hasPauses())
+    if (!dependencies.reachability.hasPauses() && !dependencies.limiter.hasLimits())
         return std::nullopt;
     std::optional<Milliseconds> shortest;
     for (const BackendServerName &server : dependencies.servers.usableServers(call.service->name)) {
-        const auto left = dependencies.reachability.pauseLeft(server);
+        const auto left = remainingPause(dependencies, server);
         if (!left)
             return std::nullopt;
         shortest = std::min(*left, shortest.value_or(*left));
@@ -56,7 +67,7 @@
     const std::string name = work.name.toString();
     for (int placement = 0; placement < maximumPlacements; ++placement) {
         if (const auto pause = remainingServicePause(dependencies, call)) {
-            refusal = overloadedError("all backend servers of the service asked for a pause");
+            refusal = overloadedError("no backend server of the service takes calls at present");
             refusal.retryAfter = addJitter(*pause, call);
             co_return std::nullopt;
         }
@@ -68,13 +79,13 @@
         const bool isPastDeadline = call.timeLeft(dependencies.clock.now()) <= Milliseconds(0);
         const BackendServerName &server = grant->server.name;
         if (!isPastDeadline && !call.isCallerGone && dependencies.servers.isUsable(server)
-            && !dependencies.reachability.pauseLeft(server)) {
+            && !remainingPause(dependencies, server)) {
             co_return grant;
         }
         dependencies.dispatch.reportFinished(grant->assignment.request, WorkOutcome::Cancelled);
         refusal = overloadedError(isPastDeadline
                                           ? "no backend server became available before the deadline"
-                                          : "the backend server is leaving or asked for a pause");
+                                          : "the backend server is leaving or paused");
         if (isPastDeadline || call.isCallerGone)
             co_return std::nullopt;
         work.avoided.push_back(server);
--- a/packages/gateway/relay/callplacement.h
+++ b/packages/gateway/relay/callplacement.h
@@ -12,9 +12,9 @@
 /**
  * Lets the dispatcher choose a backend server for an attempt.
  *
- * If the chosen server began to leave or asked for a pause meanwhile, another one is chosen. If all
- * servers of the service asked for a pause, the call is refused at once; the retry time is the end
- * of the shortest pause.
+ * If the chosen server began to leave, asked for a pause or has no room under its call limit
+ * meanwhile, another one is chosen. If no server of the service takes calls at present, the call is
+ * refused at once; the retry time is the end of the shortest pause.
  *
  * @param work describes the attempt; its name must be new.
  * @param refusal receives why there is no server, with NotRun.
--- a/packages/gateway/relay/gatewaydependencies.h
+++ b/packages/gateway/relay/gatewaydependencies.h
@@ -34,7 +34,7 @@
     ServiceRetryBudget &budget;
     /** Tracks backend servers that refuse connections or asked for a pause. */
     ServerReachability &reachability;
-    /** Tracks backend servers that state a limit on their calls. */
+    /** Keeps the limits of backend servers that state how many calls they take. */
     ServerLimiter &limiter;
     /** Translates headers between the wire and the types of this package. */
     CallCodec codec;
--- a/packages/gateway/tests/gatewayhosts.h
+++ b/packages/gateway/tests/gatewayhosts.h
@@ -2,6 +2,8 @@
 
 #include "gatewayfixture.h"
 
+#include <boost/asio/post.hpp>
+
 #include <cstddef>
 #include <memory>
 #include <string>
@@ -24,6 +26,7 @@
             const std::string name = "host-" + std::to_string(index);
             this->hosts.push_back(std::make_unique<GatewayFixture>(this->context, name));
         }
+        this->connect();
     }
 
     /** Adds a route on all hosts. */
@@ -51,6 +54,9 @@
         this->hosts[host]->send(GatewayFixture::makeCall(path, id, headers), std::move(handler));
     }
 
+    /** Lets requests for permits between hosts go unanswered. */
+    void silenceGranters() { this->isAskAnswered = false; }
+
     /** Runs the hosts and their periodic work for a time. */
     void runFor(Milliseconds time)
     {
@@ -67,7 +73,51 @@
     std::vector<std::unique_ptr<GatewayFixture>> hosts;
 
 private:
+    /** Makes the hosts known to each other, with a connection of some milliseconds in between. */
+    void connect()
+    {
+        std::vector<MemberRecord> members;
+        for (std::size_t index = 0; index < this->hosts.size(); ++index) {
+            MemberRecord record;
+            record.host = HostName("host-" + std::to_string(index));
+            record.incarnation = HostIncarnation(record.host.toString() + "-run");
+            record.peerAddress = std::to_string(index);
+            members.push_back(record);
+        }
+        for (const auto &host : this->hosts) {
+            host->publishMembers(members);
+            host->advance();
+            LimiterHooks hooks;
+            hooks.ask = [this](std::string address, CallPermitRequest request, Milliseconds timeout,
+                               Error &) -> boost::asio::awaitable<std::optional<CallPermitReply>> {
+                if (!this->isAskAnswered) {
+                    co_await GatewayFixture::pause(timeout);
+                    co_return std::nullopt;
+                }
+                co_await GatewayFixture::pause(Milliseconds(3));
+                const auto index = static_cast<std::size_t>(std::stoul(address));
+                const CallPermitReply reply = this->hosts[index]->serverLimiter().answer(request);
+                co_await GatewayFixture::pause(Milliseconds(3));
+                co_return reply;
+            };
+            hooks.announce = [this, from = host.get()] {
+                boost::asio::post(*this->context, [this, from] { this->tellOthers(*from); });
+            };
+            host->serverLimiter().setHooks(std::move(hooks));
+        }
+    }
+
+    void tellOthers(GatewayFixture &from)
+    {
+        const std::vector<CallLimitMessage> messages = from.serverLimiter().messages();
+        for (const auto &host : this->hosts) {
+            if (host.get() != &from)
+                host->serverLimiter().recordMessages(messages);
+        }
+    }
+
     std::uint64_t callCount = 0;
+    bool isAskAnswered = true;
 };
 
 } // namespace sassafrasyard
--- a/packages/observability/logging/logevent.cpp
+++ b/packages/observability/logging/logevent.cpp
@@ -40,6 +40,7 @@
         LogEventEntry{LogEvent::BackendServerPaused, LogLevel::Info, "backend_server_paused"},
         LogEventEntry{LogEvent::ServerLimitStated, LogLevel::Info, "server_limit_stated"},
         LogEventEntry{LogEvent::LimitedServerCalls, LogLevel::Info, "limited_server_calls"},
+        LogEventEntry{LogEvent::PermitUnavailable, LogLevel::Info, "permit_unavailable"},
         LogEventEntry{LogEvent::DuplicateCallPrevented, LogLevel::Info, "duplicate_call_prevented"},
         LogEventEntry{LogEvent::CallOutcomeUnknown, LogLevel::Warning, "call_outcome_unknown"},
         LogEventEntry{LogEvent::CallForwarded, LogLevel::Debug, "call_forwarded"},
--- a/packages/observability/logging/logevent.h
+++ b/packages/observability/logging/logevent.h
@@ -46,6 +46,7 @@
     BackendServerPaused = 5006,
     ServerLimitStated = 5007,
     LimitedServerCalls = 5008,
+    PermitUnavailable = 5009,
     DuplicateCallPrevented = 6001,
     CallOutcomeUnknown = 6002,
     CallForwarded = 6003,
--- a/packages/policy/dispatch/dispatcher.cpp
+++ b/packages/policy/dispatch/dispatcher.cpp
@@ -84,6 +84,11 @@
     this->pool.setReachable(server, isReachable);
 }
 
+void Dispatcher::setPaused(const BackendServerName &server, bool isPaused)
+{
+    this->pool.setPaused(server, isPaused);
+}
+
 void Dispatcher::submit(const WorkRequest &submitted, Milliseconds now)
 {
     WorkRequest request = submitted;
--- a/packages/policy/dispatch/dispatcher.h
+++ b/packages/policy/dispatch/dispatcher.h
@@ -86,6 +86,8 @@
 
     /** Records whether a backend server is reachable; an unreachable one gets no new requests. */
     void setReachable(const BackendServerName &server, bool isReachable);
+    /** Records whether a backend server gets no new requests for a time; its load stays known. */
+    void setPaused(const BackendServerName &server, bool isPaused);
 
     /** Submits a request for placement. Its name must not be in use. */
     void submit(const WorkRequest &request, Milliseconds now);
--- a/packages/policy/limits/calllimitstatements.cpp
+++ b/packages/policy/limits/calllimitstatements.cpp
@@ -60,6 +60,11 @@
     return known == this->statements.end() ? nullptr : &known->second;
 }
 
+bool CallLimitStatements::isEmpty() const
+{
+    return this->statements.empty();
+}
+
 std::vector<CallLimitStatement> CallLimitStatements::all() const
 {
     std::vector<CallLimitStatement> result;
--- a/packages/policy/limits/calllimitstatements.h
+++ b/packages/policy/limits/calllimitstatements.h
@@ -55,6 +55,8 @@
     std::optional<double> limit(const BackendServerName &run) const;
     /** Returns the latest statement of a server process, or null. */
     const CallLimitStatement *find(const BackendServerName &run) const;
+    /** Returns whether there is no statement. */
+    bool isEmpty() const;
     /** Returns all statements, including those that ended limits. */
     std::vector<CallLimitStatement> all() const;
     /** Removes statements that are too old. */
--- a/packages/policy/pool/serverpool.cpp
+++ b/packages/policy/pool/serverpool.cpp
@@ -84,6 +84,13 @@
     this->prefixIndex.removeServer(*serverIndex);
 }
 
+void ServerPool::setPaused(const BackendServerName &server, bool isPaused)
+{
+    ++this->capacityVersion;
+    if (const auto serverIndex = this->findIndex(server))
+        this->states[*serverIndex].isPaused = isPaused;
+}
+
 void ServerPool::recordLoadReport(const LoadReport &report, Milliseconds now)
 {
     const auto serverIndex = this->findIndex(report.server);
@@ -323,6 +330,7 @@
     if (!state.isConfigured) {
         state.isMarkedLeaving = false;
         state.isReachable = true;
+        state.isPaused = false;
     } else if (this->configurations[serverIndex].address != server.address) {
         this->loadTracker.discardReport(serverIndex);
         this->prefixIndex.removeServer(serverIndex);
@@ -383,7 +391,8 @@
 
 bool ServerPool::isUsable(const ServerState &state)
 {
-    return state.isConfigured && state.isReachable && !state.isLeaving && !state.isMarkedLeaving;
+    return state.isConfigured && state.isReachable && !state.isPaused && !state.isLeaving
+            && !state.isMarkedLeaving;
 }
 
 double ServerPool::memoryTotal(const ServerState &state, const LoadEstimate &load)
--- a/packages/policy/pool/serverpool.h
+++ b/packages/policy/pool/serverpool.h
@@ -106,6 +106,8 @@
      * not.
      */
     void setReachable(const BackendServerName &server, bool isReachable);
+    /** Records whether a server gets no new requests for a time; its load stays known. */
+    void setPaused(const BackendServerName &server, bool isPaused);
     /** Records a load report; ignored for an unknown server. */
     void recordLoadReport(const LoadReport &report, Milliseconds now);
     /** Records a cache event; ignored for an unknown server. */
@@ -176,6 +178,7 @@
         bool isLeaving = false;
         bool isMarkedLeaving = false;
         bool isReachable = true;
+        bool isPaused = false;
     };
 
     /**
--- a/packages/protocol/messages/messagecodec.cpp
+++ b/packages/protocol/messages/messagecodec.cpp
@@ -137,6 +137,34 @@
           message.ageMilliseconds, message.digest, message.objects);
 }
 
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &limit) requires
+        std::is_same_v<std::remove_cvref_t<decltype(limit)>, CallLimitMessage>
+{
+    visit(limit.run, limit.isLimited, limit.callsPerSecond, limit.ageMilliseconds, limit.id);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &message) requires
+        std::is_same_v<std::remove_cvref_t<decltype(message)>, CallPermitRequest>
+{
+    visit(message.sequence, message.limit, message.isUrgent);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &message) requires
+        std::is_same_v<std::remove_cvref_t<decltype(message)>, CallPermitReply>
+{
+    visit(message.sequence, message.isGranted, message.pauseMilliseconds, message.limit);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &message) requires
+        std::is_same_v<std::remove_cvref_t<decltype(message)>, CallLimitUpdate>
+{
+    visit(message.limits);
+}
+
 class Encoder
 {
 public:
--- a/packages/protocol/messages/peermessage.h
+++ b/packages/protocol/messages/peermessage.h
@@ -287,9 +287,59 @@
     std::vector<SharedObject> objects;
 };
 
+/** What a backend server states about the calls that it takes from all entry hosts together. */
+struct CallLimitMessage
+{
+    /** The server process. */
+    std::string run;
+    /** Whether it states a limit; false once it no longer does. */
+    bool isLimited = false;
+    /** The limit in calls a second. */
+    double callsPerSecond = 0.0;
+    /** The time since a host received the statement, in milliseconds. */
+    std::uint64_t ageMilliseconds = 0;
+    /** Identifies the statement on all hosts. */
+    std::uint64_t id = 0;
+
+    /** Compares all fields. */
+    bool operator==(const CallLimitMessage &) const = default;
+};
+
+/** Asks the host that permits the calls to a server for a permit. */
+struct CallPermitRequest
+{
+    /** Matches the reply. */
+    std::uint64_t sequence = 0;
+    /** The server process and what the sender knows of its limit. */
+    CallLimitMessage limit;
+    /** Whether the call continues a stream. */
+    bool isUrgent = false;
+};
+
+/** Answers a CallPermitRequest. */
+struct CallPermitReply
+{
+    /** The request's sequence. */
+    std::uint64_t sequence = 0;
+    /** Whether the call may be sent. */
+    bool isGranted = false;
+    /** How long the asking host should send the server no further call, in milliseconds. */
+    std::uint64_t pauseMilliseconds = 0;
+    /** What the answering host knows of the limit. */
+    CallLimitMessage limit;
+};
+
+/** Tells a peer the call limits that the sender knows; has no reply. */
+struct CallLimitUpdate
+{
+    /** The limits, including those that ended recently. */
+    std::vector<CallLimitMessage> limits;
+};
+
 /** Any message between entry hosts. */
-using PeerMessage = std::variant<Probe, ProbeReply, IndirectProbe, IndirectProbeReply,
-                                 ConfigurationPull, ConfigurationReply, ForwardCall, ForwardReply,
-                                 LoadUpdate, ObjectRead, ObjectReadReply>;
+using PeerMessage =
+        std::variant<Probe, ProbeReply, IndirectProbe, IndirectProbeReply, ConfigurationPull,
+                     ConfigurationReply, ForwardCall, ForwardReply, LoadUpdate, ObjectRead,
+                     ObjectReadReply, CallPermitRequest, CallPermitReply, CallLimitUpdate>;
 
 } // namespace sassafrasyard
--- a/packages/protocol/tests/test_messagecodec.cpp
+++ b/packages/protocol/tests/test_messagecodec.cpp
@@ -80,6 +80,30 @@
     REQUIRE(reason.code == ErrorCode::ProtocolViolation);
 }
 
+// Guards against fields of a permit or a limit that are lost or swapped by the codec.
+TEST_CASE("Decoded permits and call limits equal the encoded ones", "[protocol]")
+{
+    const CallLimitMessage limit{"server/1", true, 2.25, 30, 4};
+    Error reason;
+    auto decoded = decodeMessage(encodeMessage(CallPermitRequest{5, limit, true}), reason);
+    REQUIRE(decoded);
+    const auto &request = std::get<CallPermitRequest>(*decoded);
+    REQUIRE(request.sequence == 5);
+    REQUIRE(request.limit == limit);
+    REQUIRE(request.isUrgent);
+    decoded = decodeMessage(encodeMessage(CallPermitReply{6, true, 70, limit}), reason);
+    REQUIRE(decoded);
+    const auto &reply = std::get<CallPermitReply>(*decoded);
+    REQUIRE(reply.sequence == 6);
+    REQUIRE(reply.isGranted);
+    REQUIRE(reply.pauseMilliseconds == 70);
+    REQUIRE(reply.limit == limit);
+    decoded = decodeMessage(encodeMessage(CallLimitUpdate{{limit, {"server/2"}}}), reason);
+    REQUIRE(decoded);
+    const auto &update = std::get<CallLimitUpdate>(*decoded);
+    REQUIRE(update.limits == std::vector<CallLimitMessage>{limit, {"server/2"}});
+}
+
 // Guards against fields of a reply that are lost or swapped by the codec.
 TEST_CASE("A decoded reply to a store read equals the encoded one", "[protocol]")
 {
