Let a server listen again after its address was in use

A gateway test failed twice beside others: one call, then 13 calls of one host, got no response (status 0) in 1 of 36 runs, 12 at a time beside 8 busy loops. The fixture chooses a free port, releases it and binds it later, so another process may take it meanwhile, and the fixture did not notice. It now tries another port.

That showed that listenOn() leaves the acceptor open when it fails, so that each further attempt fails too.

The limit tests also report the responses that a check did not expect.

--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -406,8 +406,14 @@
     {
         if (std::exchange(this->isListening, true))
             return;
+        // Another process may take the free port before this one binds it.
         Error reason;
-        this->gateway.listen({"127.0.0.1", this->port()}, 300, reason);
+        constexpr int maximumTries = 10;
+        for (int tries = 0; tries < maximumTries; ++tries) {
+            if (this->gateway.listen({"127.0.0.1", this->port()}, 300, reason))
+                return;
+            this->chosenPort = 0;
+        }
     }
 
     /** Sends a call and returns the response, or nothing if it is incomplete. */
--- a/packages/gateway/tests/test_limitedservers.cpp
+++ b/packages/gateway/tests/test_limitedservers.cpp
@@ -30,10 +30,14 @@
 {
     std::size_t answered = 0;
     std::size_t other = 0;
+    /** The other responses, for the report of a failed check. */
+    std::string otherResponses;
 
     void record(const HttpResponse &response)
     {
         ++(response.status == 200 ? this->answered : this->other);
+        if (response.status != 200)
+            this->otherResponses += std::to_string(response.status) + " " + response.body + "\n";
     }
 };
 
@@ -65,6 +69,7 @@
     LimitedServer third(hosts, "third");
     LimitedServer fourth(hosts, "fourth");
     const Outcomes outcomes = sendCalls(hosts, Milliseconds(9000));
+    INFO(outcomes.otherResponses);
     CHECK(outcomes.other == 0);
     CHECK(first.largestCount() <= LimitedServer::permittedCalls(2.3));
     CHECK(second.largestCount() <= LimitedServer::permittedCalls(3.0));
@@ -124,6 +129,7 @@
     const std::size_t before = only.callCount;
     const Outcomes outcomes = sendCalls(hosts, Milliseconds(2000));
     CHECK(only.callCount - before >= 60);
+    INFO(outcomes.otherResponses);
     CHECK(outcomes.other == 0);
 }
 
@@ -138,6 +144,7 @@
     hosts.silenceGranters();
     const std::size_t before = limited.callCount;
     const Outcomes outcomes = sendCalls(hosts, Milliseconds(3000));
+    INFO(outcomes.otherResponses);
     CHECK(outcomes.other == 0);
     CHECK(limited.callCount - before <= LimitedServer::permittedCalls(3.0));
 }
--- a/packages/network/sockets/listensocket.cpp
+++ b/packages/network/sockets/listensocket.cpp
@@ -22,6 +22,9 @@
                   RunState::NotRun,
                   "cannot listen on " + endpoint.toString() + ": " + code.message(),
                   {}};
+        // An open acceptor could not be used for another attempt.
+        boost::system::error_code ignored;
+        acceptor.close(ignored);
         return std::nullopt;
     }
     return Endpoint{endpoint.address, acceptor.local_endpoint().port()};
--- a/packages/network/tests/test_http.cpp
+++ b/packages/network/tests/test_http.cpp
@@ -67,6 +67,23 @@
     REQUIRE(events[1].type == "end");
 }
 
+// Guards against a server that can never listen again after its address was in use.
+TEST_CASE("A server listens on another address after a failed attempt", "[network]")
+{
+    net::io_context context;
+    const auto ignore = [](const HttpRequest &, HttpResponder &) -> net::awaitable<void> {
+        co_return;
+    };
+    HttpServer first(context, {}, ignore, plainError);
+    HttpServer second(context, {}, ignore, plainError);
+    Error reason;
+    const auto taken = first.listen({"127.0.0.1", 0}, reason);
+    REQUIRE(taken);
+    REQUIRE_FALSE(second.listen(*taken, reason));
+    REQUIRE(reason.code == ErrorCode::ConnectionFailed);
+    REQUIRE(second.listen({"127.0.0.1", 0}, reason));
+}
+
 // Guards against a refused connection whose request is reported as possibly run.
 TEST_CASE("A refused connection is reported as not run", "[network]")
 {
