Send call limits to peers only while they are new

Each load update would hold the limits of all servers that ever stated one: 62 limited engines are some 4 KB in each of 16 updates a second, above the 19 KB/s of control traffic that the design permits. A host sends a statement for 10 s after it learned of it; each peer that learns of it does the same. A host that joins later learns of a limit from its granter or its first response.

--- a/packages/gateway/limits/serverlimiter.cpp
+++ b/packages/gateway/limits/serverlimiter.cpp
@@ -134,7 +134,7 @@
 std::vector<CallLimitMessage> ServerLimiter::messages() const
 {
     std::vector<CallLimitMessage> result;
-    for (const CallLimitStatement &statement : this->limits.statements().all())
+    for (const CallLimitStatement &statement : this->limits.statements().recent(this->clock.now()))
         result.push_back(this->toMessage(statement));
     return result;
 }
@@ -236,7 +236,7 @@
     const auto longestAge = static_cast<std::uint64_t>(CallLimitStatements::retention.count());
     const Milliseconds age(
             static_cast<std::int64_t>(std::min(message.ageMilliseconds, longestAge)));
-    CallLimitStatement statement{BackendServerName(message.run), {}, now - age, message.id};
+    CallLimitStatement statement{BackendServerName(message.run), {}, now - age, message.id, now};
     if (message.isLimited)
         statement.callsPerSecond = message.callsPerSecond;
     if (this->limits.recordPeerStatement(statement, now))
--- a/packages/gateway/limits/serverlimiter.h
+++ b/packages/gateway/limits/serverlimiter.h
@@ -95,7 +95,7 @@
 
     /** Answers a peer that asks for a permit. */
     CallPermitReply answer(const CallPermitRequest &request);
-    /** Returns the statements of servers to send to peers. */
+    /** Returns the statements of servers to send to peers, those that are new to this host. */
     std::vector<CallLimitMessage> messages() const;
     /** Records the statements that a peer sent; malformed ones are logged and ignored. */
     void recordMessages(std::span<const CallLimitMessage> messages);
--- a/packages/policy/limits/calllimitstatements.cpp
+++ b/packages/policy/limits/calllimitstatements.cpp
@@ -32,7 +32,7 @@
         known->second.statedAt = now;
         return false;
     }
-    return this->replace({run, callsPerSecond, now, this->random.next()});
+    return this->replace({run, callsPerSecond, now, this->random.next(), now}, now);
 }
 
 bool CallLimitStatements::recordPeerStatement(const CallLimitStatement &statement, Milliseconds now)
@@ -45,7 +45,7 @@
         && (known->second.id == statement.id || statement.statedAt <= known->second.statedAt)) {
         return false;
     }
-    return this->replace(statement);
+    return this->replace(statement, now);
 }
 
 std::optional<double> CallLimitStatements::limit(const BackendServerName &run) const
@@ -73,14 +73,25 @@
     return result;
 }
 
+std::vector<CallLimitStatement> CallLimitStatements::recent(Milliseconds now) const
+{
+    std::vector<CallLimitStatement> result;
+    for (const auto &[run, statement] : this->statements) {
+        if (now - statement.recordedAt < announcementTime)
+            result.push_back(statement);
+    }
+    return result;
+}
+
 void CallLimitStatements::removeExpired(Milliseconds now)
 {
     std::erase_if(this->statements,
                   [now](const auto &entry) { return isExpired(entry.second, now); });
 }
 
-bool CallLimitStatements::replace(CallLimitStatement statement)
+bool CallLimitStatements::replace(CallLimitStatement statement, Milliseconds now)
 {
+    statement.recordedAt = now;
     const auto before = this->limit(statement.run);
     const auto after = statement.callsPerSecond;
     const BackendServerName run = statement.run;
--- a/packages/policy/limits/calllimitstatements.h
+++ b/packages/policy/limits/calllimitstatements.h
@@ -20,6 +20,8 @@
     Milliseconds statedAt{0};
     /** Identifies the statement on all hosts. */
     std::uint64_t id = 0;
+    /** When this host first recorded the statement. */
+    Milliseconds recordedAt{0};
 };
 
 /**
@@ -36,6 +38,9 @@
     /** How long a limit is kept that no response has confirmed. */
     static constexpr Milliseconds retention{600000};
 
+    /** How long a host sends a statement to its peers, each of which does the same. */
+    static constexpr Milliseconds announcementTime{10000};
+
     /** Creates an object without statements. @param seed of the identifiers; differs per host. */
     explicit CallLimitStatements(std::uint64_t seed);
 
@@ -59,11 +64,13 @@
     bool isEmpty() const;
     /** Returns all statements, including those that ended limits. */
     std::vector<CallLimitStatement> all() const;
+    /** Returns the statements that this host recorded within announcementTime. */
+    std::vector<CallLimitStatement> recent(Milliseconds now) const;
     /** Removes statements that are too old. */
     void removeExpired(Milliseconds now);
 
 private:
-    bool replace(CallLimitStatement statement);
+    bool replace(CallLimitStatement statement, Milliseconds now);
 
     RandomSource random;
     std::map<BackendServerName, CallLimitStatement> statements;
--- a/packages/policy/limits/sharedcalllimits.cpp
+++ b/packages/policy/limits/sharedcalllimits.cpp
@@ -154,7 +154,7 @@
 /** Returns how much longer than until the next call a host waits, because others wait for that. */
 Milliseconds SharedCallLimits::contentionPause(const Grants &granted, double rate) const
 {
-    const double callsAhead = (granted.denials - 1) / asksPerCall;
+    const std::uint32_t callsAhead = (granted.denials - 1) / asksPerCall;
     const std::chrono::duration<double> wait(callsAhead / rate);
     if (wait >= maximumContentionPause)
         return maximumContentionPause;
--- a/packages/policy/tests/test_calllimits.cpp
+++ b/packages/policy/tests/test_calllimits.cpp
@@ -10,7 +10,7 @@
 
 CallLimitStatement peerStatement(std::optional<double> limit, int statedAt, std::uint64_t id)
 {
-    return {run, limit, Milliseconds(statedAt), id};
+    return {run, limit, Milliseconds(statedAt), id, Milliseconds(0)};
 }
 
 } // namespace
@@ -52,6 +52,19 @@
     REQUIRE_FALSE(statements.limit(run));
 }
 
+// Guards against updates to peers that grow with all servers that ever stated a limit.
+TEST_CASE("Only recent statements are sent to peers", "[limits]")
+{
+    CallLimitStatements statements(1);
+    const Milliseconds end = CallLimitStatements::announcementTime;
+    statements.recordResponse(run, 1.0, Milliseconds(0), Milliseconds(0));
+    REQUIRE(statements.recent(end - Milliseconds(1)).size() == 1);
+    REQUIRE_FALSE(statements.recordResponse(run, 1.0, Milliseconds(1), end - Milliseconds(1)));
+    REQUIRE(statements.recent(end).empty());
+    REQUIRE(statements.recordPeerStatement(peerStatement(2.0, 20000, 7), Milliseconds(25000)));
+    REQUIRE(statements.recent(Milliseconds(25000)).size() == 1);
+}
+
 // Guards against memory that grows with each server that ever stated a limit.
 TEST_CASE("Old statements are removed", "[limits]")
 {
