Test that streams continue at an engine beyond its call limit

Five streams lose their engine while the engine with their copies states a limit of 0: two may continue there, as the allowance permits, and the others are cut.

--- a/packages/gateway/tests/test_eventrelay.cpp
+++ b/packages/gateway/tests/test_eventrelay.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace sassafrasyard;
 
 namespace net = boost::asio;
@@ -244,3 +246,42 @@
     REQUIRE(fixture.moves.size() >= 2);
     REQUIRE(findHeader(fixture.received.back().request.headers, "Source") == "handle");
 }
+
+// Guards against streams that are lost because the engine with their copy has a call limit, and
+// against continuations that are not counted under it.
+TEST_CASE("Some streams may continue at an engine beyond its call limit", "[streams]")
+{
+    constexpr int streamCount = 5;
+    constexpr int permittedBeyond = 2;
+    GatewayFixture fixture;
+    fixture.addRoute(makeStreamRoute(false), makeEngineProperties());
+    int continued = 0;
+    fixture.addServer(
+            "a", [](const HttpRequest &request, HttpResponder &responder) -> net::awaitable<void> {
+                HttpHeaders headers = GatewayFixture::signedAnswer(request).headers;
+                co_await responder.startStream(200, headers);
+                co_await responder.write(eventsUpTo(3));
+                co_await GatewayFixture::pause(Milliseconds(200));
+                responder.abort();
+            });
+    const auto remainder = streamEvents(8, Milliseconds(1));
+    fixture.addServer(
+            "b", [&](const HttpRequest &request, HttpResponder &responder) -> net::awaitable<void> {
+                if (!findHeader(request.headers, "Source")) {
+                    co_await responder.send(GatewayFixture::refusal(request));
+                    co_return;
+                }
+                ++continued;
+                co_await remainder(request, responder);
+            });
+    const auto answers = fixture.callConcurrently("/stream/", streamCount, [&fixture] {
+        const std::vector<CallLimitMessage> limits{{"b/0", true, 0.0, 0, 1}};
+        fixture.serverLimiter().recordMessages(limits);
+    });
+    const auto complete =
+            std::count_if(answers.begin(), answers.end(), [](const HttpResponse &answer) {
+                return answer.status == 200 && answer.body == eventsUpTo(8);
+            });
+    REQUIRE(complete == permittedBeyond);
+    REQUIRE(continued == permittedBeyond);
+}
