Let the engine of a test state its limit in each response

Without load all five ask before the first response. The engine states its limit now; the check is the same.

--- a/packages/gateway/tests/test_eventrelay.cpp
+++ b/packages/gateway/tests/test_eventrelay.cpp
@@ -264,7 +264,6 @@
                 co_await GatewayFixture::pause(Milliseconds(200));
                 responder.abort();
             });
-    const auto remainder = streamEvents(8, Milliseconds(1));
     fixture.addServer(
             "b", [&](const HttpRequest &request, HttpResponder &responder) -> net::awaitable<void> {
                 if (!findHeader(request.headers, "Source")) {
@@ -272,7 +271,12 @@
                     co_return;
                 }
                 ++continued;
-                co_await remainder(request, responder);
+                HttpHeaders headers = GatewayFixture::signedAnswer(request).headers;
+                headers.emplace_back("Limit", "0");
+                co_await responder.startStream(200, headers);
+                for (std::uint64_t number = lastEventOf(request) + 1; number <= 8; ++number)
+                    co_await responder.write(eventText(number));
+                co_await responder.finish();
             });
     const auto answers = fixture.callConcurrently("/stream/", streamCount, [&fixture] {
         const std::vector<CallLimitMessage> limits{{"b/0", true, 0.0, 0, 1}};
