Log the calls that a planned stop cuts off

The log said how many calls were active when the process exited, but not which, when they had come and how long they could have taken. Event 8020 says it for each; no decision changes.

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -645,6 +645,7 @@
         co_await timer.async_wait(net::redirect_error(net::use_awaitable, code));
         now = this->clock.now();
     }
+    this->services.activeCalls.logCutCalls(drainStartedAt, now);
     logEvent(LogEvent::DaemonStopped, "active_requests",
              std::to_string(this->entry.activeRequests));
     this->context.stop();
--- /dev/null
+++ b/packages/gateway/relay/activecalls.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "core/core.h"
+#include "gateway/relay/routedcall.h"
+
+#include <cstddef>
+#include <set>
+
+namespace sassafrasyard {
+
+/** The routed calls in progress. All calls must come from the thread of the gateway. */
+class ActiveCalls
+{
+public:
+    /** Lists a call during the lifetime of the object. */
+    class Listing
+    {
+    public:
+        /** Lists a call; both parameters must outlive the object. */
+        Listing(ActiveCalls &owner, const RoutedCall &call);
+        ~Listing();
+        Listing(const Listing &) = delete;
+        Listing &operator=(const Listing &) = delete;
+
+    private:
+        ActiveCalls &owner;
+        const RoutedCall &call;
+    };
+
+    ActiveCalls() = default;
+    ActiveCalls(const ActiveCalls &) = delete;
+    ActiveCalls &operator=(const ActiveCalls &) = delete;
+
+    /**
+     * Logs each call in progress, because the process exits before it ends.
+     *
+     * @param stopStartedAt when the planned stop started, on the clock of RoutedCall::receivedAt.
+     */
+    void logCutCalls(Milliseconds stopStartedAt, Milliseconds now) const;
+    /** Returns the number of calls in progress. */
+    std::size_t size() const;
+
+private:
+    std::set<const RoutedCall *> calls;
+};
+
+} // namespace sassafrasyard
--- a/packages/gateway/relay/gatewaydependencies.h
+++ b/packages/gateway/relay/gatewaydependencies.h
@@ -4,6 +4,7 @@
 #include "gateway/calls/callcodec.h"
 #include "gateway/calls/enginecalls.h"
 #include "gateway/limits/serverlimiter.h"
+#include "gateway/relay/activecalls.h"
 #include "gateway/relay/answermemorybudget.h"
 #include "gateway/relay/serverreachability.h"
 #include "gateway/servers/servercatalogue.h"
@@ -44,6 +45,8 @@
     Clock clock;
     /** Limits the memory of buffered responses. */
     AnswerMemoryBudget answerMemory{};
+    /** The calls in progress. */
+    ActiveCalls activeCalls{};
 };
 
 } // namespace sassafrasyard
--- a/packages/gateway/relay/gatewayservice.cpp
+++ b/packages/gateway/relay/gatewayservice.cpp
@@ -101,6 +101,7 @@
         co_await responder.send(this->dependencies.codec.formatError(reason));
         co_return;
     }
+    const ActiveCalls::Listing listing(this->dependencies.activeCalls, *call);
     this->dependencies.budget.recordRequest(call->service->name, call->receivedAt);
     // A non-idempotent call continues without its caller so that its outcome becomes known.
     if (call->route->kind != CallKind::NonIdempotent) {
--- a/packages/observability/logging/logevent.cpp
+++ b/packages/observability/logging/logevent.cpp
@@ -73,6 +73,7 @@
         LogEventEntry{LogEvent::RefusedRequestsUnavailable, LogLevel::Warning,
                       "refused_requests_unavailable"},
         LogEventEntry{LogEvent::StoreRestored, LogLevel::Warning, "store_restored"},
+        LogEventEntry{LogEvent::CallCutAtStop, LogLevel::Warning, "call_cut_at_stop"},
 };
 
 } // namespace
--- a/packages/observability/logging/logevent.h
+++ b/packages/observability/logging/logevent.h
@@ -76,6 +76,7 @@
     ServerCrashChecked = 8017,
     RefusedRequestsUnavailable = 8018,
     StoreRestored = 8019,
+    CallCutAtStop = 8020,
 };
 
 /** An entry of the event catalogue. */
