Add failing tests of long streams in a planned stop of the daemon

Callers saw that a host accepted streams seconds after its SIGTERM and cut them when its process exited.

test_plannedstop starts the real sassafrasyardd in platform mode with a grace of 3 s, a stand-in store, two plain servers and two engines, and judges each request from its caller's side. The first two cases send streams of 6 s at five moments of the grace, on new and on kept connections.

--- /dev/null
+++ b/tests/plannedstop/standinservers.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "network/network.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sassafrasyard {
+
+/**
+ * Backend servers on loopback whose work a request's header fields describe.
+ *
+ * Work-Ms: the time until the answer, in milliseconds. Events: the number of events of a stream;
+ * without it the call is a plain one. Event-Ms: the time before each event, in milliseconds.
+ * Refuse-First: the first server that receives the request holds it until releaseRefusals() and
+ * then refuses it as not run.
+ */
+class StandInServers
+{
+public:
+    /** Creates the object without servers. */
+    explicit StandInServers(boost::asio::io_context &context);
+    StandInServers(const StandInServers &) = delete;
+    StandInServers &operator=(const StandInServers &) = delete;
+
+    /** Starts a server and returns its address. */
+    Endpoint add();
+
+    /** Returns how often servers received a request. */
+    std::size_t receivedCount(const std::string &requestId) const;
+
+    /** Lets the servers refuse the requests that they hold. */
+    void releaseRefusals();
+
+    /** Returns the body of the whole answer to a request. */
+    static std::string answerTo(const HttpRequest &request);
+
+private:
+    boost::asio::awaitable<void> handle(const HttpRequest &request, HttpResponder &responder);
+    boost::asio::awaitable<void> refuse(HttpHeaders headers, HttpResponder &responder);
+    boost::asio::awaitable<void> stream(const HttpRequest &request, HttpHeaders headers,
+                                        HttpResponder &responder);
+
+    boost::asio::io_context &context;
+    std::vector<std::unique_ptr<HttpServer>> servers;
+    std::vector<std::string> receivedIds;
+    bool mayRefuse = false;
+};
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/tests/plannedstop/stoppinghost.cpp
@@ -0,0 +1,416 @@
+#include "stoppinghost.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <utility>
+
+namespace sassafrasyard {
+
+namespace net = boost::asio;
+
+namespace {
+
+constexpr Milliseconds startTimeout{20000};
+constexpr Milliseconds stepTime{2};
+/** Callers, readiness, addresses, peers and metrics. */
+constexpr std::uint16_t portCount = 5;
+constexpr int plainServerCount = 2;
+constexpr int plainSlots = 100;
+
+Milliseconds now()
+{
+    return Clock::steady().now();
+}
+
+/** Returns the first of some consecutive ports that are free, or 0 if one of them is not. */
+std::uint16_t findFreePorts(net::io_context &context)
+{
+    std::vector<net::ip::tcp::acceptor> probes;
+    const auto address = net::ip::make_address("127.0.0.1");
+    std::uint16_t first = 0;
+    for (std::uint16_t index = 0; index < portCount; ++index) {
+        boost::system::error_code code;
+        net::ip::tcp::acceptor &probe = probes.emplace_back(context);
+        probe.open(net::ip::tcp::v4());
+        const auto port = static_cast<std::uint16_t>(index == 0 ? 0 : first + index);
+        probe.bind({address, port}, code);
+        if (code)
+            return 0;
+        if (index == 0)
+            first = probe.local_endpoint().port();
+    }
+    return first;
+}
+
+std::string loopback(int port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+std::string settingsText(int firstPort, const Endpoint &store, Milliseconds grace)
+{
+    return R"(node: "host-1"
+zone: "a"
+region: "r"
+ip: "127.0.0.1"
+listen:
+  front: ")" + loopback(firstPort)
+            + R"("
+  ready: ")" + loopback(firstPort + 1)
+            + R"("
+  directory: ")"
+            + loopback(firstPort + 2) + R"("
+internal-ports: [)"
+            + std::to_string(firstPort + 3) + ", " + std::to_string(firstPort + 4) + R"(]
+limits:
+  max-fds: 4100
+heartbeat-ms: 1200
+bounds:
+  drain-ms: 2000
+  config-apply-ms: 2000
+  grace-s: )"
+            + std::to_string(static_cast<double>(grace.count()) / 1000.0) + R"(
+  revoke-fail-closed: true
+  revoke-ms: 5000
+  retry-budget-ratio: 0.2
+  budget-window-s: 10
+  retry-budget-slack: 56
+  ttl_max_s: 5
+platform-params:
+  addr: ")" + store.toString()
+            + "\"\n";
+}
+
+std::string routeText(const std::string &name, const std::string &kind, const std::string &service,
+                      int timeout, const std::string &further = "")
+{
+    return R"({"name":")" + name + R"(","host":"h","path-prefix":"/)" + name + R"(/","kind":")"
+            + kind + R"(","timeout-ms":)" + std::to_string(timeout)
+            + R"(,"target-latency-ms":1500,"gap-aim-ms":500,"priority":0,"service":")" + service
+            + R"(","max-attempts":2,"auth-exempt":true)" + further + "}";
+}
+
+std::string configurationText(int version, int engineSlots)
+{
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[)"
+            + routeText("lookup", "idempotent", "desk", 60000) + ","
+            + routeText("quick", "idempotent", "desk", 500) + ","
+            + routeText("order", "non_idempotent", "desk", 60000) + ","
+            + routeText("report", "streaming", "engine", 60000, R"(,"resumable":true)") + ","
+            + routeText("story", "streaming", "engine", 60000)
+            + R"(],"services":[{"name":"desk","max-connections":100},{"name":"engine",
+"max-connections":100,"engine":{"slots":)"
+            + std::to_string(engineSlots) + R"(,"kv-capacity-tokens":100000,"stride":1}}],
+"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":30000,
+"idle-timeout-ms":60000}})";
+}
+
+net::awaitable<void> pause(Milliseconds time)
+{
+    net::steady_timer timer(co_await net::this_coro::executor, time);
+    co_await timer.async_wait(net::use_awaitable);
+}
+
+} // namespace
+
+std::string SentCall::requestId() const
+{
+    return findHeader(this->request.headers, "Request-Id").value_or("");
+}
+
+bool SentCall::hasEnded() const
+{
+    return this->result.end != CallEnd::Pending;
+}
+
+bool SentCall::isAnswered() const
+{
+    return this->result.isAnswer(StandInServers::answerTo(this->request));
+}
+
+std::string SentCall::describe() const
+{
+    return this->request.target + " sent " + std::to_string(this->sentAt.count())
+            + " ms after the SIGTERM, ended after " + std::to_string(this->elapsed.count())
+            + " ms: " + this->result.describe();
+}
+
+StoppingHost::StoppingHost(int engineSlots)
+    : store(this->context)
+    , backendServers(this->context)
+    , engineSlots(engineSlots)
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "plannedstop-XXXXXX").string();
+    REQUIRE(::mkdtemp(pattern.data()) != nullptr);
+    this->directory = pattern;
+    this->writeConfiguration(1);
+    this->registerServers("desk", plainServerCount, plainSlots);
+    this->registerServers("engine", engineCount, this->engineSlots);
+    bool isRunning = false;
+    // Another process may take a free port before the daemon does.
+    constexpr int maximumStarts = 5;
+    for (int tries = 0; !isRunning && tries < maximumStarts; ++tries)
+        isRunning = this->startDaemon();
+    REQUIRE(isRunning);
+    for (int index = 0; index < engineCount; ++index) {
+        const SentCall &call = this->send(this->makeCall("/order/", Milliseconds(0), {}));
+        const SentCall &stream = this->send(this->makeStream("/story/", 1, Milliseconds(1)));
+        REQUIRE(this->runUntil([&] { return call.hasEnded() && stream.hasEnded(); }, startTimeout));
+        INFO(call.describe() << "; " << stream.describe());
+        REQUIRE((call.isAnswered() && stream.isAnswered()));
+    }
+    this->sentCalls.clear();
+}
+
+StoppingHost::~StoppingHost()
+{
+    this->daemon.reset();
+    std::error_code ignored;
+    std::filesystem::remove_all(this->directory, ignored);
+}
+
+HttpRequest StoppingHost::makeCall(const std::string &pathPrefix, Milliseconds work,
+                                   std::optional<Milliseconds> deadline)
+{
+    const std::string requestId = "call-" + std::to_string(++this->requestCount);
+    HttpRequest request;
+    request.method = "POST";
+    request.target = pathPrefix + requestId;
+    request.body = "body of " + requestId;
+    request.headers = {
+            {"Host", "h"}, {"Request-Id", requestId}, {"Work-Ms", std::to_string(work.count())}};
+    if (deadline)
+        request.headers.emplace_back("Deadline-Ms", std::to_string(deadline->count()));
+    return request;
+}
+
+HttpRequest StoppingHost::makeStream(const std::string &pathPrefix, int events,
+                                     Milliseconds interval)
+{
+    HttpRequest request = this->makeCall(pathPrefix, Milliseconds(0), {});
+    request.headers.emplace_back("Events", std::to_string(events));
+    request.headers.emplace_back("Event-Ms", std::to_string(interval.count()));
+    request.headers.emplace_back("Token-Counts", "100," + std::to_string(events));
+    return request;
+}
+
+SentCall &StoppingHost::send(HttpRequest request,
+                             const std::shared_ptr<CallerConnection> &connection)
+{
+    SentCall &call = this->addCall(std::move(request));
+    const auto used = connection ? connection : this->makeConnection();
+    net::co_spawn(
+            this->context,
+            [this, &call, used]() -> net::awaitable<void> {
+                const Milliseconds startedAt = now();
+                CallResult result = co_await used->call(call.request);
+                this->finish(call, std::move(result), startedAt);
+            },
+            net::detached);
+    return call;
+}
+
+std::pair<SentCall *, SentCall *> StoppingHost::sendPipelined(
+        HttpRequest first, HttpRequest second, Milliseconds delay,
+        const std::shared_ptr<CallerConnection> &connection)
+{
+    SentCall &firstCall = this->addCall(std::move(first));
+    SentCall &secondCall = this->addCall(std::move(second));
+    net::co_spawn(
+            this->context,
+            [this, &firstCall, &secondCall, delay, connection]() -> net::awaitable<void> {
+                const Milliseconds startedAt = now();
+                std::string bytes = CallerConnection::toText(firstCall.request);
+                if (delay > Milliseconds(0)) {
+                    co_await connection->send(std::exchange(bytes, ""));
+                    co_await pause(delay);
+                }
+                bytes += CallerConnection::toText(secondCall.request);
+                co_await connection->send(std::move(bytes));
+                CallResult result = co_await connection->receive();
+                this->finish(firstCall, std::move(result), startedAt);
+                result = co_await connection->receive();
+                this->finish(secondCall, std::move(result), startedAt);
+            },
+            net::detached);
+    return {&firstCall, &secondCall};
+}
+
+std::vector<std::shared_ptr<CallerConnection>> StoppingHost::keepConnections(std::size_t count)
+{
+    std::vector<std::shared_ptr<CallerConnection>> connections;
+    std::vector<SentCall *> used;
+    for (std::size_t index = 0; index < count; ++index) {
+        connections.push_back(this->makeConnection());
+        used.push_back(
+                &this->send(this->makeCall("/lookup/", Milliseconds(0), {}), connections.back()));
+    }
+    const auto areAllAnswered = [&used] {
+        return std::all_of(used.begin(), used.end(),
+                           [](const SentCall *call) { return call->isAnswered(); });
+    };
+    REQUIRE(this->runUntil(areAllAnswered, startTimeout));
+    return connections;
+}
+
+void StoppingHost::stop()
+{
+    this->stoppedAt = now();
+    this->daemon->signal(SIGTERM);
+    REQUIRE(this->runUntil([this] { return !this->isReady(); }, Milliseconds(1000)));
+}
+
+void StoppingHost::signal(int number)
+{
+    this->daemon->signal(number);
+}
+
+void StoppingHost::writeSettings(Milliseconds newGrace)
+{
+    std::ofstream file(this->directory / "settings.yaml");
+    file << settingsText(this->firstPort, this->store.endpoint(), newGrace);
+}
+
+void StoppingHost::writeConfiguration(int version)
+{
+    this->store.put(std::string(objectkind::configuration), std::string(configurationObjectName),
+                    configurationText(version, this->engineSlots));
+}
+
+bool StoppingHost::runUntil(const std::function<bool()> &condition, Milliseconds timeout)
+{
+    const Milliseconds end = now() + timeout;
+    while (!condition()) {
+        if (now() >= end)
+            return false;
+        this->context.run_for(stepTime);
+        if (this->daemon && !this->endedAt && this->daemon->hasEnded())
+            this->endedAt = now();
+    }
+    return true;
+}
+
+void StoppingHost::runUntilMoment(Milliseconds moment)
+{
+    this->runUntil([&] { return this->sinceStop() >= moment; }, startTimeout);
+}
+
+void StoppingHost::runUntilExit()
+{
+    const auto isOver = [this] {
+        return this->hasExited()
+                && std::all_of(this->sentCalls.begin(), this->sentCalls.end(),
+                               [](const auto &call) { return call->hasEnded(); });
+    };
+    REQUIRE(this->runUntil(isOver, 2 * grace));
+}
+
+Milliseconds StoppingHost::sinceStop() const
+{
+    return now() - this->stoppedAt;
+}
+
+Milliseconds StoppingHost::exitedAt() const
+{
+    return this->endedAt.value_or(now()) - this->stoppedAt;
+}
+
+std::optional<int> StoppingHost::exitStatus()
+{
+    return this->daemon->exitStatus();
+}
+
+bool StoppingHost::hasExited()
+{
+    return this->daemon->hasEnded();
+}
+
+StandInServers &StoppingHost::servers()
+{
+    return this->backendServers;
+}
+
+const std::vector<std::unique_ptr<SentCall>> &StoppingHost::calls() const
+{
+    return this->sentCalls;
+}
+
+/** Starts the daemon on free ports. @return whether it became ready. */
+bool StoppingHost::startDaemon()
+{
+    constexpr int maximumProbes = 100;
+    this->firstPort = 0;
+    for (int tries = 0; this->firstPort == 0 && tries < maximumProbes; ++tries)
+        this->firstPort = findFreePorts(this->context);
+    this->writeSettings(grace);
+    this->endedAt.reset();
+    this->daemon = std::make_unique<DaemonProcess>((this->directory / "settings.yaml").string(),
+                                                   (this->directory / "log").string());
+    const bool isDecided =
+            this->runUntil([this] { return this->hasExited() || this->isReady(); }, startTimeout);
+    return isDecided && !this->hasExited();
+}
+
+/** Asks the host whether it takes callers. */
+bool StoppingHost::isReady()
+{
+    constexpr int successStatus = 200;
+    const auto port = static_cast<std::uint16_t>(this->firstPort + 1);
+    const auto connection =
+            std::make_shared<CallerConnection>(this->context, Endpoint{"127.0.0.1", port});
+    HttpRequest request;
+    request.target = "/ready";
+    request.headers = {{"Host", "h"}};
+    CallResult result;
+    net::co_spawn(
+            this->context,
+            [&result, connection, request]() -> net::awaitable<void> {
+                result = co_await connection->call(request);
+            },
+            net::detached);
+    while (result.end == CallEnd::Pending)
+        this->context.run_for(stepTime);
+    return result.response.status == successStatus && result.end == CallEnd::Response;
+}
+
+std::shared_ptr<CallerConnection> StoppingHost::makeConnection()
+{
+    return std::make_shared<CallerConnection>(this->context,
+                                              Endpoint{"127.0.0.1", this->firstPort});
+}
+
+void StoppingHost::registerServers(const std::string &service, int count, int slots)
+{
+    for (int index = 1; index <= count; ++index) {
+        const Endpoint endpoint = this->backendServers.add();
+        this->store.put(std::string(objectkind::servers), service + "-" + std::to_string(index),
+                        R"({"service":")" + service + R"(","addr":")" + endpoint.toString()
+                                + R"(","zone":"a","slots":)" + std::to_string(slots)
+                                + R"(,"state":"ready","born":1})");
+    }
+}
+
+SentCall &StoppingHost::addCall(HttpRequest request)
+{
+    this->sentCalls.push_back(std::make_unique<SentCall>());
+    SentCall &call = *this->sentCalls.back();
+    call.request = std::move(request);
+    return call;
+}
+
+void StoppingHost::finish(SentCall &call, CallResult result, Milliseconds startedAt)
+{
+    call.sentAt = startedAt - this->stoppedAt;
+    call.elapsed = now() - startedAt;
+    call.result = std::move(result);
+}
+
+} // namespace sassafrasyard
