--- a/tests/plannedstop/stoppinghost.cpp
+++ b/tests/plannedstop/stoppinghost.cpp
@@ -236,8 +236,10 @@
                 bytes += CallerConnection::toText(secondCall.request);
                 co_await connection->send(std::move(bytes));
                 CallResult result = co_await connection->receive();
-                this->finish(firstCall, std::move(result), startedAt);
-                result = co_await connection->receive();
+                this->finish(firstCall, result, startedAt);
+                // After an incomplete response the connection carries no other one.
+                if (result.end == CallEnd::Response)
+                    result = co_await connection->receive();
                 this->finish(secondCall, std::move(result), startedAt);
             },
             net::detached);
@@ -310,7 +312,12 @@
                 && std::all_of(this->sentCalls.begin(), this->sentCalls.end(),
                                [](const auto &call) { return call->hasEnded(); });
     };
-    REQUIRE(this->runUntil(isOver, 2 * grace));
+    const bool isOverInTime = this->runUntil(isOver, 2 * grace);
+    for (const auto &call : this->sentCalls) {
+        INFO(call->describe());
+        CHECK(call->hasEnded());
+    }
+    REQUIRE(isOverInTime);
 }
 
 Milliseconds StoppingHost::sinceStop() const
--- a/tests/plannedstop/test_plannedstop.cpp
+++ b/tests/plannedstop/test_plannedstop.cpp
@@ -2,7 +2,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <csignal>
+#include <functional>
+#include <utility>
+#include <vector>
 
 using namespace sassafrasyard;
 
@@ -70,3 +74,323 @@
 {
     testLongStreams(true);
 }
+
+namespace {
+
+void testShortCalls(bool isKept)
+{
+    const std::vector<int> answeredMoments{0, 500, 1000, 1500, 1700};
+    const std::vector<int> refusedMoments{2200, 2350};
+    constexpr std::size_t callsPerMoment = 3;
+    StoppingHost host;
+    auto connections = host.keepConnections(
+            isKept ? callsPerMoment * (answeredMoments.size() + refusedMoments.size()) : 0);
+    const auto sendAt = [&](int moment) {
+        host.runUntilMoment(Milliseconds(moment));
+        std::vector<SentCall *> calls;
+        calls.push_back(&host.send(host.makeCall("/lookup/", shortWork, shortDeadline),
+                                   takeConnection(connections)));
+        calls.push_back(&host.send(host.makeCall("/order/", shortWork, shortDeadline),
+                                   takeConnection(connections)));
+        // This route's time-out is the deadline.
+        calls.push_back(
+                &host.send(host.makeCall("/quick/", shortWork, {}), takeConnection(connections)));
+        return calls;
+    };
+    std::vector<SentCall *> answered;
+    std::vector<SentCall *> refused;
+    host.stop();
+    for (const int moment : answeredMoments) {
+        const auto calls = sendAt(moment);
+        answered.insert(answered.end(), calls.begin(), calls.end());
+    }
+    for (const int moment : refusedMoments) {
+        const auto calls = sendAt(moment);
+        refused.insert(refused.end(), calls.begin(), calls.end());
+    }
+    host.runUntilExit();
+    for (const SentCall *call : answered) {
+        INFO(call->describe());
+        CHECK(call->isAnswered());
+    }
+    for (const SentCall *call : refused)
+        checkRefusedAtOnce(host, *call);
+}
+
+} // namespace
+
+// Guards against a stopping host that refuses calls which can end in time, or accepts others.
+TEST_CASE("A stopping host answers the short calls that end before it on new connections",
+          "[calls]")
+{
+    testShortCalls(false);
+}
+
+// Guards against the same on connections that callers keep open from before the stop.
+TEST_CASE("A stopping host answers the short calls that end before it on kept connections",
+          "[calls]")
+{
+    testShortCalls(true);
+}
+
+// Guards against a call that waits for an engine until the stop although it cannot end in time.
+TEST_CASE("A stopping host refuses calls that wait for a full engine and outlast it", "[queue]")
+{
+    constexpr int slots = 2;
+    StoppingHost host(slots);
+    std::vector<SentCall *> running;
+    for (int index = 0; index < slots * StoppingHost::engineCount; ++index)
+        running.push_back(&host.send(makeLongStream(host, "/story/")));
+    const auto areAllRunning = [&] {
+        return std::all_of(running.begin(), running.end(), [&](const SentCall *call) {
+            return host.servers().receivedCount(call->requestId()) == 1;
+        });
+    };
+    REQUIRE(host.runUntil(areAllRunning, Milliseconds(2000)));
+    const SentCall &resumable = host.send(makeLongStream(host, "/report/"));
+    const SentCall &other = host.send(makeLongStream(host, "/story/"));
+    constexpr Milliseconds sendingTime{50};
+    host.runUntil([] { return false; }, sendingTime);
+    REQUIRE_FALSE(resumable.hasEnded());
+    REQUIRE_FALSE(other.hasEnded());
+    host.stop();
+    const bool areRefused =
+            host.runUntil([&] { return resumable.hasEnded() && other.hasEnded(); }, refusalTime);
+    CHECK(areRefused);
+    host.runUntilExit();
+    for (const SentCall *call : {&resumable, &other}) {
+        INFO(call->describe());
+        CHECK(call->result.isRefusedByStop());
+        CHECK(host.servers().receivedCount(call->requestId()) == 0);
+    }
+}
+
+namespace {
+
+/** Checks the responses to two requests that were sent on one connection during a planned stop. */
+void checkPipelined(StoppingHost &host, const std::pair<SentCall *, SentCall *> &calls,
+                    bool isFirstAnswered)
+{
+    const auto &[first, second] = calls;
+    INFO("first: " << first->describe());
+    INFO("second: " << second->describe());
+    if (isFirstAnswered)
+        CHECK(first->isAnswered());
+    else
+        CHECK(first->result.isRefusedByStop());
+    const std::size_t received = host.servers().receivedCount(second->requestId());
+    const bool isSettled = second->isAnswered()
+            || ((second->result.end == CallEnd::Closed || second->result.isRefusedByStop())
+                && received == 0);
+    CHECK(isSettled);
+}
+
+} // namespace
+
+// Guards against a connection that is closed with unread bytes: the reset can destroy the response.
+TEST_CASE("A stopping host completes a response that unread requests follow", "[pipelined]")
+{
+    constexpr std::size_t largeBody = 64U << 10U;
+    constexpr std::size_t pairCount = 6;
+    StoppingHost host;
+    auto connections = host.keepConnections(pairCount);
+    host.stop();
+    std::vector<std::pair<SentCall *, SentCall *>> answered;
+    std::vector<std::pair<SentCall *, SentCall *>> refused;
+    for (const bool isLarge : {false, true}) {
+        const auto makeSecond = [&] {
+            HttpRequest request = host.makeCall("/lookup/", shortWork, shortDeadline);
+            request.body.resize(isLarge ? largeBody : request.body.size(), 'x');
+            return request;
+        };
+        for (const Milliseconds delay : {Milliseconds(0), shortWork / 2}) {
+            answered.push_back(
+                    host.sendPipelined(host.makeCall("/order/", shortWork, shortDeadline),
+                                       makeSecond(), delay, takeConnection(connections)));
+        }
+        refused.push_back(host.sendPipelined(makeLongStream(host, "/story/"), makeSecond(),
+                                             Milliseconds(0), takeConnection(connections)));
+    }
+    host.runUntilExit();
+    for (const auto &calls : answered)
+        checkPipelined(host, calls, true);
+    for (const auto &calls : refused)
+        checkPipelined(host, calls, false);
+}
+
+namespace {
+
+/** Checks a request of the last moments: only one that the process did not read has no response. */
+void checkLastCall(StoppingHost &host, const SentCall &call)
+{
+    INFO(call.describe());
+    const std::size_t received = host.servers().receivedCount(call.requestId());
+    const CallEnd end = call.result.end;
+    if (end == CallEnd::Response) {
+        const bool isRefused = call.result.isRefusedAsNotRun() && received == 0;
+        CHECK((call.isAnswered() || isRefused || call.result.isOutcomeUnknown()));
+        return;
+    }
+    CHECK((end == CallEnd::NotConnected || end == CallEnd::ClosedBeforeSending
+           || end == CallEnd::Reset));
+    CHECK(received == 0);
+}
+
+} // namespace
+
+// Guards against requests that a process reads right before its exit and leaves without a response.
+TEST_CASE("A host answers or refuses each request that it reads before its exit", "[exit]")
+{
+    constexpr Milliseconds firstMoment{1500};
+    constexpr Milliseconds lastMoment{3500};
+    constexpr Milliseconds interval{20};
+    constexpr std::size_t keptCount = 160;
+    // Some calls may still be served shortly before the stop.
+    constexpr Milliseconds lateDeadline{100};
+    StoppingHost host;
+    auto connections = host.keepConnections(keptCount);
+    host.stop();
+    std::vector<SentCall *> calls;
+    bool isRefusingConnections = false;
+    for (Milliseconds moment = firstMoment; moment < lastMoment && !isRefusingConnections;
+         moment += interval) {
+        host.runUntilMoment(moment);
+        const Milliseconds work = interval / 2;
+        for (const bool isKept : {false, true}) {
+            const auto connection = [&] {
+                return isKept ? takeConnection(connections) : nullptr;
+            };
+            calls.push_back(
+                    &host.send(host.makeCall("/lookup/", work, shortDeadline), connection()));
+            calls.push_back(&host.send(host.makeCall("/order/", work, lateDeadline), connection()));
+            calls.push_back(&host.send(makeLongStream(host, "/story/"), connection()));
+        }
+        isRefusingConnections = std::any_of(calls.begin(), calls.end(), [](const SentCall *call) {
+            return call->result.end == CallEnd::NotConnected;
+        });
+    }
+    host.runUntilExit();
+    CHECK(isRefusingConnections);
+    for (const SentCall *call : calls)
+        checkLastCall(host, *call);
+}
+
+// Guards against a process that a further signal or change during the grace ends early.
+TEST_CASE("Signals and changes during the grace cut nothing", "[signals]")
+{
+    constexpr int events = 18;
+    constexpr int changedVersion = 2;
+    constexpr Milliseconds shorterGrace{1000};
+    StoppingHost host;
+    std::vector<SentCall *> calls;
+    // Ends 2 s after its start, before the stop.
+    calls.push_back(&host.send(host.makeStream("/story/", events, Milliseconds(100))));
+    const std::string streamId = calls.front()->requestId();
+    REQUIRE(host.runUntil([&] { return host.servers().receivedCount(streamId) == 1; },
+                          Milliseconds(1000)));
+    host.stop();
+    const std::vector<std::function<void()>> disturbances{
+            [&] { host.signal(SIGTERM); }, [&] { host.signal(SIGHUP); },
+            [&] { host.writeConfiguration(changedVersion); },
+            [&] {
+                host.writeSettings(shorterGrace);
+                host.signal(SIGHUP);
+            },
+            [&] {
+                host.signal(SIGTERM);
+            }};
+    Milliseconds moment{200};
+    for (const auto &disturb : disturbances) {
+        host.runUntilMoment(moment);
+        calls.push_back(&host.send(host.makeCall("/order/", shortWork, shortDeadline)));
+        calls.push_back(&host.send(host.makeCall("/lookup/", shortWork, shortDeadline)));
+        host.runUntil([] { return false; }, shortWork / 2);
+        disturb();
+        moment += Milliseconds(300);
+    }
+    host.runUntilExit();
+    for (const SentCall *call : calls) {
+        INFO(call->describe());
+        CHECK(call->isAnswered());
+    }
+    constexpr Milliseconds timerTolerance{50};
+    CHECK(host.exitedAt() >= StoppingHost::stopTime - timerTolerance);
+    CHECK(host.exitStatus() == 0);
+}
+
+// Guards against a stream that is started at another server although it outlasts the stop.
+TEST_CASE("A stopping host starts no refused stream again that outlasts it", "[retry]")
+{
+    StoppingHost host;
+    std::vector<SentCall *> streams;
+    for (const char *path : {"/report/", "/story/"}) {
+        HttpRequest request = makeLongStream(host, path);
+        request.headers.emplace_back("Refuse-First", "1");
+        streams.push_back(&host.send(std::move(request)));
+    }
+    const auto areHeld = [&] {
+        return std::all_of(streams.begin(), streams.end(), [&](const SentCall *stream) {
+            return host.servers().receivedCount(stream->requestId()) == 1;
+        });
+    };
+    REQUIRE(host.runUntil(areHeld, Milliseconds(1000)));
+    host.stop();
+    host.servers().releaseRefusals();
+    const auto haveEnded = [&] {
+        return std::all_of(streams.begin(), streams.end(),
+                           [](const SentCall *stream) { return stream->hasEnded(); });
+    };
+    CHECK(host.runUntil(haveEnded, refusalTime));
+    host.runUntilExit();
+    for (const SentCall *stream : streams) {
+        INFO(stream->describe());
+        CHECK(stream->result.isRefusedAsNotRun());
+        CHECK(host.servers().receivedCount(stream->requestId()) == 1);
+    }
+}
+
+// Guards against calls from before the stop whose connection is closed without a response.
+TEST_CASE("A host gives the calls that still run at its stop a final response", "[final]")
+{
+    constexpr Milliseconds longWork{10000};
+    StoppingHost host;
+    const std::vector<SentCall *> calls{
+            &host.send(host.makeCall("/lookup/", longWork, {})),
+            &host.send(host.makeCall("/order/", longWork, {})),
+            // No event of these arrives before the stop.
+            &host.send(host.makeStream("/report/", 1, longWork)),
+            &host.send(host.makeStream("/story/", 1, longWork)),
+    };
+    const auto areRunning = [&] {
+        return std::all_of(calls.begin(), calls.end(), [&](const SentCall *call) {
+            return host.servers().receivedCount(call->requestId()) == 1;
+        });
+    };
+    REQUIRE(host.runUntil(areRunning, Milliseconds(1000)));
+    host.stop();
+    host.runUntilExit();
+    for (const SentCall *call : calls) {
+        INFO(call->describe());
+        CHECK(call->result.isOutcomeUnknown());
+    }
+    CHECK(host.exitedAt() < StoppingHost::grace);
+}
+
+// Guards against a process that does not exit within the grace, after which it would be killed.
+TEST_CASE("A stopping host exits with status 0 before its grace is over", "[exit]")
+{
+    for (const bool isBusy : {false, true}) {
+        StoppingHost host;
+        if (isBusy) {
+            const SentCall &stream = host.send(makeLongStream(host, "/story/"));
+            REQUIRE(host.runUntil(
+                    [&] { return host.servers().receivedCount(stream.requestId()) == 1; },
+                    Milliseconds(1000)));
+        }
+        host.stop();
+        host.runUntilExit();
+        INFO((isBusy ? "with" : "without") << " a stream");
+        CHECK(host.exitStatus() == 0);
+        CHECK(host.exitedAt() < StoppingHost::grace);
+    }
+}
