Refuse calls that a planned stop of the host would cut off

Callers that keep an address for some seconds reach a host that has got SIGTERM. It accepted every call and cut those that were still running 0.5 s before the end of the grace: streams of ten seconds that came 4 s after the SIGTERM were passed on and ended without an answer (LOST), and could not be repeated.

The cause is that nothing compared the time that a call may take with what is left of the grace. ServingState now knows when the stop ends the calls. A call whose deadline is later is refused as not run when it is placed, also when it waits for a server at the SIGTERM, or would be tried again after a refusal; another host takes it at once. At the end, calls without a response get a final answer before the process exits, and calls that arrive then are refused.

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -39,8 +39,11 @@
 constexpr int addressCacheFactor = 3;
 /** Callers notice a stopping host only at their next query, so responses expire early. */
 constexpr Milliseconds addressCacheTime{2000};
-/** The process exits this long before the platform would kill it. */
+/** The calls in progress are ended this long before the platform would kill the process. */
 constexpr Milliseconds graceMargin{500};
+/** How long the calls that a planned stop ends may take to send their final answers. */
+constexpr Milliseconds finalAnswersTime{200};
+constexpr Milliseconds finalAnswersInterval{20};
 /** File descriptors not used for calls: listeners, peers, store, files. */
 constexpr std::uint32_t reservedDescriptors = 400;
 /** A call needs one descriptor for its caller and up to one for its backend server. */
@@ -131,6 +134,7 @@
     net::awaitable<void> handleMetricsRequest(const HttpRequest &request, HttpResponder &responder);
     net::awaitable<void> reloadOnSignal();
     net::awaitable<void> stopOnSignal();
+    net::awaitable<void> endCalls(Milliseconds stopStartedAt);
 
     net::io_context context{1};
     PlatformSettings settings;
@@ -627,15 +631,15 @@
     boost::system::error_code code;
     co_await this->stopSignals.async_wait(net::redirect_error(net::use_awaitable, code));
     const Milliseconds drainStartedAt = this->clock.now();
+    const Milliseconds stopDeadline = drainStartedAt + this->settings.gracePeriod - graceMargin;
     this->entry.isDraining = true;
-    this->serving.startDraining();
+    this->serving.startDraining(stopDeadline);
     this->gateway.drain();
     this->checkReadiness();
     logEvent(LogEvent::DaemonDraining, "active_requests",
              std::to_string(this->entry.activeRequests));
     net::co_spawn(
             this->context, [this] { return this->peers.leave(); }, net::detached);
-    const Milliseconds stopDeadline = drainStartedAt + this->settings.gracePeriod - graceMargin;
     const Milliseconds addressesExpireAt =
             std::min(stopDeadline, drainStartedAt + addressCacheFactor * addressCacheTime);
     net::steady_timer timer(co_await net::this_coro::executor);
@@ -645,12 +649,30 @@
         co_await timer.async_wait(net::redirect_error(net::use_awaitable, code));
         now = this->clock.now();
     }
-    this->services.activeCalls.logCutCalls(drainStartedAt, now);
+    co_await this->endCalls(drainStartedAt);
     logEvent(LogEvent::DaemonStopped, "active_requests",
              std::to_string(this->entry.activeRequests));
     this->context.stop();
 }
 
+/** Ends the calls in progress, so that those without a response get a final answer. */
+net::awaitable<void> PlatformDaemon::Implementation::endCalls(Milliseconds stopStartedAt)
+{
+    this->gateway.stopAccepting();
+    Milliseconds now = this->clock.now();
+    // Calls that arrive from now on are refused, also if the stop is complete early.
+    this->serving.startDraining(now);
+    this->services.activeCalls.logCutCalls(stopStartedAt, now);
+    const Milliseconds end = now + finalAnswersTime;
+    net::steady_timer timer(co_await net::this_coro::executor);
+    boost::system::error_code code;
+    while (this->gateway.endCalls(now) > 0 && now < end) {
+        timer.expires_after(finalAnswersInterval);
+        co_await timer.async_wait(net::redirect_error(net::use_awaitable, code));
+        now = this->clock.now();
+    }
+}
+
 PlatformDaemon::PlatformDaemon(PlatformSettings settings, std::string path)
     : implementation(std::make_unique<Implementation>(std::move(settings), std::move(path)))
 {
--- a/packages/entry/dispatch/dispatchservice.cpp
+++ b/packages/entry/dispatch/dispatchservice.cpp
@@ -201,6 +201,14 @@
     co_return grant;
 }
 
+void DispatchService::refuseWaiting(const RequestName &request, ErrorCode reason,
+                                    Milliseconds retryAfter)
+{
+    this->post([request, reason, retryAfter](Dispatcher &dispatcher, Milliseconds) {
+        dispatcher.refuseWaiting(request, reason, retryAfter);
+    });
+}
+
 net::awaitable<bool> DispatchService::awaitResumption(RequestName request)
 {
     auto wait = [&](DecisionCallback callback) {
--- a/packages/entry/dispatch/dispatchservice.h
+++ b/packages/entry/dispatch/dispatchservice.h
@@ -55,6 +55,8 @@
      * @param reason receives the refusal as an error with NotRun.
      */
     boost::asio::awaitable<std::optional<Grant>> acquire(WorkRequest request, Error &reason);
+    /** Refuses a request that waits in acquire(); does nothing if it is not waiting. */
+    void refuseWaiting(const RequestName &request, ErrorCode reason, Milliseconds retryAfter);
     /** Waits until a suspended stream may resume. @return false if it must end instead. */
     boost::asio::awaitable<bool> awaitResumption(RequestName request);
     /** Reports how many tokens a running request has produced so far. */
--- a/packages/gateway/relay/activecalls.cpp
+++ b/packages/gateway/relay/activecalls.cpp
@@ -2,11 +2,12 @@
 
 #include "observability/observability.h"
 
+#include <algorithm>
 #include <string>
 
 namespace sassafrasyard {
 
-ActiveCalls::Listing::Listing(ActiveCalls &owner, const RoutedCall &call)
+ActiveCalls::Listing::Listing(ActiveCalls &owner, RoutedCall &call)
     : owner(owner)
     , call(call)
 {
@@ -30,6 +31,34 @@
     }
 }
 
+std::vector<RequestName> ActiveCalls::waitingBeyondStop(const ServingState &serving) const
+{
+    std::vector<RequestName> names;
+    for (const RoutedCall *call : this->calls) {
+        if (call->waitingAs && !serving.endsBeforeStop(call->deadlineAt))
+            names.push_back(*call->waitingAs);
+    }
+    return names;
+}
+
+std::vector<RequestName> ActiveCalls::waiting() const
+{
+    std::vector<RequestName> names;
+    for (const RoutedCall *call : this->calls) {
+        if (call->waitingAs)
+            names.push_back(*call->waitingAs);
+    }
+    return names;
+}
+
+void ActiveCalls::endExchanges(Milliseconds now)
+{
+    for (RoutedCall *call : this->calls) {
+        call->deadlineAt = std::min(call->deadlineAt, now);
+        call->cancelAll();
+    }
+}
+
 std::size_t ActiveCalls::size() const
 {
     return this->calls.size();
--- a/packages/gateway/relay/activecalls.h
+++ b/packages/gateway/relay/activecalls.h
@@ -2,9 +2,11 @@
 
 #include "core/core.h"
 #include "gateway/relay/routedcall.h"
+#include "gateway/state/servingstate.h"
 
 #include <cstddef>
 #include <set>
+#include <vector>
 
 namespace sassafrasyard {
 
@@ -17,14 +19,14 @@
     {
     public:
         /** Lists a call; both parameters must outlive the object. */
-        Listing(ActiveCalls &owner, const RoutedCall &call);
+        Listing(ActiveCalls &owner, RoutedCall &call);
         ~Listing();
         Listing(const Listing &) = delete;
         Listing &operator=(const Listing &) = delete;
 
     private:
         ActiveCalls &owner;
-        const RoutedCall &call;
+        RoutedCall &call;
     };
 
     ActiveCalls() = default;
@@ -37,11 +39,21 @@
      * @param stopStartedAt when the planned stop started, on the clock of RoutedCall::receivedAt.
      */
     void logCutCalls(Milliseconds stopStartedAt, Milliseconds now) const;
+    /**
+     * Returns the names of the waiting calls that a planned stop would cut off.
+     *
+     * @param serving states when the stop ends the calls.
+     */
+    std::vector<RequestName> waitingBeyondStop(const ServingState &serving) const;
+    /** Returns the names of all waiting calls. */
+    std::vector<RequestName> waiting() const;
+    /** Ends the exchange of each call with its server, as if the call had reached its deadline. */
+    void endExchanges(Milliseconds now);
     /** Returns the number of calls in progress. */
     std::size_t size() const;
 
 private:
-    std::set<const RoutedCall *> calls;
+    std::set<RoutedCall *> calls;
 };
 
 } // namespace sassafrasyard
--- a/packages/gateway/relay/backendattempt.cpp
+++ b/packages/gateway/relay/backendattempt.cpp
@@ -89,10 +89,12 @@
         this->dependencies.reachability.recordFailure(order.server);
         co_return result;
     }
-    if (this->call.isCallerGone) {
+    const bool isOver = this->call.timeLeft(this->dependencies.clock.now()) <= Milliseconds(0);
+    if (this->call.isCallerGone || isOver) {
         result.failure = {ErrorCode::ConnectionFailed,
                           RunState::NotRun,
-                          "the caller closed its connection",
+                          isOver ? "the call ended before it was sent"
+                                 : "the caller closed its connection",
                           {}};
         co_return result;
     }
--- a/packages/gateway/relay/callplacement.cpp
+++ b/packages/gateway/relay/callplacement.cpp
@@ -58,14 +58,41 @@
     return {ErrorCode::Overloaded, RunState::NotRun, std::move(detail), refusedRetryAfter};
 }
 
+/** Returns whether a planned stop of this host would cut the call off. */
+bool isBeyondStop(const GatewayDependencies &dependencies, const RoutedCall &call)
+{
+    // A response that has begun can no longer be replaced by a refusal.
+    return !call.hasResponseStarted && !dependencies.serving.endsBeforeStop(call.deadlineAt);
+}
+
+/** Waits for a server; meanwhile the call is listed as waiting, so that it can be refused. */
+net::awaitable<std::optional<Grant>> acquireListed(GatewayDependencies &dependencies,
+                                                   RoutedCall &call, const WorkRequest &work,
+                                                   Error &refusal)
+{
+    call.waitingAs = work.name;
+    auto grant = co_await dependencies.dispatch.acquire(work, refusal);
+    call.waitingAs.reset();
+    co_return grant;
+}
+
+Error stoppingError()
+{
+    return {ErrorCode::HostDraining, RunState::NotRun,
+            "this host is stopping and could not finish the call", stoppingRetryAfter};
+}
+
 } // namespace
 
-net::awaitable<std::optional<Grant>> placeCall(GatewayDependencies &dependencies,
-                                               const RoutedCall &call, WorkRequest work,
-                                               Error &refusal)
+net::awaitable<std::optional<Grant>> placeCall(GatewayDependencies &dependencies, RoutedCall &call,
+                                               WorkRequest work, Error &refusal)
 {
     const std::string name = work.name.toString();
     for (int placement = 0; placement < maximumPlacements; ++placement) {
+        if (isBeyondStop(dependencies, call)) {
+            refusal = stoppingError();
+            co_return std::nullopt;
+        }
         if (const auto pause = remainingServicePause(dependencies, call)) {
             refusal = overloadedError("no backend server of the service takes calls at present");
             refusal.retryAfter = addJitter(*pause, call);
@@ -73,9 +100,14 @@
         }
         if (placement > 0)
             work.name = RequestName(name + "/again-" + std::to_string(placement));
-        auto grant = co_await dependencies.dispatch.acquire(work, refusal);
+        auto grant = co_await acquireListed(dependencies, call, work, refusal);
         if (!grant)
             co_return std::nullopt;
+        if (isBeyondStop(dependencies, call)) {
+            dependencies.dispatch.reportFinished(grant->assignment.request, WorkOutcome::Cancelled);
+            refusal = stoppingError();
+            co_return std::nullopt;
+        }
         const bool isPastDeadline = call.timeLeft(dependencies.clock.now()) <= Milliseconds(0);
         const BackendServerName &server = grant->server.name;
         if (!isPastDeadline && !call.isCallerGone && dependencies.servers.isUsable(server)
--- a/packages/gateway/relay/callplacement.h
+++ b/packages/gateway/relay/callplacement.h
@@ -14,14 +14,18 @@
  *
  * If the chosen server began to leave, asked for a pause or has no room under its call limit
  * meanwhile, another one is chosen. If no server of the service takes calls at present, the call is
- * refused at once; the retry time is the end of the shortest pause.
+ * refused at once; the retry time is the end of the shortest pause. A call that a planned stop of
+ * this host would cut off is refused with HostDraining.
  *
  * @param work describes the attempt; its name must be new.
  * @param refusal receives why there is no server, with NotRun.
  * @return the assigned server, or nothing on failure.
  */
 boost::asio::awaitable<std::optional<Grant>> placeCall(GatewayDependencies &dependencies,
-                                                       const RoutedCall &call, WorkRequest work,
+                                                       RoutedCall &call, WorkRequest work,
                                                        Error &refusal);
 
+/** How long a caller that a stopping host refuses is told to wait; other hosts take it at once. */
+constexpr Milliseconds stoppingRetryAfter{0};
+
 } // namespace sassafrasyard
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -209,6 +209,7 @@
     if (this->hasStarted)
         co_return true;
     this->hasStarted = true;
+    this->call.hasResponseStarted = true;
     this->streamMediaType = mediaTypeOf(response.headers);
     HttpHeaders headers = withoutHopFields(response.headers);
     co_return co_await this->responder.startStream(response.status, std::move(headers));
@@ -259,7 +260,8 @@
     this->attempt->cancel();
     const bool hasRun = wasStream || result.outcome == AttemptOutcome::Unknown;
     this->reportPartEnd(hasRun ? WorkOutcome::Failed : WorkOutcome::RefusedByServer);
-    if (this->partCount >= maximumParts)
+    const bool isOver = this->call.timeLeft(this->dependencies.clock.now()) <= Milliseconds(0);
+    if (isOver || this->partCount >= maximumParts)
         co_return false;
     if (hasRun) {
         // The request would crash the engine of a copy as well.
--- a/packages/gateway/relay/gatewayservice.cpp
+++ b/packages/gateway/relay/gatewayservice.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/calls/hopheaders.h"
 #include "gateway/relay/callmetrics.h"
+#include "gateway/relay/callplacement.h"
 #include "gateway/relay/callrelay.h"
 #include "gateway/relay/eventrelay.h"
 
@@ -86,6 +87,27 @@
 void GatewayService::drain()
 {
     this->server.closeAfterResponses();
+    const ActiveCalls &calls = this->dependencies.activeCalls;
+    this->refuseWaiting(calls.waitingBeyondStop(this->dependencies.serving));
+}
+
+void GatewayService::stopAccepting()
+{
+    this->server.stopAccepting();
+}
+
+std::size_t GatewayService::endCalls(Milliseconds now)
+{
+    ActiveCalls &calls = this->dependencies.activeCalls;
+    this->refuseWaiting(calls.waiting());
+    calls.endExchanges(now);
+    return calls.size();
+}
+
+void GatewayService::refuseWaiting(std::span<const RequestName> names)
+{
+    for (const RequestName &name : names)
+        this->dependencies.dispatch.refuseWaiting(name, ErrorCode::HostDraining, stoppingRetryAfter);
 }
 
 net::awaitable<void> GatewayService::handle(const HttpRequest &request, HttpResponder &responder)
--- a/packages/gateway/relay/gatewayservice.h
+++ b/packages/gateway/relay/gatewayservice.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 
 namespace sassafrasyard {
 
@@ -28,8 +29,19 @@
      * @return whether it listens.
      */
     bool listen(const Endpoint &endpoint, std::size_t maximumConnections, Error &reason);
-    /** Closes each connection after its next response, for a planned stop. */
+    /**
+     * Begins a planned stop: closes each connection after its next response and refuses the waiting
+     * calls that the stop would cut off. Call ServingState::startDraining() before.
+     */
     void drain();
+    /** Stops accepting connections; open ones are still served. */
+    void stopAccepting();
+    /**
+     * Ends the calls in progress: a call without a response gets its final answer, a stream is cut.
+     *
+     * @return the number of calls that are still in progress.
+     */
+    std::size_t endCalls(Milliseconds now);
 
 private:
     boost::asio::awaitable<void> handle(const HttpRequest &request, HttpResponder &responder);
@@ -38,6 +50,7 @@
     void describeWork(RoutedCall &call);
     boost::asio::awaitable<void> run(RoutedCall &call, HttpResponder &responder);
     void applyLimits(const CallerLimits &limits);
+    void refuseWaiting(std::span<const RequestName> names);
 
     GatewayDependencies &dependencies;
     HttpServer server;
--- a/packages/gateway/relay/routedcall.h
+++ b/packages/gateway/relay/routedcall.h
@@ -45,6 +45,10 @@
     std::uint32_t sentAttempts = 0;
     /** Whether the caller has closed its connection. */
     bool isCallerGone = false;
+    /** Whether the header of the response was sent to the caller. */
+    bool hasResponseStarted = false;
+    /** The name under which the call waits for a backend server; nothing if it does not wait. */
+    std::optional<RequestName> waitingAs;
     /** Functions that cancel the exchanges in progress, by their owner. */
     std::map<const void *, std::function<void()>> cancelHooks;
 
--- a/packages/gateway/state/servingstate.cpp
+++ b/packages/gateway/state/servingstate.cpp
@@ -4,6 +4,13 @@
 
 namespace sassafrasyard {
 
+namespace {
+
+/** How long it takes to send the final answer of a call that reached its deadline. */
+constexpr Milliseconds finalAnswerTime{100};
+
+} // namespace
+
 ServingState::ServingState(ServingBounds bounds)
     : bounds(bounds)
 {
@@ -48,9 +55,9 @@
             std::max(requestedAt, this->serversConfirmedAt.value_or(requestedAt));
 }
 
-void ServingState::startDraining()
+void ServingState::startDraining(Milliseconds endsAt)
 {
-    this->hasStartedDraining = true;
+    this->stopEndsAt = endsAt;
 }
 
 bool ServingState::areKeysTrusted(Milliseconds now) const
@@ -71,7 +78,7 @@
 
 bool ServingState::isReady(Milliseconds now) const
 {
-    return this->activeConfiguration && this->serversConfirmedAt && !this->hasStartedDraining
+    return this->activeConfiguration && this->serversConfirmedAt && !this->stopEndsAt
             && this->areKeysTrusted(now);
 }
 
@@ -91,7 +98,12 @@
 
 bool ServingState::isDraining() const
 {
-    return this->hasStartedDraining;
+    return this->stopEndsAt.has_value();
+}
+
+bool ServingState::endsBeforeStop(Milliseconds deadlineAt) const
+{
+    return !this->stopEndsAt || deadlineAt + finalAnswerTime <= *this->stopEndsAt;
 }
 
 } // namespace sassafrasyard
--- a/packages/gateway/state/servingstate.h
+++ b/packages/gateway/state/servingstate.h
@@ -68,8 +68,12 @@
     void confirmConfiguration(Milliseconds requestedAt);
     /** Records that the list of backend servers was current at an instant. */
     void confirmServers(Milliseconds requestedAt);
-    /** Starts a planned stop; the host is not ready from now on. */
-    void startDraining();
+    /**
+     * Starts a planned stop; the host is not ready from now on.
+     *
+     * @param endsAt when the calls in progress are ended.
+     */
+    void startDraining(Milliseconds endsAt);
 
     /** Returns whether the keys are recent enough to forward calls with a key. */
     bool areKeysTrusted(Milliseconds now) const;
@@ -91,6 +95,13 @@
     std::optional<Milliseconds> serversAge(Milliseconds now) const;
     /** Returns whether a planned stop has started. */
     bool isDraining() const;
+    /**
+     * Returns whether a call is certain to end before a planned stop ends the calls in progress;
+     * always true if none has started.
+     *
+     * @param deadlineAt when the call is answered at the latest.
+     */
+    bool endsBeforeStop(Milliseconds deadlineAt) const;
 
 private:
     ServingBounds bounds;
@@ -98,7 +109,8 @@
     std::shared_ptr<const ServingConfiguration> activeConfiguration;
     std::optional<Milliseconds> configurationConfirmedAt;
     std::optional<Milliseconds> serversConfirmedAt;
-    bool hasStartedDraining = false;
+    /** When a planned stop ends the calls in progress; nothing before it has started. */
+    std::optional<Milliseconds> stopEndsAt;
 };
 
 } // namespace sassafrasyard
--- a/packages/gateway/tests/test_servingstate.cpp
+++ b/packages/gateway/tests/test_servingstate.cpp
@@ -77,6 +77,6 @@
     state.confirmServers(Milliseconds(0));
     REQUIRE(state.isReady(Milliseconds(1)));
     REQUIRE_FALSE(state.isReady(Milliseconds(4500)));
-    state.startDraining();
+    state.startDraining(Milliseconds(8000));
     REQUIRE_FALSE(state.isReady(Milliseconds(1)));
 }
--- a/packages/policy/dispatch/dispatcher.h
+++ b/packages/policy/dispatch/dispatcher.h
@@ -106,6 +106,13 @@
                      const BackendServerName &server, Milliseconds now);
     /** Removes a request from the queue without a decision; does nothing if it is not waiting. */
     void withdraw(const RequestName &request, Milliseconds now);
+    /**
+     * Refuses a request that waits for a backend server; does nothing if it is not waiting.
+     *
+     * @param reason the reason of the Refusal.
+     * @param retryAfter in milliseconds.
+     */
+    void refuseWaiting(const RequestName &request, ErrorCode reason, Milliseconds retryAfter);
     /** Records an engine's load report. */
     void recordLoadReport(const LoadReport &report, Milliseconds now);
     /** Records that an engine stored or evicted a cached prompt prefix. */
@@ -209,7 +216,6 @@
     void releaseSlot(const RunningRequest &work, WorkOutcome outcome, Milliseconds now);
 
     void refuse(const WorkRequest &request, ErrorCode reason, Milliseconds retryAfter);
-    void refuseWaiting(const RequestName &name, ErrorCode reason, Milliseconds retryAfter);
     void refuseExpired(Milliseconds now);
     void refuseSurplus(Group &group, Milliseconds now);
     bool isWaitTooLong(Group &group, const WorkRequest &request, std::size_t level,
