Answer all requests that were received together in a planned stop

In a planned stop each connection closes after its next response. A second request that had been read with the first was dropped then without an answer (LOST). The connection now closes once no received bytes are left.

--- a/packages/network/http/httpserver.cpp
+++ b/packages/network/http/httpserver.cpp
@@ -329,7 +329,9 @@
     if (!code)
         co_await http::async_read(connection.stream, connection.buffer, parser, redirect(code));
     connection.hasStarted = false;
-    connection.keepAlive = !code && parser.get().keep_alive() && !this->isClosing;
+    // A request that was received together with this one is answered as well.
+    const bool isLast = this->isClosing && connection.buffer.size() == 0;
+    connection.keepAlive = !code && parser.get().keep_alive() && !isLast;
     HttpResponder responder(connection);
     if (code) {
         // A connection that times out while idle has sent no request, so it gets no response.
--- /dev/null
+++ b/packages/network/tests/test_httpserver.cpp
@@ -0,0 +1,127 @@
+#include "network/network.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <functional>
+#include <string>
+#include <vector>
+
+using namespace sassafrasyard;
+
+namespace net = boost::asio;
+using net::ip::tcp;
+
+namespace {
+
+/** A server on loopback and a caller that writes and reads raw bytes. */
+class RawCaller
+{
+public:
+    /** @param bodyBytes the size of the body of each response. */
+    explicit RawCaller(std::size_t bodyBytes)
+        : server(
+                context, {},
+                [this, bodyBytes](const HttpRequest &, HttpResponder &responder)
+                        -> net::awaitable<void> {
+                    HttpResponse response;
+                    response.body = std::string(bodyBytes, 'x');
+                    ++this->handledCount;
+                    co_await responder.send(std::move(response));
+                },
+                [](const Error &error) {
+                    return HttpResponse{httpStatus(error.code), {}, ""};
+                })
+    {
+        Error reason;
+        this->endpoint = *this->server.listen({"127.0.0.1", 0}, reason);
+    }
+
+    /** Writes each text by itself, waits, and reads until the connection has ended. */
+    void exchange(const std::vector<std::string> &texts, Milliseconds delay)
+    {
+        this->run([this, &texts, delay](tcp::socket &socket) -> net::awaitable<void> {
+            for (const std::string &text : texts)
+                co_await net::async_write(socket, net::buffer(text), net::use_awaitable);
+            net::steady_timer timer(this->context, delay);
+            co_await timer.async_wait(net::use_awaitable);
+            co_await this->readAll(socket);
+        });
+    }
+
+    /** Returns how often a text occurs in the received bytes. */
+    std::size_t countOf(std::string_view text) const
+    {
+        std::size_t count = 0;
+        for (std::size_t at = this->received.find(text); at != std::string::npos;
+             at = this->received.find(text, at + 1)) {
+            ++count;
+        }
+        return count;
+    }
+
+    net::io_context context;
+    HttpServer server;
+    Endpoint endpoint;
+    std::string received;
+    std::size_t handledCount = 0;
+
+private:
+    using Session = std::function<net::awaitable<void>(tcp::socket &)>;
+
+    /** Connects and runs until the session has ended, for at most 5 s. */
+    void run(const Session &session)
+    {
+        bool hasEnded = false;
+        net::co_spawn(
+                this->context,
+                [&]() -> net::awaitable<void> {
+                    tcp::socket socket(this->context);
+                    const tcp::endpoint address(net::ip::make_address(this->endpoint.address),
+                                                this->endpoint.port);
+                    co_await socket.async_connect(address, net::use_awaitable);
+                    socket.set_option(tcp::no_delay(true));
+                    co_await session(socket);
+                    hasEnded = true;
+                },
+                net::detached);
+        const Clock clock = Clock::steady();
+        const Milliseconds end = clock.now() + Milliseconds(5000);
+        while (!hasEnded && clock.now() < end)
+            this->context.run_for(std::chrono::milliseconds(10));
+    }
+
+    net::awaitable<void> readAll(tcp::socket &socket)
+    {
+        std::array<char, 65536> bytes{};
+        boost::system::error_code code;
+        while (!code) {
+            const std::size_t count = co_await socket.async_read_some(
+                    net::buffer(bytes), net::redirect_error(net::use_awaitable, code));
+            this->received.append(bytes.data(), count);
+        }
+    }
+};
+
+constexpr const char *keptRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+} // namespace
+
+// Guards against a request that is received in full together with another one during a planned
+// stop, and is dropped when the connection closes after the first response.
+TEST_CASE("A planned stop answers requests that were received together", "[network]")
+{
+    RawCaller caller(10);
+    caller.server.closeAfterResponses();
+    caller.exchange({std::string(keptRequest) + keptRequest}, Milliseconds(0));
+    CHECK(caller.handledCount == 2);
+    CHECK(caller.countOf("HTTP/1.1 200") == 2);
+    CHECK(caller.countOf("Connection: close") == 1);
+}
