Don't reset a connection whose response is still on its way

A connection was closed right after its last response. If the caller had sent more bytes by then, the close was a reset, and what the caller had not received yet of the response was lost (LOST; it can happen beside any close by the host, most often in planned stops). The connection now ends with a half-close and is read until the caller closes it, for 1 s and the size of one request at most.

--- a/packages/network/http/httpserver.cpp
+++ b/packages/network/http/httpserver.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <array>
 #include <atomic>
 #include <cassert>
 #include <mutex>
@@ -31,6 +32,9 @@
 /** The delay after a failed accept(); a descriptor is usually free within about a round trip. */
 constexpr std::chrono::milliseconds acceptRetryDelay{20};
 
+/** How long a connection is read after its last response until the caller closes it. */
+constexpr std::chrono::milliseconds lingerTime{1000};
+
 /** The size of the first read, enough for a usual header; a longer one takes more reads. */
 constexpr std::size_t initialReadBytes = 2048;
 
@@ -114,6 +118,20 @@
         return received < 0 && errno != EAGAIN && errno != EWOULDBLOCK;
     }
 
+    /**
+     * Discards up to one request until the caller closes the connection. A close with unread bytes
+     * would reset the connection, which can destroy a response that the caller has not received.
+     */
+    net::awaitable<void> readUntilClosed()
+    {
+        this->stream.expires_after(lingerTime);
+        std::array<char, 1024> bytes;
+        error_code code;
+        const std::size_t limit = this->options.maximumHeaderBytes + this->options.maximumBodyBytes;
+        for (std::size_t total = 0; !code && total < limit;)
+            total += co_await this->stream.async_read_some(net::buffer(bytes), redirect(code));
+    }
+
     /** Sends what the socket buffer takes at once; an error is reported by the next write. */
     std::size_t writeNonBlocking(std::string_view bytes)
     {
@@ -307,6 +325,8 @@
             std::make_shared<HttpResponder::Connection>(std::move(socket), this->currentOptions());
     while (co_await this->serveOne(*connection)) { }
     connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    if (connection->hasStarted && connection->stream.socket().is_open())
+        co_await connection->readUntilClosed();
     --this->connectionCount;
 }
 
--- a/packages/network/tests/test_httpserver.cpp
+++ b/packages/network/tests/test_httpserver.cpp
@@ -111,6 +111,7 @@
 };
 
 constexpr const char *keptRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+constexpr const char *lastRequest = "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
 
 } // namespace
 
@@ -125,3 +126,15 @@
     CHECK(caller.countOf("HTTP/1.1 200") == 2);
     CHECK(caller.countOf("Connection: close") == 1);
 }
+
+// Guards against a response that is lost on its way: closing a connection with unread bytes resets
+// it, and the bytes of the response that the caller has not received yet are dropped.
+TEST_CASE("Bytes after the last request don't cut its response off", "[network]")
+{
+    constexpr std::size_t bodyBytes = 2U << 20U;
+    RawCaller caller(bodyBytes);
+    caller.exchange({lastRequest, std::string(4096, 'y')}, Milliseconds(300));
+    CHECK(caller.handledCount == 1);
+    CHECK(caller.countOf("HTTP/1.1 200") == 1);
+    CHECK(caller.received.size() > bodyBytes);
+}
