Apply a longer idle time to connections that are already idle

An idle connection kept the limit that was in force when it became idle. After a configuration that raises the limit callers keep using connections for the new time, so their requests met connections that the host had closed; a call that may run once is not repeated by its caller then. Also, a request that arrived at the end of the idle time could be read and dropped with the connection. The wait for a request no longer reads, and at its end the limit in force is looked up again.

The test failed before: 1 of 2 requests was answered.

--- a/packages/network/http/httpserver.cpp
+++ b/packages/network/http/httpserver.cpp
@@ -16,6 +16,7 @@
 #include <array>
 #include <atomic>
 #include <cassert>
+#include <memory>
 #include <mutex>
 #include <utility>
 
@@ -87,6 +88,7 @@
 {
     Connection(tcp::socket socket, const HttpServerOptions &options)
         : stream(std::move(socket))
+        , idleTimer(this->stream.get_executor())
         , options(options)
     {
     }
@@ -108,6 +110,24 @@
                 });
     }
 
+    /** Ends the wait for a request at an instant. */
+    void cancelWaitAt(std::chrono::steady_clock::time_point instant)
+    {
+        this->idleTimer.expires_at(instant);
+        this->idleTimer.async_wait([weak = this->weak_from_this()](error_code code) {
+            const auto self = weak.lock();
+            if (!code && self && self->isIdle)
+                self->stream.socket().cancel(code);
+        });
+    }
+
+    bool hasUnreadBytes()
+    {
+        char byte = 0;
+        const int handle = this->stream.socket().native_handle();
+        return ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    }
+
     bool isCallerGone()
     {
         char byte = 0;
@@ -150,10 +170,14 @@
     }
 
     beast::tcp_stream stream;
+    /** Limits the time between two requests. */
+    net::steady_timer idleTimer;
     HttpServerOptions options;
     beast::flat_buffer buffer;
     std::function<void()> callerGoneHook;
     bool isWatching = false;
+    /** Whether it waits for a request. */
+    bool isIdle = false;
     bool hasStarted = false;
     bool keepAlive = false;
     std::string chunk;
@@ -277,6 +301,7 @@
     net::awaitable<void> accept();
     net::awaitable<void> serve(tcp::socket socket);
     net::awaitable<bool> serveOne(HttpResponder::Connection &connection);
+    net::awaitable<error_code> awaitRequest(HttpResponder::Connection &connection);
     HttpServerOptions currentOptions();
 
     net::io_context &context;
@@ -338,7 +363,10 @@
     parser.header_limit(static_cast<std::uint32_t>(connection.options.maximumHeaderBytes));
     error_code code;
     if (connection.buffer.size() == 0) {
-        connection.stream.expires_after(connection.options.idleTimeout);
+        code = co_await this->awaitRequest(connection);
+        if (code)
+            co_return false;
+        connection.stream.expires_after(connection.options.readTimeout);
         const auto space = connection.buffer.prepare(initialReadBytes);
         const std::size_t received =
                 co_await connection.stream.async_read_some(space, redirect(code));
@@ -367,6 +395,30 @@
     co_return connection.keepAlive;
 }
 
+/**
+ * Waits for the first byte of a request, without reading it. At the end of the idle time the limit
+ * is looked up again: a caller that knows a longer one may still send a request.
+ */
+net::awaitable<error_code> HttpServer::Implementation::awaitRequest(
+        HttpResponder::Connection &connection)
+{
+    const auto idleSince = std::chrono::steady_clock::now();
+    error_code code = net::error::operation_aborted;
+    while (code == net::error::operation_aborted) {
+        const auto idleUntil = idleSince + this->currentOptions().idleTimeout;
+        const bool isOver = idleUntil <= std::chrono::steady_clock::now();
+        // A request that has just arrived is served.
+        if (isOver && !connection.hasUnreadBytes())
+            break;
+        connection.cancelWaitAt(idleUntil);
+        connection.isIdle = true;
+        co_await connection.stream.socket().async_wait(tcp::socket::wait_read, redirect(code));
+        connection.isIdle = false;
+        connection.idleTimer.cancel();
+    }
+    co_return code;
+}
+
 HttpServerOptions HttpServer::Implementation::currentOptions()
 {
     const std::lock_guard lock(this->optionsMutex);
--- a/packages/network/tests/test_httpserver.cpp
+++ b/packages/network/tests/test_httpserver.cpp
@@ -56,6 +56,20 @@
         });
     }
 
+    /** Sends a request, waits, and sends another one on the same connection. */
+    void exchangeAfter(const std::string &first, const std::string &second, Milliseconds delay)
+    {
+        this->run([this, first, second, delay](tcp::socket &socket) -> net::awaitable<void> {
+            co_await net::async_write(socket, net::buffer(first), net::use_awaitable);
+            net::steady_timer timer(this->context, delay);
+            co_await timer.async_wait(net::use_awaitable);
+            boost::system::error_code ignored;
+            co_await net::async_write(socket, net::buffer(second),
+                                      net::redirect_error(net::use_awaitable, ignored));
+            co_await this->readAll(socket);
+        });
+    }
+
     /** Returns how often a text occurs in the received bytes. */
     std::size_t countOf(std::string_view text) const
     {
@@ -138,3 +152,21 @@
     CHECK(caller.countOf("HTTP/1.1 200") == 1);
     CHECK(caller.received.size() > bodyBytes);
 }
+
+// Guards against connections that are closed while callers still use them: after a change that
+// raises the idle time, callers keep connections for the new one.
+TEST_CASE("A longer idle time applies to connections that are already idle", "[network]")
+{
+    RawCaller caller(10);
+    HttpServerOptions options;
+    options.idleTimeout = Milliseconds(200);
+    caller.server.setOptions(options);
+    net::steady_timer change(caller.context, std::chrono::milliseconds(100));
+    change.async_wait([&caller, options](const boost::system::error_code &) {
+        HttpServerOptions changed = options;
+        changed.idleTimeout = Milliseconds(60000);
+        caller.server.setOptions(changed);
+    });
+    caller.exchangeAfter(keptRequest, lastRequest, Milliseconds(400));
+    CHECK(caller.countOf("HTTP/1.1 200") == 2);
+}
