Close idle connections before the process exits in a planned stop

Connections that waited for a request were closed by the exit of the process, with requests that arrived at that moment. They are closed in an orderly way now, after the host has stopped accepting connections, and the process waits for open connections within the time for final answers.

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -658,7 +658,6 @@
 /** Ends the calls in progress, so that those without a response get a final answer. */
 net::awaitable<void> PlatformDaemon::Implementation::endCalls(Milliseconds stopStartedAt)
 {
-    this->gateway.stopAccepting();
     Milliseconds now = this->clock.now();
     // Calls that arrive from now on are refused, also if the stop is complete early.
     this->serving.startDraining(now);
@@ -666,7 +665,10 @@
     const Milliseconds end = now + finalAnswersTime;
     net::steady_timer timer(co_await net::this_coro::executor);
     boost::system::error_code code;
-    while (this->gateway.endCalls(now) > 0 && now < end) {
+    while (now < end) {
+        this->gateway.closeIdle();
+        if (this->gateway.endCalls(now) == 0 && this->gateway.openConnections() == 0)
+            break;
         timer.expires_after(finalAnswersInterval);
         co_await timer.async_wait(net::redirect_error(net::use_awaitable, code));
         now = this->clock.now();
--- a/packages/gateway/relay/gatewayservice.cpp
+++ b/packages/gateway/relay/gatewayservice.cpp
@@ -91,9 +91,15 @@
     this->refuseWaiting(calls.waitingBeyondStop(this->dependencies.serving));
 }
 
-void GatewayService::stopAccepting()
+void GatewayService::closeIdle()
 {
     this->server.stopAccepting();
+    this->server.closeIdleConnections();
+}
+
+std::size_t GatewayService::openConnections() const
+{
+    return this->server.openConnections();
 }
 
 std::size_t GatewayService::endCalls(Milliseconds now)
--- a/packages/gateway/relay/gatewayservice.h
+++ b/packages/gateway/relay/gatewayservice.h
@@ -34,8 +34,10 @@
      * calls that the stop would cut off. Call ServingState::startDraining() before.
      */
     void drain();
-    /** Stops accepting connections; open ones are still served. */
-    void stopAccepting();
+    /** Stops accepting connections and closes those that wait for a request. */
+    void closeIdle();
+    /** Returns the number of open connections of callers. */
+    std::size_t openConnections() const;
     /**
      * Ends the calls in progress: a call without a response gets its final answer, a stream is cut.
      *
--- a/packages/network/http/httpserver.cpp
+++ b/packages/network/http/httpserver.cpp
@@ -16,6 +16,7 @@
 #include <array>
 #include <atomic>
 #include <cassert>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <utility>
@@ -121,6 +122,16 @@
         });
     }
 
+    /** Ends the connection if it waits for a request. */
+    void endIfIdle()
+    {
+        if (!this->isIdle)
+            return;
+        this->isEnding = true;
+        error_code ignored;
+        this->stream.socket().cancel(ignored);
+    }
+
     bool hasUnreadBytes()
     {
         char byte = 0;
@@ -178,6 +189,8 @@
     bool isWatching = false;
     /** Whether it waits for a request. */
     bool isIdle = false;
+    /** Whether it is closed instead of waiting for a request. */
+    bool isEnding = false;
     bool hasStarted = false;
     bool keepAlive = false;
     std::string chunk;
@@ -302,6 +315,7 @@
     net::awaitable<void> serve(tcp::socket socket);
     net::awaitable<bool> serveOne(HttpResponder::Connection &connection);
     net::awaitable<error_code> awaitRequest(HttpResponder::Connection &connection);
+    void closeIdleConnections();
     HttpServerOptions currentOptions();
 
     net::io_context &context;
@@ -312,6 +326,10 @@
     tcp::acceptor acceptor;
     std::atomic<std::size_t> connectionCount = 0;
     std::atomic<bool> isClosing = false;
+    std::mutex connectionsMutex;
+    /** The open connections, by their address. */
+    std::map<const HttpResponder::Connection *, std::weak_ptr<HttpResponder::Connection>>
+            connections;
 };
 
 net::awaitable<void> HttpServer::Implementation::accept()
@@ -348,10 +366,18 @@
     socket.set_option(tcp::no_delay(true), ignored);
     auto connection =
             std::make_shared<HttpResponder::Connection>(std::move(socket), this->currentOptions());
+    {
+        const std::lock_guard lock(this->connectionsMutex);
+        this->connections.emplace(connection.get(), connection);
+    }
     while (co_await this->serveOne(*connection)) { }
     connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     if (connection->hasStarted && connection->stream.socket().is_open())
         co_await connection->readUntilClosed();
+    {
+        const std::lock_guard lock(this->connectionsMutex);
+        this->connections.erase(connection.get());
+    }
     --this->connectionCount;
 }
 
@@ -406,7 +432,7 @@
     error_code code = net::error::operation_aborted;
     while (code == net::error::operation_aborted) {
         const auto idleUntil = idleSince + this->currentOptions().idleTimeout;
-        const bool isOver = idleUntil <= std::chrono::steady_clock::now();
+        const bool isOver = connection.isEnding || idleUntil <= std::chrono::steady_clock::now();
         // A request that has just arrived is served.
         if (isOver && !connection.hasUnreadBytes())
             break;
@@ -419,6 +445,15 @@
     co_return code;
 }
 
+void HttpServer::Implementation::closeIdleConnections()
+{
+    const std::lock_guard lock(this->connectionsMutex);
+    for (const auto &[address, weak] : this->connections) {
+        if (const auto connection = weak.lock())
+            net::post(connection->stream.get_executor(), [connection] { connection->endIfIdle(); });
+    }
+}
+
 HttpServerOptions HttpServer::Implementation::currentOptions()
 {
     const std::lock_guard lock(this->optionsMutex);
@@ -468,6 +503,11 @@
     this->implementation->isClosing = true;
 }
 
+void HttpServer::closeIdleConnections()
+{
+    this->implementation->closeIdleConnections();
+}
+
 std::size_t HttpServer::openConnections() const
 {
     return this->implementation->connectionCount;
--- a/packages/network/http/httpserver.h
+++ b/packages/network/http/httpserver.h
@@ -121,6 +121,9 @@
     /** From now on, closes each connection after its next response. */
     void closeAfterResponses();
 
+    /** Closes the connections that wait for a request, for a planned stop. */
+    void closeIdleConnections();
+
     /** Returns the number of open connections. */
     std::size_t openConnections() const;
 
--- a/packages/network/tests/test_httpserver.cpp
+++ b/packages/network/tests/test_httpserver.cpp
@@ -170,3 +170,20 @@
     caller.exchangeAfter(keptRequest, lastRequest, Milliseconds(400));
     CHECK(caller.countOf("HTTP/1.1 200") == 2);
 }
+
+// Guards against idle connections that are closed by the exit of the process only, with requests
+// that arrive at that moment.
+TEST_CASE("A planned stop closes the connections that wait for a request", "[network]")
+{
+    RawCaller caller(10);
+    net::steady_timer stop(caller.context, std::chrono::milliseconds(200));
+    stop.async_wait([&caller](const boost::system::error_code &) {
+        caller.server.closeIdleConnections();
+    });
+    const Clock clock = Clock::steady();
+    const Milliseconds start = clock.now();
+    caller.exchange({keptRequest}, Milliseconds(0));
+    CHECK(caller.countOf("HTTP/1.1 200") == 1);
+    CHECK(clock.now() - start < Milliseconds(2000));
+    CHECK(caller.server.openConnections() == 0);
+}
