--- a/tests/plannedstop/callerconnection.cpp
+++ b/tests/plannedstop/callerconnection.cpp
@@ -81,7 +81,7 @@
         result.end = parser.got_some() ? CallEnd::Cut : CallEnd::Reset;
     } else {
         result.end = CallEnd::Response;
-        result.response.status = parser.get().result_int();
+        result.response.status = static_cast<int>(parser.get().result_int());
         for (const auto &field : parser.get()) {
             result.response.headers.emplace_back(std::string(field.name_string()),
                                                  std::string(field.value()));
@@ -95,7 +95,7 @@
 {
     std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
     for (const auto &[name, value] : request.headers)
-        text += name + ": " + value + "\r\n";
+        text.append(name).append(": ").append(value).append("\r\n");
     return text + "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n"
             + request.body;
 }
