Discard a list that can't be continued after a page

A page whose objects all lack a readable name ended the list, although more pages followed; the objects of those counted as removed. A page that ended with the name it was to start after was requested forever.

Such a list now fails as unavailable, and what is known is kept.

Before the change the test read the list {"a"} as complete.

--- a/packages/gateway/store/objectsource.cpp
+++ b/packages/gateway/store/objectsource.cpp
@@ -32,9 +32,17 @@
                       {}};
             co_return std::nullopt;
         }
-        hasMore = page->hasMore && !page->objects.empty();
-        if (hasMore)
+        hasMore = page->hasMore;
+        if (hasMore) {
+            if (page->objects.empty() || page->objects.back().name == after) {
+                reason = {ErrorCode::PlatformUnavailable,
+                          RunState::NotRun,
+                          "a page of a list has no readable name to continue from",
+                          {}};
+                co_return std::nullopt;
+            }
             after = page->objects.back().name;
+        }
         std::move(page->objects.begin(), page->objects.end(), std::back_inserter(all.objects));
     }
     co_return all;
--- a/packages/gateway/store/objectsource.h
+++ b/packages/gateway/store/objectsource.h
@@ -102,7 +102,8 @@
 /**
  * Reads all objects of a kind, page by page.
  *
- * @param reason as for ObjectSource::list; also if the store was restored between two pages.
+ * @param reason as for ObjectSource::list; also if the store was restored between two pages, or if
+ *     a page has no object from whose name the next one can start.
  * @return the objects, with the revision of the first page. A watch from there repeats what changed
  *     between two pages.
  */
--- a/packages/gateway/tests/test_objectfollower.cpp
+++ b/packages/gateway/tests/test_objectfollower.cpp
@@ -156,6 +156,19 @@
     REQUIRE(store.watchedFrom == std::vector<std::uint64_t>{11});
 }
 
+// Guards against objects of later pages that count as removed because a page in between has no
+// object with a readable name, and against a page that is requested again and again.
+TEST_CASE("A list with a page from which it can't continue is discarded", "[store][odd]")
+{
+    ScriptedStore store;
+    store.lists = {makePage("a", true, 10), ObjectPage{{}, true, 10}, makePage("b", true, 11),
+                   makePage("b", true, 11), makePage("c", false, 12)};
+    FollowerHarness harness(store);
+    harness.run();
+    REQUIRE(harness.lists == std::vector<std::string>{"c"});
+    REQUIRE(store.listedAfter == std::vector<std::string>{"", "a", "", "b", ""});
+}
+
 // Guards against a list that mixes a store from before a restore with the copy: its entries would
 // count as news, and the restore would be noticed only with the next list.
 TEST_CASE("A list whose pages are from before and after a restore is read again", "[store]")
