Report deeply nested documents of a change

A document nested 250,000 levels deep overflowed the stack of the host when its parts were copied (SIGSEGV in a program that passes it to parseProposedDocuments).

--- a/packages/configuration/documents/documentset.cpp
+++ b/packages/configuration/documents/documentset.cpp
@@ -2,6 +2,7 @@
 
 #include "configuration/documents/accounttemplate.h"
 #include "configuration/documents/fieldreader.h"
+#include "core/text/jsontext.h"
 
 #include <nlohmann/json.hpp>
 
@@ -148,6 +149,12 @@
                                                      std::vector<ConfigurationFault> &faults)
 {
     std::vector<ProposedDocument> proposals;
+    if (!jsontext::isNestedAtMost(text)) {
+        faults.push_back({ConfigurationFaultKind::MalformedDocument, "documents", "",
+                          "nested too deeply",
+                          "nest at most " + std::to_string(jsontext::maximumNesting) + " levels"});
+        return proposals;
+    }
     const json list = json::parse(text, nullptr, false);
     if (!list.is_array()) {
         faults.push_back({ConfigurationFaultKind::MalformedDocument, "documents", "",
--- a/packages/configuration/tests/test_documents.cpp
+++ b/packages/configuration/tests/test_documents.cpp
@@ -112,3 +112,17 @@
                                     makeProposal("account/b", R"({"template":"shop"})")});
     REQUIRE(hasFault(faults, ConfigurationFaultKind::Duplicate, "account/b", "key_digests"));
 }
+
+// Guards against an operator's change that overflows the stack when its documents are copied.
+TEST_CASE("Deeply nested documents are reported", "[documents][odd]")
+{
+    for (const std::size_t levels : {std::size_t{100}, std::size_t{250'000}}) {
+        const std::string deep = std::string(levels, '[') + std::string(levels, ']');
+        std::vector<ConfigurationFault> faults;
+        const auto proposals =
+                parseProposedDocuments(R"([{"document":"account/a","x":)" + deep + "}]", faults);
+        REQUIRE(proposals.empty());
+        REQUIRE(faults.size() == 1);
+        REQUIRE(faults[0].kind == ConfigurationFaultKind::MalformedDocument);
+    }
+}
