Reject quarantine entries with a time out of range

A time of 1e300 or of the smallest 64-bit number was converted with an undefined result or overflowed when the present was subtracted, and the entry was used: the request was refused for the whole lifetime of a record. The time must be a whole number of milliseconds.

--- a/packages/gateway/state/quarantinearchive.cpp
+++ b/packages/gateway/state/quarantinearchive.cpp
@@ -38,6 +38,16 @@
     return value;
 }
 
+/** Decodes an instant in milliseconds since the Unix epoch; fails if it is not a whole number. */
+Milliseconds parseInstant(const Json &value)
+{
+    // Differences of instants up to this one, in the year 37647, fit into 64 bits.
+    constexpr std::uint64_t latestInstant = 1ULL << 50U;
+    if (!value.is_number_unsigned() || value.get<std::uint64_t>() > latestInstant)
+        throw std::out_of_range("expires_at_ms is not an instant in milliseconds");
+    return Milliseconds(value.get<std::int64_t>());
+}
+
 QuarantineRecord decodeRecord(std::uint64_t requestDigest, const Json &run, Milliseconds wallTime)
 {
     QuarantineRecord record;
@@ -45,7 +55,7 @@
     record.incident = parseHex(run.at("incident").get<std::string>());
     record.serverDigest = parseHex(run.at("server").get<std::string>());
     record.crashFreeRun = parseHex(run.at("sound_run").get<std::string>());
-    record.remaining = Milliseconds(run.at("expires_at_ms").get<std::int64_t>()) - wallTime;
+    record.remaining = parseInstant(run.at("expires_at_ms")) - wallTime;
     return record;
 }
 
--- a/packages/gateway/tests/test_quarantinearchive.cpp
+++ b/packages/gateway/tests/test_quarantinearchive.cpp
@@ -156,3 +156,20 @@
     REQUIRE_FALSE(store.objects.contains(digestText(requestDigest)));
     REQUIRE(store.objects.contains("spoilt"));
 }
+
+// Guards against requests that are refused because the time of an entry overflows.
+TEST_CASE("A quarantine entry with a time out of range is rejected", "[odd]")
+{
+    const auto decode = [](const std::string &time) {
+        const std::string run = R"({"incident":"1","server":"2","sound_run":"3","expires_at_ms":)";
+        Error reason;
+        return QuarantineArchive::decode({"0f", 3, R"({"runs":[)" + run + time + "}]}"},
+                                         Milliseconds(1'700'000'000'000), reason);
+    };
+    REQUIRE(decode("1700000060000"));
+    for (const char *time : {"1e300", "-1e300", "-9223372036854775808", "9223372036854775808",
+                             "18446744073709551615", "1.5", "\"x\"", "null"}) {
+        INFO(time);
+        REQUIRE_FALSE(decode(time));
+    }
+}
