Log each revision of an unreadable object once

Event 8004 was written at each read of the list, with names and details of any length, and not at all for objects without a readable name.

UnreadableObjectLog remembers the revisions that were logged, shortens names and details to 253 bytes and replaces bytes other than printable ASCII. The event has a new field, kind.

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -151,6 +151,7 @@
     GatewayDependencies services;
     GatewayService gateway;
     StoreClient store;
+    UnreadableObjectLog unreadableObjects;
     QuarantineArchive quarantineArchive;
     SharedObjectSource configurationSource;
     SharedObjectSource serverSource;
@@ -405,8 +406,7 @@
     if (configuration)
         this->serving.offer(std::move(*configuration));
     else
-        logEvent(LogEvent::ObjectUnreadable, "object", object.name, "revision",
-                 storeposition::text(object.revision), "detail", reason.detail);
+        this->unreadableObjects.record(objectkind::configuration, object, reason.detail);
 }
 
 std::optional<ServerEntry> PlatformDaemon::Implementation::readServer(
@@ -414,10 +414,8 @@
 {
     Error reason;
     auto entry = decodeServer(object, reason);
-    if (!entry) {
-        logEvent(LogEvent::ObjectUnreadable, "object", object.name, "revision",
-                 storeposition::text(object.revision), "detail", reason.detail);
-    }
+    if (!entry)
+        this->unreadableObjects.record(objectkind::servers, object, reason.detail);
     return entry;
 }
 
@@ -442,8 +440,7 @@
         if (auto record = decodeHost(object, reason)) {
             records.push_back(std::move(*record));
         } else {
-            logEvent(LogEvent::ObjectUnreadable, "object", object.name, "revision",
-                     storeposition::text(object.revision), "detail", reason.detail);
+            this->unreadableObjects.record(objectkind::hosts, object, reason.detail);
         }
     }
     if (!records.empty())
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -27,3 +27,4 @@
 #include "gateway/store/readerselection.h"
 #include "gateway/store/sharedobjectsource.h"
 #include "gateway/store/storeposition.h"
+#include "gateway/store/unreadableobjectlog.h"
--- a/packages/gateway/state/quarantinearchive.cpp
+++ b/packages/gateway/state/quarantinearchive.cpp
@@ -149,8 +149,7 @@
         Error reason;
         const auto decoded = QuarantineArchive::decode(object, this->wallClock.now(), reason);
         if (!decoded) {
-            logEvent(LogEvent::ObjectUnreadable, "object", object.name, "revision",
-                     storeposition::text(object.revision), "detail", reason.detail);
+            this->unreadableObjects.record("refused requests", object, reason.detail);
         } else if (decoded->empty()) {
             expired = object.name;
         } else {
--- a/packages/gateway/state/quarantinearchive.h
+++ b/packages/gateway/state/quarantinearchive.h
@@ -2,6 +2,7 @@
 
 #include "entry/entry.h"
 #include "gateway/store/objectsource.h"
+#include "gateway/store/unreadableobjectlog.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -75,6 +76,7 @@
     boost::asio::io_context &context;
     QuarantineArchiveCalls calls;
     Clock wallClock;
+    UnreadableObjectLog unreadableObjects;
     /** The digests that this host stored; used on the thread of the context. */
     std::set<std::uint64_t> savedDigests;
 };
