Reject deeply nested bodies of operators' requests

The handlers copy and format parts of the body recursively, so a deeply nested one from a client with the operator token overflows the stack.

test_control "[admin]" fails without the change at 100 levels, and passes with it: 5 assertions.

--- a/packages/control/admin/adminjson.cpp
+++ b/packages/control/admin/adminjson.cpp
@@ -1,5 +1,7 @@
 #include "control/admin/adminjson.h"
 
+#include "core/text/jsontext.h"
+
 namespace sassafrasyard {
 
 using nlohmann::json;
@@ -15,7 +17,9 @@
 
 std::optional<json> parseJsonObject(const HttpRequest &request, Error &reason)
 {
-    json body = json::parse(request.body, nullptr, false);
+    json body;
+    if (jsontext::isNestedAtMost(request.body))
+        body = json::parse(request.body, nullptr, false);
     if (body.is_object())
         return body;
     reason = {ErrorCode::InvalidRequest, RunState::NotRun, "the body is not a JSON object", {}};
