Apply the limits in force to a request on a connection that was idle

The limits of a request's size and of the time to read it were taken when its connection became idle. After a configuration that raises them, the next request on a kept connection was refused under the old ones, with 413, 431 or 408. They are taken now when the request arrives.

Also, a connection that is closed while it waits was read until its caller closes it, because its previous response counted as on its way. A request that crossed the close was read and dropped; unread, its caller may send it again elsewhere.

--- a/packages/network/http/httpserver.cpp
+++ b/packages/network/http/httpserver.cpp
@@ -383,15 +383,18 @@
 
 net::awaitable<bool> HttpServer::Implementation::serveOne(HttpResponder::Connection &connection)
 {
+    // A connection that is closed while it waits has no response on its way.
+    connection.hasStarted = false;
+    error_code code;
+    if (connection.buffer.size() == 0)
+        code = co_await this->awaitRequest(connection);
+    if (code)
+        co_return false;
     connection.options = this->currentOptions();
     http::request_parser<http::string_body> parser;
     parser.body_limit(connection.options.maximumBodyBytes);
     parser.header_limit(static_cast<std::uint32_t>(connection.options.maximumHeaderBytes));
-    error_code code;
     if (connection.buffer.size() == 0) {
-        code = co_await this->awaitRequest(connection);
-        if (code)
-            co_return false;
         connection.stream.expires_after(connection.options.readTimeout);
         const auto space = connection.buffer.prepare(initialReadBytes);
         const std::size_t received =
@@ -402,7 +405,6 @@
     connection.stream.expires_after(connection.options.readTimeout);
     if (!code)
         co_await http::async_read(connection.stream, connection.buffer, parser, redirect(code));
-    connection.hasStarted = false;
     // A request that was received together with this one is answered as well.
     const bool isLast = this->isClosing && connection.buffer.size() == 0;
     connection.keepAlive = !code && parser.get().keep_alive() && !isLast;
