Answer a request whose handler ends with an exception

Its caller saw a closed connection, and the connection stayed counted and listed, so that a later one at the same address could not be closed when idle. The caller gets status 500 with an unknown outcome now, or a cut response if it had begun; the exception is logged as before.

--- a/packages/network/http/httpserver.cpp
+++ b/packages/network/http/httpserver.cpp
@@ -16,6 +16,7 @@
 #include <array>
 #include <atomic>
 #include <cassert>
+#include <exception>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -311,9 +312,13 @@
     {
     }
 
+    class Registration;
+
     net::awaitable<void> accept();
     net::awaitable<void> serve(tcp::socket socket);
     net::awaitable<bool> serveOne(HttpResponder::Connection &connection);
+    net::awaitable<void> answerFailure(HttpResponder::Connection &connection,
+                                       HttpResponder &responder);
     net::awaitable<error_code> awaitRequest(HttpResponder::Connection &connection);
     void closeIdleConnections();
     HttpServerOptions currentOptions();
@@ -332,6 +337,33 @@
             connections;
 };
 
+/** Lists a connection during the lifetime of the object; counts it as closed at the end. */
+class HttpServer::Implementation::Registration
+{
+public:
+    Registration(Implementation &server, std::shared_ptr<HttpResponder::Connection> listed)
+        : server(server)
+        , connection(std::move(listed))
+    {
+        const std::lock_guard lock(this->server.connectionsMutex);
+        this->server.connections.emplace(this->connection.get(), this->connection);
+    }
+
+    ~Registration()
+    {
+        const std::lock_guard lock(this->server.connectionsMutex);
+        this->server.connections.erase(this->connection.get());
+        --this->server.connectionCount;
+    }
+
+    Registration(const Registration &) = delete;
+    Registration &operator=(const Registration &) = delete;
+
+private:
+    Implementation &server;
+    std::shared_ptr<HttpResponder::Connection> connection;
+};
+
 net::awaitable<void> HttpServer::Implementation::accept()
 {
     auto self = this->shared_from_this();
@@ -366,19 +398,11 @@
     socket.set_option(tcp::no_delay(true), ignored);
     auto connection =
             std::make_shared<HttpResponder::Connection>(std::move(socket), this->currentOptions());
-    {
-        const std::lock_guard lock(this->connectionsMutex);
-        this->connections.emplace(connection.get(), connection);
-    }
+    const Registration registration(*this, connection);
     while (co_await this->serveOne(*connection)) { }
     connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     if (connection->hasStarted && connection->stream.socket().is_open())
         co_await connection->readUntilClosed();
-    {
-        const std::lock_guard lock(this->connectionsMutex);
-        this->connections.erase(connection.get());
-    }
-    --this->connectionCount;
 }
 
 net::awaitable<bool> HttpServer::Implementation::serveOne(HttpResponder::Connection &connection)
@@ -417,12 +441,35 @@
         co_return false;
     }
     connection.stream.expires_never();
-    co_await this->handler(toRequest(parser.get()), responder);
+    std::exception_ptr failure;
+    try {
+        co_await this->handler(toRequest(parser.get()), responder);
+    } catch (...) {
+        failure = std::current_exception();
+    }
     connection.callerGoneHook = nullptr;
+    if (failure) {
+        co_await this->answerFailure(connection, responder);
+        std::rethrow_exception(failure);
+    }
     assert(connection.hasStarted);
     co_return connection.keepAlive;
 }
 
+/** Answers a request whose handler ended with an exception, or cuts the response that it began. */
+net::awaitable<void> HttpServer::Implementation::answerFailure(
+        HttpResponder::Connection &connection, HttpResponder &responder)
+{
+    connection.keepAlive = false;
+    if (connection.hasStarted) {
+        responder.abort();
+        co_return;
+    }
+    const Error error{
+            ErrorCode::Internal, RunState::OutcomeUnknown, "the request could not be handled", {}};
+    co_await responder.send(this->formatError(error));
+}
+
 /**
  * Waits for the first byte of a request, without reading it. At the end of the idle time the limit
  * is looked up again: a caller that knows a longer one may still send a request.
--- a/packages/network/tests/test_httpserver.cpp
+++ b/packages/network/tests/test_httpserver.cpp
@@ -11,6 +11,7 @@
 
 #include <array>
 #include <functional>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,8 @@
                 context, {},
                 [this, bodyBytes](const HttpRequest &, HttpResponder &responder)
                         -> net::awaitable<void> {
+                    if (this->isThrowing)
+                        throw std::runtime_error("handler");
                     HttpResponse response;
                     response.body = std::string(bodyBytes, 'x');
                     ++this->handledCount;
@@ -86,6 +89,8 @@
     Endpoint endpoint;
     std::string received;
     std::size_t handledCount = 0;
+    /** Whether the handler throws instead of responding. */
+    bool isThrowing = false;
 
 private:
     using Session = std::function<net::awaitable<void>(tcp::socket &)>;
@@ -108,8 +113,13 @@
                 net::detached);
         const Clock clock = Clock::steady();
         const Milliseconds end = clock.now() + Milliseconds(5000);
-        while (!hasEnded && clock.now() < end)
-            this->context.run_for(std::chrono::milliseconds(10));
+        while (!hasEnded && clock.now() < end) {
+            try {
+                this->context.run_for(std::chrono::milliseconds(10));
+            } catch (const std::runtime_error &) {
+                // The exception of a handler ends only its own connection.
+            }
+        }
     }
 
     net::awaitable<void> readAll(tcp::socket &socket)
@@ -187,3 +197,36 @@
     CHECK(clock.now() - start < Milliseconds(2000));
     CHECK(caller.server.openConnections() == 0);
 }
+
+// Guards against requests on kept connections that are refused under the limits of an older
+// configuration.
+TEST_CASE("A larger body limit applies to connections that are already idle", "[network]")
+{
+    RawCaller caller(10);
+    HttpServerOptions options;
+    options.maximumBodyBytes = 4;
+    caller.server.setOptions(options);
+    net::steady_timer change(caller.context, std::chrono::milliseconds(100));
+    change.async_wait([&caller, options](const boost::system::error_code &) {
+        HttpServerOptions changed = options;
+        changed.maximumBodyBytes = 4096;
+        caller.server.setOptions(changed);
+    });
+    const std::string longRequest =
+            "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 100\r\n\r\n"
+            + std::string(100, 'x');
+    caller.exchangeAfter(keptRequest, longRequest, Milliseconds(200));
+    CHECK(caller.countOf("HTTP/1.1 200") == 2);
+    CHECK(caller.countOf("HTTP/1.1 413") == 0);
+}
+
+// Guards against a request without a response, and a connection that counts as open for ever, when
+// its handler ends with an exception.
+TEST_CASE("A request whose handler throws gets a response", "[network]")
+{
+    RawCaller caller(10);
+    caller.isThrowing = true;
+    caller.exchange({keptRequest}, Milliseconds(0));
+    CHECK(caller.countOf("HTTP/1.1 500") == 1);
+    CHECK(caller.server.openConnections() == 0);
+}
