Keep the software versions of recent runs

Servers of several software versions serve side by side, and a caller that resumes a stream names in Resumes the call that brought its first event. No host remembered at which version a stream began.

Nothing records or asks yet.

--- a/packages/core/identity/identifier.h
+++ b/packages/core/identity/identifier.h
@@ -48,6 +48,8 @@
 using FailureDomainName = Identifier<struct FailureDomainTag>;
 /** Names a model. */
 using ModelName = Identifier<struct ModelTag>;
+/** Names a version of the software of a backend server, not of the model's weights. */
+using SoftwareVersion = Identifier<struct SoftwareVersionTag>;
 /** Identifies one generation on one engine. */
 using GenerationName = Identifier<struct GenerationTag>;
 /** Identifies one request within an entry host. */
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -15,6 +15,8 @@
 #include "gateway/relay/gatewaystatus.h"
 #include "gateway/routes/route.h"
 #include "gateway/routes/routetable.h"
+#include "gateway/runs/runkey.h"
+#include "gateway/runs/runversions.h"
 #include "gateway/servers/servercatalogue.h"
 #include "gateway/servers/serversubset.h"
 #include "gateway/state/quarantinearchive.h"
