Place a request on servers of one software version

Servers of several software versions may serve side by side, and a stream may continue only on the version that began it. WorkRequest now names that version; ServerPool takes only its servers as candidates, for requests and for copies. Such requests have a queue group of their own, and the cached refusal of a model is neither set nor used by them, so that they and new requests do not block each other. Waiting groups take turns in being placed first: groups of one model share servers, and the first one in the order would get each free slot. Nothing names a version yet.

--- a/packages/policy/admission/admissionqueue.h
+++ b/packages/policy/admission/admissionqueue.h
@@ -31,6 +31,8 @@
     ModelName model;
     /** The model's version, or empty for any. */
     std::string version;
+    /** The software version that the requests are bound to, or nothing for any. */
+    std::optional<SoftwareVersion> softwareVersion;
     /** Whether the requests are suspected of crashing servers. */
     bool isSuspect = false;
 
--- a/packages/policy/dispatch/dispatcher.cpp
+++ b/packages/policy/dispatch/dispatcher.cpp
@@ -357,7 +357,8 @@
 
 Dispatcher::Group &Dispatcher::groupFor(const WorkRequest &request, Milliseconds now)
 {
-    const QueueGroup key{request.model, request.version, this->isSuspect(request, now)};
+    const QueueGroup key{request.model, request.version, request.softwareVersion,
+                         this->isSuspect(request, now)};
     auto known = this->groups.find(key);
     if (known == this->groups.end()) {
         known = this->groups.try_emplace(key, key, ++this->groupCount, this->options.maximumWait)
@@ -445,7 +446,8 @@
 {
     const Milliseconds earliestSubmission = now - this->options.maximumWait + Milliseconds(1);
     while (const WorkRequest *oldest = this->queue.oldestBefore(earliestSubmission)) {
-        const bool hasServer = this->pool.capacity(oldest->model, now).totalSlots > 0;
+        const bool hasServer =
+                this->pool.capacity(oldest->model, oldest->softwareVersion, now).totalSlots > 0;
         Group &group = this->groupFor(*oldest, now);
         const Milliseconds retryAfter =
                 hasServer ? this->retryAfter(group, now) : noServerRetryAfter;
@@ -461,7 +463,8 @@
         while (const WorkRequest *firstToShed = this->queue.firstToShed(group.key, level)) {
             const auto waiting = this->queue.levelSizes(group.key);
             if (!group.load.isBacklogTooLong(level, waiting, group.running, now)
-                || this->pool.capacity(group.key.model, now).totalSlots == 0)
+                || this->pool.capacity(group.key.model, group.key.softwareVersion, now).totalSlots
+                        == 0)
                 break;
             const RequestName name = firstToShed->name;
             this->refuseWaiting(name, ErrorCode::Overloaded, this->retryAfter(group, now));
@@ -479,7 +482,14 @@
 {
     for (auto &[key, group] : this->groups)
         group.blocked = 0;
-    for (const QueueGroup &key : this->queue.waitingGroups())
+    std::vector<QueueGroup> waiting = this->queue.waitingGroups();
+    // Groups of one model share servers, so the same group must not always be the first to get a
+    // free slot.
+    if (!waiting.empty()) {
+        const auto first = static_cast<std::ptrdiff_t>(this->placementRounds++ % waiting.size());
+        std::rotate(waiting.begin(), waiting.begin() + first, waiting.end());
+    }
+    for (const QueueGroup &key : waiting)
         this->placeGroup(this->groups.at(key), now);
 }
 
@@ -502,7 +512,8 @@
         }
     }
     // Time without a usable server does not count towards the drain rate of the queue.
-    const bool hasServer = this->pool.capacity(group.key.model, now).totalSlots > 0;
+    const bool hasServer =
+            this->pool.capacity(group.key.model, group.key.softwareVersion, now).totalSlots > 0;
     group.load.recordWaiting(
             hasServer ? this->queue.levelSizes(group.key) : AdmissionQueue::LevelSizes(), now);
 }
@@ -511,7 +522,7 @@
                                const QueuePosition &position, Milliseconds now)
 {
     return group.load.isWaitTooLong(level, position, group.running, now)
-            && this->pool.capacity(request.model, now).totalSlots > 0;
+            && this->pool.capacity(request.model, request.softwareVersion, now).totalSlots > 0;
 }
 
 bool Dispatcher::tryPlace(Group &group, const WorkRequest &request, Milliseconds now)
--- a/packages/policy/dispatch/dispatcher.h
+++ b/packages/policy/dispatch/dispatcher.h
@@ -254,6 +254,8 @@
     std::set<ClientAccountName> weightedAccounts;
     std::vector<Decision> decisions;
     std::uint64_t groupCount = 0;
+    /** The number of times that waiting requests were placed after a change of capacity. */
+    std::uint64_t placementRounds = 0;
     std::uint64_t refusalCount = 0;
     Milliseconds lastCleanup{0};
     bool isPlacingSuspect = false;
--- a/packages/policy/pool/serverpool.cpp
+++ b/packages/policy/pool/serverpool.cpp
@@ -151,14 +151,13 @@
     entry.placedAt = now;
     const double neededMemory =
             static_cast<double>(entry.promptTokens) + this->expectedOutput(entry, now);
-    if (this->isRefusalCached(modelServers, neededMemory, now))
+    if (!request.softwareVersion && this->isRefusalCached(modelServers, neededMemory, now))
         return std::nullopt;
     this->markPrefixHolders(request.prefixDigest, now);
-    const bool hasUnlimitedServer =
-            this->collectCandidates(modelServers.indices, neededMemory, true, now);
-    if (this->candidates.empty() && !hasUnlimitedServer)
-        this->collectCandidates(modelServers.indices, neededMemory, false, now);
+    this->collectForRequest(modelServers.indices, request, neededMemory, now);
     if (this->candidates.empty()) {
+        if (request.softwareVersion)
+            return std::nullopt;
         modelServers.refusedCapacityVersion = this->capacityVersion;
         modelServers.refusedAt = now;
         modelServers.refusedMemory = neededMemory;
@@ -241,7 +240,9 @@
     return digest;
 }
 
-PoolCapacity ServerPool::capacity(const ModelName &model, Milliseconds now) const
+PoolCapacity ServerPool::capacity(const ModelName &model,
+                                  const std::optional<SoftwareVersion> &version,
+                                  Milliseconds now) const
 {
     PoolCapacity capacity;
     const auto known = this->serversByModel.find(model);
@@ -249,7 +250,7 @@
         return capacity;
     for (const ServerIndex serverIndex : known->second.indices) {
         const ServerState &state = this->states[serverIndex];
-        if (!isUsable(state))
+        if (!isUsable(state) || !this->hasVersion(serverIndex, version))
             continue;
         capacity.totalSlots += state.slots;
         const LoadEstimate load = this->loadTracker.estimate(serverIndex, now);
@@ -331,7 +332,8 @@
         state.isMarkedLeaving = false;
         state.isReachable = true;
         state.isPaused = false;
-    } else if (this->configurations[serverIndex].address != server.address) {
+    } else if (this->configurations[serverIndex].address != server.address
+               || this->configurations[serverIndex].softwareVersion != server.softwareVersion) {
         this->loadTracker.discardReport(serverIndex);
         this->prefixIndex.removeServer(serverIndex);
     }
@@ -405,6 +407,13 @@
     return static_cast<double>(state.ownReserved) + load.othersMemory - memoryTotal(state, load);
 }
 
+/** Returns whether a server may run requests that are bound to a software version, or to none. */
+bool ServerPool::hasVersion(ServerIndex serverIndex,
+                            const std::optional<SoftwareVersion> &version) const
+{
+    return !version || this->configurations[serverIndex].softwareVersion == *version;
+}
+
 bool ServerPool::isRefusalCached(const ModelServers &model, double neededMemory,
                                  Milliseconds now) const
 {
@@ -442,14 +451,25 @@
     }
 }
 
-bool ServerPool::collectCandidates(std::span<const ServerIndex> indices, double neededMemory,
-                                   bool isPaceLimited, Milliseconds now)
+/** Collects the servers that can take a request; slow ones beyond their allowance if all are slow.
+ */
+void ServerPool::collectForRequest(std::span<const ServerIndex> indices, const WorkRequest &request,
+                                   double neededMemory, Milliseconds now)
+{
+    const bool hasUnlimitedServer =
+            this->collectCandidates(indices, request, neededMemory, true, now);
+    if (this->candidates.empty() && !hasUnlimitedServer)
+        this->collectCandidates(indices, request, neededMemory, false, now);
+}
+
+bool ServerPool::collectCandidates(std::span<const ServerIndex> indices, const WorkRequest &request,
+                                   double neededMemory, bool isPaceLimited, Milliseconds now)
 {
     this->candidates.clear();
     bool hasUnlimitedServer = false;
     for (const ServerIndex serverIndex : indices) {
         const ServerState &state = this->states[serverIndex];
-        if (!isUsable(state))
+        if (!isUsable(state) || !this->hasVersion(serverIndex, request.softwareVersion))
             continue;
         const std::uint32_t allowance = this->paceMonitor.allowance(serverIndex);
         hasUnlimitedServer = hasUnlimitedServer || allowance == PaceMonitor::unlimited;
--- a/packages/policy/pool/serverpool.h
+++ b/packages/policy/pool/serverpool.h
@@ -126,8 +126,13 @@
 
     /** Returns the summary of this host's outstanding requests to send to its peers. */
     PeerLoadDigest peerLoadDigest(Milliseconds now);
-    /** Returns the total and free slots for a model. */
-    PoolCapacity capacity(const ModelName &model, Milliseconds now) const;
+    /**
+     * Returns the total and free slots for a model.
+     *
+     * @param version the software version of the servers to count, or nothing for any.
+     */
+    PoolCapacity capacity(const ModelName &model, const std::optional<SoftwareVersion> &version,
+                          Milliseconds now) const;
     /** Returns the number of placed requests. */
     std::size_t placedCount() const;
     /** Returns the servers that are ejected or being probed, for logs and metrics. */
@@ -183,7 +188,8 @@
 
     /**
      * The servers of a model, and the smallest request that found no candidate. The refusal is
-     * valid until the time or capacityVersion changes.
+     * valid until the time or capacityVersion changes. Requests that are bound to a software
+     * version neither set nor use it, because they have other candidates.
      */
     struct ModelServers
     {
@@ -202,12 +208,15 @@
     static bool isUsable(const ServerState &state);
     static double memoryTotal(const ServerState &state, const LoadEstimate &load);
     static double memoryExcess(const ServerState &state, const LoadEstimate &load);
+    bool hasVersion(ServerIndex serverIndex, const std::optional<SoftwareVersion> &version) const;
     bool isRefusalCached(const ModelServers &model, double neededMemory, Milliseconds now) const;
+    void collectForRequest(std::span<const ServerIndex> indices, const WorkRequest &request,
+                           double neededMemory, Milliseconds now);
     void reserve(PlacedRequest &request, std::uint64_t prefix, Milliseconds now);
     std::uint32_t expectedOutput(const PlacedRequest &request, Milliseconds now) const;
     void markPrefixHolders(std::uint64_t prefix, Milliseconds now);
-    bool collectCandidates(std::span<const ServerIndex> indices, double neededMemory,
-                           bool isPaceLimited, Milliseconds now);
+    bool collectCandidates(std::span<const ServerIndex> indices, const WorkRequest &request,
+                           double neededMemory, bool isPaceLimited, Milliseconds now);
     void addCandidate(ServerIndex serverIndex, double neededMemory, Milliseconds now);
     void clearPendingPrompt(PlacedRequest &request);
     void recordWorkTime(ShortWork kind, Milliseconds time);
--- a/packages/policy/servers/backendserver.h
+++ b/packages/policy/servers/backendserver.h
@@ -29,6 +29,8 @@
     FailureDomainName failureDomain;
     /** The models it serves; for a plain service, the service's name. */
     std::vector<ModelName> models;
+    /** The version of its software, not of the models; empty if it is not stated. */
+    SoftwareVersion softwareVersion;
     /** The maximum number of requests that it runs at a time. */
     std::uint32_t slots = 16;
     /** The total memory of an engine, in tokens; unused for a plain service. */
--- a/packages/policy/tests/test_admissionqueue.cpp
+++ b/packages/policy/tests/test_admissionqueue.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-const QueueGroup planGroup{ModelName("plan"), "", false};
+const QueueGroup planGroup{ModelName("plan"), "", {}, false};
 
 WorkRequest makeRequest(int number, int account, Priority priority, std::uint32_t maximumTokens)
 {
--- a/packages/policy/tests/test_dispatcher.cpp
+++ b/packages/policy/tests/test_dispatcher.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+#include <string>
+
 using namespace sassafrasyard;
 
 namespace {
@@ -254,3 +257,40 @@
     waiting[5] = 2;
     REQUIRE(load.isBacklogTooLong(5, waiting, 8, Milliseconds(2000)));
 }
+
+// Guards against a resumed stream that waits for its software version and blocks new streams, and
+// against one that never gets a free slot because new streams are always placed first.
+TEST_CASE("Requests of a software version and others do not block each other", "[order]")
+{
+    Dispatcher dispatcher({});
+    std::vector<BackendServer> servers{makeEngine("a"), makeEngine("b")};
+    servers[0].softwareVersion = SoftwareVersion("v1");
+    servers[1].softwareVersion = SoftwareVersion("v2");
+    dispatcher.setBackendServers(servers, Milliseconds(0));
+    const auto makeBound = [](const std::string &name) {
+        WorkRequest request = makeRequest(name);
+        request.softwareVersion = SoftwareVersion("v1");
+        return request;
+    };
+    dispatcher.submit(makeBound("bound-1"), Milliseconds(0));
+    dispatcher.submit(makeBound("bound-2"), Milliseconds(0));
+    dispatcher.submit(makeRequest("new-1"), Milliseconds(0));
+    auto decisions = dispatcher.takeDecisions();
+    REQUIRE(decisions.size() == 2);
+    REQUIRE(std::get<Assignment>(decisions[0]).server.toString() == "a");
+    REQUIRE(std::get<Assignment>(decisions[1]).server.toString() == "b");
+
+    // Of the slots that become free at "a", the waiting bound request gets one of the first two.
+    dispatcher.submit(makeRequest("new-2"), Milliseconds(0));
+    dispatcher.submit(makeRequest("new-3"), Milliseconds(0));
+    std::set<std::string> placed;
+    std::string atA = "bound-1";
+    for (int turn = 1; turn <= 2; ++turn) {
+        dispatcher.recordFinished(RequestName(atA), WorkOutcome::Completed, Milliseconds(turn));
+        decisions = dispatcher.takeDecisions();
+        REQUIRE(decisions.size() == 1);
+        atA = std::get<Assignment>(decisions[0]).request.toString();
+        placed.insert(atA);
+    }
+    REQUIRE(placed.contains("bound-2"));
+}
--- a/packages/policy/tests/test_serverpool.cpp
+++ b/packages/policy/tests/test_serverpool.cpp
@@ -214,7 +214,7 @@
         }
         run.pool.advance(run.now + at(1000));
         RC_ASSERT(run.pool.memoryShortages(run.now).empty());
-        const PoolCapacity capacity = run.pool.capacity(ModelName("plan"), run.now + at(1000));
+        const PoolCapacity capacity = run.pool.capacity(ModelName("plan"), {}, run.now + at(1000));
         RC_ASSERT(capacity.totalSlots == 4 * run.servers.size());
         RC_ASSERT(capacity.freeSlots == capacity.totalSlots);
     });
@@ -247,7 +247,7 @@
     pool.recordProgress(RequestName("1"), 5000, at(1000));
     REQUIRE_FALSE(pool.place(makeRequest("3", 1000), at(1000)));
     REQUIRE(pool.memoryShortages(at(1000)).size() == 1);
-    REQUIRE(pool.capacity(ModelName("plan"), at(1000)).freeSlots == 0.0);
+    REQUIRE(pool.capacity(ModelName("plan"), {}, at(1000)).freeSlots == 0.0);
     pool.release(RequestName("1"), WorkOutcome::Cancelled, at(1100));
     REQUIRE(pool.memoryShortages(at(1100)).empty());
     REQUIRE(pool.place(makeRequest("3", 1000), at(1100)));
@@ -302,7 +302,7 @@
     pool.setBackendServers(std::vector{makeEngine("a"), makeEngine("b")}, at(0));
     pool.recordLoadReport(makeReport("a", 4, 0), at(0));
     pool.recordLoadReport(makeReport("b", 0, 7990), at(0));
-    REQUIRE(pool.capacity(ModelName("plan"), at(100)).freeSlots <= 4.0);
+    REQUIRE(pool.capacity(ModelName("plan"), {}, at(100)).freeSlots <= 4.0);
     const auto placement = pool.place(makeRequest("1", 10, 200), at(100));
     REQUIRE(placement);
     REQUIRE(placement->server == BackendServerName("b")); // b has no running requests
@@ -425,3 +425,47 @@
     }
     REQUIRE(pool.slowServers().empty());
 }
+
+// Guards against a stream that continues on a server of another software version, and against a
+// request that a full version keeps from the servers of the others.
+TEST_CASE("Requests that are bound to a software version get only its servers", "[order]")
+{
+    rc::prop("versions", [] {
+        const std::vector<std::string> versions{"v1", "v2", "v3"};
+        const auto count = *rc::gen::inRange<std::size_t>(1, 7);
+        std::vector<BackendServer> servers;
+        std::map<std::string, std::uint32_t> freeSlots;
+        std::map<BackendServerName, std::string> versionOf;
+        for (std::size_t number = 0; number < count; ++number) {
+            BackendServer server = makeEngine("a" + std::to_string(number), 2, 1'000'000);
+            const std::string version = *rc::gen::elementOf(versions);
+            server.softwareVersion = SoftwareVersion(version);
+            freeSlots[version] += server.slots;
+            versionOf[server.name] = version;
+            servers.push_back(server);
+        }
+        ServerPool pool(makeOptions());
+        pool.setBackendServers(servers, at(0));
+        for (int number = 0; number < 20; ++number) {
+            WorkRequest request = makeRequest(std::to_string(number));
+            const bool isBound = *rc::gen::arbitrary<bool>();
+            const std::string version = *rc::gen::elementOf(versions);
+            if (isBound)
+                request.softwareVersion = SoftwareVersion(version);
+            std::uint32_t expectedFree = 0;
+            for (const auto &[name, slots] : freeSlots)
+                expectedFree += !isBound || name == version ? slots : 0;
+            const PoolCapacity capacity =
+                    pool.capacity(request.model, request.softwareVersion, at(0));
+            RC_ASSERT(capacity.freeSlots == static_cast<double>(expectedFree));
+            // All at one time, so that a cached refusal of one kind of request would show.
+            const auto placement = pool.place(request, at(0));
+            RC_ASSERT(placement.has_value() == (expectedFree > 0));
+            if (!placement)
+                continue;
+            const std::string chosen = versionOf.at(placement->server);
+            RC_ASSERT((!isBound || chosen == version));
+            --freeSlots[chosen];
+        }
+    });
+}
--- a/packages/policy/work/workrequest.h
+++ b/packages/policy/work/workrequest.h
@@ -3,6 +3,7 @@
 #include "core/core.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace sassafrasyard {
@@ -28,6 +29,11 @@
     ModelName model;
     /** The model's version, or empty for any. */
     std::string version;
+    /**
+     * The software version of the servers that may run it, or nothing for any: a stream continues
+     * only on the version that began it.
+     */
+    std::optional<SoftwareVersion> softwareVersion;
     /** The prompt's size in tokens. */
     std::uint32_t promptTokens = 0;
     /** The caller's limit on the output in tokens; 0 for none. */
