Read the software versions of servers and what callers resume

The version in a server's entry was read nowhere, and neither was the caller's Resumes. A changed version under the same name counts as a change. ServerCatalogue::canContinue says whether a stream of a version may continue on a server. No decision depends on them yet.

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -148,6 +148,7 @@
     ServiceRetryBudget retryBudget;
     ServerReachability reachability;
     ServerLimiter limiter;
+    RunVersions runVersions;
     GatewayDependencies services;
     GatewayService gateway;
     StoreClient store;
@@ -184,17 +185,11 @@
     , retryBudget(this->settings.retryBudget)
     , reachability(this->dispatch, this->clock)
     , limiter(this->entry, this->dispatch, this->clock)
-    , services{this->context,
-               this->entry,
-               this->dispatch,
-               this->serving,
-               this->servers,
-               this->serverConnections,
-               this->retryBudget,
-               this->reachability,
-               this->limiter,
-               platformCallCodec(),
-               platformEngineCalls(this->serverConnections),
+    , runVersions(this->clock)
+    , services{this->context,     this->entry,         this->dispatch,
+               this->serving,     this->servers,       this->serverConnections,
+               this->retryBudget, this->reachability,  this->limiter,
+               this->runVersions, platformCallCodec(), platformEngineCalls(this->serverConnections),
                this->clock}
     , gateway(this->services)
     , store(this->settings.storeEndpoint, this->storeConnections)
--- a/packages/gateway/calls/callcodec.h
+++ b/packages/gateway/calls/callcodec.h
@@ -30,6 +30,11 @@
     std::vector<std::uint64_t> sharedParts;
     /** The last event that the caller received of a stream that it resumes. */
     std::optional<std::uint64_t> lastEvent;
+    /**
+     * The identifier of the call that brought the first event of a stream that the caller resumes;
+     * empty if it is not stated. Untrusted.
+     */
+    std::string resumes;
 };
 
 /** Identifies a copy of a run's memory to the server that uses it. */
@@ -54,6 +59,11 @@
     std::optional<std::uint64_t> lastEvent;
     /** The memory copy from which the run continues. */
     std::optional<MemoryCopy> source;
+    /**
+     * The software version that began the stream. A stream with lastEvent or source is not sent to
+     * a server of another version.
+     */
+    std::optional<SoftwareVersion> softwareVersion;
     /**
      * The address of the server to which the run's memory is copied as it grows; empty for none.
      */
--- a/packages/gateway/relay/gatewaydependencies.h
+++ b/packages/gateway/relay/gatewaydependencies.h
@@ -7,6 +7,7 @@
 #include "gateway/relay/activecalls.h"
 #include "gateway/relay/answermemorybudget.h"
 #include "gateway/relay/serverreachability.h"
+#include "gateway/runs/runversions.h"
 #include "gateway/servers/servercatalogue.h"
 #include "gateway/state/servingstate.h"
 #include "network/network.h"
@@ -37,6 +38,8 @@
     ServerReachability &reachability;
     /** Keeps the limits of backend servers that state how many calls they take. */
     ServerLimiter &limiter;
+    /** Keeps the software versions that served recent streams. */
+    RunVersions &runVersions;
     /** Translates headers between the wire and the types of this package. */
     CallCodec codec;
     /** Requests to engines that the gateway makes itself. */
--- a/packages/gateway/relay/gatewaystatus.cpp
+++ b/packages/gateway/relay/gatewaystatus.cpp
@@ -28,6 +28,7 @@
     server["service"] = entry.service;
     server["address"] = entry.address;
     server["failure_domain"] = entry.failureDomain.toString();
+    server["version"] = entry.softwareVersion.toString();
     server["leaving"] = entry.isLeaving;
     server["revision"] = entry.revision;
     return server;
--- a/packages/gateway/servers/servercatalogue.cpp
+++ b/packages/gateway/servers/servercatalogue.cpp
@@ -82,7 +82,7 @@
         known->second.peerReportedUntil.reset();
     const bool hasChanged = hasRestarted || isLeaving != before.isLeaving
             || entry.address != before.address || entry.service != before.service
-            || entry.slots != before.slots;
+            || entry.slots != before.slots || entry.softwareVersion != before.softwareVersion;
     before = entry;
     before.isLeaving = isLeaving;
     if (hasRestarted && this->restartHook)
@@ -189,6 +189,7 @@
         server.address = known.entry.address;
         server.failureDomain = known.entry.failureDomain;
         server.models = {ModelName(known.entry.service)};
+        server.softwareVersion = known.entry.softwareVersion;
         server.slots = known.entry.slots;
         server.memoryTokens = service->engine ? service->engine->memoryTokens : 0;
         server.isLeaving = known.entry.isLeaving || known.peerReportedUntil.has_value();
@@ -210,11 +211,20 @@
             && !known->second.peerReportedUntil;
 }
 
-std::vector<BackendServerName> ServerCatalogue::usableServers(std::string_view service) const
+bool ServerCatalogue::canContinue(const BackendServerName &name,
+                                  const SoftwareVersion &version) const
+{
+    const ServerEntry *entry = this->find(name);
+    return entry != nullptr && entry->softwareVersion == version && this->isUsable(name);
+}
+
+std::vector<BackendServerName> ServerCatalogue::usableServers(
+        std::string_view service, const std::optional<SoftwareVersion> &version) const
 {
     std::vector<BackendServerName> usable;
     for (const auto &[name, known] : this->servers) {
-        if (known.entry.service == service && this->isUsable(name))
+        const bool isVersionSuitable = !version || known.entry.softwareVersion == *version;
+        if (known.entry.service == service && isVersionSuitable && this->isUsable(name))
             usable.push_back(name);
     }
     return usable;
--- a/packages/gateway/servers/servercatalogue.h
+++ b/packages/gateway/servers/servercatalogue.h
@@ -27,6 +27,8 @@
     std::string address;
     /** Its failure domain. */
     FailureDomainName failureDomain;
+    /** The version of its software; streams continue only on the version that began them. */
+    SoftwareVersion softwareVersion;
     /** How many requests it runs at a time. */
     std::uint32_t slots = 1;
     /** Whether it is leaving and gets no new work. */
@@ -139,8 +141,18 @@
      * itself.
      */
     bool isUsable(const BackendServerName &name) const;
-    /** Returns the servers of a service that are registered and not leaving. */
-    std::vector<BackendServerName> usableServers(std::string_view service) const;
+    /**
+     * Returns whether a stream that a software version began may continue on a server: it is
+     * usable, and of that version according to its current entry.
+     */
+    bool canContinue(const BackendServerName &name, const SoftwareVersion &version) const;
+    /**
+     * Returns the servers of a service that are registered and not leaving.
+     *
+     * @param version the software version of the servers, or nothing for any.
+     */
+    std::vector<BackendServerName> usableServers(
+            std::string_view service, const std::optional<SoftwareVersion> &version = {}) const;
     /**
      * Returns the server processes that are leaving according to the store or themselves, to be
      * sent to peers.
--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -45,6 +45,9 @@
         metadata.callerTimeout =
                 Milliseconds(std::stoll(findHeader(request.headers, "Patience").value_or("5000")));
         metadata.sharedParts = digestPartsField(findHeader(request.headers, "Parts").value_or(""));
+        metadata.resumes = findHeader(request.headers, "Resumes").value_or("");
+        if (const auto last = findHeader(request.headers, "After"))
+            metadata.lastEvent = std::stoull(*last);
         metadata.promptTokens = 100;
         metadata.maximumTokens = 100;
         return metadata;
@@ -115,17 +118,10 @@
         , connections(this->context, Clock::steady())
         , reachability(this->dispatch, Clock::steady())
         , limiter(this->entry, this->dispatch, Clock::steady())
-        , dependencies{this->context,
-                       this->entry,
-                       this->dispatch,
-                       this->serving,
-                       this->servers,
-                       this->connections,
-                       this->budget,
-                       this->reachability,
-                       this->limiter,
-                       testCodec(),
-                       this->makeEngineCalls(),
+        , versions(Clock::steady())
+        , dependencies{this->context,  this->entry,       this->dispatch, this->serving,
+                       this->servers,  this->connections, this->budget,   this->reachability,
+                       this->limiter,  this->versions,    testCodec(),    this->makeEngineCalls(),
                        Clock::steady()}
         , gateway(this->dependencies)
     {
@@ -182,13 +178,14 @@
 
     /** Registers a server at an address. */
     void registerServer(const std::string &name, const std::string &address,
-                        std::uint32_t slots = 8)
+                        std::uint32_t slots = 8, const std::string &softwareVersion = "v1")
     {
         ServerEntry serverEntry;
         serverEntry.name = BackendServerName(name);
         serverEntry.service = "service";
         serverEntry.address = address;
         serverEntry.slots = slots;
+        serverEntry.softwareVersion = SoftwareVersion(softwareVersion);
         serverEntry.revision = 1;
         this->servers.applyEntry(serverEntry);
         this->serving.confirmServers(Clock::steady().now());
@@ -196,7 +193,8 @@
     }
 
     /** Starts and registers a stand-in that speaks HTTP. */
-    void addServer(const std::string &name, const Handler &handler)
+    void addServer(const std::string &name, const Handler &handler,
+                   const std::string &softwareVersion = "v1")
     {
         auto server = std::make_unique<HttpServer>(
                 this->context, HttpServerOptions(),
@@ -208,7 +206,7 @@
         Error reason;
         const auto endpoint = server->listen({"127.0.0.1", 0}, reason);
         this->standIns.push_back(std::move(server));
-        this->registerServer(name, endpoint->toString());
+        this->registerServer(name, endpoint->toString(), 8, softwareVersion);
     }
 
     /** Marks a stand-in as leaving. */
@@ -220,6 +218,23 @@
         this->servers.applyEntry(changed);
     }
 
+    /** Changes the software version that the entry of a stand-in states. */
+    void changeVersion(const std::string &name, const std::string &softwareVersion)
+    {
+        ServerEntry changed = *this->servers.find(BackendServerName(name));
+        changed.softwareVersion = SoftwareVersion(softwareVersion);
+        ++changed.revision;
+        this->servers.applyEntry(changed);
+    }
+
+    /** Removes the entry of a stand-in. */
+    void removeEntry(const std::string &name)
+    {
+        const BackendServerName server(name);
+        this->servers.applyRemoval(server, this->servers.find(server)->revision + 1);
+        this->publish();
+    }
+
     /** Starts a planned stop of the gateway. */
     void drain() { this->gateway.drain(); }
 
@@ -526,6 +541,7 @@
     ServiceRetryBudget budget;
     ServerReachability reachability;
     ServerLimiter limiter;
+    RunVersions versions;
     GatewayDependencies dependencies;
     GatewayService gateway;
     std::vector<Route> routes;
--- a/packages/gateway/tests/test_servercatalogue.cpp
+++ b/packages/gateway/tests/test_servercatalogue.cpp
@@ -232,3 +232,43 @@
     catalogue.applyList(both, Milliseconds(70'000), Milliseconds(70'000));
     REQUIRE(catalogue.isUsable(BackendServerName("b")));
 }
+
+// Guards against a stream that continues on a server of another version, one that leaves or one
+// that has gone, and against a dispatcher that is not told of a changed version.
+TEST_CASE("A stream may continue on usable servers of its software version", "[order]")
+{
+    ServerCatalogue catalogue;
+    ObservedHooks observed;
+    observed.attach(catalogue);
+    const BackendServerName a("a");
+    const SoftwareVersion v1("v1");
+    const SoftwareVersion v2("v2");
+    ServerEntry entry = makeEntry("a", 1);
+    entry.softwareVersion = v1;
+    catalogue.applyEntry(entry);
+    REQUIRE(catalogue.canContinue(a, v1));
+    REQUIRE_FALSE(catalogue.canContinue(a, v2));
+    REQUIRE_FALSE(catalogue.canContinue(BackendServerName("b"), v1));
+    REQUIRE(catalogue.usableServers("model", v1).size() == 1);
+    REQUIRE(catalogue.usableServers("model", v2).empty());
+
+    const int changes = observed.changes;
+    entry.softwareVersion = v2;
+    entry.revision = 2;
+    catalogue.applyEntry(entry);
+    REQUIRE(observed.changes == changes + 1);
+    REQUIRE_FALSE(catalogue.canContinue(a, v1));
+    REQUIRE(catalogue.canContinue(a, v2));
+
+    // A second server at the same address does not change what is known of the first.
+    ServerEntry other = makeEntry("b", 3);
+    other.softwareVersion = v1;
+    catalogue.applyEntry(other);
+    REQUIRE_FALSE(catalogue.canContinue(a, v1));
+    REQUIRE(catalogue.canContinue(BackendServerName("b"), v1));
+
+    catalogue.recordLeavingAnnouncement(a, 1);
+    REQUIRE_FALSE(catalogue.canContinue(a, v2));
+    catalogue.applyRemoval(BackendServerName("b"), 4);
+    REQUIRE_FALSE(catalogue.canContinue(BackendServerName("b"), v1));
+}
