Continue a stream only on the software version that began it

Callers got streams with events from servers of two software versions: any server of the service could continue a stream from a copy, by a takeover, in a new run after the last event, or when the caller took it up.

From its first event on, or from the beginning of a take-up, a stream is bound to the version of the server that began it. Copies and backups are reserved on servers of the version that runs the stream, also before its first event. BackendAttempt::start checks the entry again right before sending, since it may have changed while the call waited, and sends a continuation only to the address that the entry states.

--- a/packages/gateway/relay/backendattempt.cpp
+++ b/packages/gateway/relay/backendattempt.cpp
@@ -96,6 +96,17 @@
                           {}};
         co_return result;
     }
+    // The entry may have changed while the call waited for its permit and its connection.
+    if (!this->isPermitted(order, address)) {
+        this->dependencies.connections.release(std::move(this->connection));
+        result.failure = {ErrorCode::BackendServerRefused,
+                          RunState::NotRun,
+                          "the backend server is not known to be of the stream's software version",
+                          {}};
+        co_return result;
+    }
+    if (const ServerEntry *entry = this->dependencies.servers.find(order.server))
+        this->sentToVersion = entry->softwareVersion;
     this->call.cancelHooks[this] = [this] {
         this->cancel();
     };
@@ -170,6 +181,18 @@
     co_return this->classify(std::move(*response), order.server);
 }
 
+/** Returns whether the call may be sent, according to the current entry of the server. */
+bool BackendAttempt::isPermitted(const ForwardingOrder &order, const std::string &address) const
+{
+    const bool isContinuation =
+            this->call.route->kind == CallKind::Stream && (order.lastEvent || order.source);
+    if (!isContinuation)
+        return true;
+    const ServerEntry *entry = this->dependencies.servers.find(order.server);
+    return entry != nullptr && entry->address == address && order.softwareVersion
+            && this->dependencies.servers.canContinue(order.server, *order.softwareVersion);
+}
+
 AttemptKind BackendAttempt::kindOf(const ForwardingOrder &order) const
 {
     if (order.source)
@@ -283,6 +306,11 @@
     return true;
 }
 
+const std::optional<SoftwareVersion> &BackendAttempt::softwareVersion() const
+{
+    return this->sentToVersion;
+}
+
 void BackendAttempt::cancel()
 {
     this->isCancelled = true;
--- a/packages/gateway/relay/backendattempt.h
+++ b/packages/gateway/relay/backendattempt.h
@@ -36,8 +36,9 @@
     /**
      * Sends the call and reads the header of the response.
      *
-     * A call for which the server has no room under its limit is not sent. A response to an earlier
-     * call on the same connection is skipped.
+     * A call for which the server has no room under its limit is not sent. Neither is a stream that
+     * continues, if the server is not of the software version that began it or its entry is gone.
+     * A response to an earlier call on the same connection is skipped.
      *
      * @param address the server's "IP:port".
      * @param timeout for the header, in milliseconds.
@@ -49,6 +50,8 @@
                                                                  Error &reason);
     /** Reads the whole body. @param reason as for HttpConnection::readAll(). */
     boost::asio::awaitable<std::optional<std::string>> readAll(Milliseconds timeout, Error &reason);
+    /** Returns the software version of the server when the call was sent, or nothing. */
+    const std::optional<SoftwareVersion> &softwareVersion() const;
     /** Closes the connection; a read in progress fails. */
     void cancel();
     /** Returns the connection to the pool, which keeps it if the response is complete. */
@@ -59,6 +62,7 @@
                                                    Milliseconds timeout);
     AttemptResult classify(HttpResponse response, const BackendServerName &server);
     void applyServerStatements(const ResponseMetadata &metadata, const BackendServerName &server);
+    bool isPermitted(const ForwardingOrder &order, const std::string &address) const;
     AttemptKind kindOf(const ForwardingOrder &order) const;
     void recordSending(const ForwardingOrder &order);
     bool reserveMemory(std::size_t bytes);
@@ -77,6 +81,8 @@
     bool isCancelled = false;
     /** When the server process that got the call was started, as stated by the server's entry. */
     std::int64_t serverStartedAt = 0;
+    /** The software version of the server when the call was sent, as stated by its entry. */
+    std::optional<SoftwareVersion> sentToVersion;
     /** Memory reserved for the response, in bytes; released by the destructor. */
     std::size_t reservedBytes = 0;
 };
--- a/packages/gateway/relay/callplacement.cpp
+++ b/packages/gateway/relay/callplacement.cpp
@@ -31,12 +31,14 @@
 
 /** Returns the time until a server of the service accepts calls, or nothing if one does now. */
 std::optional<Milliseconds> remainingServicePause(const GatewayDependencies &dependencies,
-                                                  const RoutedCall &call)
+                                                  const RoutedCall &call,
+                                                  const std::optional<SoftwareVersion> &version)
 {
     if (!dependencies.reachability.hasPauses() && !dependencies.limiter.hasLimits())
         return std::nullopt;
     std::optional<Milliseconds> shortest;
-    for (const BackendServerName &server : dependencies.servers.usableServers(call.service->name)) {
+    for (const BackendServerName &server :
+         dependencies.servers.usableServers(call.service->name, version)) {
         const auto left = remainingPause(dependencies, server);
         if (!left)
             return std::nullopt;
@@ -53,6 +55,24 @@
     return pause + Milliseconds(static_cast<std::int64_t>(extra));
 }
 
+/** Returns whether a server that was chosen for a request may still get it. */
+bool isSuitable(const GatewayDependencies &dependencies, const WorkRequest &work,
+                const BackendServerName &server)
+{
+    const bool isUsable = work.softwareVersion
+            ? dependencies.servers.canContinue(server, *work.softwareVersion)
+            : dependencies.servers.isUsable(server);
+    return isUsable && !remainingPause(dependencies, server);
+}
+
+/** Returns whether a request is bound to a software version of which no server is usable. */
+bool isVersionGone(const GatewayDependencies &dependencies, const RoutedCall &call,
+                   const WorkRequest &work)
+{
+    return work.softwareVersion
+            && dependencies.servers.usableServers(call.service->name, work.softwareVersion).empty();
+}
+
 Error overloadedError(std::string detail)
 {
     return {ErrorCode::Overloaded, RunState::NotRun, std::move(detail), refusedRetryAfter};
@@ -66,7 +86,14 @@
 {
     const std::string name = work.name.toString();
     for (int placement = 0; placement < maximumPlacements; ++placement) {
-        if (const auto pause = remainingServicePause(dependencies, call)) {
+        if (isVersionGone(dependencies, call, work)) {
+            refusal = {ErrorCode::NoBackendServer,
+                       RunState::NotRun,
+                       "no backend server of the stream's software version is usable",
+                       {}};
+            co_return std::nullopt;
+        }
+        if (const auto pause = remainingServicePause(dependencies, call, work.softwareVersion)) {
             refusal = overloadedError("no backend server of the service takes calls at present");
             refusal.retryAfter = addJitter(*pause, call);
             co_return std::nullopt;
@@ -78,10 +105,8 @@
             co_return std::nullopt;
         const bool isPastDeadline = call.timeLeft(dependencies.clock.now()) <= Milliseconds(0);
         const BackendServerName &server = grant->server.name;
-        if (!isPastDeadline && !call.isCallerGone && dependencies.servers.isUsable(server)
-            && !remainingPause(dependencies, server)) {
+        if (!isPastDeadline && !call.isCallerGone && isSuitable(dependencies, work, server))
             co_return grant;
-        }
         dependencies.dispatch.reportFinished(grant->assignment.request, WorkOutcome::Cancelled);
         refusal = overloadedError(isPastDeadline
                                           ? "no backend server became available before the deadline"
--- a/packages/gateway/relay/callplacement.h
+++ b/packages/gateway/relay/callplacement.h
@@ -14,7 +14,9 @@
  *
  * If the chosen server began to leave, asked for a pause or has no room under its call limit
  * meanwhile, another one is chosen. If no server of the service takes calls at present, the call is
- * refused at once; the retry time is the end of the shortest pause.
+ * refused at once; the retry time is the end of the shortest pause. A call that is bound to a
+ * software version of which no server is usable is refused at once with NoBackendServer and no
+ * retry time, because a version that left does not return.
  *
  * @param work describes the attempt; its name must be new.
  * @param refusal receives why there is no server, with NotRun.
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -30,6 +30,8 @@
 constexpr Milliseconds copyAttemptInterval{1000};
 /** The largest number of parts per stream; limits how many engines one request can crash. */
 constexpr std::uint32_t maximumParts = 8;
+/** How often the version of a running stream is recorded again, so that it does not expire. */
+constexpr Milliseconds versionRecordInterval{30'000};
 constexpr int streamStatus = 200;
 constexpr std::string_view eventStreamType = "text/event-stream";
 /** The longest event, in bytes; the deployments have events of a few thousand. */
@@ -48,7 +50,9 @@
 
 net::awaitable<void> EventRelay::run()
 {
-    bool hasNextPart = co_await this->placeNewRun();
+    bool hasNextPart = co_await this->bindToVersion();
+    if (hasNextPart)
+        hasNextPart = co_await this->placeNewRun();
     while (hasNextPart) {
         const AttemptResult result = co_await this->startPart();
         const bool isAnswered = result.outcome == AttemptOutcome::Answered;
@@ -60,6 +64,7 @@
         }
         ReadEnd readEnd = ReadEnd::Lost;
         if (isStream) {
+            this->recordVersion(this->dependencies.clock.now());
             const bool isOpen = co_await this->sendHeader(result.response);
             readEnd = ReadEnd::CallerGone;
             if (isOpen)
@@ -78,6 +83,78 @@
     co_await this->end();
 }
 
+/**
+ * Binds a stream that its caller resumes to the software version that began it.
+ *
+ * @return false if the stream is refused, because the version is unknown or no server of it is
+ *     usable. Waiting would not help, so no retry time is stated.
+ */
+net::awaitable<bool> EventRelay::bindToVersion()
+{
+    if (!this->lastEvent)
+        co_return true;
+    const auto version = co_await this->findVersion();
+    if (!version) {
+        this->refuseContinuation("unknown", "the software version of the stream is unknown");
+        co_return false;
+    }
+    if (this->dependencies.servers.usableServers(this->call.service->name, version).empty()) {
+        this->refuseContinuation(version->toString(),
+                                 "no backend server of the stream's software version is usable");
+        co_return false;
+    }
+    this->call.work.softwareVersion = version;
+    co_return true;
+}
+
+/**
+ * Returns the software version of the stream that the caller resumes, and chooses its service: on a
+ * route with several services another one may have been drawn for this call.
+ */
+net::awaitable<std::optional<SoftwareVersion>> EventRelay::findVersion()
+{
+    if (this->call.metadata.resumes.empty())
+        co_return std::nullopt;
+    const RunKey run = RunKey::of(this->call.work.account, this->call.metadata.resumes);
+    std::vector<std::string> services{this->call.service->name};
+    for (const ServiceShare &share : this->call.route->services) {
+        if (share.service != services.front())
+            services.push_back(share.service);
+    }
+    for (const std::string &name : services) {
+        const Service *service = this->call.configuration->findService(name);
+        if (service == nullptr)
+            continue;
+        auto version = co_await this->dependencies.runVersions.find(run, name);
+        if (!version)
+            continue;
+        this->call.service = service;
+        this->call.work.model = ModelName(name);
+        co_return version;
+    }
+    co_return std::nullopt;
+}
+
+void EventRelay::refuseContinuation(std::string_view version, std::string detail)
+{
+    logEvent(LogEvent::ResumptionRefused, "request", this->call.metadata.requestId, "resumes",
+             this->call.metadata.resumes, "version", std::string(version), "reason", detail);
+    this->failure = {ErrorCode::NoBackendServer, RunState::NotRun, std::move(detail), {}};
+}
+
+/** Records the version of the server for a caller that resumes the stream later. */
+void EventRelay::recordVersion(Milliseconds now)
+{
+    const CallMetadata &metadata = this->call.metadata;
+    const std::string &identifier = metadata.lastEvent ? metadata.resumes : metadata.requestId;
+    if (!this->call.route->isResumable || !this->placement.softwareVersion || identifier.empty())
+        return;
+    this->dependencies.runVersions.record(RunKey::of(this->call.work.account, identifier),
+                                          this->call.service->name,
+                                          *this->placement.softwareVersion);
+    this->versionRecordedAt = now;
+}
+
 net::awaitable<bool> EventRelay::placeNewRun()
 {
     WorkRequest work = this->call.work;
@@ -90,7 +167,10 @@
         this->failure = refusal;
         co_return false;
     }
-    this->placement = {grant->assignment.request, grant->server.name, grant->server.address, {}};
+    this->placement = {
+            grant->assignment.request, grant->server.name, grant->server.address, {}, {}};
+    if (const ServerEntry *entry = this->dependencies.servers.find(grant->server.name))
+        this->placement.softwareVersion = entry->softwareVersion;
     if (this->partCount == 0)
         this->placedAfter = this->dependencies.clock.now() - this->call.receivedAt;
     co_return true;
@@ -110,6 +190,8 @@
     const Milliseconds timeout = this->headerTimeout(now);
     const AttemptResult result =
             co_await this->attempt->start(this->placement.address, order, timeout);
+    if (this->attempt->softwareVersion())
+        this->placement.softwareVersion = this->attempt->softwareVersion();
     this->history.record(result.outcome);
     this->avoided.push_back(this->placement.server);
     if (result.outcome != AttemptOutcome::Answered) {
@@ -183,6 +265,11 @@
     if (batch.lastEvent)
         this->lastEvent = batch.lastEvent;
     this->eventCount += batch.count;
+    // From its first event on, a stream continues only on the version that began it.
+    if (!this->call.work.softwareVersion)
+        this->call.work.softwareVersion = this->placement.softwareVersion;
+    if (now - this->versionRecordedAt >= versionRecordInterval)
+        this->recordVersion(now);
     this->reportProgress(now);
     co_return co_await this->responder.write(batch.bytes);
 }
@@ -312,7 +399,10 @@
         this->logEnd(this->call.isCallerGone ? "caller_gone" : "cut");
         co_return;
     }
-    const Error error = finalError(this->history, this->failure);
+    Error error = finalError(this->history, this->failure);
+    // A version that is gone does not return, so waiting would not help.
+    if (this->call.work.softwareVersion && this->failure.code == ErrorCode::NoBackendServer)
+        error.retryAfter = this->failure.retryAfter;
     recordRefusal(this->dependencies.entry.metrics, this->call, error);
     co_await this->responder.send(this->dependencies.codec.formatError(error));
 }
@@ -325,6 +415,9 @@
     order.account = this->call.work.account;
     order.lastEvent = this->lastEvent;
     order.source = at.source;
+    order.softwareVersion = this->call.work.softwareVersion;
+    if (!order.softwareVersion)
+        order.softwareVersion = at.softwareVersion;
     if (this->backup && this->backup->server != at.server)
         order.backupAddress = this->backup->address;
     return order;
@@ -343,18 +436,20 @@
 /** Reserves memory on another engine for a backup that grows with the run. */
 net::awaitable<void> EventRelay::reserveBackup(const StreamPlacement &source)
 {
-    if (!this->needsCopy() || !this->engine()->supportsBackup)
+    if (!this->needsCopy() || !this->engine()->supportsBackup || !source.softwareVersion)
         co_return;
+    const SoftwareVersion version = *source.softwareVersion;
     WorkRequest work = this->makeCopyRequest("copy");
+    work.softwareVersion = version;
     work.avoided = {source.server, this->placement.server};
     const auto server = co_await this->dependencies.dispatch.reserveCopy(work, false);
     if (!server)
         co_return;
     const ServerEntry *entry = this->dependencies.servers.find(*server);
-    if (entry == nullptr)
-        this->dependencies.dispatch.releaseCopy(work.name);
+    if (entry != nullptr && this->dependencies.servers.canContinue(*server, version))
+        this->backup = StreamPlacement{work.name, *server, entry->address, {}, version};
     else
-        this->backup = StreamPlacement{work.name, *server, entry->address, {}};
+        this->dependencies.dispatch.releaseCopy(work.name);
 }
 
 /**
@@ -368,7 +463,9 @@
 
 bool EventRelay::isBackupUsable() const
 {
-    return this->backup && this->dependencies.servers.isUsable(this->backup->server)
+    const auto &version = this->placement.softwareVersion;
+    return this->backup && version
+            && this->dependencies.servers.canContinue(this->backup->server, *version)
             && !this->dependencies.reachability.pauseLeft(this->backup->server);
 }
 
@@ -440,7 +537,9 @@
     this->dependencies.dispatch.reportPromoted(this->placement.name);
     this->dependencies.budget.recordRetry(this->call.service->name, this->dependencies.clock.now());
     logEvent(LogEvent::StreamContinued, "request", this->call.metadata.requestId, "backend_server",
-             this->placement.server.toString(), "last_event",
+             this->placement.server.toString(), "version",
+             this->placement.softwareVersion.value_or(SoftwareVersion("unknown")).toString(),
+             "last_event",
              this->lastEvent ? std::to_string(*this->lastEvent) : std::string("none"));
 }
 
@@ -524,10 +623,11 @@
 void EventRelay::startRefreshedCopy(bool isUrgent, Milliseconds now)
 {
     this->copyAttemptedAt = now;
-    if (!this->needsCopy() || !this->engine()->supportsMoves)
+    if (!this->needsCopy() || !this->engine()->supportsMoves || !this->placement.softwareVersion)
         return;
     this->dropBackup();
     WorkRequest work = this->makeCopyRequest("kept");
+    work.softwareVersion = this->placement.softwareVersion;
     work.avoided = {this->placement.server};
     this->refreshedCopy = std::make_shared<RunCopy>(this->dependencies, this->placement,
                                                     std::move(work), this->call.metadata.requestId,
@@ -632,6 +732,9 @@
         || !mayRetry(*this->call.route, this->history, outcome, status)) {
         return false;
     }
+    // Without a known version, no server may add events to those that the caller has.
+    if (this->eventCount > 0 && !this->call.work.softwareVersion)
+        return false;
     // After a run that may have produced events only a resumable stream is started again.
     const bool hasRun = this->hasStarted || this->history.mayHaveRun > 0;
     if (hasRun && !this->call.route->isResumable)
--- a/packages/gateway/relay/eventrelay.h
+++ b/packages/gateway/relay/eventrelay.h
@@ -45,6 +45,8 @@
         CallerGone,
     };
 
+    boost::asio::awaitable<bool> bindToVersion();
+    boost::asio::awaitable<std::optional<SoftwareVersion>> findVersion();
     boost::asio::awaitable<bool> placeNewRun();
     boost::asio::awaitable<AttemptResult> startPart();
     boost::asio::awaitable<ReadEnd> forwardStream();
@@ -63,6 +65,8 @@
     boost::asio::awaitable<void> reserveBackup(const StreamPlacement &source);
     bool needsCopy() const;
     bool isBackupUsable() const;
+    void recordVersion(Milliseconds now);
+    void refuseContinuation(std::string_view version, std::string detail);
     void dropBackup();
     void dropRefreshedCopy();
     boost::asio::awaitable<void> dropTakeover();
@@ -106,6 +110,7 @@
     std::uint32_t reportedEvents = 0;
     Milliseconds reportedAt{0};
     Milliseconds copyAttemptedAt{0};
+    Milliseconds versionRecordedAt{0};
     std::optional<Milliseconds> partFirstEventAt;
     /** When the part started or its last complete event arrived; incomplete events do not count. */
     Milliseconds silentSince{0};
--- a/packages/gateway/relay/runcopy.cpp
+++ b/packages/gateway/relay/runcopy.cpp
@@ -82,10 +82,9 @@
         const auto server = co_await this->dependencies.dispatch.reserveCopy(this->work, isUrgent);
         if (!server)
             break;
-        const ServerEntry *entry = this->dependencies.servers.find(*server);
         bool isCopied = false;
-        if (entry != nullptr) {
-            const ServerEntry chosen = *entry;
+        if (this->isServerUsable(*server)) {
+            const ServerEntry chosen = *this->dependencies.servers.find(*server);
             isCopied = co_await this->copyTo(chosen);
         }
         if (isCopied)
@@ -108,7 +107,8 @@
 /** Returns whether the first copy is complete and still needed. */
 net::awaitable<bool> RunCopy::copyTo(const ServerEntry &chosen)
 {
-    this->target = StreamPlacement{this->work.name, chosen.name, chosen.address, {}};
+    this->target = StreamPlacement{
+            this->work.name, chosen.name, chosen.address, {}, this->source.softwareVersion};
     const bool isCopied = co_await this->update();
     if (isCopied && this->isEnding)
         co_await this->dependencies.engines.dropMemory(*this->target->source);
@@ -140,9 +140,16 @@
     co_await this->refreshTimer.async_wait(net::redirect_error(net::use_awaitable, ignored));
 }
 
+/** Returns whether the run may continue on a server. */
+bool RunCopy::isServerUsable(const BackendServerName &server) const
+{
+    return this->source.softwareVersion
+            && this->dependencies.servers.canContinue(server, *this->source.softwareVersion);
+}
+
 bool RunCopy::isTargetUsable() const
 {
-    return this->target && this->dependencies.servers.isUsable(this->target->server)
+    return this->target && this->isServerUsable(this->target->server)
             && !this->dependencies.reachability.pauseLeft(this->target->server);
 }
 
--- a/packages/gateway/relay/runcopy.h
+++ b/packages/gateway/relay/runcopy.h
@@ -27,7 +27,8 @@
      * Creates a copy that is not started.
      *
      * @param source the placement of the run.
-     * @param work describes the run, under the request name of the copy.
+     * @param work describes the run, under the request name of the copy, and is bound to the
+     *     software version of the source.
      * @param requestId identifies the call at the engines.
      * @param refreshInterval in milliseconds.
      */
@@ -57,6 +58,7 @@
     boost::asio::awaitable<bool> copyTo(const ServerEntry &chosen);
     boost::asio::awaitable<bool> update();
     boost::asio::awaitable<void> waitForRefresh();
+    bool isServerUsable(const BackendServerName &server) const;
     bool isTargetUsable() const;
     void release();
 
--- a/packages/observability/logging/logevent.cpp
+++ b/packages/observability/logging/logevent.cpp
@@ -74,6 +74,7 @@
                       "refused_requests_unavailable"},
         LogEventEntry{LogEvent::StoreRestored, LogLevel::Warning, "store_restored"},
         LogEventEntry{LogEvent::CallCutAtStop, LogLevel::Warning, "call_cut_at_stop"},
+        LogEventEntry{LogEvent::ResumptionRefused, LogLevel::Warning, "resumption_refused"},
 };
 
 } // namespace
