--- a/packages/gateway/relay/gatewayservice.cpp
+++ b/packages/gateway/relay/gatewayservice.cpp
@@ -113,7 +113,8 @@
 void GatewayService::refuseWaiting(std::span<const RequestName> names)
 {
     for (const RequestName &name : names)
-        this->dependencies.dispatch.refuseWaiting(name, ErrorCode::HostDraining, stoppingRetryAfter);
+        this->dependencies.dispatch.refuseWaiting(name, ErrorCode::HostDraining,
+                                                  stoppingRetryAfter);
 }
 
 net::awaitable<void> GatewayService::handle(const HttpRequest &request, HttpResponder &responder)
--- a/packages/network/tests/test_httpserver.cpp
+++ b/packages/network/tests/test_httpserver.cpp
@@ -30,8 +30,8 @@
     explicit RawCaller(std::size_t bodyBytes)
         : server(
                 context, {},
-                [this, bodyBytes](const HttpRequest &, HttpResponder &responder)
-                        -> net::awaitable<void> {
+                [this, bodyBytes](const HttpRequest &,
+                                  HttpResponder &responder) -> net::awaitable<void> {
                     if (this->isThrowing)
                         throw std::runtime_error("handler");
                     HttpResponse response;
@@ -187,9 +187,8 @@
 {
     RawCaller caller(10);
     net::steady_timer stop(caller.context, std::chrono::milliseconds(200));
-    stop.async_wait([&caller](const boost::system::error_code &) {
-        caller.server.closeIdleConnections();
-    });
+    stop.async_wait(
+            [&caller](const boost::system::error_code &) { caller.server.closeIdleConnections(); });
     const Clock clock = Clock::steady();
     const Milliseconds start = clock.now();
     caller.exchange({keptRequest}, Milliseconds(0));
--- a/tests/plannedstop/stoppinghost.cpp
+++ b/tests/plannedstop/stoppinghost.cpp
@@ -400,7 +400,7 @@
         const Endpoint endpoint = this->backendServers.add();
         this->store.put(std::string(objectkind::servers), service + "-" + std::to_string(index),
                         R"({"service":")" + service + R"(","addr":")" + endpoint.toString()
-                                + R"(","zone":"a","slots":)" + std::to_string(slots)
+                                + R"(","zone":"a","version":"v1","slots":)" + std::to_string(slots)
                                 + R"(,"state":"ready","born":1})");
     }
 }
