Don't send a call that a planned stop would cut off after waiting for a connection

The check was made when a server was assigned. A call could then wait for a permit and a connection for up to 0.55 s, and was sent although the planned stop had begun meanwhile. Found by review; no test shows the moment.

--- a/packages/gateway/relay/backendattempt.cpp
+++ b/packages/gateway/relay/backendattempt.cpp
@@ -98,6 +98,16 @@
                           {}};
         co_return result;
     }
+    // The planned stop may have begun while the call waited for its permit and its connection.
+    if (!this->call.hasResponseStarted
+        && !this->dependencies.serving.endsBeforeStop(this->call.deadlineAt)) {
+        this->dependencies.connections.release(std::move(this->connection));
+        result.failure = {ErrorCode::HostDraining,
+                          RunState::NotRun,
+                          "this host is stopping and could not finish the call",
+                          {}};
+        co_return result;
+    }
     // The entry may have changed while the call waited for its permit and its connection.
     if (!this->isPermitted(order, address)) {
         this->dependencies.connections.release(std::move(this->connection));
