Look up the grace in force when a planned stop begins

The settings file is looked at every second without a signal, so a stop right after a change counted with the former grace. Found by review.

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -622,6 +622,8 @@
 {
     boost::system::error_code code;
     co_await this->stopSignals.async_wait(net::redirect_error(net::use_awaitable, code));
+    // The grace may have changed since the file was last looked at.
+    this->checkSettings();
     const Milliseconds drainStartedAt = this->clock.now();
     const Milliseconds stopDeadline = drainStartedAt + this->settings.gracePeriod - graceMargin;
     this->entry.isDraining = true;
