Use one exchange over reused connections for permits and store reads

PeerService held two copies of a request over a kept connection: the one for permits sent a request again when the peer had closed the idle connection, the one for store reads failed then and skipped the reader. Also, a full set of idle permit connections kept the old ones, so that connections to departed hosts stayed open.

PeerConnections does the exchange for both: one deadline for the whole exchange, one more try on a new connection if an idle one was closed, the longest idle connection gives way. Each use has an instance of its own, because a host of an earlier build closes a connection on an unknown kind of message.

--- a/packages/entry/peers/peerservice.cpp
+++ b/packages/entry/peers/peerservice.cpp
@@ -37,6 +37,8 @@
 constexpr int maximumJoinRounds = 5;
 constexpr int maximumPullPages = 256;
 constexpr std::string_view hostObjectPrefix = "hosts/";
+/** Limits the descriptors of idle connections for reads: one for each kind, and some to spare. */
+constexpr std::size_t maximumReadConnections = 8;
 /** Limits the descriptors of idle connections for permit requests. */
 constexpr std::size_t maximumPermitConnections = 32;
 
@@ -127,6 +129,8 @@
               state, context,
               [this](LoadExchange::Content content) { return this->encodeLoadUpdate(content); },
               this->hooks.selectPeers)
+    , readConnections(state.steadyClock, maximumReadConnections)
+    , permitConnections(state.steadyClock, maximumPermitConnections)
 {
     state.publishMembers({selfRecord(state, this->hooks.isServingAtStart)}, 0);
     if (this->hooks.announcesLoadChanges)
@@ -651,36 +655,9 @@
                                                                         Milliseconds timeout,
                                                                         Error &reason)
 {
-    const auto endpoint = parseEndpoint(address, reason);
-    if (!endpoint)
-        co_return std::nullopt;
     read.sequence = ++this->sequence;
-    // Removed from the map while in use, so that a concurrent read of this kind opens its own.
-    ReadConnection pooled = std::move(this->readConnections[read.kind]);
-    if (pooled.address != address || !pooled.connection) {
-        pooled.connection = co_await FrameConnection::connect(*endpoint, probeTimeout, reason);
-        pooled.address = address;
-    }
-    if (!pooled.connection)
-        co_return std::nullopt;
-    const PeerMessage message = read;
-    const std::string payload = encodeMessage(message);
-    if (!co_await pooled.connection->send(payload, probeTimeout, reason))
-        co_return std::nullopt;
-    const auto answered = co_await pooled.connection->receive(timeout, reason);
-    if (!answered)
-        co_return std::nullopt;
-    auto reply = decodeMessage(*answered, reason);
-    auto *answer = reply ? std::get_if<ObjectReadReply>(&*reply) : nullptr;
-    if (answer == nullptr || answer->sequence != read.sequence) {
-        reason = {ErrorCode::ProtocolViolation,
-                  RunState::NotRun,
-                  "the reply does not match the read request",
-                  {}};
-        co_return std::nullopt;
-    }
-    this->readConnections[read.kind] = std::move(pooled);
-    co_return std::move(*answer);
+    return this->readConnections.exchange<ObjectReadReply>(std::move(address), std::move(read),
+                                                           timeout, reason);
 }
 
 net::awaitable<std::optional<CallPermitReply>> PeerService::askPermit(std::string address,
@@ -688,58 +665,9 @@
                                                                       Milliseconds timeout,
                                                                       Error &reason)
 {
-    const auto endpoint = parseEndpoint(address, reason);
-    if (!endpoint)
-        co_return std::nullopt;
     request.sequence = ++this->sequence;
-    const PeerMessage message = request;
-    const std::string payload = encodeMessage(message);
-    const Milliseconds end = this->entry.steadyClock.now() + timeout;
-    const auto timeLeft = [this, end] {
-        return std::max(Milliseconds(1), end - this->entry.steadyClock.now());
-    };
-    auto connection = this->takePermitConnection(address);
-    bool wasIdle = connection != nullptr;
-    std::optional<std::string> answered;
-    while (!answered) {
-        if (!connection)
-            connection = co_await FrameConnection::connect(*endpoint, timeLeft(), reason);
-        if (!connection)
-            co_return std::nullopt;
-        const bool isSent = co_await connection->send(payload, timeLeft(), reason);
-        if (isSent)
-            answered = co_await connection->receive(timeLeft(), reason);
-        // The peer closes idle connections; a request on one that it closed is sent again.
-        if (!answered && (!wasIdle || reason.code == ErrorCode::Timeout))
-            co_return std::nullopt;
-        if (!answered)
-            connection.reset();
-        wasIdle = false;
-    }
-    const auto reply = decodeMessage(*answered, reason);
-    const auto *answer = reply ? std::get_if<CallPermitReply>(&*reply) : nullptr;
-    if (answer == nullptr || answer->sequence != request.sequence) {
-        reason = {ErrorCode::ProtocolViolation,
-                  RunState::NotRun,
-                  "the reply does not match the permit request",
-                  {}};
-        co_return std::nullopt;
-    }
-    this->keepPermitConnection(address, std::move(connection));
-    co_return *answer;
-}
-
-std::unique_ptr<FrameConnection> PeerService::takePermitConnection(const std::string &address)
-{
-    auto node = this->permitConnections.extract(address);
-    return node.empty() ? nullptr : std::move(node.mapped());
-}
-
-void PeerService::keepPermitConnection(const std::string &address,
-                                       std::unique_ptr<FrameConnection> connection)
-{
-    if (this->permitConnections.size() < maximumPermitConnections)
-        this->permitConnections.emplace(address, std::move(connection));
+    return this->permitConnections.exchange<CallPermitReply>(std::move(address), std::move(request),
+                                                             timeout, reason);
 }
 
 net::awaitable<std::optional<std::uint64_t>> PeerService::askRevision(std::string peerAddress)
--- a/packages/entry/peers/peerservice.h
+++ b/packages/entry/peers/peerservice.h
@@ -4,6 +4,7 @@
 #include "entry/dispatch/backendmonitor.h"
 #include "entry/dispatch/dispatchservice.h"
 #include "entry/peers/loadexchange.h"
+#include "entry/peers/peerconnections.h"
 #include "entry/state/entrystate.h"
 #include "membership/membership.h"
 #include "objectstore/objectstore.h"
@@ -142,9 +143,6 @@
                                                                 PeerMessage message,
                                                                 Milliseconds timeout,
                                                                 Error &reason);
-    std::unique_ptr<FrameConnection> takePermitConnection(const std::string &address);
-    void keepPermitConnection(const std::string &address,
-                              std::unique_ptr<FrameConnection> connection);
     boost::asio::awaitable<void> joinAndProbe();
     boost::asio::awaitable<bool> join();
     boost::asio::awaitable<void> registerSelf();
@@ -173,16 +171,8 @@
     LoadExchange loadExchange;
     /** The load in the last Load update, by backend server. */
     std::map<BackendServerName, PeerLoadEntry> lastSentLoad;
-    /** A reusable connection for reads of one kind of object. */
-    struct ReadConnection
-    {
-        std::string address;
-        std::unique_ptr<FrameConnection> connection;
-    };
-
-    std::map<std::string, ReadConnection> readConnections;
-    /** Idle connections for permit requests, by peer address. */
-    std::multimap<std::string, std::unique_ptr<FrameConnection>> permitConnections;
+    PeerConnections readConnections;
+    PeerConnections permitConnections;
     std::atomic<std::uint64_t> sequence = 0;
     std::atomic<bool> isPulling = false;
     std::atomic<bool> isRegistering = false;
--- a/packages/entry/tests/test_permits.cpp
+++ b/packages/entry/tests/test_permits.cpp
@@ -145,6 +145,50 @@
     REQUIRE(Clock::steady().now() - start < Milliseconds(1000));
 }
 
+// Guards against a request that fails because the peer has closed the connection it is sent on, and
+// against idle connections without a limit.
+TEST_CASE("A request is sent again on a new connection if its peer closed the idle one",
+          "[permits]")
+{
+    net::io_context context;
+    int accepted = 0;
+    FrameServer server(context, [&](FrameConnection &connection) -> net::awaitable<void> {
+        ++accepted;
+        Error ignored;
+        const auto payload = co_await connection.receive(Milliseconds(1000), ignored);
+        const auto message = decodeMessage(payload.value_or(""), ignored);
+        CallPermitReply reply;
+        reply.sequence = std::get<CallPermitRequest>(*message).sequence;
+        const PeerMessage answer = reply;
+        const std::string encoded = encodeMessage(answer);
+        co_await connection.send(encoded, Milliseconds(1000), ignored);
+    });
+    Error reason;
+    const auto endpoint = server.listen({"127.0.0.1", 0}, reason);
+    REQUIRE(endpoint);
+    PeerHost asking(context, "asking", {});
+    for (int time = 0; time < 3; ++time)
+        REQUIRE(ask(context, asking, endpoint->toString(), reason));
+    REQUIRE(accepted == 3);
+    PeerConnections connections(Clock::steady(), 1);
+    int replies = 0;
+    for (int number = 0; number < 3; ++number) {
+        net::co_spawn(
+                context,
+                [&]() -> net::awaitable<void> {
+                    Error fault;
+                    const CallPermitRequest request{7, {"server/1"}, false};
+                    const auto reply = co_await connections.exchange<CallPermitReply>(
+                            endpoint->toString(), request, Milliseconds(1000), fault);
+                    replies += reply ? 1 : 0;
+                },
+                net::detached);
+    }
+    while (replies < 3)
+        context.run_one();
+    REQUIRE(connections.idleCount() == 1);
+}
+
 // Guards against a limit that only the hosts keep which were told by the server itself.
 TEST_CASE("A host tells its peers the call limits that it knows", "[permits]")
 {
