Add the messages that state the software versions of streams

A stream may go on only at servers of the software version that began it, and a caller takes it up at any host. So far hosts have no way to tell each other that version.

RunVersionUpdate states the versions of streams that began at the sender and is confirmed, so that a batch on a connection which the peer closed is sent again. RunVersionRequest asks for several streams at once; an answer distinguishes unknown from ambiguous, which means that hosts stated different versions.

--- a/packages/protocol/messages/messagecodec.cpp
+++ b/packages/protocol/messages/messagecodec.cpp
@@ -165,6 +165,55 @@
     visit(message.limits);
 }
 
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &run) requires
+        std::is_same_v<std::remove_cvref_t<decltype(run)>, RunVersionMessage>
+{
+    visit(run.keyHigh, run.keyLow, run.service, run.version);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &message) requires
+        std::is_same_v<std::remove_cvref_t<decltype(message)>, RunVersionUpdate>
+{
+    visit(message.sequence, message.sender, message.runs);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &message) requires
+        std::is_same_v<std::remove_cvref_t<decltype(message)>, RunVersionUpdateReply>
+{
+    visit(message.sequence);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &run) requires
+        std::is_same_v<std::remove_cvref_t<decltype(run)>, RunKeyMessage>
+{
+    visit(run.keyHigh, run.keyLow, run.service);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &message) requires
+        std::is_same_v<std::remove_cvref_t<decltype(message)>, RunVersionRequest>
+{
+    visit(message.sequence, message.runs);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &answer) requires
+        std::is_same_v<std::remove_cvref_t<decltype(answer)>, RunVersionAnswer>
+{
+    visit(answer.result, answer.version);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &message) requires
+        std::is_same_v<std::remove_cvref_t<decltype(message)>, RunVersionReply>
+{
+    visit(message.sequence, message.answers);
+}
+
 class Encoder
 {
 public:
@@ -188,6 +237,8 @@
 
     void put(ObjectReadResult value) { this->packer.pack(static_cast<std::uint8_t>(value)); }
 
+    void put(RunVersionResult value) { this->packer.pack(static_cast<std::uint8_t>(value)); }
+
     template <typename Element>
     void put(const std::vector<Element> &values)
     {
@@ -252,6 +303,14 @@
         value = static_cast<ObjectReadResult>(number);
     }
 
+    void get(const msgpack::object &from, RunVersionResult &value)
+    {
+        const auto number = from.as<std::uint8_t>();
+        if (number > static_cast<std::uint8_t>(RunVersionResult::Ambiguous))
+            throw msgpack::type_error();
+        value = static_cast<RunVersionResult>(number);
+    }
+
     template <typename Element>
     void get(const msgpack::object &from, std::vector<Element> &values)
     {
--- a/packages/protocol/messages/peermessage.h
+++ b/packages/protocol/messages/peermessage.h
@@ -336,10 +336,99 @@
     std::vector<CallLimitMessage> limits;
 };
 
+/** The software version of the servers that serve a caller's stream. */
+struct RunVersionMessage
+{
+    /** The first half of the digest that identifies the stream. */
+    std::uint64_t keyHigh = 0;
+    /** The second half of the digest. */
+    std::uint64_t keyLow = 0;
+    /** The service. */
+    std::string service;
+    /** The software version. */
+    std::string version;
+
+    /** Compares all fields. */
+    bool operator==(const RunVersionMessage &) const = default;
+};
+
+/** Tells a peer the software versions of streams that began at the sender. */
+struct RunVersionUpdate
+{
+    /** Matches the reply. */
+    std::uint64_t sequence = 0;
+    /** The incarnation of the sender. */
+    std::string sender;
+    /** The streams, those recorded first at the front. */
+    std::vector<RunVersionMessage> runs;
+};
+
+/** Confirms a RunVersionUpdate. */
+struct RunVersionUpdateReply
+{
+    /** The update's sequence. */
+    std::uint64_t sequence = 0;
+};
+
+/** Identifies a caller's stream in a RunVersionRequest. */
+struct RunKeyMessage
+{
+    /** The first half of the digest that identifies the stream. */
+    std::uint64_t keyHigh = 0;
+    /** The second half of the digest. */
+    std::uint64_t keyLow = 0;
+    /** The service. */
+    std::string service;
+
+    /** Compares all fields. */
+    bool operator==(const RunKeyMessage &) const = default;
+};
+
+/** Asks a peer for the software versions of streams; the peer answers from its memory. */
+struct RunVersionRequest
+{
+    /** Matches the reply. */
+    std::uint64_t sequence = 0;
+    /** The streams. */
+    std::vector<RunKeyMessage> runs;
+};
+
+/** What a host knows of the software version of a stream. */
+enum class RunVersionResult : std::uint8_t {
+    /** The host does not know the stream. */
+    Unknown = 0,
+    /** The version is known. */
+    Known = 1,
+    /** Several hosts stated different versions for the stream. */
+    Ambiguous = 2,
+};
+
+/** The answer on one stream. */
+struct RunVersionAnswer
+{
+    /** The result; the version is valid only with Known. */
+    RunVersionResult result = RunVersionResult::Unknown;
+    /** The software version. */
+    std::string version;
+
+    /** Compares all fields. */
+    bool operator==(const RunVersionAnswer &) const = default;
+};
+
+/** Answers a RunVersionRequest. */
+struct RunVersionReply
+{
+    /** The request's sequence. */
+    std::uint64_t sequence = 0;
+    /** The answers, in the order of the streams in the request. */
+    std::vector<RunVersionAnswer> answers;
+};
+
 /** Any message between entry hosts. */
 using PeerMessage =
         std::variant<Probe, ProbeReply, IndirectProbe, IndirectProbeReply, ConfigurationPull,
                      ConfigurationReply, ForwardCall, ForwardReply, LoadUpdate, ObjectRead,
-                     ObjectReadReply, CallPermitRequest, CallPermitReply, CallLimitUpdate>;
+                     ObjectReadReply, CallPermitRequest, CallPermitReply, CallLimitUpdate,
+                     RunVersionUpdate, RunVersionUpdateReply, RunVersionRequest, RunVersionReply>;
 
 } // namespace sassafrasyard
--- a/packages/protocol/tests/test_messagecodec.cpp
+++ b/packages/protocol/tests/test_messagecodec.cpp
@@ -127,3 +127,61 @@
     REQUIRE(copy.digest == 5);
     REQUIRE(copy.objects == reply.objects);
 }
+
+// Guards against fields of a stream's software version that are lost or swapped by the codec.
+TEST_CASE("Decoded software versions of streams equal the encoded ones", "[protocol]")
+{
+    rc::prop("an update is unchanged", [] {
+        RunVersionUpdate update;
+        update.sequence = *rc::gen::arbitrary<std::uint64_t>();
+        update.sender = *rc::gen::string<std::string>();
+        const int count = *rc::gen::inRange(0, 5);
+        for (int index = 0; index < count; ++index)
+            update.runs.push_back(
+                    {*rc::gen::arbitrary<std::uint64_t>(), *rc::gen::arbitrary<std::uint64_t>(),
+                     *rc::gen::string<std::string>(), *rc::gen::string<std::string>()});
+        Error reason;
+        const auto decoded = decodeMessage(encodeMessage(update), reason);
+        RC_ASSERT(decoded.has_value());
+        const auto &copy = std::get<RunVersionUpdate>(*decoded);
+        RC_ASSERT(copy.sequence == update.sequence);
+        RC_ASSERT(copy.sender == update.sender);
+        RC_ASSERT(copy.runs == update.runs);
+    });
+    Error reason;
+    auto decoded = decodeMessage(encodeMessage(RunVersionUpdateReply{3}), reason);
+    REQUIRE(decoded);
+    REQUIRE(std::get<RunVersionUpdateReply>(*decoded).sequence == 3);
+    const std::vector<RunKeyMessage> keys{{4, 5, "service"}, {6, 7, "other"}};
+    decoded = decodeMessage(encodeMessage(RunVersionRequest{8, keys}), reason);
+    REQUIRE(decoded);
+    const auto &request = std::get<RunVersionRequest>(*decoded);
+    REQUIRE(request.sequence == 8);
+    REQUIRE(request.runs == keys);
+    const std::vector<RunVersionAnswer> answers{{RunVersionResult::Known, "v"},
+                                                {RunVersionResult::Ambiguous, ""}};
+    decoded = decodeMessage(encodeMessage(RunVersionReply{9, answers}), reason);
+    REQUIRE(decoded);
+    const auto &reply = std::get<RunVersionReply>(*decoded);
+    REQUIRE(reply.sequence == 9);
+    REQUIRE(reply.answers == answers);
+}
+
+// Guards against a malformed frame that counts as a statement on a stream.
+TEST_CASE("Malformed frames on software versions of streams are rejected", "[protocol]")
+{
+    std::string payload = encodeMessage(RunVersionReply{7, {{RunVersionResult::Ambiguous, ""}}});
+    Error reason;
+    REQUIRE(decodeMessage(payload, reason));
+    // The result is the last byte before the empty version.
+    payload[payload.size() - 2] = 3;
+    REQUIRE_FALSE(decodeMessage(payload, reason));
+    REQUIRE(reason.code == ErrorCode::ProtocolViolation);
+    rc::prop("a truncated update fails", [] {
+        const std::string whole =
+                encodeMessage(RunVersionUpdate{1, "sender", {{1, 2, "s", "v"}, {3, 4, "s", "w"}}});
+        const auto length = *rc::gen::inRange<std::size_t>(0, whole.size());
+        Error fault;
+        RC_ASSERT(!decodeMessage(whole.substr(0, length), fault));
+    });
+}
