Know which software versions a service has had recently

A caller takes a broken stream up at any host. If the host at which it began is gone, the stream can be attributed to a version only if no other version can have begun it; a host that knows only the present servers takes streams of a version that has just left for those of the present one.

ServiceVersions is the state machine for this: the versions of the registered servers, those that left within the retention, and a history that earlier hosts stored. A version is sole only once the history was read and no other one is recent. A missing or malformed history makes nothing sole for the retention. Services and versions are limited; what was not kept counts as unknown for the retention.

Nothing uses it yet.

--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "gateway/routes/routetable.h"
 #include "gateway/runs/runkey.h"
 #include "gateway/runs/runversions.h"
+#include "gateway/runs/serviceversions.h"
 #include "gateway/servers/servercatalogue.h"
 #include "gateway/servers/serversubset.h"
 #include "gateway/state/quarantinearchive.h"
