--- a/packages/gateway/state/quarantinearchive.cpp
+++ b/packages/gateway/state/quarantinearchive.cpp
@@ -52,7 +52,7 @@
 } // namespace
 
 QuarantineArchive::QuarantineArchive(DispatchService &dispatch, net::io_context &context,
-                                     QuarantineArchiveCalls calls, Clock wallClock)
+                                     ObjectArchiveCalls calls, Clock wallClock)
     : dispatch(dispatch)
     , context(context)
     , calls(std::move(calls))
--- a/packages/gateway/state/quarantinearchive.h
+++ b/packages/gateway/state/quarantinearchive.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "entry/entry.h"
-#include "gateway/store/objectsource.h"
+#include "gateway/store/objectarchivecalls.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -16,22 +16,6 @@
 
 namespace sassafrasyard {
 
-/** The calls that store quarantined requests in the platform's store. */
-struct QuarantineArchiveCalls
-{
-    /** Reads all stored requests; returns nothing if the store is unavailable. */
-    std::function<boost::asio::awaitable<std::optional<std::vector<RegisteredObject>>>(Error &)>
-            readAll;
-    /**
-     * Stores a request under a name and replaces the previous value.
-     *
-     * @return whether it is stored.
-     */
-    std::function<boost::asio::awaitable<bool>(std::string name, std::string value, Error &)> write;
-    /** Removes the stored request of a name. @return whether it is removed. */
-    std::function<boost::asio::awaitable<bool>(std::string name, Error &)> remove;
-};
-
 /**
  * Stores the requests that are quarantined because they crashed servers.
  *
@@ -44,7 +28,7 @@
 public:
     /** Creates an archive that is not started. @param wallClock dates crashes across restarts. */
     QuarantineArchive(DispatchService &dispatch, boost::asio::io_context &context,
-                      QuarantineArchiveCalls calls, Clock wallClock);
+                      ObjectArchiveCalls calls, Clock wallClock);
     QuarantineArchive(const QuarantineArchive &) = delete;
     QuarantineArchive &operator=(const QuarantineArchive &) = delete;
 
@@ -73,7 +57,7 @@
 
     DispatchService &dispatch;
     boost::asio::io_context &context;
-    QuarantineArchiveCalls calls;
+    ObjectArchiveCalls calls;
     Clock wallClock;
     /** The digests that this host stored; used on the thread of the context. */
     std::set<std::uint64_t> savedDigests;
--- a/packages/gateway/tests/test_quarantinearchive.cpp
+++ b/packages/gateway/tests/test_quarantinearchive.cpp
@@ -1,51 +1,14 @@
 #include "gatewayfixture.h"
+#include "inmemorystore.h"
 
 #include <catch2/catch.hpp>
 
-#include <map>
-
 using namespace sassafrasyard;
 
-namespace net = boost::asio;
-
 namespace {
 
 const std::uint64_t requestDigest = makeRequestDigest("account", "/path", "body");
 
-/** A store in memory that can be unavailable. */
-struct InMemoryStore
-{
-    std::map<std::string, std::string> objects;
-    bool isUnavailable = false;
-    int reads = 0;
-
-    QuarantineArchiveCalls calls()
-    {
-        QuarantineArchiveCalls result;
-        result.readAll = [this](Error &reason)
-                -> net::awaitable<std::optional<std::vector<RegisteredObject>>> {
-            ++this->reads;
-            reason = {ErrorCode::PlatformUnavailable, RunState::NotRun, "away", {}};
-            if (this->isUnavailable)
-                co_return std::nullopt;
-            std::vector<RegisteredObject> all;
-            for (const auto &[name, value] : this->objects)
-                all.push_back({name, 1, value});
-            co_return all;
-        };
-        result.write = [this](std::string name, std::string value,
-                              Error &) -> net::awaitable<bool> {
-            this->objects[name] = value;
-            co_return true;
-        };
-        result.remove = [this](std::string name, Error &) -> net::awaitable<bool> {
-            this->objects.erase(name);
-            co_return true;
-        };
-        return result;
-    }
-};
-
 Clock wallClockAt(Milliseconds time)
 {
     return Clock::manual(std::make_shared<Milliseconds>(time));
--- a/packages/observability/logging/logevent.cpp
+++ b/packages/observability/logging/logevent.cpp
@@ -74,6 +74,8 @@
                       "refused_requests_unavailable"},
         LogEventEntry{LogEvent::StoreRestored, LogLevel::Warning, "store_restored"},
         LogEventEntry{LogEvent::CallCutAtStop, LogLevel::Warning, "call_cut_at_stop"},
+        LogEventEntry{LogEvent::VersionHistoryUnavailable, LogLevel::Warning,
+                      "version_history_unavailable"},
 };
 
 } // namespace
--- a/packages/observability/logging/logevent.h
+++ b/packages/observability/logging/logevent.h
@@ -77,6 +77,7 @@
     RefusedRequestsUnavailable = 8018,
     StoreRestored = 8019,
     CallCutAtStop = 8020,
+    VersionHistoryUnavailable = 8022,
 };
 
 /** An entry of the event catalogue. */
