Tell other hosts the software versions of streams

The version at which a stream began was known only to the host that served it, so a caller who took the stream up at another host could only be refused or served by any version.

Streams that peers told have a table of their own; statements of several hosts that differ make a stream ambiguous. Texts and lists from peers are limited.

No daemon uses it yet.

--- a/packages/entry/peers/peerservice.cpp
+++ b/packages/entry/peers/peerservice.cpp
@@ -41,6 +41,8 @@
 constexpr std::size_t maximumReadConnections = 8;
 /** Limits the descriptors of idle connections for permit requests. */
 constexpr std::size_t maximumPermitConnections = 32;
+/** Limits the descriptors of idle connections for software versions of streams. */
+constexpr std::size_t maximumRunConnections = 32;
 
 MemberRecord selfRecord(const EntryState &entry, bool isServing)
 {
@@ -131,6 +133,7 @@
               this->hooks.selectPeers)
     , readConnections(state.steadyClock, maximumReadConnections)
     , permitConnections(state.steadyClock, maximumPermitConnections)
+    , runConnections(state.steadyClock, maximumRunConnections)
 {
     state.publishMembers({selfRecord(state, this->hooks.isServingAtStart)}, 0);
     if (this->hooks.announcesLoadChanges)
@@ -306,6 +309,19 @@
             co_return std::nullopt;
         co_return this->hooks.answerPermitRequest(*request);
     }
+    if (const auto *update = std::get_if<RunVersionUpdate>(&message)) {
+        std::optional<RunVersionUpdateReply> reply;
+        if (this->hooks.recordRunVersions)
+            reply = this->hooks.recordRunVersions(*update);
+        if (!reply)
+            co_return std::nullopt;
+        co_return *reply;
+    }
+    if (const auto *request = std::get_if<RunVersionRequest>(&message)) {
+        if (!this->hooks.answerRunVersions)
+            co_return std::nullopt;
+        co_return this->hooks.answerRunVersions(*request);
+    }
     if (const auto *call = std::get_if<ForwardCall>(&message)) {
         ForwardReply reply;
         reply.sequence = call->sequence;
@@ -670,6 +686,23 @@
                                                              timeout, reason);
 }
 
+net::awaitable<bool> PeerService::tellRunVersions(std::string address, RunVersionUpdate update,
+                                                  Milliseconds timeout, Error &reason)
+{
+    update.sequence = ++this->sequence;
+    const auto reply = co_await this->runConnections.exchange<RunVersionUpdateReply>(
+            std::move(address), std::move(update), timeout, reason);
+    co_return reply.has_value();
+}
+
+net::awaitable<std::optional<RunVersionReply>> PeerService::askRunVersions(
+        std::string address, RunVersionRequest request, Milliseconds timeout, Error &reason)
+{
+    request.sequence = ++this->sequence;
+    return this->runConnections.exchange<RunVersionReply>(std::move(address), std::move(request),
+                                                          timeout, reason);
+}
+
 net::awaitable<std::optional<std::uint64_t>> PeerService::askRevision(std::string peerAddress)
 {
     ConfigurationPull pull;
--- a/packages/entry/peers/peerservice.h
+++ b/packages/entry/peers/peerservice.h
@@ -62,6 +62,13 @@
     std::function<std::vector<CallLimitMessage>()> callLimits;
     /** Records the call limits that a peer sent; may be empty. */
     std::function<void(std::span<const CallLimitMessage>)> recordCallLimits;
+    /**
+     * Records the software versions of streams that a peer sent; may be empty. It returns nothing
+     * if the message is malformed, which closes the connection.
+     */
+    std::function<std::optional<RunVersionUpdateReply>(const RunVersionUpdate &)> recordRunVersions;
+    /** Answers a peer that asks for software versions of streams; may be empty. */
+    std::function<RunVersionReply(const RunVersionRequest &)> answerRunVersions;
     /** Whether hosts compare configuration revisions and pull newer ones from each other. */
     bool sharesConfiguration = true;
     /**
@@ -133,6 +140,24 @@
                                                                      CallPermitRequest request,
                                                                      Milliseconds timeout,
                                                                      Error &reason);
+    /**
+     * Tells a peer the software versions of streams that began here, over a connection that is
+     * reused.
+     *
+     * @param reason receives ConnectionFailed, Timeout or ProtocolViolation.
+     * @return whether the peer confirmed the update.
+     */
+    boost::asio::awaitable<bool> tellRunVersions(std::string address, RunVersionUpdate update,
+                                                 Milliseconds timeout, Error &reason);
+    /**
+     * Asks a peer for software versions of streams, over a connection that is reused.
+     *
+     * @param reason receives ConnectionFailed, Timeout or ProtocolViolation.
+     */
+    boost::asio::awaitable<std::optional<RunVersionReply>> askRunVersions(std::string address,
+                                                                          RunVersionRequest request,
+                                                                          Milliseconds timeout,
+                                                                          Error &reason);
     /** Asks a peer for its configuration revision in force; nothing if it does not answer. */
     boost::asio::awaitable<std::optional<std::uint64_t>> askRevision(std::string peerAddress);
 
@@ -173,6 +198,7 @@
     std::map<BackendServerName, PeerLoadEntry> lastSentLoad;
     PeerConnections readConnections;
     PeerConnections permitConnections;
+    PeerConnections runConnections;
     std::atomic<std::uint64_t> sequence = 0;
     std::atomic<bool> isPulling = false;
     std::atomic<bool> isRegistering = false;
--- a/packages/entry/tests/test_permits.cpp
+++ b/packages/entry/tests/test_permits.cpp
@@ -49,6 +49,8 @@
     int registrations = 0;
     std::vector<CallLimitMessage> ownLimits;
     std::vector<CallLimitMessage> receivedLimits;
+    bool acceptsRuns = true;
+    std::vector<RunVersionMessage> receivedRuns;
     ActorRuntime runtime;
     EntryState entry;
     DispatchService dispatch;
@@ -87,6 +89,19 @@
         hooks.recordCallLimits = [this](std::span<const CallLimitMessage> messages) {
             this->receivedLimits.assign(messages.begin(), messages.end());
         };
+        hooks.recordRunVersions =
+                [this](const RunVersionUpdate &update) -> std::optional<RunVersionUpdateReply> {
+            if (!this->acceptsRuns)
+                return std::nullopt;
+            this->receivedRuns = update.runs;
+            return RunVersionUpdateReply{update.sequence};
+        };
+        hooks.answerRunVersions = [this](const RunVersionRequest &request) {
+            RunVersionReply reply{request.sequence, {}};
+            for (const RunVersionMessage &run : this->receivedRuns)
+                reply.answers.push_back({RunVersionResult::Known, run.version});
+            return reply;
+        };
         hooks.sharesConfiguration = false;
         return hooks;
     }
@@ -189,6 +204,42 @@
     REQUIRE(connections.idleCount() == 1);
 }
 
+// Guards against software versions of streams that get lost between hosts, and against a host that
+// takes an update which its peer did not accept for told.
+TEST_CASE("A host tells and asks a peer the software versions of streams", "[runs]")
+{
+    net::io_context context;
+    PeerHost first(context, "first", {});
+    PeerHost second(context, "second", {});
+    std::vector<bool> told;
+    std::optional<RunVersionReply> reply;
+    bool hasEnded = false;
+    const RunVersionUpdate update{0, "first", {{1, 2, "service", "v1"}, {3, 4, "service", "v2"}}};
+    const std::vector<bool> acceptances{true, false, true};
+    const auto exchange = [&]() -> net::awaitable<void> {
+        Error reason;
+        for (const bool isAccepted : acceptances) {
+            second.acceptsRuns = isAccepted;
+            const bool isTold = co_await first.peers.tellRunVersions(second.address(), update,
+                                                                     Milliseconds(1000), reason);
+            told.push_back(isTold);
+        }
+        const RunVersionRequest request{0, {{1, 2, "service"}, {3, 4, "service"}}};
+        reply = co_await first.peers.askRunVersions(second.address(), request, Milliseconds(1000),
+                                                    reason);
+        hasEnded = true;
+    };
+    net::co_spawn(context, exchange, net::detached);
+    while (!hasEnded)
+        context.run_one();
+    REQUIRE(told == acceptances);
+    REQUIRE(second.receivedRuns == update.runs);
+    REQUIRE(reply);
+    REQUIRE(reply->answers
+            == std::vector<RunVersionAnswer>{{RunVersionResult::Known, "v1"},
+                                             {RunVersionResult::Known, "v2"}});
+}
+
 // Guards against a limit that only the hosts keep which were told by the server itself.
 TEST_CASE("A host tells its peers the call limits that it knows", "[permits]")
 {
--- a/packages/gateway/runs/runversions.cpp
+++ b/packages/gateway/runs/runversions.cpp
@@ -1,75 +1,133 @@
 #include "gateway/runs/runversions.h"
 
-#include <cassert>
+#include "gateway/runs/runversionexchange.h"
+#include "policy/placement/stablehash.h"
+
+#include <algorithm>
+#include <utility>
 
 namespace sassafrasyard {
 
 namespace net = boost::asio;
 
+namespace {
+
+/** The source of all runs in the table of this host's own runs. */
+constexpr std::uint64_t ownSource = 0;
+
+bool isValid(const RunVersionMessage &run)
+{
+    return !run.service.empty() && run.service.size() <= maximumRunServiceBytes
+            && !run.version.empty() && run.version.size() <= maximumRunVersionBytes;
+}
+
+RunVersionAnswer toAnswer(const RunLookup &lookup)
+{
+    switch (lookup.result) {
+    case RunLookup::Result::Known:
+        return {RunVersionResult::Known, lookup.version.toString()};
+    case RunLookup::Result::Ambiguous:
+        return {RunVersionResult::Ambiguous, ""};
+    case RunLookup::Result::Unknown:
+        break;
+    }
+    return {};
+}
+
+std::optional<SoftwareVersion> knownVersion(const RunLookup &lookup)
+{
+    if (lookup.result != RunLookup::Result::Known)
+        return std::nullopt;
+    return lookup.version;
+}
+
+} // namespace
+
 RunVersions::RunVersions(Clock clock, RunVersionsOptions options)
-    : clock(std::move(clock))
-    , options(options)
+    : ownRuns(clock, options)
+    , peerRuns(std::move(clock), options)
+{
+}
+
+void RunVersions::setHooks(RunVersionsHooks newHooks)
 {
-    assert(this->options.maximumRuns > 0);
+    this->hooks = std::move(newHooks);
+}
+
+void RunVersions::raiseLifetime(Milliseconds lifetime)
+{
+    this->ownRuns.raiseLifetime(lifetime);
+    this->peerRuns.raiseLifetime(lifetime);
 }
 
 void RunVersions::record(const RunKey &run, std::string_view service,
                          const SoftwareVersion &version)
 {
-    if (const auto known = this->runs.find(run); known != this->runs.end())
-        this->remove(known);
-    this->removeExpired();
-    if (this->runs.size() >= this->options.maximumRuns)
-        this->remove(this->runs.find(this->runsByAge.front()));
-    const auto shared = this->versions.try_emplace({std::string(service), version}).first;
-    ++shared->second;
-    const auto position = this->runsByAge.insert(this->runsByAge.end(), run);
-    this->runs.emplace(run, Run{shared, this->clock.now(), position});
+    this->ownRuns.record(run, service, version, ownSource);
+    if (this->hooks.tell)
+        this->hooks.tell(run, std::string(service), version);
 }
 
 net::awaitable<std::optional<SoftwareVersion>> RunVersions::find(RunKey run, std::string service)
 {
-    co_return this->findRecorded(run, service);
+    const RunLookup recorded = this->lookUp(run, service);
+    if (recorded.result != RunLookup::Result::Unknown)
+        co_return knownVersion(recorded);
+    RunLookup asked;
+    if (this->hooks.ask)
+        asked = co_await this->hooks.ask(run, service);
+    // An update may have arrived meanwhile.
+    const RunLookup known = combineLookups(this->lookUp(run, service), asked);
+    // Peers are asked even if there is a sole version: their servers may be known here only later.
+    if (known.result == RunLookup::Result::Unknown && this->hooks.soleVersion)
+        co_return this->hooks.soleVersion(service);
+    co_return knownVersion(known);
 }
 
-std::optional<SoftwareVersion> RunVersions::findRecorded(const RunKey &run,
-                                                         std::string_view service)
+std::optional<RunVersionUpdateReply> RunVersions::recordUpdate(const RunVersionUpdate &update)
 {
-    this->removeExpired();
-    const auto known = this->runs.find(run);
-    if (known == this->runs.end() || known->second.version->first.first != service)
+    if (update.runs.size() > maximumRunsPerMessage
+        || !std::all_of(update.runs.begin(), update.runs.end(), isValid))
         return std::nullopt;
-    return known->second.version->first.second;
+    const std::uint64_t source = stableHash(update.sender);
+    for (const RunVersionMessage &run : update.runs)
+        this->peerRuns.record({run.keyHigh, run.keyLow}, run.service, SoftwareVersion(run.version),
+                              source);
+    return RunVersionUpdateReply{update.sequence};
 }
 
-std::size_t RunVersions::size() const
+RunVersionReply RunVersions::answer(const RunVersionRequest &request)
 {
-    return this->runs.size();
+    RunVersionReply reply;
+    reply.sequence = request.sequence;
+    const std::size_t count = std::min(request.runs.size(), maximumRunsPerMessage);
+    for (std::size_t index = 0; index < count; ++index) {
+        const RunKeyMessage &run = request.runs[index];
+        reply.answers.push_back(toAnswer(this->lookUp({run.keyHigh, run.keyLow}, run.service)));
+    }
+    return reply;
 }
 
-std::size_t RunVersions::versionCount() const
+std::optional<SoftwareVersion> RunVersions::findRecorded(const RunKey &run,
+                                                         std::string_view service)
 {
-    return this->versions.size();
+    return knownVersion(this->lookUp(run, service));
 }
 
-void RunVersions::removeExpired()
+std::size_t RunVersions::size() const
 {
-    const Milliseconds now = this->clock.now();
-    while (!this->runsByAge.empty()) {
-        const auto oldest = this->runs.find(this->runsByAge.front());
-        if (now - oldest->second.recordedAt < this->options.lifetime)
-            return;
-        this->remove(oldest);
-    }
+    return this->ownRuns.size() + this->peerRuns.size();
+}
+
+std::size_t RunVersions::versionCount() const
+{
+    return this->ownRuns.versionCount() + this->peerRuns.versionCount();
 }
 
-void RunVersions::remove(std::map<RunKey, Run>::iterator run)
+/** Returns what this host recorded and was told of a run. */
+RunLookup RunVersions::lookUp(const RunKey &run, std::string_view service)
 {
-    const auto shared = run->second.version;
-    if (--shared->second == 0)
-        this->versions.erase(shared);
-    this->runsByAge.erase(run->second.position);
-    this->runs.erase(run);
+    return combineLookups(this->ownRuns.find(run, service), this->peerRuns.find(run, service));
 }
 
 } // namespace sassafrasyard
--- a/packages/gateway/runs/runversions.h
+++ b/packages/gateway/runs/runversions.h
@@ -2,35 +2,39 @@
 
 #include "core/core.h"
 #include "gateway/runs/runkey.h"
+#include "gateway/runs/runtable.h"
+#include "protocol/protocol.h"
 
 #include <boost/asio/awaitable.hpp>
 
 #include <cstddef>
-#include <cstdint>
-#include <list>
-#include <map>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
 
 namespace sassafrasyard {
 
 /** Limits of a RunVersions. */
-struct RunVersionsOptions
+using RunVersionsOptions = RunTableOptions;
+
+/** The functions that connect a RunVersions to the rest of its host; each may be empty. */
+struct RunVersionsHooks
 {
-    /** How many runs are kept; the one that was recorded least recently is dropped first. */
-    std::size_t maximumRuns = 16'384;
-    /**
-     * How long a run is kept after it was last recorded, in milliseconds; callers resume a stream
-     * within this time.
-     */
-    Milliseconds lifetime{120'000};
+    /** Tells other hosts the software version of a stream; see RunVersionExchange. */
+    std::function<void(const RunKey &, const std::string &service, const SoftwareVersion &)> tell;
+    /** Asks other hosts for the software version of a stream; see RunVersionExchange. */
+    std::function<boost::asio::awaitable<RunLookup>(RunKey, std::string service)> ask;
+    /** Returns the version that has served all recent streams of a service; see VersionHistory. */
+    std::function<std::optional<SoftwareVersion>(std::string_view service)> soleVersion;
 };
 
 /**
  * Keeps the software versions of the servers that served recent streams, so that a stream which its
  * caller resumes continues on the same version.
+ *
+ * Streams that began at other hosts and that those told this one have a table of their own, so that
+ * they don't displace the streams of this host. All calls come from one thread.
  */
 class RunVersions
 {
@@ -40,6 +44,11 @@
     RunVersions(const RunVersions &) = delete;
     RunVersions &operator=(const RunVersions &) = delete;
 
+    /** Sets the hooks. Without them, this host knows only its own runs. */
+    void setHooks(RunVersionsHooks newHooks);
+    /** Raises the time for which runs are kept to at least the given one; it never falls. */
+    void raiseLifetime(Milliseconds lifetime);
+
     /**
      * Records the software version that serves a caller's stream; replaces what was recorded of the
      * run before and starts its lifetime anew.
@@ -48,12 +57,25 @@
      */
     void record(const RunKey &run, std::string_view service, const SoftwareVersion &version);
     /**
-     * Returns the software version of a run that a caller resumes, or nothing if it is unknown or
-     * the run belongs to another service.
+     * Returns the software version of a run that a caller resumes, or nothing if it is unknown, the
+     * run belongs to another service, or several versions were stated for it.
+     *
+     * What this host recorded or was told decides; then what peers know, for which this waits for
+     * RunVersionExchange::askTimeout at most; then the only version of the service, if no other one
+     * was in service recently.
      */
     boost::asio::awaitable<std::optional<SoftwareVersion>> find(RunKey run, std::string service);
 
-    /** Returns the software version of a run as recorded on this host; see find(). */
+    /**
+     * Records the versions that a peer stated.
+     *
+     * @return nothing if the message is malformed; all of it is ignored then.
+     */
+    std::optional<RunVersionUpdateReply> recordUpdate(const RunVersionUpdate &update);
+    /** Answers a peer from what this host recorded or was told. */
+    RunVersionReply answer(const RunVersionRequest &request);
+
+    /** Returns the software version of a run as recorded on this host or told to it; see find(). */
     std::optional<SoftwareVersion> findRecorded(const RunKey &run, std::string_view service);
     /** Returns the number of runs that are kept. */
     std::size_t size() const;
@@ -61,27 +83,11 @@
     std::size_t versionCount() const;
 
 private:
-    /** The service and the software version of runs, and how many runs refer to them. */
-    using VersionUses = std::map<std::pair<std::string, SoftwareVersion>, std::size_t>;
-
-    struct Run
-    {
-        VersionUses::iterator version;
-        Milliseconds recordedAt{0};
-        /** The position of the run in runsByAge. */
-        std::list<RunKey>::iterator position;
-    };
-
-    void removeExpired();
-    void remove(std::map<RunKey, Run>::iterator run);
+    RunLookup lookUp(const RunKey &run, std::string_view service);
 
-    Clock clock;
-    RunVersionsOptions options;
-    /** The versions are shared, because a text for each run would take most of the memory. */
-    VersionUses versions;
-    std::map<RunKey, Run> runs;
-    /** The runs in the order in which they were last recorded. */
-    std::list<RunKey> runsByAge;
+    RunVersionsHooks hooks;
+    RunTable ownRuns;
+    RunTable peerRuns;
 };
 
 } // namespace sassafrasyard
--- a/packages/observability/logging/logevent.cpp
+++ b/packages/observability/logging/logevent.cpp
@@ -76,6 +76,7 @@
         LogEventEntry{LogEvent::CallCutAtStop, LogLevel::Warning, "call_cut_at_stop"},
         LogEventEntry{LogEvent::VersionHistoryUnavailable, LogLevel::Warning,
                       "version_history_unavailable"},
+        LogEventEntry{LogEvent::RunVersionsUntold, LogLevel::Info, "run_versions_untold"},
 };
 
 } // namespace
--- a/packages/observability/logging/logevent.h
+++ b/packages/observability/logging/logevent.h
@@ -78,6 +78,7 @@
     StoreRestored = 8019,
     CallCutAtStop = 8020,
     VersionHistoryUnavailable = 8022,
+    RunVersionsUntold = 8023,
 };
 
 /** An entry of the event catalogue. */
