Find the software versions of streams at other hosts in the daemon

RunVersions knew only the streams of its own host: nothing connected it to the peers, the server entries and the stored history.

The daemon passes the versions of the registered servers, leaving ones included, to VersionHistory as soon as the entries were read, reads the history at its start and after a restore of the store, and keeps versions and streams for the longest route time-out and 60 s.

The daemon itself was not run.

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -39,6 +39,8 @@
 constexpr int addressCacheFactor = 3;
 /** Callers notice a stopping host only at their next query, so responses expire early. */
 constexpr Milliseconds addressCacheTime{2000};
+/** The time within which a caller resumes a stream that has reached the time-out of its route. */
+constexpr Milliseconds resumptionMargin{60000};
 /** The process exits this long before the platform would kill it. */
 constexpr Milliseconds graceMargin{500};
 /** File descriptors not used for calls: listeners, peers, store, files. */
@@ -112,6 +114,8 @@
     bool start(Error &reason);
     PeerHooks makePeerHooks();
     SharedSourceHooks makeSharedSourceHooks();
+    RunExchangeHooks makeRunExchangeHooks();
+    void connectRunVersions();
     void applyConfiguration(std::span<const RegisteredObject> objects, Milliseconds requestedAt);
     void applyConfiguration(const RegisteredObject &object);
     void applyServers(std::span<const RegisteredObject> objects, Milliseconds requestedAt);
@@ -120,6 +124,7 @@
     std::optional<ServerEntry> readServer(const RegisteredObject &object);
     void schedulePublishServers();
     void publishServers();
+    void publishVersions();
     net::awaitable<void> runMaintenance();
     void runSlowMaintenance();
     void checkReadiness();
@@ -161,6 +166,8 @@
     ObjectFollower serverFollower;
     ObjectFollower hostFollower;
     PeerService peers;
+    VersionHistory versionHistory;
+    RunVersionExchange runExchange;
     HttpServer readinessServer;
     HttpServer directoryServer;
     HttpServer metricsServer;
@@ -240,6 +247,8 @@
               },
               hostFollowerOptions())
     , peers(this->entry, this->dispatch, this->runtime, this->context, this->makePeerHooks())
+    , versionHistory(this->entry, this->context, this->store.versionHistoryCalls(), this->clock)
+    , runExchange(this->entry, this->context, this->makeRunExchangeHooks())
     , readinessServer(
               this->context, HttpServerOptions(),
               [this](const HttpRequest &request, HttpResponder &responder) {
@@ -274,6 +283,7 @@
                             [this] {
                                 this->peers.requestLoadUpdate();
                             }});
+    this->connectRunVersions();
     this->servers.setHooks(
             [this](const BackendServerName &server) {
                 logEvent(LogEvent::ServerLeaving, "backend_server", server.toString());
@@ -297,10 +307,14 @@
     this->hostFollower.setRestoreHook([this] {
         this->peers.registerAgain();
         this->quarantineArchive.saveAgain();
+        this->versionHistory.readAgain();
     });
     this->serving.addListener([this](const ServingConfiguration &configuration) {
         logEvent(LogEvent::RoutesApplied, "version", std::to_string(configuration.version),
                  "routes", std::to_string(configuration.routes.size()));
+        const Milliseconds retention = configuration.routes.longestTimeout() + resumptionMargin;
+        this->runVersions.raiseLifetime(retention);
+        this->versionHistory.raiseRetention(retention);
         this->schedulePublishServers();
     });
 }
@@ -322,6 +336,7 @@
     this->serverFollower.start(this->context);
     this->hostFollower.start(this->context);
     this->quarantineArchive.start();
+    this->versionHistory.start();
     this->dispatch.setQuarantineHook(
             [this](std::uint64_t digest) { this->quarantineArchive.save(digest); });
     const net::any_io_executor executor = this->context.get_executor();
@@ -350,6 +365,37 @@
     return hooks;
 }
 
+RunExchangeHooks PlatformDaemon::Implementation::makeRunExchangeHooks()
+{
+    RunExchangeHooks hooks;
+    hooks.tell = [this](std::string address, RunVersionUpdate update, Milliseconds timeout,
+                        Error &reason) {
+        return this->peers.tellRunVersions(std::move(address), std::move(update), timeout, reason);
+    };
+    hooks.ask = [this](std::string address, RunVersionRequest request, Milliseconds timeout,
+                       Error &reason) {
+        return this->peers.askRunVersions(std::move(address), std::move(request), timeout, reason);
+    };
+    return hooks;
+}
+
+/** Lets the software versions of streams be told to and found at other hosts. */
+void PlatformDaemon::Implementation::connectRunVersions()
+{
+    RunVersionsHooks hooks;
+    hooks.tell = [this](const RunKey &run, const std::string &service,
+                        const SoftwareVersion &version) {
+        this->runExchange.tell(run, service, version);
+    };
+    hooks.ask = [this](RunKey run, std::string service) {
+        return this->runExchange.ask(run, std::move(service));
+    };
+    hooks.soleVersion = [this](std::string_view service) {
+        return this->versionHistory.soleVersion(service);
+    };
+    this->runVersions.setHooks(std::move(hooks));
+}
+
 PeerHooks PlatformDaemon::Implementation::makePeerHooks()
 {
     PeerHooks hooks;
@@ -373,6 +419,12 @@
     hooks.recordCallLimits = [this](std::span<const CallLimitMessage> messages) {
         this->limiter.recordMessages(messages);
     };
+    hooks.recordRunVersions = [this](const RunVersionUpdate &update) {
+        return this->runVersions.recordUpdate(update);
+    };
+    hooks.answerRunVersions = [this](const RunVersionRequest &request) {
+        return this->runVersions.answer(request);
+    };
     hooks.sharesConfiguration = false;
     hooks.announcesLoadChanges = true;
     hooks.selectPeers = [this](std::span<const BackendServerName> changed) {
@@ -471,6 +523,7 @@
     net::post(this->context, [this] {
         this->isPublishScheduled = false;
         this->publishServers();
+        this->publishVersions();
     });
 }
 
@@ -486,6 +539,13 @@
     this->entry.configuration.offer(std::move(published));
 }
 
+/** Records which software versions the registered servers have, once these are known. */
+void PlatformDaemon::Implementation::publishVersions()
+{
+    if (this->serving.serversAge(this->clock.now()))
+        this->versionHistory.setPresent(presentVersions(this->servers.entries()));
+}
+
 net::awaitable<void> PlatformDaemon::Implementation::runMaintenance()
 {
     net::steady_timer timer(co_await net::this_coro::executor);
@@ -509,6 +569,7 @@
 {
     this->serverConnections.closeExpired();
     this->storeConnections.closeExpired();
+    this->versionHistory.advance();
     const auto members = this->entry.members();
     std::size_t liveHosts = 0;
     for (const MemberRecord &record : *members)
--- a/packages/gateway/routes/routetable.cpp
+++ b/packages/gateway/routes/routetable.cpp
@@ -43,6 +43,14 @@
     return nullptr;
 }
 
+Milliseconds RouteTable::longestTimeout() const
+{
+    Milliseconds longest{0};
+    for (const Route &route : this->routes)
+        longest = std::max(longest, route.timeout);
+    return longest;
+}
+
 std::size_t RouteTable::size() const
 {
     return this->routes.size();
--- a/packages/gateway/routes/routetable.h
+++ b/packages/gateway/routes/routetable.h
@@ -29,6 +29,8 @@
      */
     const Route *find(std::string_view host, std::string_view path) const;
 
+    /** Returns the longest duration of a call on any route, in milliseconds; 0 without routes. */
+    Milliseconds longestTimeout() const;
     /** Returns the number of routes. */
     std::size_t size() const;
 
--- a/packages/gateway/runs/versionhistory.cpp
+++ b/packages/gateway/runs/versionhistory.cpp
@@ -35,6 +35,14 @@
 
 } // namespace
 
+VersionsByService presentVersions(std::span<const ServerEntry> entries)
+{
+    VersionsByService present;
+    for (const ServerEntry &entry : entries)
+        present[entry.service].insert(entry.softwareVersion);
+    return present;
+}
+
 VersionHistory::VersionHistory(EntryState &entry, net::io_context &context,
                                ObjectArchiveCalls calls, Clock clock,
                                ServiceVersionsOptions options)
--- a/packages/gateway/runs/versionhistory.h
+++ b/packages/gateway/runs/versionhistory.h
@@ -2,6 +2,7 @@
 
 #include "entry/entry.h"
 #include "gateway/runs/serviceversions.h"
+#include "gateway/servers/servercatalogue.h"
 #include "gateway/store/objectarchivecalls.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -9,11 +10,15 @@
 
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 
 namespace sassafrasyard {
 
+/** Returns the software versions of registered servers. */
+VersionsByService presentVersions(std::span<const ServerEntry> entries);
+
 /**
  * Keeps the recent software versions of each service in the platform's store, one object per
  * service, so that hosts that all start at once know which versions may have begun a stream.
--- a/packages/gateway/tests/test_routetable.cpp
+++ b/packages/gateway/tests/test_routetable.cpp
@@ -75,3 +75,12 @@
     REQUIRE(chooseService(route, 0.901) == "b");
     REQUIRE(chooseService(route, 0.999999) == "b");
 }
+
+// Guards against software versions of streams that are forgotten while the streams still run.
+TEST_CASE("The longest time-out of the routes is known", "[routes]")
+{
+    REQUIRE(RouteTable().longestTimeout() == Milliseconds(0));
+    std::vector<Route> routes{makeRoute("h", "/a/"), makeRoute("h", "/b/"), makeRoute("h", "/c/")};
+    routes[1].timeout = Milliseconds(90'000);
+    REQUIRE(RouteTable(routes).longestTimeout() == Milliseconds(90'000));
+}
--- a/packages/gateway/tests/test_versionhistory.cpp
+++ b/packages/gateway/tests/test_versionhistory.cpp
@@ -272,3 +272,18 @@
     REQUIRE(hosts.soleVersion() == v1);
     REQUIRE(hosts.store.writes == writes);
 }
+
+// Guards against a version of leaving servers that is not counted although they still run streams.
+TEST_CASE("The versions of all registered servers are present", "[runs]")
+{
+    std::vector<ServerEntry> entries(4);
+    entries[0].service = "plan";
+    entries[0].softwareVersion = v1;
+    entries[1] = entries[0];
+    entries[1].softwareVersion = v2;
+    entries[1].isLeaving = true;
+    entries[2] = entries[0];
+    entries[3].service = "tag";
+    entries[3].softwareVersion = v2;
+    REQUIRE(presentVersions(entries) == VersionsByService{{"plan", {v1, v2}}, {"tag", {v2}}});
+}
