--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -323,6 +323,12 @@
     /** Returns the object that keeps the servers' call limits. */
     ServerLimiter &serverLimiter() { return this->limiter; }
 
+    /** Returns the object that keeps the software versions of recent streams. */
+    RunVersions &runVersions() { return this->versions; }
+
+    /** Returns the state of this host. */
+    EntryState &entryState() { return this->entry; }
+
     /** Sets the member records that this host knows. */
     void publishMembers(std::vector<MemberRecord> members)
     {
--- a/packages/gateway/tests/gatewayhosts.h
+++ b/packages/gateway/tests/gatewayhosts.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,12 +38,19 @@
     }
 
     /** Registers a server with all hosts. */
-    void registerServer(const std::string &name, const std::string &address)
+    void registerServer(const std::string &name, const std::string &address,
+                        const std::string &softwareVersion = "v1")
     {
         for (const auto &host : this->hosts)
-            host->registerServer(name, address);
+            host->registerServer(name, address, 8, softwareVersion);
     }
 
+    /** Lets a host no longer answer the others. */
+    void loseHost(std::size_t host) { this->lostHosts.insert(host); }
+
+    /** Lets a lost host answer the others again. */
+    void returnHost(std::size_t host) { this->lostHosts.erase(host); }
+
     /** Returns the number of hosts. */
     std::size_t size() const { return this->hosts.size(); }
 
@@ -112,9 +120,44 @@
                 boost::asio::post(*this->context, [this, from] { this->tellOthers(*from); });
             };
             host->serverLimiter().setHooks(std::move(hooks));
+            this->connectRunVersions(*host);
         }
     }
 
+    /** Lets a host tell and ask the others the software versions of streams. */
+    void connectRunVersions(GatewayFixture &host)
+    {
+        RunExchangeHooks exchange;
+        exchange.tell = [this](std::string address, RunVersionUpdate update, Milliseconds,
+                               Error &) -> boost::asio::awaitable<bool> {
+            co_await GatewayFixture::pause(Milliseconds(3));
+            const std::size_t index = std::stoul(address);
+            if (this->lostHosts.contains(index))
+                co_return false;
+            co_return this->hosts[index]->runVersions().recordUpdate(update).has_value();
+        };
+        exchange.ask = [this](std::string address, RunVersionRequest request, Milliseconds,
+                              Error &) -> boost::asio::awaitable<std::optional<RunVersionReply>> {
+            co_await GatewayFixture::pause(Milliseconds(3));
+            const std::size_t index = std::stoul(address);
+            if (this->lostHosts.contains(index))
+                co_return std::nullopt;
+            co_return this->hosts[index]->runVersions().answer(request);
+        };
+        this->exchanges.push_back(std::make_unique<RunVersionExchange>(
+                host.entryState(), *this->context, std::move(exchange)));
+        RunVersionsHooks hooks;
+        hooks.tell = [exchange = this->exchanges.back().get()](const RunKey &run,
+                                                               const std::string &service,
+                                                               const SoftwareVersion &version) {
+            exchange->tell(run, service, version);
+        };
+        hooks.ask = [exchange = this->exchanges.back().get()](RunKey run, std::string service) {
+            return exchange->ask(run, std::move(service));
+        };
+        host.runVersions().setHooks(std::move(hooks));
+    }
+
     boost::asio::awaitable<void> sendQuarantines()
     {
         while (true) {
@@ -146,6 +189,8 @@
 
     std::uint64_t callCount = 0;
     bool isAskAnswered = true;
+    std::set<std::size_t> lostHosts;
+    std::vector<std::unique_ptr<RunVersionExchange>> exchanges;
 };
 
 } // namespace sassafrasyard
