Count a sole version only for streams that can have begun at its service

A take-up on a route with several services asked for each of them in turn. With a sole version of the first one, it continued there, even a stream that had begun at another service, because a stream of another service counted as unknown.

Such a stream now counts as not attributable to the service, at this host and in answers to peers, and on a route with several services only what hosts recorded counts.

--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -125,7 +125,11 @@
         const Service *service = this->call.configuration->findService(name);
         if (service == nullptr)
             continue;
-        auto version = co_await this->dependencies.runVersions.find(run, name);
+        std::optional<SoftwareVersion> version;
+        if (services.size() == 1)
+            version = co_await this->dependencies.runVersions.find(run, name);
+        else
+            version = co_await this->dependencies.runVersions.findStated(run, name);
         if (!version)
             continue;
         this->call.service = service;
--- a/packages/gateway/runs/runtable.cpp
+++ b/packages/gateway/runs/runtable.cpp
@@ -51,11 +51,9 @@
     const auto known = this->runs.find(run);
     if (known == this->runs.end())
         return {};
-    if (known->second.isAmbiguous)
-        return {RunLookup::Result::Ambiguous, {}};
     const auto &[knownService, version] = known->second.version->first;
-    if (knownService != service)
-        return {};
+    if (known->second.isAmbiguous || knownService != service)
+        return {RunLookup::Result::Ambiguous, {}};
     return {RunLookup::Result::Known, version};
 }
 
--- a/packages/gateway/runs/runtable.h
+++ b/packages/gateway/runs/runtable.h
@@ -30,11 +30,11 @@
 {
     /** What is known. */
     enum class Result {
-        /** The run is unknown or belongs to another service. */
+        /** The run is unknown. */
         Unknown,
         /** The version is known. */
         Known,
-        /** Different versions were stated by several hosts, so the run can't be attributed. */
+        /** Several hosts stated different versions, or the run belongs to another service. */
         Ambiguous,
     };
 
--- a/packages/gateway/runs/runversions.cpp
+++ b/packages/gateway/runs/runversions.cpp
@@ -70,20 +70,20 @@
 
 net::awaitable<std::optional<SoftwareVersion>> RunVersions::find(RunKey run, std::string service)
 {
-    const RunLookup recorded = this->lookUp(run, service);
-    if (recorded.result != RunLookup::Result::Unknown)
-        co_return knownVersion(recorded);
-    RunLookup asked;
-    if (this->hooks.ask)
-        asked = co_await this->hooks.ask(run, service);
-    // An update may have arrived meanwhile.
-    const RunLookup known = combineLookups(this->lookUp(run, service), asked);
+    const RunLookup known = co_await this->search(run, service);
     // Peers are asked even if there is a sole version: their servers may be known here only later.
     if (known.result == RunLookup::Result::Unknown && this->hooks.soleVersion)
         co_return this->hooks.soleVersion(service);
     co_return knownVersion(known);
 }
 
+net::awaitable<std::optional<SoftwareVersion>> RunVersions::findStated(RunKey run,
+                                                                       std::string service)
+{
+    const RunLookup known = co_await this->search(run, std::move(service));
+    co_return knownVersion(known);
+}
+
 std::optional<RunVersionUpdateReply> RunVersions::recordUpdate(const RunVersionUpdate &update)
 {
     if (update.runs.size() > maximumRunsPerMessage
@@ -124,6 +124,17 @@
     return this->ownRuns.versionCount() + this->peerRuns.versionCount();
 }
 
+/** Returns what this host or, if it knows nothing of a run, its peers recorded. */
+net::awaitable<RunLookup> RunVersions::search(RunKey run, std::string service)
+{
+    const RunLookup recorded = this->lookUp(run, service);
+    if (recorded.result != RunLookup::Result::Unknown || !this->hooks.ask)
+        co_return recorded;
+    const RunLookup asked = co_await this->hooks.ask(run, service);
+    // An update may have arrived meanwhile.
+    co_return combineLookups(this->lookUp(run, service), asked);
+}
+
 /** Returns what this host recorded and was told of a run. */
 RunLookup RunVersions::lookUp(const RunKey &run, std::string_view service)
 {
--- a/packages/gateway/runs/runversions.h
+++ b/packages/gateway/runs/runversions.h
@@ -65,6 +65,12 @@
      * was in service recently.
      */
     boost::asio::awaitable<std::optional<SoftwareVersion>> find(RunKey run, std::string service);
+    /**
+     * As find(), but only what hosts recorded counts. The sole version of a service says nothing of
+     * a stream that may have begun at another service.
+     */
+    boost::asio::awaitable<std::optional<SoftwareVersion>> findStated(RunKey run,
+                                                                      std::string service);
 
     /**
      * Records the versions that a peer stated.
@@ -84,6 +90,7 @@
 
 private:
     RunLookup lookUp(const RunKey &run, std::string_view service);
+    boost::asio::awaitable<RunLookup> search(RunKey run, std::string service);
 
     RunVersionsHooks hooks;
     RunTable ownRuns;
--- a/packages/gateway/tests/test_runversionexchange.cpp
+++ b/packages/gateway/tests/test_runversionexchange.cpp
@@ -224,6 +224,30 @@
     REQUIRE(hosts.hosts[1]->requests == requests);
 }
 
+// Guards against a stream that continues at another service of its route, or of a route that now
+// goes to another service, because that has a sole version.
+TEST_CASE("The sole version of a service does not count for streams of another one", "[runs]")
+{
+    RunHosts hosts(4);
+    hosts.runs(0).record(keyOf(1), "service", v1);
+    hosts.runFor(Milliseconds(60));
+    for (const auto &host : hosts.hosts)
+        host->soleVersion = v2;
+    for (std::size_t host = 0; host < 4; ++host) {
+        REQUIRE_FALSE(hosts.find(host, 1, "other"));
+        REQUIRE(hosts.find(host, 1) == v1);
+    }
+    std::optional<SoftwareVersion> stated = v2;
+    net::co_spawn(
+            hosts.context,
+            [&]() -> net::awaitable<void> {
+                stated = co_await hosts.runs(1).findStated(keyOf(2), "other");
+            },
+            net::detached);
+    hosts.runFor(Milliseconds(300));
+    REQUIRE_FALSE(stated);
+}
+
 // Guards against a stream that continues on another version because the host that takes it up has
 // not heard yet of the servers that began it.
 TEST_CASE("What another host recorded counts more than the sole version", "[runs]")
@@ -352,7 +376,8 @@
     const RunVersionReply answers = runs.answer(request);
     REQUIRE(answers.sequence == 8);
     REQUIRE(answers.answers
-            == std::vector<RunVersionAnswer>{{RunVersionResult::Known, "1"}, {}, {}});
+            == std::vector<RunVersionAnswer>{
+                    {RunVersionResult::Known, "1"}, {RunVersionResult::Ambiguous, ""}, {}});
     request.runs.resize(10 * maximumRunsPerMessage);
     REQUIRE(runs.answer(request).answers.size() == maximumRunsPerMessage);
 }
--- a/packages/protocol/messages/peermessage.h
+++ b/packages/protocol/messages/peermessage.h
@@ -399,7 +399,7 @@
     Unknown = 0,
     /** The version is known. */
     Known = 1,
-    /** Several hosts stated different versions for the stream. */
+    /** Several hosts stated different versions, or the stream belongs to another service. */
     Ambiguous = 2,
 };
 
