--- a/packages/entry/peers/peerservice.cpp
+++ b/packages/entry/peers/peerservice.cpp
@@ -37,8 +37,12 @@
 constexpr int maximumJoinRounds = 5;
 constexpr int maximumPullPages = 256;
 constexpr std::string_view hostObjectPrefix = "hosts/";
+/** Limits the descriptors of idle connections for reads: one for each kind, and some to spare. */
+constexpr std::size_t maximumReadConnections = 8;
 /** Limits the descriptors of idle connections for permit requests. */
 constexpr std::size_t maximumPermitConnections = 32;
+/** Limits the descriptors of idle connections for software versions of streams. */
+constexpr std::size_t maximumRunConnections = 32;
 
 MemberRecord selfRecord(const EntryState &entry, bool isServing)
 {
@@ -127,6 +131,9 @@
               state, context,
               [this](LoadExchange::Content content) { return this->encodeLoadUpdate(content); },
               this->hooks.selectPeers)
+    , readConnections(state.steadyClock, maximumReadConnections)
+    , permitConnections(state.steadyClock, maximumPermitConnections)
+    , runConnections(state.steadyClock, maximumRunConnections)
 {
     state.publishMembers({selfRecord(state, this->hooks.isServingAtStart)}, 0);
     if (this->hooks.announcesLoadChanges)
@@ -302,6 +309,19 @@
             co_return std::nullopt;
         co_return this->hooks.answerPermitRequest(*request);
     }
+    if (const auto *update = std::get_if<RunVersionUpdate>(&message)) {
+        std::optional<RunVersionUpdateReply> reply;
+        if (this->hooks.recordRunVersions)
+            reply = this->hooks.recordRunVersions(*update);
+        if (!reply)
+            co_return std::nullopt;
+        co_return *reply;
+    }
+    if (const auto *request = std::get_if<RunVersionRequest>(&message)) {
+        if (!this->hooks.answerRunVersions)
+            co_return std::nullopt;
+        co_return this->hooks.answerRunVersions(*request);
+    }
     if (const auto *call = std::get_if<ForwardCall>(&message)) {
         ForwardReply reply;
         reply.sequence = call->sequence;
@@ -651,36 +671,9 @@
                                                                         Milliseconds timeout,
                                                                         Error &reason)
 {
-    const auto endpoint = parseEndpoint(address, reason);
-    if (!endpoint)
-        co_return std::nullopt;
     read.sequence = ++this->sequence;
-    // Removed from the map while in use, so that a concurrent read of this kind opens its own.
-    ReadConnection pooled = std::move(this->readConnections[read.kind]);
-    if (pooled.address != address || !pooled.connection) {
-        pooled.connection = co_await FrameConnection::connect(*endpoint, probeTimeout, reason);
-        pooled.address = address;
-    }
-    if (!pooled.connection)
-        co_return std::nullopt;
-    const PeerMessage message = read;
-    const std::string payload = encodeMessage(message);
-    if (!co_await pooled.connection->send(payload, probeTimeout, reason))
-        co_return std::nullopt;
-    const auto answered = co_await pooled.connection->receive(timeout, reason);
-    if (!answered)
-        co_return std::nullopt;
-    auto reply = decodeMessage(*answered, reason);
-    auto *answer = reply ? std::get_if<ObjectReadReply>(&*reply) : nullptr;
-    if (answer == nullptr || answer->sequence != read.sequence) {
-        reason = {ErrorCode::ProtocolViolation,
-                  RunState::NotRun,
-                  "the reply does not match the read request",
-                  {}};
-        co_return std::nullopt;
-    }
-    this->readConnections[read.kind] = std::move(pooled);
-    co_return std::move(*answer);
+    return this->readConnections.exchange<ObjectReadReply>(std::move(address), std::move(read),
+                                                           timeout, reason);
 }
 
 net::awaitable<std::optional<CallPermitReply>> PeerService::askPermit(std::string address,
@@ -688,58 +681,26 @@
                                                                       Milliseconds timeout,
                                                                       Error &reason)
 {
-    const auto endpoint = parseEndpoint(address, reason);
-    if (!endpoint)
-        co_return std::nullopt;
     request.sequence = ++this->sequence;
-    const PeerMessage message = request;
-    const std::string payload = encodeMessage(message);
-    const Milliseconds end = this->entry.steadyClock.now() + timeout;
-    const auto timeLeft = [this, end] {
-        return std::max(Milliseconds(1), end - this->entry.steadyClock.now());
-    };
-    auto connection = this->takePermitConnection(address);
-    bool wasIdle = connection != nullptr;
-    std::optional<std::string> answered;
-    while (!answered) {
-        if (!connection)
-            connection = co_await FrameConnection::connect(*endpoint, timeLeft(), reason);
-        if (!connection)
-            co_return std::nullopt;
-        const bool isSent = co_await connection->send(payload, timeLeft(), reason);
-        if (isSent)
-            answered = co_await connection->receive(timeLeft(), reason);
-        // The peer closes idle connections; a request on one that it closed is sent again.
-        if (!answered && (!wasIdle || reason.code == ErrorCode::Timeout))
-            co_return std::nullopt;
-        if (!answered)
-            connection.reset();
-        wasIdle = false;
-    }
-    const auto reply = decodeMessage(*answered, reason);
-    const auto *answer = reply ? std::get_if<CallPermitReply>(&*reply) : nullptr;
-    if (answer == nullptr || answer->sequence != request.sequence) {
-        reason = {ErrorCode::ProtocolViolation,
-                  RunState::NotRun,
-                  "the reply does not match the permit request",
-                  {}};
-        co_return std::nullopt;
-    }
-    this->keepPermitConnection(address, std::move(connection));
-    co_return *answer;
+    return this->permitConnections.exchange<CallPermitReply>(std::move(address), std::move(request),
+                                                             timeout, reason);
 }
 
-std::unique_ptr<FrameConnection> PeerService::takePermitConnection(const std::string &address)
+net::awaitable<bool> PeerService::tellRunVersions(std::string address, RunVersionUpdate update,
+                                                  Milliseconds timeout, Error &reason)
 {
-    auto node = this->permitConnections.extract(address);
-    return node.empty() ? nullptr : std::move(node.mapped());
+    update.sequence = ++this->sequence;
+    const auto reply = co_await this->runConnections.exchange<RunVersionUpdateReply>(
+            std::move(address), std::move(update), timeout, reason);
+    co_return reply.has_value();
 }
 
-void PeerService::keepPermitConnection(const std::string &address,
-                                       std::unique_ptr<FrameConnection> connection)
+net::awaitable<std::optional<RunVersionReply>> PeerService::askRunVersions(
+        std::string address, RunVersionRequest request, Milliseconds timeout, Error &reason)
 {
-    if (this->permitConnections.size() < maximumPermitConnections)
-        this->permitConnections.emplace(address, std::move(connection));
+    request.sequence = ++this->sequence;
+    return this->runConnections.exchange<RunVersionReply>(std::move(address), std::move(request),
+                                                          timeout, reason);
 }
 
 net::awaitable<std::optional<std::uint64_t>> PeerService::askRevision(std::string peerAddress)
--- a/packages/entry/peers/peerservice.h
+++ b/packages/entry/peers/peerservice.h
@@ -4,6 +4,7 @@
 #include "entry/dispatch/backendmonitor.h"
 #include "entry/dispatch/dispatchservice.h"
 #include "entry/peers/loadexchange.h"
+#include "entry/peers/peerconnections.h"
 #include "entry/state/entrystate.h"
 #include "membership/membership.h"
 #include "objectstore/objectstore.h"
@@ -61,6 +62,13 @@
     std::function<std::vector<CallLimitMessage>()> callLimits;
     /** Records the call limits that a peer sent; may be empty. */
     std::function<void(std::span<const CallLimitMessage>)> recordCallLimits;
+    /**
+     * Records the software versions of streams that a peer sent; may be empty. It returns nothing
+     * if the message is malformed, which closes the connection.
+     */
+    std::function<std::optional<RunVersionUpdateReply>(const RunVersionUpdate &)> recordRunVersions;
+    /** Answers a peer that asks for software versions of streams; may be empty. */
+    std::function<RunVersionReply(const RunVersionRequest &)> answerRunVersions;
     /** Whether hosts compare configuration revisions and pull newer ones from each other. */
     bool sharesConfiguration = true;
     /**
@@ -132,6 +140,24 @@
                                                                      CallPermitRequest request,
                                                                      Milliseconds timeout,
                                                                      Error &reason);
+    /**
+     * Tells a peer the software versions of streams that began here, over a connection that is
+     * reused.
+     *
+     * @param reason receives ConnectionFailed, Timeout or ProtocolViolation.
+     * @return whether the peer confirmed the update.
+     */
+    boost::asio::awaitable<bool> tellRunVersions(std::string address, RunVersionUpdate update,
+                                                 Milliseconds timeout, Error &reason);
+    /**
+     * Asks a peer for software versions of streams, over a connection that is reused.
+     *
+     * @param reason receives ConnectionFailed, Timeout or ProtocolViolation.
+     */
+    boost::asio::awaitable<std::optional<RunVersionReply>> askRunVersions(std::string address,
+                                                                          RunVersionRequest request,
+                                                                          Milliseconds timeout,
+                                                                          Error &reason);
     /** Asks a peer for its configuration revision in force; nothing if it does not answer. */
     boost::asio::awaitable<std::optional<std::uint64_t>> askRevision(std::string peerAddress);
 
@@ -142,9 +168,6 @@
                                                                 PeerMessage message,
                                                                 Milliseconds timeout,
                                                                 Error &reason);
-    std::unique_ptr<FrameConnection> takePermitConnection(const std::string &address);
-    void keepPermitConnection(const std::string &address,
-                              std::unique_ptr<FrameConnection> connection);
     boost::asio::awaitable<void> joinAndProbe();
     boost::asio::awaitable<bool> join();
     boost::asio::awaitable<void> registerSelf();
@@ -173,16 +196,9 @@
     LoadExchange loadExchange;
     /** The load in the last Load update, by backend server. */
     std::map<BackendServerName, PeerLoadEntry> lastSentLoad;
-    /** A reusable connection for reads of one kind of object. */
-    struct ReadConnection
-    {
-        std::string address;
-        std::unique_ptr<FrameConnection> connection;
-    };
-
-    std::map<std::string, ReadConnection> readConnections;
-    /** Idle connections for permit requests, by peer address. */
-    std::multimap<std::string, std::unique_ptr<FrameConnection>> permitConnections;
+    PeerConnections readConnections;
+    PeerConnections permitConnections;
+    PeerConnections runConnections;
     std::atomic<std::uint64_t> sequence = 0;
     std::atomic<bool> isPulling = false;
     std::atomic<bool> isRegistering = false;
--- a/packages/entry/tests/test_permits.cpp
+++ b/packages/entry/tests/test_permits.cpp
@@ -49,6 +49,8 @@
     int registrations = 0;
     std::vector<CallLimitMessage> ownLimits;
     std::vector<CallLimitMessage> receivedLimits;
+    bool acceptsRuns = true;
+    std::vector<RunVersionMessage> receivedRuns;
     ActorRuntime runtime;
     EntryState entry;
     DispatchService dispatch;
@@ -87,6 +89,19 @@
         hooks.recordCallLimits = [this](std::span<const CallLimitMessage> messages) {
             this->receivedLimits.assign(messages.begin(), messages.end());
         };
+        hooks.recordRunVersions =
+                [this](const RunVersionUpdate &update) -> std::optional<RunVersionUpdateReply> {
+            if (!this->acceptsRuns)
+                return std::nullopt;
+            this->receivedRuns = update.runs;
+            return RunVersionUpdateReply{update.sequence};
+        };
+        hooks.answerRunVersions = [this](const RunVersionRequest &request) {
+            RunVersionReply reply{request.sequence, {}};
+            for (const RunVersionMessage &run : this->receivedRuns)
+                reply.answers.push_back({RunVersionResult::Known, run.version});
+            return reply;
+        };
         hooks.sharesConfiguration = false;
         return hooks;
     }
@@ -145,6 +160,86 @@
     REQUIRE(Clock::steady().now() - start < Milliseconds(1000));
 }
 
+// Guards against a request that fails because the peer has closed the connection it is sent on, and
+// against idle connections without a limit.
+TEST_CASE("A request is sent again on a new connection if its peer closed the idle one",
+          "[permits]")
+{
+    net::io_context context;
+    int accepted = 0;
+    FrameServer server(context, [&](FrameConnection &connection) -> net::awaitable<void> {
+        ++accepted;
+        Error ignored;
+        const auto payload = co_await connection.receive(Milliseconds(1000), ignored);
+        const auto message = decodeMessage(payload.value_or(""), ignored);
+        CallPermitReply reply;
+        reply.sequence = std::get<CallPermitRequest>(*message).sequence;
+        const PeerMessage answer = reply;
+        const std::string encoded = encodeMessage(answer);
+        co_await connection.send(encoded, Milliseconds(1000), ignored);
+    });
+    Error reason;
+    const auto endpoint = server.listen({"127.0.0.1", 0}, reason);
+    REQUIRE(endpoint);
+    PeerHost asking(context, "asking", {});
+    for (int time = 0; time < 3; ++time)
+        REQUIRE(ask(context, asking, endpoint->toString(), reason));
+    REQUIRE(accepted == 3);
+    PeerConnections connections(Clock::steady(), 1);
+    int replies = 0;
+    for (int number = 0; number < 3; ++number) {
+        net::co_spawn(
+                context,
+                [&]() -> net::awaitable<void> {
+                    Error fault;
+                    const CallPermitRequest request{7, {"server/1"}, false};
+                    const auto reply = co_await connections.exchange<CallPermitReply>(
+                            endpoint->toString(), request, Milliseconds(1000), fault);
+                    replies += reply ? 1 : 0;
+                },
+                net::detached);
+    }
+    while (replies < 3)
+        context.run_one();
+    REQUIRE(connections.idleCount() == 1);
+}
+
+// Guards against software versions of streams that get lost between hosts, and against a host that
+// takes an update which its peer did not accept for told.
+TEST_CASE("A host tells and asks a peer the software versions of streams", "[runs]")
+{
+    net::io_context context;
+    PeerHost first(context, "first", {});
+    PeerHost second(context, "second", {});
+    std::vector<bool> told;
+    std::optional<RunVersionReply> reply;
+    bool hasEnded = false;
+    const RunVersionUpdate update{0, "first", {{1, 2, "service", "v1"}, {3, 4, "service", "v2"}}};
+    const std::vector<bool> acceptances{true, false, true};
+    const auto exchange = [&]() -> net::awaitable<void> {
+        Error reason;
+        for (const bool isAccepted : acceptances) {
+            second.acceptsRuns = isAccepted;
+            const bool isTold = co_await first.peers.tellRunVersions(second.address(), update,
+                                                                     Milliseconds(1000), reason);
+            told.push_back(isTold);
+        }
+        const RunVersionRequest request{0, {{1, 2, "service"}, {3, 4, "service"}}};
+        reply = co_await first.peers.askRunVersions(second.address(), request, Milliseconds(1000),
+                                                    reason);
+        hasEnded = true;
+    };
+    net::co_spawn(context, exchange, net::detached);
+    while (!hasEnded)
+        context.run_one();
+    REQUIRE(told == acceptances);
+    REQUIRE(second.receivedRuns == update.runs);
+    REQUIRE(reply);
+    REQUIRE(reply->answers
+            == std::vector<RunVersionAnswer>{{RunVersionResult::Known, "v1"},
+                                             {RunVersionResult::Known, "v2"}});
+}
+
 // Guards against a limit that only the hosts keep which were told by the server itself.
 TEST_CASE("A host tells its peers the call limits that it knows", "[permits]")
 {
--- a/packages/observability/logging/logevent.cpp
+++ b/packages/observability/logging/logevent.cpp
@@ -75,6 +75,9 @@
         LogEventEntry{LogEvent::StoreRestored, LogLevel::Warning, "store_restored"},
         LogEventEntry{LogEvent::CallCutAtStop, LogLevel::Warning, "call_cut_at_stop"},
         LogEventEntry{LogEvent::ResumptionRefused, LogLevel::Warning, "resumption_refused"},
+        LogEventEntry{LogEvent::VersionHistoryUnavailable, LogLevel::Warning,
+                      "version_history_unavailable"},
+        LogEventEntry{LogEvent::RunVersionsUntold, LogLevel::Info, "run_versions_untold"},
 };
 
 } // namespace
--- a/packages/observability/logging/logevent.h
+++ b/packages/observability/logging/logevent.h
@@ -78,6 +78,8 @@
     StoreRestored = 8019,
     CallCutAtStop = 8020,
     ResumptionRefused = 8021,
+    VersionHistoryUnavailable = 8022,
+    RunVersionsUntold = 8023,
 };
 
 /** An entry of the event catalogue. */
