Let a stream without the name of its first call continue on a sole version

A take-up without Resumes was refused even where all servers of the service had been of one version for as long as a stream lasts. It continues there now; with several versions it is refused as before.

--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -113,8 +113,7 @@
  */
 net::awaitable<std::optional<SoftwareVersion>> EventRelay::findVersion()
 {
-    if (this->call.metadata.resumes.empty())
-        co_return std::nullopt;
+    // Without the name of the first call, only the sole version of a service can be known.
     const RunKey run = RunKey::of(this->call.work.account, this->call.metadata.resumes);
     std::vector<std::string> services{this->call.service->name};
     for (const ServiceShare &share : this->call.route->services) {
