--- a/packages/gateway/runs/runkeepers.cpp
+++ b/packages/gateway/runs/runkeepers.cpp
@@ -19,7 +19,7 @@
 using Members = std::vector<const MemberRecord *>;
 
 /** Returns the first members for a stream, those of different failure domains at the front. */
-Members rank(Members members, const RunKey &run, std::size_t count)
+Members rank(const Members &members, const RunKey &run, std::size_t count)
 {
     struct Candidate
     {
--- a/packages/gateway/tests/test_softwareversions.cpp
+++ b/packages/gateway/tests/test_softwareversions.cpp
@@ -85,7 +85,7 @@
 
     /** Lets the first call be lost after some events; the hook is called just before. */
     void loseFirstCall(std::uint64_t eventCount = eventsBeforeLoss,
-                       std::function<void(const std::string &server)> beforeLoss = {})
+                       const std::function<void(const std::string &server)> &beforeLoss = {})
     {
         this->action = [this, eventCount,
                         beforeLoss](const std::string &server, const HttpRequest &request,
@@ -115,8 +115,9 @@
     }
 
     /** Lets the server of the first call leave after a time; it continues to stream. */
-    void leaveDuringFirstCall(Milliseconds after,
-                              std::function<void(const std::string &server)> beforeLeaving = {})
+    void leaveDuringFirstCall(
+            Milliseconds after,
+            const std::function<void(const std::string &server)> &beforeLeaving = {})
     {
         this->interval = Milliseconds(10);
         this->action = [this, after, beforeLeaving](const std::string &server, const HttpRequest &,
