--- a/tools/benchmarks/placementbenchmark.cpp
+++ b/tools/benchmarks/placementbenchmark.cpp
@@ -94,7 +94,7 @@
     const auto pool = makePool(static_cast<std::size_t>(state.range(0)), estimatedLoadPlacement(1));
     const ModelName model("plan");
     for (auto unused : state)
-        benchmark::DoNotOptimize(pool->capacity(model, Milliseconds(10)));
+        benchmark::DoNotOptimize(pool->capacity(model, {}, Milliseconds(10)));
 }
 
 /** Tries to place a request while no server has capacity for it. */
