Send a stream only to the address that its server's entry states

The software version of a new run was read from the entry by the server's name when the call was sent, though the address had been chosen earlier. If the entry had changed meanwhile, the run was recorded under the version of another process. A stream that is bound by events without numbers is checked as a continuation, too.

--- a/packages/gateway/relay/backendattempt.cpp
+++ b/packages/gateway/relay/backendattempt.cpp
@@ -196,13 +196,16 @@
 /** Returns whether the call may be sent, according to the current entry of the server. */
 bool BackendAttempt::isPermitted(const ForwardingOrder &order, const std::string &address) const
 {
-    const bool isContinuation =
-            this->call.route->kind == CallKind::Stream && (order.lastEvent || order.source);
-    if (!isContinuation)
+    if (this->call.route->kind != CallKind::Stream)
         return true;
+    // The version of the entry is taken for that of the run, so it must be the one addressed.
     const ServerEntry *entry = this->dependencies.servers.find(order.server);
-    return entry != nullptr && entry->address == address && order.softwareVersion
-            && this->dependencies.servers.canContinue(order.server, *order.softwareVersion);
+    if (entry == nullptr || entry->address != address)
+        return false;
+    const bool isContinuation = order.lastEvent || order.source || this->call.work.softwareVersion;
+    return !isContinuation
+            || (order.softwareVersion
+                && this->dependencies.servers.canContinue(order.server, *order.softwareVersion));
 }
 
 AttemptKind BackendAttempt::kindOf(const ForwardingOrder &order) const
