Record the version of a stream with its first event

It was recorded with the header of the response. A run that ended without an event left that version at other hosts, and a later run at another version replaced it only where its message arrived. Found by review; no test shows it.

--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -64,7 +64,6 @@
         }
         ReadEnd readEnd = ReadEnd::Lost;
         if (isStream) {
-            this->recordVersion(this->dependencies.clock.now());
             const bool isOpen = co_await this->sendHeader(result.response);
             readEnd = ReadEnd::CallerGone;
             if (isOpen)
@@ -267,11 +266,12 @@
         this->partFirstEventAt = now;
     if (batch.lastEvent)
         this->lastEvent = batch.lastEvent;
+    const bool isFirst = this->eventCount == 0;
     this->eventCount += batch.count;
     // From its first event on, a stream continues only on the version that began it.
     if (!this->call.work.softwareVersion)
         this->call.work.softwareVersion = this->placement.softwareVersion;
-    if (now - this->versionRecordedAt >= versionRecordInterval)
+    if (isFirst || now - this->versionRecordedAt >= versionRecordInterval)
         this->recordVersion(now);
     this->reportProgress(now);
     co_return co_await this->responder.write(batch.bytes);
