Don't take a version for the only one on an outdated list of servers

A host that has no contact to the store may have missed the servers of a new version. It no longer attributes unknown streams to the only version that it knows once its list is older than the heartbeats after which an entry lapses. Found by review; no test shows it.

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -395,7 +395,12 @@
     hooks.ask = [this](RunKey run, std::string service) {
         return this->runExchange.ask(run, std::move(service));
     };
-    hooks.soleVersion = [this](std::string_view service) {
+    hooks.soleVersion = [this](std::string_view service) -> std::optional<SoftwareVersion> {
+        // A host without contact to the store may have missed a new version.
+        const auto age = this->serving.serversAge(this->clock.now());
+        const Milliseconds maximumAge = heartbeatsUntilExpiry * this->settings.heartbeatInterval;
+        if (!age || *age > maximumAge)
+            return std::nullopt;
         return this->versionHistory.soleVersion(service);
     };
     this->runVersions.setHooks(std::move(hooks));
