Store the versions of each service although that of another one is rejected

The host that stores the history stopped at the first service that the store did not take, so those after it in the order were never stored. Each is tried once now.

--- a/packages/gateway/runs/versionhistory.cpp
+++ b/packages/gateway/runs/versionhistory.cpp
@@ -180,13 +180,12 @@
 
 net::awaitable<void> VersionHistory::writeChanges()
 {
-    bool isWritten = true;
-    // After a failure, advance() tries again.
-    while (isWritten && this->isHistoryRead) {
-        const std::set<std::string> changed = this->changedServices();
-        if (changed.empty())
-            break;
-        isWritten = co_await this->writeService(*changed.begin());
+    // Each service is tried once, so that one that can't be stored does not hold up the others;
+    // advance() tries again.
+    const std::set<std::string> changed = this->changedServices();
+    for (const std::string &service : changed) {
+        if (this->isHistoryRead)
+            co_await this->writeService(service);
     }
     this->isWriting = false;
 }
--- a/packages/gateway/tests/test_versionhistory.cpp
+++ b/packages/gateway/tests/test_versionhistory.cpp
@@ -35,13 +35,26 @@
         settings.host = HostName(name);
         auto host = std::make_unique<Host>();
         host->entry = std::make_unique<EntryState>(settings, HostIncarnation(name + "-run"));
-        host->history = std::make_unique<VersionHistory>(
-                *host->entry, this->context, this->store.calls(), Clock::manual(this->now),
-                ServiceVersionsOptions{retention});
+        host->history = std::make_unique<VersionHistory>(*host->entry, this->context, this->calls(),
+                                                         Clock::manual(this->now),
+                                                         ServiceVersionsOptions{retention});
         host->history->start();
         this->hosts.push_back(std::move(host));
     }
 
+    /** Returns the calls of the store, which doesn't store the rejected object. */
+    ObjectArchiveCalls calls()
+    {
+        ObjectArchiveCalls result = this->store.calls();
+        result.write = [this, write = result.write](std::string name, std::string value,
+                                                    Error &reason) -> boost::asio::awaitable<bool> {
+            if (name == this->rejectedName)
+                co_return false;
+            co_return co_await write(name, value, reason);
+        };
+        return result;
+    }
+
     /** Lets all hosts end and as many new ones start. */
     void restart()
     {
@@ -113,6 +126,8 @@
 
     boost::asio::io_context context;
     InMemoryStore store;
+    /** The name of an object that the store rejects. */
+    std::string rejectedName;
     std::shared_ptr<Milliseconds> now;
     std::vector<std::unique_ptr<Host>> hosts;
 
@@ -287,3 +302,13 @@
     entries[3].softwareVersion = v2;
     REQUIRE(presentVersions(entries) == VersionsByService{{"plan", {v1, v2}}, {"tag", {v2}}});
 }
+
+// Guards against services whose versions are never stored because the store rejects another one.
+TEST_CASE("A service that can't be stored does not hold up the others", "[runs]")
+{
+    HistoryHosts hosts(1);
+    hosts.rejectedName = "a";
+    hosts.hosts[0]->history->setPresent({{"a", {v1}}, {"b", {v1}}});
+    hosts.run();
+    REQUIRE(hosts.store.objects == std::map<std::string, std::string>{{"b", encoded({v1})}});
+}
