Don't let a slightly lower peak of memory overflow in a test

A hundred endless responses use little memory failed once, beside load: the peak read after the calls was 319,488 bytes lower than the one before, and their unsigned difference wrapped to 2^64 minus that. The kernel adds the peak up from counters of the threads that are updated in batches. The bound is the same, 48 MB of growth, compared without a subtraction; a peak that can't be read now fails the test.

--- a/packages/gateway/tests/test_misbehavingservers.cpp
+++ b/packages/gateway/tests/test_misbehavingservers.cpp
@@ -201,7 +201,11 @@
         const std::size_t before = peakResidentBytes();
         for (const HttpResponse &response : fixture.callConcurrently("/route/1", 100))
             REQUIRE(response.status != 200);
-        REQUIRE(peakResidentBytes() - before < maximumGrowth);
+        const std::size_t after = peakResidentBytes();
+        REQUIRE(after > 0);
+        // The kernel reads the peak from counters that threads update in batches, so a later value
+        // may be slightly lower.
+        REQUIRE(after < before + maximumGrowth);
     }
 }
 
