Review: the second engine also works beside one that drains

Cause: a takeover from a draining engine relies on the close of its connection, too. Change: review/2 plays a silence and then a drain.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -73,28 +73,19 @@
         return True
 
 
-async def case(yard, trouble):
-    await yard.start_store()
-    yard.configure(7, [route("write", "streaming", "model", 39000, sticky=True, resumable=False,
-                             **{"gap-aim-ms": 120, "max-attempts": 1})],
-                   [service("model", moves=True, backups=True, slots=24)])
-    engines = [Engine(yard, "model", name, "a", yard.free_ports(1), slots=24)
-               for name in ("i-one", "i-two")]
-    yard.servers.extend(engines)
-    for engine in engines:
-        await engine.start()
-    await yard.add_hosts(1)
-    await asyncio.sleep(2)
-    # A server falls silent for a moment at the twentieth event of its streams.
-    engines[0].is_silenced = trouble
+async def play_streams(yard, engines, trouble_at):
+    """Runs some streams with a disruption; returns what broke the rule."""
     streams = [asyncio.ensure_future(
         yard.call(yard.hosts[0], "/write/x", [("Model", "m"), ("Token-Counts", f"500,{EVENTS}"),
                                               ("Events", str(EVENTS)),
                                               ("Prompt-Prefix", f"aa:10,{n:x}:490")],
                   body=b"prompt %d" % n, deadline=30.0)) for n in range(STREAMS)]
+    await asyncio.sleep(EVENT_S * SILENT_AT)
+    trouble_at()
     results = await asyncio.gather(*streams)
     await asyncio.sleep(3)
-
+    if not any(r.events for r in results):
+        raise CannotRun("no stream began")
     faults = []
     for result in results:
         runs = [r for engine in engines for r in engine.runs if r["id"] == result.id]
@@ -104,11 +95,30 @@
             if overlap > OVERLAP_S:
                 faults.append(f"request {result.id} goes on at {after['server'].name} while "
                               f"{before['server'].name} works on it for {overlap:.1f} s more")
-    if not any(r.events for r in results):
-        raise CannotRun("no stream began")
     for fault in faults:
         yard.record.write(fault)
     return faults
 
 
+async def case(yard, trouble):
+    await yard.start_store()
+    yard.configure(7, [route("write", "streaming", "model", 39000, sticky=True, resumable=False,
+                             **{"gap-aim-ms": 120, "max-attempts": 1})],
+                   [service("model", moves=True, backups=True, slots=24)])
+    engines = [Engine(yard, "model", name, "a", yard.free_ports(1), slots=24)
+               for name in ("i-one", "i-two")]
+    yard.servers.extend(engines)
+    for engine in engines:
+        await engine.start()
+    await yard.add_hosts(1)
+    await asyncio.sleep(2)
+    # First, a server falls silent for a moment at the twentieth event of its streams.
+    engines[0].is_silenced = trouble
+    faults = await play_streams(yard, engines, lambda: None)
+    # Then, without any disruption, a server drains as planned.
+    engines[0].is_silenced = False
+    faults += await play_streams(yard, engines, engines[0].drain if trouble else lambda: None)
+    return faults
+
+
 play(case, __file__)
