--- a/review/standins/yard.py
+++ b/review/standins/yard.py
@@ -1,7 +1,8 @@
 """Stand-ins of the users' platform for the review's scripts: store, servers, callers, daemons.
 
 Everything runs in one asyncio loop on loopback addresses. Only the entry hosts are processes of the
-project, started with the command of deploy/system.toml.
+project, started with the command of deploy/system.toml. YARD_PROGRAM names another program for them;
+with YARD_KEEP their settings and logs are kept.
 """
 
 import asyncio
@@ -521,7 +522,6 @@
         self.complete = False
         self.events = []
         self.error = None
-        self.read = False
 
     def __str__(self):
         state = "complete" if self.complete else "cut"
@@ -719,58 +719,6 @@
     return fields
 
 
-def resident_mb(host):
-    """Returns the memory of the host's process, and the largest so far, in MB."""
-    with open(f"/proc/{host.process.pid}/status", encoding="ascii") as file:
-        fields = dict(line.split(":", 1) for line in file)
-    return tuple(int(fields[name].split()[0]) / 1024 for name in ("VmRSS", "VmHWM"))
-
-
-async def enforce_memory(yard, host, limit_mb):
-    """Kills the process when it exceeds its memory, as the platform does."""
-    largest = 0
-    while host.is_running():
-        now, _ = resident_mb(host)
-        if now > largest + 5:
-            largest = now
-            yard.record.write(f"host {host.name} has {now:.0f} MB in memory")
-        if now > limit_mb:
-            yard.record.write(f"host {host.name} exceeds {limit_mb} MB and is killed")
-            host.kill()
-            return
-        await asyncio.sleep(0.002)
-
-
-async def kept_call(yard, host, number, calls, results):
-    """Sends calls one after the other on one connection; each takes a second at its server."""
-    reader, writer = await asyncio.open_connection(*host.front)
-    try:
-        for _ in range(calls):
-            request_id = yard.next_id()
-            writer.write(encode("POST /order/x HTTP/1.1", [
-                ("Host", "h.example"), ("Request-Id", request_id), ("Deadline-Ms", "5000"),
-                ("Work-S", "1.0")], b"order %d" % number))
-            yard.record.write(f"caller {number} sends order {request_id} on its connection")
-            try:
-                answer = await read_head(reader)
-                answer.body = await read_body(reader, answer)
-                end = answer.first
-            except (OSError, asyncio.IncompleteReadError) as fault:
-                end = f"no answer, {type(fault).__name__}"
-            results.append((request_id, end))
-            yard.record.write(f"caller {number} got of {request_id}: {end}")
-            if end.startswith("no answer"):
-                return
-    finally:
-        writer.close()
-
-
-def cut_after_passing_on(yard, results):
-    """Returns the calls of kept_call() that a server ran and that got no answer."""
-    ran = {run["id"] for server in yard.servers for run in server.runs}
-    return [i for i, end in results if end.startswith("no answer") and i in ran]
-
-
 def play(case, script):
     """Runs a case: an async function of (yard, trouble) that returns what broke the rule."""
     folder = os.path.dirname(os.path.abspath(script))
@@ -783,6 +731,8 @@
         finally:
             await yard.stop()
 
+    # An end from outside also ends the processes that the case started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         faults = asyncio.run(run())
     except (CannotRun, asyncio.TimeoutError) as fault:
