--- a/packages/gateway/calls/callcodec.h
+++ b/packages/gateway/calls/callcodec.h
@@ -59,6 +59,11 @@
     std::optional<std::uint64_t> lastEvent;
     /** The memory copy from which the run continues. */
     std::optional<MemoryCopy> source;
+    /**
+     * Whether the run goes on at the engine that stopped it; this is permitted for a short time
+     * after the engine began to leave.
+     */
+    bool isReturn = false;
     /**
      * The software version that began the stream. A stream with lastEvent or source is not sent to
      * a server of another version.
--- a/packages/gateway/calls/enginecalls.h
+++ b/packages/gateway/calls/enginecalls.h
@@ -24,6 +24,29 @@
     bool isFinal = false;
 };
 
+/** What became of a run that an engine was asked to stop. */
+struct RunStopResult
+{
+    /** What is known of the run. */
+    enum class State {
+        /** The engine stopped it or has no such run. */
+        Stopped,
+        /** The engine is alive and declined to stop it. */
+        Declined,
+        /** No connection to the engine could be opened. */
+        Unreachable,
+        /** The engine did not answer, or its answer says nothing of the run. */
+        Unknown,
+    };
+
+    /** The state. */
+    State state = State::Unknown;
+    /** The memory of the stopped run at its engine, if it still has it. */
+    std::optional<MemoryCopy> memory;
+    /** Whether the target of the order has a complete copy of the memory too. */
+    bool isCopied = false;
+};
+
 /** The calls to engines other than forwarded ones; supplied by the platform's adapter. */
 struct EngineCalls
 {
@@ -37,6 +60,17 @@
     std::function<boost::asio::awaitable<std::optional<MemoryCopy>>(MoveOrder, Milliseconds timeout,
                                                                     Error &)>
             moveMemory;
+    /**
+     * Stops a run, copies its memory to the target and returns when the copy is complete.
+     *
+     * The connection is not shared with other calls, because a late response to another one would
+     * not be recognized. Unless the run has stopped, the reason receives why.
+     *
+     * @param order its isFinal is ignored.
+     */
+    std::function<boost::asio::awaitable<RunStopResult>(MoveOrder order, Milliseconds timeout,
+                                                        Error &reason)>
+            stopRun;
     /** Frees a moved copy that is not needed. */
     std::function<boost::asio::awaitable<void>(MemoryCopy)> dropMemory;
 };
--- a/packages/gateway/relay/backendattempt.cpp
+++ b/packages/gateway/relay/backendattempt.cpp
@@ -202,6 +202,8 @@
     const ServerEntry *entry = this->dependencies.servers.find(order.server);
     if (entry == nullptr || entry->address != address)
         return false;
+    if (order.isReturn)
+        return order.softwareVersion && entry->softwareVersion == *order.softwareVersion;
     const bool isContinuation = order.lastEvent || order.source || this->call.work.softwareVersion;
     return !isContinuation
             || (order.softwareVersion
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -28,8 +28,18 @@
 constexpr Milliseconds minimumBackupAge{400};
 /** How often a stream without a copy tries to start one. */
 constexpr Milliseconds copyAttemptInterval{1000};
+/** How long an engine that declined to stop a run is not asked again. */
+constexpr Milliseconds stopAttemptInterval{1000};
+/** How long the last bytes of a run that has ended may take; its engine closes the stream. */
+constexpr Milliseconds streamCloseTimeout{200};
 /** The largest number of parts per stream; limits how many engines one request can crash. */
 constexpr std::uint32_t maximumParts = 8;
+/** The number of parts that a move may take: at the backup, at the moved copy or back again. */
+constexpr std::uint32_t partsPerMove = 3;
+/** How long a run may return to a leaving engine; less than the time for which that serves. */
+constexpr Milliseconds returnTime{1000};
+/** How long an engine may take to stop a run that returns to it. */
+constexpr Milliseconds stopAnswerTime{250};
 /** How often the version of a running stream is recorded again, so that it does not expire. */
 constexpr Milliseconds versionRecordInterval{30'000};
 constexpr int streamStatus = 200;
@@ -44,10 +54,16 @@
     : dependencies(dependencies)
     , call(call)
     , responder(responder)
+    , silenceWatch(dependencies.context, [this] { this->stopSilentRun(); })
     , lastEvent(call.metadata.lastEvent)
 {
 }
 
+EventRelay::~EventRelay()
+{
+    this->dropStop();
+}
+
 net::awaitable<void> EventRelay::run()
 {
     bool hasNextPart = co_await this->bindToVersion();
@@ -64,10 +80,12 @@
         }
         ReadEnd readEnd = ReadEnd::Lost;
         if (isStream) {
+            this->dropStop();
             const bool isOpen = co_await this->sendHeader(result.response);
             readEnd = ReadEnd::CallerGone;
             if (isOpen)
                 readEnd = co_await this->forwardStream();
+            this->silenceWatch.restart(std::nullopt);
         }
         if (readEnd == ReadEnd::Complete) {
             co_await this->complete();
@@ -170,7 +188,7 @@
         co_return false;
     }
     this->placement = {
-            grant->assignment.request, grant->server.name, grant->server.address, {}, {}};
+            grant->assignment.request, grant->server.name, grant->server.address, {}, false, {}};
     if (const ServerEntry *entry = this->dependencies.servers.find(grant->server.name))
         this->placement.softwareVersion = entry->softwareVersion;
     if (this->partCount == 0)
@@ -186,7 +204,7 @@
     const Milliseconds now = this->dependencies.clock.now();
     this->splitter.clear();
     this->partFirstEventAt.reset();
-    this->silentSince = now;
+    this->partStartedAt = now;
     this->attempt = std::make_unique<BackendAttempt>(this->dependencies, this->call);
     const ForwardingOrder order = this->makeOrder(this->placement, now);
     const Milliseconds timeout = this->headerTimeout(now);
@@ -213,16 +231,13 @@
         if (this->dependencies.servers.isUsable(this->placement.server))
             this->ensureCopy(now);
         else
-            co_await this->prepareTakeover(now);
+            this->moveFromLeavingEngine(now);
         Error reason;
         const Milliseconds timeout = this->pauseTimeout(now);
         const auto bytes = co_await this->attempt->read(timeout, reason);
         if (this->call.isCallerGone)
             co_return ReadEnd::CallerGone;
         if (!bytes) {
-            const bool hasSwitched = co_await this->switchToTakeover();
-            if (hasSwitched)
-                continue;
             this->failure = reason;
             const bool isOver =
                     this->call.timeLeft(this->dependencies.clock.now()) <= Milliseconds(0);
@@ -260,10 +275,10 @@
     if (batch.count == 0)
         co_return true;
     const Milliseconds now = this->dependencies.clock.now();
-    this->silentSince = now;
     this->recordPause(now);
     if (!this->partFirstEventAt)
         this->partFirstEventAt = now;
+    this->watchSilence();
     if (batch.lastEvent)
         this->lastEvent = batch.lastEvent;
     const bool isFirst = this->eventCount == 0;
@@ -363,10 +378,14 @@
                              {}};
             co_return false;
         }
-        const bool isContinued = co_await this->continueFromRefreshedCopy();
-        if (isContinued || this->continueFromBackup())
-            co_return true;
+        const bool hasEnded = co_await this->ensureRunEnded();
+        if (!hasEnded || this->call.isCallerGone)
+            co_return false;
     }
+    const bool isContinued = co_await this->continueFromCopy(hasRun);
+    if (isContinued)
+        co_return true;
+    this->dropStop();
     this->dropBackup();
     this->dropRefreshedCopy();
     const AttemptOutcome outcome = wasStream ? AttemptOutcome::Unknown : result.outcome;
@@ -379,11 +398,11 @@
 {
     this->attempt->release();
     this->reportPartEnd(WorkOutcome::Completed);
+    this->dropStop();
     this->dropBackup();
     this->dropRefreshedCopy();
     co_await this->responder.finish();
     this->logEnd("complete");
-    co_await this->dropTakeover();
 }
 
 /** Ends a call whose stream is incomplete. */
@@ -391,9 +410,9 @@
 {
     if (this->attempt)
         this->attempt->cancel();
+    this->dropStop();
     this->dropBackup();
     this->dropRefreshedCopy();
-    co_await this->dropTakeover();
     if (this->hasStarted || this->call.isCallerGone) {
         if (!this->call.isCallerGone) {
             logEvent(LogEvent::StreamCut, "request", this->call.metadata.requestId,
@@ -420,6 +439,7 @@
     order.account = this->call.work.account;
     order.lastEvent = this->lastEvent;
     order.source = at.source;
+    order.isReturn = at.isReturn;
     order.softwareVersion = this->call.work.softwareVersion;
     if (!order.softwareVersion)
         order.softwareVersion = at.softwareVersion;
@@ -452,7 +472,7 @@
         co_return;
     const ServerEntry *entry = this->dependencies.servers.find(*server);
     if (entry != nullptr && this->dependencies.servers.canContinue(*server, version))
-        this->backup = StreamPlacement{work.name, *server, entry->address, {}, version};
+        this->backup = StreamPlacement{work.name, *server, entry->address, {}, false, version};
     else
         this->dependencies.dispatch.releaseCopy(work.name);
 }
@@ -488,18 +508,53 @@
     this->refreshedCopy.reset();
 }
 
-/** Cancels the takeover and waits for its end, because it refers to the call. */
-net::awaitable<void> EventRelay::dropTakeover()
+/** Returns the next placement at which a run that was stopped can continue. */
+net::awaitable<std::optional<StreamPlacement>> EventRelay::takeContinuation()
 {
-    if (!this->takeover)
-        co_return;
-    const auto dropped = std::exchange(this->takeover, nullptr);
-    dropped->cancel();
-    co_await dropped->finish();
-    dropped->cancel();
-    this->dependencies.dispatch.releaseCopy(dropped->placement().name);
-    // The backup was reserved for the continuation and is empty.
-    this->dropBackup();
+    if (!this->stop)
+        co_return std::nullopt;
+    auto next = this->stop->takeContinuation();
+    if (!next) {
+        // The engine may still copy the memory of the run to the target.
+        co_await this->waitForStop();
+        if (this->stop)
+            next = this->stop->takeContinuation();
+    }
+    co_return next;
+}
+
+/** Waits for the result of the request to stop the run, or until the caller has left. */
+net::awaitable<RunStop::Result> EventRelay::waitForStop()
+{
+    const auto waiting = this->stop;
+    waiting->insist();
+    this->call.cancelHooks[waiting.get()] = [waiting] {
+        waiting->abandon();
+    };
+    const RunStop::Result result = co_await waiting->finish();
+    this->call.cancelHooks.erase(waiting.get());
+    co_return result;
+}
+
+/**
+ * Continues from a copy of the run's memory.
+ *
+ * @param hasRun whether the part that ended had run; the backup of one that was refused is empty.
+ * @return whether there is a usable copy.
+ */
+net::awaitable<bool> EventRelay::continueFromCopy(bool hasRun)
+{
+    if (!hasRun)
+        this->dropBackup();
+    auto next = co_await this->takeContinuation();
+    if (next) {
+        this->continueAt(std::move(*next));
+        co_return true;
+    }
+    if (!hasRun)
+        co_return false;
+    const bool isContinued = co_await this->continueFromRefreshedCopy();
+    co_return isContinued || this->continueFromBackup();
 }
 
 /** Continues from the backup. @return whether there is a usable one. */
@@ -539,6 +594,10 @@
 void EventRelay::continueAt(StreamPlacement next)
 {
     this->placement = std::move(next);
+    if (this->placement.isReturn)
+        this->stopDeclinedAt = this->dependencies.clock.now();
+    else
+        this->leavingSeenAt.reset();
     this->dependencies.dispatch.reportPromoted(this->placement.name);
     this->dependencies.budget.recordRetry(this->call.service->name, this->dependencies.clock.now());
     logEvent(LogEvent::StreamContinued, "request", this->call.metadata.requestId, "backend_server",
@@ -551,7 +610,7 @@
 /** Starts a refreshed copy if the run has no copy. */
 void EventRelay::ensureCopy(Milliseconds now)
 {
-    if (this->isBackupUsable() || !this->partFirstEventAt
+    if (this->stop || this->isBackupUsable() || !this->partFirstEventAt
         || now - *this->partFirstEventAt < copyAttemptInterval) {
         return;
     }
@@ -561,68 +620,135 @@
         this->startRefreshedCopy(false, now);
 }
 
-/** Moves the run off a leaving engine without a pause in the stream. */
-net::awaitable<void> EventRelay::prepareTakeover(Milliseconds now)
+/** Moves the run to its copy before the leaving engine exits. */
+void EventRelay::moveFromLeavingEngine(Milliseconds now)
 {
-    if (this->takeover && this->takeover->hasFailed())
-        co_await this->dropTakeover();
-    if (this->takeover || !this->partFirstEventAt)
-        co_return;
-    if (this->isBackupUsable()) {
-        if (now - *this->partFirstEventAt < minimumBackupAge)
-            co_return;
-        auto next = this->takeBackup();
-        co_await this->startTakeover(std::move(*next), now);
-        co_return;
-    }
+    if (!this->leavingSeenAt)
+        this->leavingSeenAt = now;
+    const bool hasDeclined =
+            this->stopDeclinedAt && now - *this->stopDeclinedAt < stopAttemptInterval;
+    const bool mayFail = this->partCount + partsPerMove <= maximumParts;
+    if (this->stop || !this->partFirstEventAt || hasDeclined || !mayFail || !this->canAskEngine())
+        return;
     if (this->refreshedCopy && this->refreshedCopy->hasFailed())
         this->dropRefreshedCopy();
-    if (this->refreshedCopy) {
-        auto next = this->refreshedCopy->take();
-        if (next) {
-            this->refreshedCopy.reset();
-            co_await this->startTakeover(std::move(*next), now);
-        }
-    } else if (now - this->copyAttemptedAt >= progressInterval) {
+    // A backup may be incomplete, and then its engine refuses the run, which has to return.
+    const bool mayUseBackup =
+            this->isBackupUsable() && now - *this->leavingSeenAt < returnTime - stopAnswerTime;
+    const bool hasCopy = this->refreshedCopy && this->refreshedCopy->isReady();
+    if (mayUseBackup ? now - *this->partFirstEventAt >= minimumBackupAge : hasCopy)
+        this->startStop();
+    else if (!mayUseBackup && !this->refreshedCopy
+             && now - this->copyAttemptedAt >= progressInterval)
         this->startRefreshedCopy(true, now);
+}
+
+/**
+ * Waits until the run that has lost its connection has ended at its engine.
+ *
+ * @return false if the engine may still work on it, so that it can't continue elsewhere.
+ */
+net::awaitable<bool> EventRelay::ensureRunEnded()
+{
+    const bool hasCopy = this->isBackupUsable() || this->refreshedCopy;
+    // After a request to stop the run, the engine closes its stream without its end.
+    if (!this->canAskEngine() || (this->stop && this->stop->hasAsked()))
+        co_return true;
+    if (!this->stop && !hasCopy && !this->call.route->isResumable)
+        co_return true;
+    if (!this->stop)
+        this->startStop();
+    const RunStop::Result result = co_await this->waitForStop();
+    co_return result == RunStop::Result::Ended;
+}
+
+/** Returns whether the engine can be told to stop a run. */
+bool EventRelay::canAskEngine() const
+{
+    return this->engine() != nullptr && this->engine()->supportsMoves;
+}
+
+/** Starts to stop the run, which then continues from its backup or its refreshed copy, if any. */
+void EventRelay::startStop()
+{
+    RunStopOrder order;
+    order.service = this->call.service->name;
+    order.source = this->placement;
+    if (this->refreshedCopy && this->refreshedCopy->isReady()) {
+        order.target = this->refreshedCopy->take();
+        this->dropRefreshedCopy();
     }
+    this->isStopTargetBackup = !order.target && this->isBackupUsable();
+    if (this->isStopTargetBackup)
+        order.target = this->takeBackup();
+    if (!order.target) {
+        order.work = this->makeCopyRequest("stopped");
+        order.work.softwareVersion = this->placement.softwareVersion;
+        order.work.avoided = {this->placement.server};
+    }
+    order.requestId = this->call.metadata.requestId;
+    order.canStopRuns = this->canAskEngine();
+    order.endAt = this->call.deadlineAt;
+    order.returnUntil = this->leavingSeenAt.value_or(this->dependencies.clock.now()) + returnTime;
+    this->stop =
+            std::make_shared<RunStop>(this->dependencies, std::move(order),
+                                      [this](RunStop::Result result) { this->onStopEnd(result); });
+    this->stop->start();
 }
 
-net::awaitable<void> EventRelay::startTakeover(StreamPlacement next, Milliseconds now)
+/** Called when no event has arrived for a time although the stream is open. */
+void EventRelay::stopSilentRun()
 {
-    this->dropBackup();
-    // The continuation has its own backup from the start.
-    co_await this->reserveBackup(next);
-    const ForwardingOrder order = this->makeOrder(next, now);
-    const Milliseconds left = std::max(Milliseconds(1), this->call.timeLeft(now));
-    this->takeover = std::make_shared<StreamTakeover>(this->dependencies, this->call,
-                                                      std::move(next), order, this->streamMediaType,
-                                                      [this] { this->interruptRead(); });
-    this->takeover->start(std::min(left, minimumSilenceTimeout));
+    if (this->stop && this->stop->hasEnded()) {
+        this->attempt->cancel();
+        return;
+    }
+    const bool hasCopy = this->isBackupUsable() || this->refreshedCopy;
+    const bool isResumable = this->call.route->isResumable;
+    // A resumable stream may run again although the former run can't be stopped.
+    if (isResumable && !this->canAskEngine())
+        this->attempt->cancel();
+    else if (!this->stop && (hasCopy || isResumable))
+        this->startStop();
+    else
+        this->watchSilence();
 }
 
-/** Switches to the continuation that a takeover started. @return whether there is one. */
-net::awaitable<bool> EventRelay::switchToTakeover()
+/** Ends the read from the engine if the run has ended there; otherwise the stream goes on. */
+void EventRelay::onStopEnd(RunStop::Result result)
 {
-    if (!this->takeover)
-        co_return false;
-    const bool isReady = co_await this->takeover->finish();
-    if (!isReady) {
-        co_await this->dropTakeover();
-        co_return false;
+    if (result == RunStop::Result::Ended) {
+        this->silenceWatch.restart(streamCloseTimeout);
+        return;
     }
-    const auto ready = std::exchange(this->takeover, nullptr);
-    this->attempt->cancel();
-    this->reportPartEnd(WorkOutcome::Cancelled);
-    this->attempt = ready->takeAttempt();
-    this->continueAt(ready->placement());
-    this->dropRefreshedCopy();
-    ++this->partCount;
-    this->splitter.clear();
-    this->partFirstEventAt.reset();
-    this->silentSince = this->dependencies.clock.now();
-    this->splitter.append(ready->firstBytes());
-    co_return co_await this->forwardEvents();
+    auto target = this->stop->takeTarget();
+    this->dropStop();
+    // An engine also declines if the target has no room, and then the backup there is incomplete.
+    const bool isLeaving = !this->dependencies.servers.isUsable(this->placement.server);
+    const bool isBackupKept = this->isStopTargetBackup && !this->backup && !isLeaving;
+    if (!isLeaving || !this->isStopTargetBackup)
+        this->stopDeclinedAt = this->dependencies.clock.now();
+    if (target && isBackupKept) {
+        target->source.reset();
+        this->backup = std::move(target);
+    } else if (target) {
+        this->dependencies.dispatch.releaseCopy(target->name);
+    }
+    this->watchSilence();
+}
+
+void EventRelay::dropStop()
+{
+    if (this->stop)
+        std::exchange(this->stop, nullptr)->abandon();
+}
+
+void EventRelay::watchSilence()
+{
+    if (this->stop && this->stop->hasEnded())
+        return;
+    this->silenceWatch.restart(std::max(minimumSilenceTimeout,
+                                        silenceTimeoutInPauses * this->call.route->targetPause));
 }
 
 void EventRelay::startRefreshedCopy(bool isUrgent, Milliseconds now)
@@ -630,7 +756,8 @@
     this->copyAttemptedAt = now;
     if (!this->needsCopy() || !this->engine()->supportsMoves || !this->placement.softwareVersion)
         return;
-    this->dropBackup();
+    if (!this->isBackupUsable())
+        this->dropBackup();
     WorkRequest work = this->makeCopyRequest("kept");
     work.softwareVersion = this->placement.softwareVersion;
     work.avoided = {this->placement.server};
@@ -640,13 +767,6 @@
     this->refreshedCopy->start(isUrgent);
 }
 
-/** Called when a takeover has ended; on success it ends the read from the current engine. */
-void EventRelay::interruptRead()
-{
-    if (this->takeover && !this->takeover->hasFailed())
-        this->attempt->cancel();
-}
-
 void EventRelay::recordPause(Milliseconds now)
 {
     if (!this->eventAt) {
@@ -695,38 +815,33 @@
     this->dependencies.dispatch.reportFinished(this->placement.name, outcome);
 }
 
-/** Returns how long an engine may be silent if the stream could continue elsewhere. */
-std::optional<Milliseconds> EventRelay::silenceTimeout() const
+/**
+ * Returns how long an engine may take for the first event of a part if the call can be started
+ * again elsewhere. After the first event, the silence watch applies.
+ */
+std::optional<Milliseconds> EventRelay::firstEventTimeout() const
 {
     const Route &route = *this->call.route;
-    if (!this->partFirstEventAt) {
-        const bool mayContinueElsewhere =
-                route.isResumable && this->history.mayHaveRun + 1 < route.maximumAttempts;
-        return mayContinueElsewhere
-                ? std::optional(firstEventTimeoutInTargets * route.targetLatency)
-                : std::nullopt;
-    }
-    const bool mayContinueElsewhere =
-            this->isBackupUsable() || this->takeover || this->refreshedCopy || route.isResumable;
-    const Milliseconds silence =
-            std::max(minimumSilenceTimeout, silenceTimeoutInPauses * route.targetPause);
-    return mayContinueElsewhere ? std::optional(silence) : std::nullopt;
+    const bool mayStartElsewhere = !this->partFirstEventAt && route.isResumable
+            && this->history.mayHaveRun + 1 < route.maximumAttempts;
+    return mayStartElsewhere ? std::optional(firstEventTimeoutInTargets * route.targetLatency)
+                             : std::nullopt;
 }
 
 Milliseconds EventRelay::headerTimeout(Milliseconds now) const
 {
     const Milliseconds left = std::max(Milliseconds(1), this->call.timeLeft(now));
-    return std::min(left, this->silenceTimeout().value_or(left));
+    return std::min(left, this->firstEventTimeout().value_or(left));
 }
 
 /** Returns the read timeout; bytes that complete no event do not extend it. */
 Milliseconds EventRelay::pauseTimeout(Milliseconds now) const
 {
     const Milliseconds left = std::max(Milliseconds(1), this->call.timeLeft(now));
-    const auto silence = this->silenceTimeout();
-    if (!silence)
+    const auto timeout = this->firstEventTimeout();
+    if (!timeout)
         return left;
-    return std::clamp(*silence - (now - this->silentSince), Milliseconds(1), left);
+    return std::clamp(*timeout - (now - this->partStartedAt), Milliseconds(1), left);
 }
 
 /** Returns whether the call may be started, or started again, after an attempt. */
--- a/packages/gateway/relay/eventrelay.h
+++ b/packages/gateway/relay/eventrelay.h
@@ -5,8 +5,9 @@
 #include "gateway/relay/gatewaydependencies.h"
 #include "gateway/relay/routedcall.h"
 #include "gateway/relay/runcopy.h"
+#include "gateway/relay/runstop.h"
+#include "gateway/relay/silencewatch.h"
 #include "gateway/relay/streamplacement.h"
-#include "gateway/relay/streamtakeover.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -20,16 +21,18 @@
 /**
  * Forwards a call whose response is a stream of events, event by event.
  *
- * If an engine leaves or is lost, the run continues from a copy of its memory on another engine. On
- * a resumable route a new run may continue after the last event instead. The caller sees one
- * response with the header of the first server. A part is the section of the stream that one server
- * produces.
+ * If an engine leaves, falls silent or is lost, the run continues from a copy of its memory on
+ * another engine once it has ended on the former one; see RunStop. On a resumable route a new run
+ * may continue after the last event instead. The caller sees one response with the header of the
+ * first server. A part is the section of the stream that one server produces.
  */
 class EventRelay
 {
 public:
     /** Creates a relay for one call. @param responder sends the response to the caller. */
     EventRelay(GatewayDependencies &dependencies, RoutedCall &call, HttpResponder &responder);
+    /** Releases what is reserved for a continuation. */
+    ~EventRelay();
     EventRelay(const EventRelay &) = delete;
     EventRelay &operator=(const EventRelay &) = delete;
 
@@ -69,23 +72,30 @@
     void refuseContinuation(std::string_view version, std::string detail);
     void dropBackup();
     void dropRefreshedCopy();
-    boost::asio::awaitable<void> dropTakeover();
+    boost::asio::awaitable<bool> continueFromCopy(bool hasRun);
+    boost::asio::awaitable<std::optional<StreamPlacement>> takeContinuation();
+    boost::asio::awaitable<RunStop::Result> waitForStop();
     bool continueFromBackup();
     std::optional<StreamPlacement> takeBackup();
     boost::asio::awaitable<bool> continueFromRefreshedCopy();
     void continueAt(StreamPlacement next);
     void ensureCopy(Milliseconds now);
-    boost::asio::awaitable<void> prepareTakeover(Milliseconds now);
-    boost::asio::awaitable<void> startTakeover(StreamPlacement next, Milliseconds now);
-    boost::asio::awaitable<bool> switchToTakeover();
+    void moveFromLeavingEngine(Milliseconds now);
     void startRefreshedCopy(bool isUrgent, Milliseconds now);
-    void interruptRead();
+
+    boost::asio::awaitable<bool> ensureRunEnded();
+    bool canAskEngine() const;
+    void startStop();
+    void stopSilentRun();
+    void onStopEnd(RunStop::Result result);
+    void dropStop();
+    void watchSilence();
 
     void recordPause(Milliseconds now);
     void logEnd(std::string_view outcome) const;
     void reportProgress(Milliseconds now);
     void reportPartEnd(WorkOutcome outcome);
-    std::optional<Milliseconds> silenceTimeout() const;
+    std::optional<Milliseconds> firstEventTimeout() const;
     Milliseconds headerTimeout(Milliseconds now) const;
     Milliseconds pauseTimeout(Milliseconds now) const;
     bool mayStartNewRun(AttemptOutcome outcome, int status);
@@ -100,8 +110,11 @@
     std::unique_ptr<BackendAttempt> attempt;
     /** The target to which the engine copies the run's memory as it grows. */
     std::optional<StreamPlacement> backup;
-    /** The continuation on another engine while the current one is leaving. */
-    std::shared_ptr<StreamTakeover> takeover;
+    /** The request to stop the current run, until the next part has begun. */
+    std::shared_ptr<RunStop> stop;
+    /** Whether the target of the request is the backup. */
+    bool isStopTargetBackup = false;
+    SilenceWatch silenceWatch;
     /** A copy that is refreshed at intervals, if there is no backup. */
     std::shared_ptr<RunCopy> refreshedCopy;
     EventSplitter splitter;
@@ -110,10 +123,12 @@
     std::uint32_t reportedEvents = 0;
     Milliseconds reportedAt{0};
     Milliseconds copyAttemptedAt{0};
+    std::optional<Milliseconds> stopDeclinedAt;
+    /** When the engine of the current run was first seen to leave. */
+    std::optional<Milliseconds> leavingSeenAt;
     Milliseconds versionRecordedAt{0};
     std::optional<Milliseconds> partFirstEventAt;
-    /** When the part started or its last complete event arrived; incomplete events do not count. */
-    Milliseconds silentSince{0};
+    Milliseconds partStartedAt{0};
     /** When the last event was forwarded. */
     std::optional<Milliseconds> eventAt;
     /** From the arrival of the call until its first placement and until its first event. */
--- a/packages/gateway/relay/runcopy.cpp
+++ b/packages/gateway/relay/runcopy.cpp
@@ -42,13 +42,18 @@
 
 std::optional<StreamPlacement> RunCopy::take()
 {
-    if (!this->target || !this->target->source || !this->isTargetUsable())
+    if (!this->isReady())
         return std::nullopt;
     this->isEnding = true;
     this->refreshTimer.cancel();
     return std::exchange(this->target, std::nullopt);
 }
 
+bool RunCopy::isReady() const
+{
+    return this->target && this->target->source && this->isTargetUsable();
+}
+
 net::awaitable<std::optional<StreamPlacement>> RunCopy::waitAndTake()
 {
     if (!this->hasFirstResult) {
@@ -108,7 +113,7 @@
 net::awaitable<bool> RunCopy::copyTo(const ServerEntry &chosen)
 {
     this->target = StreamPlacement{
-            this->work.name, chosen.name, chosen.address, {}, this->source.softwareVersion};
+            this->work.name, chosen.name, chosen.address, {}, false, this->source.softwareVersion};
     const bool isCopied = co_await this->update();
     if (isCopied && this->isEnding)
         co_await this->dependencies.engines.dropMemory(*this->target->source);
--- a/packages/gateway/relay/runcopy.h
+++ b/packages/gateway/relay/runcopy.h
@@ -48,6 +48,8 @@
      * Like take(), but waits for a first copy in progress; without a result the copy is abandoned.
      */
     boost::asio::awaitable<std::optional<StreamPlacement>> waitAndTake();
+    /** Returns whether take() would return a placement. */
+    bool isReady() const;
     /** Stops copying and releases the reservation. */
     void abandon();
     /** Returns whether there is no usable copy and none will follow. */
--- /dev/null
+++ b/packages/gateway/relay/runstop.cpp
@@ -0,0 +1,276 @@
+#include "gateway/relay/runstop.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace sassafrasyard {
+
+namespace net = boost::asio;
+
+namespace {
+
+/** How long one request waits for its answer, which comes after the copy is complete. */
+constexpr Milliseconds answerTimeout{2000};
+constexpr Milliseconds probeTimeout{300};
+/** The pause before a request is repeated; it doubles up to the maximum. */
+constexpr Milliseconds firstRepetitionPause{50};
+constexpr Milliseconds maximumRepetitionPause{1000};
+
+} // namespace
+
+RunStop::RunStop(GatewayDependencies &dependencies, RunStopOrder order,
+                 std::function<void(Result)> onEnd)
+    : dependencies(dependencies)
+    , order(std::move(order))
+    , onEnd(std::move(onEnd))
+    , repetitionPause(firstRepetitionPause)
+    , repetitionTimer(dependencies.context)
+    , endTimer(dependencies.context, net::steady_timer::time_point::max())
+{
+    if (const ServerEntry *entry = dependencies.servers.find(this->order.source.server))
+        this->sourceStartedAt = entry->startedAt;
+}
+
+void RunStop::start()
+{
+    net::co_spawn(
+            this->dependencies.context, [self = this->shared_from_this()] { return self->run(); },
+            net::detached);
+}
+
+void RunStop::insist()
+{
+    this->isInsisting = true;
+}
+
+net::awaitable<RunStop::Result> RunStop::finish()
+{
+    const auto self = this->shared_from_this();
+    if (this->result == Result::Pending && !this->isAbandoned) {
+        boost::system::error_code ignored;
+        co_await this->endTimer.async_wait(net::redirect_error(net::use_awaitable, ignored));
+    }
+    co_return this->isAbandoned ? Result::Declined : this->result;
+}
+
+bool RunStop::hasAsked() const
+{
+    return this->isAsked;
+}
+
+bool RunStop::hasEnded() const
+{
+    return this->result == Result::Ended;
+}
+
+std::optional<StreamPlacement> RunStop::takeContinuation()
+{
+    auto &target = this->order.target;
+    if (target && this->isCopied && this->isUsable(*target)) {
+        this->isCopied = false;
+        this->isMemoryUsed = true;
+        StreamPlacement moved = *target;
+        moved.source = this->memory;
+        return moved;
+    }
+    if (target && target->source && this->isUsable(*target)) {
+        StreamPlacement earlier = *target;
+        target->source.reset();
+        return earlier;
+    }
+    if (!this->memory || !this->mayReturn())
+        return std::nullopt;
+    this->isMemoryUsed = true;
+    StreamPlacement kept = this->order.source;
+    kept.source = std::exchange(this->memory, std::nullopt);
+    kept.isReturn = true;
+    return kept;
+}
+
+std::optional<StreamPlacement> RunStop::takeTarget()
+{
+    return std::exchange(this->order.target, std::nullopt);
+}
+
+void RunStop::abandon()
+{
+    this->isAbandoned = true;
+    this->onEnd = nullptr;
+    if (this->order.target)
+        this->dependencies.dispatch.releaseCopy(this->order.target->name);
+    this->order.target.reset();
+    this->repetitionTimer.cancel();
+    // A changed expiry also ends a wait that starts later, which cancel() would not.
+    this->endTimer.expires_at(net::steady_timer::time_point::min());
+    if (this->result != Result::Pending)
+        this->dropUnusedMemory();
+}
+
+net::awaitable<void> RunStop::run()
+{
+    if (!this->order.target)
+        co_await this->reserveTarget();
+    if (!this->order.target && !this->isAbandoned) {
+        // Without its connection a run can only be started again, and at the same engine.
+        this->end(this->isInsisting ? Result::Ended : Result::Declined, "no_target",
+                  "no other engine of the software version is usable");
+    }
+    while (this->result == Result::Pending && !this->isAbandoned) {
+        this->isAsked = true;
+        Error reason;
+        const RunStopResult answer = co_await this->ask(reason);
+        this->apply(answer, reason);
+        if (this->result == Result::Pending && !this->isAbandoned)
+            co_await this->waitForRepetition();
+    }
+    if (this->isAbandoned)
+        this->dropUnusedMemory();
+}
+
+/**
+ * Chooses an engine that gets the memory. An order to stop names one even if none has reserved
+ * memory; a run that finds no room there stays in the memory of its engine.
+ */
+net::awaitable<void> RunStop::reserveTarget()
+{
+    auto server = co_await this->dependencies.dispatch.reserveCopy(this->order.work, true);
+    if (this->isAbandoned || !this->isTarget(server))
+        this->dependencies.dispatch.releaseCopy(this->order.work.name);
+    if (this->isAbandoned)
+        co_return;
+    if (!this->isTarget(server)) {
+        const auto others = this->dependencies.servers.usableServers(
+                this->order.service, this->order.source.softwareVersion);
+        const auto other = std::find_if(others.begin(), others.end(),
+                                        [this](const auto &name) { return this->isTarget(name); });
+        server = other == others.end() ? std::nullopt : std::optional(*other);
+    }
+    if (!server)
+        co_return;
+    this->order.target = StreamPlacement{this->order.work.name,
+                                         *server,
+                                         this->dependencies.servers.find(*server)->address,
+                                         {},
+                                         false,
+                                         this->order.source.softwareVersion};
+}
+
+/** Returns whether the run may continue on a server that is not its own. */
+bool RunStop::isTarget(const std::optional<BackendServerName> &server) const
+{
+    const auto &version = this->order.source.softwareVersion;
+    return server && *server != this->order.source.server && version
+            && this->dependencies.servers.canContinue(*server, *version);
+}
+
+net::awaitable<RunStopResult> RunStop::ask(Error &reason)
+{
+    if (!this->order.canStopRuns) {
+        RunStopResult answer = co_await this->probe(reason);
+        co_return answer;
+    }
+    const Milliseconds left = this->order.endAt - this->dependencies.clock.now();
+    const MoveOrder move{this->order.source.address, this->order.target->address,
+                         this->order.requestId, true};
+    RunStopResult answer = co_await this->dependencies.engines.stopRun(
+            move, std::clamp(left, Milliseconds(1), answerTimeout), reason);
+    co_return answer;
+}
+
+/** Finds out whether the engine can be connected to. */
+net::awaitable<RunStopResult> RunStop::probe(Error &reason)
+{
+    RunStopResult answer;
+    const auto endpoint = parseEndpoint(this->order.source.address, reason);
+    if (!endpoint)
+        co_return answer;
+    const net::any_io_executor executor = this->dependencies.context.get_executor();
+    HttpConnection connection(executor, *endpoint);
+    const bool isOpen = co_await connection.connect(probeTimeout, reason);
+    answer.state = isOpen ? RunStopResult::State::Declined : RunStopResult::State::Unreachable;
+    co_return answer;
+}
+
+net::awaitable<void> RunStop::waitForRepetition()
+{
+    this->repetitionTimer.expires_after(this->repetitionPause);
+    this->repetitionPause = std::min(2 * this->repetitionPause, maximumRepetitionPause);
+    boost::system::error_code ignored;
+    co_await this->repetitionTimer.async_wait(net::redirect_error(net::use_awaitable, ignored));
+}
+
+void RunStop::apply(const RunStopResult &answer, const Error &reason)
+{
+    this->memory = answer.memory;
+    this->isCopied = answer.isCopied;
+    if (answer.state == RunStopResult::State::Stopped)
+        this->end(Result::Ended, "stopped", {});
+    else if (answer.state == RunStopResult::State::Unreachable)
+        this->end(Result::Ended, "unreachable", reason.detail);
+    else if (this->hasSourceLeft() && answer.state == RunStopResult::State::Unknown)
+        this->end(Result::Ended, "left", reason.detail);
+    else if (answer.state == RunStopResult::State::Declined && !this->isInsisting)
+        this->end(Result::Declined, "declined", reason.detail);
+    else if (this->dependencies.clock.now() >= this->order.endAt)
+        this->end(Result::Declined, "expired", reason.detail);
+}
+
+/** Returns whether the process that runs the call has no entry any more. */
+bool RunStop::hasSourceLeft() const
+{
+    const ServerEntry *entry = this->dependencies.servers.find(this->order.source.server);
+    return entry == nullptr || entry->startedAt != this->sourceStartedAt
+            || entry->address != this->order.source.address;
+}
+
+bool RunStop::isUsable(const StreamPlacement &placement) const
+{
+    return placement.softwareVersion
+            && this->dependencies.servers.canContinue(placement.server, *placement.softwareVersion)
+            && !this->dependencies.reachability.pauseLeft(placement.server);
+}
+
+/** Returns whether the run may go on in the memory that its engine kept. */
+bool RunStop::mayReturn() const
+{
+    const StreamPlacement &source = this->order.source;
+    const bool isInTime = this->dependencies.clock.now() < this->order.returnUntil;
+    return source.softwareVersion && !this->hasSourceLeft()
+            && this->dependencies.servers.find(source.server)->softwareVersion
+            == *source.softwareVersion
+            && (isInTime || this->dependencies.servers.isUsable(source.server))
+            && !this->dependencies.reachability.pauseLeft(source.server);
+}
+
+void RunStop::end(Result newResult, std::string_view outcome, std::string_view detail)
+{
+    this->result = newResult;
+    logEvent(LogEvent::RunStopEnded, "request", this->order.requestId, "backend_server",
+             this->order.source.server.toString(), "outcome", std::string(outcome), "memory",
+             std::string(this->isCopied ? "copied" : (this->memory ? "kept" : "none")), "detail",
+             std::string(detail));
+    this->endTimer.expires_at(net::steady_timer::time_point::min());
+    if (this->onEnd)
+        std::exchange(this->onEnd, nullptr)(newResult);
+}
+
+/** Frees the memory at both engines; without that they keep it for some seconds. */
+void RunStop::dropUnusedMemory()
+{
+    if (!this->memory || this->isMemoryUsed)
+        return;
+    net::co_spawn(
+            this->dependencies.context,
+            [self = this->shared_from_this(),
+             unused = *std::exchange(this->memory, std::nullopt)]() -> net::awaitable<void> {
+                co_await self->dependencies.engines.dropMemory(unused);
+            },
+            net::detached);
+}
+
+} // namespace sassafrasyard
--- /dev/null
+++ b/packages/gateway/relay/runstop.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "gateway/relay/gatewaydependencies.h"
+#include "gateway/relay/streamplacement.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace sassafrasyard {
+
+/** Describes the run that a RunStop stops. */
+struct RunStopOrder
+{
+    /** The name of the service. */
+    std::string service;
+    /** The placement of the run. */
+    StreamPlacement source;
+    /**
+     * The placement at which the run can continue, with the copy that exists there so far. Without
+     * it, another engine of the same software version is reserved.
+     */
+    std::optional<StreamPlacement> target;
+    /** The request to the dispatcher for that reservation. */
+    WorkRequest work;
+    /** Identifies the call at the engines. */
+    std::string requestId;
+    /** Whether the engine can be told to stop a run; otherwise only its connection is probed. */
+    bool canStopRuns = false;
+    /** When stopping ends without success, on the clock that counts suspension. */
+    Milliseconds endAt{0};
+    /** Until when the run may go on at its engine although that is leaving, on the same clock. */
+    Milliseconds returnUntil{0};
+};
+
+/**
+ * Stops a run at its engine, so that it can continue on another one.
+ *
+ * An engine may work on a run whose connection is closed, and a silent one may go on. Therefore a
+ * run continues elsewhere only after its engine has confirmed that it stopped, or when the engine
+ * can't be connected to or has left. Until then, the request is repeated. Does not refer to the
+ * relay of the stream after abandon().
+ */
+class RunStop : public std::enable_shared_from_this<RunStop>
+{
+public:
+    /** What is known of the run at its engine. */
+    enum class Result {
+        /** The engine has not answered yet. */
+        Pending,
+        /** The engine does not work on the run any more. */
+        Ended,
+        /** The engine goes on with the run, or the time is over. */
+        Declined,
+    };
+
+    /** Creates an object that has not begun. @param onEnd is called with the final result. */
+    RunStop(GatewayDependencies &dependencies, RunStopOrder order,
+            std::function<void(Result)> onEnd);
+    RunStop(const RunStop &) = delete;
+    RunStop &operator=(const RunStop &) = delete;
+
+    /** Starts to ask the engine. */
+    void start();
+    /** Repeats the request if the engine declines, because the stream has lost its connection. */
+    void insist();
+    /** Waits for the result. @return Declined after abandon(). */
+    boost::asio::awaitable<Result> finish();
+    /** Returns whether the engine was asked, after which it closes the stream of a stopped run. */
+    bool hasAsked() const;
+    /** Returns whether the result is Ended. */
+    bool hasEnded() const;
+    /**
+     * Returns the next placement at which the run can continue, the one with the most memory first,
+     * or nothing if none is left.
+     */
+    std::optional<StreamPlacement> takeContinuation();
+    /** Returns the target of the order, which was not used; its reservation passes to the caller.
+     */
+    std::optional<StreamPlacement> takeTarget();
+    /** Ends waiting, and frees the memory and the reservation that were not used. */
+    void abandon();
+
+private:
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<void> reserveTarget();
+    bool isTarget(const std::optional<BackendServerName> &server) const;
+    boost::asio::awaitable<RunStopResult> ask(Error &reason);
+    boost::asio::awaitable<RunStopResult> probe(Error &reason);
+    boost::asio::awaitable<void> waitForRepetition();
+    void apply(const RunStopResult &answer, const Error &reason);
+    bool hasSourceLeft() const;
+    bool isUsable(const StreamPlacement &placement) const;
+    bool mayReturn() const;
+    void end(Result newResult, std::string_view outcome, std::string_view detail);
+    void dropUnusedMemory();
+
+    GatewayDependencies &dependencies;
+    RunStopOrder order;
+    std::function<void(Result)> onEnd;
+    /** When the process of the engine was started, as stated by its entry. */
+    std::int64_t sourceStartedAt = 0;
+    Milliseconds repetitionPause;
+    boost::asio::steady_timer repetitionTimer;
+    boost::asio::steady_timer endTimer;
+    Result result = Result::Pending;
+    /** The memory of the stopped run at its engine. */
+    std::optional<MemoryCopy> memory;
+    bool isCopied = false;
+    /** Whether a continuation was sent that uses the memory, which then frees it. */
+    bool isMemoryUsed = false;
+    bool isAsked = false;
+    bool isInsisting = false;
+    bool isAbandoned = false;
+};
+
+} // namespace sassafrasyard
--- a/packages/gateway/relay/streamplacement.h
+++ b/packages/gateway/relay/streamplacement.h
@@ -19,6 +19,8 @@
     std::string address;
     /** The memory copy from which the run continues, if any. */
     std::optional<MemoryCopy> source;
+    /** Whether this is the engine that stopped the run before. */
+    bool isReturn = false;
     /** The software version of the server; empty if its entry was gone. */
     std::optional<SoftwareVersion> softwareVersion;
 };
--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -209,6 +209,13 @@
         this->registerServer(name, endpoint->toString(), 8, softwareVersion);
     }
 
+    /** Returns the address of a stand-in, or an empty text if it has no entry. */
+    std::string addressOf(const std::string &name) const
+    {
+        const ServerEntry *entry = this->servers.find(BackendServerName(name));
+        return entry == nullptr ? std::string() : entry->address;
+    }
+
     /** Marks a stand-in as leaving. */
     void markLeaving(const std::string &name)
     {
@@ -424,6 +431,14 @@
     std::function<bool(const MoveOrder &)> allowsMove = [](const MoveOrder &) {
         return true;
     };
+    /**
+     * The runs that engines were asked to stop; the function below is their answer, by default that
+     * they have no such run.
+     */
+    std::vector<MoveOrder> stops;
+    std::function<RunStopResult(const MoveOrder &)> answerStop = [](const MoveOrder &) {
+        return RunStopResult{RunStopResult::State::Stopped, {}, false};
+    };
     std::shared_ptr<boost::asio::io_context> ownedContext;
     boost::asio::io_context &context;
 
@@ -503,6 +518,12 @@
                 co_return std::nullopt;
             co_return MemoryCopy{order.sourceAddress, "handle"};
         };
+        calls.stopRun = [this](MoveOrder order, Milliseconds,
+                               Error &) -> boost::asio::awaitable<RunStopResult> {
+            this->stops.push_back(order);
+            RunStopResult answer = this->answerStop(order);
+            co_return answer;
+        };
         calls.dropMemory = [](MemoryCopy) -> boost::asio::awaitable<void> {
             co_return;
         };
--- a/packages/gateway/tests/test_eventrelay.cpp
+++ b/packages/gateway/tests/test_eventrelay.cpp
@@ -182,20 +182,24 @@
 }
 
 // Guards against a stream that is lost because the engine with its copy refuses the continuation.
-TEST_CASE("A stream stays on its engine when the continuation is refused", "[streams]")
+TEST_CASE("A stream returns to its engine when the continuation is refused", "[streams]")
 {
     GatewayFixture fixture;
     fixture.addRoute(makeStreamRoute(false), makeEngineProperties());
     fixture.allowsMove = [](const MoveOrder &) {
         return false;
     };
+    fixture.answerStop = [](const MoveOrder &order) {
+        return RunStopResult{RunStopResult::State::Stopped, MemoryCopy{order.sourceAddress, "kept"},
+                             false};
+    };
     std::string leaving;
     const auto events = streamEvents(100, Milliseconds(10));
     for (const std::string name : {"a", "b"}) {
         fixture.addServer(name,
                           [&, name](const HttpRequest &request,
                                     HttpResponder &responder) -> net::awaitable<void> {
-                              if (findHeader(request.headers, "Source")) {
+                              if (findHeader(request.headers, "Source") == "r1") {
                                   co_await responder.send(GatewayFixture::refusal(request));
                                   co_return;
                               }
@@ -212,7 +216,9 @@
     }
     const HttpResponse answer = fixture.call("/stream/", "r1");
     REQUIRE(answer.body == eventsUpTo(100));
-    REQUIRE(fixture.received.size() >= 2);
+    REQUIRE(fixture.received.size() >= 3);
+    REQUIRE(fixture.received[1].server != fixture.received[0].server);
+    REQUIRE(fixture.received[2].server == fixture.received[0].server);
 }
 
 // Guards against runs that are lost with their engine because it does not support backups.
--- /dev/null
+++ b/packages/gateway/tests/test_runstops.cpp
@@ -0,0 +1,291 @@
+#include "gatewayfixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace sassafrasyard;
+
+namespace net = boost::asio;
+
+namespace {
+
+constexpr std::uint64_t lastEvent = 150;
+constexpr Milliseconds eventInterval{20};
+/** Longer than the gateway waits for an event of the route below. */
+constexpr Milliseconds silence{1250};
+constexpr std::uint64_t silentBefore = 20;
+
+Route makeStreamRoute()
+{
+    Route route;
+    route.name = "stream";
+    route.pathPrefix = "/stream/";
+    route.kind = CallKind::Stream;
+    route.maximumAttempts = 1;
+    route.timeout = Milliseconds(12'000);
+    route.targetLatency = Milliseconds(500);
+    route.targetPause = Milliseconds(100);
+    return route;
+}
+
+EngineProperties makeEngineProperties()
+{
+    EngineProperties engine;
+    engine.slots = 8;
+    engine.memoryTokens = 100'000;
+    engine.tokensPerEvent = 4;
+    engine.supportsBackup = true;
+    engine.supportsMoves = true;
+    engine.copyLifetime = Milliseconds(2000);
+    return engine;
+}
+
+std::string eventText(std::uint64_t number)
+{
+    return "id: " + std::to_string(number) + "\ndata: t" + std::to_string(number) + "\n\n";
+}
+
+std::string allEvents()
+{
+    std::string all;
+    for (std::uint64_t number = 1; number <= lastEvent; ++number)
+        all += eventText(number);
+    return all;
+}
+
+/** Two engines that work on a run to its end, also without its connection, unless told to stop. */
+class PersistentEngines
+{
+public:
+    PersistentEngines()
+    {
+        this->fixture.addRoute(makeStreamRoute(), makeEngineProperties());
+        for (const std::string name : {"a", "b"}) {
+            this->fixture.addServer(name,
+                                    [this, name](const HttpRequest &request,
+                                                 HttpResponder &responder) -> net::awaitable<void> {
+                                        co_await this->handle(name, request, responder);
+                                    });
+        }
+        this->fixture.answerStop = [this](const MoveOrder &order) {
+            return this->stop(order);
+        };
+        this->fixture.allowsMove = [](const MoveOrder &) {
+            return false;
+        };
+    }
+
+    /** Sends the call of the test. @return its response. */
+    HttpResponse call() { return this->fixture.call("/stream/", "r1", {{"Patience", "12000"}}); }
+
+    /** Lets the engine of the first run leave after a time. */
+    Milliseconds leavesAfter{0};
+    /** Whether the first run is silent for a time before an event. */
+    bool isSilent = false;
+    /** Whether the first run loses its connection before an event, although it goes on. */
+    bool losesConnection = false;
+    /** Whether an engine has a copy of the run of the other one. */
+    bool hasBackups = true;
+    /** What engines answer to a request to stop a run that they work on. */
+    RunStopResult::State stopState = RunStopResult::State::Declined;
+    /** Whether an engine that stops a run keeps its memory, and copies it. */
+    bool keepsMemory = false;
+    bool copiesMemory = false;
+    /** The largest number of engines that worked on the run at once. */
+    std::size_t mostAtOnce = 0;
+    /** The engines in the order in which they ran the call. */
+    std::vector<std::string> runs;
+    GatewayFixture fixture;
+
+private:
+    net::awaitable<void> handle(const std::string &name, const HttpRequest &request,
+                                HttpResponder &responder)
+    {
+        const auto source = findHeader(request.headers, "Source");
+        if (source && !this->hasMemory(name, *source)) {
+            HttpResponse refusal = GatewayFixture::refusal(request);
+            co_await responder.send(std::move(refusal));
+            co_return;
+        }
+        const bool isFirst = this->runs.empty();
+        this->runs.push_back(name);
+        this->stopped.erase(name);
+        this->working.insert(name);
+        this->mostAtOnce = std::max(this->mostAtOnce, this->working.size());
+        if (isFirst && this->leavesAfter > Milliseconds(0))
+            this->leaveLater(name);
+        co_await this->work(name, isFirst, request, responder);
+        this->working.erase(name);
+    }
+
+    /** Returns whether an engine has the memory that a continuation names. */
+    bool hasMemory(const std::string &name, const std::string &source) const
+    {
+        if (source == "r1")
+            return this->hasBackups;
+        const bool isFirstEngine = name == this->runs.front();
+        return source == "copied" ? !isFirstEngine : isFirstEngine;
+    }
+
+    void leaveLater(const std::string &name)
+    {
+        net::co_spawn(
+                this->fixture.context,
+                [this, name]() -> net::awaitable<void> {
+                    co_await GatewayFixture::pause(this->leavesAfter);
+                    this->fixture.markLeaving(name);
+                },
+                net::detached);
+    }
+
+    net::awaitable<void> work(const std::string &name, bool isFirst, const HttpRequest &request,
+                              HttpResponder &responder)
+    {
+        const HttpHeaders headers = GatewayFixture::signedAnswer(request).headers;
+        bool isOpen = co_await responder.startStream(200, headers);
+        std::uint64_t number = std::stoull(findHeader(request.headers, "Last").value_or("0"));
+        while (number < lastEvent && !this->stopped.contains(name)) {
+            ++number;
+            if (isFirst && this->isSilent && number == silentBefore)
+                co_await GatewayFixture::pause(silence);
+            if (isFirst && this->losesConnection && number == silentBefore) {
+                responder.abort();
+                isOpen = false;
+            }
+            co_await GatewayFixture::pause(eventInterval);
+            if (isOpen) {
+                const std::string text = eventText(number);
+                isOpen = co_await responder.write(text);
+            }
+        }
+        if (isOpen && number == lastEvent)
+            co_await responder.finish();
+        else
+            responder.abort();
+    }
+
+    RunStopResult stop(const MoveOrder &order)
+    {
+        RunStopResult result;
+        const std::string name = this->nameOf(order.sourceAddress);
+        if (!this->working.contains(name)) {
+            result.state = RunStopResult::State::Stopped;
+            return result;
+        }
+        result.state = this->stopState;
+        if (this->stopState != RunStopResult::State::Stopped)
+            return result;
+        this->stopped.insert(name);
+        this->working.erase(name);
+        if (this->keepsMemory || this->copiesMemory)
+            result.memory = MemoryCopy{order.sourceAddress, this->copiesMemory ? "copied" : "kept"};
+        result.isCopied = this->copiesMemory;
+        return result;
+    }
+
+    std::string nameOf(const std::string &address)
+    {
+        return this->fixture.addressOf("a") == address ? "a" : "b";
+    }
+
+    std::set<std::string> working;
+    std::set<std::string> stopped;
+};
+
+} // namespace
+
+// Guards against a run on two engines at once, because the first one is silent for a moment and
+// works on after its connection was closed.
+TEST_CASE("A stream stays on a silent engine that does not stop the run", "[runstops]")
+{
+    PersistentEngines engines;
+    engines.isSilent = true;
+    engines.hasBackups = GENERATE(true, false);
+    REQUIRE(engines.call().body == allEvents());
+    REQUIRE(engines.mostAtOnce == 1);
+    REQUIRE(engines.runs.size() == 1);
+}
+
+// Guards against a run on two engines at once, because a leaving one works on after its connection
+// was closed.
+TEST_CASE("A stream stays on a leaving engine that does not stop the run", "[runstops]")
+{
+    PersistentEngines engines;
+    engines.leavesAfter = Milliseconds(1400);
+    REQUIRE(engines.call().body == allEvents());
+    REQUIRE(engines.mostAtOnce == 1);
+    REQUIRE(engines.runs.size() == 1);
+    REQUIRE(engines.fixture.stops.size() >= 1);
+}
+
+// Guards against a stream that stays on a leaving or a silent engine although it stopped the run,
+// and against two engines that work on it at once.
+TEST_CASE("A stream goes on at another engine after its run was stopped", "[runstops]")
+{
+    PersistentEngines engines;
+    engines.isSilent = GENERATE(true, false);
+    engines.copiesMemory = GENERATE(true, false);
+    if (!engines.isSilent)
+        engines.leavesAfter = Milliseconds(1400);
+    engines.stopState = RunStopResult::State::Stopped;
+    REQUIRE(engines.call().body == allEvents());
+    REQUIRE(engines.mostAtOnce == 1);
+    REQUIRE(engines.runs.size() == 2);
+    REQUIRE(engines.runs[0] != engines.runs[1]);
+}
+
+// Guards against a stream that is cut because the engine with its copy refuses the continuation
+// after the run was stopped.
+TEST_CASE("A stopped run goes on in the memory of its engine if the copy is refused", "[runstops]")
+{
+    PersistentEngines engines;
+    engines.isSilent = GENERATE(true, false);
+    if (!engines.isSilent)
+        engines.leavesAfter = Milliseconds(1400);
+    engines.stopState = RunStopResult::State::Stopped;
+    engines.hasBackups = false;
+    engines.keepsMemory = true;
+    const HttpResponse answer = engines.call();
+    CAPTURE(engines.isSilent, engines.runs);
+    REQUIRE(answer.body == allEvents());
+    REQUIRE(engines.mostAtOnce == 1);
+    REQUIRE(engines.runs.size() >= 2);
+    REQUIRE(engines.runs[0] == engines.runs[1]);
+}
+
+// Guards against a run on two engines at once, because the connection to the first one was lost
+// while it works on.
+TEST_CASE("A run without its connection is stopped before it goes on elsewhere", "[runstops]")
+{
+    PersistentEngines engines;
+    engines.losesConnection = true;
+    engines.stopState = GENERATE(RunStopResult::State::Stopped, RunStopResult::State::Declined);
+    const HttpResponse answer = engines.call();
+    REQUIRE(engines.mostAtOnce == 1);
+    REQUIRE(engines.fixture.stops.size() >= 1);
+    if (engines.stopState == RunStopResult::State::Stopped)
+        REQUIRE(answer.body == allEvents());
+}
+
+// Guards against a stream that waits for an engine that can't answer any more.
+TEST_CASE("A stream goes on from its backup if its engine is unreachable or gone", "[runstops]")
+{
+    PersistentEngines engines;
+    engines.losesConnection = true;
+    const bool isGone = GENERATE(true, false);
+    engines.fixture.answerStop = [&](const MoveOrder &) {
+        if (isGone)
+            engines.fixture.removeEntry(engines.runs.front());
+        return RunStopResult{isGone ? RunStopResult::State::Unknown
+                                    : RunStopResult::State::Unreachable,
+                             {},
+                             false};
+    };
+    REQUIRE(engines.call().body == allEvents());
+    REQUIRE(engines.runs.size() == 2);
+}
--- a/packages/observability/logging/logevent.cpp
+++ b/packages/observability/logging/logevent.cpp
@@ -78,6 +78,7 @@
         LogEventEntry{LogEvent::VersionHistoryUnavailable, LogLevel::Warning,
                       "version_history_unavailable"},
         LogEventEntry{LogEvent::RunVersionsUntold, LogLevel::Info, "run_versions_untold"},
+        LogEventEntry{LogEvent::RunStopEnded, LogLevel::Info, "run_stop_ended"},
 };
 
 } // namespace
--- a/packages/observability/logging/logevent.h
+++ b/packages/observability/logging/logevent.h
@@ -80,6 +80,7 @@
     ResumptionRefused = 8021,
     VersionHistoryUnavailable = 8022,
     RunVersionsUntold = 8023,
+    RunStopEnded = 8024,
 };
 
 /** An entry of the event catalogue. */
