Tell the versions of streams to hosts that restart

Cause: the software version that began a stream is kept in the memory of its host and of three keepers. A restarted keeper has an empty memory under its old name and was not told again before 30 s had passed, so that a faster rolling restart erased all copies but that of the host that stopped last.

RunReplicator tells the streams that a host knows to the hosts that became their keepers after a change of the members, and to all keepers when the host stops as planned. An update that a host does not confirm is sent up to three times; before, it was lost.

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -173,6 +173,7 @@
     PeerService peers;
     VersionHistory versionHistory;
     RunVersionExchange runExchange;
+    RunReplicator runReplicator;
     HttpServer readinessServer;
     HttpServer directoryServer;
     HttpServer metricsServer;
@@ -256,6 +257,8 @@
     , peers(this->entry, this->dispatch, this->runtime, this->context, this->makePeerHooks())
     , versionHistory(this->entry, this->context, this->store.versionHistoryCalls(), this->clock)
     , runExchange(this->entry, this->context, this->makeRunExchangeHooks())
+    , runReplicator(this->entry, this->context, this->runExchange,
+                    [this] { return this->runVersions.statements(); })
     , readinessServer(
               this->context, HttpServerOptions(),
               [this](const HttpRequest &request, HttpResponder &responder) {
@@ -563,6 +566,7 @@
         this->servers.advance(now);
         this->reachability.advance();
         this->limiter.advance();
+        this->runReplicator.advance();
         this->checkReadiness();
         if (now - this->lastSlowMaintenanceAt >= slowMaintenanceInterval) {
             this->lastSlowMaintenanceAt = now;
@@ -697,6 +701,7 @@
     this->entry.isDraining = true;
     this->serving.startDraining(stopDeadline);
     this->gateway.drain();
+    this->runReplicator.handOver();
     this->checkReadiness();
     logEvent(LogEvent::DaemonDraining, "active_requests",
              std::to_string(this->entry.activeRequests));
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "gateway/routes/routetable.h"
 #include "gateway/runs/runkeepers.h"
 #include "gateway/runs/runkey.h"
+#include "gateway/runs/runreplicator.h"
 #include "gateway/runs/runtable.h"
 #include "gateway/runs/runversionexchange.h"
 #include "gateway/runs/runversions.h"
--- a/packages/gateway/runs/runkeepers.cpp
+++ b/packages/gateway/runs/runkeepers.cpp
@@ -61,12 +61,18 @@
 
 } // namespace
 
+std::vector<const MemberRecord *> selectRunKeeperMembers(std::span<const MemberRecord> members,
+                                                         const HostIncarnation &self,
+                                                         const RunKey &run)
+{
+    return rank(others(members, self, MemberState::Alive), run, runKeeperCount);
+}
+
 std::vector<std::string> selectRunKeepers(std::span<const MemberRecord> members,
                                           const HostIncarnation &self, const RunKey &run)
 {
     std::vector<std::string> addresses;
-    for (const MemberRecord *member :
-         rank(others(members, self, MemberState::Alive), run, runKeeperCount))
+    for (const MemberRecord *member : selectRunKeeperMembers(members, self, run))
         addresses.push_back(member->peerAddress);
     return addresses;
 }
--- a/packages/gateway/runs/runkeepers.h
+++ b/packages/gateway/runs/runkeepers.h
@@ -14,11 +14,16 @@
 inline constexpr std::size_t runKeeperCount = 3;
 
 /**
- * Selects the hosts that keep the software version of a stream that begins at this host, by
- * rendezvous hashing over the other live hosts. Different failure domains are preferred.
+ * Selects the hosts that keep the software version of a stream for this host, by rendezvous hashing
+ * over the other live hosts. Different failure domains are preferred.
  *
- * @return their peer addresses, at most runKeeperCount.
+ * @return pointers into the members, at most runKeeperCount.
  */
+std::vector<const MemberRecord *> selectRunKeeperMembers(std::span<const MemberRecord> members,
+                                                         const HostIncarnation &self,
+                                                         const RunKey &run);
+
+/** Returns the peer addresses of the hosts that selectRunKeeperMembers() selects. */
 std::vector<std::string> selectRunKeepers(std::span<const MemberRecord> members,
                                           const HostIncarnation &self, const RunKey &run);
 
--- a/packages/gateway/runs/runtable.cpp
+++ b/packages/gateway/runs/runtable.cpp
@@ -57,6 +57,20 @@
     return {RunLookup::Result::Known, version};
 }
 
+std::vector<RunStatement> RunTable::statements()
+{
+    this->removeExpired();
+    std::vector<RunStatement> known;
+    known.reserve(this->runs.size());
+    for (const RunKey &key : this->runsByAge) {
+        const Run &run = this->runs.at(key);
+        const auto &[service, version] = run.version->first;
+        if (!run.isAmbiguous)
+            known.push_back({key, service, version});
+    }
+    return known;
+}
+
 std::size_t RunTable::size() const
 {
     return this->runs.size();
--- a/packages/gateway/runs/runtable.h
+++ b/packages/gateway/runs/runtable.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace sassafrasyard {
 
@@ -47,6 +48,20 @@
     bool operator==(const RunLookup &) const = default;
 };
 
+/** The software version of a run. */
+struct RunStatement
+{
+    /** The run. */
+    RunKey run;
+    /** The name of the service. */
+    std::string service;
+    /** The software version. */
+    SoftwareVersion version;
+
+    /** Compares all fields. */
+    bool operator==(const RunStatement &) const = default;
+};
+
 /** Returns what two tables know together. */
 RunLookup combineLookups(const RunLookup &first, const RunLookup &second);
 
@@ -71,6 +86,8 @@
                 std::uint64_t source);
     /** Returns what is known of a run of a service. */
     RunLookup find(const RunKey &run, std::string_view service);
+    /** Returns the runs whose version is known, those that were recorded first at the front. */
+    std::vector<RunStatement> statements();
     /** Returns the number of runs that are kept. */
     std::size_t size() const;
     /** Returns the number of different software versions of the runs that are kept. */
--- a/packages/gateway/runs/runversionexchange.cpp
+++ b/packages/gateway/runs/runversionexchange.cpp
@@ -19,6 +19,9 @@
 namespace {
 
 constexpr Milliseconds tellTimeout{500};
+/** How often an update is sent to a peer that does not confirm it; a host may have just started. */
+constexpr int maximumUpdateAttempts = 3;
+constexpr Milliseconds repetitionDelay{250};
 
 /** Decodes an answer of a peer; malformed ones count as unknown. */
 RunLookup toLookup(const RunVersionAnswer &answer)
@@ -70,22 +73,28 @@
 
 void RunVersionExchange::tell(const RunKey &run, const std::string &service,
                               const SoftwareVersion &version)
+{
+    const RunStatement statement{run, service, version};
+    const auto members = this->entry.members();
+    for (const std::string &address : selectRunKeepers(*members, this->entry.incarnation, run))
+        this->tellPeer(address, statement);
+}
+
+void RunVersionExchange::tellPeer(const std::string &address, const RunStatement &statement)
 {
     // Peers reject longer texts.
-    if (service.size() > maximumRunServiceBytes
-        || version.toString().size() > maximumRunVersionBytes || version.isEmpty())
+    const std::string version = statement.version.toString();
+    if (statement.service.size() > maximumRunServiceBytes || version.size() > maximumRunVersionBytes
+        || version.empty())
         return;
-    const auto members = this->entry.members();
-    for (const std::string &address : selectRunKeepers(*members, this->entry.incarnation, run)) {
-        Peer &peer = this->peers[address];
-        if (peer.runs.size() >= maximumWaitingRuns)
-            peer.runs.pop_front();
-        peer.runs.push_back({run.high, run.low, service, version.toString()});
-        if (!std::exchange(peer.isTelling, true)) {
-            net::co_spawn(
-                    this->context, [this, address] { return this->tellPeer(address); },
-                    net::detached);
-        }
+    Peer &peer = this->peers[address];
+    if (peer.runs.size() >= maximumWaitingRuns)
+        peer.runs.pop_front();
+    peer.runs.push_back({statement.run.high, statement.run.low, statement.service, version});
+    if (!std::exchange(peer.isTelling, true)) {
+        net::co_spawn(
+                this->context, [this, address] { return this->sendUpdates(address); },
+                net::detached);
     }
 }
 
@@ -120,12 +129,12 @@
     return count;
 }
 
-net::awaitable<void> RunVersionExchange::tellPeer(std::string address)
+net::awaitable<void> RunVersionExchange::sendUpdates(std::string address)
 {
     net::steady_timer timer(this->context);
     Peer &peer = this->peers[address];
     while (!peer.runs.empty()) {
-        timer.expires_after(batchDelay);
+        timer.expires_after(peer.unconfirmedUpdates > 0 ? repetitionDelay : batchDelay);
         boost::system::error_code ignored;
         co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
         RunVersionUpdate update;
@@ -135,17 +144,33 @@
         update.runs.assign(peer.runs.begin(), end);
         peer.runs.erase(peer.runs.begin(), end);
         Error reason;
+        const std::vector<RunVersionMessage> runs = update.runs;
         const bool isTold =
                 co_await this->hooks.tell(address, std::move(update), tellTimeout, reason);
-        if (!isTold) {
-            logEvent(LogEvent::RunVersionsUntold, "peer", address, "runs", std::to_string(count),
-                     "detail", reason.detail);
+        if (isTold) {
+            peer.unconfirmedUpdates = 0;
+            continue;
         }
+        logEvent(LogEvent::RunVersionsUntold, "peer", address, "runs", std::to_string(count),
+                 "detail", reason.detail);
+        if (++peer.unconfirmedUpdates < maximumUpdateAttempts)
+            returnUnconfirmed(peer, runs);
+        else
+            peer.unconfirmedUpdates = 0;
     }
     peer.isTelling = false;
     this->forgetIfIdle(address);
 }
 
+/** Lets streams wait again that the peer did not confirm, if there is room. */
+void RunVersionExchange::returnUnconfirmed(Peer &peer, const std::vector<RunVersionMessage> &runs)
+{
+    const std::size_t room = maximumWaitingRuns - std::min(maximumWaitingRuns, peer.runs.size());
+    const std::size_t count = std::min(room, runs.size());
+    peer.runs.insert(peer.runs.begin(), runs.end() - static_cast<std::ptrdiff_t>(count),
+                     runs.end());
+}
+
 net::awaitable<void> RunVersionExchange::askPeer(std::string address)
 {
     Peer &peer = this->peers[address];
--- a/packages/gateway/runs/runversionexchange.h
+++ b/packages/gateway/runs/runversionexchange.h
@@ -63,6 +63,11 @@
 
     /** Tells the keepers of a stream its software version; see selectRunKeepers(). */
     void tell(const RunKey &run, const std::string &service, const SoftwareVersion &version);
+    /**
+     * Tells the host at a peer address the software version of a stream. An update that is not
+     * confirmed is sent again a few times.
+     */
+    void tellPeer(const std::string &address, const RunStatement &statement);
     /**
      * Asks the keepers of a stream for its software version; the first one that knows it decides.
      */
@@ -79,11 +84,14 @@
     {
         std::deque<RunVersionMessage> runs;
         std::deque<std::pair<RunKeyMessage, std::shared_ptr<Query>>> questions;
+        /** The number of updates in succession that the peer did not confirm. */
+        int unconfirmedUpdates = 0;
         bool isTelling = false;
         bool isAsking = false;
     };
 
-    boost::asio::awaitable<void> tellPeer(std::string address);
+    boost::asio::awaitable<void> sendUpdates(std::string address);
+    static void returnUnconfirmed(Peer &peer, const std::vector<RunVersionMessage> &runs);
     boost::asio::awaitable<void> askPeer(std::string address);
     static RunVersionRequest takeQuestions(Peer &peer,
                                            std::vector<std::shared_ptr<Query>> &queries);
--- a/packages/gateway/runs/runversions.cpp
+++ b/packages/gateway/runs/runversions.cpp
@@ -114,6 +114,14 @@
     return knownVersion(this->lookUp(run, service));
 }
 
+std::vector<RunStatement> RunVersions::statements()
+{
+    std::vector<RunStatement> all = this->ownRuns.statements();
+    for (RunStatement &statement : this->peerRuns.statements())
+        all.push_back(std::move(statement));
+    return all;
+}
+
 std::size_t RunVersions::size() const
 {
     return this->ownRuns.size() + this->peerRuns.size();
--- a/packages/gateway/runs/runversions.h
+++ b/packages/gateway/runs/runversions.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace sassafrasyard {
 
@@ -83,6 +84,8 @@
 
     /** Returns the software version of a run as recorded on this host or told to it; see find(). */
     std::optional<SoftwareVersion> findRecorded(const RunKey &run, std::string_view service);
+    /** Returns all runs whose version this host recorded or was told. */
+    std::vector<RunStatement> statements();
     /** Returns the number of runs that are kept. */
     std::size_t size() const;
     /** Returns the number of different software versions of the runs that are kept. */
