Keep the run of a silent engine unless a copy has a place elsewhere

Cause: a live engine was told to stop a silent run although it was not certain that another engine would take it.

A silent engine is now only probed. If it can't be connected to, the stream continues from its copy. Otherwise the run is copied by a move first, which takes a place at the target, and stopped once that copy is complete.

--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -610,7 +610,7 @@
 /** Starts a refreshed copy if the run has no copy. */
 void EventRelay::ensureCopy(Milliseconds now)
 {
-    if (this->stop || this->isBackupUsable() || !this->partFirstEventAt
+    if (!this->needsCopy() || this->stop || this->isBackupUsable() || !this->partFirstEventAt
         || now - *this->partFirstEventAt < copyAttemptInterval) {
         return;
     }
@@ -628,7 +628,8 @@
     const bool hasDeclined =
             this->stopDeclinedAt && now - *this->stopDeclinedAt < stopAttemptInterval;
     const bool mayFail = this->partCount + partsPerMove <= maximumParts;
-    if (this->stop || !this->partFirstEventAt || hasDeclined || !mayFail || !this->canAskEngine())
+    const bool canMove = this->needsCopy() && this->canAskEngine();
+    if (this->stop || !this->partFirstEventAt || hasDeclined || !mayFail || !canMove)
         return;
     if (this->refreshedCopy && this->refreshedCopy->hasFailed())
         this->dropRefreshedCopy();
@@ -654,10 +655,12 @@
     // After a request to stop the run, the engine closes its stream without its end.
     if (!this->canAskEngine() || (this->stop && this->stop->hasAsked()))
         co_return true;
-    if (!this->stop && !hasCopy && !this->call.route->isResumable)
+    if (this->stop && this->stop->hasEnded())
         co_return true;
-    if (!this->stop)
-        this->startStop();
+    this->dropStop();
+    if (!hasCopy && !this->call.route->isResumable)
+        co_return true;
+    this->startStop();
     const RunStop::Result result = co_await this->waitForStop();
     co_return result == RunStop::Result::Ended;
 }
@@ -690,28 +693,58 @@
     order.canStopRuns = this->canAskEngine();
     order.endAt = this->call.deadlineAt;
     order.returnUntil = this->leavingSeenAt.value_or(this->dependencies.clock.now()) + returnTime;
+    this->beginStop(std::move(order));
+}
+
+void EventRelay::beginStop(RunStopOrder order)
+{
     this->stop =
             std::make_shared<RunStop>(this->dependencies, std::move(order),
                                       [this](RunStop::Result result) { this->onStopEnd(result); });
     this->stop->start();
 }
 
-/** Called when no event has arrived for a time although the stream is open. */
+/**
+ * Called when no event has arrived for a time although the stream is open.
+ *
+ * A live engine may be silent, such as after it has preempted the run, and other engines may have
+ * no room then. So its run is stopped only if a complete copy holds a place on another engine.
+ */
 void EventRelay::stopSilentRun()
 {
     if (this->stop && this->stop->hasEnded()) {
         this->attempt->cancel();
         return;
     }
-    const bool hasCopy = this->isBackupUsable() || this->refreshedCopy;
+    const Milliseconds now = this->dependencies.clock.now();
+    if (this->refreshedCopy && this->refreshedCopy->hasFailed())
+        this->dropRefreshedCopy();
     const bool isResumable = this->call.route->isResumable;
     // A resumable stream may run again although the former run can't be stopped.
-    if (isResumable && !this->canAskEngine())
+    if (isResumable && !this->canAskEngine()) {
         this->attempt->cancel();
-    else if (!this->stop && (hasCopy || isResumable))
+    } else if (this->stop) {
+        this->watchSilence();
+    } else if (this->refreshedCopy && this->refreshedCopy->isReady()) {
         this->startStop();
-    else
+    } else if (this->isBackupUsable() || isResumable) {
+        if (!this->refreshedCopy)
+            this->startRefreshedCopy(true, now);
+        this->startProbe();
+    } else {
         this->watchSilence();
+    }
+}
+
+/** Finds out whether the silent engine can be connected to; otherwise the run has ended. */
+void EventRelay::startProbe()
+{
+    RunStopOrder order;
+    order.source = this->placement;
+    order.requestId = this->call.metadata.requestId;
+    order.endAt = this->call.deadlineAt;
+    this->isStopTargetBackup = false;
+    this->beginStop(std::move(order));
 }
 
 /** Ends the read from the engine if the run has ended there; otherwise the stream goes on. */
@@ -726,7 +759,7 @@
     // An engine also declines if the target has no room, and then the backup there is incomplete.
     const bool isLeaving = !this->dependencies.servers.isUsable(this->placement.server);
     const bool isBackupKept = this->isStopTargetBackup && !this->backup && !isLeaving;
-    if (!isLeaving || !this->isStopTargetBackup)
+    if (target && (!isLeaving || !this->isStopTargetBackup))
         this->stopDeclinedAt = this->dependencies.clock.now();
     if (target && isBackupKept) {
         target->source.reset();
@@ -754,7 +787,7 @@
 void EventRelay::startRefreshedCopy(bool isUrgent, Milliseconds now)
 {
     this->copyAttemptedAt = now;
-    if (!this->needsCopy() || !this->engine()->supportsMoves || !this->placement.softwareVersion)
+    if (!this->canAskEngine() || !this->placement.softwareVersion)
         return;
     if (!this->isBackupUsable())
         this->dropBackup();
--- a/packages/gateway/relay/eventrelay.h
+++ b/packages/gateway/relay/eventrelay.h
@@ -86,6 +86,8 @@
     boost::asio::awaitable<bool> ensureRunEnded();
     bool canAskEngine() const;
     void startStop();
+    void startProbe();
+    void beginStop(RunStopOrder order);
     void stopSilentRun();
     void onStopEnd(RunStop::Result result);
     void dropStop();
--- a/packages/gateway/relay/runstop.cpp
+++ b/packages/gateway/relay/runstop.cpp
@@ -113,15 +113,15 @@
 
 net::awaitable<void> RunStop::run()
 {
-    if (!this->order.target)
+    if (!this->order.target && this->order.canStopRuns)
         co_await this->reserveTarget();
-    if (!this->order.target && !this->isAbandoned) {
+    if (!this->order.target && this->order.canStopRuns && !this->isAbandoned) {
         // Without its connection a run can only be started again, and at the same engine.
         this->end(this->isInsisting ? Result::Ended : Result::Declined, "no_target",
                   "no other engine of the software version is usable");
     }
     while (this->result == Result::Pending && !this->isAbandoned) {
-        this->isAsked = true;
+        this->isAsked = this->order.canStopRuns;
         Error reason;
         const RunStopResult answer = co_await this->ask(reason);
         this->apply(answer, reason);
--- a/packages/gateway/relay/runstop.h
+++ b/packages/gateway/relay/runstop.h
@@ -31,7 +31,10 @@
     WorkRequest work;
     /** Identifies the call at the engines. */
     std::string requestId;
-    /** Whether the engine can be told to stop a run; otherwise only its connection is probed. */
+    /**
+     * Whether the engine is told to stop the run; otherwise it is only probed whether it can be
+     * connected to.
+     */
     bool canStopRuns = false;
     /** When stopping ends without success, on the clock that counts suspension. */
     Milliseconds endAt{0};
