Don't take a preempted run for one that has ended

Cause: an engine that has preempted a run answers that it has no such run (404). That counted as the end of the run, so that the host closed the stream and continued from a backup, if any. The last events of a run that completes at that moment could be lost in the same way.

"No such run" now counts as the end only if the stream has lost its connection. Otherwise the stream stays open, and a leaving engine is asked again later. A backup is kept after each declined request.

--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -757,10 +757,8 @@
     }
     auto target = this->stop->takeTarget();
     this->dropStop();
-    // An engine also declines if the target has no room, and then the backup there is incomplete.
-    const bool isLeaving = !this->dependencies.servers.isUsable(this->placement.server);
-    const bool isBackupKept = this->isStopTargetBackup && !this->backup && !isLeaving;
-    if (target && (!isLeaving || !this->isStopTargetBackup))
+    const bool isBackupKept = this->isStopTargetBackup && !this->backup;
+    if (target)
         this->stopDeclinedAt = this->dependencies.clock.now();
     if (target && isBackupKept) {
         target->source.reset();
--- a/packages/gateway/relay/runstop.cpp
+++ b/packages/gateway/relay/runstop.cpp
@@ -208,8 +208,14 @@
 {
     this->memory = answer.memory;
     this->isCopied = answer.isCopied;
-    if (answer.state == RunStopResult::State::Stopped)
-        this->end(Result::Ended, "stopped", {});
+    // Without memory, the engine has no such run. It may have preempted the run and go on with it,
+    // or its last events are under way, so only a lost connection shows that the run has ended.
+    const bool isStopped = answer.state == RunStopResult::State::Stopped;
+    const bool isAbsent = isStopped && !answer.memory;
+    if (isAbsent && !this->isInsisting)
+        this->end(Result::Declined, "absent", {});
+    else if (isStopped)
+        this->end(Result::Ended, isAbsent ? "absent" : "stopped", {});
     else if (answer.state == RunStopResult::State::Unreachable)
         this->end(Result::Ended, "unreachable", reason.detail);
     else if (this->hasSourceLeft() && answer.state == RunStopResult::State::Unknown)
--- a/packages/gateway/tests/test_eventrelay.cpp
+++ b/packages/gateway/tests/test_eventrelay.cpp
@@ -155,6 +155,10 @@
 {
     GatewayFixture fixture;
     fixture.addRoute(makeStreamRoute(false), makeEngineProperties());
+    fixture.answerStop = [](const MoveOrder &order) {
+        return RunStopResult{RunStopResult::State::Stopped, MemoryCopy{order.sourceAddress, "kept"},
+                             false};
+    };
     std::string leaving;
     const auto events = streamEvents(120, Milliseconds(10));
     for (const std::string name : {"a", "b"}) {
@@ -228,6 +232,10 @@
     EngineProperties engine = makeEngineProperties();
     engine.supportsBackup = false;
     fixture.addRoute(makeStreamRoute(false), engine);
+    fixture.answerStop = [](const MoveOrder &order) {
+        return RunStopResult{RunStopResult::State::Stopped, MemoryCopy{order.sourceAddress, "kept"},
+                             false};
+    };
     std::string leaving;
     const auto events = streamEvents(200, Milliseconds(10));
     for (const std::string name : {"a", "b"}) {
--- a/packages/gateway/tests/test_softwareversions.cpp
+++ b/packages/gateway/tests/test_softwareversions.cpp
@@ -66,6 +66,10 @@
     explicit VersionedServers(bool isResumable, bool supportsBackup = true)
     {
         this->fixture.addRoute(makeStreamRoute(isResumable), makeEngineProperties(supportsBackup));
+        this->fixture.answerStop = [](const MoveOrder &order) {
+            return RunStopResult{RunStopResult::State::Stopped,
+                                 MemoryCopy{order.sourceAddress, "kept"}, false};
+        };
     }
 
     /** Adds a server of a version. */
