Log which decision ended a stream, and what was known of its engine

The line stream_cut named the last error only, so silence, a change, a move and a lost connection could not be told apart. It now states the decision, how the last run lost its connection, how old the last event was, the state of the engine, of the request to stop the run and of its copies, and how long ago a version came into force, a SIGHUP arrived and a planned stop began. A SIGHUP is logged (1009) also if the settings have not changed. sassafrasyard_streams_cut_total counts the decisions.

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -685,8 +685,12 @@
     boost::system::error_code code;
     while (!code) {
         co_await this->reloadSignals.async_wait(net::redirect_error(net::use_awaitable, code));
-        if (!code)
-            this->checkSettings();
+        if (code)
+            break;
+        this->services.changes.reloadedAt = this->clock.now();
+        logEvent(LogEvent::ReloadRequested, "active_requests",
+                 std::to_string(this->entry.activeRequests));
+        this->checkSettings();
     }
 }
 
@@ -699,6 +703,7 @@
     const Milliseconds drainStartedAt = this->clock.now();
     const Milliseconds stopDeadline = drainStartedAt + this->settings.gracePeriod - graceMargin;
     this->entry.isDraining = true;
+    this->services.changes.stopStartedAt = drainStartedAt;
     this->serving.startDraining(stopDeadline);
     this->gateway.drain();
     this->runReplicator.handOver();
--- a/packages/gateway/relay/activecalls.cpp
+++ b/packages/gateway/relay/activecalls.cpp
@@ -55,6 +55,7 @@
 {
     for (RoutedCall *call : this->calls) {
         call->deadlineAt = std::min(call->deadlineAt, now);
+        call->isEndedByStop = true;
         call->cancelAll();
     }
 }
--- a/packages/gateway/relay/backendattempt.cpp
+++ b/packages/gateway/relay/backendattempt.cpp
@@ -335,6 +335,11 @@
         this->connection->close();
 }
 
+bool BackendAttempt::wasCancelled() const
+{
+    return this->isCancelled;
+}
+
 void BackendAttempt::release()
 {
     this->call.cancelHooks.erase(this);
--- a/packages/gateway/relay/backendattempt.h
+++ b/packages/gateway/relay/backendattempt.h
@@ -54,6 +54,8 @@
     const std::optional<SoftwareVersion> &softwareVersion() const;
     /** Closes the connection; a read in progress fails. */
     void cancel();
+    /** Returns whether the connection was closed by cancel(). */
+    bool wasCancelled() const;
     /** Returns the connection to the pool, which keeps it if the response is complete. */
     void release();
 
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -92,10 +92,15 @@
             co_return;
         }
         hasNextPart = false;
-        if (readEnd == ReadEnd::Lost && !this->call.isCallerGone)
+        if (isStream)
+            this->recordLoss(this->dependencies.clock.now());
+        if (readEnd == ReadEnd::Lost && !this->call.isCallerGone) {
             hasNextPart = co_await this->findNextPart(result, isStream);
-        else
+        } else {
+            this->cutDecision = readEnd == ReadEnd::Deadline ? this->deadlineDecision()
+                                                             : StreamCutDecision::CallerUnwritable;
             this->reportPartEnd(WorkOutcome::Cancelled);
+        }
     }
     co_await this->end();
 }
@@ -366,8 +371,10 @@
     const bool hasRun = wasStream || result.outcome == AttemptOutcome::Unknown;
     this->reportPartEnd(hasRun ? WorkOutcome::Failed : WorkOutcome::RefusedByServer);
     const bool isOver = this->call.timeLeft(this->dependencies.clock.now()) <= Milliseconds(0);
-    if (isOver || this->partCount >= maximumParts)
+    if (isOver || this->partCount >= maximumParts) {
+        this->cutDecision = isOver ? this->deadlineDecision() : StreamCutDecision::PartLimitReached;
         co_return false;
+    }
     if (hasRun) {
         // The request would crash the engine of a copy as well.
         const bool isRefused = co_await this->dependencies.dispatch.isQuarantined(this->call.work);
@@ -376,11 +383,14 @@
                              RunState::OutcomeUnknown,
                              "the request has crashed several backend servers",
                              {}};
+            this->cutDecision = StreamCutDecision::RequestQuarantined;
             co_return false;
         }
         const bool hasEnded = co_await this->ensureRunEnded();
-        if (!hasEnded || this->call.isCallerGone)
+        if (!hasEnded || this->call.isCallerGone) {
+            this->cutDecision = StreamCutDecision::RunNotEnded;
             co_return false;
+        }
     }
     const bool isContinued = co_await this->continueFromCopy(hasRun);
     if (isContinued)
@@ -389,8 +399,10 @@
     this->dropBackup();
     this->dropRefreshedCopy();
     const AttemptOutcome outcome = wasStream ? AttemptOutcome::Unknown : result.outcome;
+    this->cutDecision = StreamCutDecision::NoContinuation;
     if (!this->mayStartNewRun(outcome, result.response.status))
         co_return false;
+    this->cutDecision = StreamCutDecision::NoPlacement;
     co_return co_await this->placeNewRun();
 }
 
@@ -414,11 +426,8 @@
     this->dropBackup();
     this->dropRefreshedCopy();
     if (this->hasStarted || this->call.isCallerGone) {
-        if (!this->call.isCallerGone) {
-            logEvent(LogEvent::StreamCut, "request", this->call.metadata.requestId,
-                     "backend_server", this->placement.server.toString(), "events",
-                     std::to_string(this->eventCount), "detail", this->failure.detail);
-        }
+        if (!this->call.isCallerGone)
+            this->recordCut();
         this->responder.abort();
         this->logEnd(this->call.isCallerGone ? "caller_gone" : "cut");
         co_return;
@@ -799,6 +808,40 @@
     this->refreshedCopy->start(isUrgent);
 }
 
+/** Records what is known of a run whose connection has ended; a continuation changes it. */
+void EventRelay::recordLoss(Milliseconds now)
+{
+    RunLoss lost;
+    lost.server = this->placement.server;
+    lost.lostAt = now;
+    lost.isClosedByHost = this->attempt->wasCancelled();
+    lost.detail = this->failure.detail;
+    lost.engineState = describeServer(this->dependencies, lost.server);
+    if (this->stop)
+        lost.stopState = this->stop->hasEnded() ? "ended" : "pending";
+    if (this->backup)
+        lost.backupState = this->isBackupUsable() ? "usable" : "unusable";
+    if (this->refreshedCopy && this->refreshedCopy->isReady())
+        lost.copyState = "ready";
+    else if (this->refreshedCopy)
+        lost.copyState = this->refreshedCopy->hasFailed() ? "failed" : "pending";
+    this->loss = std::move(lost);
+}
+
+void EventRelay::recordCut() const
+{
+    recordStreamCut(this->dependencies, this->call,
+                    {this->cutDecision, this->loss, this->eventAt, this->eventCount,
+                     this->partCount, this->placement.server, this->failure});
+}
+
+/** Returns the decision by which a call ends whose time is over. */
+StreamCutDecision EventRelay::deadlineDecision() const
+{
+    return this->call.isEndedByStop ? StreamCutDecision::HostStopped
+                                    : StreamCutDecision::DeadlineReached;
+}
+
 void EventRelay::recordPause(Milliseconds now)
 {
     if (!this->eventAt) {
--- a/packages/gateway/relay/eventrelay.h
+++ b/packages/gateway/relay/eventrelay.h
@@ -7,6 +7,7 @@
 #include "gateway/relay/runcopy.h"
 #include "gateway/relay/runstop.h"
 #include "gateway/relay/silencewatch.h"
+#include "gateway/relay/streamending.h"
 #include "gateway/relay/streamplacement.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -93,6 +94,9 @@
     void dropStop();
     void watchSilence();
 
+    void recordLoss(Milliseconds now);
+    void recordCut() const;
+    StreamCutDecision deadlineDecision() const;
     void recordPause(Milliseconds now);
     void logEnd(std::string_view outcome) const;
     void reportProgress(Milliseconds now);
@@ -145,6 +149,10 @@
     std::uint32_t partCount = 0;
     std::uint32_t copyCount = 0;
     Error failure;
+    /** What ends the stream, if it ends before its last event. */
+    StreamCutDecision cutDecision = StreamCutDecision::NoContinuation;
+    /** The loss of the last run that produced events. */
+    std::optional<RunLoss> loss;
 };
 
 } // namespace sassafrasyard
--- a/packages/gateway/relay/gatewaydependencies.h
+++ b/packages/gateway/relay/gatewaydependencies.h
@@ -9,6 +9,7 @@
 #include "gateway/relay/serverreachability.h"
 #include "gateway/runs/runversions.h"
 #include "gateway/servers/servercatalogue.h"
+#include "gateway/state/hostchanges.h"
 #include "gateway/state/servingstate.h"
 #include "network/network.h"
 #include "policy/policy.h"
@@ -50,6 +51,8 @@
     AnswerMemoryBudget answerMemory{};
     /** The calls in progress. */
     ActiveCalls activeCalls{};
+    /** When planned changes of this host took place. */
+    HostChanges changes{};
 };
 
 } // namespace sassafrasyard
--- a/packages/gateway/relay/gatewayservice.cpp
+++ b/packages/gateway/relay/gatewayservice.cpp
@@ -72,6 +72,7 @@
     , random(RandomSource::fromSystem())
 {
     dependencies.serving.addListener([this](const ServingConfiguration &configuration) {
+        this->dependencies.changes.configurationAppliedAt = this->dependencies.clock.now();
         this->applyLimits(configuration.limits);
     });
 }
--- a/packages/gateway/relay/routedcall.h
+++ b/packages/gateway/relay/routedcall.h
@@ -45,6 +45,8 @@
     std::uint32_t sentAttempts = 0;
     /** Whether the caller has closed its connection. */
     bool isCallerGone = false;
+    /** Whether the exit of the process ends the call. */
+    bool isEndedByStop = false;
     /** Whether the header of the response was sent to the caller. */
     bool hasResponseStarted = false;
     /** The name under which the call waits for a backend server; nothing if it does not wait. */
--- /dev/null
+++ b/packages/gateway/relay/streamending.cpp
@@ -0,0 +1,78 @@
+#include "gateway/relay/streamending.h"
+
+#include "observability/observability.h"
+
+namespace sassafrasyard {
+
+namespace {
+
+/** Returns the time since an instant in milliseconds, or "none". */
+std::string ageText(const std::optional<Milliseconds> &since, Milliseconds now)
+{
+    return since ? std::to_string((now - *since).count()) : std::string("none");
+}
+
+} // namespace
+
+std::string_view toString(StreamCutDecision decision)
+{
+    switch (decision) {
+    case StreamCutDecision::CallerUnwritable:
+        return "caller_unwritable";
+    case StreamCutDecision::DeadlineReached:
+        return "deadline";
+    case StreamCutDecision::HostStopped:
+        return "host_stopped";
+    case StreamCutDecision::PartLimitReached:
+        return "part_limit";
+    case StreamCutDecision::RequestQuarantined:
+        return "quarantined";
+    case StreamCutDecision::RunNotEnded:
+        return "run_not_ended";
+    case StreamCutDecision::NoContinuation:
+        return "no_continuation";
+    case StreamCutDecision::NoPlacement:
+        return "no_placement";
+    }
+    return "unknown";
+}
+
+std::string describeServer(const GatewayDependencies &dependencies, const BackendServerName &server)
+{
+    if (dependencies.servers.find(server) == nullptr)
+        return "gone";
+    if (!dependencies.servers.isUsable(server))
+        return "leaving";
+    return dependencies.reachability.pauseLeft(server) ? "paused" : "usable";
+}
+
+void recordStreamCut(const GatewayDependencies &dependencies, const RoutedCall &call,
+                     const StreamEnding &ending)
+{
+    const Milliseconds now = dependencies.clock.now();
+    RunLoss unknown;
+    unknown.server = ending.server;
+    unknown.engineState = describeServer(dependencies, ending.server);
+    const RunLoss loss = ending.loss.value_or(unknown);
+    const std::string closedBy = loss.isClosedByHost ? "host" : "connection";
+    const auto current = dependencies.serving.current();
+    const HostChanges &changes = dependencies.changes;
+    dependencies.entry.metrics.count("sassafrasyard_streams_cut_total",
+                                     {{"decision", std::string(toString(ending.decision))}});
+    logEvent(LogEvent::StreamCut, "request", call.metadata.requestId, "decision",
+             std::string(toString(ending.decision)), "backend_server", ending.server.toString(),
+             "events", std::to_string(ending.eventCount), "parts", std::to_string(ending.partCount),
+             "detail", ending.failure.detail, "age_ms",
+             std::to_string((now - call.receivedAt).count()), "left_ms",
+             std::to_string(call.timeLeft(now).count()), "event_age_ms",
+             ageText(ending.lastEventAt, now), "lost_server", loss.server.toString(), "lost_ago_ms",
+             ending.loss ? std::to_string((now - loss.lostAt).count()) : std::string("none"),
+             "closed_by", ending.loss ? closedBy : std::string("none"), "loss", loss.detail,
+             "engine", loss.engineState, "stop", loss.stopState, "backup", loss.backupState, "copy",
+             loss.copyState, "version", std::to_string(call.configuration->version),
+             "version_in_force", current ? std::to_string(current->version) : std::string("none"),
+             "version_age_ms", ageText(changes.configurationAppliedAt, now), "reload_age_ms",
+             ageText(changes.reloadedAt, now), "stop_age_ms", ageText(changes.stopStartedAt, now));
+}
+
+} // namespace sassafrasyard
--- a/packages/observability/logging/logevent.h
+++ b/packages/observability/logging/logevent.h
@@ -23,6 +23,7 @@
     SettingsReloaded = 1006,
     SettingsKept = 1007,
     UnexpectedError = 1008,
+    ReloadRequested = 1009,
     MemberAlive = 2001,
     MemberSuspect = 2002,
     MemberLeaving = 2003,
