Give each call to an engine a connection of its own

A stand-in that sends each response again before the next one gave the second copy the handle of the first run on; with a connection for each call it gets its own. Freeing a copy uses its own connection too, so that its late response can't stand before that of a routed call.

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -204,7 +204,7 @@
                this->servers,       this->serverConnections,
                this->retryBudget,   this->reachability,
                this->limiter,       this->runVersions,
-               platformCallCodec(), platformEngineCalls(this->context, this->serverConnections),
+               platformCallCodec(), platformEngineCalls(this->context),
                this->clock}
     , gateway(this->services)
     , store(this->settings.storeEndpoint, this->storeConnections)
--- a/packages/gateway/calls/enginecalls.h
+++ b/packages/gateway/calls/enginecalls.h
@@ -47,7 +47,12 @@
     bool isCopied = false;
 };
 
-/** The calls to engines other than forwarded ones; supplied by the platform's adapter. */
+/**
+ * The calls to engines other than forwarded ones; supplied by the platform's adapter.
+ *
+ * Each call has a connection of its own. Responses to these calls do not say which call they are
+ * for, so on a shared connection a late response to another call would be taken for this one's.
+ */
 struct EngineCalls
 {
     /**
@@ -63,8 +68,7 @@
     /**
      * Stops a run, copies its memory to the target and returns when the copy is complete.
      *
-     * The connection is not shared with other calls, because a late response to another one would
-     * not be recognized. Unless the run has stopped, the reason receives why.
+     * Unless the run has stopped, the reason receives why.
      *
      * @param order its isFinal is ignored.
      */
