Don't take an engine for lost because it accepts no connection for a moment

Callers saw streams cut, or two engines worked on one stream: a connection to an engine that was not open within 300 ms counted as one that can't be connected to, and then the run as ended, although its stream was open. An engine that stands still with a full backlog looks like that, also a lost first packet and a leaving engine that closes its listener before it has ended its runs. In the same way a request was blamed for a crash after 200 ms.

connect() now says whether the peer refused or did not answer. Only a refused connection, a lapsed entry, or no answer for 1.5 s beside a silent or lost stream shows that the process has ended; a run whose events arrive stays where it is, and an event ends a probe. A call is blamed for a crash only if its server refuses connections.

--- a/packages/gateway/calls/enginecalls.h
+++ b/packages/gateway/calls/enginecalls.h
@@ -33,8 +33,10 @@
         Stopped,
         /** The engine is alive and declined to stop it. */
         Declined,
-        /** No connection to the engine could be opened. */
+        /** The engine's address refuses connections, so its process has ended. */
         Unreachable,
+        /** No connection was accepted or refused in time; the engine may stand still. */
+        Unanswered,
         /** The engine did not answer, or its answer says nothing of the run. */
         Unknown,
     };
--- a/packages/gateway/relay/backendattempt.cpp
+++ b/packages/gateway/relay/backendattempt.cpp
@@ -354,7 +354,8 @@
 }
 
 /**
- * Reports the call as the cause of a crash if no new connection to its server can be opened.
+ * Reports the call as the cause of a crash if its server refuses new connections. One that does not
+ * answer in time may be busy or stand still, which shows nothing about the call.
  *
  * The call waits for the result, so that the crash is recorded before it is sent to another server.
  */
@@ -364,17 +365,24 @@
     const net::any_io_executor executor = this->dependencies.context.get_executor();
     HttpConnection probe(executor, *this->endpoint);
     const bool isOpen = co_await probe.connect(crashCheckTimeout, reason);
-    const bool hasCrashed = !isOpen && this->dependencies.servers.isUsable(this->server);
-    const std::string outcome = hasCrashed ? "crashed" : (isOpen ? "reachable" : "leaving");
+    const bool isUsable = this->dependencies.servers.isUsable(this->server);
+    const bool isRefused = probe.connectFailure() == ConnectFailure::Refused;
+    const bool hasCrashed = isRefused && isUsable;
+    std::string outcome = isOpen ? "reachable" : "unanswered";
+    if (hasCrashed)
+        outcome = "crashed";
+    else if (!isOpen && !isUsable)
+        outcome = "leaving";
     logEvent(LogEvent::ServerCrashChecked, "request", this->call.metadata.requestId,
              "backend_server", this->server.toString(), "outcome", outcome, "digest",
              digestText(this->call.work.requestDigest), "parts",
              digestListText(this->call.work.promptParts), "detail", reason.detail);
     this->dependencies.entry.metrics.count("sassafrasyard_crash_checks_total",
                                            {{"outcome", outcome}});
+    if (!isOpen && isUsable)
+        this->dependencies.reachability.recordFailure(this->server);
     if (!hasCrashed)
         co_return;
-    this->dependencies.reachability.recordFailure(this->server);
     this->dependencies.dispatch.post(
             [digest = this->call.work.requestDigest, parts = this->call.work.promptParts,
              run = this->serverRunName()](Dispatcher &dispatcher, Milliseconds now) {
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -283,6 +283,9 @@
     this->recordPause(now);
     if (!this->partFirstEventAt)
         this->partFirstEventAt = now;
+    // An engine that sends events needs no probe; a result that comes later would be outdated.
+    if (this->stop && this->stop->isProbe())
+        this->dropStop();
     this->watchSilence();
     if (batch.lastEvent)
         this->lastEvent = batch.lastEvent;
@@ -647,7 +650,7 @@
             this->isBackupUsable() && now - *this->leavingSeenAt < returnTime - stopAnswerTime;
     const bool hasCopy = this->refreshedCopy && this->refreshedCopy->isReady();
     if (mayUseBackup ? now - *this->partFirstEventAt >= minimumBackupAge : hasCopy)
-        this->startStop();
+        this->startStop(true);
     else if (!mayUseBackup && !this->refreshedCopy
              && now - this->copyAttemptedAt >= progressInterval)
         this->startRefreshedCopy(true, now);
@@ -669,7 +672,7 @@
     this->dropStop();
     if (!hasCopy && !this->call.route->isResumable)
         co_return true;
-    this->startStop();
+    this->startStop(false);
     const RunStop::Result result = co_await this->waitForStop();
     co_return result == RunStop::Result::Ended;
 }
@@ -680,8 +683,12 @@
     return this->engine() != nullptr && this->engine()->supportsMoves;
 }
 
-/** Starts to stop the run, which then continues from its backup or its refreshed copy, if any. */
-void EventRelay::startStop()
+/**
+ * Starts to stop the run, which then continues from its backup or its refreshed copy, if any.
+ *
+ * @param isDelivering whether events of the run arrive.
+ */
+void EventRelay::startStop(bool isDelivering)
 {
     RunStopOrder order;
     order.service = this->call.service->name;
@@ -700,6 +707,7 @@
     }
     order.requestId = this->call.metadata.requestId;
     order.canStopRuns = this->canAskEngine();
+    order.isDelivering = isDelivering;
     order.endAt = this->call.deadlineAt;
     order.returnUntil = this->leavingSeenAt.value_or(this->dependencies.clock.now()) + returnTime;
     this->beginStop(std::move(order));
@@ -736,7 +744,7 @@
     }
     const bool hasCopy = this->refreshedCopy && this->refreshedCopy->isReady();
     if (!this->stop && hasCopy) {
-        this->startStop();
+        this->startStop(false);
     } else if (!this->stop && (this->isBackupUsable() || isResumable)) {
         if (!this->refreshedCopy)
             this->startRefreshedCopy(true, now);
--- a/packages/gateway/relay/eventrelay.h
+++ b/packages/gateway/relay/eventrelay.h
@@ -86,7 +86,7 @@
 
     boost::asio::awaitable<bool> ensureRunEnded();
     bool canAskEngine() const;
-    void startStop();
+    void startStop(bool isDelivering);
     void startProbe();
     void beginStop(RunStopOrder order);
     void stopSilentRun();
--- a/packages/gateway/relay/runstop.cpp
+++ b/packages/gateway/relay/runstop.cpp
@@ -17,6 +17,8 @@
 /** How long one request waits for its answer, which comes after the copy is complete. */
 constexpr Milliseconds answerTimeout{2000};
 constexpr Milliseconds probeTimeout{300};
+/** A sound engine may stand still for a second or so. */
+constexpr Milliseconds maximumUnansweredTime{1500};
 /** The pause before a request is repeated; it doubles up to the maximum. */
 constexpr Milliseconds firstRepetitionPause{50};
 constexpr Milliseconds maximumRepetitionPause{1000};
@@ -68,6 +70,11 @@
     return this->result == Result::Ended;
 }
 
+bool RunStop::isProbe() const
+{
+    return !this->order.canStopRuns;
+}
+
 std::optional<StreamPlacement> RunStop::takeContinuation()
 {
     auto &target = this->order.target;
@@ -192,7 +199,13 @@
     const net::any_io_executor executor = this->dependencies.context.get_executor();
     HttpConnection connection(executor, *endpoint);
     const bool isOpen = co_await connection.connect(probeTimeout, reason);
-    answer.state = isOpen ? RunStopResult::State::Declined : RunStopResult::State::Unreachable;
+    const ConnectFailure failure = connection.connectFailure();
+    if (isOpen)
+        answer.state = RunStopResult::State::Declined;
+    else if (failure == ConnectFailure::Refused)
+        answer.state = RunStopResult::State::Unreachable;
+    else if (failure == ConnectFailure::Unanswered)
+        answer.state = RunStopResult::State::Unanswered;
     co_return answer;
 }
 
@@ -216,16 +229,46 @@
         this->end(Result::Declined, "absent", {});
     else if (isStopped)
         this->end(Result::Ended, isAbsent ? "absent" : "stopped", {});
-    else if (answer.state == RunStopResult::State::Unreachable)
-        this->end(Result::Ended, "unreachable", reason.detail);
-    else if (this->hasSourceLeft() && answer.state == RunStopResult::State::Unknown)
-        this->end(Result::Ended, "left", reason.detail);
+    else if (this->showsEnd(answer.state))
+        this->end(Result::Ended, this->hasSourceLeft() ? "left" : "unreachable", reason.detail);
+    else if (this->isWithoutConnection(answer.state) && this->isDelivering())
+        this->end(Result::Declined, "delivering", reason.detail);
     else if (answer.state == RunStopResult::State::Declined && !this->isInsisting)
         this->end(Result::Declined, "declined", reason.detail);
     else if (this->dependencies.clock.now() >= this->order.endAt)
         this->end(Result::Declined, "expired", reason.detail);
 }
 
+/** Returns whether an answer shows that the process of the engine has ended. */
+bool RunStop::showsEnd(RunStopResult::State state)
+{
+    const Milliseconds now = this->dependencies.clock.now();
+    if (state != RunStopResult::State::Unanswered)
+        this->unansweredSince.reset();
+    else if (!this->unansweredSince)
+        this->unansweredSince = now;
+    if (this->isDelivering())
+        return false;
+    if (state == RunStopResult::State::Unreachable)
+        return true;
+    const bool isUnanswered = state == RunStopResult::State::Unanswered;
+    if (isUnanswered && now - *this->unansweredSince >= maximumUnansweredTime)
+        return true;
+    return this->hasSourceLeft() && (isUnanswered || state == RunStopResult::State::Unknown);
+}
+
+/** Returns whether no connection to the engine was opened. */
+bool RunStop::isWithoutConnection(RunStopResult::State state)
+{
+    return state == RunStopResult::State::Unreachable || state == RunStopResult::State::Unanswered;
+}
+
+/** Returns whether the run is known to go on, because its events arrive. */
+bool RunStop::isDelivering() const
+{
+    return this->order.isDelivering && !this->isInsisting;
+}
+
 /** Returns whether the process that runs the call has no entry any more. */
 bool RunStop::hasSourceLeft() const
 {
--- a/packages/gateway/relay/runstop.h
+++ b/packages/gateway/relay/runstop.h
@@ -36,6 +36,11 @@
      * connected to.
      */
     bool canStopRuns = false;
+    /**
+     * Whether events of the run still arrive. Then a refused or unanswered connection does not show
+     * that the run has ended: a leaving engine may close its listener first.
+     */
+    bool isDelivering = false;
     /** When stopping ends without success, on the clock that counts suspension. */
     Milliseconds endAt{0};
     /** Until when the run may go on at its engine although that is leaving, on the same clock. */
@@ -46,8 +51,9 @@
  * Stops a run at its engine, so that it can continue on another one.
  *
  * An engine may work on a run whose connection is closed, and a silent one may go on. Therefore a
- * run continues elsewhere only after its engine has confirmed that it stopped, or when the engine
- * can't be connected to or has left. Until then, the request is repeated. Does not refer to the
+ * run continues elsewhere only after its engine has confirmed that it stopped, or when the engine's
+ * address refuses connections, has not answered for a while, or has left. Until then, the request
+ * is repeated. Does not refer to the
  * relay of the stream after abandon().
  */
 class RunStop : public std::enable_shared_from_this<RunStop>
@@ -79,6 +85,8 @@
     bool hasAsked() const;
     /** Returns whether the result is Ended. */
     bool hasEnded() const;
+    /** Returns whether the engine is only probed. */
+    bool isProbe() const;
     /**
      * Returns the next placement at which the run can continue, the one with the most memory first,
      * or nothing if none is left.
@@ -98,6 +106,9 @@
     boost::asio::awaitable<RunStopResult> probe(Error &reason);
     boost::asio::awaitable<void> waitForRepetition();
     void apply(const RunStopResult &answer, const Error &reason);
+    bool showsEnd(RunStopResult::State state);
+    static bool isWithoutConnection(RunStopResult::State state);
+    bool isDelivering() const;
     bool hasSourceLeft() const;
     bool isUsable(const StreamPlacement &placement) const;
     bool mayReturn() const;
@@ -109,6 +120,8 @@
     std::function<void(Result)> onEnd;
     /** When the process of the engine was started, as stated by its entry. */
     std::int64_t sourceStartedAt = 0;
+    /** Since when the engine has accepted no connection; nothing if it accepted the last one. */
+    std::optional<Milliseconds> unansweredSince;
     Milliseconds repetitionPause;
     boost::asio::steady_timer repetitionTimer;
     boost::asio::steady_timer endTimer;
--- a/packages/gateway/tests/test_runstops.cpp
+++ b/packages/gateway/tests/test_runstops.cpp
@@ -324,3 +324,20 @@
     REQUIRE(engines.call().body == allEvents());
     REQUIRE(engines.runs.size() == 2);
 }
+
+// Guards against a run on two engines at once, because a leaving one closes its listener before it
+// has ended its runs.
+TEST_CASE("A stream stays on a leaving engine that accepts no connections", "[runstops]")
+{
+    PersistentEngines engines;
+    engines.leavesAfter = Milliseconds(1400);
+    const auto state =
+            GENERATE(RunStopResult::State::Unreachable, RunStopResult::State::Unanswered);
+    engines.fixture.answerStop = [state](const MoveOrder &) {
+        return RunStopResult{state, {}, false};
+    };
+    REQUIRE(engines.call().body == allEvents());
+    REQUIRE(engines.mostAtOnce == 1);
+    REQUIRE(engines.runs.size() == 1);
+    REQUIRE_FALSE(engines.fixture.stops.empty());
+}
--- a/packages/network/http/httpconnection.cpp
+++ b/packages/network/http/httpconnection.cpp
@@ -54,6 +54,16 @@
     return {kind, state, endpoint.toString() + ": " + code.message(), {}};
 }
 
+ConnectFailure toConnectFailure(error_code code)
+{
+    if (code == net::error::connection_refused)
+        return ConnectFailure::Refused;
+    const bool isUnanswered = code == beast::error::timeout || code == net::error::timed_out
+            || code == net::error::host_unreachable || code == net::error::network_unreachable
+            || code == net::error::connection_reset;
+    return isUnanswered ? ConnectFailure::Unanswered : ConnectFailure::Local;
+}
+
 bool carriesBody(const HttpRequest &request)
 {
     return !request.body.empty() || request.method == "POST" || request.method == "PUT"
@@ -167,6 +177,7 @@
     bool isWatchdogArmed = false;
     bool isReading = false;
     bool hasTimedOut = false;
+    ConnectFailure connectFailure = ConnectFailure::None;
     Endpoint endpoint;
     beast::flat_buffer buffer{maximumReadAheadBytes};
     Message message;
@@ -197,6 +208,7 @@
     if (!code)
         co_await state.stream.async_connect(tcp::endpoint(address, state.endpoint.port),
                                             redirect(code));
+    state.connectFailure = code ? toConnectFailure(code) : ConnectFailure::None;
     if (code) {
         reason = toError(code, RunState::NotRun, state.endpoint);
         co_return false;
@@ -205,6 +217,11 @@
     co_return true;
 }
 
+ConnectFailure HttpConnection::connectFailure() const
+{
+    return this->implementation->connectFailure;
+}
+
 net::awaitable<std::optional<HttpResponse>> HttpConnection::exchange(const HttpRequest &request,
                                                                      Milliseconds timeout,
                                                                      Error &reason)
--- a/packages/network/http/httpconnection.h
+++ b/packages/network/http/httpconnection.h
@@ -15,6 +15,18 @@
 
 namespace sassafrasyard {
 
+/** Why a connection could not be opened. */
+enum class ConnectFailure {
+    /** It was opened, or connect() was not called. */
+    None,
+    /** The peer's address answered that nothing accepts connections. */
+    Refused,
+    /** There was no answer in time; the peer may be busy, standing still or cut off. */
+    Unanswered,
+    /** This host could not try, such as for lack of descriptors. */
+    Local,
+};
+
 /**
  * A client connection that carries one request at a time and may be reused for the next one.
  *
@@ -33,6 +45,8 @@
 
     /** Connects. @param reason receives ConnectionFailed or Timeout with NotRun. */
     boost::asio::awaitable<bool> connect(Milliseconds timeout, Error &reason);
+    /** Returns why connect() failed; only a refusal shows that no process listens. */
+    ConnectFailure connectFailure() const;
 
     /**
      * Starts to send a request and reads the header of its response.
--- a/packages/network/tests/test_httpconnection.cpp
+++ b/packages/network/tests/test_httpconnection.cpp
@@ -1,10 +1,12 @@
 #include "network/network.h"
+#include "network/tests/fulllistener.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
@@ -16,6 +18,12 @@
 
 namespace {
 
+net::awaitable<void> pauseFor(Milliseconds time)
+{
+    net::steady_timer timer(co_await net::this_coro::executor, time);
+    co_await timer.async_wait(net::use_awaitable);
+}
+
 /** A server that responds to each read with the next of a list of texts. */
 class ScriptedPeer
 {
@@ -243,3 +251,34 @@
     context.run();
     REQUIRE(isDone);
 }
+
+// Guards against a peer that only does not answer in time and is taken for one that has ended.
+TEST_CASE("Only a refused connection shows that nothing listens", "[connection]")
+{
+    net::io_context context;
+    FullListener full(context);
+    full.fill();
+    FullListener closed(context);
+    const Endpoint closedEndpoint = closed.endpoint();
+    closed.close();
+    const auto connect = [&](Endpoint endpoint) {
+        std::optional<ConnectFailure> failure;
+        net::co_spawn(
+                context,
+                [&, endpoint]() -> net::awaitable<void> {
+                    co_await pauseFor(Milliseconds(20));
+                    const net::any_io_executor executor = context.get_executor();
+                    HttpConnection connection(executor, endpoint);
+                    Error reason;
+                    co_await connection.connect(Milliseconds(200), reason);
+                    failure = connection.connectFailure();
+                },
+                net::detached);
+        while (!failure)
+            context.run_one();
+        return *failure;
+    };
+    CHECK(connect(full.endpoint()) == ConnectFailure::Unanswered);
+    CHECK(connect(closedEndpoint) == ConnectFailure::Refused);
+    CHECK(connect(Endpoint{"no address", 80}) == ConnectFailure::Local);
+}
