Test streams beside changes of the configuration and SIGHUP

No test ran the daemon with streams in progress beside such changes.

SASSAFRASYARDD_UNDER_TEST names another program to test, such as that of an earlier commit.

The cases of plannedstop are unchanged.

--- a/tests/plannedstop/daemonprocess.cpp
+++ b/tests/plannedstop/daemonprocess.cpp
@@ -28,7 +28,9 @@
     ::close_range(firstInherited, ~0U, 0);
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     ::setenv(std::string(settingsVariable).c_str(), settingsPath.c_str(), 1);
-    ::execl(SASSAFRASYARDD_PATH, SASSAFRASYARDD_PATH, static_cast<char *>(nullptr));
+    const char *other = ::getenv("SASSAFRASYARDD_UNDER_TEST");
+    const char *program = other != nullptr ? other : SASSAFRASYARDD_PATH;
+    ::execl(program, program, static_cast<char *>(nullptr));
     ::_exit(exitNotStarted);
 }
 
--- a/tests/plannedstop/daemonprocess.h
+++ b/tests/plannedstop/daemonprocess.h
@@ -9,7 +9,11 @@
 
 namespace sassafrasyard {
 
-/** A sassafrasyardd process that serves with a settings file; killed when the object is destroyed.
+/**
+ * A sassafrasyardd process that serves with a settings file; killed when the object is destroyed.
+ *
+ * The environment variable SASSAFRASYARDD_UNDER_TEST names another program, such as that of an
+ * earlier commit.
  */
 class DaemonProcess
 {
--- a/tests/plannedstop/standinservers.cpp
+++ b/tests/plannedstop/standinservers.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 
+constexpr int unavailableStatus = 503;
+
 int numberField(const HttpRequest &request, std::string_view name)
 {
     return std::stoi(findHeader(request.headers, name).value_or("0"));
@@ -45,14 +47,26 @@
 
 Endpoint StandInServers::add()
 {
-    this->servers.push_back(std::make_unique<HttpServer>(
+    this->servers.push_back(std::make_unique<Server>());
+    Server &server = *this->servers.back();
+    server.http = std::make_unique<HttpServer>(
             this->context, HttpServerOptions(),
-            [this](const HttpRequest &request, HttpResponder &responder) {
-                return this->handle(request, responder);
+            [this, &server](const HttpRequest &request, HttpResponder &responder) {
+                return this->handle(request, responder, server);
             },
-            errorResponse));
+            errorResponse);
     Error reason;
-    return this->servers.back()->listen({"127.0.0.1", 0}, reason).value();
+    return server.http->listen({"127.0.0.1", 0}, reason).value();
+}
+
+void StandInServers::silence(std::size_t index, Milliseconds time)
+{
+    this->servers.at(index)->silentUntil = Clock::steady().now() + time;
+}
+
+std::size_t StandInServers::refusedContinuations() const
+{
+    return this->continuationCount;
 }
 
 std::size_t StandInServers::receivedCount(const std::string &requestId) const
@@ -77,18 +91,30 @@
     return body;
 }
 
-net::awaitable<void> StandInServers::handle(const HttpRequest &request, HttpResponder &responder)
+net::awaitable<void> StandInServers::handle(const HttpRequest &request, HttpResponder &responder,
+                                            const Server &server)
 {
+    if (request.path().starts_with("/kv-")) {
+        HttpResponse response;
+        response.status = unavailableStatus;
+        co_await responder.send(std::move(response));
+        co_return;
+    }
     const std::string requestId = idOf(request);
     this->receivedIds.push_back(requestId);
     HttpHeaders headers{{"Request-Id", requestId}};
     if (findHeader(request.headers, "Refuse-First") && this->receivedCount(requestId) == 1) {
-        co_await this->refuse(headers, responder);
+        co_await this->holdAndRefuse(headers, responder);
+        co_return;
+    }
+    if (findHeader(request.headers, "Kv-From")) {
+        ++this->continuationCount;
+        co_await refuse(headers, responder);
         co_return;
     }
     headers.emplace_back("Replica-Stamp", "stand-in");
     if (findHeader(request.headers, "Events")) {
-        co_await this->stream(request, headers, responder);
+        co_await this->stream(request, headers, responder, server);
         co_return;
     }
     co_await pause(Milliseconds(numberField(request, "Work-Ms")));
@@ -98,12 +124,16 @@
     co_await responder.send(std::move(response));
 }
 
-net::awaitable<void> StandInServers::refuse(HttpHeaders headers, HttpResponder &responder)
+net::awaitable<void> StandInServers::holdAndRefuse(HttpHeaders headers, HttpResponder &responder)
 {
     constexpr Milliseconds pollInterval{2};
-    constexpr int unavailableStatus = 503;
     while (!this->mayRefuse)
         co_await pause(pollInterval);
+    co_await refuse(std::move(headers), responder);
+}
+
+net::awaitable<void> StandInServers::refuse(HttpHeaders headers, HttpResponder &responder)
+{
     HttpResponse response;
     response.status = unavailableStatus;
     response.headers = std::move(headers);
@@ -112,7 +142,7 @@
 }
 
 net::awaitable<void> StandInServers::stream(const HttpRequest &request, HttpHeaders headers,
-                                            HttpResponder &responder)
+                                            HttpResponder &responder, const Server &server)
 {
     constexpr int successStatus = 200;
     const int events = numberField(request, "Events");
@@ -125,6 +155,8 @@
     for (int number = 1; isOpen && number <= events; ++number) {
         if (number > 1)
             co_await pause(interval);
+        while (Clock::steady().now() < server.silentUntil)
+            co_await pause(server.silentUntil - Clock::steady().now() + Milliseconds(1));
         const std::string text = eventText(requestId, number);
         isOpen = co_await responder.write(text);
     }
--- a/tests/plannedstop/standinservers.h
+++ b/tests/plannedstop/standinservers.h
@@ -18,7 +18,8 @@
  * Work-Ms: the time until the answer, in milliseconds. Events: the number of events of a stream;
  * without it the call is a plain one. Event-Ms: the time before each event, in milliseconds.
  * Refuse-First: the first server that receives the request holds it until releaseRefusals() and
- * then refuses it as not run.
+ * then refuses it as not run. A request to continue a run from a copy is refused as not run, and a
+ * request to copy a run with status 503: the servers have no room for copies.
  */
 class StandInServers
 {
@@ -37,19 +38,35 @@
     /** Lets the servers refuse the requests that they hold. */
     void releaseRefusals();
 
+    /** Lets a server send no event for some time from now. @param index in the order of add(). */
+    void silence(std::size_t index, Milliseconds time);
+
+    /** Returns the number of requests to continue a run from a copy, all of which were refused. */
+    std::size_t refusedContinuations() const;
+
     /** Returns the body of the whole answer to a request. */
     static std::string answerTo(const HttpRequest &request);
 
 private:
-    boost::asio::awaitable<void> handle(const HttpRequest &request, HttpResponder &responder);
-    boost::asio::awaitable<void> refuse(HttpHeaders headers, HttpResponder &responder);
+    /** A server and when its silence ends. */
+    struct Server
+    {
+        Milliseconds silentUntil{0};
+        std::unique_ptr<HttpServer> http;
+    };
+
+    boost::asio::awaitable<void> handle(const HttpRequest &request, HttpResponder &responder,
+                                        const Server &server);
+    boost::asio::awaitable<void> holdAndRefuse(HttpHeaders headers, HttpResponder &responder);
+    static boost::asio::awaitable<void> refuse(HttpHeaders headers, HttpResponder &responder);
     boost::asio::awaitable<void> stream(const HttpRequest &request, HttpHeaders headers,
-                                        HttpResponder &responder);
+                                        HttpResponder &responder, const Server &server);
 
     boost::asio::io_context &context;
-    std::vector<std::unique_ptr<HttpServer>> servers;
+    std::vector<std::unique_ptr<Server>> servers;
     std::vector<std::string> receivedIds;
     bool mayRefuse = false;
+    std::size_t continuationCount = 0;
 };
 
 } // namespace sassafrasyard
--- a/tests/plannedstop/stoppinghost.cpp
+++ b/tests/plannedstop/stoppinghost.cpp
@@ -50,69 +50,6 @@
     return first;
 }
 
-std::string loopback(int port)
-{
-    return "127.0.0.1:" + std::to_string(port);
-}
-
-std::string settingsText(int firstPort, const Endpoint &store, Milliseconds grace)
-{
-    return R"(node: "host-1"
-zone: "a"
-region: "r"
-ip: "127.0.0.1"
-listen:
-  front: ")" + loopback(firstPort)
-            + R"("
-  ready: ")" + loopback(firstPort + 1)
-            + R"("
-  directory: ")"
-            + loopback(firstPort + 2) + R"("
-internal-ports: [)"
-            + std::to_string(firstPort + 3) + ", " + std::to_string(firstPort + 4) + R"(]
-limits:
-  max-fds: 4100
-heartbeat-ms: 1200
-bounds:
-  drain-ms: 2000
-  config-apply-ms: 2000
-  grace-s: )"
-            + std::to_string(static_cast<double>(grace.count()) / 1000.0) + R"(
-  revoke-fail-closed: true
-  revoke-ms: 5000
-  retry-budget-ratio: 0.2
-  budget-window-s: 10
-  retry-budget-slack: 56
-  ttl_max_s: 5
-platform-params:
-  addr: ")" + store.toString()
-            + "\"\n";
-}
-
-std::string routeText(const std::string &name, const std::string &kind, const std::string &service,
-                      int timeout, const std::string &further = "")
-{
-    return R"({"name":")" + name + R"(","host":"h","path-prefix":"/)" + name + R"(/","kind":")"
-            + kind + R"(","timeout-ms":)" + std::to_string(timeout)
-            + R"(,"target-latency-ms":1500,"gap-aim-ms":500,"priority":0,"service":")" + service
-            + R"(","max-attempts":2,"auth-exempt":true)" + further + "}";
-}
-
-std::string configurationText(int version, int engineSlots)
-{
-    return R"({"version":)" + std::to_string(version) + R"(,"routes":[)"
-            + routeText("lookup", "idempotent", "desk", 60000) + ","
-            + routeText("quick", "idempotent", "desk", 500) + ","
-            + routeText("order", "non_idempotent", "desk", 60000) + ","
-            + routeText("report", "streaming", "engine", 60000, R"(,"resumable":true)") + ","
-            + routeText("story", "streaming", "engine", 60000)
-            + R"(],"services":[{"name":"desk","max-connections":100},{"name":"engine",
-"max-connections":100,"engine":{"slots":)"
-            + std::to_string(engineSlots) + R"(,"kv-capacity-tokens":100000,"stride":1}}],
-"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":30000,
-"idle-timeout-ms":60000}})";
-}
-
 net::awaitable<void> pause(Milliseconds time)
 {
     net::steady_timer timer(co_await net::this_coro::executor, time);
@@ -143,17 +80,33 @@
             + " ms: " + this->result.describe();
 }
 
+namespace {
+
+HostConfiguration withSlots(int engineSlots)
+{
+    HostConfiguration configuration;
+    configuration.engineSlots = engineSlots;
+    return configuration;
+}
+
+} // namespace
+
 StoppingHost::StoppingHost(int engineSlots)
+    : StoppingHost(withSlots(engineSlots))
+{
+}
+
+StoppingHost::StoppingHost(HostConfiguration configuration)
     : store(this->context)
     , backendServers(this->context)
-    , engineSlots(engineSlots)
+    , configuration(std::move(configuration))
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "plannedstop-XXXXXX").string();
     REQUIRE(::mkdtemp(pattern.data()) != nullptr);
     this->directory = pattern;
-    this->writeConfiguration(1);
+    this->writeConfiguration(this->configuration);
     this->registerServers("desk", plainServerCount, plainSlots);
-    this->registerServers("engine", engineCount, this->engineSlots);
+    this->registerServers("engine", engineCount, this->configuration.engineSlots);
     bool isRunning = false;
     // Another process may take a free port before the daemon does.
     constexpr int maximumStarts = 5;
@@ -276,15 +229,47 @@
 }
 
 void StoppingHost::writeSettings(Milliseconds newGrace)
+{
+    HostSettings settings;
+    settings.grace = newGrace;
+    this->writeSettings(settings);
+}
+
+void StoppingHost::writeSettings(const HostSettings &settings)
 {
     std::ofstream file(this->directory / "settings.yaml");
-    file << settingsText(this->firstPort, this->store.endpoint(), newGrace);
+    file << settings.toText(this->firstPort, this->store.endpoint());
 }
 
 void StoppingHost::writeConfiguration(int version)
+{
+    HostConfiguration next = this->configuration;
+    next.version = version;
+    this->writeConfiguration(next);
+}
+
+void StoppingHost::writeConfiguration(const HostConfiguration &next)
 {
     this->store.put(std::string(objectkind::configuration), std::string(configurationObjectName),
-                    configurationText(version, this->engineSlots));
+                    next.toText());
+}
+
+void StoppingHost::rewriteServers()
+{
+    for (const auto &[name, entry] : this->serverEntries)
+        this->store.put(std::string(objectkind::servers), name, entry);
+}
+
+std::vector<std::string> StoppingHost::logLines(std::string_view eventName) const
+{
+    std::vector<std::string> found;
+    std::ifstream log(this->directory / "log");
+    const std::string name = "\"name\":\"" + std::string(eventName) + "\"";
+    for (std::string line; std::getline(log, line);) {
+        if (line.find(name) != std::string::npos)
+            found.push_back(line);
+    }
+    return found;
 }
 
 bool StoppingHost::runUntil(const std::function<bool()> &condition, Milliseconds timeout)
@@ -398,11 +383,11 @@
 {
     for (int index = 1; index <= count; ++index) {
         const Endpoint endpoint = this->backendServers.add();
-        this->store.put(std::string(objectkind::servers), service + "-" + std::to_string(index),
-                        R"({"service":")" + service + R"(","addr":")" + endpoint.toString()
-                                + R"(","zone":"a","version":"v1","slots":)" + std::to_string(slots)
-                                + R"(,"state":"ready","born":1})");
+        this->serverEntries[service + "-" + std::to_string(index)] = R"({"service":")" + service
+                + R"(","addr":")" + endpoint.toString() + R"(","zone":"a","version":"v1","slots":)"
+                + std::to_string(slots) + R"(,"state":"ready","born":1})";
     }
+    this->rewriteServers();
 }
 
 SentCall &StoppingHost::addCall(HttpRequest request)
--- a/tests/plannedstop/stoppinghost.h
+++ b/tests/plannedstop/stoppinghost.h
@@ -2,6 +2,7 @@
 
 #include "callerconnection.h"
 #include "daemonprocess.h"
+#include "hostdocuments.h"
 #include "standinservers.h"
 
 #include "platform/tests/standinstore.h"
@@ -10,9 +11,11 @@
 
 #include <filesystem>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace sassafrasyard {
@@ -56,6 +59,9 @@
      * @param engineSlots how many streams an engine runs at once.
      */
     explicit StoppingHost(int engineSlots = 16);
+
+    /** Starts the daemon as above, with a configuration. */
+    explicit StoppingHost(HostConfiguration configuration);
     ~StoppingHost();
     StoppingHost(const StoppingHost &) = delete;
     StoppingHost &operator=(const StoppingHost &) = delete;
@@ -92,9 +98,21 @@
     /** Writes another settings file with a grace, which the daemon reads. */
     void writeSettings(Milliseconds newGrace);
 
-    /** Writes a configuration to the store. */
+    /** Writes another settings file, which the daemon reads. */
+    void writeSettings(const HostSettings &settings);
+
+    /** Writes a new version of the first configuration to the store. */
     void writeConfiguration(int version);
 
+    /** Writes another configuration to the store. */
+    void writeConfiguration(const HostConfiguration &next);
+
+    /** Writes the entries of the backend servers to the store again, unchanged. */
+    void rewriteServers();
+
+    /** Returns the lines of the daemon's log with an event. */
+    std::vector<std::string> logLines(std::string_view eventName) const;
+
     /** Runs until a condition holds. @return whether it held within the time. */
     bool runUntil(const std::function<bool()> &condition, Milliseconds timeout);
 
@@ -133,7 +151,9 @@
     boost::asio::io_context context;
     StandInStore store;
     StandInServers backendServers;
-    int engineSlots;
+    HostConfiguration configuration;
+    /** The entries of the backend servers in the store, by name. */
+    std::map<std::string, std::string> serverEntries;
     std::filesystem::path directory;
     std::uint16_t firstPort = 0;
     std::unique_ptr<DaemonProcess> daemon;
