Count a sole version only by a list that is newer than the call

Callers could see a stream of a new software version continue on the old one. A host that was cut off or stood still while servers of the new version joined got no answer from the other hosts, took the only version on its own list of servers for the version of the stream, and that list could be up to three heartbeats old.

A list of servers that is complete as of an instant after the call came in contains every server that can have begun the stream, or the history of versions does. RunVersions::find() waits for such a list, until the deadline of the call and for three heartbeats at most, and returns nothing if there is none. A host whose list is already older than that refuses at once, as before. Only streams that neither this host nor its peers know wait. The list that was applied last is published before the sole version is read; otherwise a task in between would still see the list before it.

The daemon was compiled; its own tests were not run.

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -119,6 +119,8 @@
     SharedSourceHooks makeSharedSourceHooks();
     RunExchangeHooks makeRunExchangeHooks();
     void connectRunVersions();
+    Milliseconds maximumServersAge() const;
+    void confirmServers(Milliseconds requestedAt);
     void applyConfiguration(std::span<const RegisteredObject> objects, Milliseconds requestedAt);
     void applyConfiguration(const RegisteredObject &object);
     void applyServers(std::span<const RegisteredObject> objects, Milliseconds requestedAt);
@@ -151,6 +153,7 @@
     DispatchService dispatch;
     ServingState serving;
     ServerCatalogue servers;
+    ListConfirmations serverConfirmations;
     ServerSubset serverSubset;
     HttpConnectionPool serverConnections;
     HttpConnectionPool storeConnections;
@@ -192,6 +195,7 @@
     , dispatch(this->entry, this->runtime, this->context, false)
     , serving(this->settings.serving)
     , servers(catalogueOptions(this->settings))
+    , serverConfirmations(this->context, this->clock)
     , serverSubset({this->settings.host, this->settings.failureDomain})
     , serverConnections(this->context, this->clock)
     , storeConnections(this->context, this->clock)
@@ -401,16 +405,29 @@
         return this->runExchange.ask(run, std::move(service));
     };
     hooks.soleVersion = [this](std::string_view service) -> std::optional<SoftwareVersion> {
-        // A host without contact to the store may have missed a new version.
+        // A host without contact to the store gets no newer list in time.
         const auto age = this->serving.serversAge(this->clock.now());
-        const Milliseconds maximumAge = heartbeatsUntilExpiry * this->settings.heartbeatInterval;
-        if (!age || *age > maximumAge)
+        if (!age || *age > this->maximumServersAge())
             return std::nullopt;
+        // A list that was applied last is published by a later task.
+        if (this->isPublishScheduled)
+            this->publishVersions();
         return this->versionHistory.soleVersion(service);
     };
+    hooks.awaitServers = [this](Milliseconds than, Milliseconds endAt) {
+        // A list that becomes older than this is not being renewed.
+        const Milliseconds lastAt = than + this->maximumServersAge();
+        return this->serverConfirmations.waitForNewer(than, std::min(endAt, lastAt));
+    };
     this->runVersions.setHooks(std::move(hooks));
 }
 
+/** Returns the age at which a list of servers counts as lacking contact to the store. */
+Milliseconds PlatformDaemon::Implementation::maximumServersAge() const
+{
+    return heartbeatsUntilExpiry * this->settings.heartbeatInterval;
+}
+
 PeerHooks PlatformDaemon::Implementation::makePeerHooks()
 {
     PeerHooks hooks;
@@ -489,7 +506,7 @@
             entries.push_back(std::move(*entry));
     }
     this->servers.applyList(entries, requestedAt, this->clock.now());
-    this->serving.confirmServers(requestedAt);
+    this->confirmServers(requestedAt);
 }
 
 /** Adds registered hosts to the membership. Removals are ignored: probes detect dead hosts. */
@@ -523,7 +540,13 @@
                                        change.object.revision);
     }
     this->servers.recordStoreContact(requestedAt);
+    this->confirmServers(requestedAt);
+}
+
+void PlatformDaemon::Implementation::confirmServers(Milliseconds requestedAt)
+{
     this->serving.confirmServers(requestedAt);
+    this->serverConfirmations.confirm(requestedAt);
 }
 
 /** Coalesces changes of many entries into one publication to the dispatcher. */
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -24,6 +24,7 @@
 #include "gateway/runs/runversions.h"
 #include "gateway/runs/serviceversions.h"
 #include "gateway/runs/versionhistory.h"
+#include "gateway/servers/listconfirmations.h"
 #include "gateway/servers/servercatalogue.h"
 #include "gateway/servers/serversubset.h"
 #include "gateway/state/hostchanges.h"
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -148,7 +148,8 @@
             continue;
         std::optional<SoftwareVersion> version;
         if (services.size() == 1)
-            version = co_await this->dependencies.runVersions.find(run, name);
+            version =
+                    co_await this->dependencies.runVersions.find(run, name, this->call.deadlineAt);
         else
             version = co_await this->dependencies.runVersions.findStated(run, name);
         if (!version)
--- a/packages/gateway/runs/runversions.cpp
+++ b/packages/gateway/runs/runversions.cpp
@@ -44,8 +44,9 @@
 } // namespace
 
 RunVersions::RunVersions(Clock clock, RunVersionsOptions options)
-    : ownRuns(clock, options)
-    , peerRuns(std::move(clock), options)
+    : clock(std::move(clock))
+    , ownRuns(this->clock, options)
+    , peerRuns(this->clock, options)
 {
 }
 
@@ -68,13 +69,25 @@
         this->hooks.tell(run, std::string(service), version);
 }
 
-net::awaitable<std::optional<SoftwareVersion>> RunVersions::find(RunKey run, std::string service)
+net::awaitable<std::optional<SoftwareVersion>> RunVersions::find(RunKey run, std::string service,
+                                                                 Milliseconds endAt)
 {
+    const Milliseconds calledAt = this->clock.now();
     const RunLookup known = co_await this->search(run, service);
-    // Peers are asked even if there is a sole version: their servers may be known here only later.
-    if (known.result == RunLookup::Result::Unknown && this->hooks.soleVersion)
-        co_return this->hooks.soleVersion(service);
-    co_return knownVersion(known);
+    if (known.result != RunLookup::Result::Unknown)
+        co_return knownVersion(known);
+    // Several versions don't become one in the time that a call can wait.
+    const bool hasSoleVersion = this->hooks.soleVersion && this->hooks.soleVersion(service);
+    if (!hasSoleVersion || !this->hooks.awaitServers)
+        co_return std::nullopt;
+    const bool isListNewer = co_await this->hooks.awaitServers(calledAt, endAt);
+    // An update may have arrived meanwhile.
+    const RunLookup recorded = this->lookUp(run, service);
+    if (recorded.result != RunLookup::Result::Unknown)
+        co_return knownVersion(recorded);
+    if (!isListNewer)
+        co_return std::nullopt;
+    co_return this->hooks.soleVersion(service);
 }
 
 net::awaitable<std::optional<SoftwareVersion>> RunVersions::findStated(RunKey run,
--- a/packages/gateway/runs/runversions.h
+++ b/packages/gateway/runs/runversions.h
@@ -28,6 +28,11 @@
     std::function<boost::asio::awaitable<RunLookup>(RunKey, std::string service)> ask;
     /** Returns the version that has served all recent streams of a service; see VersionHistory. */
     std::function<std::optional<SoftwareVersion>(std::string_view service)> soleVersion;
+    /**
+     * Waits for a list of servers that is complete as of an instant later than the given one;
+     * returns false if there is none in time. Without this function, no sole version counts.
+     */
+    std::function<boost::asio::awaitable<bool>(Milliseconds than, Milliseconds endAt)> awaitServers;
 };
 
 /**
@@ -63,9 +68,14 @@
      *
      * What this host recorded or was told decides; then what peers know, for which this waits for
      * RunVersionExchange::askTimeout at most; then the only version of the service, if no other one
-     * was in service recently.
+     * was in service recently. That counts only by a list of servers that is newer than this call:
+     * the peers of a host that is out of step don't answer, and an older list may lack the servers
+     * that began the stream. This waits for such a list.
+     *
+     * @param endAt when to stop waiting, on the clock of this object.
      */
-    boost::asio::awaitable<std::optional<SoftwareVersion>> find(RunKey run, std::string service);
+    boost::asio::awaitable<std::optional<SoftwareVersion>> find(RunKey run, std::string service,
+                                                                Milliseconds endAt);
     /**
      * As find(), but only what hosts recorded counts. The sole version of a service says nothing of
      * a stream that may have begun at another service.
@@ -95,6 +105,7 @@
     RunLookup lookUp(const RunKey &run, std::string_view service);
     boost::asio::awaitable<RunLookup> search(RunKey run, std::string service);
 
+    Clock clock;
     RunVersionsHooks hooks;
     RunTable ownRuns;
     RunTable peerRuns;
--- a/packages/gateway/tests/runhosts.h
+++ b/packages/gateway/tests/runhosts.h
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -51,7 +52,7 @@
                                                              + std::to_string(++this->startCount)));
         host->runs = std::make_unique<RunVersions>(Clock::steady(), RunVersionsOptions{64});
         host->exchange = std::make_unique<RunVersionExchange>(*host->entry, this->context,
-                                                              this->makeHooks());
+                                                              this->makeHooks(*host));
         RunVersionsHooks hooks;
         hooks.tell = [exchange = host->exchange.get()](const RunKey &run,
                                                        const std::string &service,
@@ -64,6 +65,13 @@
         hooks.soleVersion = [state = host.get()](std::string_view) {
             return state->soleVersion;
         };
+        host->servers = std::make_unique<ListConfirmations>(this->context, Clock::steady());
+        hooks.awaitServers = [this, state = host.get()](Milliseconds than, Milliseconds endAt) {
+            if (!state->isCutOff)
+                boost::asio::co_spawn(this->context, RunHosts::readServers(*state),
+                                      boost::asio::detached);
+            return state->servers->waitForNewer(than, endAt);
+        };
         host->runs->setHooks(std::move(hooks));
         host->replicator = std::make_unique<RunReplicator>(
                 *host->entry, this->context, *host->exchange,
@@ -133,7 +141,8 @@
         boost::asio::co_spawn(
                 this->context,
                 [&]() -> boost::asio::awaitable<void> {
-                    found = co_await this->hosts[host]->runs->find(keyOf(run), service);
+                    found = co_await this->hosts[host]->runs->find(
+                            keyOf(run), service, Clock::steady().now() + findTimeout);
                     hasEnded = true;
                 },
                 boost::asio::detached);
@@ -146,6 +155,9 @@
     /** Returns what a host knows of the streams. */
     RunVersions &runs(std::size_t host) { return *this->hosts[host]->runs; }
 
+    /** How long a search may take, in milliseconds. */
+    static constexpr Milliseconds findTimeout{400};
+
     /** A host; the exchanges of stopped ones may still be in progress. */
     struct Host
     {
@@ -153,7 +165,13 @@
         std::unique_ptr<RunVersions> runs;
         std::unique_ptr<RunVersionExchange> exchange;
         std::unique_ptr<RunReplicator> replicator;
+        std::unique_ptr<ListConfirmations> servers;
+        /** The sole version by the list of servers that this host knows. */
         std::optional<SoftwareVersion> soleVersion;
+        /** What becomes of soleVersion by the next list. */
+        std::function<void()> onServersRead;
+        /** Whether it reaches neither the store nor other hosts. */
+        bool isCutOff = false;
         bool isReplicating = false;
         bool isGone = false;
         bool isSilent = false;
@@ -171,24 +189,39 @@
         co_await timer.async_wait(boost::asio::use_awaitable);
     }
 
-    RunExchangeHooks makeHooks()
+    /** Reads the list of servers once, as of an instant later than the present one. */
+    static boost::asio::awaitable<void> readServers(Host &host)
+    {
+        co_await RunHosts::pause(Milliseconds(3));
+        const Milliseconds requestedAt = Clock::steady().now();
+        co_await RunHosts::pause(Milliseconds(3));
+        if (host.onServersRead)
+            host.onServersRead();
+        host.servers->confirm(requestedAt);
+    }
+
+    /** Returns the functions by which a host reaches the others. */
+    RunExchangeHooks makeHooks(const Host &from)
     {
         RunExchangeHooks hooks;
-        hooks.tell = [this](std::string address, RunVersionUpdate update, Milliseconds timeout,
-                            Error &) -> boost::asio::awaitable<bool> {
+        hooks.tell = [this, &from](std::string address, RunVersionUpdate update,
+                                   Milliseconds timeout, Error &) -> boost::asio::awaitable<bool> {
             Host &host = *this->hosts[std::stoul(address)];
             ++host.updates;
-            co_await RunHosts::pause(host.isSilent ? timeout : Milliseconds(3));
-            if (host.isGone || host.isSilent)
+            const bool isUnreachable = host.isSilent || host.isCutOff || from.isCutOff;
+            co_await RunHosts::pause(isUnreachable ? timeout : Milliseconds(3));
+            if (host.isGone || isUnreachable)
                 co_return false;
             co_return host.runs->recordUpdate(update).has_value();
         };
-        hooks.ask = [this](std::string address, RunVersionRequest request, Milliseconds timeout,
-                           Error &) -> boost::asio::awaitable<std::optional<RunVersionReply>> {
+        hooks.ask = [this,
+                     &from](std::string address, RunVersionRequest request, Milliseconds timeout,
+                            Error &) -> boost::asio::awaitable<std::optional<RunVersionReply>> {
             Host &host = *this->hosts[std::stoul(address)];
             ++host.requests;
-            co_await RunHosts::pause(host.isSilent ? timeout : Milliseconds(3));
-            if (host.isGone || host.isSilent)
+            const bool isUnreachable = host.isSilent || host.isCutOff || from.isCutOff;
+            co_await RunHosts::pause(isUnreachable ? timeout : Milliseconds(3));
+            if (host.isGone || isUnreachable)
                 co_return std::nullopt;
             co_return host.runs->answer(request);
         };
--- a/packages/gateway/tests/test_runversionexchange.cpp
+++ b/packages/gateway/tests/test_runversionexchange.cpp
@@ -119,6 +119,55 @@
         REQUIRE(hosts.find(1, run) == v1);
 }
 
+// Guards against a stream of a new version that continues on the old one at a host that was cut off
+// or stood still while servers of the new version joined.
+TEST_CASE("A host that is out of step does not go by its old list of servers", "[runs]")
+{
+    RunHosts hosts(6);
+    const auto joinVersions = [&hosts](std::size_t host) {
+        hosts.hosts[host]->soleVersion = std::nullopt;
+    };
+    for (std::size_t host = 0; host < hosts.hosts.size(); ++host)
+        hosts.hosts[host]->soleVersion = v1;
+    hosts.hosts[1]->isCutOff = true;
+    hosts.hosts[1]->onServersRead = [&] {
+        joinVersions(1);
+    };
+    joinVersions(0);
+    for (int run = 0; run < 5; ++run)
+        hosts.runs(0).record(keyOf(run), "service", v2);
+    hosts.runFor(Milliseconds(60));
+    for (int run = 0; run < 5; ++run)
+        REQUIRE_FALSE(hosts.find(1, run));
+
+    SECTION("in touch again, it asks the other hosts")
+    {
+        hosts.hosts[1]->isCutOff = false;
+        for (int run = 0; run < 5; ++run)
+            REQUIRE(hosts.find(1, run) == v2);
+    }
+    SECTION("in touch with the store only, it learns that there are two versions")
+    {
+        hosts.hosts[1]->isCutOff = false;
+        for (std::size_t host = 0; host < hosts.hosts.size(); ++host)
+            hosts.hosts[host]->isSilent = host != 1;
+        for (int run = 0; run < 5; ++run)
+            REQUIRE_FALSE(hosts.find(1, run));
+    }
+}
+
+// Guards against streams that are lost although the list of a host in touch proves their version.
+TEST_CASE("The sole version of a list that is newer than the call counts", "[runs]")
+{
+    RunHosts hosts(3);
+    hosts.hosts[1]->soleVersion = v1;
+    for (std::size_t host = 0; host < hosts.hosts.size(); ++host)
+        hosts.hosts[host]->isSilent = host != 1;
+    for (int run = 0; run < 5; ++run)
+        REQUIRE(hosts.find(1, run) == v1);
+    REQUIRE(hosts.hosts[1]->servers->waitingCount() == 0);
+}
+
 // Guards against a caller who has used one identifier for streams of two versions.
 TEST_CASE("A stream for which hosts state different versions is not attributed", "[runs]")
 {
--- a/packages/gateway/tests/test_runversions.cpp
+++ b/packages/gateway/tests/test_runversions.cpp
@@ -105,8 +105,8 @@
     std::optional<SoftwareVersion> unknown = SoftwareVersion("unset");
     boost::asio::io_context context;
     const auto search = [&]() -> boost::asio::awaitable<void> {
-        known = co_await versions.find(keyOf(1), "plan");
-        unknown = co_await versions.find(keyOf(2), "plan");
+        known = co_await versions.find(keyOf(1), "plan", *now);
+        unknown = co_await versions.find(keyOf(2), "plan", *now);
     };
     boost::asio::co_spawn(context, search, boost::asio::detached);
     context.run();
