--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -203,12 +203,10 @@
     , reachability(this->dispatch, this->clock)
     , limiter(this->entry, this->dispatch, this->clock)
     , runVersions(this->clock)
-    , services{this->context,       this->entry,
-               this->dispatch,      this->serving,
-               this->servers,       this->serverConnections,
-               this->retryBudget,   this->reachability,
-               this->limiter,       this->runVersions,
-               platformCallCodec(), platformEngineCalls(this->context),
+    , services{this->context,     this->entry,         this->dispatch,
+               this->serving,     this->servers,       this->serverConnections,
+               this->retryBudget, this->reachability,  this->limiter,
+               this->runVersions, platformCallCodec(), platformEngineCalls(this->context),
                this->clock}
     , gateway(this->services)
     , store(this->settings.storeEndpoint, this->storeConnections)
