Discard the body of a skipped response as it is read

A backend server that answered a call with a response to another call, and sent its body without end, made the host hold up to 4 MB for each call, outside AnswerMemoryBudget. 24 such calls at once ended a host of 88 MB, and the requests of all its other callers with it.

The body was read with HttpConnection::readAll() only to be dropped. It is now discarded as it is read, up to 4 MB and the time of the attempt; beyond them the connection is closed and the outcome is unknown.

--- a/packages/gateway/relay/backendattempt.cpp
+++ b/packages/gateway/relay/backendattempt.cpp
@@ -29,6 +29,8 @@
 constexpr Milliseconds idempotentMaximumIdle{30000};
 /** How many responses to earlier calls are skipped before the connection is closed. */
 constexpr int maximumSkippedAnswers = 3;
+/** The largest body of a response to an earlier call that is skipped; it is not held. */
+constexpr std::size_t maximumSkippedBytes = maximumAnswerBytes;
 constexpr Milliseconds crashCheckTimeout{200};
 
 Milliseconds connectTimeout(const Route &route)
@@ -44,6 +46,40 @@
     return mayRunTwice ? idempotentMaximumIdle : nonIdempotentMaximumIdle;
 }
 
+/**
+ * Reads the rest of a body without holding it, until a time. Fails with ProtocolViolation if it is
+ * larger than maximumSkippedBytes. The connection is closed on failure.
+ */
+net::awaitable<bool> discardBody(HttpConnection &connection,
+                                 std::chrono::steady_clock::time_point end, Error &reason)
+{
+    std::size_t discarded = 0;
+    while (discarded <= maximumSkippedBytes) {
+        const auto left =
+                std::chrono::duration_cast<Milliseconds>(end - std::chrono::steady_clock::now());
+        if (left <= Milliseconds(0)) {
+            reason = {ErrorCode::Timeout,
+                      RunState::OutcomeUnknown,
+                      "no response before the end of a skipped one",
+                      {}};
+            connection.close();
+            co_return false;
+        }
+        const auto bytes = co_await connection.read(left, reason);
+        if (!bytes)
+            co_return false;
+        if (bytes->empty())
+            co_return true;
+        discarded += bytes->size();
+    }
+    reason = {ErrorCode::ProtocolViolation,
+              RunState::OutcomeUnknown,
+              "a response to an earlier call is too large to be skipped",
+              {}};
+    connection.close();
+    co_return false;
+}
+
 AttemptOutcome toOutcome(const Error &failure)
 {
     return failure.runState == RunState::NotRun ? AttemptOutcome::NotSent : AttemptOutcome::Unknown;
@@ -175,9 +211,8 @@
             result.outcome = AttemptOutcome::Unknown;
             co_return result;
         }
-        const auto skippedBody =
-                co_await this->connection->readAll(maximumAnswerBytes, timeLeft(), result.failure);
-        if (!skippedBody) {
+        const bool isSkipped = co_await discardBody(*this->connection, end, result.failure);
+        if (!isSkipped) {
             response.reset();
             result.failure.runState = RunState::OutcomeUnknown;
             break;
--- a/packages/gateway/tests/test_misbehavingservers.cpp
+++ b/packages/gateway/tests/test_misbehavingservers.cpp
@@ -209,6 +209,29 @@
     }
 }
 
+// Guards against a host that is killed because it holds the endless responses that it skips.
+TEST_CASE("A hundred skipped responses without an end use little memory", "[troubled]")
+{
+    constexpr std::size_t maximumGrowth = 48U << 20U;
+    const std::string block(8192, 'x');
+    const std::string head = "HTTP/1.1 200 OK\r\nId: another\r\nSignature: s\r\n";
+    const EndlessAnswer unframed{"until the close", head + "\r\n", block};
+    const EndlessAnswer chunked{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n",
+                                chunk(block)};
+    for (const EndlessAnswer &answer : {unframed, chunked}) {
+        CAPTURE(answer.name);
+        GatewayFixture fixture;
+        fixture.addRoute(makeRoute(CallKind::NonIdempotent));
+        fixture.addRawServer("a", sendEndlessly(answer.prefix, answer.repeated));
+        const std::size_t before = peakResidentBytes();
+        for (const HttpResponse &response : fixture.callConcurrently("/route/1", 100))
+            REQUIRE((response.status == 502 || response.status == 504));
+        const std::size_t after = peakResidentBytes();
+        REQUIRE(after > 0);
+        REQUIRE(after < before + maximumGrowth);
+    }
+}
+
 // Guards against a duplicate response that is taken for the response to the next call.
 TEST_CASE("A duplicate response is not used for the next call", "[troubled]")
 {
