Bound the sum of the request bodies that are in progress

Ten callers that sent bodies of 4 MB at once ended a host of 110 MB, and the requests of its other callers with it. Nothing bounded the sum of the bodies, and each was held by the parser, the request, the forwarded copy and the written message, the last one also while the connection was kept idle.

The server now reads the header first and refuses an announced body that does not fit beside the others with a 503 and Retry-After, before it is read. Bytes are reserved as they arrive, 12 MB for all, so a caller that announces a body and sends none holds nothing back. Bodies up to 4 KB don't count. The body is moved from the parser, and a written message is released.

The read buffer of a caller's connection has a maximum size, because nothing else bounds a chunk extension or a trailer. Its new test passes; it was not run on the code without the change.

--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -281,6 +281,22 @@
         return answers;
     }
 
+    /** Makes the gateway listen and returns where. */
+    Endpoint callerEndpoint()
+    {
+        this->listen();
+        return {"127.0.0.1", this->port()};
+    }
+
+    /** Starts a coroutine that runs during runOne(). */
+    void spawn(std::function<boost::asio::awaitable<void>()> work)
+    {
+        boost::asio::co_spawn(this->context, std::move(work), boost::asio::detached);
+    }
+
+    /** Runs one handler. */
+    void runOne() { this->context.run_one(); }
+
     /** Sends a call through the gateway and runs until it has ended. */
     HttpResponse call(const std::string &path, const std::string &id, HttpHeaders headers = {})
     {
--- a/packages/gateway/tests/test_misbehavingservers.cpp
+++ b/packages/gateway/tests/test_misbehavingservers.cpp
@@ -2,12 +2,15 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <fstream>
+#include <vector>
 
 using namespace sassafrasyard;
 
@@ -122,6 +125,49 @@
     return 0;
 }
 
+/** Reads a request to its end without keeping the body, then answers after a pause. */
+net::awaitable<void> discardAndAnswer(tcp::socket &socket)
+{
+    std::string head;
+    std::size_t received = 0;
+    std::size_t expected = std::string::npos;
+    std::vector<char> bytes(65536);
+    boost::system::error_code code;
+    while (!code && received < expected) {
+        const std::size_t count = co_await socket.async_read_some(
+                net::buffer(bytes), net::redirect_error(net::use_awaitable, code));
+        received += count;
+        if (expected != std::string::npos)
+            continue;
+        head.append(bytes.data(), count);
+        const std::size_t end = head.find("\r\n\r\n");
+        if (end != std::string::npos)
+            expected = end + 4 + std::stoull(headerValue(head, "Content-Length"));
+    }
+    co_await GatewayFixture::pause(Milliseconds(100));
+    co_await send(socket, makeAnswer(headerValue(head, "Id"), "done"));
+}
+
+/** Sends a request with a body that is not held here. @return the start of the response. */
+net::awaitable<std::string> upload(Endpoint endpoint, std::string id, std::size_t bodyBytes)
+{
+    boost::system::error_code code;
+    tcp::socket socket(co_await net::this_coro::executor);
+    const tcp::endpoint address(net::ip::make_address(endpoint.address), endpoint.port);
+    co_await socket.async_connect(address, net::redirect_error(net::use_awaitable, code));
+    const std::string head = "POST /route/1 HTTP/1.1\r\nHost: h\r\nKey: key\r\nId: " + id
+            + "\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n";
+    co_await send(socket, head);
+    const std::string block(8192, 'x');
+    bool isOpen = true;
+    for (std::size_t sent = 0; isOpen && sent < bodyBytes; sent += block.size())
+        isOpen = co_await send(socket, block.substr(0, std::min(block.size(), bodyBytes - sent)));
+    std::array<char, 4096> bytes{};
+    const std::size_t count = co_await socket.async_read_some(
+            net::buffer(bytes), net::redirect_error(net::use_awaitable, code));
+    co_return std::string(bytes.data(), count);
+}
+
 struct EndlessAnswer
 {
     const char *name;
@@ -232,6 +278,52 @@
     }
 }
 
+// Guards against a host with 110 MB of memory that is killed by large bodies within its limits.
+TEST_CASE("Large bodies at once are bounded in their sum", "[troubled]")
+{
+    constexpr int callCount = 30;
+    constexpr std::size_t bodyBytes = (4U << 20U) - 1024;
+    constexpr std::size_t maximumGrowth = 64U << 20U;
+    GatewayFixture fixture;
+    Route route = makeRoute(CallKind::NonIdempotent);
+    route.timeout = Milliseconds(8000);
+    fixture.addRoute(route);
+    fixture.addRawServer("a", discardAndAnswer);
+    const Endpoint endpoint = fixture.callerEndpoint();
+    const std::size_t before = peakResidentBytes();
+    int ended = 0;
+    int answered = 0;
+    int refused = 0;
+    const auto start = [&](const std::string &id, std::size_t bytes) {
+        fixture.spawn([&, id, bytes]() -> net::awaitable<void> {
+            const std::string response = co_await upload(endpoint, id, bytes);
+            answered += response.starts_with("HTTP/1.1 200") ? 1 : 0;
+            const bool isRefused = response.starts_with("HTTP/1.1 503")
+                    && !headerValue(response, "Retry-After").empty();
+            refused += isRefused ? 1 : 0;
+            ++ended;
+        });
+    };
+    for (int number = 0; number < callCount; ++number)
+        start("large-" + std::to_string(number), bodyBytes);
+    while (ended < callCount)
+        fixture.runOne();
+    const std::size_t after = peakResidentBytes();
+    CAPTURE(answered, refused, before, after);
+    CHECK(answered > 0);
+    CHECK(refused > 0);
+    CHECK(answered + refused == callCount);
+    CHECK(after < before + maximumGrowth);
+    // What was reserved is free again.
+    start("afterwards", bodyBytes);
+    while (ended < callCount + 1)
+        fixture.runOne();
+    // The handler of the last call returns after its caller has received the response.
+    fixture.runFor(Milliseconds(100));
+    CHECK(answered + refused == callCount + 1);
+    CHECK(refused < callCount);
+}
+
 // Guards against a duplicate response that is taken for the response to the next call.
 TEST_CASE("A duplicate response is not used for the next call", "[troubled]")
 {
--- a/packages/network/http/httpconnection.cpp
+++ b/packages/network/http/httpconnection.cpp
@@ -147,6 +147,8 @@
                           [self = this->shared_from_this()](error_code code, std::size_t bytes) {
                               self->isWritten = !code;
                               self->writtenBytes = bytes;
+                              // The connection may be kept for long; its request is not.
+                              self->message = Message();
                           });
     }
 
--- a/packages/network/http/httpserver.cpp
+++ b/packages/network/http/httpserver.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <cassert>
@@ -46,14 +47,32 @@
     return net::redirect_error(net::use_awaitable, code);
 }
 
-HttpRequest toRequest(const http::request<http::string_body> &parsed)
+/**
+ * The largest sum of the bodies of requests in progress of a server, in bytes. Each is held up to
+ * three times while it is forwarded, so this is about a third of the smallest hosts' memory.
+ */
+constexpr std::size_t maximumTotalBodyBytes = 12U << 20U;
+
+/** Bodies up to this size are not counted: they need no more memory than their header. */
+constexpr std::size_t uncountedBodyBytes = 4096;
+
+/** How long a caller waits after a refusal for memory; large bodies are usually held for less. */
+constexpr Milliseconds bodyRetryAfter{1000};
+
+/** The least size of the buffer for bytes outside the body; twice the header if that is larger. */
+constexpr std::size_t minimumBufferBytes = 128U << 10U;
+
+using RequestParser = http::request_parser<http::string_body>;
+
+/** Takes the parts of a parsed request; the body is moved. */
+HttpRequest toRequest(http::request<http::string_body> parsed)
 {
     HttpRequest request;
     request.method = std::string(parsed.method_string());
     request.target = std::string(parsed.target());
     for (const auto &field : parsed)
         request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    request.body = parsed.body();
+    request.body = std::move(parsed.body());
     return request;
 }
 
@@ -70,6 +89,9 @@
         return {ErrorCode::HeaderTooLarge, RunState::NotRun, "the header is too large", {}};
     if (code == http::error::body_limit)
         return {ErrorCode::RequestTooLarge, RunState::NotRun, "the body is too large", {}};
+    if (code == net::error::no_memory)
+        return {ErrorCode::Overloaded, RunState::NotRun,
+                "the bodies of other requests take the memory", bodyRetryAfter};
     if (code == beast::error::timeout)
         return {ErrorCode::RequestTimeout,
                 RunState::NotRun,
@@ -313,6 +335,7 @@
     }
 
     class Registration;
+    class BodyReservation;
 
     net::awaitable<void> accept();
     net::awaitable<void> serve(tcp::socket socket);
@@ -320,6 +343,8 @@
     net::awaitable<void> answerFailure(HttpResponder::Connection &connection,
                                        HttpResponder &responder);
     net::awaitable<error_code> awaitRequest(HttpResponder::Connection &connection);
+    net::awaitable<error_code> readRequest(HttpResponder::Connection &connection,
+                                           RequestParser &parser, BodyReservation &reservation);
     void closeIdleConnections();
     HttpServerOptions currentOptions();
 
@@ -331,6 +356,8 @@
     tcp::acceptor acceptor;
     std::atomic<std::size_t> connectionCount = 0;
     std::atomic<bool> isClosing = false;
+    /** The sum of all BodyReservation, in bytes. */
+    std::atomic<std::size_t> bodyBytes = 0;
     std::mutex connectionsMutex;
     /** The open connections, by their address. */
     std::map<const HttpResponder::Connection *, std::weak_ptr<HttpResponder::Connection>>
@@ -364,6 +391,53 @@
     std::shared_ptr<HttpResponder::Connection> connection;
 };
 
+/** The memory that the body of one request takes of the sum for all, until it is destroyed. */
+class HttpServer::Implementation::BodyReservation
+{
+public:
+    /** Creates an empty reservation. */
+    BodyReservation(Implementation &server, const HttpServerOptions &options)
+        : server(server)
+        , limit(std::max(maximumTotalBodyBytes, options.maximumBodyBytes))
+    {
+    }
+
+    ~BodyReservation() { this->server.bodyBytes -= this->reserved; }
+
+    BodyReservation(const BodyReservation &) = delete;
+    BodyReservation &operator=(const BodyReservation &) = delete;
+
+    /** Returns whether a body of this size, in bytes, fits beside those held now. */
+    bool hasRoomFor(std::uint64_t bytes) const
+    {
+        return bytes <= uncountedBodyBytes
+                || (bytes <= this->limit && this->server.bodyBytes <= this->limit - bytes);
+    }
+
+    /**
+     * Raises the reservation. If the sum would exceed its limit, the whole reservation is released
+     * at once, so that the requests beside it go on instead of being refused with it.
+     *
+     * @return whether the sum is within its limit.
+     */
+    bool raiseTo(std::size_t bytes)
+    {
+        if (bytes <= uncountedBodyBytes || bytes <= this->reserved)
+            return true;
+        const std::size_t added = bytes - this->reserved;
+        this->reserved = bytes;
+        if ((this->server.bodyBytes += added) <= this->limit)
+            return true;
+        this->server.bodyBytes -= std::exchange(this->reserved, 0);
+        return false;
+    }
+
+private:
+    Implementation &server;
+    std::size_t limit;
+    std::size_t reserved = 0;
+};
+
 net::awaitable<void> HttpServer::Implementation::accept()
 {
     auto self = this->shared_from_this();
@@ -415,7 +489,8 @@
     if (code)
         co_return false;
     connection.options = this->currentOptions();
-    http::request_parser<http::string_body> parser;
+    BodyReservation reservation(*this, connection.options);
+    RequestParser parser;
     parser.body_limit(connection.options.maximumBodyBytes);
     parser.header_limit(static_cast<std::uint32_t>(connection.options.maximumHeaderBytes));
     if (connection.buffer.size() == 0) {
@@ -428,7 +503,7 @@
     const bool hasReceivedBytes = connection.buffer.size() > 0;
     connection.stream.expires_after(connection.options.readTimeout);
     if (!code)
-        co_await http::async_read(connection.stream, connection.buffer, parser, redirect(code));
+        code = co_await this->readRequest(connection, parser, reservation);
     // A request that was received together with this one is answered as well.
     const bool isLast = this->isClosing && connection.buffer.size() == 0;
     connection.keepAlive = !code && parser.get().keep_alive() && !isLast;
@@ -436,14 +511,15 @@
     if (code) {
         // A connection that times out while idle has sent no request, so it gets no response.
         const bool isSlow = code == beast::error::timeout && hasReceivedBytes;
-        if (isHttpError(code) || isSlow)
+        if (isHttpError(code) || isSlow || code == net::error::no_memory)
             co_await responder.send(this->formatError(readError(code)));
         co_return false;
     }
     connection.stream.expires_never();
     std::exception_ptr failure;
     try {
-        co_await this->handler(toRequest(parser.get()), responder);
+        const HttpRequest request = toRequest(parser.release());
+        co_await this->handler(request, responder);
     } catch (...) {
         failure = std::current_exception();
     }
@@ -456,6 +532,35 @@
     co_return connection.keepAlive;
 }
 
+/**
+ * Reads a request; fails with no_memory if its body does not fit beside those of other requests.
+ *
+ * Bytes are reserved as they arrive, so a caller that announces a body and sends none holds nothing
+ * back from others.
+ */
+net::awaitable<error_code> HttpServer::Implementation::readRequest(
+        HttpResponder::Connection &connection, RequestParser &parser, BodyReservation &reservation)
+{
+    error_code code;
+    // The buffer is all that bounds a chunk extension.
+    connection.buffer.max_size(
+            std::max(minimumBufferBytes, 2 * connection.options.maximumHeaderBytes));
+    co_await http::async_read_header(connection.stream, connection.buffer, parser, redirect(code));
+    if (code)
+        co_return code;
+    const auto announced = parser.content_length();
+    if (announced && !reservation.hasRoomFor(*announced))
+        co_return net::error::no_memory;
+    parser.eager(true);
+    while (!code && !parser.is_done()) {
+        co_await http::async_read_some(connection.stream, connection.buffer, parser,
+                                       redirect(code));
+        if (!code && !reservation.raiseTo(parser.get().body().size()))
+            code = net::error::no_memory;
+    }
+    co_return code;
+}
+
 /** Answers a request whose handler ended with an exception, or cuts the response that it began. */
 net::awaitable<void> HttpServer::Implementation::answerFailure(
         HttpResponder::Connection &connection, HttpResponder &responder)
--- a/packages/network/tests/test_httpserver.cpp
+++ b/packages/network/tests/test_httpserver.cpp
@@ -163,6 +163,19 @@
     CHECK(caller.received.size() > bodyBytes);
 }
 
+// Guards against a caller that fills the memory with a chunk extension or a trailer without an end.
+TEST_CASE("A request whose framing has no end is refused", "[network]")
+{
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string &framing : {std::string("1;x="), std::string("0\r\nX: ")}) {
+        CAPTURE(framing);
+        RawCaller caller(10);
+        caller.exchange({head + framing, std::string(1U << 20U, 'x')}, Milliseconds(0));
+        CHECK(caller.handledCount == 0);
+        CHECK(caller.countOf("HTTP/1.1 431") == 1);
+    }
+}
+
 // Guards against connections that are closed while callers still use them: after a change that
 // raises the idle time, callers keep connections for the new one.
 TEST_CASE("A longer idle time applies to connections that are already idle", "[network]")
