Move a complete answer to the caller instead of copying it

CallRelay held the body of an answer twice more than needed, in the result of the attempt and in its own copy, after the memory budget had been released. The answer is moved now.

--- a/packages/gateway/relay/callrelay.cpp
+++ b/packages/gateway/relay/callrelay.cpp
@@ -46,23 +46,22 @@
         const auto grant = co_await this->place();
         if (!grant)
             break;
-        const AttemptResult result = co_await this->attempt(*grant);
+        AttemptResult result = co_await this->attempt(*grant);
         this->dependencies.dispatch.reportFinished(grant->assignment.request,
                                                    toWorkOutcome(result.outcome));
         this->history.record(result.outcome);
         this->avoided.push_back(grant->server.name);
-        if (result.outcome == AttemptOutcome::Answered)
-            this->answer = result.response;
-        else
-            this->failure = result.failure;
         if (result.outcome != AttemptOutcome::Answered) {
+            this->failure = result.failure;
             recordFailedAttempt(this->dependencies.entry.metrics, this->call, grant->server.name,
                                 result.outcome, result.failure);
         }
         mayContinue = this->mayTryNextServer(result);
+        if (result.outcome == AttemptOutcome::Answered)
+            this->answer = std::move(result.response);
     }
     if (this->answer)
-        co_return *this->answer;
+        co_return std::move(*this->answer);
     const Error error = finalError(this->history, this->failure);
     recordRefusal(this->dependencies.entry.metrics, this->call, error);
     co_return this->dependencies.codec.formatError(error);
