Wait for the answer before a run that was asked to stop continues

Callers saw nothing, but two engines could work on one run: a stream whose connection was lost after its engine had been asked to stop the run was taken for stopped, and went on from the earlier copy before the engine had answered. The connection may have been lost for another reason. ensureRunEnded() now waits for the answer, as it does if the engine had not been asked.

The new test lets the connection end when the request arrives, and loses that request. A switch takes longer by the time for which the engine copies what the target lacks, since it answers after that.

--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -661,15 +661,17 @@
 net::awaitable<bool> EventRelay::ensureRunEnded()
 {
     const bool hasCopy = this->isBackupUsable() || this->refreshedCopy;
-    // After a request to stop the run, the engine closes its stream without its end.
-    if (!this->canAskEngine() || (this->stop && this->stop->hasAsked()))
+    if (!this->canAskEngine() || (this->stop && this->stop->hasEnded()))
         co_return true;
-    if (this->stop && this->stop->hasEnded())
-        co_return true;
-    this->dropStop();
-    if (!hasCopy && !this->call.route->isResumable)
-        co_return true;
-    this->startStop();
+    // An engine that stops a run closes its stream first, but a connection may also be lost for
+    // another reason. So only the answer to the request shows that the run has ended.
+    const bool isAsked = this->stop && this->stop->hasAsked();
+    if (!isAsked) {
+        this->dropStop();
+        if (!hasCopy && !this->call.route->isResumable)
+            co_return true;
+        this->startStop();
+    }
     const RunStop::Result result = co_await this->waitForStop();
     co_return result == RunStop::Result::Ended;
 }
--- a/packages/gateway/state/hostchanges.h
+++ b/packages/gateway/state/hostchanges.h
@@ -6,7 +6,8 @@
 
 namespace sassafrasyard {
 
-/** When planned changes of this host took place; stated in log lines to tell their effects apart. */
+/** When planned changes of this host took place; stated in log lines to tell their effects apart.
+ */
 struct HostChanges
 {
     /** When the configuration in force was applied; nothing before the first one. */
--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -439,6 +439,10 @@
     std::function<RunStopResult(const MoveOrder &)> answerStop = [](const MoveOrder &) {
         return RunStopResult{RunStopResult::State::Stopped, {}, false};
     };
+    /** How long the answers to requests to stop a run take after the engine has acted. */
+    std::function<Milliseconds(const MoveOrder &)> stopAnswerTime = [](const MoveOrder &) {
+        return Milliseconds(0);
+    };
     std::shared_ptr<boost::asio::io_context> ownedContext;
     boost::asio::io_context &context;
 
@@ -522,6 +526,9 @@
                                Error &) -> boost::asio::awaitable<RunStopResult> {
             this->stops.push_back(order);
             RunStopResult answer = this->answerStop(order);
+            const Milliseconds answerTime = this->stopAnswerTime(order);
+            if (answerTime > Milliseconds(0))
+                co_await pause(answerTime);
             co_return answer;
         };
         calls.dropMemory = [](MemoryCopy) -> boost::asio::awaitable<void> {
--- /dev/null
+++ b/packages/gateway/tests/test_runmoves.cpp
@@ -0,0 +1,219 @@
+#include "gatewayfixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace sassafrasyard;
+
+namespace net = boost::asio;
+
+namespace {
+
+constexpr std::uint64_t lastEvent = 150;
+constexpr Milliseconds eventInterval{20};
+/** When the engine of the first run leaves; its backup exists then. */
+constexpr Milliseconds leavesAfter{600};
+
+Route makeStreamRoute()
+{
+    Route route;
+    route.name = "stream";
+    route.pathPrefix = "/stream/";
+    route.kind = CallKind::Stream;
+    route.maximumAttempts = 1;
+    route.timeout = Milliseconds(12'000);
+    route.targetLatency = Milliseconds(500);
+    route.targetPause = Milliseconds(100);
+    return route;
+}
+
+EngineProperties makeEngineProperties()
+{
+    EngineProperties engine;
+    engine.slots = 8;
+    engine.memoryTokens = 100'000;
+    engine.tokensPerEvent = 4;
+    engine.supportsBackup = true;
+    engine.supportsMoves = true;
+    engine.copyLifetime = Milliseconds(2000);
+    return engine;
+}
+
+std::string allEvents()
+{
+    std::string all;
+    for (std::uint64_t number = 1; number <= lastEvent; ++number)
+        all += "id: " + std::to_string(number) + "\ndata: t\n\n";
+    return all;
+}
+
+/**
+ * Engines that keep the memory of a run that they stop. The first one leaves, and its answers to
+ * requests to stop the run may be late or lost.
+ */
+class MovingEngines
+{
+public:
+    explicit MovingEngines(const std::vector<std::string> &names = {"a", "b"})
+    {
+        this->fixture.addRoute(makeStreamRoute(), makeEngineProperties());
+        for (const std::string &name : names) {
+            this->fixture.addServer(name,
+                                    [this, name](const HttpRequest &request,
+                                                 HttpResponder &responder) -> net::awaitable<void> {
+                                        co_await this->handle(name, request, responder);
+                                    });
+        }
+        this->fixture.answerStop = [this](const MoveOrder &order) {
+            return this->stop(order);
+        };
+        this->fixture.stopAnswerTime = [this](const MoveOrder &) {
+            return this->answerTime;
+        };
+        this->fixture.allowsMove = [](const MoveOrder &) {
+            return false;
+        };
+    }
+
+    /** Sends the call of the test. @return its response. */
+    HttpResponse call() { return this->fixture.call("/stream/", "r1", {{"Patience", "12000"}}); }
+
+    /** How long the answer to a request to stop the run takes. */
+    Milliseconds answerTime{0};
+    /**
+     * Whether the first request to stop the run gets no answer and does not stop it, and the stream
+     * loses its connection.
+     */
+    bool losesFirstRequest = false;
+    /** How long a continuation takes until its response begins. */
+    Milliseconds headerTime{0};
+    /** The names of the copies from which an engine continues: "r1" is that of the backup. */
+    std::set<std::string> usableCopies{"kept"};
+    /** The engines in the order in which they ran the call. */
+    std::vector<std::string> runs;
+    /** The largest number of engines that worked on the run at once. */
+    std::size_t mostAtOnce = 0;
+    GatewayFixture fixture;
+
+private:
+    net::awaitable<void> handle(const std::string &name, const HttpRequest &request,
+                                HttpResponder &responder)
+    {
+        const auto source = findHeader(request.headers, "Source");
+        if (source && !this->usableCopies.contains(*source)) {
+            HttpResponse refusal = GatewayFixture::refusal(request);
+            co_await responder.send(std::move(refusal));
+            co_return;
+        }
+        const bool isFirst = this->runs.empty();
+        this->runs.push_back(name);
+        this->stopped.erase(name);
+        this->working.insert(name);
+        this->mostAtOnce = std::max(this->mostAtOnce, this->working.size());
+        if (isFirst)
+            this->leaveLater(name);
+        else
+            co_await GatewayFixture::pause(this->headerTime);
+        co_await this->work(name, request, responder);
+        this->working.erase(name);
+    }
+
+    void leaveLater(const std::string &name)
+    {
+        net::co_spawn(
+                this->fixture.context,
+                [this, name]() -> net::awaitable<void> {
+                    co_await GatewayFixture::pause(leavesAfter);
+                    this->fixture.markLeaving(name);
+                },
+                net::detached);
+    }
+
+    net::awaitable<void> work(const std::string &name, const HttpRequest &request,
+                              HttpResponder &responder)
+    {
+        const HttpHeaders headers = GatewayFixture::signedAnswer(request).headers;
+        bool isOpen = co_await responder.startStream(200, headers);
+        std::uint64_t number = std::stoull(findHeader(request.headers, "Last").value_or("0"));
+        while (number < lastEvent && !this->stopped.contains(name)) {
+            ++number;
+            co_await GatewayFixture::pause(eventInterval);
+            if (isOpen && this->disconnected.erase(name) > 0) {
+                responder.abort();
+                isOpen = false;
+            }
+            if (isOpen) {
+                const std::string text = "id: " + std::to_string(number) + "\ndata: t\n\n";
+                isOpen = co_await responder.write(text);
+            }
+        }
+        if (isOpen && number == lastEvent)
+            co_await responder.finish();
+        else
+            responder.abort();
+    }
+
+    RunStopResult stop(const MoveOrder &order)
+    {
+        RunStopResult result;
+        result.state = RunStopResult::State::Stopped;
+        const std::string name = this->nameOf(order.sourceAddress);
+        if (!this->working.contains(name))
+            return result;
+        if (std::exchange(this->losesFirstRequest, false)) {
+            this->disconnected.insert(name);
+            result.state = RunStopResult::State::Unknown;
+            return result;
+        }
+        this->stopped.insert(name);
+        this->working.erase(name);
+        result.memory = MemoryCopy{order.sourceAddress, "kept"};
+        return result;
+    }
+
+    std::string nameOf(const std::string &address)
+    {
+        for (const std::string name : {"a", "b", "c"}) {
+            if (this->fixture.addressOf(name) == address)
+                return name;
+        }
+        return {};
+    }
+
+    std::set<std::string> working;
+    std::set<std::string> stopped;
+    /** The engines that close the connection of their stream and work on. */
+    std::set<std::string> disconnected;
+};
+
+} // namespace
+
+// Guards against a run on two engines at once, because the connection to the first one was lost for
+// another reason after that was asked to stop the run.
+TEST_CASE("A run continues elsewhere after the answer to the request to stop it", "[runmoves]")
+{
+    MovingEngines engines;
+    engines.usableCopies = {"r1", "kept"};
+    engines.answerTime = Milliseconds(300);
+    engines.losesFirstRequest = true;
+    REQUIRE(engines.call().body == allEvents());
+    REQUIRE(engines.mostAtOnce == 1);
+    REQUIRE(engines.runs.size() == 2);
+    REQUIRE(engines.runs[0] != engines.runs[1]);
+    REQUIRE(engines.fixture.stops.size() == 2);
+}
+
+// Guards against a request to an engine that has been leaving for longer than the drain time.
+TEST_CASE("A stopped run does not return after the drain time", "[runmoves]")
+{
+    MovingEngines engines;
+    engines.answerTime = Milliseconds(2100);
+    REQUIRE(engines.call().status == 0);
+    REQUIRE(engines.runs.size() == 1);
+    REQUIRE(engines.fixture.callCount(engines.runs[0]) == 1);
+}
