Don't cancel a continuation that has no response yet

A stream went on at a second engine, whose response took longer than 200 ms, and was cancelled there: the end of the request to stop the former run starts the time after which the stream of that run is closed, and the time ended while the next part waited for its response. The call was then sent to a further engine, although the second one may have begun the run. A part now begins without that time.

The new test lets the answer to the request come after the stream has ended and the continuation take 600 ms.

--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -207,6 +207,8 @@
     if (!this->backup)
         co_await this->reserveBackup(this->placement);
     const Milliseconds now = this->dependencies.clock.now();
+    // The end of a request to stop the former run may have set it.
+    this->silenceWatch.restart(std::nullopt);
     this->splitter.clear();
     this->partFirstEventAt.reset();
     this->partStartedAt = now;
--- a/packages/gateway/tests/test_runmoves.cpp
+++ b/packages/gateway/tests/test_runmoves.cpp
@@ -208,6 +208,20 @@
     REQUIRE(engines.fixture.stops.size() == 2);
 }
 
+// Guards against a continuation that is cancelled before its response, because the host closes the
+// stream of the stopped run a moment after the request to stop it.
+TEST_CASE("A continuation has its time until the response begins", "[runmoves]")
+{
+    MovingEngines engines;
+    engines.usableCopies = {"r1", "kept"};
+    engines.answerTime = Milliseconds(100);
+    engines.headerTime = Milliseconds(600);
+    REQUIRE(engines.call().body == allEvents());
+    REQUIRE(engines.mostAtOnce == 1);
+    REQUIRE(engines.runs.size() == 2);
+    REQUIRE(engines.runs[0] != engines.runs[1]);
+}
+
 // Guards against a request to an engine that has been leaving for longer than the drain time.
 TEST_CASE("A stopped run does not return after the drain time", "[runmoves]")
 {
