Log and count requests that are refused while they are read

A body that does not fit beside those of other requests got its 503 without a line in the log and without a count, like every other request that could not be read; found by review.

--- a/packages/gateway/relay/gatewayservice.cpp
+++ b/packages/gateway/relay/gatewayservice.cpp
@@ -68,7 +68,7 @@
               [this](const HttpRequest &request, HttpResponder &responder) {
                   return this->handle(request, responder);
               },
-              dependencies.codec.formatError)
+              [this](const Error &error) { return this->refuseUnread(error); })
     , random(RandomSource::fromSystem())
 {
     dependencies.serving.addListener([this](const ServingConfiguration &configuration) {
@@ -77,6 +77,15 @@
     });
 }
 
+/** Records and formats the response to a request that could not be read. */
+HttpResponse GatewayService::refuseUnread(const Error &error) const
+{
+    logEvent(LogEvent::CallRefused, "request", "", "reason", toString(error.code), "run_state",
+             toString(error.runState), "detail", error.detail);
+    recordRefusal(this->dependencies.entry.metrics, error.code, error.runState);
+    return this->dependencies.codec.formatError(error);
+}
+
 bool GatewayService::listen(const Endpoint &endpoint, std::size_t maximumConnections, Error &reason)
 {
     this->serverOptions.maximumConnections = maximumConnections;
--- a/packages/gateway/relay/gatewayservice.h
+++ b/packages/gateway/relay/gatewayservice.h
@@ -52,6 +52,7 @@
     void describeWork(RoutedCall &call);
     boost::asio::awaitable<void> run(RoutedCall &call, HttpResponder &responder);
     void applyLimits(const CallerLimits &limits);
+    HttpResponse refuseUnread(const Error &error) const;
     void refuseWaiting(std::span<const RequestName> names);
 
     GatewayDependencies &dependencies;
