Show that a run may not return to its leaving engine for the drain time

Two tests fail: a run returns for 1 s after an event has shown the leaving instead of for the time for which the engine serves.

--- a/packages/gateway/tests/test_runmoves.cpp
+++ b/packages/gateway/tests/test_runmoves.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+/** The number of the event before which the first engine is silent. */
+constexpr std::uint64_t silentBefore = 30;
 constexpr std::uint64_t lastEvent = 150;
 constexpr Milliseconds eventInterval{20};
 /** When the engine of the first run leaves; its backup exists then. */
@@ -90,6 +92,8 @@
      * loses its connection.
      */
     bool losesFirstRequest = false;
+    /** How long the first run is silent once its engine leaves. */
+    Milliseconds silence{0};
     /** How long a continuation takes until its response begins. */
     Milliseconds headerTime{0};
     /** The names of the copies from which an engine continues: "r1" is that of the backup. */
@@ -119,7 +123,7 @@
             this->leaveLater(name);
         else
             co_await GatewayFixture::pause(this->headerTime);
-        co_await this->work(name, request, responder);
+        co_await this->work(name, isFirst, request, responder);
         this->working.erase(name);
     }
 
@@ -134,7 +138,7 @@
                 net::detached);
     }
 
-    net::awaitable<void> work(const std::string &name, const HttpRequest &request,
+    net::awaitable<void> work(const std::string &name, bool isFirst, const HttpRequest &request,
                               HttpResponder &responder)
     {
         const HttpHeaders headers = GatewayFixture::signedAnswer(request).headers;
@@ -142,6 +146,8 @@
         std::uint64_t number = std::stoull(findHeader(request.headers, "Last").value_or("0"));
         while (number < lastEvent && !this->stopped.contains(name)) {
             ++number;
+            if (isFirst && number == silentBefore)
+                co_await GatewayFixture::pause(this->silence);
             co_await GatewayFixture::pause(eventInterval);
             if (isOpen && this->disconnected.erase(name) > 0) {
                 responder.abort();
@@ -231,3 +237,26 @@
     REQUIRE(engines.runs.size() == 1);
     REQUIRE(engines.fixture.callCount(engines.runs[0]) == 1);
 }
+
+// Guards against a stream that is cut although its stopped run could go on in the memory of its
+// leaving engine, because the answer to the request to stop was late.
+TEST_CASE("A stopped run returns to its leaving engine within the drain time", "[drain]")
+{
+    MovingEngines engines;
+    engines.answerTime = Milliseconds(1200);
+    REQUIRE(engines.call().body == allEvents());
+    REQUIRE(engines.runs.size() == 2);
+    REQUIRE(engines.runs[0] == engines.runs[1]);
+    REQUIRE(engines.mostAtOnce == 1);
+}
+
+// Guards against a drain time that begins with the next event instead of with the leaving.
+TEST_CASE("A run that can't return any more is not stopped without a complete copy", "[drain]")
+{
+    MovingEngines engines;
+    engines.silence = Milliseconds(1700);
+    engines.answerTime = Milliseconds(700);
+    REQUIRE(engines.call().body == allEvents());
+    REQUIRE(engines.runs.size() == 1);
+    REQUIRE(engines.fixture.stops.empty());
+}
