Let events and answers of an engine outweigh the lack of others

A stream was closed while its events arrived: a silent engine that did not answer the request to stop its run counted as ended, also if it went on meanwhile. And one lost answer of an engine without an entry counted as its end, although some engines remove their entries and serve on, and full ones reset new connections.

An event now withdraws a probe, and an end that the engine has not confirmed; any answer, such as 409, shows that the process runs; a missing entry counts only after 1.5 s without an answer. A request to stop that is still choosing its target keeps the backup that it holds when the connection is lost. Found by review.

--- a/packages/gateway/calls/enginecalls.h
+++ b/packages/gateway/calls/enginecalls.h
@@ -47,6 +47,8 @@
     std::optional<MemoryCopy> memory;
     /** Whether the target of the order has a complete copy of the memory too. */
     bool isCopied = false;
+    /** Whether the engine answered, which shows that its process runs. */
+    bool hasAnswered = false;
 };
 
 /**
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -286,9 +286,7 @@
     this->recordPause(now);
     if (!this->partFirstEventAt)
         this->partFirstEventAt = now;
-    // An engine that sends events needs no probe; a result that comes later would be outdated.
-    if (this->stop && this->stop->isProbe())
-        this->dropStop();
+    this->recordDelivery();
     this->watchSilence();
     if (batch.lastEvent)
         this->lastEvent = batch.lastEvent;
@@ -671,8 +669,8 @@
         co_return true;
     // An engine that stops a run closes its stream first, but a connection may also be lost for
     // another reason. So only the answer to the request shows that the run has ended.
-    const bool isAsked = this->stop && this->stop->hasAsked();
-    if (!isAsked) {
+    const bool isStopping = this->stop && !this->stop->isProbe();
+    if (!isStopping) {
         this->dropStop();
         if (!hasCopy && !this->call.route->isResumable)
             co_return true;
@@ -791,6 +789,20 @@
     this->watchSilence();
 }
 
+/**
+ * Takes into account that an event has arrived: the run goes on, whatever the lack of answers to a
+ * probe or to a request to stop it suggests. Only its engine can say that it has ended.
+ */
+void EventRelay::recordDelivery()
+{
+    if (!this->stop || this->stop->isConfirmed())
+        return;
+    if (this->stop->isProbe() || this->stop->hasEnded())
+        this->onStopEnd(RunStop::Result::Declined);
+    else
+        this->stop->recordEvent();
+}
+
 void EventRelay::dropStop()
 {
     if (this->stop)
--- a/packages/gateway/relay/eventrelay.h
+++ b/packages/gateway/relay/eventrelay.h
@@ -92,6 +92,7 @@
     void stopSilentRun();
     void onStopEnd(RunStop::Result result);
     void dropStop();
+    void recordDelivery();
     void watchSilence();
 
     void recordLoss(Milliseconds now);
--- a/packages/gateway/relay/runstop.cpp
+++ b/packages/gateway/relay/runstop.cpp
@@ -60,14 +60,20 @@
     co_return this->isAbandoned ? Result::Declined : this->result;
 }
 
-bool RunStop::hasAsked() const
+bool RunStop::hasEnded() const
 {
-    return this->isAsked;
+    return this->result == Result::Ended;
 }
 
-bool RunStop::hasEnded() const
+bool RunStop::isConfirmed() const
 {
-    return this->result == Result::Ended;
+    return this->hasConfirmed;
+}
+
+void RunStop::recordEvent()
+{
+    this->order.isDelivering = true;
+    this->unansweredSince.reset();
 }
 
 bool RunStop::isProbe() const
@@ -128,7 +134,6 @@
                   "no other engine of the software version is usable");
     }
     while (this->result == Result::Pending && !this->isAbandoned) {
-        this->isAsked = this->order.canStopRuns;
         Error reason;
         const RunStopResult answer = co_await this->ask(reason);
         this->apply(answer, reason);
@@ -225,11 +230,12 @@
     // or its last events are under way, so only a lost connection shows that the run has ended.
     const bool isStopped = answer.state == RunStopResult::State::Stopped;
     const bool isAbsent = isStopped && !answer.memory;
+    this->hasConfirmed = isStopped;
     if (isAbsent && !this->isInsisting)
         this->end(Result::Declined, "absent", {});
     else if (isStopped)
         this->end(Result::Ended, isAbsent ? "absent" : "stopped", {});
-    else if (this->showsEnd(answer.state))
+    else if (this->showsEnd(answer))
         this->end(Result::Ended, this->hasSourceLeft() ? "left" : "unreachable", reason.detail);
     else if (this->isWithoutConnection(answer.state) && this->isDelivering())
         this->end(Result::Declined, "delivering", reason.detail);
@@ -239,22 +245,28 @@
         this->end(Result::Declined, "expired", reason.detail);
 }
 
-/** Returns whether an answer shows that the process of the engine has ended. */
-bool RunStop::showsEnd(RunStopResult::State state)
+/**
+ * Returns whether an answer, or the lack of one, shows that the process of the engine has ended.
+ *
+ * A missing entry alone does not: some engines remove theirs and serve on, and one that is full
+ * resets new connections.
+ */
+bool RunStop::showsEnd(const RunStopResult &answer)
 {
+    using State = RunStopResult::State;
     const Milliseconds now = this->dependencies.clock.now();
-    if (state != RunStopResult::State::Unanswered)
+    if (answer.hasAnswered || answer.state == State::Declined) {
         this->unansweredSince.reset();
-    else if (!this->unansweredSince)
+        return false;
+    }
+    if (!this->unansweredSince)
         this->unansweredSince = now;
     if (this->isDelivering())
         return false;
-    if (state == RunStopResult::State::Unreachable)
-        return true;
-    const bool isUnanswered = state == RunStopResult::State::Unanswered;
-    if (isUnanswered && now - *this->unansweredSince >= maximumUnansweredTime)
+    if (answer.state == State::Unreachable || this->isSourceReplaced())
         return true;
-    return this->hasSourceLeft() && (isUnanswered || state == RunStopResult::State::Unknown);
+    const bool isLong = now - *this->unansweredSince >= maximumUnansweredTime;
+    return isLong && (answer.state == State::Unanswered || this->hasSourceLeft());
 }
 
 /** Returns whether no connection to the engine was opened. */
@@ -273,8 +285,16 @@
 bool RunStop::hasSourceLeft() const
 {
     const ServerEntry *entry = this->dependencies.servers.find(this->order.source.server);
-    return entry == nullptr || entry->startedAt != this->sourceStartedAt
-            || entry->address != this->order.source.address;
+    return entry == nullptr || this->isSourceReplaced();
+}
+
+/** Returns whether the entry of the server is that of another process. */
+bool RunStop::isSourceReplaced() const
+{
+    const ServerEntry *entry = this->dependencies.servers.find(this->order.source.server);
+    return entry != nullptr
+            && (entry->startedAt != this->sourceStartedAt
+                || entry->address != this->order.source.address);
 }
 
 bool RunStop::isUsable(const StreamPlacement &placement) const
--- a/packages/gateway/relay/runstop.h
+++ b/packages/gateway/relay/runstop.h
@@ -81,10 +81,12 @@
     void insist();
     /** Waits for the result. @return Declined after abandon(). */
     boost::asio::awaitable<Result> finish();
-    /** Returns whether the engine was asked, after which it closes the stream of a stopped run. */
-    bool hasAsked() const;
     /** Returns whether the result is Ended. */
     bool hasEnded() const;
+    /** Returns whether the engine itself said that it does not work on the run any more. */
+    bool isConfirmed() const;
+    /** Records that an event of the run has arrived, which shows that its engine works on it. */
+    void recordEvent();
     /** Returns whether the engine is only probed. */
     bool isProbe() const;
     /**
@@ -106,10 +108,11 @@
     boost::asio::awaitable<RunStopResult> probe(Error &reason);
     boost::asio::awaitable<void> waitForRepetition();
     void apply(const RunStopResult &answer, const Error &reason);
-    bool showsEnd(RunStopResult::State state);
+    bool showsEnd(const RunStopResult &answer);
     static bool isWithoutConnection(RunStopResult::State state);
     bool isDelivering() const;
     bool hasSourceLeft() const;
+    bool isSourceReplaced() const;
     bool isUsable(const StreamPlacement &placement) const;
     bool mayReturn() const;
     void end(Result newResult, std::string_view outcome, std::string_view detail);
@@ -120,7 +123,7 @@
     std::function<void(Result)> onEnd;
     /** When the process of the engine was started, as stated by its entry. */
     std::int64_t sourceStartedAt = 0;
-    /** Since when the engine has accepted no connection; nothing if it accepted the last one. */
+    /** Since when the engine has not answered; nothing if it answered the last request. */
     std::optional<Milliseconds> unansweredSince;
     Milliseconds repetitionPause;
     boost::asio::steady_timer repetitionTimer;
@@ -131,7 +134,7 @@
     bool isCopied = false;
     /** Whether a continuation was sent that uses the memory, which then frees it. */
     bool isMemoryUsed = false;
-    bool isAsked = false;
+    bool hasConfirmed = false;
     bool isInsisting = false;
     bool isAbandoned = false;
 };
--- a/packages/gateway/tests/test_runstops.cpp
+++ b/packages/gateway/tests/test_runstops.cpp
@@ -85,6 +85,13 @@
     /** Sends the call of the test. @return its response. */
     HttpResponse call() { return this->fixture.call("/stream/", "r1", {{"Patience", "12000"}}); }
 
+    /** Ends the first run, as its engine does after a request to stop it. */
+    void endFirstRun()
+    {
+        this->stopped.insert(this->runs.front());
+        this->working.erase(this->runs.front());
+    }
+
     /** Lets the engine of the first run leave after a time. */
     Milliseconds leavesAfter{0};
     /** Whether the first run is silent for a time before an event. */
@@ -314,7 +321,7 @@
     engines.losesConnection = true;
     const bool isGone = GENERATE(true, false);
     engines.fixture.answerStop = [&](const MoveOrder &) {
-        if (isGone)
+        if (isGone && !engines.fixture.addressOf(engines.runs.front()).empty())
             engines.fixture.removeEntry(engines.runs.front());
         return RunStopResult{isGone ? RunStopResult::State::Unknown
                                     : RunStopResult::State::Unreachable,
@@ -341,3 +348,47 @@
     REQUIRE(engines.runs.size() == 1);
     REQUIRE_FALSE(engines.fixture.stops.empty());
 }
+
+// Guards against a stream that is closed while its events arrive, because its engine was silent and
+// did not answer the request to stop the run.
+TEST_CASE("Events keep a stream on an engine that does not answer the request to stop it",
+          "[runstops]")
+{
+    PersistentEngines engines;
+    engines.isSilent = true;
+    // The copy is ready and the request is made after two silence times; the events follow soon.
+    engines.silence = Milliseconds(2100);
+    engines.fixture.allowsMove = [](const MoveOrder &) {
+        return true;
+    };
+    const auto state =
+            GENERATE(RunStopResult::State::Unreachable, RunStopResult::State::Unanswered);
+    engines.fixture.answerStop = [state](const MoveOrder &) {
+        return RunStopResult{state, {}, false};
+    };
+    REQUIRE(engines.call().body == allEvents());
+    REQUIRE(engines.mostAtOnce == 1);
+    REQUIRE(engines.runs.size() == 1);
+    REQUIRE_FALSE(engines.fixture.stops.empty());
+}
+
+// Guards against a run on two engines at once, because an engine whose entry is missing, but which
+// serves on, resets the connection of one request to stop the run.
+TEST_CASE("One lost answer of an engine without an entry does not show its end", "[runstops]")
+{
+    PersistentEngines engines;
+    engines.losesConnection = true;
+    engines.fixture.answerStop = [&](const MoveOrder &) {
+        if (!engines.fixture.addressOf(engines.runs.front()).empty())
+            engines.fixture.removeEntry(engines.runs.front());
+        const bool isLost = engines.fixture.stops.size() < 3;
+        RunStopResult result;
+        result.state = isLost ? RunStopResult::State::Unknown : RunStopResult::State::Stopped;
+        if (!isLost)
+            engines.endFirstRun();
+        return result;
+    };
+    REQUIRE(engines.call().body == allEvents());
+    REQUIRE(engines.mostAtOnce == 1);
+    REQUIRE(engines.runs.size() == 2);
+}
