--- a/packages/gateway/tests/test_runmoves.cpp
+++ b/packages/gateway/tests/test_runmoves.cpp
@@ -184,7 +184,7 @@
 
     std::string nameOf(const std::string &address)
     {
-        for (const std::string name : {"a", "b", "c"}) {
+        for (const char *name : {"a", "b", "c"}) {
             if (this->fixture.addressOf(name) == address)
                 return name;
         }
