Continue a stream without waiting for the copy of its stopped run

Streams were late at each planned replacement of an engine: since a stream waited for the answer to the request to stop its run, which comes after the copy is complete. A stream continues at once from the copy that exists, as before; the end of the former run's request no longer acts on the next part, which had cancelled continuations after 200 ms.

--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -667,15 +667,14 @@
     const bool hasCopy = this->isBackupUsable() || this->refreshedCopy;
     if (!this->canAskEngine() || (this->stop && this->stop->hasEnded()))
         co_return true;
-    // An engine that stops a run closes its stream first, but a connection may also be lost for
-    // another reason. So only the answer to the request shows that the run has ended.
-    const bool isStopping = this->stop && !this->stop->isProbe();
-    if (!isStopping) {
-        this->dropStop();
-        if (!hasCopy && !this->call.route->isResumable)
-            co_return true;
-        this->startStop(false);
-    }
+    // An engine that stops a run closes its stream first and answers once the copy is complete, for
+    // which the caller would have to wait.
+    if (this->stop && !this->stop->isProbe())
+        co_return true;
+    this->dropStop();
+    if (!hasCopy && !this->call.route->isResumable)
+        co_return true;
+    this->startStop(false);
     const RunStop::Result result = co_await this->waitForStop();
     co_return result == RunStop::Result::Ended;
 }
@@ -771,6 +770,10 @@
 /** Ends the read from the engine if the run has ended there; otherwise the stream goes on. */
 void EventRelay::onStopEnd(RunStop::Result result)
 {
+    // The stream may already go on in a next part, which the end of the former run does not
+    // concern.
+    if (!this->partFirstEventAt)
+        return;
     if (result == RunStop::Result::Ended) {
         this->silenceWatch.restart(streamCloseTimeout);
         return;
