--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -582,8 +582,11 @@
 {
     net::steady_timer timer(co_await net::this_coro::executor);
     boost::system::error_code code;
+    Milliseconds dueAt = this->clock.now();
     while (!code) {
         const Milliseconds now = this->clock.now();
+        if (this->services.changes.recordTimer(dueAt, now))
+            logEvent(LogEvent::HostLate, "late_ms", std::to_string((now - dueAt).count()));
         this->servers.advance(now);
         this->reachability.advance();
         this->limiter.advance();
@@ -594,6 +597,7 @@
             this->runSlowMaintenance();
         }
         timer.expires_after(maintenanceInterval);
+        dueAt = this->clock.now() + maintenanceInterval;
         co_await timer.async_wait(net::redirect_error(net::use_awaitable, code));
     }
 }
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -845,8 +845,10 @@
     lost.isClosedByHost = this->attempt->wasCancelled();
     lost.detail = this->failure.detail;
     lost.engineState = describeServer(this->dependencies, lost.server);
-    if (this->stop)
+    if (this->stop) {
         lost.stopState = this->stop->hasEnded() ? "ended" : "pending";
+        lost.stopOutcome = this->stop->outcome();
+    }
     if (this->backup)
         lost.backupState = this->isBackupUsable() ? "usable" : "unusable";
     if (this->refreshedCopy && this->refreshedCopy->isReady())
--- a/packages/gateway/relay/runstop.cpp
+++ b/packages/gateway/relay/runstop.cpp
@@ -65,6 +65,11 @@
     return this->result == Result::Ended;
 }
 
+const std::string &RunStop::outcome() const
+{
+    return this->endOutcome;
+}
+
 bool RunStop::isConfirmed() const
 {
     return this->hasConfirmed;
@@ -319,8 +324,10 @@
 void RunStop::end(Result newResult, std::string_view outcome, std::string_view detail)
 {
     this->result = newResult;
+    this->endOutcome = outcome;
     logEvent(LogEvent::RunStopEnded, "request", this->order.requestId, "backend_server",
-             this->order.source.server.toString(), "outcome", std::string(outcome), "memory",
+             this->order.source.server.toString(), "outcome", this->endOutcome, "connection",
+             std::string(this->isInsisting ? "closed" : "open"), "memory",
              std::string(this->isCopied ? "copied" : (this->memory ? "kept" : "none")), "detail",
              std::string(detail));
     this->endTimer.expires_at(net::steady_timer::time_point::min());
--- a/packages/gateway/relay/runstop.h
+++ b/packages/gateway/relay/runstop.h
@@ -83,6 +83,8 @@
     boost::asio::awaitable<Result> finish();
     /** Returns whether the result is Ended. */
     bool hasEnded() const;
+    /** Returns how the order ended, as in its log line, or an empty text before that. */
+    const std::string &outcome() const;
     /** Returns whether the engine itself said that it does not work on the run any more. */
     bool isConfirmed() const;
     /** Records that an event of the run has arrived, which shows that its engine works on it. */
@@ -135,6 +137,7 @@
     /** Whether a continuation was sent that uses the memory, which then frees it. */
     bool isMemoryUsed = false;
     bool hasConfirmed = false;
+    std::string endOutcome;
     bool isInsisting = false;
     bool isAbandoned = false;
 };
--- a/packages/gateway/relay/streamending.cpp
+++ b/packages/gateway/relay/streamending.cpp
@@ -12,6 +12,11 @@
     return since ? std::to_string((now - *since).count()) : std::string("none");
 }
 
+bool isChunked(const HttpRequest &request)
+{
+    return findHeader(request.headers, "Transfer-Encoding").has_value();
+}
+
 } // namespace
 
 std::string_view toString(StreamCutDecision decision)
@@ -68,11 +73,16 @@
              ageText(ending.lastEventAt, now), "lost_server", loss.server.toString(), "lost_ago_ms",
              ending.loss ? std::to_string((now - loss.lostAt).count()) : std::string("none"),
              "closed_by", ending.loss ? closedBy : std::string("none"), "loss", loss.detail,
-             "engine", loss.engineState, "stop", loss.stopState, "backup", loss.backupState, "copy",
-             loss.copyState, "version", std::to_string(call.configuration->version),
-             "version_in_force", current ? std::to_string(current->version) : std::string("none"),
-             "version_age_ms", ageText(changes.configurationAppliedAt, now), "reload_age_ms",
-             ageText(changes.reloadedAt, now), "stop_age_ms", ageText(changes.stopStartedAt, now));
+             "engine", loss.engineState, "stop", loss.stopState, "stop_outcome",
+             loss.stopOutcome.empty() ? std::string("none") : loss.stopOutcome, "backup",
+             loss.backupState, "copy", loss.copyState, "version",
+             std::to_string(call.configuration->version), "version_in_force",
+             current ? std::to_string(current->version) : std::string("none"), "version_age_ms",
+             ageText(changes.configurationAppliedAt, now), "reload_age_ms",
+             ageText(changes.reloadedAt, now), "stop_age_ms", ageText(changes.stopStartedAt, now),
+             "late_age_ms", ageText(changes.lateAt, now), "late_by_ms",
+             std::to_string(changes.lateBy.count()), "chunked",
+             std::string(isChunked(call.request) ? "1" : "0"));
 }
 
 } // namespace sassafrasyard
--- a/packages/gateway/relay/streamending.h
+++ b/packages/gateway/relay/streamending.h
@@ -48,6 +48,8 @@
     std::string engineState;
     /** The state of the request to stop the run: "none", "pending" or "ended". */
     std::string stopState = "none";
+    /** How that request ended, as in its log line; empty before that or without one. */
+    std::string stopOutcome;
     /** The state of the backup: "none", "usable" or "unusable". */
     std::string backupState = "none";
     /** The state of the copy made by moves: "none", "pending", "ready" or "failed". */
--- a/packages/gateway/tests/test_streamcuts.cpp
+++ b/packages/gateway/tests/test_streamcuts.cpp
@@ -95,6 +95,8 @@
     CHECK(timeField(line, "event_age_ms") < Milliseconds(500));
     CHECK(LogCapture::field(line, "reload_age_ms") == "none");
     CHECK(LogCapture::field(line, "stop_age_ms") == "none");
+    CHECK(LogCapture::field(line, "late_age_ms") == "none");
+    CHECK(LogCapture::field(line, "chunked") == "0");
 }
 
 // Guards against a log that does not tell which engine refused to continue a run that was lost.
@@ -146,3 +148,37 @@
     CHECK(LogCapture::field(line, "version_in_force") == "2");
     CHECK(timeField(line, "version_age_ms") < timeField(line, "age_ms"));
 }
+
+// Guards against a log that does not tell a host without processor time from a silent engine.
+TEST_CASE("A timer that fires late is recorded with its delay", "[cuts]")
+{
+    HostChanges changes;
+    CHECK_FALSE(changes.recordTimer(Milliseconds(1000), Milliseconds(1299)));
+    CHECK_FALSE(changes.lateAt);
+    CHECK(changes.recordTimer(Milliseconds(2000), Milliseconds(2700)));
+    CHECK(changes.lateAt == Milliseconds(2700));
+    CHECK(changes.lateBy == Milliseconds(700));
+}
+
+// Guards against a log that does not tell by which evidence a run was taken for ended, nor whether
+// its own connection was open then.
+TEST_CASE("The log tells how a request to stop a run ended", "[cuts]")
+{
+    constexpr Milliseconds silence{2500};
+    GatewayFixture fixture;
+    fixture.addRoute(makeStreamRoute(), makeEngineProperties());
+    fixture.answerStop = [](const MoveOrder &) {
+        return RunStopResult{RunStopResult::State::Stopped, MemoryCopy{}, false};
+    };
+    fixture.addServer("a", breakOffAfter(silence));
+    fixture.addServer("b", breakOffAfter(silence));
+    const LogCapture capture;
+    REQUIRE(fixture.call("/stream/", "r1").status == 0);
+    const auto stops = capture.lines("run_stop_ended");
+    REQUIRE_FALSE(stops.empty());
+    CHECK(LogCapture::field(stops.back(), "outcome") == "stopped");
+    CHECK(LogCapture::field(stops.back(), "connection") == "open");
+    const auto cuts = capture.lines("stream_cut");
+    REQUIRE(cuts.size() == 1);
+    CHECK(LogCapture::field(cuts[0], "stop_outcome") == "stopped");
+}
--- a/packages/observability/logging/logevent.cpp
+++ b/packages/observability/logging/logevent.cpp
@@ -16,6 +16,7 @@
         LogEventEntry{LogEvent::SettingsKept, LogLevel::Warning, "settings_kept"},
         LogEventEntry{LogEvent::UnexpectedError, LogLevel::Error, "unexpected_error"},
         LogEventEntry{LogEvent::ReloadRequested, LogLevel::Info, "reload_requested"},
+        LogEventEntry{LogEvent::HostLate, LogLevel::Info, "host_late"},
         LogEventEntry{LogEvent::MemberAlive, LogLevel::Info, "member_alive"},
         LogEventEntry{LogEvent::MemberSuspect, LogLevel::Warning, "member_suspect"},
         LogEventEntry{LogEvent::MemberLeaving, LogLevel::Info, "member_leaving"},
--- a/packages/observability/logging/logevent.h
+++ b/packages/observability/logging/logevent.h
@@ -24,6 +24,7 @@
     SettingsKept = 1007,
     UnexpectedError = 1008,
     ReloadRequested = 1009,
+    HostLate = 1010,
     MemberAlive = 2001,
     MemberSuspect = 2002,
     MemberLeaving = 2003,
