--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -205,6 +205,7 @@
                 errorResponse);
         Error reason;
         const auto endpoint = server->listen({"127.0.0.1", 0}, reason);
+        this->standInsByName[name] = server.get();
         this->standIns.push_back(std::move(server));
         this->registerServer(name, endpoint->toString(), 8, softwareVersion);
     }
@@ -216,6 +217,12 @@
         return entry == nullptr ? std::string() : entry->address;
     }
 
+    /** Lets a stand-in refuse new connections; open ones are served. */
+    void refuseConnections(const std::string &name)
+    {
+        this->standInsByName.at(name)->stopAccepting();
+    }
+
     /** Marks a stand-in as leaving. */
     void markLeaving(const std::string &name)
     {
@@ -596,6 +603,7 @@
     GatewayService gateway;
     std::vector<Route> routes;
     std::vector<std::unique_ptr<HttpServer>> standIns;
+    std::map<std::string, HttpServer *> standInsByName;
     std::uint64_t version = 0;
     std::uint64_t revision = 0;
     std::uint64_t memberChanges = 0;
--- a/packages/gateway/tests/test_runstops.cpp
+++ b/packages/gateway/tests/test_runstops.cpp
@@ -97,6 +97,8 @@
     /** Whether the first run is silent for a time before an event. */
     bool isSilent = false;
     Milliseconds silence{shortSilence};
+    /** Whether the engine of the first run refuses new connections from then on. */
+    bool refusesConnections = false;
     /** Whether the first run loses its connection before an event, although it goes on. */
     bool losesConnection = false;
     /** Whether an engine has a copy of the run of the other one. */
@@ -163,6 +165,8 @@
         std::uint64_t number = std::stoull(findHeader(request.headers, "Last").value_or("0"));
         while (number < lastEvent && !this->stopped.contains(name)) {
             ++number;
+            if (isFirst && this->refusesConnections && number == silentBefore)
+                this->fixture.refuseConnections(name);
             if (isFirst && this->isSilent && number == silentBefore)
                 co_await GatewayFixture::pause(this->silence);
             if (isFirst && this->losesConnection && number == silentBefore) {
@@ -392,3 +396,28 @@
     REQUIRE(engines.mostAtOnce == 1);
     REQUIRE(engines.runs.size() == 2);
 }
+
+// Guards against a stream that is cut, or a run on two engines, because a silent engine refuses new
+// connections while the run's own connection is open, as a leaving server does.
+TEST_CASE("A refused connection does not end a run whose own connection is open", "[refused]")
+{
+    PersistentEngines engines;
+    engines.isSilent = true;
+    engines.refusesConnections = true;
+    engines.hasBackups = GENERATE(true, false);
+    const bool hasMoves = GENERATE(true, false);
+    if (hasMoves) {
+        engines.silence = Milliseconds(2100);
+        engines.fixture.allowsMove = [](const MoveOrder &) {
+            return true;
+        };
+    }
+    if (GENERATE(false, true))
+        engines.leavesAfter = Milliseconds(200);
+    engines.fixture.answerStop = [](const MoveOrder &) {
+        return RunStopResult{RunStopResult::State::Unreachable, {}, false};
+    };
+    REQUIRE(engines.call().body == allEvents());
+    REQUIRE(engines.mostAtOnce == 1);
+    REQUIRE(engines.runs.size() == 1);
+}
--- a/tests/plannedstop/callerconnection.cpp
+++ b/tests/plannedstop/callerconnection.cpp
@@ -6,7 +6,10 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <limits>
+#include <sstream>
+#include <string_view>
 #include <utility>
 
 #include <sys/socket.h>
@@ -19,6 +22,21 @@
 
 namespace {
 
+/** The largest chunk of a body, in bytes. */
+constexpr std::size_t maximumChunkBytes = 8;
+
+/** Returns a body in chunked transfer coding. */
+std::string toChunks(std::string_view body)
+{
+    std::ostringstream text;
+    for (; !body.empty(); body.remove_prefix(std::min(body.size(), maximumChunkBytes))) {
+        const std::string_view chunk = body.substr(0, maximumChunkBytes);
+        text << std::hex << chunk.size() << "\r\n" << chunk << "\r\n";
+    }
+    text << "0\r\n\r\n";
+    return text.str();
+}
+
 /** A host that closes a connection with unread bytes sends its reset right after its FIN. */
 constexpr Milliseconds resetWait{20};
 
@@ -96,6 +114,8 @@
     std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
     for (const auto &[name, value] : request.headers)
         text.append(name).append(": ").append(value).append("\r\n");
+    if (findHeader(request.headers, "Transfer-Encoding"))
+        return text + "\r\n" + toChunks(request.body);
     return text + "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n"
             + request.body;
 }
--- a/tests/plannedstop/callerconnection.h
+++ b/tests/plannedstop/callerconnection.h
@@ -32,7 +32,9 @@
     /** Reads the next response. */
     boost::asio::awaitable<CallResult> receive();
 
-    /** Returns a request as the bytes of HTTP/1.1. */
+    /**
+     * Returns a request as the bytes of HTTP/1.1; its body is in chunks if a header field says so.
+     */
     static std::string toText(const HttpRequest &request);
 
 private:
--- a/tests/plannedstop/standinservers.cpp
+++ b/tests/plannedstop/standinservers.cpp
@@ -64,6 +64,11 @@
     this->servers.at(index)->silentUntil = Clock::steady().now() + time;
 }
 
+void StandInServers::refuseConnections(std::size_t index)
+{
+    this->servers.at(index)->http->stopAccepting();
+}
+
 std::size_t StandInServers::refusedContinuations() const
 {
     return this->continuationCount;
--- a/tests/plannedstop/standinservers.h
+++ b/tests/plannedstop/standinservers.h
@@ -41,6 +41,12 @@
     /** Lets a server send no event for some time from now. @param index in the order of add(). */
     void silence(std::size_t index, Milliseconds time);
 
+    /**
+     * Lets a server refuse new connections from now on; open ones are served. A server that leaves
+     * may close its listener first.
+     */
+    void refuseConnections(std::size_t index);
+
     /** Returns the number of requests to continue a run from a copy, all of which were refused. */
     std::size_t refusedContinuations() const;
 
--- a/tests/plannedstop/stoppinghost.cpp
+++ b/tests/plannedstop/stoppinghost.cpp
@@ -260,6 +260,15 @@
         this->store.put(std::string(objectkind::servers), name, entry);
 }
 
+void StoppingHost::markLeaving(std::size_t engine)
+{
+    constexpr std::string_view readyState = "\"ready\"";
+    const std::string name = "engine-" + std::to_string(engine + 1);
+    std::string &entry = this->serverEntries.at(name);
+    entry.replace(entry.find(readyState), readyState.size(), "\"draining\"");
+    this->store.put(std::string(objectkind::servers), name, entry);
+}
+
 std::vector<std::string> StoppingHost::logLines(std::string_view eventName) const
 {
     std::vector<std::string> found;
--- a/tests/plannedstop/stoppinghost.h
+++ b/tests/plannedstop/stoppinghost.h
@@ -110,6 +110,9 @@
     /** Writes the entries of the backend servers to the store again, unchanged. */
     void rewriteServers();
 
+    /** Writes the entry of an engine to the store with the state of a leaving server. */
+    void markLeaving(std::size_t engine);
+
     /** Returns the lines of the daemon's log with an event. */
     std::vector<std::string> logLines(std::string_view eventName) const;
 
--- a/tests/streamchanges/test_streamchanges.cpp
+++ b/tests/streamchanges/test_streamchanges.cpp
@@ -41,8 +41,12 @@
 class StreamingHost
 {
 public:
-    /** Starts the streams and waits until they have run for the lead time. */
-    explicit StreamingHost(int events)
+    /**
+     * Starts the streams and waits until they have run for the lead time.
+     *
+     * @param isChunked whether the bodies of the requests are sent in chunks.
+     */
+    explicit StreamingHost(int events, bool isChunked = false)
         : host(firstConfiguration())
     {
         for (std::size_t index = 0; index < streamCount; ++index) {
@@ -51,6 +55,8 @@
                     this->host.makeStream(isSecret ? "/secret/" : "/story/", events, eventInterval);
             if (isSecret)
                 request.headers.emplace_back("Authorization", std::string("Bearer ") + streamKey);
+            if (isChunked)
+                request.headers.emplace_back("Transfer-Encoding", "chunked");
             this->streams.push_back(&this->host.send(std::move(request)));
         }
         const auto areRunning = [this] {
@@ -73,6 +79,18 @@
         this->host.servers().silence(firstEngine + engine, silenceTime);
     }
 
+    void refuseConnections(std::size_t engine)
+    {
+        this->host.servers().refuseConnections(firstEngine + engine);
+    }
+
+    void markLeaving(std::size_t engine)
+    {
+        this->host.markLeaving(engine);
+        constexpr Milliseconds applyTime{300};
+        this->run(applyTime);
+    }
+
     /** Writes a new version with a change and waits until it is in force. */
     void changeConfiguration(const std::function<void(HostConfiguration &)> &change)
     {
@@ -335,3 +353,20 @@
     host.checkInProgress();
     host.checkComplete();
 }
+
+// Guards against streams that are cut because a refused new connection to their silent engine is
+// taken for the end of runs whose own connections are open; see incidents/dsm-yard-sighup-cut.md.
+TEST_CASE("A SIGHUP beside a silent engine that refuses connections cuts no stream", "[refused]")
+{
+    const bool isLeaving = GENERATE(false, true);
+    const bool hasReload = GENERATE(true, false);
+    constexpr bool isChunked = true;
+    StreamingHost host(shortEvents, isChunked);
+    host.refuseConnections(0);
+    if (isLeaving)
+        host.markLeaving(0);
+    host.silence(0);
+    if (hasReload)
+        host.changeSettings(withChange(settingsChanges().front()));
+    host.checkComplete();
+}
