Don't take a refused connection for the end of a run whose connection is open

If that had a copy, two engines worked on one run.

What shows that a run has ended is now one table, showsRunEnd(): while the run's own connection is open, only the engine's own answer or the entry of another process shows it. A refused connection, no connection, a missing entry and silence show nothing then. The probe by a new connection is gone. A machine that is gone, which leaves connections open, is found by keep-alive probes of the operating system on the connections of streams: lost 3 s after the last byte, about when the former probe gave up. run_stop_ended (8024) states the evidence and the result.

Test 'A stream leaves an engine that has not answered for seconds' let a live engine stand still behind a full backlog and wanted a second run while the first one went on, which is this fault. It now drops all packets of the engine, as a dark machine does, with the same expectations; the former situation has a test that wants one run (5 s).

--- a/packages/gateway/calls/enginecalls.h
+++ b/packages/gateway/calls/enginecalls.h
@@ -33,7 +33,7 @@
         Stopped,
         /** The engine is alive and declined to stop it. */
         Declined,
-        /** The engine's address refuses connections, so its process has ended. */
+        /** The engine's address refuses connections. */
         Unreachable,
         /** No connection was accepted or refused in time; the engine may stand still. */
         Unanswered,
--- a/packages/gateway/relay/backendattempt.cpp
+++ b/packages/gateway/relay/backendattempt.cpp
@@ -158,6 +158,8 @@
     this->call.cancelHooks[this] = [this] {
         this->cancel();
     };
+    if (this->call.route->kind == CallKind::Stream)
+        this->connection->probeSilentPeer();
     // A server may close an idle persistent connection, so only a failure on a new connection
     // indicates that the server is down.
     const bool isNew = !this->connection->hasReceivedResponse();
@@ -375,6 +377,11 @@
     return this->isCancelled;
 }
 
+bool BackendAttempt::hasPeerGone() const
+{
+    return this->connection && this->connection->hasPeerGone();
+}
+
 void BackendAttempt::release()
 {
     this->call.cancelHooks.erase(this);
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -529,18 +529,22 @@
     auto next = this->stop->takeContinuation();
     if (!next) {
         // The engine may still copy the memory of the run to the target.
-        co_await this->waitForStop();
+        co_await this->waitForStop(RunConnection::Closed);
         if (this->stop)
             next = this->stop->takeContinuation();
     }
     co_return next;
 }
 
-/** Waits for the result of the request to stop the run, or until the caller has left. */
-net::awaitable<RunStop::Result> EventRelay::waitForStop()
+/**
+ * Waits for the result of the request to stop the run, or until the caller has left.
+ *
+ * @param loss how the run's own connection was lost.
+ */
+net::awaitable<RunStop::Result> EventRelay::waitForStop(RunConnection loss)
 {
     const auto waiting = this->stop;
-    waiting->insist();
+    waiting->insist(loss);
     this->call.cancelHooks[waiting.get()] = [waiting] {
         waiting->abandon();
     };
@@ -651,7 +655,7 @@
             this->isBackupUsable() && now - *this->leavingSeenAt < returnTime - stopAnswerTime;
     const bool hasCopy = this->refreshedCopy && this->refreshedCopy->isReady();
     if (mayUseBackup ? now - *this->partFirstEventAt >= minimumBackupAge : hasCopy)
-        this->startStop(true);
+        this->startStop();
     else if (!mayUseBackup && !this->refreshedCopy
              && now - this->copyAttemptedAt >= progressInterval)
         this->startRefreshedCopy(true, now);
@@ -669,13 +673,14 @@
         co_return true;
     // An engine that stops a run closes its stream first and answers once the copy is complete, for
     // which the caller would have to wait.
-    if (this->stop && !this->stop->isProbe())
+    if (this->stop)
         co_return true;
-    this->dropStop();
     if (!hasCopy && !this->call.route->isResumable)
         co_return true;
-    this->startStop(false);
-    const RunStop::Result result = co_await this->waitForStop();
+    this->startStop();
+    const RunConnection loss =
+            this->attempt->hasPeerGone() ? RunConnection::Unanswered : RunConnection::Closed;
+    const RunStop::Result result = co_await this->waitForStop(loss);
     co_return result == RunStop::Result::Ended;
 }
 
@@ -685,12 +690,8 @@
     return this->engine() != nullptr && this->engine()->supportsMoves;
 }
 
-/**
- * Starts to stop the run, which then continues from its backup or its refreshed copy, if any.
- *
- * @param isDelivering whether events of the run arrive.
- */
-void EventRelay::startStop(bool isDelivering)
+/** Starts to stop the run, which then continues from its backup or its refreshed copy, if any. */
+void EventRelay::startStop()
 {
     RunStopOrder order;
     order.service = this->call.service->name;
@@ -708,15 +709,8 @@
         order.work.avoided = {this->placement.server};
     }
     order.requestId = this->call.metadata.requestId;
-    order.canStopRuns = this->canAskEngine();
-    order.isDelivering = isDelivering;
     order.endAt = this->call.deadlineAt;
     order.returnUntil = this->leavingSeenAt.value_or(this->dependencies.clock.now()) + returnTime;
-    this->beginStop(std::move(order));
-}
-
-void EventRelay::beginStop(RunStopOrder order)
-{
     this->stop =
             std::make_shared<RunStop>(this->dependencies, std::move(order),
                                       [this](RunStop::Result result) { this->onStopEnd(result); });
@@ -746,25 +740,12 @@
     }
     const bool hasCopy = this->refreshedCopy && this->refreshedCopy->isReady();
     if (!this->stop && hasCopy) {
-        this->startStop(false);
-    } else if (!this->stop && (this->isBackupUsable() || isResumable)) {
-        if (!this->refreshedCopy)
-            this->startRefreshedCopy(true, now);
-        this->startProbe();
-    } else {
-        this->watchSilence();
+        this->startStop();
+        return;
     }
-}
-
-/** Finds out whether the silent engine can be connected to; otherwise the run has ended. */
-void EventRelay::startProbe()
-{
-    RunStopOrder order;
-    order.source = this->placement;
-    order.requestId = this->call.metadata.requestId;
-    order.endAt = this->call.deadlineAt;
-    this->isStopTargetBackup = false;
-    this->beginStop(std::move(order));
+    if (!this->stop && !this->refreshedCopy && (this->isBackupUsable() || isResumable))
+        this->startRefreshedCopy(true, now);
+    this->watchSilence();
 }
 
 /** Ends the read from the engine if the run has ended there; otherwise the stream goes on. */
@@ -800,7 +781,7 @@
 {
     if (!this->stop || this->stop->isConfirmed())
         return;
-    if (this->stop->isProbe() || this->stop->hasEnded())
+    if (this->stop->hasEnded())
         this->onStopEnd(RunStop::Result::Declined);
     else
         this->stop->recordEvent();
--- a/packages/gateway/relay/eventrelay.h
+++ b/packages/gateway/relay/eventrelay.h
@@ -75,7 +75,7 @@
     void dropRefreshedCopy();
     boost::asio::awaitable<bool> continueFromCopy(bool hasRun);
     boost::asio::awaitable<std::optional<StreamPlacement>> takeContinuation();
-    boost::asio::awaitable<RunStop::Result> waitForStop();
+    boost::asio::awaitable<RunStop::Result> waitForStop(RunConnection loss);
     bool continueFromBackup();
     std::optional<StreamPlacement> takeBackup();
     boost::asio::awaitable<bool> continueFromRefreshedCopy();
@@ -86,9 +86,7 @@
 
     boost::asio::awaitable<bool> ensureRunEnded();
     bool canAskEngine() const;
-    void startStop(bool isDelivering);
-    void startProbe();
-    void beginStop(RunStopOrder order);
+    void startStop();
     void stopSilentRun();
     void onStopEnd(RunStop::Result result);
     void dropStop();
--- /dev/null
+++ b/packages/gateway/relay/runevidence.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "core/core.h"
+
+#include <string_view>
+
+namespace sassafrasyard {
+
+/** What may show that an engine does not work on a run any more. */
+enum class RunEvidence {
+    /** The engine answered that it has stopped the run. */
+    EngineStopped,
+    /** The engine answered that it has no such run; it may have preempted the run and go on. */
+    EngineHasNoRun,
+    /** The engine answered anything else. */
+    EngineAnswered,
+    /** The entry of the engine is that of another process. */
+    EntryReplaced,
+    /** The engine's address refused a new connection. */
+    ConnectionRefused,
+    /** A new connection was neither accepted nor refused in time. */
+    ConnectionUnanswered,
+    /** A request was sent, but its answer did not arrive, and the engine has no entry. */
+    AnswerLostEntryMissing,
+    /** A request was sent, but its answer did not arrive. */
+    AnswerLost,
+};
+
+/** Returns the name of evidence in logs. */
+std::string_view toString(RunEvidence evidence);
+
+/** The state of the connection on which the events of a run arrive. */
+enum class RunConnection {
+    /** It is open, also if nothing arrives. */
+    Open,
+    /** It was closed or reset by the engine or the network. */
+    Closed,
+    /** The peer did not answer the probes of the operating system; see HttpConnection. */
+    Unanswered,
+};
+
+/** Returns the name of a state in logs. */
+std::string_view toString(RunConnection connection);
+
+/**
+ * Returns whether evidence shows that a run has ended at its engine.
+ *
+ * The operating system of an engine closes the connections of a process that ends. So while the
+ * run's own connection is open, the lack of new connections or of answers shows nothing: a leaving
+ * engine closes its listener first, and a full or suspended one accepts no connection for a time.
+ * An engine whose machine is gone does not answer the probes on that connection either.
+ *
+ * @param unansweredFor since when the engine has not answered, including the present evidence.
+ */
+bool showsRunEnd(RunEvidence evidence, RunConnection connection, Milliseconds unansweredFor);
+
+} // namespace sassafrasyard
--- a/packages/gateway/relay/runstop.cpp
+++ b/packages/gateway/relay/runstop.cpp
@@ -16,9 +16,6 @@
 
 /** How long one request waits for its answer, which comes after the copy is complete. */
 constexpr Milliseconds answerTimeout{2000};
-constexpr Milliseconds probeTimeout{300};
-/** A sound engine may stand still for a second or so. */
-constexpr Milliseconds maximumUnansweredTime{1500};
 /** The pause before a request is repeated; it doubles up to the maximum. */
 constexpr Milliseconds firstRepetitionPause{50};
 constexpr Milliseconds maximumRepetitionPause{1000};
@@ -45,9 +42,9 @@
             net::detached);
 }
 
-void RunStop::insist()
+void RunStop::insist(RunConnection loss)
 {
-    this->isInsisting = true;
+    this->connection = loss;
 }
 
 net::awaitable<RunStop::Result> RunStop::finish()
@@ -77,15 +74,9 @@
 
 void RunStop::recordEvent()
 {
-    this->order.isDelivering = true;
     this->unansweredSince.reset();
 }
 
-bool RunStop::isProbe() const
-{
-    return !this->order.canStopRuns;
-}
-
 std::optional<StreamPlacement> RunStop::takeContinuation()
 {
     auto &target = this->order.target;
@@ -131,11 +122,12 @@
 
 net::awaitable<void> RunStop::run()
 {
-    if (!this->order.target && this->order.canStopRuns)
+    if (!this->order.target)
         co_await this->reserveTarget();
-    if (!this->order.target && this->order.canStopRuns && !this->isAbandoned) {
+    if (!this->order.target && !this->isAbandoned) {
         // Without its connection a run can only be started again, and at the same engine.
-        this->end(this->isInsisting ? Result::Ended : Result::Declined, "no_target",
+        const bool isOpen = this->connection == RunConnection::Open;
+        this->end(isOpen ? Result::Declined : Result::Ended, "no_target",
                   "no other engine of the software version is usable");
     }
     while (this->result == Result::Pending && !this->isAbandoned) {
@@ -187,10 +179,6 @@
 
 net::awaitable<RunStopResult> RunStop::ask(Error &reason)
 {
-    if (!this->order.canStopRuns) {
-        RunStopResult answer = co_await this->probe(reason);
-        co_return answer;
-    }
     const Milliseconds left = this->order.endAt - this->dependencies.clock.now();
     const MoveOrder move{this->order.source.address, this->order.target->address,
                          this->order.requestId, true};
@@ -199,26 +187,6 @@
     co_return answer;
 }
 
-/** Finds out whether the engine can be connected to. */
-net::awaitable<RunStopResult> RunStop::probe(Error &reason)
-{
-    RunStopResult answer;
-    const auto endpoint = parseEndpoint(this->order.source.address, reason);
-    if (!endpoint)
-        co_return answer;
-    const net::any_io_executor executor = this->dependencies.context.get_executor();
-    HttpConnection connection(executor, *endpoint);
-    const bool isOpen = co_await connection.connect(probeTimeout, reason);
-    const ConnectFailure failure = connection.connectFailure();
-    if (isOpen)
-        answer.state = RunStopResult::State::Declined;
-    else if (failure == ConnectFailure::Refused)
-        answer.state = RunStopResult::State::Unreachable;
-    else if (failure == ConnectFailure::Unanswered)
-        answer.state = RunStopResult::State::Unanswered;
-    co_return answer;
-}
-
 net::awaitable<void> RunStop::waitForRepetition()
 {
     this->repetitionTimer.expires_after(this->repetitionPause);
@@ -231,59 +199,55 @@
 {
     this->memory = answer.memory;
     this->isCopied = answer.isCopied;
-    // Without memory, the engine has no such run. It may have preempted the run and go on with it,
-    // or its last events are under way, so only a lost connection shows that the run has ended.
-    const bool isStopped = answer.state == RunStopResult::State::Stopped;
-    const bool isAbsent = isStopped && !answer.memory;
-    this->hasConfirmed = isStopped;
-    if (isAbsent && !this->isInsisting)
-        this->end(Result::Declined, "absent", {});
-    else if (isStopped)
-        this->end(Result::Ended, isAbsent ? "absent" : "stopped", {});
-    else if (this->showsEnd(answer))
-        this->end(Result::Ended, this->hasSourceLeft() ? "left" : "unreachable", reason.detail);
-    else if (this->isWithoutConnection(answer.state) && this->isDelivering())
-        this->end(Result::Declined, "delivering", reason.detail);
-    else if (answer.state == RunStopResult::State::Declined && !this->isInsisting)
-        this->end(Result::Declined, "declined", reason.detail);
+    this->hasConfirmed = answer.state == RunStopResult::State::Stopped;
+    const RunEvidence evidence = this->evidenceOf(answer);
+    const Milliseconds time = this->unansweredTime(evidence);
+    if (showsRunEnd(evidence, this->connection, time))
+        this->end(Result::Ended, toString(evidence), reason.detail);
+    else if (this->isDeclined(answer, evidence))
+        this->end(Result::Declined, toString(evidence), reason.detail);
     else if (this->dependencies.clock.now() >= this->order.endAt)
         this->end(Result::Declined, "expired", reason.detail);
 }
 
-/**
- * Returns whether an answer, or the lack of one, shows that the process of the engine has ended.
- *
- * A missing entry alone does not: some engines remove theirs and serve on, and one that is full
- * resets new connections.
- */
-bool RunStop::showsEnd(const RunStopResult &answer)
+RunEvidence RunStop::evidenceOf(const RunStopResult &answer) const
 {
     using State = RunStopResult::State;
+    if (answer.state == State::Stopped)
+        return answer.memory ? RunEvidence::EngineStopped : RunEvidence::EngineHasNoRun;
+    if (answer.hasAnswered || answer.state == State::Declined)
+        return RunEvidence::EngineAnswered;
+    if (this->isSourceReplaced())
+        return RunEvidence::EntryReplaced;
+    if (answer.state == State::Unreachable)
+        return RunEvidence::ConnectionRefused;
+    if (answer.state == State::Unanswered)
+        return RunEvidence::ConnectionUnanswered;
+    return this->hasSourceLeft() ? RunEvidence::AnswerLostEntryMissing : RunEvidence::AnswerLost;
+}
+
+/** Returns for how long the engine has not answered, including the present evidence. */
+Milliseconds RunStop::unansweredTime(RunEvidence evidence)
+{
     const Milliseconds now = this->dependencies.clock.now();
-    if (answer.hasAnswered || answer.state == State::Declined) {
+    if (evidence == RunEvidence::EngineStopped || evidence == RunEvidence::EngineHasNoRun
+        || evidence == RunEvidence::EngineAnswered) {
         this->unansweredSince.reset();
-        return false;
+        return Milliseconds(0);
     }
     if (!this->unansweredSince)
         this->unansweredSince = now;
-    if (this->isDelivering())
-        return false;
-    if (answer.state == State::Unreachable || this->isSourceReplaced())
-        return true;
-    const bool isLong = now - *this->unansweredSince >= maximumUnansweredTime;
-    return isLong && (answer.state == State::Unanswered || this->hasSourceLeft());
+    return now - *this->unansweredSince;
 }
 
-/** Returns whether no connection to the engine was opened. */
-bool RunStop::isWithoutConnection(RunStopResult::State state)
+/** Returns whether the stream stays at its engine, instead of asking that again. */
+bool RunStop::isDeclined(const RunStopResult &answer, RunEvidence evidence) const
 {
-    return state == RunStopResult::State::Unreachable || state == RunStopResult::State::Unanswered;
-}
-
-/** Returns whether the run is known to go on, because its events arrive. */
-bool RunStop::isDelivering() const
-{
-    return this->order.isDelivering && !this->isInsisting;
+    if (this->connection != RunConnection::Open)
+        return false;
+    return answer.state == RunStopResult::State::Declined || evidence == RunEvidence::EngineHasNoRun
+            || evidence == RunEvidence::ConnectionRefused
+            || evidence == RunEvidence::ConnectionUnanswered;
 }
 
 /** Returns whether the process that runs the call has no entry any more. */
@@ -326,8 +290,9 @@
     this->result = newResult;
     this->endOutcome = outcome;
     logEvent(LogEvent::RunStopEnded, "request", this->order.requestId, "backend_server",
-             this->order.source.server.toString(), "outcome", this->endOutcome, "connection",
-             std::string(this->isInsisting ? "closed" : "open"), "memory",
+             this->order.source.server.toString(), "result",
+             std::string(newResult == Result::Ended ? "ended" : "declined"), "outcome",
+             this->endOutcome, "connection", std::string(toString(this->connection)), "memory",
              std::string(this->isCopied ? "copied" : (this->memory ? "kept" : "none")), "detail",
              std::string(detail));
     this->endTimer.expires_at(net::steady_timer::time_point::min());
--- a/packages/gateway/relay/runstop.h
+++ b/packages/gateway/relay/runstop.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/relay/gatewaydependencies.h"
+#include "gateway/relay/runevidence.h"
 #include "gateway/relay/streamplacement.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -31,16 +32,6 @@
     WorkRequest work;
     /** Identifies the call at the engines. */
     std::string requestId;
-    /**
-     * Whether the engine is told to stop the run; otherwise it is only probed whether it can be
-     * connected to.
-     */
-    bool canStopRuns = false;
-    /**
-     * Whether events of the run still arrive. Then a refused or unanswered connection does not show
-     * that the run has ended: a leaving engine may close its listener first.
-     */
-    bool isDelivering = false;
     /** When stopping ends without success, on the clock that counts suspension. */
     Milliseconds endAt{0};
     /** Until when the run may go on at its engine although that is leaving, on the same clock. */
@@ -51,10 +42,8 @@
  * Stops a run at its engine, so that it can continue on another one.
  *
  * An engine may work on a run whose connection is closed, and a silent one may go on. Therefore a
- * run continues elsewhere only after its engine has confirmed that it stopped, or when the engine's
- * address refuses connections, has not answered for a while, or has left. Until then, the request
- * is repeated. Does not refer to the
- * relay of the stream after abandon().
+ * run continues elsewhere only after evidence that it has ended; see showsRunEnd(). Until then, the
+ * request is repeated. Does not refer to the relay of the stream after abandon().
  */
 class RunStop : public std::enable_shared_from_this<RunStop>
 {
@@ -77,8 +66,12 @@
 
     /** Starts to ask the engine. */
     void start();
-    /** Repeats the request if the engine declines, because the stream has lost its connection. */
-    void insist();
+    /**
+     * Repeats the request if the engine declines, because the stream has lost its connection.
+     *
+     * @param loss how it was lost.
+     */
+    void insist(RunConnection loss);
     /** Waits for the result. @return Declined after abandon(). */
     boost::asio::awaitable<Result> finish();
     /** Returns whether the result is Ended. */
@@ -89,8 +82,6 @@
     bool isConfirmed() const;
     /** Records that an event of the run has arrived, which shows that its engine works on it. */
     void recordEvent();
-    /** Returns whether the engine is only probed. */
-    bool isProbe() const;
     /**
      * Returns the next placement at which the run can continue, the one with the most memory first,
      * or nothing if none is left.
@@ -107,12 +98,11 @@
     boost::asio::awaitable<void> reserveTarget();
     bool isTarget(const std::optional<BackendServerName> &server) const;
     boost::asio::awaitable<RunStopResult> ask(Error &reason);
-    boost::asio::awaitable<RunStopResult> probe(Error &reason);
     boost::asio::awaitable<void> waitForRepetition();
     void apply(const RunStopResult &answer, const Error &reason);
-    bool showsEnd(const RunStopResult &answer);
-    static bool isWithoutConnection(RunStopResult::State state);
-    bool isDelivering() const;
+    RunEvidence evidenceOf(const RunStopResult &answer) const;
+    Milliseconds unansweredTime(RunEvidence evidence);
+    bool isDeclined(const RunStopResult &answer, RunEvidence evidence) const;
     bool hasSourceLeft() const;
     bool isSourceReplaced() const;
     bool isUsable(const StreamPlacement &placement) const;
@@ -138,7 +128,7 @@
     bool isMemoryUsed = false;
     bool hasConfirmed = false;
     std::string endOutcome;
-    bool isInsisting = false;
+    RunConnection connection = RunConnection::Open;
     bool isAbandoned = false;
 };
 
--- a/packages/gateway/tests/test_standingservers.cpp
+++ b/packages/gateway/tests/test_standingservers.cpp
@@ -103,6 +103,8 @@
 
     /** How long the engine of the first run stands still before an event. */
     Milliseconds silence{0};
+    /** Whether its machine goes dark instead, so that it answers no packet. */
+    bool isDark = false;
     std::size_t runCount = 0;
     std::size_t working = 0;
     /** The largest number of engines that worked on the run at once. */
@@ -141,7 +143,7 @@
                                      "Transfer-Encoding: chunked\r\n\r\n");
         for (std::uint64_t number = first; number <= lastEvent; ++number) {
             if (number == silentBefore && first == 1)
-                co_await this->standStill(listener);
+                co_await this->standStill(listener, socket);
             co_await GatewayFixture::pause(eventInterval);
             const std::string event = eventText(number);
             std::ostringstream chunk;
@@ -153,9 +155,14 @@
             co_await write(socket, "0\r\n\r\n");
     }
 
-    net::awaitable<void> standStill(FullListener &listener)
+    net::awaitable<void> standStill(FullListener &listener, tcp::socket &socket)
     {
-        listener.fill();
+        if (this->isDark) {
+            listener.dropPackets();
+            dropArrivingPackets(socket.native_handle());
+        } else {
+            listener.fill();
+        }
         co_await GatewayFixture::pause(this->silence);
         listener.drain();
     }
@@ -177,10 +184,23 @@
     REQUIRE(engines.runCount == 1);
 }
 
+// Guards against a run on two engines at once, because one that stands still accepts no connection
+// for seconds while the run's own connection is open.
+TEST_CASE("A stream stays on an engine that accepts no connection for seconds", "[refused]")
+{
+    StandingEngines engines(GENERATE(true, false));
+    engines.silence = Milliseconds(5000);
+    const HttpResponse answer = engines.fixture.call("/route/", "r1", {{"Patience", "12000"}});
+    REQUIRE(answer.body == allEvents());
+    REQUIRE(engines.mostAtOnce == 1);
+    REQUIRE(engines.runCount == 1);
+}
+
 // Guards against a stream that waits until its deadline for an engine that has gone dark.
 TEST_CASE("A stream leaves an engine that has not answered for seconds", "[runstops]")
 {
     StandingEngines engines(true);
+    engines.isDark = true;
     engines.silence = Milliseconds(8000);
     const HttpResponse answer = engines.fixture.call("/route/", "r1", {{"Patience", "12000"}});
     REQUIRE(answer.body == allEvents());
--- a/packages/gateway/tests/test_streamcuts.cpp
+++ b/packages/gateway/tests/test_streamcuts.cpp
@@ -176,6 +176,7 @@
     REQUIRE(fixture.call("/stream/", "r1").status == 0);
     const auto stops = capture.lines("run_stop_ended");
     REQUIRE_FALSE(stops.empty());
+    CHECK(LogCapture::field(stops.back(), "result") == "ended");
     CHECK(LogCapture::field(stops.back(), "outcome") == "stopped");
     CHECK(LogCapture::field(stops.back(), "connection") == "open");
     const auto cuts = capture.lines("stream_cut");
--- a/packages/network/http/httpconnection.cpp
+++ b/packages/network/http/httpconnection.cpp
@@ -13,6 +13,8 @@
 #include <chrono>
 #include <limits>
 
+#include <netinet/tcp.h>
+
 namespace sassafrasyard {
 
 namespace net = boost::asio;
@@ -32,6 +34,13 @@
 constexpr std::size_t maximumReadAheadBytes = std::size_t{2} * maximumResponseHeaderBytes;
 /** The limit on provisional (1xx) responses before the final one; servers send one or two. */
 constexpr int maximumProvisionalResponses = 16;
+/**
+ * After how many seconds without a byte the operating system probes the peer, at which interval in
+ * seconds, and after how many unanswered probes the connection is lost.
+ */
+constexpr int probeIdleSeconds = 1;
+constexpr int probeIntervalSeconds = 1;
+constexpr int maximumUnansweredProbes = 2;
 /** The interval of the idle hook; short enough to detect a disconnected caller. */
 constexpr Milliseconds idleInterval{500};
 
@@ -179,6 +188,7 @@
     bool isWatchdogArmed = false;
     bool isReading = false;
     bool hasTimedOut = false;
+    bool hasPeerGone = false;
     ConnectFailure connectFailure = ConnectFailure::None;
     Endpoint endpoint;
     beast::flat_buffer buffer{maximumReadAheadBytes};
@@ -263,6 +273,7 @@
         error_code code;
         co_await http::async_read_header(state.stream, state.buffer, *state.parser, redirect(code));
         if (code) {
+            state.hasPeerGone = code == net::error::timed_out;
             reason = toError(code, state.runStateAfterFailure(), state.endpoint);
             this->close();
             co_return std::nullopt;
@@ -292,6 +303,7 @@
         if (code && state.hasTimedOut)
             code = beast::error::timeout;
         if (code && code != http::error::need_buffer) {
+            state.hasPeerGone = code == net::error::timed_out;
             reason = toError(code, RunState::OutcomeUnknown, state.endpoint);
             this->close();
             co_return std::nullopt;
@@ -363,6 +375,25 @@
     return this->implementation->endpoint;
 }
 
+void HttpConnection::probeSilentPeer()
+{
+    using IdleTime = net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using Interval = net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using Count = net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+    auto &socket = this->implementation->stream.socket();
+    // On failure the connection works without probes.
+    error_code ignored;
+    socket.set_option(IdleTime(probeIdleSeconds), ignored);
+    socket.set_option(Interval(probeIntervalSeconds), ignored);
+    socket.set_option(Count(maximumUnansweredProbes), ignored);
+    socket.set_option(tcp::socket::keep_alive(true), ignored);
+}
+
+bool HttpConnection::hasPeerGone() const
+{
+    return this->implementation->hasPeerGone;
+}
+
 void HttpConnection::setIdleHook(std::function<void()> hook)
 {
     this->implementation->idleHook = std::move(hook);
--- a/packages/network/http/httpconnection.h
+++ b/packages/network/http/httpconnection.h
@@ -110,6 +110,16 @@
     /** Returns the peer's endpoint. */
     const Endpoint &endpoint() const;
 
+    /**
+     * Lets the operating system probe the peer while nothing arrives. If the machine of the peer is
+     * gone, a read fails with ConnectionFailed about 3 s after the last byte. A peer whose process
+     * stands still or accepts no connections answers the probes.
+     */
+    void probeSilentPeer();
+
+    /** Returns whether the connection was lost because probes were not answered. */
+    bool hasPeerGone() const;
+
     /**
      * Sets a hook that runs about twice a second while a read of the body is pending.
      *
--- a/packages/network/tests/fulllistener.h
+++ b/packages/network/tests/fulllistener.h
@@ -10,8 +10,22 @@
 #include <memory>
 #include <vector>
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
 namespace sassafrasyard {
 
+/**
+ * Lets the operating system drop all packets that arrive at a socket, so that it answers nothing,
+ * as if its machine had no power or were cut off.
+ */
+inline void dropArrivingPackets(int socket)
+{
+    sock_filter dropAll{BPF_RET | BPF_K, 0, 0, 0};
+    const sock_fprog program{1, &dropAll};
+    ::setsockopt(socket, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
+}
+
 /**
  * A listener on loopback of a process that stands still: once its backlog is full, new connections
  * are neither accepted nor refused.
@@ -55,6 +69,9 @@
         }
     }
 
+    /** From now on, drops what arrives for the listener, as if its machine had no power. */
+    void dropPackets() { dropArrivingPackets(this->acceptor.native_handle()); }
+
     /** Stops listening, so that connections are refused. */
     void close() { this->acceptor.close(); }
 
--- a/packages/network/tests/test_httpconnection.cpp
+++ b/packages/network/tests/test_httpconnection.cpp
@@ -282,3 +282,44 @@
     CHECK(connect(closedEndpoint) == ConnectFailure::Refused);
     CHECK(connect(Endpoint{"no address", 80}) == ConnectFailure::Local);
 }
+
+// Guards against a stream that waits for a machine that is gone, and against one that is lost
+// because its server stands still.
+TEST_CASE("Probes tell a machine that is gone from a server that stands still", "[connection]")
+{
+    const bool isGone = GENERATE(true, false);
+    constexpr Milliseconds silence{4500};
+    net::io_context context;
+    tcp::acceptor acceptor(context, tcp::endpoint(net::ip::make_address("127.0.0.1"), 0));
+    const Endpoint endpoint{"127.0.0.1", acceptor.local_endpoint().port()};
+    net::co_spawn(
+            context,
+            [&]() -> net::awaitable<void> {
+                tcp::socket socket = co_await acceptor.async_accept(net::use_awaitable);
+                const std::string header = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n";
+                co_await net::async_write(socket, net::buffer(header), net::use_awaitable);
+                if (isGone)
+                    dropArrivingPackets(socket.native_handle());
+                co_await pauseFor(silence);
+                if (!isGone)
+                    co_await net::async_write(socket, net::buffer("x", 1), net::use_awaitable);
+            },
+            net::detached);
+    net::co_spawn(
+            context,
+            [&]() -> net::awaitable<void> {
+                const net::any_io_executor executor = context.get_executor();
+                HttpConnection connection(executor, endpoint);
+                Error reason;
+                co_await connection.connect(Milliseconds(500), reason);
+                connection.probeSilentPeer();
+                co_await connection.exchange(HttpRequest(), Milliseconds(500), reason);
+                const auto bytes = co_await connection.read(2 * silence, reason);
+                CHECK(bytes.has_value() != isGone);
+                CHECK(connection.hasPeerGone() == isGone);
+                if (isGone)
+                    CHECK(reason.code == ErrorCode::ConnectionFailed);
+            },
+            net::detached);
+    context.run();
+}
