Don't take another entry for the end of a run whose connection is open

An entry is no evidence any more while the run's own connection is open: a process that has ended has no open connection, and keep-alive probes find a machine that is gone. The row of gateway_evidence changes with that, from the end at once to never, which is the stricter one. A start time that is not known is not compared. Tests: two cases of gateway_refused.

--- a/packages/gateway/relay/runevidence.cpp
+++ b/packages/gateway/relay/runevidence.cpp
@@ -25,7 +25,7 @@
         RunEvidenceRow{RunEvidence::EngineStopped, "stopped", atOnce, atOnce},
         RunEvidenceRow{RunEvidence::EngineHasNoRun, "absent", std::nullopt, atOnce},
         RunEvidenceRow{RunEvidence::EngineAnswered, "declined", std::nullopt, std::nullopt},
-        RunEvidenceRow{RunEvidence::EntryReplaced, "left", atOnce, atOnce},
+        RunEvidenceRow{RunEvidence::EntryReplaced, "left", std::nullopt, atOnce},
         RunEvidenceRow{RunEvidence::ConnectionRefused, "refused", std::nullopt, atOnce},
         RunEvidenceRow{RunEvidence::ConnectionUnanswered, "unanswered", std::nullopt,
                        maximumUnansweredTime},
@@ -55,8 +55,6 @@
         return "open";
     case RunConnection::Closed:
         return "closed";
-    case RunConnection::Unanswered:
-        return "unanswered";
     }
     return "unknown";
 }
@@ -65,9 +63,7 @@
 {
     const RunEvidenceRow &row = rowOf(evidence);
     const auto required = connection == RunConnection::Open ? row.whileOpen : row.afterLoss;
-    // The probes of the operating system were unanswered for longer than that.
-    const bool isLong = connection == RunConnection::Unanswered || unansweredFor >= required;
-    return required && isLong;
+    return required && unansweredFor >= *required;
 }
 
 } // namespace sassafrasyard
--- a/packages/gateway/relay/runstop.cpp
+++ b/packages/gateway/relay/runstop.cpp
@@ -31,7 +31,8 @@
     , repetitionTimer(dependencies.context)
     , endTimer(dependencies.context, net::steady_timer::time_point::max())
 {
-    if (const ServerEntry *entry = dependencies.servers.find(this->order.source.server))
+    const ServerEntry *entry = dependencies.servers.find(this->order.source.server);
+    if (entry != nullptr && entry->startedAt != 0)
         this->sourceStartedAt = entry->startedAt;
 }
 
@@ -42,9 +43,9 @@
             net::detached);
 }
 
-void RunStop::insist(RunConnection loss)
+void RunStop::insist()
 {
-    this->connection = loss;
+    this->connection = RunConnection::Closed;
 }
 
 net::awaitable<RunStop::Result> RunStop::finish()
@@ -246,7 +247,7 @@
     if (this->connection != RunConnection::Open)
         return false;
     return answer.state == RunStopResult::State::Declined || evidence == RunEvidence::EngineHasNoRun
-            || evidence == RunEvidence::ConnectionRefused
+            || evidence == RunEvidence::EntryReplaced || evidence == RunEvidence::ConnectionRefused
             || evidence == RunEvidence::ConnectionUnanswered;
 }
 
@@ -261,9 +262,11 @@
 bool RunStop::isSourceReplaced() const
 {
     const ServerEntry *entry = this->dependencies.servers.find(this->order.source.server);
-    return entry != nullptr
-            && (entry->startedAt != this->sourceStartedAt
-                || entry->address != this->order.source.address);
+    if (entry == nullptr)
+        return false;
+    const bool isRestarted = this->sourceStartedAt && entry->startedAt != 0
+            && entry->startedAt != *this->sourceStartedAt;
+    return isRestarted || entry->address != this->order.source.address;
 }
 
 bool RunStop::isUsable(const StreamPlacement &placement) const
--- a/packages/gateway/relay/runstop.h
+++ b/packages/gateway/relay/runstop.h
@@ -66,12 +66,8 @@
 
     /** Starts to ask the engine. */
     void start();
-    /**
-     * Repeats the request if the engine declines, because the stream has lost its connection.
-     *
-     * @param loss how it was lost.
-     */
-    void insist(RunConnection loss);
+    /** Repeats the request if the engine declines, because the stream has lost its connection. */
+    void insist();
     /** Waits for the result. @return Declined after abandon(). */
     boost::asio::awaitable<Result> finish();
     /** Returns whether the result is Ended. */
@@ -113,8 +109,8 @@
     GatewayDependencies &dependencies;
     RunStopOrder order;
     std::function<void(Result)> onEnd;
-    /** When the process of the engine was started, as stated by its entry. */
-    std::int64_t sourceStartedAt = 0;
+    /** When the process of the engine was started; nothing if it had no entry or stated none. */
+    std::optional<std::int64_t> sourceStartedAt;
     /** Since when the engine has not answered; nothing if it answered the last request. */
     std::optional<Milliseconds> unansweredSince;
     Milliseconds repetitionPause;
--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -249,6 +249,23 @@
         this->publish();
     }
 
+    /** Writes an entry as that of a process that was started at a time. */
+    void writeEntry(const std::string &name, const std::string &address, std::int64_t startedAt)
+    {
+        constexpr std::uint64_t furtherRevisions = 10;
+        ServerEntry written;
+        written.name = BackendServerName(name);
+        written.service = "service";
+        written.address = address;
+        written.slots = 8;
+        written.softwareVersion = SoftwareVersion("v1");
+        written.startedAt = startedAt;
+        this->entryRevision += furtherRevisions;
+        written.revision = this->entryRevision;
+        this->servers.applyEntry(written);
+        this->publish();
+    }
+
     /** Starts a planned stop of the gateway. */
     void drain() { this->gateway.drain(); }
 
@@ -605,6 +622,7 @@
     std::vector<std::unique_ptr<HttpServer>> standIns;
     std::map<std::string, HttpServer *> standInsByName;
     std::uint64_t version = 0;
+    std::uint64_t entryRevision = 100;
     std::uint64_t revision = 0;
     std::uint64_t memberChanges = 0;
     std::uint16_t chosenPort = 0;
--- a/packages/gateway/tests/test_runstops.cpp
+++ b/packages/gateway/tests/test_runstops.cpp
@@ -421,3 +421,61 @@
     REQUIRE(engines.mostAtOnce == 1);
     REQUIRE(engines.runs.size() == 1);
 }
+
+// Guards against a run on two engines, or a stream that is cut, because an entry that was missing
+// for a moment returns and is taken for that of another process.
+TEST_CASE("A returned entry does not end a run whose own connection is open", "[refused]")
+{
+    constexpr std::int64_t startedAt = 1000;
+    PersistentEngines engines;
+    const bool isMissingFirst = GENERATE(true, false);
+    engines.hasBackups = GENERATE(true, false);
+    engines.isSilent = true;
+    engines.silence = Milliseconds(3000);
+    const std::map<std::string, std::string> addresses{{"a", engines.fixture.addressOf("a")},
+                                                       {"b", engines.fixture.addressOf("b")}};
+    for (const auto &[name, address] : addresses)
+        engines.fixture.writeEntry(name, address, startedAt);
+    if (isMissingFirst) {
+        engines.fixture.spawn([&]() -> net::awaitable<void> {
+            while (engines.runs.empty())
+                co_await GatewayFixture::pause(Milliseconds(5));
+            // Shortly before the silence, so that the leaving is seen with the last events.
+            co_await GatewayFixture::pause((silentBefore - 2) * eventInterval);
+            engines.fixture.removeEntry(engines.runs.front());
+        });
+    }
+    engines.fixture.stopAnswerTime = [](const MoveOrder &) {
+        return Milliseconds(500);
+    };
+    engines.fixture.answerStop = [&](const MoveOrder &) {
+        const std::string &name = engines.runs.front();
+        engines.fixture.writeEntry(name, addresses.at(name), startedAt);
+        return RunStopResult{RunStopResult::State::Unknown, {}, false};
+    };
+    CHECK(engines.call().body == allEvents());
+    CHECK(engines.mostAtOnce == 1);
+    CHECK(engines.runs.size() == 1);
+}
+
+// Guards against a run on two engines, because the entry of its engine is replaced while the former
+// process goes on with the run on its open connection.
+TEST_CASE("A replaced entry does not end a run whose own connection is open", "[refused]")
+{
+    PersistentEngines engines;
+    engines.isSilent = true;
+    engines.silence = Milliseconds(3500);
+    engines.hasBackups = GENERATE(true, false);
+    engines.fixture.allowsMove = [](const MoveOrder &) {
+        return true;
+    };
+    for (const std::string name : {"a", "b"})
+        engines.fixture.writeEntry(name, engines.fixture.addressOf(name), 1000);
+    engines.fixture.answerStop = [&](const MoveOrder &) {
+        engines.fixture.writeEntry(engines.runs.front(), "127.0.0.1:9", 2000);
+        return RunStopResult{RunStopResult::State::Unreachable, {}, false};
+    };
+    CHECK(engines.call().body == allEvents());
+    CHECK(engines.mostAtOnce == 1);
+    CHECK(engines.runs.size() == 1);
+}
