Give an engine time to answer after unanswered probes, and switch them off for idle connections

A loss by probes is now a lost connection like others, and 1.5 s without an answer are needed as before. The probes are switched off when the connection returns to the pool, since later calls on it would be lost by another rule than those on new connections.

--- a/packages/gateway/relay/backendattempt.cpp
+++ b/packages/gateway/relay/backendattempt.cpp
@@ -159,7 +159,7 @@
         this->cancel();
     };
     if (this->call.route->kind == CallKind::Stream)
-        this->connection->probeSilentPeer();
+        this->connection->setProbing(true);
     // A server may close an idle persistent connection, so only a failure on a new connection
     // indicates that the server is down.
     const bool isNew = !this->connection->hasReceivedResponse();
@@ -377,14 +377,11 @@
     return this->isCancelled;
 }
 
-bool BackendAttempt::hasPeerGone() const
-{
-    return this->connection && this->connection->hasPeerGone();
-}
-
 void BackendAttempt::release()
 {
     this->call.cancelHooks.erase(this);
+    if (this->connection)
+        this->connection->setProbing(false);
     this->dependencies.connections.release(std::move(this->connection));
 }
 
--- a/packages/gateway/relay/backendattempt.h
+++ b/packages/gateway/relay/backendattempt.h
@@ -56,8 +56,6 @@
     void cancel();
     /** Returns whether the connection was closed by cancel(). */
     bool wasCancelled() const;
-    /** Returns whether the connection was lost because the server's machine does not answer. */
-    bool hasPeerGone() const;
     /** Returns the connection to the pool, which keeps it if the response is complete. */
     void release();
 
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -529,22 +529,18 @@
     auto next = this->stop->takeContinuation();
     if (!next) {
         // The engine may still copy the memory of the run to the target.
-        co_await this->waitForStop(RunConnection::Closed);
+        co_await this->waitForStop();
         if (this->stop)
             next = this->stop->takeContinuation();
     }
     co_return next;
 }
 
-/**
- * Waits for the result of the request to stop the run, or until the caller has left.
- *
- * @param loss how the run's own connection was lost.
- */
-net::awaitable<RunStop::Result> EventRelay::waitForStop(RunConnection loss)
+/** Waits for the result of the request to stop the run, or until the caller has left. */
+net::awaitable<RunStop::Result> EventRelay::waitForStop()
 {
     const auto waiting = this->stop;
-    waiting->insist(loss);
+    waiting->insist();
     this->call.cancelHooks[waiting.get()] = [waiting] {
         waiting->abandon();
     };
@@ -678,9 +674,7 @@
     if (!hasCopy && !this->call.route->isResumable)
         co_return true;
     this->startStop();
-    const RunConnection loss =
-            this->attempt->hasPeerGone() ? RunConnection::Unanswered : RunConnection::Closed;
-    const RunStop::Result result = co_await this->waitForStop(loss);
+    const RunStop::Result result = co_await this->waitForStop();
     co_return result == RunStop::Result::Ended;
 }
 
@@ -773,17 +767,10 @@
     this->watchSilence();
 }
 
-/**
- * Takes into account that an event has arrived: the run goes on, whatever the lack of answers to a
- * probe or to a request to stop it suggests. Only its engine can say that it has ended.
- */
+/** Takes into account that an event has arrived, which shows that the engine is not unanswered. */
 void EventRelay::recordDelivery()
 {
-    if (!this->stop || this->stop->isConfirmed())
-        return;
-    if (this->stop->hasEnded())
-        this->onStopEnd(RunStop::Result::Declined);
-    else
+    if (this->stop)
         this->stop->recordEvent();
 }
 
--- a/packages/gateway/relay/eventrelay.h
+++ b/packages/gateway/relay/eventrelay.h
@@ -75,7 +75,7 @@
     void dropRefreshedCopy();
     boost::asio::awaitable<bool> continueFromCopy(bool hasRun);
     boost::asio::awaitable<std::optional<StreamPlacement>> takeContinuation();
-    boost::asio::awaitable<RunStop::Result> waitForStop(RunConnection loss);
+    boost::asio::awaitable<RunStop::Result> waitForStop();
     bool continueFromBackup();
     std::optional<StreamPlacement> takeBackup();
     boost::asio::awaitable<bool> continueFromRefreshedCopy();
--- a/packages/gateway/relay/runevidence.h
+++ b/packages/gateway/relay/runevidence.h
@@ -33,10 +33,8 @@
 enum class RunConnection {
     /** It is open, also if nothing arrives. */
     Open,
-    /** It was closed or reset by the engine or the network. */
+    /** It was closed or reset, or probes on it were not answered; see HttpConnection. */
     Closed,
-    /** The peer did not answer the probes of the operating system; see HttpConnection. */
-    Unanswered,
 };
 
 /** Returns the name of a state in logs. */
@@ -48,7 +46,8 @@
  * The operating system of an engine closes the connections of a process that ends. So while the
  * run's own connection is open, the lack of new connections or of answers shows nothing: a leaving
  * engine closes its listener first, and a full or suspended one accepts no connection for a time.
- * An engine whose machine is gone does not answer the probes on that connection either.
+ * The entry is no evidence either then: it may be missing for a time, return, or be another's. An
+ * engine whose machine is gone does not answer the probes on that connection.
  *
  * @param unansweredFor since when the engine has not answered, including the present evidence.
  */
--- a/packages/gateway/relay/runstop.cpp
+++ b/packages/gateway/relay/runstop.cpp
@@ -68,11 +68,6 @@
     return this->endOutcome;
 }
 
-bool RunStop::isConfirmed() const
-{
-    return this->hasConfirmed;
-}
-
 void RunStop::recordEvent()
 {
     this->unansweredSince.reset();
@@ -200,7 +195,6 @@
 {
     this->memory = answer.memory;
     this->isCopied = answer.isCopied;
-    this->hasConfirmed = answer.state == RunStopResult::State::Stopped;
     const RunEvidence evidence = this->evidenceOf(answer);
     const Milliseconds time = this->unansweredTime(evidence);
     if (showsRunEnd(evidence, this->connection, time))
--- a/packages/gateway/relay/runstop.h
+++ b/packages/gateway/relay/runstop.h
@@ -74,8 +74,6 @@
     bool hasEnded() const;
     /** Returns how the order ended, as in its log line, or an empty text before that. */
     const std::string &outcome() const;
-    /** Returns whether the engine itself said that it does not work on the run any more. */
-    bool isConfirmed() const;
     /** Records that an event of the run has arrived, which shows that its engine works on it. */
     void recordEvent();
     /**
@@ -122,7 +120,6 @@
     bool isCopied = false;
     /** Whether a continuation was sent that uses the memory, which then frees it. */
     bool isMemoryUsed = false;
-    bool hasConfirmed = false;
     std::string endOutcome;
     RunConnection connection = RunConnection::Open;
     bool isAbandoned = false;
--- a/packages/network/http/httpconnection.cpp
+++ b/packages/network/http/httpconnection.cpp
@@ -188,7 +188,6 @@
     bool isWatchdogArmed = false;
     bool isReading = false;
     bool hasTimedOut = false;
-    bool hasPeerGone = false;
     ConnectFailure connectFailure = ConnectFailure::None;
     Endpoint endpoint;
     beast::flat_buffer buffer{maximumReadAheadBytes};
@@ -273,7 +272,6 @@
         error_code code;
         co_await http::async_read_header(state.stream, state.buffer, *state.parser, redirect(code));
         if (code) {
-            state.hasPeerGone = code == net::error::timed_out;
             reason = toError(code, state.runStateAfterFailure(), state.endpoint);
             this->close();
             co_return std::nullopt;
@@ -303,7 +301,6 @@
         if (code && state.hasTimedOut)
             code = beast::error::timeout;
         if (code && code != http::error::need_buffer) {
-            state.hasPeerGone = code == net::error::timed_out;
             reason = toError(code, RunState::OutcomeUnknown, state.endpoint);
             this->close();
             co_return std::nullopt;
@@ -375,7 +372,7 @@
     return this->implementation->endpoint;
 }
 
-void HttpConnection::probeSilentPeer()
+void HttpConnection::setProbing(bool isEnabled)
 {
     using IdleTime = net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
     using Interval = net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
@@ -383,15 +380,12 @@
     auto &socket = this->implementation->stream.socket();
     // On failure the connection works without probes.
     error_code ignored;
-    socket.set_option(IdleTime(probeIdleSeconds), ignored);
-    socket.set_option(Interval(probeIntervalSeconds), ignored);
-    socket.set_option(Count(maximumUnansweredProbes), ignored);
-    socket.set_option(tcp::socket::keep_alive(true), ignored);
-}
-
-bool HttpConnection::hasPeerGone() const
-{
-    return this->implementation->hasPeerGone;
+    if (isEnabled) {
+        socket.set_option(IdleTime(probeIdleSeconds), ignored);
+        socket.set_option(Interval(probeIntervalSeconds), ignored);
+        socket.set_option(Count(maximumUnansweredProbes), ignored);
+    }
+    socket.set_option(tcp::socket::keep_alive(isEnabled), ignored);
 }
 
 void HttpConnection::setIdleHook(std::function<void()> hook)
--- a/packages/network/http/httpconnection.h
+++ b/packages/network/http/httpconnection.h
@@ -111,14 +111,14 @@
     const Endpoint &endpoint() const;
 
     /**
-     * Lets the operating system probe the peer while nothing arrives. If the machine of the peer is
-     * gone, a read fails with ConnectionFailed about 3 s after the last byte. A peer whose process
-     * stands still or accepts no connections answers the probes.
+     * Sets whether the operating system probes the peer while nothing is under way.
+     *
+     * If the probes are not answered, because the machine of the peer is gone or the network has
+     * lost the connection, a read fails with ConnectionFailed about 3 s after the last byte. A peer
+     * whose process stands still or accepts no connections answers them. Bytes that the peer has
+     * not acknowledged delay the probes.
      */
-    void probeSilentPeer();
-
-    /** Returns whether the connection was lost because probes were not answered. */
-    bool hasPeerGone() const;
+    void setProbing(bool isEnabled);
 
     /**
      * Sets a hook that runs about twice a second while a read of the body is pending.
