Run a fleet of daemons beside reloads, silent and leaving engines

The cut of a stream beside SIGHUP was reported from a deployment of many hosts, and the tests of the real daemon run one host with one change at a time. tests/soak starts several daemons with one store, engines that stop, copy and continue runs as the platform's do, and callers that send requests in chunks and in pieces on kept connections. Seeds decide reloads in turn and at once, versions in series, silences of 1 to 3 s, planned replacements of engines and stops of single daemons by SIGSTOP for 0.5 to 1 s. Each stream that an engine began must end with all its events, no request may be at two engines at one time, and no host may log stream_cut.

The stand-in store takes the interval at which watches look for changes, because forty hosts with the fixed 2 ms would keep the test's process busy, and the search for free ports is shared with plannedstop.

--- a/tests/plannedstop/hostdocuments.cpp
+++ b/tests/plannedstop/hostdocuments.cpp
@@ -50,7 +50,7 @@
 std::string HostSettings::toText(int firstPort, const Endpoint &store) const
 {
     constexpr double millisecondsPerSecond = 1000.0;
-    return R"(node: "host-1"
+    return R"(node: ")" + this->name + R"("
 zone: "a"
 region: "r"
 ip: "127.0.0.1"
--- a/tests/plannedstop/hostdocuments.h
+++ b/tests/plannedstop/hostdocuments.h
@@ -10,6 +10,8 @@
 /** The settings of a host that tests change; the others are fixed. */
 struct HostSettings
 {
+    /** The name of the host, which no other host of the store has. */
+    std::string name = "host-1";
     /** The grace of a planned stop. */
     Milliseconds grace{3000};
     /** For how long keys are trusted without confirmation. */
--- a/tests/plannedstop/stoppinghost.cpp
+++ b/tests/plannedstop/stoppinghost.cpp
@@ -1,5 +1,7 @@
 #include "stoppinghost.h"
 
+#include "freeports.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -30,26 +32,6 @@
     return Clock::steady().now();
 }
 
-/** Returns the first of some consecutive ports that are free, or 0 if one of them is not. */
-std::uint16_t findFreePorts(net::io_context &context)
-{
-    std::vector<net::ip::tcp::acceptor> probes;
-    const auto address = net::ip::make_address("127.0.0.1");
-    std::uint16_t first = 0;
-    for (std::uint16_t index = 0; index < portCount; ++index) {
-        boost::system::error_code code;
-        net::ip::tcp::acceptor &probe = probes.emplace_back(context);
-        probe.open(net::ip::tcp::v4());
-        const auto port = static_cast<std::uint16_t>(index == 0 ? 0 : first + index);
-        probe.bind({address, port}, code);
-        if (code)
-            return 0;
-        if (index == 0)
-            first = probe.local_endpoint().port();
-    }
-    return first;
-}
-
 net::awaitable<void> pause(Milliseconds time)
 {
     net::steady_timer timer(co_await net::this_coro::executor, time);
@@ -350,7 +332,7 @@
     constexpr int maximumProbes = 100;
     this->firstPort = 0;
     for (int tries = 0; this->firstPort == 0 && tries < maximumProbes; ++tries)
-        this->firstPort = findFreePorts(this->context);
+        this->firstPort = findFreePorts(this->context, portCount);
     this->writeSettings(grace);
     this->endedAt.reset();
     this->daemon = std::make_unique<DaemonProcess>((this->directory / "settings.yaml").string(),
--- /dev/null
+++ b/tests/soak/fleet.cpp
@@ -0,0 +1,380 @@
+#include "fleet.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <csignal>
+
+namespace sassafrasyard {
+
+namespace net = boost::asio;
+
+namespace {
+
+constexpr Milliseconds stepTime{2};
+/** Forty hosts that watch four kinds of objects each look 8,000 times per second. */
+constexpr Milliseconds watchInterval{20};
+constexpr Milliseconds startTimeout{60000};
+constexpr Milliseconds endTimeout{60000};
+/** Shorter than the pauses after which callers abandon a stream. */
+constexpr Milliseconds targetPause{120};
+/** How long an engine serves after it has left, as the bound drain-ms of the settings. */
+constexpr Milliseconds leavingTime{2000};
+constexpr int callersPerHost = 4;
+constexpr int engineSlots = 16;
+constexpr int successStatus = 200;
+
+Milliseconds now()
+{
+    return Clock::steady().now();
+}
+
+int draw(std::mt19937_64 &random, int minimum, int maximum)
+{
+    return std::uniform_int_distribution<int>(minimum, maximum)(random);
+}
+
+bool drawChance(std::mt19937_64 &random, int percent)
+{
+    constexpr int certain = 100;
+    return draw(random, 1, certain) <= percent;
+}
+
+Milliseconds drawTime(std::mt19937_64 &random, int minimum, int maximum)
+{
+    return Milliseconds(draw(random, minimum, maximum));
+}
+
+std::string engineEntry(const SoakEngine &engine, const std::string &service,
+                        const std::string &state)
+{
+    return R"({"service":")" + service + R"(","addr":")" + engine.address()
+            + R"(","zone":"a","version":"v1","slots":)" + std::to_string(engineSlots)
+            + R"(,"state":")" + state + R"(","born":1})";
+}
+
+/** Returns the value of a text field of a log line. */
+std::string fieldOf(const std::string &line, const std::string &name)
+{
+    const std::string start = "\"" + name + "\":\"";
+    const std::size_t position = line.find(start);
+    if (position == std::string::npos)
+        return "absent";
+    const std::size_t begin = position + start.size();
+    return line.substr(begin, line.find('"', begin) - begin);
+}
+
+std::string describeCut(const std::string &line)
+{
+    std::string text = "stream_cut";
+    for (const char *name : {"decision", "stop_outcome", "closed_by", "late_by_ms", "chunked"})
+        text += std::string(" ") + name + "=" + fieldOf(line, name);
+    return text + " " + line;
+}
+
+} // namespace
+
+Fleet::Fleet(int hostCount, std::uint64_t seed)
+    : store(this->context)
+{
+    constexpr int plainServerCount = 2;
+    this->store.watchInterval = watchInterval;
+    this->writeConfiguration(this->baseConfiguration());
+    for (int index = 1; index <= plainServerCount; ++index) {
+        const std::string name = "desk-" + std::to_string(index);
+        this->engines[name] = std::make_unique<SoakEngine>(this->context, this->runs);
+        this->store.put(std::string(objectkind::servers), name,
+                        engineEntry(*this->engines[name], "desk", "ready"));
+    }
+    for (int index = 0; index < hostCount / 2 + 3; ++index)
+        this->addEngine(index % 2 == 0);
+    this->startHosts(hostCount);
+    for (std::size_t host = 0; host < this->hosts.size(); ++host) {
+        for (int index = 0; index < callersPerHost; ++index) {
+            const std::string name = "h" + std::to_string(host) + "c" + std::to_string(index);
+            this->callers.push_back(
+                    std::make_unique<SoakCaller>(this->context, this->hosts[host]->callerEndpoint(),
+                                                 name, seed * 1000 + this->callers.size()));
+        }
+    }
+    this->addChanges(seed);
+}
+
+bool Fleet::isReady() const
+{
+    return this->areReady;
+}
+
+bool Fleet::run(Milliseconds time)
+{
+    const Milliseconds end = now() + time;
+    for (const auto &caller : this->callers)
+        caller->start(end);
+    const auto areDone = [this] {
+        return std::all_of(this->callers.begin(), this->callers.end(),
+                           [](const auto &caller) { return caller->isDone(); });
+    };
+    while (now() < end + endTimeout && !(areDone() && this->laterActions.empty())) {
+        this->context.run_for(stepTime);
+        if (now() < end)
+            this->makeChanges();
+        this->runLater();
+        this->removeIdleEngines();
+    }
+    return areDone();
+}
+
+/**
+ * The faults are: a request that a server began but that has no whole answer, a response that
+ * breaks off, a request at two servers at one time, a stream_cut line, and a daemon that exits.
+ */
+std::vector<std::string> Fleet::findFaults()
+{
+    std::vector<std::string> faults = this->runs.violations();
+    for (const auto &caller : this->callers) {
+        for (const auto &call : caller->calls()) {
+            const bool isWhole = call->isAnswered() || !this->runs.hasBegun(call->requestId());
+            if (!isWhole || call->result.end == CallEnd::Cut)
+                faults.push_back(call->describe());
+        }
+    }
+    for (const auto &host : this->hosts) {
+        if (host->hasExited())
+            faults.emplace_back("a daemon has exited");
+        for (const std::string &line : host->logLines("stream_cut"))
+            faults.push_back(describeCut(line));
+    }
+    return faults;
+}
+
+std::string Fleet::summary() const
+{
+    std::map<std::string, int> counts;
+    for (const auto &caller : this->callers) {
+        for (const auto &call : caller->calls()) {
+            const CallResult &result = call->result;
+            if (call->isAnswered())
+                ++counts["answered"];
+            else if (result.end == CallEnd::Response)
+                ++counts["status " + std::to_string(result.response.status)];
+            else
+                ++counts[std::string(toString(result.end))];
+        }
+    }
+    for (const Change &change : this->changes)
+        counts[change.name] = change.count;
+    std::string text;
+    for (const auto &[name, count] : counts)
+        text += name + " " + std::to_string(count) + ", ";
+    return text;
+}
+
+void Fleet::addEngine(bool hasRoom)
+{
+    const std::string name = "engine-" + std::to_string(++this->engineCount);
+    auto &engine = this->engines[name];
+    engine = std::make_unique<SoakEngine>(this->context, this->runs);
+    if (hasRoom)
+        this->runs.addRoom(engine->address());
+    this->usableEngines.push_back(name);
+    this->store.put(std::string(objectkind::servers), name,
+                    engineEntry(*engine, "engine", "ready"));
+}
+
+void Fleet::startHosts(int count)
+{
+    const auto start = [this](std::size_t index) {
+        return std::make_unique<SoakHost>(this->context, this->store.endpoint(),
+                                          "host-" + std::to_string(index + 1));
+    };
+    for (int index = 0; index < count; ++index)
+        this->hosts.push_back(start(this->hosts.size()));
+    const Milliseconds end = now() + startTimeout;
+    while (!this->areReady && now() < end) {
+        this->areReady = true;
+        for (std::size_t index = 0; index < this->hosts.size(); ++index) {
+            // Another process may take a free port before the daemon does.
+            if (this->hosts[index]->hasExited())
+                this->hosts[index] = start(index);
+            this->areReady = this->isHostReady(*this->hosts[index]) && this->areReady;
+        }
+    }
+}
+
+/** Asks a host whether it takes callers. */
+bool Fleet::isHostReady(const SoakHost &host)
+{
+    CallerConnection connection(this->context, host.readinessEndpoint());
+    HttpRequest request;
+    request.target = "/ready";
+    request.headers = {{"Host", "h"}};
+    CallResult result;
+    net::co_spawn(
+            this->context,
+            [&]() -> net::awaitable<void> { result = co_await connection.call(request); },
+            net::detached);
+    while (result.end == CallEnd::Pending)
+        this->context.run_for(stepTime);
+    return result.end == CallEnd::Response && result.response.status == successStatus;
+}
+
+void Fleet::addChanges(std::uint64_t seed)
+{
+    using Method = void (Fleet::*)(std::mt19937_64 &);
+    const auto add = [&](const char *name, int shortestPause, int longestPause, Method make) {
+        Change change;
+        change.name = name;
+        change.shortestPause = shortestPause;
+        change.longestPause = longestPause;
+        change.make = [this, make](std::mt19937_64 &random) {
+            (this->*make)(random);
+        };
+        change.random.seed(seed * 10 + this->changes.size());
+        this->changes.push_back(std::move(change));
+    };
+    add("reloads", 200, 900, &Fleet::reloadHosts);
+    add("configurations", 300, 2000, &Fleet::writeConfigurations);
+    add("silences", 300, 1500, &Fleet::silenceEngine);
+    add("replacements", 1500, 4000, &Fleet::replaceEngine);
+    add("stops of hosts", 800, 3000, &Fleet::stopHost);
+}
+
+/** Lets one host or some hosts at once read other settings. */
+void Fleet::reloadHosts(std::mt19937_64 &random)
+{
+    constexpr int overlapChance = 30;
+    const int count = drawChance(random, overlapChance) ? draw(random, 2, 4) : 1;
+    for (int index = 0; index < count; ++index) {
+        HostSettings settings;
+        settings.grace = drawTime(random, 1000, 4000);
+        settings.maximumKeyAge = drawTime(random, 3000, 8000);
+        settings.retrySlack = draw(random, 0, 56);
+        this->hosts[this->nextHost++ % this->hosts.size()]->reload(settings);
+    }
+}
+
+/** Writes up to three versions, each at once or up to 300 ms after the one before it. */
+void Fleet::writeConfigurations(std::mt19937_64 &random)
+{
+    constexpr int storyChance = 90;
+    Milliseconds delay{0};
+    for (int left = draw(random, 1, 3); left > 0; --left) {
+        HostConfiguration next = this->baseConfiguration();
+        next.furtherRoutes = draw(random, 0, 200);
+        next.hasStory = left == 1 || drawChance(random, storyChance);
+        next.targetPause = drawTime(random, 20, 200);
+        next.copiesRuns = drawChance(random, storyChance);
+        this->later(delay, [this, next] { this->writeConfiguration(next); });
+        delay += drawTime(random, 0, 300);
+    }
+}
+
+void Fleet::silenceEngine(std::mt19937_64 &random)
+{
+    const int last = static_cast<int>(this->usableEngines.size()) - 1;
+    const std::string name = this->usableEngines[static_cast<std::size_t>(draw(random, 0, last))];
+    this->engines.at(name)->silence(drawTime(random, 1000, 3000));
+}
+
+/** Lets an engine leave, perhaps silent, with its listener closed before or after its report. */
+void Fleet::replaceEngine(std::mt19937_64 &random)
+{
+    constexpr int halfChance = 50;
+    const int last = static_cast<int>(this->usableEngines.size()) - 1;
+    const auto position = this->usableEngines.begin() + draw(random, 0, last);
+    const std::string name = *position;
+    this->usableEngines.erase(position);
+    SoakEngine &engine = *this->engines.at(name);
+    if (drawChance(random, halfChance))
+        engine.silence(drawTime(random, 1000, 3000));
+    const bool hasReport = drawChance(random, halfChance);
+    this->later(drawTime(random, 0, 1000), [&engine] { engine.refuseConnections(); });
+    this->later(drawTime(random, 0, 1000), [this, &engine, name, hasReport] {
+        const std::string kind(objectkind::servers);
+        if (hasReport)
+            this->store.put(kind, name, engineEntry(engine, "engine", "draining"));
+        else
+            this->store.remove(kind, name);
+        this->leftEngines[name] = now() + leavingTime;
+    });
+    const bool hasRoom = drawChance(random, halfChance);
+    this->later(drawTime(random, 0, 1500), [this, hasRoom] { this->addEngine(hasRoom); });
+}
+
+/** Gives a host no processor time for 0.5 to 1 s. */
+void Fleet::stopHost(std::mt19937_64 &random)
+{
+    const int last = static_cast<int>(this->hosts.size()) - 1;
+    SoakHost &host = *this->hosts[static_cast<std::size_t>(draw(random, 0, last))];
+    host.signal(SIGSTOP);
+    this->later(drawTime(random, 500, 1000), [&host] { host.signal(SIGCONT); });
+}
+
+void Fleet::later(Milliseconds time, std::function<void()> action)
+{
+    this->laterActions.emplace_back(now() + time, std::move(action));
+}
+
+void Fleet::makeChanges()
+{
+    for (Change &change : this->changes) {
+        if (now() < change.nextAt)
+            continue;
+        if (change.nextAt > Milliseconds(0)) {
+            change.make(change.random);
+            ++change.count;
+        }
+        change.nextAt = now() + drawTime(change.random, change.shortestPause, change.longestPause);
+    }
+}
+
+void Fleet::runLater()
+{
+    std::vector<std::pair<Milliseconds, std::function<void()>>> waiting;
+    waiting.swap(this->laterActions);
+    for (auto &[time, action] : waiting) {
+        if (now() >= time)
+            action();
+        else
+            this->laterActions.emplace_back(time, std::move(action));
+    }
+}
+
+/** Ends the engines that have left and have no request in progress any more. */
+void Fleet::removeIdleEngines()
+{
+    for (auto left = this->leftEngines.begin(); left != this->leftEngines.end();) {
+        const auto engine = this->engines.find(left->first);
+        const bool isOver = now() >= left->second && engine->second->isIdle();
+        if (!isOver) {
+            ++left;
+            continue;
+        }
+        this->store.remove(std::string(objectkind::servers), left->first);
+        this->engines.erase(engine);
+        left = this->leftEngines.erase(left);
+    }
+}
+
+/** Returns the next version of the configuration without further changes. */
+HostConfiguration Fleet::baseConfiguration()
+{
+    HostConfiguration configuration;
+    configuration.version = this->version + 1;
+    configuration.engineSlots = engineSlots;
+    configuration.targetPause = targetPause;
+    configuration.copiesRuns = true;
+    configuration.key = "k1";
+    return configuration;
+}
+
+void Fleet::writeConfiguration(const HostConfiguration &configuration)
+{
+    HostConfiguration next = configuration;
+    next.version = ++this->version;
+    this->store.put(std::string(objectkind::configuration), std::string(configurationObjectName),
+                    next.toText());
+}
+
+} // namespace sassafrasyard
