Let the engines of the fleet test exit as processes do

It now closes its listener and connections and stays until the end of the test.

A second request to stop a run was answered with 404 although the run was being stopped, which says that there is no such run; the platform's engines answer 409 then.

--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -341,7 +341,7 @@
     }
 }
 
-/** Ends the engines that have left and have no request in progress any more. */
+/** Lets the engines exit that have left and have no request in progress any more. */
 void Fleet::removeIdleEngines()
 {
     for (auto left = this->leftEngines.begin(); left != this->leftEngines.end();) {
@@ -352,7 +352,7 @@
             continue;
         }
         this->store.remove(std::string(objectkind::servers), left->first);
-        this->engines.erase(engine);
+        engine->second->exit();
         left = this->leftEngines.erase(left);
     }
 }
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -72,7 +72,7 @@
     boost::asio::io_context context;
     StandInStore store;
     RunRegister runs;
-    /** The servers by name; those that have left stay until no request is in progress. */
+    /** The servers by name, also those that have exited. */
     std::map<std::string, std::unique_ptr<SoakEngine>> engines;
     std::vector<std::string> usableEngines;
     /** The names of the engines that have left, and from when on they may end. */
--- a/tests/soak/soakengine.cpp
+++ b/tests/soak/soakengine.cpp
@@ -19,6 +19,7 @@
 
 constexpr int successStatus = 200;
 constexpr int notFoundStatus = 404;
+constexpr int conflictStatus = 409;
 constexpr int unavailableStatus = 503;
 constexpr std::string_view handlePrefix = "/kv-handle/";
 
@@ -63,15 +64,15 @@
 
 SoakEngine::SoakEngine(net::io_context &context, RunRegister &runs)
     : runs(runs)
-    , server(
-              context, HttpServerOptions(),
-              [this](const HttpRequest &request, HttpResponder &responder) {
-                  return this->handle(request, responder);
-              },
-              errorResponse)
 {
+    this->server = std::make_unique<HttpServer>(
+            context, HttpServerOptions(),
+            [this](const HttpRequest &request, HttpResponder &responder) {
+                return this->handle(request, responder);
+            },
+            errorResponse);
     Error reason;
-    this->listening = this->server.listen({"127.0.0.1", 0}, reason).value().toString();
+    this->listening = this->server->listen({"127.0.0.1", 0}, reason).value().toString();
 }
 
 const std::string &SoakEngine::address() const
@@ -86,7 +87,8 @@
 
 void SoakEngine::refuseConnections()
 {
-    this->server.stopAccepting();
+    if (this->server)
+        this->server->stopAccepting();
 }
 
 bool SoakEngine::isIdle() const
@@ -94,8 +96,18 @@
     return this->requestCount == 0;
 }
 
+void SoakEngine::exit()
+{
+    this->server.reset();
+}
+
 net::awaitable<void> SoakEngine::handle(const HttpRequest &request, HttpResponder &responder)
 {
+    // A request may have been read before the exit closed its connection.
+    if (!this->server) {
+        responder.abort();
+        co_return;
+    }
     ++this->requestCount;
     const std::string path(request.path());
     if (path == "/kv-move") {
@@ -146,6 +158,7 @@
     // The run of a caller who has disconnected ends at once, also beside a silence.
     responder.setCallerGoneHook([this, requestId, run] {
         run->isStopped = true;
+        run->isCallerGone = true;
         this->runs.end(requestId, this->listening);
     });
     const auto backup = findHeader(request.headers, "Kv-Backup");
@@ -206,7 +219,9 @@
     const std::string target = order.at("target");
     const auto found = this->inProgress.find(requestId);
     if (found == this->inProgress.end() || found->second->isStopped) {
-        co_await sendStatus(responder, notFoundStatus);
+        // A run whose caller has disconnected has ended; any other stopped one is being stopped.
+        const bool isStopping = found != this->inProgress.end() && !found->second->isCallerGone;
+        co_await sendStatus(responder, isStopping ? conflictStatus : notFoundStatus);
         co_return;
     }
     const std::shared_ptr<Run> run = found->second;
--- a/tests/soak/soakengine.h
+++ b/tests/soak/soakengine.h
@@ -39,12 +39,16 @@
     /** Returns whether no request is in progress. */
     bool isIdle() const;
 
+    /** Closes the listener and all connections, as the end of the process does. */
+    void exit();
+
 private:
     /** A stream in progress. */
     struct Run
     {
         int lastEvent = 0;
         bool isStopped = false;
+        bool isCallerGone = false;
     };
 
     boost::asio::awaitable<void> handle(const HttpRequest &request, HttpResponder &responder);
@@ -57,7 +61,8 @@
     bool mayBegin(const HttpRequest &request);
 
     RunRegister &runs;
-    HttpServer server;
+    /** Null after the exit. */
+    std::unique_ptr<HttpServer> server;
     std::string listening;
     Milliseconds silentUntil{0};
     std::map<std::string, std::shared_ptr<Run>> inProgress;
