Continue a stopped stream from its completed copy if the return is refused

Callers saw a stream cut although the memory of its run was on another engine. The engine of the backup refused the run, the leaving engine accepted no connection on which the run could return, and stream_cut stated decision no_continuation and copy ready.

After a part that was refused, EventRelay::continueFromCopy() ended before it looked at the refreshed copy. Only a backup is useless then, and it has been dropped by that time. The refreshed copy is now taken in both cases.

The other tests of the gateway were not run.

--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -568,8 +568,8 @@
         this->continueAt(std::move(*next));
         co_return true;
     }
-    if (!hasRun)
-        co_return false;
+    // A copy that the engine completed holds the run, also if a part that came after it was
+    // refused.
     const bool isContinued = co_await this->continueFromRefreshedCopy();
     co_return isContinued || this->continueFromBackup();
 }
--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -454,6 +454,10 @@
     std::function<bool(const MoveOrder &)> allowsMove = [](const MoveOrder &) {
         return true;
     };
+    /** How long the answers to requests to copy a run take. */
+    std::function<Milliseconds(const MoveOrder &)> moveAnswerTime = [](const MoveOrder &) {
+        return Milliseconds(0);
+    };
     /**
      * The runs that engines were asked to stop; the function below is their answer, by default that
      * they have no such run.
@@ -541,6 +545,9 @@
         calls.moveMemory = [this](MoveOrder order, Milliseconds,
                                   Error &) -> boost::asio::awaitable<std::optional<MemoryCopy>> {
             this->moves.push_back(order);
+            const Milliseconds moveTime = this->moveAnswerTime(order);
+            if (moveTime > Milliseconds(0))
+                co_await pause(moveTime);
             if (!this->allowsMove(order))
                 co_return std::nullopt;
             co_return MemoryCopy{order.sourceAddress, "handle"};
--- a/packages/gateway/tests/test_runstops.cpp
+++ b/packages/gateway/tests/test_runstops.cpp
@@ -304,6 +304,31 @@
     REQUIRE(engines.runs[0] == engines.runs[1]);
 }
 
+// Guards against a stream that is cut although a copy of its run is complete, because the run was
+// stopped for a backup that is refused and its leaving engine accepts no connection to return on.
+TEST_CASE("A stopped run goes on from the copy that its silent engine completed", "[runstops]")
+{
+    PersistentEngines engines;
+    engines.isSilent = true;
+    engines.silence = Milliseconds(2100);
+    engines.refusesConnections = true;
+    engines.leavesAfter = Milliseconds(1700);
+    engines.hasBackups = false;
+    engines.stopState = RunStopResult::State::Stopped;
+    engines.keepsMemory = true;
+    engines.fixture.allowsMove = [](const MoveOrder &) {
+        return true;
+    };
+    engines.fixture.moveAnswerTime = [](const MoveOrder &) {
+        return Milliseconds(1200);
+    };
+    const HttpResponse answer = engines.call();
+    REQUIRE(answer.body == allEvents());
+    REQUIRE(engines.mostAtOnce == 1);
+    REQUIRE(engines.runs.size() == 2);
+    REQUIRE(engines.runs[0] != engines.runs[1]);
+}
+
 // Guards against a run on two engines at once, because the connection to the first one was lost
 // while it works on.
 TEST_CASE("A run without its connection is stopped before it goes on elsewhere", "[runstops]")
