Let a stopped run return to its leaving engine for most of the drain time

Callers lost streams of a leaving engine whose answer to the request to stop the run came after more than 1 s: the engine keeps the memory and serves for drain-ms, but the host let a run return for 1 s only.

ServerCatalogue now keeps when this host first learned of a leaving, from the entry, a peer or the server itself, and returnableUntil() adds seven tenths of drain-ms. Watches of the store start up to a quarter of drain-ms apart, so the host may learn of it that late; the rest is for the way to the engine. A server whose entry is removed, or that was leaving before its entry was known, is given no time: its runs are stopped only with a complete copy (before: also with a backup, for 0.75 s). A changed drain-ms takes effect when the settings are read again; hasSameBounds() ignored it.

Two new cases of test_servercatalogue; [servers], [order], [relay], [events], [streams] and [cuts] pass.

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -73,7 +73,7 @@
 ServerCatalogueOptions catalogueOptions(const PlatformSettings &settings)
 {
     return {reregistrationTime, heartbeatsUntilExpiry * settings.heartbeatInterval,
-            settings.drainTimeout};
+            settings.drainTimeout, settings.drainTimeout};
 }
 
 /** Only some hosts read the store, on behalf of all, so halving the wait of a watch is affordable.
@@ -194,7 +194,7 @@
     , entry(entrySettings(this->settings), HostIncarnation(RandomSource::fromSystem().nextHex()))
     , dispatch(this->entry, this->runtime, this->context, false)
     , serving(this->settings.serving)
-    , servers(catalogueOptions(this->settings))
+    , servers(catalogueOptions(this->settings), this->clock)
     , serverConfirmations(this->context, this->clock)
     , serverSubset({this->settings.host, this->settings.failureDomain})
     , serverConnections(this->context, this->clock)
@@ -655,6 +655,7 @@
         return;
     this->settings = std::move(*next);
     this->serving.setBounds(this->settings.serving);
+    this->servers.setDrainTime(this->settings.drainTimeout);
     this->retryBudget.setOptions(this->settings.retryBudget);
     logEvent(LogEvent::SettingsReloaded, "path", this->settingsPath);
 }
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -36,8 +36,6 @@
 constexpr std::uint32_t maximumParts = 8;
 /** The number of parts that a move may take: at the backup, at the moved copy or back again. */
 constexpr std::uint32_t partsPerMove = 3;
-/** How long a run may return to a leaving engine; less than the time for which that serves. */
-constexpr Milliseconds returnTime{1000};
 /** How long an engine may take to stop a run that returns to it. */
 constexpr Milliseconds stopAnswerTime{250};
 /** How often the version of a running stream is recorded again, so that it does not expire. */
@@ -613,8 +611,6 @@
     this->placement = std::move(next);
     if (this->placement.isReturn)
         this->stopDeclinedAt = this->dependencies.clock.now();
-    else
-        this->leavingSeenAt.reset();
     this->dependencies.dispatch.reportPromoted(this->placement.name);
     this->dependencies.budget.recordRetry(this->call.service->name, this->dependencies.clock.now());
     logEvent(LogEvent::StreamContinued, "request", this->call.metadata.requestId, "backend_server",
@@ -640,8 +636,6 @@
 /** Moves the run to its copy before the leaving engine exits. */
 void EventRelay::moveFromLeavingEngine(Milliseconds now)
 {
-    if (!this->leavingSeenAt)
-        this->leavingSeenAt = now;
     const bool hasDeclined =
             this->stopDeclinedAt && now - *this->stopDeclinedAt < stopAttemptInterval;
     const bool mayFail = this->partCount + partsPerMove <= maximumParts;
@@ -651,8 +645,9 @@
     if (this->refreshedCopy && this->refreshedCopy->hasFailed())
         this->dropRefreshedCopy();
     // A backup may be incomplete, and then its engine refuses the run, which has to return.
+    const auto returnableUntil = this->dependencies.servers.returnableUntil(this->placement.server);
     const bool mayUseBackup =
-            this->isBackupUsable() && now - *this->leavingSeenAt < returnTime - stopAnswerTime;
+            this->isBackupUsable() && returnableUntil && now + stopAnswerTime < *returnableUntil;
     const bool hasCopy = this->refreshedCopy && this->refreshedCopy->isReady();
     if (mayUseBackup ? now - *this->partFirstEventAt >= minimumBackupAge : hasCopy)
         this->startStop();
@@ -710,7 +705,6 @@
     }
     order.requestId = this->call.metadata.requestId;
     order.endAt = this->call.deadlineAt;
-    order.returnUntil = this->leavingSeenAt.value_or(this->dependencies.clock.now()) + returnTime;
     this->stop =
             std::make_shared<RunStop>(this->dependencies, std::move(order),
                                       [this](RunStop::Result result) { this->onStopEnd(result); });
--- a/packages/gateway/relay/eventrelay.h
+++ b/packages/gateway/relay/eventrelay.h
@@ -129,8 +129,6 @@
     Milliseconds reportedAt{0};
     Milliseconds copyAttemptedAt{0};
     std::optional<Milliseconds> stopDeclinedAt;
-    /** When the engine of the current run was first seen to leave. */
-    std::optional<Milliseconds> leavingSeenAt;
     Milliseconds versionRecordedAt{0};
     std::optional<Milliseconds> partFirstEventAt;
     Milliseconds partStartedAt{0};
--- a/packages/gateway/relay/runstop.cpp
+++ b/packages/gateway/relay/runstop.cpp
@@ -277,7 +277,8 @@
 bool RunStop::mayReturn() const
 {
     const StreamPlacement &source = this->order.source;
-    const bool isInTime = this->dependencies.clock.now() < this->order.returnUntil;
+    const auto returnableUntil = this->dependencies.servers.returnableUntil(source.server);
+    const bool isInTime = returnableUntil && this->dependencies.clock.now() < *returnableUntil;
     return source.softwareVersion && !this->hasSourceLeft()
             && this->dependencies.servers.find(source.server)->softwareVersion
             == *source.softwareVersion
--- a/packages/gateway/relay/runstop.h
+++ b/packages/gateway/relay/runstop.h
@@ -34,8 +34,6 @@
     std::string requestId;
     /** When stopping ends without success, on the clock that counts suspension. */
     Milliseconds endAt{0};
-    /** Until when the run may go on at its engine although that is leaving, on the same clock. */
-    Milliseconds returnUntil{0};
 };
 
 /**
--- a/packages/gateway/servers/servercatalogue.cpp
+++ b/packages/gateway/servers/servercatalogue.cpp
@@ -12,14 +12,25 @@
 constexpr std::size_t maximumAnnouncedLeavingRuns = 4096;
 /** A copy from which the store is restored is some seconds old. */
 constexpr Milliseconds departureRetention{60'000};
+/**
+ * The fraction of the drain time for which a run may return. The store's watches report the leaving
+ * up to a quarter of the drain time late, and the request takes time to reach the server.
+ */
+constexpr double returnShareOfDrain = 0.7;
 
 } // namespace
 
-ServerCatalogue::ServerCatalogue(ServerCatalogueOptions options)
+ServerCatalogue::ServerCatalogue(ServerCatalogueOptions options, Clock clock)
     : options(options)
+    , clock(std::move(clock))
 {
 }
 
+void ServerCatalogue::setDrainTime(Milliseconds drainTime)
+{
+    this->options.drainTime = drainTime;
+}
+
 void ServerCatalogue::setHooks(LeavingHook leaving, ChangeHook change, RestartHook restart)
 {
     this->leavingHook = std::move(leaving);
@@ -78,6 +89,7 @@
     // The report of a peer refers to the process that the previous entry described.
     const bool wasPeerReported = known->second.peerReportedUntil.has_value() && !hasRestarted;
     const bool startsLeaving = isLeaving && !before.isLeaving && !wasPeerReported;
+    const bool wasLeaving = known->second.isLeaving() && !hasRestarted;
     if (hasRestarted || isLeaving)
         known->second.peerReportedUntil.reset();
     const bool hasChanged = hasRestarted || isLeaving != before.isLeaving
@@ -85,6 +97,7 @@
             || entry.slots != before.slots || entry.softwareVersion != before.softwareVersion;
     before = entry;
     before.isLeaving = isLeaving;
+    this->recordLeavingTime(known->second, wasLeaving);
     if (hasRestarted && this->restartHook)
         this->restartHook(entry.name);
     if (startsLeaving && this->leavingHook)
@@ -129,6 +142,7 @@
             continue;
         const bool isNewReport = !known.peerReportedUntil;
         known.peerReportedUntil = now + this->options.peerReportLifetime;
+        this->recordLeavingTime(known, !isNewReport);
         hasChanged = hasChanged || isNewReport;
         if (isNewReport && this->leavingHook)
             this->leavingHook(name);
@@ -149,6 +163,7 @@
     const bool wasUsable = this->isUsable(name);
     known->second.entry.isLeaving = true;
     known->second.peerReportedUntil.reset();
+    this->recordLeavingTime(known->second, !wasUsable);
     if (wasUsable && this->leavingHook)
         this->leavingHook(name);
     this->notifyChange();
@@ -162,6 +177,7 @@
     for (auto &[name, known] : this->servers) {
         if (known.peerReportedUntil && now >= *known.peerReportedUntil) {
             known.peerReportedUntil.reset();
+            this->recordLeavingTime(known, true);
             hasChanged = true;
             if (this->restartHook)
                 this->restartHook(name);
@@ -192,7 +208,7 @@
         server.softwareVersion = known.entry.softwareVersion;
         server.slots = known.entry.slots;
         server.memoryTokens = service->engine ? service->engine->memoryTokens : 0;
-        server.isLeaving = known.entry.isLeaving || known.peerReportedUntil.has_value();
+        server.isLeaving = known.isLeaving();
         result.push_back(std::move(server));
     }
     return result;
@@ -207,8 +223,17 @@
 bool ServerCatalogue::isUsable(const BackendServerName &name) const
 {
     const auto known = this->servers.find(name);
-    return known != this->servers.end() && !known->second.entry.isLeaving
-            && !known->second.peerReportedUntil;
+    return known != this->servers.end() && !known->second.isLeaving();
+}
+
+std::optional<Milliseconds> ServerCatalogue::returnableUntil(const BackendServerName &name) const
+{
+    const auto known = this->servers.find(name);
+    if (known == this->servers.end() || !known->second.leavingSince)
+        return std::nullopt;
+    const auto drainTime = static_cast<double>(this->options.drainTime.count());
+    return *known->second.leavingSince
+            + Milliseconds(static_cast<std::int64_t>(drainTime * returnShareOfDrain));
 }
 
 bool ServerCatalogue::canContinue(const BackendServerName &name,
@@ -253,6 +278,15 @@
     return BackendServerName(entry.name.toString() + "/" + std::to_string(entry.startedAt));
 }
 
+/** Keeps when a server began to leave. @param wasLeaving whether its process left before. */
+void ServerCatalogue::recordLeavingTime(KnownServer &known, bool wasLeaving) const
+{
+    if (!known.isLeaving())
+        known.leavingSince.reset();
+    else if (!wasLeaving)
+        known.leavingSince = this->clock.now();
+}
+
 /** Lets a server process stay leaving, whatever its entry says. */
 void ServerCatalogue::keepLeaving(KnownServer &known)
 {
--- a/packages/gateway/servers/servercatalogue.h
+++ b/packages/gateway/servers/servercatalogue.h
@@ -60,6 +60,8 @@
      * in milliseconds; the store confirms it within this time.
      */
     Milliseconds peerReportLifetime{2000};
+    /** How long a leaving server serves after the store has its entry, in milliseconds. */
+    Milliseconds drainTime{2000};
 };
 
 /**
@@ -84,11 +86,14 @@
      */
     using RestartHook = std::function<void(const BackendServerName &)>;
 
-    /** Creates an empty catalogue. */
-    explicit ServerCatalogue(ServerCatalogueOptions options = {});
+    /** Creates an empty catalogue. @param clock counts suspension. */
+    explicit ServerCatalogue(ServerCatalogueOptions options = {}, Clock clock = Clock::steady());
     ServerCatalogue(const ServerCatalogue &) = delete;
     ServerCatalogue &operator=(const ServerCatalogue &) = delete;
 
+    /** Sets how long a leaving server serves, in milliseconds; applies to all servers at once. */
+    void setDrainTime(Milliseconds drainTime);
+
     /** Sets the hooks; each may be empty. */
     void setHooks(LeavingHook leaving, ChangeHook change, RestartHook restart);
 
@@ -141,6 +146,12 @@
      * itself.
      */
     bool isUsable(const BackendServerName &name) const;
+    /**
+     * Returns until when a run that was stopped on a leaving server may be sent to it again.
+     *
+     * Nothing if the server is usable, not registered, or was leaving when it was registered.
+     */
+    std::optional<Milliseconds> returnableUntil(const BackendServerName &name) const;
     /**
      * Returns whether a stream that a software version began may continue on a server: it is
      * usable, and of that version according to its current entry.
@@ -176,8 +187,13 @@
         std::optional<Milliseconds> peerReportedUntil;
         /** Whether the server process announced its leaving; overrides its entry. */
         bool hasAnnouncedLeaving = false;
+        /** When the server was first known to leave; nothing if that was before its entry. */
+        std::optional<Milliseconds> leavingSince = std::nullopt;
+
+        bool isLeaving() const { return this->entry.isLeaving || this->peerReportedUntil; }
     };
 
+    void recordLeavingTime(KnownServer &known, bool wasLeaving) const;
     void keepLeaving(KnownServer &known);
     bool isRevived(const ServerEntry &entry) const;
     void removeServer(const BackendServerName &name);
@@ -185,6 +201,7 @@
     void notifyChange() const;
 
     ServerCatalogueOptions options;
+    Clock clock;
     LeavingHook leavingHook;
     ChangeHook changeHook;
     RestartHook restartHook;
--- a/packages/gateway/tests/test_servercatalogue.cpp
+++ b/packages/gateway/tests/test_servercatalogue.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <memory>
+
 using namespace sassafrasyard;
 
 namespace {
@@ -272,3 +274,52 @@
     catalogue.applyRemoval(BackendServerName("b"), 4);
     REQUIRE_FALSE(catalogue.canContinue(BackendServerName("b"), v1));
 }
+
+// Guards against a request to a server after its drain time, because a second report of the leaving
+// began the time again or the leaving of a former process counted.
+TEST_CASE("The time to return to a leaving server begins with its first report", "[servers]")
+{
+    const auto now = std::make_shared<Milliseconds>(1000);
+    ServerCatalogue catalogue({}, Clock::manual(now));
+    const BackendServerName a("a");
+    const std::vector<BackendServerName> runs{ServerCatalogue::runName(makeEntry("a", 1))};
+    catalogue.applyEntry(makeEntry("a", 1));
+    REQUIRE_FALSE(catalogue.returnableUntil(a));
+    catalogue.recordPeerReport(runs, *now);
+    const auto until = catalogue.returnableUntil(a);
+    REQUIRE(until);
+    REQUIRE(*until > Milliseconds(1000));
+    REQUIRE(*until < Milliseconds(3000));
+    *now = Milliseconds(1500);
+    catalogue.recordPeerReport(runs, *now);
+    catalogue.applyEntry(makeEntry("a", 2, true));
+    catalogue.recordLeavingAnnouncement(a, 1);
+    REQUIRE(catalogue.returnableUntil(a) == until);
+
+    ServerEntry restarted = makeEntry("a", 3);
+    restarted.startedAt = 2;
+    catalogue.applyEntry(restarted);
+    REQUIRE_FALSE(catalogue.returnableUntil(a));
+    ++restarted.revision;
+    restarted.isLeaving = true;
+    catalogue.applyEntry(restarted);
+    REQUIRE(catalogue.returnableUntil(a) == *until + Milliseconds(500));
+
+    // Its leaving began before the removal, when that is no longer known.
+    catalogue.applyRemoval(a, 5);
+    restarted.revision = 6;
+    catalogue.applyEntry(restarted);
+    REQUIRE_FALSE(catalogue.returnableUntil(a));
+}
+
+// Guards against the former drain time in use after the settings were read again.
+TEST_CASE("A changed drain time applies to servers that are leaving", "[servers]")
+{
+    const auto now = std::make_shared<Milliseconds>(1000);
+    ServerCatalogue catalogue({}, Clock::manual(now));
+    catalogue.applyEntry(makeEntry("a", 1));
+    catalogue.applyEntry(makeEntry("a", 2, true));
+    const auto until = catalogue.returnableUntil(BackendServerName("a"));
+    catalogue.setDrainTime(Milliseconds(4000));
+    REQUIRE(*catalogue.returnableUntil(BackendServerName("a")) - *now == 2 * (*until - *now));
+}
