--- a/packages/gateway/tests/test_runstops.cpp
+++ b/packages/gateway/tests/test_runstops.cpp
@@ -101,6 +101,8 @@
     bool refusesConnections = false;
     /** Whether the first run loses its connection before an event, although it goes on. */
     bool losesConnection = false;
+    /** Whether the second run loses its connection before its header, although it goes on. */
+    bool losesNextHeader = false;
     /** Whether an engine has a copy of the run of the other one. */
     bool hasBackups = true;
     /** What engines answer to a request to stop a run that they work on. */
@@ -133,7 +135,10 @@
         this->mostAtOnce = std::max(this->mostAtOnce, this->working.size());
         if (isFirst && this->leavesAfter > Milliseconds(0))
             this->leaveLater(name);
-        co_await this->work(name, isFirst, request, responder);
+        if (this->losesNextHeader && this->runs.size() == 2)
+            co_await this->workWithoutHeader(responder);
+        else
+            co_await this->work(name, isFirst, request, responder);
         this->working.erase(name);
     }
 
@@ -146,6 +151,15 @@
         return source == "kept" ? isFirstEngine : !isFirstEngine;
     }
 
+    static net::awaitable<void> workWithoutHeader(HttpResponder &responder)
+    {
+        constexpr Milliseconds prefillTime{100};
+        constexpr Milliseconds workTime{1500};
+        co_await GatewayFixture::pause(prefillTime);
+        responder.abort();
+        co_await GatewayFixture::pause(workTime);
+    }
+
     void leaveLater(const std::string &name)
     {
         net::co_spawn(
@@ -504,3 +518,16 @@
     CHECK(engines.mostAtOnce == 1);
     CHECK(engines.runs.size() == 1);
 }
+
+// Guards against a run on two engines, because the request to stop the former run is taken for the
+// end of the next one, whose connection is lost before its header.
+TEST_CASE("The end of a former run is not that of the next one", "[formerstop]")
+{
+    PersistentEngines engines;
+    engines.leavesAfter = Milliseconds(1400);
+    engines.stopState = RunStopResult::State::Stopped;
+    engines.keepsMemory = true;
+    engines.losesNextHeader = true;
+    engines.call();
+    REQUIRE(engines.mostAtOnce == 1);
+}
