Test further ways by which a stopping host accepts a call

Some of the ways by which a call reaches a server after the SIGTERM had no test beside a real stop: the second attempt of a plain call, an attempt after a server broke off, a request whose body arrives after the SIGTERM, a route time-out that changes during the stop, and a grace that changes right before the SIGTERM or after it.

The stand-in servers can break a request off, and a request can be sent in two parts.

--- a/tests/plannedstop/standinservers.cpp
+++ b/tests/plannedstop/standinservers.cpp
@@ -108,8 +108,15 @@
     const std::string requestId = idOf(request);
     this->receivedIds.push_back(requestId);
     HttpHeaders headers{{"Request-Id", requestId}};
-    if (findHeader(request.headers, "Refuse-First") && this->receivedCount(requestId) == 1) {
-        co_await this->holdAndRefuse(headers, responder);
+    const bool isFirst = this->receivedCount(requestId) == 1;
+    if (isFirst && findHeader(request.headers, "Refuse-First")) {
+        co_await this->hold();
+        co_await refuse(headers, responder);
+        co_return;
+    }
+    if (isFirst && findHeader(request.headers, "Break-First")) {
+        co_await this->hold();
+        responder.abort();
         co_return;
     }
     if (findHeader(request.headers, "Kv-From")) {
@@ -129,12 +136,12 @@
     co_await responder.send(std::move(response));
 }
 
-net::awaitable<void> StandInServers::holdAndRefuse(HttpHeaders headers, HttpResponder &responder)
+/** Waits for releaseRefusals(). */
+net::awaitable<void> StandInServers::hold()
 {
     constexpr Milliseconds pollInterval{2};
     while (!this->mayRefuse)
         co_await pause(pollInterval);
-    co_await refuse(std::move(headers), responder);
 }
 
 net::awaitable<void> StandInServers::refuse(HttpHeaders headers, HttpResponder &responder)
--- a/tests/plannedstop/standinservers.h
+++ b/tests/plannedstop/standinservers.h
@@ -18,8 +18,9 @@
  * Work-Ms: the time until the answer, in milliseconds. Events: the number of events of a stream;
  * without it the call is a plain one. Event-Ms: the time before each event, in milliseconds.
  * Refuse-First: the first server that receives the request holds it until releaseRefusals() and
- * then refuses it as not run. A request to continue a run from a copy is refused as not run, and a
- * request to copy a run with status 503: the servers have no room for copies.
+ * then refuses it as not run. Break-First: the same, but it closes the connection instead. A
+ * request to continue a run from a copy is refused as not run, and a request to copy a run with
+ * status 503: the servers have no room for copies.
  */
 class StandInServers
 {
@@ -35,7 +36,7 @@
     /** Returns how often servers received a request. */
     std::size_t receivedCount(const std::string &requestId) const;
 
-    /** Lets the servers refuse the requests that they hold. */
+    /** Lets the servers refuse, or break off, the requests that they hold. */
     void releaseRefusals();
 
     /** Lets a server send no event for some time from now. @param index in the order of add(). */
@@ -63,7 +64,7 @@
 
     boost::asio::awaitable<void> handle(const HttpRequest &request, HttpResponder &responder,
                                         const Server &server);
-    boost::asio::awaitable<void> holdAndRefuse(HttpHeaders headers, HttpResponder &responder);
+    boost::asio::awaitable<void> hold();
     static boost::asio::awaitable<void> refuse(HttpHeaders headers, HttpResponder &responder);
     boost::asio::awaitable<void> stream(const HttpRequest &request, HttpHeaders headers,
                                         HttpResponder &responder, const Server &server);
--- a/tests/plannedstop/stoppinghost.cpp
+++ b/tests/plannedstop/stoppinghost.cpp
@@ -181,6 +181,35 @@
     return {&firstCall, &secondCall};
 }
 
+SentCall &StoppingHost::sendSplit(HttpRequest request, Milliseconds delay)
+{
+    SentCall &call = this->addCall(std::move(request));
+    const auto connection = this->makeConnection();
+    net::co_spawn(
+            this->context,
+            [this, &call, delay, connection]() -> net::awaitable<void> {
+                const std::string bytes = CallerConnection::toText(call.request);
+                const std::size_t firstBytes = bytes.size() - call.request.body.size() / 2;
+                Milliseconds startedAt = now();
+                CallResult result;
+                const bool isOpen = co_await connection->connect();
+                result.end = CallEnd::NotConnected;
+                if (isOpen)
+                    result.end = co_await connection->send(bytes.substr(0, firstBytes));
+                if (result.end == CallEnd::Pending) {
+                    co_await pause(delay);
+                    startedAt = now();
+                    result.end = co_await connection->send(bytes.substr(firstBytes));
+                }
+                // An early refusal may have arrived although the rest could not be sent.
+                if (isOpen)
+                    result = co_await connection->receive();
+                this->finish(call, std::move(result), startedAt);
+            },
+            net::detached);
+    return call;
+}
+
 std::vector<std::shared_ptr<CallerConnection>> StoppingHost::keepConnections(std::size_t count)
 {
     std::vector<std::shared_ptr<CallerConnection>> connections;
--- a/tests/plannedstop/stoppinghost.h
+++ b/tests/plannedstop/stoppinghost.h
@@ -86,6 +86,13 @@
             HttpRequest first, HttpRequest second, Milliseconds delay,
             const std::shared_ptr<CallerConnection> &connection);
 
+    /**
+     * Sends the header and half of the body of a request, and the rest later.
+     *
+     * @param delay the time until the rest is sent, from which the elapsed time counts.
+     */
+    SentCall &sendSplit(HttpRequest request, Milliseconds delay);
+
     /** Opens connections and uses each for a call, so that the host keeps them open. */
     std::vector<std::shared_ptr<CallerConnection>> keepConnections(std::size_t count);
 
--- a/tests/plannedstop/test_plannedstop.cpp
+++ b/tests/plannedstop/test_plannedstop.cpp
@@ -394,3 +394,172 @@
         CHECK(host.exitedAt() < StoppingHost::grace);
     }
 }
+
+namespace {
+
+/** Sends requests of which the first server to receive each holds it until releaseRefusals(). */
+std::vector<SentCall *> sendHeld(StoppingHost &host, const std::vector<std::string> &paths,
+                                 const char *heldField)
+{
+    constexpr Milliseconds longWork{10000};
+    std::vector<SentCall *> calls;
+    for (const std::string &path : paths) {
+        const bool isStream = path == "/report/" || path == "/story/";
+        HttpRequest request =
+                isStream ? makeLongStream(host, path) : host.makeCall(path, longWork, {});
+        request.headers.emplace_back(heldField, "1");
+        calls.push_back(&host.send(std::move(request)));
+    }
+    const auto areHeld = [&] {
+        return std::all_of(calls.begin(), calls.end(), [&](const SentCall *call) {
+            return host.servers().receivedCount(call->requestId()) == 1;
+        });
+    };
+    REQUIRE(host.runUntil(areHeld, Milliseconds(1000)));
+    return calls;
+}
+
+bool haveAllEnded(const std::vector<SentCall *> &calls)
+{
+    return std::all_of(calls.begin(), calls.end(),
+                       [](const SentCall *call) { return call->hasEnded(); });
+}
+
+} // namespace
+
+// Guards against a plain call that is sent to another server although it outlasts the stop.
+TEST_CASE("A stopping host sends no refused call again that outlasts it", "[retry]")
+{
+    StoppingHost host;
+    const auto calls = sendHeld(host, {"/lookup/", "/order/"}, "Refuse-First");
+    host.stop();
+    host.servers().releaseRefusals();
+    CHECK(host.runUntil([&] { return haveAllEnded(calls); }, refusalTime));
+    host.runUntilExit();
+    for (const SentCall *call : calls) {
+        INFO(call->describe());
+        CHECK(call->result.isRefusedAsNotRun());
+        CHECK(host.servers().receivedCount(call->requestId()) == 1);
+    }
+}
+
+// Guards against a call that runs again, or a stream that continues from its backup, at another
+// server although no response has begun and it outlasts the stop.
+TEST_CASE("A stopping host starts no broken call again that outlasts it", "[retry]")
+{
+    HostConfiguration configuration;
+    configuration.copiesRuns = GENERATE(false, true);
+    StoppingHost host(configuration);
+    const auto calls =
+            sendHeld(host, {"/lookup/", "/order/", "/report/", "/story/"}, "Break-First");
+    host.stop();
+    host.servers().releaseRefusals();
+    host.runUntilExit();
+    for (const SentCall *call : calls) {
+        INFO(call->describe());
+        CHECK(call->result.isOutcomeUnknown());
+        CHECK(host.servers().receivedCount(call->requestId()) == 1);
+    }
+}
+
+// Guards against a request that began to arrive before the stop and counts as accepted then.
+TEST_CASE("A stopping host judges a call by when all of it has arrived", "[body]")
+{
+    constexpr std::size_t bodySize = 64U << 10U;
+    const bool isChunked = GENERATE(false, true);
+    const std::vector<int> delays{300, 1000, 2000};
+    StoppingHost host;
+    std::vector<SentCall *> streams;
+    std::vector<SentCall *> shortCalls;
+    const auto sendSplit = [&](HttpRequest request, int delay) {
+        request.body.resize(bodySize, 'x');
+        if (isChunked)
+            request.headers.emplace_back("Transfer-Encoding", "chunked");
+        return &host.sendSplit(std::move(request), Milliseconds(delay));
+    };
+    for (const int delay : delays) {
+        streams.push_back(sendSplit(makeLongStream(host, "/report/"), delay));
+        streams.push_back(sendSplit(makeLongStream(host, "/story/"), delay));
+        // The last of these ends before the stop.
+        shortCalls.push_back(
+                sendSplit(host.makeCall("/order/", shortWork, Milliseconds(300)), delay));
+    }
+    constexpr Milliseconds arrivalTime{100};
+    host.runUntil([] { return false; }, arrivalTime);
+    host.stop();
+    host.runUntilExit();
+    for (const SentCall *stream : streams)
+        checkRefusedAtOnce(host, *stream);
+    for (const SentCall *call : shortCalls) {
+        INFO(call->describe());
+        CHECK(call->isAnswered());
+    }
+}
+
+// Guards against a stopping host that judges a call by the time-out of an older configuration.
+TEST_CASE("A stopping host judges a call by the time-out in force when it arrives", "[timeout]")
+{
+    constexpr Milliseconds shortTimeout{400};
+    constexpr Milliseconds applyTime{200};
+    constexpr int events = 4;
+    HostConfiguration configuration;
+    configuration.storyTimeout = shortTimeout;
+    StoppingHost host(configuration);
+    const auto sendStream = [&] {
+        return &host.send(host.makeStream("/story/", events, Milliseconds(20)));
+    };
+    host.stop();
+    std::vector<SentCall *> answered{sendStream()};
+    host.runUntilMoment(Milliseconds(400));
+    HostConfiguration next = configuration;
+    next.version = 2;
+    next.storyTimeout = Milliseconds(60000);
+    host.writeConfiguration(next);
+    host.runUntilMoment(Milliseconds(400) + applyTime);
+    const SentCall *refused = sendStream();
+    host.runUntilMoment(Milliseconds(1000));
+    next.version = 3;
+    next.storyTimeout = shortTimeout;
+    host.writeConfiguration(next);
+    host.runUntilMoment(Milliseconds(1000) + applyTime);
+    answered.push_back(sendStream());
+    host.runUntilExit();
+    for (const SentCall *stream : answered) {
+        INFO(stream->describe());
+        CHECK(stream->isAnswered());
+    }
+    checkRefusedAtOnce(host, *refused);
+}
+
+// Guards against calls that are judged by another end of the stop than that of the exit, because
+// the grace changed right before the SIGTERM or changes after it.
+TEST_CASE("A stopping host judges calls by the grace in force at its SIGTERM", "[grace]")
+{
+    constexpr Milliseconds exitMargin{500};
+    const Milliseconds newGrace = GENERATE(Milliseconds(1800), Milliseconds(4200));
+    const bool hasReload = GENERATE(false, true);
+    const Milliseconds end = newGrace - exitMargin;
+    StoppingHost host;
+    host.writeSettings(newGrace);
+    if (hasReload)
+        host.signal(SIGHUP);
+    host.stop();
+    const auto sendShortCall = [&] {
+        return &host.send(host.makeCall("/order/", shortWork, shortDeadline));
+    };
+    std::vector<SentCall *> refused{&host.send(makeLongStream(host, "/story/"))};
+    host.runUntilMoment(end - shortDeadline - Milliseconds(250));
+    const SentCall *answered = sendShortCall();
+    // The end of the stop stays as it is.
+    host.writeSettings(StoppingHost::grace);
+    host.signal(SIGHUP);
+    host.runUntilMoment(end - shortDeadline + Milliseconds(50));
+    refused.push_back(sendShortCall());
+    refused.push_back(&host.send(makeLongStream(host, "/report/")));
+    host.runUntilExit();
+    INFO(answered->describe());
+    CHECK(answered->isAnswered());
+    for (const SentCall *call : refused)
+        checkRefusedAtOnce(host, *call);
+    CHECK(host.exitedAt() < newGrace);
+}
