Test calls that wait or arrive while a new version takes their things away

The existing cases change the configuration beside streams in progress only. The new ones change it beside calls that wait for an engine and beside requests whose body is still arriving: the route removed, the service removed, another service, another key, a shorter time-out, lower limits. Each call has to end with its whole answer, received by one server once, or with a refusal as not run, received by none.

No logic changes.

--- a/tests/plannedstop/hostdocuments.cpp
+++ b/tests/plannedstop/hostdocuments.cpp
@@ -91,14 +91,16 @@
     const std::string accounts = this->key.empty()
             ? ""
             : R"("tenants":[{"name":"t","api-keys":[")" + this->key + R"("]}],)";
-    return R"({"version":)" + std::to_string(this->version) + "," + accounts + R"("routes":[)"
-            + routesText(*this)
-            + R"(],"services":[{"name":"desk","max-connections":100},{"name":"engine",
-"max-connections":100,"engine":{"slots":)"
+    const std::string engines = R"(,{"name":"engine","max-connections":100,"engine":{"slots":)"
             + std::to_string(this->engineSlots) + R"(,"kv-capacity-tokens":100000,"stride":1)"
-            + copies + R"(}}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,)"
-            + R"("header-timeout-ms":)" + std::to_string(this->readTimeout.count())
-            + R"(,"idle-timeout-ms":)" + std::to_string(this->idleTimeout.count()) + "}}";
+            + copies + "}}";
+    return R"({"version":)" + std::to_string(this->version) + "," + accounts + R"("routes":[)"
+            + routesText(*this) + R"(],"services":[{"name":"desk","max-connections":100})"
+            + (this->hasEngines ? engines : "")
+            + R"(],"limits":{"max-header-bytes":16384,"max-body-bytes":)"
+            + std::to_string(this->maximumBodyBytes) + R"(,"header-timeout-ms":)"
+            + std::to_string(this->readTimeout.count()) + R"(,"idle-timeout-ms":)"
+            + std::to_string(this->idleTimeout.count()) + "}}";
 }
 
 } // namespace sassafrasyard
--- a/tests/plannedstop/hostdocuments.h
+++ b/tests/plannedstop/hostdocuments.h
@@ -3,6 +3,7 @@
 #include "core/core.h"
 #include "network/network.h"
 
+#include <cstddef>
 #include <string>
 
 namespace sassafrasyard {
@@ -47,6 +48,10 @@
     /** The service or services of the route story, as fields of JSON. */
     std::string storyServices = R"("service":"engine")";
     bool hasStory = true;
+    /** Whether the service of the engines exists. */
+    bool hasEngines = true;
+    /** The largest body of a request, in bytes. */
+    std::size_t maximumBodyBytes = 4U << 20U;
     /** The number of routes that no request of a test uses. */
     int furtherRoutes = 0;
     /** The key of the only client account; without one there are no accounts. */
--- a/tests/streamchanges/test_streamchanges.cpp
+++ b/tests/streamchanges/test_streamchanges.cpp
@@ -370,3 +370,167 @@
         host.changeSettings(withChange(settingsChanges().front()));
     host.checkComplete();
 }
+
+namespace {
+
+/** A host with a key, one place per engine, and streams that keep both places for a time. */
+class FullHost
+{
+public:
+    FullHost()
+        : host(makeConfiguration())
+    {
+        constexpr int events = 60;
+        for (int index = 0; index < StoppingHost::engineCount; ++index)
+            this->running.push_back(
+                    &this->host.send(this->host.makeStream("/story/", events, eventInterval)));
+        const auto areRunning = [this] {
+            return std::all_of(
+                    this->running.begin(), this->running.end(), [this](const SentCall *stream) {
+                        return this->host.servers().receivedCount(stream->requestId()) == 1;
+                    });
+        };
+        REQUIRE(this->host.runUntil(areRunning, changeTimeout));
+    }
+
+    static HostConfiguration makeConfiguration()
+    {
+        HostConfiguration configuration = firstConfiguration();
+        configuration.engineSlots = 1;
+        // A backup would take the place on the other engine.
+        configuration.copiesRuns = false;
+        return configuration;
+    }
+
+    /** Returns a stream for each kind of route. */
+    std::vector<HttpRequest> makeStreams()
+    {
+        std::vector<HttpRequest> requests;
+        for (const char *path : {"/report/", "/story/", "/secret/"}) {
+            constexpr int events = 4;
+            requests.push_back(this->host.makeStream(path, events, eventInterval));
+            requests.back().headers.emplace_back("Deadline-Ms", "5000");
+            if (std::string_view(path) == "/secret/")
+                requests.back().headers.emplace_back("Authorization",
+                                                     std::string("Bearer ") + streamKey);
+        }
+        return requests;
+    }
+
+    /** Puts a new version into force. */
+    void change(const std::function<void(HostConfiguration &)> &change)
+    {
+        HostConfiguration next = makeConfiguration();
+        next.version = 2;
+        change(next);
+        this->host.writeConfiguration(next);
+        REQUIRE(this->host.runUntil(
+                [this] { return this->host.logLines("routes_applied").size() == 2; },
+                changeTimeout));
+    }
+
+    /** Checks that each request ends with its whole answer or with a refusal as not run. */
+    void checkSettled(const std::vector<SentCall *> &calls)
+    {
+        const auto haveEnded = [&calls] {
+            return std::all_of(calls.begin(), calls.end(),
+                               [](const SentCall *call) { return call->hasEnded(); });
+        };
+        CHECK(this->host.runUntil(haveEnded, endTimeout));
+        for (const SentCall *call : calls) {
+            INFO(call->describe());
+            const bool isRefused =
+                    call->result.end == CallEnd::Response && call->result.saysNotRun();
+            CHECK((call->isAnswered() || isRefused));
+            // An answer and a refusal as not run exclude each other.
+            CHECK(this->host.servers().receivedCount(call->requestId())
+                  == (call->isAnswered() ? 1 : 0));
+        }
+    }
+
+    StoppingHost host;
+    std::vector<SentCall *> running;
+};
+
+/** Returns the changes that take something away that a call needs which is not yet sent. */
+std::vector<ConfigurationChange> removals()
+{
+    return {
+            {"the route removed",
+             [](HostConfiguration &next) {
+                 next.hasStory = false;
+             }},
+            {"the service removed",
+             [](HostConfiguration &next) {
+                 next.hasEngines = false;
+             }},
+            {"another service",
+             [](HostConfiguration &next) {
+                 next.storyServices = R"("service":"desk")";
+             }},
+            {"another key",
+             [](HostConfiguration &next) {
+                 next.key = "k2";
+             }},
+            {"a shorter time-out",
+             [](HostConfiguration &next) {
+                 next.storyTimeout = Milliseconds(50);
+             }},
+            {"lower limits",
+             [](HostConfiguration &next) {
+                 next.maximumBodyBytes = 1024;
+                 next.idleTimeout = Milliseconds(50);
+                 next.readTimeout = Milliseconds(50);
+             }},
+    };
+}
+
+} // namespace
+
+// Guards against a call that waits for an engine and gets neither an answer nor a refusal because
+// a new version no longer has its route, service or key.
+TEST_CASE("A change beside calls that wait leaves none without a response", "[waiting]")
+{
+    const auto [name, change] = GENERATE(from_range(removals()));
+    INFO(name);
+    FullHost full;
+    std::vector<SentCall *> waiting;
+    for (HttpRequest &request : full.makeStreams())
+        waiting.push_back(&full.host.send(std::move(request)));
+    constexpr Milliseconds arrivalTime{100};
+    full.host.runUntil([] { return false; }, arrivalTime);
+    REQUIRE(std::none_of(waiting.begin(), waiting.end(),
+                         [](const SentCall *call) { return call->hasEnded(); }));
+    full.change(change);
+    full.checkSettled(waiting);
+    full.checkSettled(full.running);
+}
+
+// Guards against a request that gets no response because a new version takes its route, service or
+// key away, or lowers a limit, while it arrives.
+TEST_CASE("A change beside requests that arrive leaves none without a response", "[reading]")
+{
+    constexpr std::size_t bodySize = 64U << 10U;
+    constexpr Milliseconds restDelay{500};
+    const bool isChunked = GENERATE(false, true);
+    const auto [name, change] = GENERATE(from_range(removals()));
+    INFO(name);
+    FullHost full;
+    std::vector<HttpRequest> requests = full.makeStreams();
+    requests.push_back(full.host.makeCall("/lookup/", Milliseconds(10), {}));
+    requests.push_back(full.host.makeCall("/order/", Milliseconds(10), {}));
+    std::vector<SentCall *> arriving;
+    for (HttpRequest &request : requests) {
+        request.body.resize(bodySize, 'x');
+        if (isChunked)
+            request.headers.emplace_back("Transfer-Encoding", "chunked");
+        arriving.push_back(&full.host.sendSplit(std::move(request), restDelay));
+    }
+    constexpr Milliseconds arrivalTime{100};
+    full.host.runUntil([] { return false; }, arrivalTime);
+    full.change(change);
+    REQUIRE(std::none_of(arriving.begin(), arriving.end(),
+                         [](const SentCall *call) { return call->hasEnded(); }));
+    full.checkSettled(arriving);
+    full.checkSettled(full.running);
+}
