Show that a stopping host closes resumed streams without a response

A stream whose caller resumes it at a host that does not know its software version waits for a list of servers that was requested after the call, for three heartbeats at most (RunVersions::find()). While the store confirms none, the wait outlasts the stop. The call has no server and no place in the queue then, so neither the SIGTERM nor the final answers at the exit reach it.

The stand-in store now holds the history of versions, without which the host refuses such a stream at once, and can be down.

--- a/tests/plannedstop/stoppinghost.cpp
+++ b/tests/plannedstop/stoppinghost.cpp
@@ -89,6 +89,8 @@
     this->writeConfiguration(this->configuration);
     this->registerServers("desk", plainServerCount, plainSlots);
     this->registerServers("engine", engineCount, this->configuration.engineSlots);
+    // Without the history, the host does not know for minutes whether the version is the only one.
+    this->store.put(std::string(objectkind::serviceVersions), "engine", R"({"versions":["v1"]})");
     bool isRunning = false;
     // Another process may take a free port before the daemon does.
     constexpr int maximumStarts = 5;
@@ -265,6 +267,11 @@
                     next.toText());
 }
 
+void StoppingHost::setStoreDown(bool isDown)
+{
+    this->store.isDown = isDown;
+}
+
 void StoppingHost::rewriteServers()
 {
     for (const auto &[name, entry] : this->serverEntries)
--- a/tests/plannedstop/stoppinghost.h
+++ b/tests/plannedstop/stoppinghost.h
@@ -114,6 +114,9 @@
     /** Writes another configuration to the store. */
     void writeConfiguration(const HostConfiguration &next);
 
+    /** Lets the store refuse all calls, or serve them again. */
+    void setStoreDown(bool isDown);
+
     /** Writes the entries of the backend servers to the store again, unchanged. */
     void rewriteServers();
 
--- a/tests/plannedstop/test_plannedstop.cpp
+++ b/tests/plannedstop/test_plannedstop.cpp
@@ -563,3 +563,51 @@
         checkRefusedAtOnce(host, *call);
     CHECK(host.exitedAt() < newGrace);
 }
+
+namespace {
+
+/** Returns a stream that its caller resumes and of which no host knows the software version. */
+HttpRequest makeUnknownResumption(StoppingHost &host)
+{
+    HttpRequest request = makeLongStream(host, "/report/");
+    request.headers.emplace_back("Last-Event-Id", "3");
+    request.headers.emplace_back("Resumes", "a-call-of-another-host");
+    return request;
+}
+
+} // namespace
+
+// Guards against a stream that its caller resumes during the stop and that is started, or held
+// until the exit closes it without a response, while the store confirms no list of servers.
+TEST_CASE("A stopping host refuses streams that are resumed at it", "[resumed]")
+{
+    StoppingHost host;
+    host.stop();
+    host.setStoreDown(true);
+    std::vector<SentCall *> streams;
+    for (const int moment : {300, 1200, 2000, 2350}) {
+        host.runUntilMoment(Milliseconds(moment));
+        streams.push_back(&host.send(makeUnknownResumption(host)));
+    }
+    host.runUntilExit();
+    for (const SentCall *stream : streams)
+        checkRefusedAtOnce(host, *stream);
+}
+
+// Guards against the same for a stream that was resumed before the stop.
+TEST_CASE("A host refuses a resumed stream that waits for a list of servers at its SIGTERM",
+          "[resumed]")
+{
+    StoppingHost host;
+    host.setStoreDown(true);
+    const SentCall &stream = host.send(makeUnknownResumption(host));
+    constexpr Milliseconds waitTime{500};
+    host.runUntil([&] { return stream.hasEnded(); }, waitTime);
+    REQUIRE_FALSE(stream.hasEnded());
+    host.stop();
+    CHECK(host.runUntil([&] { return stream.hasEnded(); }, refusalTime));
+    host.runUntilExit();
+    INFO(stream.describe());
+    CHECK(stream.result.isRefusedByStop());
+    CHECK(host.servers().receivedCount(stream.requestId()) == 0);
+}
