--- a/tests/plannedstop/stoppinghost.cpp
+++ b/tests/plannedstop/stoppinghost.cpp
@@ -89,6 +89,8 @@
     this->writeConfiguration(this->configuration);
     this->registerServers("desk", plainServerCount, plainSlots);
     this->registerServers("engine", engineCount, this->configuration.engineSlots);
+    // Without the history, the host does not know for minutes whether the version is the only one.
+    this->store.put(std::string(objectkind::serviceVersions), "engine", R"({"versions":["v1"]})");
     bool isRunning = false;
     // Another process may take a free port before the daemon does.
     constexpr int maximumStarts = 5;
@@ -181,6 +183,35 @@
     return {&firstCall, &secondCall};
 }
 
+SentCall &StoppingHost::sendSplit(HttpRequest request, Milliseconds delay)
+{
+    SentCall &call = this->addCall(std::move(request));
+    const auto connection = this->makeConnection();
+    net::co_spawn(
+            this->context,
+            [this, &call, delay, connection]() -> net::awaitable<void> {
+                const std::string bytes = CallerConnection::toText(call.request);
+                const std::size_t firstBytes = bytes.size() - call.request.body.size() / 2;
+                Milliseconds startedAt = now();
+                CallResult result;
+                const bool isOpen = co_await connection->connect();
+                result.end = CallEnd::NotConnected;
+                if (isOpen)
+                    result.end = co_await connection->send(bytes.substr(0, firstBytes));
+                if (result.end == CallEnd::Pending) {
+                    co_await pause(delay);
+                    startedAt = now();
+                    result.end = co_await connection->send(bytes.substr(firstBytes));
+                }
+                // An early refusal may have arrived although the rest could not be sent.
+                if (isOpen)
+                    result = co_await connection->receive();
+                this->finish(call, std::move(result), startedAt);
+            },
+            net::detached);
+    return call;
+}
+
 std::vector<std::shared_ptr<CallerConnection>> StoppingHost::keepConnections(std::size_t count)
 {
     std::vector<std::shared_ptr<CallerConnection>> connections;
@@ -236,6 +267,11 @@
                     next.toText());
 }
 
+void StoppingHost::setStoreDown(bool isDown)
+{
+    this->store.isDown = isDown;
+}
+
 void StoppingHost::rewriteServers()
 {
     for (const auto &[name, entry] : this->serverEntries)
