Reproduce the calls lost on a host that reaches no server

A host that is cut off from all servers of a service, while its peers reach them, answers the calls that it takes with 503.

--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -266,6 +266,14 @@
         this->publish();
     }
 
+    /** Applies an entry as read from the store. */
+    void applyEntry(const ServerEntry &applied)
+    {
+        this->servers.applyEntry(applied);
+        this->serving.confirmServers(Clock::steady().now());
+        this->publish();
+    }
+
     /** Starts a planned stop of the gateway. */
     void drain() { this->gateway.drain(); }
 
