Relay the calls of a service that a host can't reach to a peer that reaches it

Callers of hosts that were partitioned from all servers got 503 from the host itself, although its peers reached the servers. The host avoided each server by itself, nothing said that it reached none, and a call that it had accepted had no other way to a server.

Each host now knows for each service whether a server accepts its connections (ServiceContact, ContactMonitor): a failed connection or silence starts a check of several servers, only its result decides. While none accepts, calls are passed on to a peer that says it reaches the service (RelayPeers, PeerRelay), with the time that is left, over a listener of its own, so that a call can't circle. A service whose servers are down has no such peer, and its calls are placed and refused as before. A further peer is tried only if no byte was sent, or after a refusal within the retry budget. The avoidance of servers since the cut ends when the service is reached again. Relayed calls take up to 256 of a host's connections from callers.

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -48,6 +48,11 @@
 constexpr Milliseconds finalAnswersInterval{20};
 /** File descriptors not used for calls: listeners, peers, store, files. */
 constexpr std::uint32_t reservedDescriptors = 400;
+/** The port for calls that peers relay, after the first internal one. */
+constexpr int relayPortOffset = 2;
+/** The calls that peers relay take at most this many connections, and this part of all. */
+constexpr std::size_t maximumRelayedConnections = 256;
+constexpr std::size_t relayedConnectionsDivisor = 4;
 /** A call needs one descriptor for its caller and up to one for its backend server. */
 constexpr std::uint32_t descriptorsPerCall = 2;
 
@@ -115,6 +120,7 @@
     Implementation(PlatformSettings settings, std::string path);
 
     bool start(Error &reason);
+    void listenForPeers(std::size_t maximumConnections);
     PeerHooks makePeerHooks();
     SharedSourceHooks makeSharedSourceHooks();
     RunExchangeHooks makeRunExchangeHooks();
@@ -161,6 +167,8 @@
     ServerReachability reachability;
     ServerLimiter limiter;
     RunVersions runVersions;
+    ContactMonitor contacts;
+    RelayPeers relayPeers;
     GatewayDependencies services;
     GatewayService gateway;
     StoreClient store;
@@ -203,10 +211,15 @@
     , reachability(this->dispatch, this->clock)
     , limiter(this->entry, this->dispatch, this->clock)
     , runVersions(this->clock)
-    , services{this->context,     this->entry,         this->dispatch,
-               this->serving,     this->servers,       this->serverConnections,
-               this->retryBudget, this->reachability,  this->limiter,
-               this->runVersions, platformCallCodec(), platformEngineCalls(this->context),
+    , contacts(this->entry, this->context, this->servers, this->clock)
+    , relayPeers(this->entry, this->context, this->clock)
+    , services{this->context,       this->entry,
+               this->dispatch,      this->serving,
+               this->servers,       this->serverConnections,
+               this->retryBudget,   this->reachability,
+               this->limiter,       this->runVersions,
+               this->contacts,      this->relayPeers,
+               platformCallCodec(), platformEngineCalls(this->context),
                this->clock}
     , gateway(this->services)
     , store(this->settings.storeEndpoint, this->storeConnections)
@@ -296,6 +309,10 @@
                                 this->peers.requestLoadUpdate();
                             }});
     this->connectRunVersions();
+    this->relayPeers.setAsk([this](std::string address, ServiceContactRequest request,
+                                   Milliseconds timeout, Error &reason) {
+        return this->peers.askContact(std::move(address), std::move(request), timeout, reason);
+    });
     this->servers.setHooks(
             [this](const BackendServerName &server) {
                 logEvent(LogEvent::ServerLeaving, "backend_server", server.toString());
@@ -337,13 +354,17 @@
             std::max(this->settings.maximumDescriptors, reservedDescriptors + descriptorsPerCall);
     const std::size_t connections = (descriptors - reservedDescriptors) / descriptorsPerCall;
     const auto metricsEndpoint = parseEndpoint(this->entry.settings.adminAddress, reason);
-    if (!this->gateway.listen(this->settings.callerEndpoint, connections, reason)
+    const std::size_t relayedConnections =
+            std::min(maximumRelayedConnections, connections / relayedConnectionsDivisor);
+    if (!this->gateway.listen(this->settings.callerEndpoint, connections - relayedConnections,
+                              reason)
         || !this->readinessServer.listen(this->settings.readinessEndpoint, reason)
         || !this->directoryServer.listen(this->settings.directoryEndpoint, reason)
         || !metricsEndpoint || !this->metricsServer.listen(*metricsEndpoint, reason)
         || !this->peers.start(reason)) {
         return false;
     }
+    this->listenForPeers(relayedConnections);
     this->configurationFollower.start(this->context);
     this->serverFollower.start(this->context);
     this->hostFollower.start(this->context);
@@ -360,6 +381,20 @@
     return true;
 }
 
+/** Listens for calls that peers relay, if that is possible. */
+void PlatformDaemon::Implementation::listenForPeers(std::size_t maximumConnections)
+{
+    const int port = this->settings.firstInternalPort + relayPortOffset;
+    Error reason;
+    reason.detail = "fewer than three internal ports";
+    const bool isListening = port <= this->settings.lastInternalPort
+            && this->gateway.listenForPeers(
+                    {this->settings.address, static_cast<std::uint16_t>(port)}, maximumConnections,
+                    reason);
+    if (!isListening)
+        logEvent(LogEvent::RelayUnavailable, "detail", reason.detail);
+}
+
 SharedSourceHooks PlatformDaemon::Implementation::makeSharedSourceHooks()
 {
     SharedSourceHooks hooks;
@@ -455,6 +490,9 @@
     hooks.answerRunVersions = [this](const RunVersionRequest &request) {
         return this->runVersions.answer(request);
     };
+    hooks.answerContactRequest = [this](ServiceContactRequest request) {
+        return this->contacts.answer(std::move(request));
+    };
     hooks.sharesConfiguration = false;
     hooks.announcesLoadChanges = true;
     hooks.selectPeers = [this](std::span<const BackendServerName> changed) {
@@ -590,6 +628,7 @@
         this->servers.advance(now);
         this->reachability.advance();
         this->limiter.advance();
+        this->contacts.advance();
         this->runReplicator.advance();
         this->checkReadiness();
         if (now - this->lastSlowMaintenanceAt >= slowMaintenanceInterval) {
--- a/packages/entry/peers/peerservice.cpp
+++ b/packages/entry/peers/peerservice.cpp
@@ -43,6 +43,8 @@
 constexpr std::size_t maximumPermitConnections = 32;
 /** Limits the descriptors of idle connections for software versions of streams. */
 constexpr std::size_t maximumRunConnections = 32;
+/** Limits the descriptors of idle connections for questions on the contact to services. */
+constexpr std::size_t maximumContactConnections = 8;
 
 MemberRecord selfRecord(const EntryState &entry, bool isServing)
 {
@@ -134,6 +136,7 @@
     , readConnections(state.steadyClock, maximumReadConnections)
     , permitConnections(state.steadyClock, maximumPermitConnections)
     , runConnections(state.steadyClock, maximumRunConnections)
+    , contactConnections(state.steadyClock, maximumContactConnections)
 {
     state.publishMembers({selfRecord(state, this->hooks.isServingAtStart)}, 0);
     if (this->hooks.announcesLoadChanges)
@@ -322,6 +325,11 @@
             co_return std::nullopt;
         co_return this->hooks.answerRunVersions(*request);
     }
+    if (auto *request = std::get_if<ServiceContactRequest>(&message)) {
+        if (!this->hooks.answerContactRequest)
+            co_return std::nullopt;
+        co_return co_await this->hooks.answerContactRequest(std::move(*request));
+    }
     if (const auto *call = std::get_if<ForwardCall>(&message)) {
         ForwardReply reply;
         reply.sequence = call->sequence;
@@ -703,6 +711,14 @@
                                                           timeout, reason);
 }
 
+net::awaitable<std::optional<ServiceContactReply>> PeerService::askContact(
+        std::string address, ServiceContactRequest request, Milliseconds timeout, Error &reason)
+{
+    request.sequence = ++this->sequence;
+    return this->contactConnections.exchange<ServiceContactReply>(
+            std::move(address), std::move(request), timeout, reason);
+}
+
 net::awaitable<std::optional<std::uint64_t>> PeerService::askRevision(std::string peerAddress)
 {
     ConfigurationPull pull;
--- a/packages/entry/peers/peerservice.h
+++ b/packages/entry/peers/peerservice.h
@@ -69,6 +69,9 @@
     std::function<std::optional<RunVersionUpdateReply>(const RunVersionUpdate &)> recordRunVersions;
     /** Answers a peer that asks for software versions of streams; may be empty. */
     std::function<RunVersionReply(const RunVersionRequest &)> answerRunVersions;
+    /** Answers a peer that asks whether this host reaches a service; may be empty. */
+    std::function<boost::asio::awaitable<ServiceContactReply>(ServiceContactRequest)>
+            answerContactRequest;
     /** Whether hosts compare configuration revisions and pull newer ones from each other. */
     bool sharesConfiguration = true;
     /**
@@ -158,6 +161,14 @@
                                                                           RunVersionRequest request,
                                                                           Milliseconds timeout,
                                                                           Error &reason);
+    /**
+     * Asks a peer whether it can reach the servers of a service, over a connection that is reused.
+     *
+     * @param reason receives ConnectionFailed, Timeout or ProtocolViolation.
+     */
+    boost::asio::awaitable<std::optional<ServiceContactReply>> askContact(
+            std::string address, ServiceContactRequest request, Milliseconds timeout,
+            Error &reason);
     /** Asks a peer for its configuration revision in force; nothing if it does not answer. */
     boost::asio::awaitable<std::optional<std::uint64_t>> askRevision(std::string peerAddress);
 
@@ -199,6 +210,7 @@
     PeerConnections readConnections;
     PeerConnections permitConnections;
     PeerConnections runConnections;
+    PeerConnections contactConnections;
     std::atomic<std::uint64_t> sequence = 0;
     std::atomic<bool> isPulling = false;
     std::atomic<bool> isRegistering = false;
--- a/packages/gateway/calls/callcodec.h
+++ b/packages/gateway/calls/callcodec.h
@@ -108,6 +108,11 @@
      * Returns the header fields to send to a server, including the forwarded fields of the caller.
      */
     std::function<HttpHeaders(const HttpRequest &, const ForwardingOrder &)> encodeOrder;
+    /**
+     * Returns the header fields to send to another entry host that handles the call instead: the
+     * fields of the caller, with the time that is left for the call.
+     */
+    std::function<HttpHeaders(const HttpRequest &, Milliseconds timeLeft)> encodeRelay;
     /** Decodes a server's header. */
     std::function<ResponseMetadata(const HttpResponse &)> decodeResponse;
     /** Formats an error response of the gateway itself. */
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -9,6 +9,8 @@
 #include "gateway/calls/callcodec.h"
 #include "gateway/calls/hopheaders.h"
 #include "gateway/calls/retryrule.h"
+#include "gateway/contact/contactmonitor.h"
+#include "gateway/contact/relaypeers.h"
 #include "gateway/limits/serverlimiter.h"
 #include "gateway/relay/gatewaydependencies.h"
 #include "gateway/relay/gatewayservice.h"
--- a/packages/gateway/relay/activecalls.cpp
+++ b/packages/gateway/relay/activecalls.cpp
@@ -41,6 +41,16 @@
     return names;
 }
 
+std::vector<RequestName> ActiveCalls::waitingForService(std::string_view service) const
+{
+    std::vector<RequestName> names;
+    for (const RoutedCall *call : this->calls) {
+        if (call->waitingAs && call->service->name == service)
+            names.push_back(*call->waitingAs);
+    }
+    return names;
+}
+
 std::vector<RequestName> ActiveCalls::waiting() const
 {
     std::vector<RequestName> names;
--- a/packages/gateway/relay/activecalls.h
+++ b/packages/gateway/relay/activecalls.h
@@ -45,6 +45,8 @@
      * @param serving states when the stop ends the calls.
      */
     std::vector<RequestName> waitingBeyondStop(const ServingState &serving) const;
+    /** Returns the names of the waiting calls of a service. */
+    std::vector<RequestName> waitingForService(std::string_view service) const;
     /** Returns the names of all waiting calls. */
     std::vector<RequestName> waiting() const;
     /** Ends the exchange of each call with its server, as if the call had reached its deadline. */
--- a/packages/gateway/relay/backendattempt.cpp
+++ b/packages/gateway/relay/backendattempt.cpp
@@ -123,8 +123,11 @@
             result.failure);
     if (!this->connection) {
         this->dependencies.reachability.recordFailure(order.server);
+        this->dependencies.contacts.recordFailedConnection(this->call.service->name);
         co_return result;
     }
+    if (!this->connection->hasReceivedResponse())
+        this->dependencies.contacts.recordAccepted(this->call.service->name);
     const bool isOver = this->call.timeLeft(this->dependencies.clock.now()) <= Milliseconds(0);
     if (this->call.isCallerGone || isOver) {
         result.failure = {ErrorCode::ConnectionFailed,
@@ -258,6 +261,7 @@
 {
     this->sentAt = this->dependencies.clock.now();
     this->dependencies.limiter.recordCall(this->serverRunName(), this->kindOf(order));
+    this->dependencies.contacts.recordSent(this->call.service->name);
     ++this->call.sentAttempts;
 }
 
@@ -266,6 +270,7 @@
     AttemptResult result;
     const ResponseMetadata metadata = this->dependencies.codec.decodeResponse(response);
     this->dependencies.reachability.recordSuccess(server);
+    this->dependencies.contacts.recordReceived(this->call.service->name);
     this->applyServerStatements(metadata, server);
     result.response = std::move(response);
     if (metadata.hasNotRun) {
@@ -315,6 +320,7 @@
     const auto bytes = co_await this->connection->read(timeout, reason);
     const Milliseconds now = this->dependencies.clock.now();
     if (bytes) {
+        this->dependencies.contacts.recordReceived(this->call.service->name);
         if (!this->firstBytesAt)
             this->firstBytesAt = now;
         co_return bytes;
@@ -420,6 +426,10 @@
                                            {{"outcome", outcome}});
     if (!isOpen && isUsable)
         this->dependencies.reachability.recordFailure(this->server);
+    if (isOpen)
+        this->dependencies.contacts.recordAccepted(this->call.service->name);
+    else if (isUsable)
+        this->dependencies.contacts.recordFailedConnection(this->call.service->name);
     if (!hasCrashed)
         co_return;
     this->dependencies.dispatch.post(
--- a/packages/gateway/relay/callrelay.cpp
+++ b/packages/gateway/relay/callrelay.cpp
@@ -3,6 +3,7 @@
 #include "gateway/calls/hopheaders.h"
 #include "gateway/relay/callmetrics.h"
 #include "gateway/relay/callplacement.h"
+#include "gateway/relay/peerrelay.h"
 
 #include <algorithm>
 #include <string>
@@ -39,7 +40,7 @@
 {
 }
 
-net::awaitable<HttpResponse> CallRelay::run()
+net::awaitable<std::optional<HttpResponse>> CallRelay::run()
 {
     bool mayContinue = true;
     while (mayContinue) {
@@ -60,11 +61,24 @@
         if (result.outcome == AttemptOutcome::Answered)
             this->answer = std::move(result.response);
     }
-    if (this->answer)
-        co_return std::move(*this->answer);
+    co_return std::move(this->answer);
+}
+
+const AttemptHistory &CallRelay::attempts() const
+{
+    return this->history;
+}
+
+const Error &CallRelay::lastFailure() const
+{
+    return this->failure;
+}
+
+HttpResponse CallRelay::refuse()
+{
     const Error error = finalError(this->history, this->failure);
     recordRefusal(this->dependencies.entry.metrics, this->call, error);
-    co_return this->dependencies.codec.formatError(error);
+    return this->dependencies.codec.formatError(error);
 }
 
 net::awaitable<std::optional<Grant>> CallRelay::place()
@@ -122,6 +136,10 @@
 bool CallRelay::mayTryNextServer(const AttemptResult &last)
 {
     const Milliseconds now = this->dependencies.clock.now();
+    // A peer may reach the service; another attempt from here would only take time.
+    if (last.outcome == AttemptOutcome::NotSent
+        && mayReachThroughPeer(this->dependencies, this->call))
+        return false;
     if (this->call.isCallerGone || this->call.timeLeft(now) <= Milliseconds(0)
         || !mayRetry(*this->call.route, this->history, last.outcome, last.response.status)) {
         return false;
--- a/packages/gateway/relay/callrelay.h
+++ b/packages/gateway/relay/callrelay.h
@@ -23,10 +23,15 @@
     /**
      * Tries backend servers until one responds or no further attempt is permitted.
      *
-     * @return the response for the caller: that of a server, or an error response that states
-     *     whether the call may have run.
+     * @return the response of a server, or nothing.
      */
-    boost::asio::awaitable<HttpResponse> run();
+    boost::asio::awaitable<std::optional<HttpResponse>> run();
+    /** Returns how the attempts ended. */
+    const AttemptHistory &attempts() const;
+    /** Returns why there is no response; valid if run() has returned none. */
+    const Error &lastFailure() const;
+    /** Returns an error response that states whether the call may have run, and records it. */
+    HttpResponse refuse();
 
 private:
     boost::asio::awaitable<std::optional<Grant>> place();
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -3,6 +3,7 @@
 #include "gateway/calls/hopheaders.h"
 #include "gateway/relay/callmetrics.h"
 #include "gateway/relay/callplacement.h"
+#include "gateway/relay/peerrelay.h"
 
 #include <algorithm>
 #include <string>
@@ -434,6 +435,10 @@
         this->logEnd(this->call.isCallerGone ? "caller_gone" : "cut");
         co_return;
     }
+    PeerRelay peerRelay(this->dependencies, this->call, this->responder);
+    const bool isRelayed = co_await peerRelay.runAfter(this->history, this->failure);
+    if (isRelayed)
+        co_return;
     Error error = finalError(this->history, this->failure);
     // A version that is gone does not return, so waiting would not help.
     if (this->call.work.softwareVersion && this->failure.code == ErrorCode::NoBackendServer)
@@ -919,6 +924,10 @@
         || !mayRetry(*this->call.route, this->history, outcome, status)) {
         return false;
     }
+    // A peer may reach the service; another attempt from here would only take time.
+    if (outcome == AttemptOutcome::NotSent && this->history.mayHaveRun == 0
+        && mayReachThroughPeer(this->dependencies, this->call))
+        return false;
     // Without a known version, no server may add events to those that the caller has.
     if (this->eventCount > 0 && !this->call.work.softwareVersion)
         return false;
--- a/packages/gateway/relay/gatewaydependencies.h
+++ b/packages/gateway/relay/gatewaydependencies.h
@@ -3,6 +3,8 @@
 #include "entry/entry.h"
 #include "gateway/calls/callcodec.h"
 #include "gateway/calls/enginecalls.h"
+#include "gateway/contact/contactmonitor.h"
+#include "gateway/contact/relaypeers.h"
 #include "gateway/limits/serverlimiter.h"
 #include "gateway/relay/activecalls.h"
 #include "gateway/relay/answermemorybudget.h"
@@ -41,6 +43,10 @@
     ServerLimiter &limiter;
     /** Keeps the software versions that served recent streams. */
     RunVersions &runVersions;
+    /** Tells whether this host reaches the servers of a service. */
+    ContactMonitor &contacts;
+    /** Finds peers that reach the servers of a service. */
+    RelayPeers &relayPeers;
     /** Translates headers between the wire and the types of this package. */
     CallCodec codec;
     /** Requests to engines that the gateway makes itself. */
--- a/packages/gateway/relay/gatewayservice.cpp
+++ b/packages/gateway/relay/gatewayservice.cpp
@@ -5,6 +5,10 @@
 #include "gateway/relay/callplacement.h"
 #include "gateway/relay/callrelay.h"
 #include "gateway/relay/eventrelay.h"
+#include "gateway/relay/peerrelay.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 
 #include <algorithm>
 #include <string>
@@ -21,6 +25,12 @@
 constexpr Milliseconds staleRetryAfter{1000};
 /** A write to a caller that does not read fails after this time. */
 constexpr Milliseconds callerWriteTimeout{10000};
+/** The header of a relayed call may be larger than the caller's by this many bytes. */
+constexpr std::size_t relayHeaderBytes = 256;
+/** The part of the memory for the bodies of requests that relayed calls may take, in bytes. */
+constexpr std::size_t relayedBodyBytes = 3U << 20U;
+/** Connections fail for about this time before a service is known to be unreached. */
+constexpr Milliseconds noticeTime{1000};
 
 /** Returns the value of a field that occurs exactly once, otherwise nothing. */
 std::optional<std::string> singleValue(const HttpHeaders &headers, std::string_view name)
@@ -66,7 +76,13 @@
     , server(
               dependencies.context, HttpServerOptions(),
               [this](const HttpRequest &request, HttpResponder &responder) {
-                  return this->handle(request, responder);
+                  return this->handle(request, responder, false);
+              },
+              [this](const Error &error) { return this->refuseUnread(error); })
+    , relayServer(
+              dependencies.context, HttpServerOptions(),
+              [this](const HttpRequest &request, HttpResponder &responder) {
+                  return this->handle(request, responder, true);
               },
               [this](const Error &error) { return this->refuseUnread(error); })
     , random(RandomSource::fromSystem())
@@ -75,6 +91,54 @@
         this->dependencies.changes.configurationAppliedAt = this->dependencies.clock.now();
         this->applyLimits(configuration.limits);
     });
+    ContactHooks hooks;
+    hooks.onChange = [this](const std::string &service, bool isUnreached, Milliseconds since) {
+        if (isUnreached)
+            this->relayWaiting(service);
+        else
+            this->endAvoidance(service, since);
+    };
+    hooks.relayOffer = [this] {
+        return this->relayOffer();
+    };
+    dependencies.contacts.setHooks(std::move(hooks));
+}
+
+/** Lets the waiting calls of an unreached service go on at a peer, once one reaches it. */
+void GatewayService::relayWaiting(const std::string &service)
+{
+    net::co_spawn(
+            this->dependencies.context,
+            [this, service]() -> net::awaitable<void> {
+                const std::vector<std::string> excluded;
+                const auto peer =
+                        co_await this->dependencies.relayPeers.choose(service, 0, excluded);
+                if (!peer || !this->dependencies.contacts.isUnreached(service))
+                    co_return;
+                const auto names = this->dependencies.activeCalls.waitingForService(service);
+                for (const RequestName &name : names)
+                    this->dependencies.dispatch.refuseWaiting(name, ErrorCode::NoBackendServer,
+                                                              refusedRetryAfter);
+            },
+            net::detached);
+}
+
+/** Sends calls again to the servers of a service that could not be reached for a time. */
+void GatewayService::endAvoidance(const std::string &service, Milliseconds since)
+{
+    for (const BackendServerName &server : this->dependencies.servers.usableServers(service))
+        this->dependencies.reachability.endAvoidance(server, since - noticeTime);
+}
+
+/** Returns the terms on which this host takes calls of peers; none while it stops or is full. */
+std::optional<RelayOffer> GatewayService::relayOffer() const
+{
+    const std::size_t limit = this->relayOptions.maximumConnections / 4 * 3;
+    const auto configuration = this->dependencies.serving.current();
+    if (this->relayAddress.empty() || !configuration || this->dependencies.serving.isDraining()
+        || this->relayServer.openConnections() >= limit)
+        return std::nullopt;
+    return RelayOffer{this->relayAddress, configuration->version};
 }
 
 /** Records and formats the response to a request that could not be read. */
@@ -90,26 +154,44 @@
 {
     this->serverOptions.maximumConnections = maximumConnections;
     this->serverOptions.writeTimeout = callerWriteTimeout;
+    this->serverOptions.maximumTotalBodyBytes =
+            HttpServerOptions().maximumTotalBodyBytes - relayedBodyBytes;
     this->server.setOptions(this->serverOptions);
     return this->server.listen(endpoint, reason).has_value();
 }
 
+bool GatewayService::listenForPeers(const Endpoint &endpoint, std::size_t maximumConnections,
+                                    Error &reason)
+{
+    this->relayOptions.maximumConnections = maximumConnections;
+    this->relayOptions.writeTimeout = callerWriteTimeout;
+    this->relayOptions.maximumTotalBodyBytes = relayedBodyBytes;
+    this->relayServer.setOptions(this->relayOptions);
+    const auto bound = this->relayServer.listen(endpoint, reason);
+    if (bound)
+        this->relayAddress = bound->toString();
+    return bound.has_value();
+}
+
 void GatewayService::drain()
 {
     this->server.closeAfterResponses();
+    this->relayServer.closeAfterResponses();
     const ActiveCalls &calls = this->dependencies.activeCalls;
     this->refuseWaiting(calls.waitingBeyondStop(this->dependencies.serving));
 }
 
 void GatewayService::closeIdle()
 {
-    this->server.stopAccepting();
-    this->server.closeIdleConnections();
+    for (HttpServer *listening : {&this->server, &this->relayServer}) {
+        listening->stopAccepting();
+        listening->closeIdleConnections();
+    }
 }
 
 std::size_t GatewayService::openConnections() const
 {
-    return this->server.openConnections();
+    return this->server.openConnections() + this->relayServer.openConnections();
 }
 
 std::size_t GatewayService::endCalls(Milliseconds now)
@@ -127,7 +209,8 @@
                                                   stoppingRetryAfter);
 }
 
-net::awaitable<void> GatewayService::handle(const HttpRequest &request, HttpResponder &responder)
+net::awaitable<void> GatewayService::handle(const HttpRequest &request, HttpResponder &responder,
+                                            bool isRelayed)
 {
     const ActiveRequest active(this->dependencies.entry);
     Error reason;
@@ -140,8 +223,11 @@
         co_await responder.send(this->dependencies.codec.formatError(reason));
         co_return;
     }
+    call->isRelayed = isRelayed;
     const ActiveCalls::Listing listing(this->dependencies.activeCalls, *call);
-    this->dependencies.budget.recordRequest(call->service->name, call->receivedAt);
+    // The host that relayed the call has counted it.
+    if (!isRelayed)
+        this->dependencies.budget.recordRequest(call->service->name, call->receivedAt);
     // A non-idempotent call continues without its caller so that its outcome becomes known.
     if (call->route->kind != CallKind::NonIdempotent) {
         RoutedCall &activeCall = *call;
@@ -155,13 +241,36 @@
 
 net::awaitable<void> GatewayService::run(RoutedCall &call, HttpResponder &responder)
 {
-    if (call.route->kind == CallKind::Stream) {
-        EventRelay relay(this->dependencies, call, responder);
-        co_await relay.run();
+    const bool isRelayed = co_await this->relay(call, responder);
+    if (isRelayed)
+        co_return;
+    if (call.route->kind != CallKind::Stream) {
+        co_await this->runWhole(call, responder);
         co_return;
     }
+    EventRelay relay(this->dependencies, call, responder);
+    co_await relay.run();
+}
+
+/** Relays a call of an unreached service. @return whether it has ended. */
+net::awaitable<bool> GatewayService::relay(RoutedCall &call, HttpResponder &responder)
+{
+    PeerRelay peerRelay(this->dependencies, call, responder);
+    co_return co_await peerRelay.run();
+}
+
+/** Runs a call whose response is passed on as a whole. */
+net::awaitable<void> GatewayService::runWhole(RoutedCall &call, HttpResponder &responder)
+{
     CallRelay relay(this->dependencies, call);
-    HttpResponse response = co_await relay.run();
+    auto answer = co_await relay.run();
+    if (!answer) {
+        PeerRelay peerRelay(this->dependencies, call, responder);
+        const bool isRelayed = co_await peerRelay.runAfter(relay.attempts(), relay.lastFailure());
+        if (isRelayed)
+            co_return;
+    }
+    HttpResponse response = answer ? std::move(*answer) : relay.refuse();
     const int status = response.status;
     if (call.isCallerGone)
         responder.abort();
@@ -273,6 +382,10 @@
     this->serverOptions.readTimeout = limits.readTimeout;
     this->serverOptions.idleTimeout = limits.idleTimeout;
     this->server.setOptions(this->serverOptions);
+    this->relayOptions.maximumHeaderBytes = limits.headerBytes + relayHeaderBytes;
+    this->relayOptions.maximumBodyBytes = limits.bodyBytes;
+    this->relayOptions.readTimeout = limits.readTimeout;
+    this->relayServer.setOptions(this->relayOptions);
 }
 
 } // namespace sassafrasyard
--- a/packages/gateway/relay/gatewaystatus.cpp
+++ b/packages/gateway/relay/gatewaystatus.cpp
@@ -86,6 +86,9 @@
             server["call_limit"] = *limit;
         state["servers"]["entries"].push_back(std::move(server));
     }
+    state["contacts"] = nlohmann::json::object();
+    for (const std::string &service : dependencies.contacts.services())
+        state["contacts"][service] = std::string(toString(dependencies.contacts.state(service)));
     state["members"] = nlohmann::json::array();
     const auto members = dependencies.entry.members();
     for (const MemberRecord &record : *members)
--- a/packages/gateway/relay/routedcall.h
+++ b/packages/gateway/relay/routedcall.h
@@ -41,6 +41,8 @@
     Milliseconds receivedAt{0};
     /** When the final response is due, on the same clock. */
     Milliseconds deadlineAt{0};
+    /** Whether a peer passed the call on to this host, which then does not pass it on. */
+    bool isRelayed = false;
     /** The number of attempts that were sent to a server. */
     std::uint32_t sentAttempts = 0;
     /** Whether the caller has closed its connection. */
--- a/packages/gateway/relay/serverreachability.cpp
+++ b/packages/gateway/relay/serverreachability.cpp
@@ -22,7 +22,10 @@
 
 void ServerReachability::recordFailure(const BackendServerName &server)
 {
-    Failure &failure = this->failures[server];
+    const auto [known, isFirst] = this->failures.try_emplace(server);
+    Failure &failure = known->second;
+    if (isFirst)
+        failure.since = this->clock.now();
     failure.count = std::min(failure.count + 1, maximumFailureCount);
     const Milliseconds pause = std::min(initialPause * (1U << (failure.count - 1)), maximumPause);
     failure.until = this->clock.now() + pause;
@@ -45,6 +48,13 @@
         this->publish(server);
 }
 
+void ServerReachability::endAvoidance(const BackendServerName &server, Milliseconds since)
+{
+    const auto known = this->failures.find(server);
+    if (known != this->failures.end() && known->second.since >= since)
+        this->recordSuccess(server);
+}
+
 void ServerReachability::recordPause(const BackendServerName &server, Milliseconds time)
 {
     const Milliseconds until = this->clock.now() + time;
--- a/packages/gateway/relay/serverreachability.h
+++ b/packages/gateway/relay/serverreachability.h
@@ -32,6 +32,11 @@
     std::optional<Milliseconds> pauseLeft(const BackendServerName &server) const;
     /** Returns whether a pause of any server is in effect. */
     bool hasPauses() const;
+    /**
+     * Ends an exclusion for failed connections that began at an instant or later, because the host
+     * was cut off from then on and is not any more.
+     */
+    void endAvoidance(const BackendServerName &server, Milliseconds since);
     /** Removes all records of a server that restarted under the same name. */
     void forget(const BackendServerName &server);
     /** Ends exclusions and pauses that have expired. Call it several times a second. */
@@ -41,6 +46,7 @@
     struct Failure
     {
         std::uint32_t count = 0;
+        Milliseconds since{0};
         Milliseconds until{0};
         bool isAvoided = false;
     };
--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -64,6 +64,12 @@
             headers.emplace_back("Backup", order.backupAddress);
         return headers;
     };
+    codec.encodeRelay = [](const HttpRequest &request, Milliseconds timeLeft) {
+        HttpHeaders headers = withoutHopFields(request.headers);
+        std::erase_if(headers, [](const auto &field) { return field.first == "Patience"; });
+        headers.emplace_back("Patience", std::to_string(timeLeft.count()));
+        return headers;
+    };
     codec.decodeResponse = [](const HttpResponse &response) {
         ResponseMetadata metadata;
         metadata.requestId = findHeader(response.headers, "Id").value_or("");
@@ -119,9 +125,15 @@
         , reachability(this->dispatch, Clock::steady())
         , limiter(this->entry, this->dispatch, Clock::steady())
         , versions(Clock::steady())
-        , dependencies{this->context,  this->entry,       this->dispatch, this->serving,
-                       this->servers,  this->connections, this->budget,   this->reachability,
-                       this->limiter,  this->versions,    testCodec(),    this->makeEngineCalls(),
+        , contacts(this->entry, this->context, this->servers, Clock::steady())
+        , peersForRelay(this->entry, this->context, Clock::steady())
+        , dependencies{this->context,  this->entry,
+                       this->dispatch, this->serving,
+                       this->servers,  this->connections,
+                       this->budget,   this->reachability,
+                       this->limiter,  this->versions,
+                       this->contacts, this->peersForRelay,
+                       testCodec(),    this->makeEngineCalls(),
                        Clock::steady()}
         , gateway(this->dependencies)
     {
@@ -373,8 +385,22 @@
     {
         this->reachability.advance();
         this->limiter.advance();
+        this->contacts.advance();
+    }
+
+    /** Listens for calls that other hosts relay. */
+    void listenForPeers()
+    {
+        Error reason;
+        this->gateway.listenForPeers({"127.0.0.1", 0}, relayedConnections, reason);
     }
 
+    /** Returns the object that tells whether this host reaches the servers. */
+    ContactMonitor &contactMonitor() { return this->contacts; }
+
+    /** Returns the object that finds peers which reach the servers. */
+    RelayPeers &relayPeers() { return this->peersForRelay; }
+
     /** Returns the object that keeps the servers' call limits. */
     ServerLimiter &serverLimiter() { return this->limiter; }
 
@@ -592,6 +618,8 @@
         return calls;
     }
 
+    static constexpr std::size_t relayedConnections = 64;
+
     void publish()
     {
         const auto configuration = this->serving.current();
@@ -631,6 +659,8 @@
     ServerReachability reachability;
     ServerLimiter limiter;
     RunVersions versions;
+    ContactMonitor contacts;
+    RelayPeers peersForRelay;
     GatewayDependencies dependencies;
     GatewayService gateway;
     std::vector<Route> routes;
--- a/packages/gateway/tests/gatewayhosts.h
+++ b/packages/gateway/tests/gatewayhosts.h
@@ -121,9 +121,28 @@
             };
             host->serverLimiter().setHooks(std::move(hooks));
             this->connectRunVersions(*host);
+            this->connectRelays(*host);
         }
     }
 
+    /** Lets a host relay calls to the others. */
+    void connectRelays(GatewayFixture &host)
+    {
+        host.listenForPeers();
+        host.relayPeers().setAsk(
+                [this](std::string address, ServiceContactRequest request, Milliseconds timeout,
+                       Error &) -> boost::asio::awaitable<std::optional<ServiceContactReply>> {
+                    const std::size_t index = std::stoul(address);
+                    if (this->lostHosts.contains(index)) {
+                        co_await GatewayFixture::pause(timeout);
+                        co_return std::nullopt;
+                    }
+                    co_await GatewayFixture::pause(Milliseconds(3));
+                    co_return co_await this->hosts[index]->contactMonitor().answer(
+                            std::move(request));
+                });
+    }
+
     /** Lets a host tell and ask the others the software versions of streams. */
     void connectRunVersions(GatewayFixture &host)
     {
--- a/packages/network/http/httpserver.cpp
+++ b/packages/network/http/httpserver.cpp
@@ -47,12 +47,6 @@
     return net::redirect_error(net::use_awaitable, code);
 }
 
-/**
- * The largest sum of the bodies of requests in progress of a server, in bytes. Each is held up to
- * three times while it is forwarded, so this is about a third of the smallest hosts' memory.
- */
-constexpr std::size_t maximumTotalBodyBytes = 12U << 20U;
-
 /** Bodies up to this size are not counted: they need no more memory than their header. */
 constexpr std::size_t uncountedBodyBytes = 4096;
 
@@ -398,7 +392,7 @@
     /** Creates an empty reservation. */
     BodyReservation(Implementation &server, const HttpServerOptions &options)
         : server(server)
-        , limit(std::max(maximumTotalBodyBytes, options.maximumBodyBytes))
+        , limit(std::max(options.maximumTotalBodyBytes, options.maximumBodyBytes))
     {
     }
 
--- a/packages/network/http/httpserver.h
+++ b/packages/network/http/httpserver.h
@@ -75,6 +75,12 @@
 {
     /** The largest accepted body, in bytes. */
     std::size_t maximumBodyBytes = 4U << 20U;
+    /**
+     * The largest sum of the bodies of requests in progress, in bytes, or maximumBodyBytes if that
+     * is larger. Each is held up to three times while it is forwarded, so the default is about a
+     * third of the smallest hosts' memory.
+     */
+    std::size_t maximumTotalBodyBytes = 12U << 20U;
     /** The largest accepted header, in bytes. */
     std::size_t maximumHeaderBytes = 16U << 10U;
     /** How long a connection may stay idle between requests, in milliseconds. */
--- a/packages/observability/logging/logevent.cpp
+++ b/packages/observability/logging/logevent.cpp
@@ -81,6 +81,11 @@
                       "version_history_unavailable"},
         LogEventEntry{LogEvent::RunVersionsUntold, LogLevel::Info, "run_versions_untold"},
         LogEventEntry{LogEvent::RunStopEnded, LogLevel::Info, "run_stop_ended"},
+        LogEventEntry{LogEvent::ServiceUnreached, LogLevel::Warning, "service_unreached"},
+        LogEventEntry{LogEvent::ServiceReached, LogLevel::Info, "service_reached"},
+        LogEventEntry{LogEvent::CallRelayed, LogLevel::Info, "call_relayed"},
+        LogEventEntry{LogEvent::RelayPeersFound, LogLevel::Info, "relay_peers_found"},
+        LogEventEntry{LogEvent::RelayUnavailable, LogLevel::Warning, "relay_unavailable"},
 };
 
 } // namespace
--- a/packages/observability/logging/logevent.h
+++ b/packages/observability/logging/logevent.h
@@ -83,6 +83,11 @@
     VersionHistoryUnavailable = 8022,
     RunVersionsUntold = 8023,
     RunStopEnded = 8024,
+    ServiceUnreached = 8025,
+    ServiceReached = 8026,
+    CallRelayed = 8027,
+    RelayPeersFound = 8028,
+    RelayUnavailable = 8029,
 };
 
 /** An entry of the event catalogue. */
--- a/packages/policy/policy.h
+++ b/packages/policy/policy.h
@@ -15,6 +15,7 @@
 #include "policy/admission/groupload.h"
 #include "policy/admission/sharedlimit.h"
 #include "policy/admission/waitprediction.h"
+#include "policy/contact/servicecontact.h"
 #include "policy/dispatch/dispatcher.h"
 #include "policy/hedging/hedgepolicy.h"
 #include "policy/length/lengthestimator.h"
--- a/packages/protocol/messages/messagecodec.cpp
+++ b/packages/protocol/messages/messagecodec.cpp
@@ -214,6 +214,20 @@
     visit(message.sequence, message.answers);
 }
 
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &message) requires
+        std::is_same_v<std::remove_cvref_t<decltype(message)>, ServiceContactRequest>
+{
+    visit(message.sequence, message.service);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &message) requires
+        std::is_same_v<std::remove_cvref_t<decltype(message)>, ServiceContactReply>
+{
+    visit(message.sequence, message.isReached, message.relayAddress, message.configurationVersion);
+}
+
 class Encoder
 {
 public:
--- a/packages/protocol/messages/peermessage.h
+++ b/packages/protocol/messages/peermessage.h
@@ -424,11 +424,34 @@
     std::vector<RunVersionAnswer> answers;
 };
 
+/** Asks a peer whether it can reach the servers of a service. */
+struct ServiceContactRequest
+{
+    /** Matches the reply. */
+    std::uint64_t sequence = 0;
+    /** The service. */
+    std::string service;
+};
+
+/** Answers a ServiceContactRequest. */
+struct ServiceContactReply
+{
+    /** The request's sequence. */
+    std::uint64_t sequence = 0;
+    /** Whether a server of the service accepted a connection of the answering host lately. */
+    bool isReached = false;
+    /** The "IP:port" at which the answering host takes relayed calls. */
+    std::string relayAddress;
+    /** The version of the routes in force at the answering host. */
+    std::uint64_t configurationVersion = 0;
+};
+
 /** Any message between entry hosts. */
 using PeerMessage =
         std::variant<Probe, ProbeReply, IndirectProbe, IndirectProbeReply, ConfigurationPull,
                      ConfigurationReply, ForwardCall, ForwardReply, LoadUpdate, ObjectRead,
                      ObjectReadReply, CallPermitRequest, CallPermitReply, CallLimitUpdate,
-                     RunVersionUpdate, RunVersionUpdateReply, RunVersionRequest, RunVersionReply>;
+                     RunVersionUpdate, RunVersionUpdateReply, RunVersionRequest, RunVersionReply,
+                     ServiceContactRequest, ServiceContactReply>;
 
 } // namespace sassafrasyard
--- a/packages/protocol/tests/test_messagecodec.cpp
+++ b/packages/protocol/tests/test_messagecodec.cpp
@@ -104,6 +104,26 @@
     REQUIRE(update.limits == std::vector<CallLimitMessage>{limit, {"server/2"}});
 }
 
+// Guards against fields of the question whether a host reaches a service that the codec loses or
+// swaps.
+TEST_CASE("Decoded messages on the contact to a service equal the encoded ones", "[protocol]")
+{
+    Error reason;
+    auto decoded = decodeMessage(encodeMessage(ServiceContactRequest{5, "service"}), reason);
+    REQUIRE(decoded);
+    const auto &request = std::get<ServiceContactRequest>(*decoded);
+    REQUIRE(request.sequence == 5);
+    REQUIRE(request.service == "service");
+    decoded =
+            decodeMessage(encodeMessage(ServiceContactReply{6, true, "10.0.0.1:7202", 9}), reason);
+    REQUIRE(decoded);
+    const auto &reply = std::get<ServiceContactReply>(*decoded);
+    REQUIRE(reply.sequence == 6);
+    REQUIRE(reply.isReached);
+    REQUIRE(reply.relayAddress == "10.0.0.1:7202");
+    REQUIRE(reply.configurationVersion == 9);
+}
+
 // Guards against fields of a reply that are lost or swapped by the codec.
 TEST_CASE("A decoded reply to a store read equals the encoded one", "[protocol]")
 {
--- a/tests/plannedstop/hostdocuments.cpp
+++ b/tests/plannedstop/hostdocuments.cpp
@@ -62,7 +62,7 @@
   directory: ")"
             + loopback(firstPort + 2) + R"("
 internal-ports: [)"
-            + std::to_string(firstPort + 3) + ", " + std::to_string(firstPort + 4) + R"(]
+            + std::to_string(firstPort + 3) + ", " + std::to_string(firstPort + 5) + R"(]
 limits:
   max-fds: 4100
 heartbeat-ms: 1200
--- a/tests/plannedstop/hostdocuments.h
+++ b/tests/plannedstop/hostdocuments.h
@@ -23,7 +23,7 @@
     /**
      * Returns the settings file of the users' platform.
      *
-     * @param firstPort the first of five consecutive ports.
+     * @param firstPort the first of six consecutive ports.
      * @param store the address of the platform's store.
      */
     std::string toText(int firstPort, const Endpoint &store) const;
--- a/tests/plannedstop/stoppinghost.cpp
+++ b/tests/plannedstop/stoppinghost.cpp
@@ -23,7 +23,7 @@
 constexpr Milliseconds startTimeout{20000};
 constexpr Milliseconds stepTime{2};
 /** Callers, readiness, addresses, peers and metrics. */
-constexpr std::uint16_t portCount = 5;
+constexpr std::uint16_t portCount = 6;
 constexpr int plainServerCount = 2;
 constexpr int plainSlots = 100;
 
--- a/tests/soak/soakhost.cpp
+++ b/tests/soak/soakhost.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 /** Callers, readiness, addresses, peers and metrics. */
-constexpr std::uint16_t portCount = 5;
+constexpr std::uint16_t portCount = 6;
 constexpr int maximumProbes = 100;
 
 } // namespace
