Test the calls of a host that is cut off from all servers

Servers that are down, the return of the servers, lost, full, silent, stopping and differently configured peers, callers that leave, deadlines, keys, planned stops and waiting calls.

--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -289,6 +289,19 @@
     /** Starts a planned stop of the gateway. */
     void drain() { this->gateway.drain(); }
 
+    /** Starts a planned stop whose calls in progress are ended after a time. */
+    void drain(Milliseconds grace)
+    {
+        this->serving.startDraining(Clock::steady().now() + grace);
+        this->gateway.drain();
+    }
+
+    /** Stops accepting connections and closes idle ones, as at the end of a planned stop. */
+    void closeIdle() { this->gateway.closeIdle(); }
+
+    /** Ends the calls in progress, as at the end of a planned stop. */
+    void endCalls() { this->gateway.endCalls(Clock::steady().now()); }
+
     /**
      * Sends calls concurrently and runs until all have ended; status 0 means no complete response.
      */
--- a/packages/gateway/tests/strandedhosts.h
+++ b/packages/gateway/tests/strandedhosts.h
@@ -2,10 +2,16 @@
 
 #include "gatewayhosts.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <array>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace sassafrasyard {
@@ -44,6 +50,34 @@
     std::vector<boost::asio::ip::tcp::socket> fillers;
 };
 
+/** A stand-in for a host that takes relayed calls. */
+class PeerStandIn
+{
+public:
+    /** Listens on a free port. */
+    PeerStandIn(boost::asio::io_context &context, const GatewayFixture::Handler &handler)
+        : server(
+                context, HttpServerOptions(),
+                [this, handler](const HttpRequest &request, HttpResponder &responder) {
+                    this->received.push_back(request);
+                    return handler(request, responder);
+                },
+                errorResponse)
+    {
+        Error reason;
+        this->endpoint = *this->server.listen({"127.0.0.1", 0}, reason);
+    }
+
+    /** Returns where it takes calls, "IP:port". */
+    std::string address() const { return this->endpoint.toString(); }
+
+    std::vector<HttpRequest> received;
+
+private:
+    HttpServer server;
+    Endpoint endpoint;
+};
+
 /** Hosts of which the first one is cut off from the servers that the others reach. */
 class StrandedHosts
 {
@@ -53,12 +87,12 @@
 
     /** Creates hosts and servers. */
     StrandedHosts(const Route &route, Cut cut, const GatewayFixture::Handler &handler,
-                  std::size_t hostCount = 3)
+                  std::size_t hostCount = 3, const std::optional<EngineProperties> &engine = {})
         : hosts(hostCount)
         , silence(*this->hosts.context)
         , cut(cut)
     {
-        this->hosts.addRoute(route);
+        this->hosts.addRoute(route, engine);
         for (const std::string name : {"a", "b", "c"}) {
             this->hosts.hosts[1]->addServer(name, handler);
             this->addresses.push_back(this->hosts.hosts[1]->addressOf(name));
@@ -68,18 +102,83 @@
         this->strand();
     }
 
-    /** Cuts the first host off. */
-    void strand()
+    /** Cuts a host off; the servers are down if all hosts are cut off. */
+    void strand(std::size_t host = 0)
     {
-        this->enterAddresses([this](std::size_t) {
+        this->enterAddresses(host, [this](std::size_t) {
             return this->cut == Cut::Refused ? std::string("127.0.0.1:1") : this->silence.address();
         });
     }
 
-    /** Lets the first host reach the servers again. */
-    void rejoin()
+    /** Lets a host reach the servers again. */
+    void rejoin(std::size_t host = 0)
+    {
+        this->enterAddresses(host, [this](std::size_t server) { return this->addresses[server]; });
+    }
+
+    /** Lets a host find out that it is cut off. */
+    void notice(std::size_t host = 0)
+    {
+        ContactMonitor &contacts = this->hosts.hosts[host]->contactMonitor();
+        const Milliseconds end = Clock::steady().now() + Milliseconds(2000);
+        while (!contacts.isUnreached(service) && Clock::steady().now() < end) {
+            contacts.recordFailedConnection(service);
+            this->hosts.runFor(Milliseconds(20));
+        }
+    }
+
+    /** Returns where a host takes relayed calls, "IP:port". */
+    std::string relayAddressOf(std::size_t host)
+    {
+        std::string address;
+        boost::asio::co_spawn(
+                *this->hosts.context,
+                [this, host, &address]() -> boost::asio::awaitable<void> {
+                    ServiceContactRequest request;
+                    request.service = service;
+                    ContactMonitor &contacts = this->hosts.hosts[host]->contactMonitor();
+                    const auto reply = co_await contacts.answer(request);
+                    address = reply.relayAddress;
+                },
+                boost::asio::detached);
+        while (address.empty())
+            this->hosts.runFor(Milliseconds(20));
+        return address;
+    }
+
+    /**
+     * Lets the first host find only these peers, by their peer address, at these relay addresses.
+     *
+     * @param answerTime how long they take to answer.
+     */
+    void setPeers(std::map<std::string, std::string> relayAddresses,
+                  Milliseconds answerTime = Milliseconds(3))
     {
-        this->enterAddresses([this](std::size_t server) { return this->addresses[server]; });
+        this->hosts.hosts[0]->relayPeers().setAsk(
+                [relayAddresses = std::move(relayAddresses), answerTime](
+                        std::string address, ServiceContactRequest request, Milliseconds,
+                        Error &) -> boost::asio::awaitable<std::optional<ServiceContactReply>> {
+                    co_await GatewayFixture::pause(answerTime);
+                    const auto found = relayAddresses.find(address);
+                    if (found == relayAddresses.end())
+                        co_return std::nullopt;
+                    ServiceContactReply reply;
+                    reply.sequence = request.sequence;
+                    reply.isReached = true;
+                    reply.relayAddress = found->second;
+                    co_return reply;
+                });
+    }
+
+    /** Sends a call through the first host and waits for its response. */
+    HttpResponse call(const std::string &path, const HttpHeaders &headers = {})
+    {
+        std::optional<HttpResponse> answer;
+        this->hosts.send(
+                0, path, [&answer](const HttpResponse &response) { answer = response; }, headers);
+        while (!answer)
+            this->hosts.runFor(Milliseconds(20));
+        return *answer;
     }
 
     /** Sends calls through the first host at intervals; returns their statuses. */
@@ -97,6 +196,10 @@
         return statuses;
     }
 
+    /** Returns how many calls servers got, and how many of them peers have relayed. */
+    std::size_t arrivals() const { return this->countArrivals({}); }
+    std::size_t relayedArrivals() const { return this->countArrivals("Patience"); }
+
     /** Returns how often servers got each call, at most. */
     std::size_t mostArrivals() const
     {
@@ -113,20 +216,33 @@
     GatewayHosts hosts;
 
 private:
+    static constexpr const char *service = "service";
+
+    /** Counts the calls with a header field; relaying adds Patience to calls that had none. */
+    std::size_t countArrivals(const std::string &field) const
+    {
+        std::size_t count = 0;
+        for (const auto &host : this->hosts.hosts) {
+            for (const ReceivedCall &call : host->received)
+                count += field.empty() || findHeader(call.request.headers, field) ? 1 : 0;
+        }
+        return count;
+    }
+
     template <typename AddressOf>
-    void enterAddresses(const AddressOf &addressOf)
+    void enterAddresses(std::size_t host, const AddressOf &addressOf)
     {
         this->revision += 1;
         const std::array<std::string, 3> names = {"a", "b", "c"};
         for (std::size_t server = 0; server < names.size(); ++server) {
             ServerEntry entry;
             entry.name = BackendServerName(names[server]);
-            entry.service = "service";
+            entry.service = service;
             entry.address = addressOf(server);
             entry.slots = 8;
             entry.softwareVersion = SoftwareVersion("v1");
             entry.revision = this->revision;
-            this->hosts.hosts[0]->applyEntry(entry);
+            this->hosts.hosts[host]->applyEntry(entry);
         }
     }
 
