Reproduce a run on two engines after its host was cut off from servers

Cause: RunStop takes refused or unanswered connections for the end of the run once its connection is lost, which a host that is cut off from all servers sees although the engine works on.

--- a/packages/gateway/tests/strandedhosts.h
+++ b/packages/gateway/tests/strandedhosts.h
@@ -5,6 +5,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 
 #include <array>
 #include <map>
@@ -78,6 +81,108 @@
     Endpoint endpoint;
 };
 
+/** Forwards connections to a server until it is cut; its address stays the same. */
+class ServerPath : public std::enable_shared_from_this<ServerPath>
+{
+public:
+    /** Creates a path. @param target the address of the server. */
+    ServerPath(boost::asio::io_context &context, const std::string &target)
+        : context(context)
+        , acceptor(context)
+        , local(boost::asio::ip::make_address("127.0.0.1"), std::uint16_t{0})
+    {
+        Error reason;
+        const auto endpoint = parseEndpoint(target, reason);
+        this->server = {this->local.address(), endpoint->port};
+        this->open();
+    }
+
+    /** Returns the address at which connections are accepted while it is open, "IP:port". */
+    std::string address() const { return "127.0.0.1:" + std::to_string(this->local.port()); }
+
+    /** Accepts connections, at the same port each time. */
+    void open()
+    {
+        this->acceptor.open(this->local.protocol());
+        this->acceptor.set_option(boost::asio::socket_base::reuse_address(true));
+        this->acceptor.bind(this->local);
+        this->acceptor.listen();
+        this->local = this->acceptor.local_endpoint();
+    }
+
+    /** Starts to forward. */
+    void start()
+    {
+        boost::asio::co_spawn(
+                this->context, [self = this->shared_from_this()] { return self->accept(); },
+                boost::asio::detached);
+    }
+
+    /** Refuses connections and closes the open ones. */
+    void cut()
+    {
+        boost::system::error_code ignored;
+        this->acceptor.close(ignored);
+        for (const auto &socket : this->sockets)
+            socket->close(ignored);
+        this->sockets.clear();
+    }
+
+private:
+    using Socket = boost::asio::ip::tcp::socket;
+
+    boost::asio::awaitable<void> accept()
+    {
+        namespace net = boost::asio;
+        boost::system::error_code failure;
+        while (!failure) {
+            auto near = std::make_shared<Socket>(this->context);
+            co_await this->acceptor.async_accept(*near,
+                                                 net::redirect_error(net::use_awaitable, failure));
+            auto far = std::make_shared<Socket>(this->context);
+            if (!failure)
+                co_await far->async_connect(this->server,
+                                            net::redirect_error(net::use_awaitable, failure));
+            if (failure)
+                co_return;
+            this->sockets.push_back(near);
+            this->sockets.push_back(far);
+            this->forward(near, far);
+            this->forward(far, near);
+        }
+    }
+
+    void forward(const std::shared_ptr<Socket> &from, const std::shared_ptr<Socket> &to)
+    {
+        boost::asio::co_spawn(
+                this->context, [from, to] { return copyBytes(from, to); }, boost::asio::detached);
+    }
+
+    static boost::asio::awaitable<void> copyBytes(std::shared_ptr<Socket> from,
+                                                  std::shared_ptr<Socket> to)
+    {
+        namespace net = boost::asio;
+        std::array<char, 4096> bytes{};
+        boost::system::error_code failure;
+        while (!failure) {
+            const std::size_t count = co_await from->async_read_some(
+                    net::buffer(bytes), net::redirect_error(net::use_awaitable, failure));
+            if (!failure)
+                co_await net::async_write(*to, net::buffer(bytes.data(), count),
+                                          net::redirect_error(net::use_awaitable, failure));
+        }
+        boost::system::error_code ignored;
+        from->close(ignored);
+        to->close(ignored);
+    }
+
+    boost::asio::io_context &context;
+    boost::asio::ip::tcp::acceptor acceptor;
+    boost::asio::ip::tcp::endpoint local;
+    boost::asio::ip::tcp::endpoint server;
+    std::vector<std::shared_ptr<Socket>> sockets;
+};
+
 /** Hosts of which the first one is cut off from the servers that the others reach. */
 class StrandedHosts
 {
@@ -116,6 +221,33 @@
         this->enterAddresses(host, [this](std::size_t server) { return this->addresses[server]; });
     }
 
+    /** Lets the first host reach the servers on paths that can be cut without new entries. */
+    void usePaths()
+    {
+        for (const std::string &address : this->addresses) {
+            this->paths.push_back(std::make_shared<ServerPath>(*this->hosts.context, address));
+            this->paths.back()->start();
+        }
+        this->enterAddresses(0,
+                             [this](std::size_t server) { return this->paths[server]->address(); });
+    }
+
+    /** Cuts the paths of the first host. */
+    void cutPaths()
+    {
+        for (const auto &path : this->paths)
+            path->cut();
+    }
+
+    /** Restores the paths of the first host. */
+    void restorePaths()
+    {
+        for (const auto &path : this->paths) {
+            path->open();
+            path->start();
+        }
+    }
+
     /** Lets a host find out that it is cut off. */
     void notice(std::size_t host = 0)
     {
@@ -249,6 +381,7 @@
     SilentAddress silence;
     Cut cut;
     std::vector<std::string> addresses;
+    std::vector<std::shared_ptr<ServerPath>> paths;
     std::uint64_t revision = 1;
 };
 
