Keep a peer after it denied one call of a cut-off host

A peer that denied or limited one relayed call (401, 403, 404, 408 or 429) was no longer chosen, and peers are asked at most every 0.5 s, so other calls of the service found no peer and got 503. Only a failed connection or a 503 removes a peer. "A route that peers do not have yet is answered with 503" of test_gateway "[stranded]" failed before.

--- a/packages/gateway/relay/peerrelay.cpp
+++ b/packages/gateway/relay/peerrelay.cpp
@@ -111,7 +111,8 @@
         const Result result = co_await this->tryPeer(*address);
         if (result == Result::Ended)
             co_return true;
-        this->dependencies.relayPeers.recordFailure(this->call.service->name, *address);
+        if (result == Result::NotSent)
+            this->dependencies.relayPeers.recordFailure(this->call.service->name, *address);
         mayContinue = tried.size() < maximumPeers && this->mayTryNextPeer(result);
     }
     // A service that can be reached again may take the call that the peers refused.
@@ -188,6 +189,9 @@
 /** Keeps the refusal of a peer for the caller, and returns the connection to the pool. */
 net::awaitable<void> PeerRelay::keepRefusal(HttpResponse response)
 {
+    // Any other refusal concerns this call only.
+    if (response.status == unavailableStatus)
+        this->dependencies.relayPeers.recordFailure(this->call.service->name, this->peer);
     Error ignored;
     const auto body =
             co_await this->connection->readAll(maximumResponseBytes, this->timeLeft(), ignored);
