--- a/packages/gateway/tests/strandedhosts.h
+++ b/packages/gateway/tests/strandedhosts.h
@@ -11,6 +11,7 @@
 
 #include <array>
 #include <map>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -298,6 +299,7 @@
                     reply.sequence = request.sequence;
                     reply.isReached = true;
                     reply.relayAddress = found->second;
+                    reply.configurationVersion = std::numeric_limits<std::uint64_t>::max();
                     co_return reply;
                 });
     }
