Do not take a run for ended on a host that is cut off from servers

Cause: refused or unanswered connections, or a lost answer with a missing entry, counted as the end of a run whose connection was lost. A host that is cut off from all servers sees the same while the engine works on, and two engines worked on one run if the cut ended just then.

Change: on such evidence RunStop checks the service and asks peers. While this host reaches no server and a peer reaches one, the evidence is cut_off: it never shows the end, and the time without an answer begins again. A resumable stream is cut at once, so that its caller goes on elsewhere. If no peer reaches the service, its servers are down and the evidence counts as before.

--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -703,6 +703,7 @@
         order.work.avoided = {this->placement.server};
     }
     order.requestId = this->call.metadata.requestId;
+    order.isResumable = this->call.route->isResumable;
     order.endAt = this->call.deadlineAt;
     this->stop =
             std::make_shared<RunStop>(this->dependencies, std::move(order),
--- a/packages/gateway/relay/runevidence.cpp
+++ b/packages/gateway/relay/runevidence.cpp
@@ -32,6 +32,7 @@
         RunEvidenceRow{RunEvidence::AnswerLostEntryMissing, "entry_missing", std::nullopt,
                        maximumUnansweredTime},
         RunEvidenceRow{RunEvidence::AnswerLost, "answer_lost", std::nullopt, std::nullopt},
+        RunEvidenceRow{RunEvidence::HostCutOff, "cut_off", std::nullopt, std::nullopt},
 };
 
 const RunEvidenceRow &rowOf(RunEvidence evidence)
--- a/packages/gateway/relay/runevidence.h
+++ b/packages/gateway/relay/runevidence.h
@@ -24,6 +24,8 @@
     AnswerLostEntryMissing,
     /** A request was sent, but its answer did not arrive. */
     AnswerLost,
+    /** This host reached no server of the service, and a peer reached one. */
+    HostCutOff,
 };
 
 /** Returns the name of evidence in logs. */
@@ -49,6 +51,9 @@
  * The entry is no evidence either then: it may be missing for a time, return, or be another's. An
  * engine whose machine is gone does not answer the probes on that connection.
  *
+ * A host that is cut off from all servers loses its connections and gets no answers although the
+ * engines work on, so what it sees then shows nothing either.
+ *
  * @param unansweredFor since when the engine has not answered, including the present evidence.
  */
 bool showsRunEnd(RunEvidence evidence, RunConnection connection, Milliseconds unansweredFor);
--- a/packages/gateway/relay/runstop.cpp
+++ b/packages/gateway/relay/runstop.cpp
@@ -20,6 +20,15 @@
 constexpr Milliseconds firstRepetitionPause{50};
 constexpr Milliseconds maximumRepetitionPause{1000};
 
+/** Returns whether a host that is cut off from all servers would see the same. */
+bool isLackOfContact(RunEvidence evidence)
+{
+    return evidence == RunEvidence::ConnectionRefused
+            || evidence == RunEvidence::ConnectionUnanswered
+            || evidence == RunEvidence::AnswerLostEntryMissing
+            || evidence == RunEvidence::AnswerLost;
+}
+
 } // namespace
 
 RunStop::RunStop(GatewayDependencies &dependencies, RunStopOrder order,
@@ -128,8 +137,15 @@
     }
     while (this->result == Result::Pending && !this->isAbandoned) {
         Error reason;
+        const bool wasUnreached = this->dependencies.contacts.isUnreached(this->order.service);
         const RunStopResult answer = co_await this->ask(reason);
-        this->apply(answer, reason);
+        RunEvidence evidence = this->evidenceOf(answer);
+        if (isLackOfContact(evidence)) {
+            const bool isCutOff = co_await this->isHostCutOff(wasUnreached);
+            if (isCutOff)
+                evidence = RunEvidence::HostCutOff;
+        }
+        this->apply(answer, evidence, reason);
         if (this->result == Result::Pending && !this->isAbandoned)
             co_await this->waitForRepetition();
     }
@@ -191,11 +207,33 @@
     co_await this->repetitionTimer.async_wait(net::redirect_error(net::use_awaitable, ignored));
 }
 
-void RunStop::apply(const RunStopResult &answer, const Error &reason)
+/**
+ * Returns whether this host was cut off from all servers when it asked. If no peer reaches the
+ * service, its servers are down.
+ *
+ * @param wasUnreached whether the service was unreached before the request.
+ */
+net::awaitable<bool> RunStop::isHostCutOff(bool wasUnreached)
+{
+    ContactMonitor &contacts = this->dependencies.contacts;
+    contacts.recordFailedConnection(this->order.service);
+    // Unlike isReachedAfterCheck(), this does not rely on a check of the last second.
+    ServiceContactRequest request;
+    request.service = this->order.service;
+    co_await contacts.answer(std::move(request));
+    // The partition may have ended between the request to stop the run and the check.
+    if (!contacts.isUnreached(this->order.service))
+        co_return wasUnreached;
+    std::vector<std::string> excluded;
+    const auto peer =
+            co_await this->dependencies.relayPeers.choose(this->order.service, 0, excluded);
+    co_return peer.has_value();
+}
+
+void RunStop::apply(const RunStopResult &answer, RunEvidence evidence, const Error &reason)
 {
     this->memory = answer.memory;
     this->isCopied = answer.isCopied;
-    const RunEvidence evidence = this->evidenceOf(answer);
     const Milliseconds time = this->unansweredTime(evidence);
     if (showsRunEnd(evidence, this->connection, time))
         this->end(Result::Ended, toString(evidence), reason.detail);
@@ -221,12 +259,15 @@
     return this->hasSourceLeft() ? RunEvidence::AnswerLostEntryMissing : RunEvidence::AnswerLost;
 }
 
-/** Returns for how long the engine has not answered, including the present evidence. */
+/**
+ * Returns for how long the engine has not answered, including the present evidence. The time in
+ * which this host was cut off does not count.
+ */
 Milliseconds RunStop::unansweredTime(RunEvidence evidence)
 {
     const Milliseconds now = this->dependencies.clock.now();
     if (evidence == RunEvidence::EngineStopped || evidence == RunEvidence::EngineHasNoRun
-        || evidence == RunEvidence::EngineAnswered) {
+        || evidence == RunEvidence::EngineAnswered || evidence == RunEvidence::HostCutOff) {
         this->unansweredSince.reset();
         return Milliseconds(0);
     }
@@ -235,14 +276,20 @@
     return now - *this->unansweredSince;
 }
 
-/** Returns whether the stream stays at its engine, instead of asking that again. */
+/**
+ * Returns whether the stream stays at its engine, instead of asking that again. A stream without
+ * its connection that its caller can take up at another host does not wait until this one reaches
+ * the engine.
+ */
 bool RunStop::isDeclined(const RunStopResult &answer, RunEvidence evidence) const
 {
+    if (evidence == RunEvidence::HostCutOff && this->order.isResumable)
+        return true;
     if (this->connection != RunConnection::Open)
         return false;
     return answer.state == RunStopResult::State::Declined || evidence == RunEvidence::EngineHasNoRun
             || evidence == RunEvidence::EntryReplaced || evidence == RunEvidence::ConnectionRefused
-            || evidence == RunEvidence::ConnectionUnanswered;
+            || evidence == RunEvidence::ConnectionUnanswered || evidence == RunEvidence::HostCutOff;
 }
 
 /** Returns whether the process that runs the call has no entry any more. */
--- a/packages/gateway/relay/runstop.h
+++ b/packages/gateway/relay/runstop.h
@@ -32,6 +32,8 @@
     WorkRequest work;
     /** Identifies the call at the engines. */
     std::string requestId;
+    /** Whether the caller can take the stream up at another host. */
+    bool isResumable = false;
     /** When stopping ends without success, on the clock that counts suspension. */
     Milliseconds endAt{0};
 };
@@ -91,7 +93,8 @@
     bool isTarget(const std::optional<BackendServerName> &server) const;
     boost::asio::awaitable<RunStopResult> ask(Error &reason);
     boost::asio::awaitable<void> waitForRepetition();
-    void apply(const RunStopResult &answer, const Error &reason);
+    void apply(const RunStopResult &answer, RunEvidence evidence, const Error &reason);
+    boost::asio::awaitable<bool> isHostCutOff(bool wasUnreached);
     RunEvidence evidenceOf(const RunStopResult &answer) const;
     Milliseconds unansweredTime(RunEvidence evidence);
     bool isDeclined(const RunStopResult &answer, RunEvidence evidence) const;
--- a/packages/gateway/tests/strandedhosts.h
+++ b/packages/gateway/tests/strandedhosts.h
@@ -10,8 +10,8 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
-#include <map>
 #include <limits>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
--- a/packages/gateway/tests/test_runevidence.cpp
+++ b/packages/gateway/tests/test_runevidence.cpp
@@ -34,6 +34,7 @@
             {RunEvidence::ConnectionUnanswered, {}, pause},
             {RunEvidence::AnswerLostEntryMissing, {}, pause},
             {RunEvidence::AnswerLost, {}, {}},
+            {RunEvidence::HostCutOff, {}, {}},
     };
 }
 
