Keep the calls of all hosts at a brittle server within its slots

Hosts learnt that a brittle server was full from the rejections that make it fall over. SharedConcurrency gives out the places at a server process on one host, chosen as for call limits, so that no call needs to be rejected. Each ask and report states how many calls the host has there, which corrects lost messages, lost hosts and a new granter. A denied host pauses for the expected time until a place is free. BrittleStatements takes the word of one server for its whole service, since the servers are brittle together. GrantingHosts holds what SharedCallLimits and SharedConcurrency share.

Considered: shares of the slots per host, which leave most of 195 hosts without a place at a service of 24 slots; pauses after rejections that grow with the hosts, which still need a rejection per host; rates in place of places, since the time of a call is not known.

--- a/packages/policy/limits/sharedcalllimits.cpp
+++ b/packages/policy/limits/sharedcalllimits.cpp
@@ -1,37 +1,20 @@
 #include "policy/limits/sharedcalllimits.h"
 
-#include "policy/placement/stablehash.h"
-
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace sassafrasyard {
 
 SharedCallLimits::SharedCallLimits(HostName self, std::uint64_t seed)
-    : self(std::move(self))
-    , limits(seed)
-    , liveHosts{this->self}
+    : limits(seed)
+    , hosts(std::move(self))
 {
 }
 
-void SharedCallLimits::setHosts(std::span<const PermitHost> hosts, Milliseconds now)
+void SharedCallLimits::setHosts(std::span<const PermitHost> newHosts, Milliseconds now)
 {
-    std::set<HostName> live{this->self};
-    std::set<HostName> listed{this->self};
-    for (const PermitHost &host : hosts) {
-        listed.insert(host.name);
-        if (host.isLive)
-            live.insert(host.name);
-    }
-    for (const HostName &host : this->liveHosts) {
-        if (listed.contains(host) && !live.contains(host))
-            this->lostHosts.emplace(host, now);
-    }
-    this->liveHosts = std::move(live);
-    std::erase_if(this->lostHosts, [&](const auto &lost) {
-        return !listed.contains(lost.first) || this->liveHosts.contains(lost.first)
-                || now - lost.second >= lostHostRetention;
-    });
+    this->hosts.setHosts(newHosts, now);
     this->updateGrants(now);
 }
 
@@ -71,14 +54,7 @@
 
 HostName SharedCallLimits::granter(const BackendServerName &run) const
 {
-    const std::uint64_t runHash = stableHash(run.toString());
-    const auto weight = [runHash](const HostName &host) {
-        return combineHashes(runHash, stableHash(host.toString()));
-    };
-    return *std::max_element(this->liveHosts.begin(), this->liveHosts.end(),
-                             [&](const HostName &left, const HostName &right) {
-                                 return weight(left) < weight(right);
-                             });
+    return this->hosts.granter(run);
 }
 
 CallPermit SharedCallLimits::grant(const BackendServerName &run, bool isUrgent, Milliseconds now)
@@ -90,7 +66,7 @@
     if (own == this->grants.end())
         return {false, wrongGranterPause};
     Grants &granted = own->second;
-    const double visible = this->visibleShare();
+    const double visible = this->hosts.visibleShare();
     const bool isNew = now - granted.since < takeoverTime;
     const double share = isNew ? std::min(visible, takeoverShare) : visible;
     const double rate = std::max(*limit, minimumRate) * share;
@@ -136,7 +112,7 @@
     std::set<BackendServerName> known;
     for (const CallLimitStatement &statement : this->limits.all()) {
         known.insert(statement.run);
-        if (this->granter(statement.run) == this->self)
+        if (this->hosts.isGranter(statement.run))
             this->grants.try_emplace(statement.run, Grants{now, CallAllowance(now)});
         else
             this->grants.erase(statement.run);
@@ -144,13 +120,6 @@
     std::erase_if(this->grants, [&](const auto &entry) { return !known.contains(entry.first); });
 }
 
-/** Returns the share of the hosts that this host sees, in (0, 1]. */
-double SharedCallLimits::visibleShare() const
-{
-    const auto live = static_cast<double>(this->liveHosts.size());
-    return live / (live + static_cast<double>(this->lostHosts.size()));
-}
-
 /** Returns how much longer than until the next call a host waits, because others wait for that. */
 Milliseconds SharedCallLimits::contentionPause(const Grants &granted, double rate) const
 {
--- a/packages/policy/limits/sharedcalllimits.h
+++ b/packages/policy/limits/sharedcalllimits.h
@@ -2,12 +2,12 @@
 
 #include "policy/limits/callallowance.h"
 #include "policy/limits/calllimitstatements.h"
+#include "policy/limits/grantinghosts.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <span>
 #include <vector>
 
@@ -22,15 +22,6 @@
     Milliseconds pause{0};
 };
 
-/** An entry host as it matters for call limits. */
-struct PermitHost
-{
-    /** The host. */
-    HostName name;
-    /** Whether it is considered alive; false for one that was lost. */
-    bool isLive = true;
-};
-
 /**
  * Keeps the limits on calls that backend servers state for all entry hosts together.
  *
@@ -52,8 +43,6 @@
     static constexpr Milliseconds takeoverTime{2000};
     /** The share of the limit that a new granter permits. */
     static constexpr double takeoverShare = 0.4;
-    /** How long a lost host counts as one that may be alive but out of sight. */
-    static constexpr Milliseconds lostHostRetention{300000};
     /** How long a host does not ask a granter that did not answer. */
     static constexpr Milliseconds silentGranterPause{500};
     /** How long a host does not ask again after it asked a host that is not the granter. */
@@ -73,7 +62,7 @@
     SharedCallLimits(HostName self, std::uint64_t seed);
 
     /** Replaces the hosts. Hosts that leave as planned are left out. */
-    void setHosts(std::span<const PermitHost> hosts, Milliseconds now);
+    void setHosts(std::span<const PermitHost> newHosts, Milliseconds now);
     /** Records what a response states; see CallLimitStatements::recordResponse(). */
     bool recordResponse(const BackendServerName &run, std::optional<double> callsPerSecond,
                         Milliseconds sentAt, Milliseconds now);
@@ -113,14 +102,10 @@
     };
 
     void updateGrants(Milliseconds now);
-    double visibleShare() const;
     Milliseconds contentionPause(const Grants &granted, double rate) const;
 
-    HostName self;
     CallLimitStatements limits;
-    std::set<HostName> liveHosts;
-    /** When each lost host was last seen alive. */
-    std::map<HostName, Milliseconds> lostHosts;
+    GrantingHosts hosts;
     std::map<BackendServerName, Grants> grants;
     std::map<BackendServerName, Milliseconds> pausedUntil;
     std::map<HostName, Milliseconds> silentUntil;
--- a/packages/policy/tests/brittlesimulation.h
+++ b/packages/policy/tests/brittlesimulation.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -34,6 +35,8 @@
     bool canFall = true;
     /** The seed of all random choices. */
     std::uint64_t seed = 1;
+    /** Whether hosts use SharedConcurrency at brittle servers. */
+    bool sharesPlaces = false;
 };
 
 /**
@@ -59,21 +62,29 @@
         , servers(options.serverCount)
         , published(options.serverCount, 0)
     {
+        std::vector<PermitHost> members;
         for (std::size_t index = 0; index < options.hostCount; ++index) {
-            Host host;
+            Host host(index);
             host.outstanding.resize(options.serverCount);
             host.published.resize(options.serverCount);
             host.avoidedUntil.resize(options.serverCount);
             host.noticeDelay = this->delay(50, 600);
             this->hosts.push_back(std::move(host));
+            members.push_back({hostName(index), true});
         }
+        for (std::size_t index = 0; index < options.serverCount; ++index)
+            this->servers[index].run = runName(index, this->servers[index].process);
+        for (Host &host : this->hosts)
+            host.places.setHosts(members, Milliseconds(0));
     }
 
     /** Plays the whole time. */
     void run()
     {
-        for (std::size_t index = 0; index < this->hosts.size(); ++index)
+        for (std::size_t index = 0; index < this->hosts.size(); ++index) {
             this->at(this->delay(0, 1000), [this, index] { this->publish(index); });
+            this->at(this->delay(0, 1000), [this, index] { this->reportPlaces(index); });
+        }
         this->scheduleArrival();
         while (!this->events.empty() && this->events.begin()->first <= statedUntil) {
             auto event = this->events.extract(this->events.begin());
@@ -82,6 +93,12 @@
         }
     }
 
+    /** Lets a server fall over for another reason, which falls() does not count. */
+    void loseServer(std::size_t index, Milliseconds instant)
+    {
+        this->at(instant, [this, index] { this->fall(index); });
+    }
+
     /** Returns how often servers fell over. */
     std::size_t falls() const { return this->fallCount; }
     /** Returns how many calls were served while the servers were brittle. */
@@ -90,6 +107,8 @@
     std::size_t rejected() const { return this->rejectedCount; }
 
 private:
+    static inline const std::string hostPrefix = "host-";
+    static constexpr const char *service = "service";
     static constexpr int shortestWork = 200;
     static constexpr int longestWork = 600;
     static constexpr std::size_t brittleQueue = 3;
@@ -102,13 +121,23 @@
     {
         std::size_t host = 0;
         Milliseconds arrivedAt{0};
+        Milliseconds sentAt{0};
         int attempts = 0;
         std::set<std::size_t> tried;
+        /** The server process that the call was sent to. */
+        BackendServerName run;
     };
     using CallPointer = std::shared_ptr<Call>;
 
     struct Host
     {
+        explicit Host(std::size_t index)
+            : places(hostName(index), HostIncarnation(hostName(index).toString() + "-run"))
+        {
+        }
+
+        SharedConcurrency places;
+        BrittleStatements statements;
         std::deque<CallPointer> waiting;
         std::vector<int> outstanding;
         std::vector<int> published;
@@ -124,12 +153,26 @@
         std::deque<CallPointer> queue;
         std::deque<Milliseconds> rejections;
         std::uint32_t process = 1;
+        BackendServerName run;
         bool isUp = true;
         Milliseconds changedAt{-10000};
     };
 
     enum class Result { Served, Rejected, Lost };
 
+    static HostName hostName(std::size_t index)
+    {
+        return HostName(hostPrefix + std::to_string(index));
+    }
+
+    static BackendServerName runName(std::size_t server, std::uint32_t process)
+    {
+        return BackendServerName("server-" + std::to_string(server) + "/"
+                                 + std::to_string(process));
+    }
+
+    const BackendServerName &runOf(std::size_t server) const { return this->servers[server].run; }
+
     void at(Milliseconds instant, std::function<void()> action)
     {
         this->events.emplace(instant, std::move(action));
@@ -180,7 +223,7 @@
         Host &host = this->hosts[index];
         while (!host.waiting.empty()) {
             const CallPointer call = host.waiting.front();
-            if (this->now - call->arrivedAt < maximumWait) {
+            if (this->now - call->arrivedAt < maximumWait && !this->areAllPaused(index, *call)) {
                 const std::size_t server = this->chooseServer(index, *call);
                 if (server == this->servers.size())
                     break;
@@ -210,7 +253,9 @@
             const std::size_t server = (first + offset) % this->servers.size();
             const int peers = this->published[server] - host.published[server];
             const int load = host.outstanding[server] + peers;
-            if (load < lowest && this->seemsUsable(host, server) && !call.tried.contains(server)) {
+            const bool isTried = call.tried.contains(server);
+            if (load < lowest && this->seemsUsable(host, server) && !isTried
+                && !host.places.pauseLeft(this->runOf(server), this->now)) {
                 lowest = load;
                 best = server;
             }
@@ -218,6 +263,20 @@
         return best;
     }
 
+    /** Returns whether the host must refuse a call because no server gives it a place now. */
+    bool areAllPaused(std::size_t index, const Call &call) const
+    {
+        const Host &host = this->hosts[index];
+        if (host.statements.isEmpty())
+            return false;
+        for (std::size_t server = 0; server < this->servers.size(); ++server) {
+            if (this->seemsUsable(host, server) && !call.tried.contains(server)
+                && !host.places.pauseLeft(this->runOf(server), this->now))
+                return false;
+        }
+        return true;
+    }
+
     bool seemsUsable(const Host &host, std::size_t server) const
     {
         const Server &state = this->servers[server];
@@ -229,12 +288,82 @@
     {
         ++this->hosts[call->host].outstanding[server];
         call->tried.insert(server);
-        ++call->attempts;
-        this->send(call, server);
+        if (this->options.sharesPlaces && !this->hosts[call->host].statements.isEmpty())
+            this->ask(call, server);
+        else
+            this->send(call, server);
+    }
+
+    void ask(const CallPointer &call, std::size_t server)
+    {
+        Host &host = this->hosts[call->host];
+        const PlaceRequest request = host.places.makeAsk(
+                this->runOf(server), static_cast<std::uint32_t>(this->options.slots),
+                *host.statements.rejectionLimit(service));
+        this->request(call->host, request, [this, call, server, request](const CallPermit &permit) {
+            Host &host = this->hosts[call->host];
+            host.places.recordPermit(request, permit, this->now);
+            if (permit.isGranted) {
+                this->send(call, server);
+                return;
+            }
+            --host.outstanding[server];
+            this->enqueue(call);
+        });
+    }
+
+    /** Sends a request to its granter, and the reply back. */
+    void request(std::size_t index, const PlaceRequest &request,
+                 const std::function<void(const CallPermit &)> &receive)
+    {
+        const HostName granter = this->hosts[index].places.granter(request.run);
+        const std::size_t other = std::stoul(granter.toString().substr(hostPrefix.size()));
+        if (other == index) {
+            receive(this->hosts[index].places.decide(request, this->now));
+            return;
+        }
+        this->after(this->delay(1, 12), [this, other, request, receive] {
+            const CallPermit permit = this->hosts[other].places.decide(request, this->now);
+            this->after(this->delay(1, 12), [receive, permit] { receive(permit); });
+        });
+    }
+
+    void report(std::size_t index, const BackendServerName &run)
+    {
+        Host &host = this->hosts[index];
+        const auto limit = host.statements.rejectionLimit(service);
+        if (this->options.sharesPlaces && limit)
+            this->request(index, host.places.makeReport(run, *limit), [](const CallPermit &) {});
+    }
+
+    /** Tells all hosts that the service is brittle. */
+    void announce(const BackendServerName &run, double limit)
+    {
+        for (std::size_t index = 0; index < this->hosts.size(); ++index) {
+            this->after(this->delay(1, 500), [this, index, run, limit] {
+                this->hosts[index].statements.recordResponse(service, run, limit, this->now,
+                                                             this->now);
+            });
+        }
+    }
+
+    void reportPlaces(std::size_t index)
+    {
+        Host &host = this->hosts[index];
+        for (const BackendServerName &run : host.places.usedRuns())
+            this->report(index, run);
+        host.places.removeExpired(this->now);
+        host.statements.removeExpired(this->now);
+        this->after(SharedConcurrency::reportInterval,
+                    [this, index] { this->reportPlaces(index); });
     }
 
     void send(const CallPointer &call, std::size_t server)
     {
+        ++call->attempts;
+        call->sentAt = this->now;
+        call->run = this->runOf(server);
+        this->hosts[call->host].places.recordSent(call->run);
         this->after(this->delay(1, 4), [this, call, server] { this->arrive(call, server); });
     }
 
@@ -280,7 +409,6 @@
     void recordRejection(std::size_t index)
     {
         constexpr Milliseconds second{1000};
-        constexpr Milliseconds restartTime{4000};
         Server &server = this->servers[index];
         if (!this->isBrittle())
             return;
@@ -292,11 +420,20 @@
         if (!this->options.canFall || count <= this->options.rejectionLimit)
             return;
         ++this->fallCount;
+        this->fall(index);
+    }
+
+    /** Ends a server's process with all its calls; another one starts later. */
+    void fall(std::size_t index)
+    {
+        constexpr Milliseconds restartTime{4000};
+        Server &server = this->servers[index];
         for (const CallPointer &call : server.queue)
             this->answer(call, index, Result::Lost);
         const std::uint32_t process = server.process;
         server = Server();
         server.process = process + 1;
+        server.run = runName(index, server.process);
         server.isUp = false;
         server.changedAt = this->now;
         this->after(restartTime, [this, index] {
@@ -307,15 +444,30 @@
 
     void answer(const CallPointer &call, std::size_t server, Result result)
     {
-        this->after(this->delay(1, 4),
-                    [this, call, server, result] { this->receive(call, server, result); });
+        const auto stated = this->isStated() && this->options.sharesPlaces
+                ? std::optional(this->options.rejectionLimit)
+                : std::nullopt;
+        this->after(this->delay(1, 4), [this, call, server, result, stated] {
+            this->receive(call, server, result, stated);
+        });
     }
 
-    void receive(const CallPointer &call, std::size_t server, Result result)
+    void receive(const CallPointer &call, std::size_t server, Result result,
+                 std::optional<double> stated)
     {
         constexpr Milliseconds avoidanceTime{1000};
         Host &host = this->hosts[call->host];
         --host.outstanding[server];
+        host.places.recordEnded(call->run);
+        if (result != Result::Lost) {
+            const bool hasChanged = host.statements.recordResponse(service, call->run, stated,
+                                                                   call->sentAt, this->now);
+            if (hasChanged && stated)
+                this->announce(call->run, *stated);
+            if (result == Result::Rejected && !host.statements.isEmpty())
+                host.places.recordRejection(call->run);
+            this->report(call->host, call->run);
+        }
         if (result == Result::Lost)
             host.avoidedUntil[server] = this->now + avoidanceTime;
         if (result == Result::Served && this->isStated())
