Decode the Server-Brittle field of servers' answers

Brittle servers state in it how many calls a second they can reject, from all entry hosts together, without falling over. The adapter ignored it.

--- a/packages/gateway/calls/callcodec.h
+++ b/packages/gateway/calls/callcodec.h
@@ -95,6 +95,11 @@
     /** How many calls a second the server takes from all entry hosts together, if it states that.
      */
     std::optional<double> callLimit;
+    /**
+     * If the server states that it is brittle: how many calls a second it can reject, from all
+     * entry hosts together, without falling over.
+     */
+    std::optional<double> rejectionLimit;
     /** A field that cannot be decoded and is ignored, as "NAME: VALUE"; empty for none. */
     std::string unreadableField;
 };
