Ask for a place before each call to a brittle service

BrittleServers connects SharedConcurrency to the gateway. While a server of a service says that it is brittle, each attempt needs a place at its server from the host that gives them out; one that gets none is not sent, and the next server is tried. A call for which no server has a place is refused at once with the time until one is expected. Hosts state their calls when one ends and each second, and a host that reads the statement tells all live peers once (event 8030).

Asks, reports and announcements are a new message, PlacePermitRequest, so that permits for call limits stay readable between hosts of two versions. A host of the former version doesn't answer it, which counts as a silent granter: the server gets no calls of the asking host for half a second.

Not measured: a daemon of the former version beside a new one, and streams that go on elsewhere, which need a place like any call and are tried at the next server without one.

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -118,6 +118,8 @@
     PeerHooks makePeerHooks();
     SharedSourceHooks makeSharedSourceHooks();
     RunExchangeHooks makeRunExchangeHooks();
+    void connectBrittleServers();
+    net::awaitable<void> tellPlace(std::string address, PlacePermitRequest request);
     void connectRunVersions();
     Milliseconds maximumServersAge() const;
     void confirmServers(Milliseconds requestedAt);
@@ -295,6 +297,7 @@
                             [this] {
                                 this->peers.requestLoadUpdate();
                             }});
+    this->connectBrittleServers();
     this->connectRunVersions();
     this->servers.setHooks(
             [this](const BackendServerName &server) {
@@ -392,6 +395,31 @@
 }
 
 /** Lets the software versions of streams be told to and found at other hosts. */
+void PlatformDaemon::Implementation::connectBrittleServers()
+{
+    BrittleHooks hooks;
+    hooks.ask = [this](std::string address, PlacePermitRequest request, Milliseconds timeout,
+                       Error &reason) {
+        return this->peers.askPlace(std::move(address), std::move(request), timeout, reason);
+    };
+    hooks.tell = [this](std::string address, PlacePermitRequest request) {
+        net::co_spawn(this->context, this->tellPlace(std::move(address), std::move(request)),
+                      net::detached);
+    };
+    this->limiter.brittleServers().setHooks(std::move(hooks));
+}
+
+/** Sends a report or an announcement; a lost one is made up for by the next report. */
+net::awaitable<void> PlatformDaemon::Implementation::tellPlace(std::string address,
+                                                               PlacePermitRequest request)
+{
+    constexpr Milliseconds timeout{500};
+    Error reason;
+    const auto reply = co_await this->peers.askPlace(address, std::move(request), timeout, reason);
+    if (!reply)
+        logEvent(LogEvent::PermitUnavailable, "peer", address, "detail", reason.detail);
+}
+
 void PlatformDaemon::Implementation::connectRunVersions()
 {
     RunVersionsHooks hooks;
@@ -443,6 +471,9 @@
     hooks.answerPermitRequest = [this](const CallPermitRequest &request) {
         return this->limiter.answer(request);
     };
+    hooks.answerPlaceRequest = [this](const PlacePermitRequest &request) {
+        return this->limiter.brittleServers().answer(request);
+    };
     hooks.callLimits = [this] {
         return this->limiter.messages();
     };
--- a/packages/entry/peers/peerservice.cpp
+++ b/packages/entry/peers/peerservice.cpp
@@ -309,6 +309,11 @@
             co_return std::nullopt;
         co_return this->hooks.answerPermitRequest(*request);
     }
+    if (const auto *request = std::get_if<PlacePermitRequest>(&message)) {
+        if (!this->hooks.answerPlaceRequest)
+            co_return std::nullopt;
+        co_return this->hooks.answerPlaceRequest(*request);
+    }
     if (const auto *update = std::get_if<RunVersionUpdate>(&message)) {
         std::optional<RunVersionUpdateReply> reply;
         if (this->hooks.recordRunVersions)
@@ -686,6 +691,16 @@
                                                              timeout, reason);
 }
 
+net::awaitable<std::optional<CallPermitReply>> PeerService::askPlace(std::string address,
+                                                                     PlacePermitRequest request,
+                                                                     Milliseconds timeout,
+                                                                     Error &reason)
+{
+    request.sequence = ++this->sequence;
+    return this->permitConnections.exchange<CallPermitReply>(std::move(address), std::move(request),
+                                                             timeout, reason);
+}
+
 net::awaitable<bool> PeerService::tellRunVersions(std::string address, RunVersionUpdate update,
                                                   Milliseconds timeout, Error &reason)
 {
--- a/packages/entry/peers/peerservice.h
+++ b/packages/entry/peers/peerservice.h
@@ -58,6 +58,8 @@
     std::function<boost::asio::awaitable<ObjectReadReply>(ObjectRead read)> answerObjectRead;
     /** Answers a peer that asks to send a call to a backend server with a limit; may be empty. */
     std::function<CallPermitReply(const CallPermitRequest &)> answerPermitRequest;
+    /** Answers a peer's request for a place at a brittle backend server; may be empty. */
+    std::function<CallPermitReply(const PlacePermitRequest &)> answerPlaceRequest;
     /** Returns the call limits of backend servers to send to peers; may be empty. */
     std::function<std::vector<CallLimitMessage>()> callLimits;
     /** Records the call limits that a peer sent; may be empty. */
@@ -140,6 +142,15 @@
                                                                      CallPermitRequest request,
                                                                      Milliseconds timeout,
                                                                      Error &reason);
+    /**
+     * Asks a peer for a place at a brittle backend server, over a connection that is reused.
+     *
+     * @param reason receives ConnectionFailed, Timeout or ProtocolViolation.
+     */
+    boost::asio::awaitable<std::optional<CallPermitReply>> askPlace(std::string address,
+                                                                    PlacePermitRequest request,
+                                                                    Milliseconds timeout,
+                                                                    Error &reason);
     /**
      * Tells a peer the software versions of streams that began here, over a connection that is
      * reused.
--- a/packages/gateway/limits/serverlimiter.cpp
+++ b/packages/gateway/limits/serverlimiter.cpp
@@ -49,6 +49,7 @@
     , dispatch(dispatch)
     , clock(std::move(clock))
     , limits(entry.settings.host, stableHash(entry.incarnation.toString()))
+    , brittle(entry, this->clock)
 {
 }
 
@@ -106,14 +107,29 @@
     co_return permit;
 }
 
+net::awaitable<CallPermit> ServerLimiter::acquirePlace(std::string service,
+                                                       BackendServerName server,
+                                                       BackendServerName run, std::uint32_t slots)
+{
+    const CallPermit permit = co_await this->brittle.acquire(std::move(service), run, slots);
+    if (!permit.isGranted)
+        this->publishPause(server, run);
+    co_return permit;
+}
+
+BrittleServers &ServerLimiter::brittleServers()
+{
+    return this->brittle;
+}
+
 std::optional<Milliseconds> ServerLimiter::pauseLeft(const BackendServerName &run) const
 {
-    return this->limits.pauseLeft(run, this->clock.now());
+    return std::max(this->limits.pauseLeft(run, this->clock.now()), this->brittle.pauseLeft(run));
 }
 
 bool ServerLimiter::hasLimits() const
 {
-    return !this->limits.statements().isEmpty();
+    return !this->limits.statements().isEmpty() || this->brittle.hasBrittleServices();
 }
 
 CallPermitReply ServerLimiter::answer(const CallPermitRequest &request)
@@ -149,6 +165,7 @@
 {
     const Milliseconds now = this->clock.now();
     this->updateHosts(now);
+    this->brittle.advance();
     this->endPauses();
     if (now - this->loggedAt < reportInterval)
         return;
--- a/packages/gateway/limits/serverlimiter.h
+++ b/packages/gateway/limits/serverlimiter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entry/entry.h"
+#include "gateway/limits/brittleservers.h"
 #include "policy/policy.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -88,9 +89,17 @@
      */
     boost::asio::awaitable<CallPermit> acquire(BackendServerName server, BackendServerName run,
                                                AttemptKind kind, Milliseconds timeLeft);
+    /**
+     * Obtains a place for a call to a server that may be brittle; see BrittleServers::acquire().
+     * The place is given back with brittleServers().release().
+     */
+    boost::asio::awaitable<CallPermit> acquirePlace(std::string service, BackendServerName server,
+                                                    BackendServerName run, std::uint32_t slots);
+    /** Returns the object that keeps the calls to brittle servers. */
+    BrittleServers &brittleServers();
     /** Returns for how long a server process gets no calls of this host, or nothing. */
     std::optional<Milliseconds> pauseLeft(const BackendServerName &run) const;
-    /** Returns whether any server process has a limit. */
+    /** Returns whether any server process has a limit or is brittle. */
     bool hasLimits() const;
 
     /** Answers a peer that asks for a permit. */
@@ -123,6 +132,7 @@
     Clock clock;
     LimiterHooks hooks;
     SharedCallLimits limits;
+    BrittleServers brittle;
     std::shared_ptr<const std::vector<MemberRecord>> members;
     /** The paused servers and the processes whose limit pauses them. */
     std::map<BackendServerName, BackendServerName> pausedServers;
--- a/packages/gateway/relay/backendattempt.cpp
+++ b/packages/gateway/relay/backendattempt.cpp
@@ -32,6 +32,7 @@
 /** The largest body of a response to an earlier call that is skipped; it is not held. */
 constexpr std::size_t maximumSkippedBytes = maximumAnswerBytes;
 constexpr Milliseconds crashCheckTimeout{200};
+constexpr int unavailableStatus = 503;
 
 Milliseconds connectTimeout(const Route &route)
 {
@@ -97,6 +98,9 @@
 {
     this->call.cancelHooks.erase(this);
     this->dependencies.answerMemory.releaseBytes(this->reservedBytes);
+    if (this->holdsPlace)
+        this->dependencies.limiter.brittleServers().release(this->call.service->name,
+                                                            this->serverRunName());
 }
 
 net::awaitable<AttemptResult> BackendAttempt::start(std::string address, ForwardingOrder order,
@@ -118,6 +122,16 @@
                           "the backend server has no room under its call limit", permit.pause};
         co_return result;
     }
+    const ServerEntry *placed = this->dependencies.servers.find(order.server);
+    const CallPermit place = co_await this->dependencies.limiter.acquirePlace(
+            this->call.service->name, order.server, this->serverRunName(),
+            placed == nullptr ? 1 : placed->slots);
+    if (!place.isGranted) {
+        result.failure = {ErrorCode::Overloaded, RunState::NotRun,
+                          "the brittle backend server has no free place", place.pause};
+        co_return result;
+    }
+    this->holdsPlace = true;
     this->connection = co_await this->dependencies.connections.acquire(
             *endpoint, maximumIdleTime(*this->call.route), connectTimeout(*this->call.route),
             result.failure);
@@ -267,6 +281,12 @@
     const ResponseMetadata metadata = this->dependencies.codec.decodeResponse(response);
     this->dependencies.reachability.recordSuccess(server);
     this->applyServerStatements(metadata, server);
+    const bool isFull = metadata.hasNotRun && response.status == unavailableStatus;
+    if (!metadata.isMisdirected && (metadata.rejectionLimit || metadata.isSigned)) {
+        this->dependencies.limiter.brittleServers().recordResponse(
+                this->call.service->name, this->serverRunName(), metadata.rejectionLimit, isFull,
+                this->sentAt);
+    }
     result.response = std::move(response);
     if (metadata.hasNotRun) {
         result.outcome = AttemptOutcome::RefusedBeforeRun;
--- a/packages/gateway/relay/backendattempt.h
+++ b/packages/gateway/relay/backendattempt.h
@@ -83,6 +83,8 @@
     bool isCancelled = false;
     /** When the server process that got the call was started, as stated by the server's entry. */
     std::int64_t serverStartedAt = 0;
+    /** Whether a place at the server is held; see BrittleServers. */
+    bool holdsPlace = false;
     /** The software version of the server when the call was sent, as stated by its entry. */
     std::optional<SoftwareVersion> sentToVersion;
     /** Memory reserved for the response, in bytes; released by the destructor. */
--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -75,6 +75,8 @@
             metadata.retryAfter = Milliseconds(std::stoll(*pause));
         if (const auto limit = findHeader(response.headers, "Limit"))
             metadata.callLimit = std::stod(*limit);
+        if (const auto limit = findHeader(response.headers, "Brittle"))
+            metadata.rejectionLimit = std::stod(*limit);
         return metadata;
     };
     codec.formatError = [](const Error &error) {
--- a/packages/gateway/tests/gatewayhosts.h
+++ b/packages/gateway/tests/gatewayhosts.h
@@ -120,10 +120,31 @@
                 boost::asio::post(*this->context, [this, from] { this->tellOthers(*from); });
             };
             host->serverLimiter().setHooks(std::move(hooks));
+            this->connectBrittleServers(*host);
             this->connectRunVersions(*host);
         }
     }
 
+    /** Lets a host ask the others for places at brittle servers. */
+    void connectBrittleServers(GatewayFixture &host)
+    {
+        BrittleHooks hooks;
+        hooks.ask = [this](std::string address, PlacePermitRequest request, Milliseconds,
+                           Error &) -> boost::asio::awaitable<std::optional<CallPermitReply>> {
+            co_await GatewayFixture::pause(Milliseconds(3));
+            GatewayFixture &asked = *this->hosts[std::stoul(address)];
+            const CallPermitReply reply = asked.serverLimiter().brittleServers().answer(request);
+            co_await GatewayFixture::pause(Milliseconds(3));
+            co_return reply;
+        };
+        hooks.tell = [this](const std::string &address, const PlacePermitRequest &request) {
+            boost::asio::post(*this->context, [this, index = std::stoul(address), request] {
+                this->hosts[index]->serverLimiter().brittleServers().answer(request);
+            });
+        };
+        host.serverLimiter().brittleServers().setHooks(std::move(hooks));
+    }
+
     /** Lets a host tell and ask the others the software versions of streams. */
     void connectRunVersions(GatewayFixture &host)
     {
--- a/packages/observability/logging/logevent.cpp
+++ b/packages/observability/logging/logevent.cpp
@@ -81,6 +81,7 @@
                       "version_history_unavailable"},
         LogEventEntry{LogEvent::RunVersionsUntold, LogLevel::Info, "run_versions_untold"},
         LogEventEntry{LogEvent::RunStopEnded, LogLevel::Info, "run_stop_ended"},
+        LogEventEntry{LogEvent::BrittleServiceStated, LogLevel::Info, "brittle_service_stated"},
 };
 
 } // namespace
--- a/packages/observability/logging/logevent.h
+++ b/packages/observability/logging/logevent.h
@@ -83,6 +83,7 @@
     VersionHistoryUnavailable = 8022,
     RunVersionsUntold = 8023,
     RunStopEnded = 8024,
+    BrittleServiceStated = 8030,
 };
 
 /** An entry of the event catalogue. */
--- a/packages/protocol/messages/messagecodec.cpp
+++ b/packages/protocol/messages/messagecodec.cpp
@@ -158,6 +158,15 @@
     visit(message.sequence, message.isGranted, message.pauseMilliseconds, message.limit);
 }
 
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &message) requires
+        std::is_same_v<std::remove_cvref_t<decltype(message)>, PlacePermitRequest>
+{
+    visit(message.sequence, message.host, message.placeSequence, message.run, message.service,
+          message.isAsk, message.isAnnouncement, message.slots, message.outstanding,
+          message.firstPending, message.rejectionLimit, message.rejections);
+}
+
 template <typename Visitor>
 void visitFields(Visitor &visit, auto &message) requires
         std::is_same_v<std::remove_cvref_t<decltype(message)>, CallLimitUpdate>
--- a/packages/protocol/messages/peermessage.h
+++ b/packages/protocol/messages/peermessage.h
@@ -329,6 +329,41 @@
     CallLimitMessage limit;
 };
 
+/**
+ * Asks the host that gives out the places at a brittle backend server for one, reports how many the
+ * sender has, or tells that a service is brittle. The reply is a CallPermitReply.
+ */
+struct PlacePermitRequest
+{
+    /** Matches the reply. */
+    std::uint64_t sequence = 0;
+    /** The incarnation of the sender. */
+    std::string host;
+    /** Increases with each ask and report of the sender. */
+    std::uint64_t placeSequence = 0;
+    /** The server process. */
+    std::string run;
+    /** The service, in an announcement. */
+    std::string service;
+    /** Whether the sender asks for a place. */
+    bool isAsk = false;
+    /** Whether the sender tells that the service is brittle. */
+    bool isAnnouncement = false;
+    /** How many calls the server processes at the same time. */
+    std::uint32_t slots = 0;
+    /** The calls of the sender that the server has. */
+    std::uint32_t outstanding = 0;
+    /** The lowest placeSequence of an ask whose result the sender does not know yet. */
+    std::uint64_t firstPending = 0;
+    /** How many rejections a second the server bears from all hosts together. */
+    double rejectionLimit = 0.0;
+    /** The calls of the sender that the server rejected since the last request. */
+    std::uint32_t rejections = 0;
+
+    /** Compares all fields. */
+    bool operator==(const PlacePermitRequest &) const = default;
+};
+
 /** Tells a peer the call limits that the sender knows; has no reply. */
 struct CallLimitUpdate
 {
@@ -429,6 +464,7 @@
         std::variant<Probe, ProbeReply, IndirectProbe, IndirectProbeReply, ConfigurationPull,
                      ConfigurationReply, ForwardCall, ForwardReply, LoadUpdate, ObjectRead,
                      ObjectReadReply, CallPermitRequest, CallPermitReply, CallLimitUpdate,
-                     RunVersionUpdate, RunVersionUpdateReply, RunVersionRequest, RunVersionReply>;
+                     RunVersionUpdate, RunVersionUpdateReply, RunVersionRequest, RunVersionReply,
+                     PlacePermitRequest>;
 
 } // namespace sassafrasyard
--- a/packages/protocol/tests/test_messagecodec.cpp
+++ b/packages/protocol/tests/test_messagecodec.cpp
@@ -104,6 +104,17 @@
     REQUIRE(update.limits == std::vector<CallLimitMessage>{limit, {"server/2"}});
 }
 
+// Guards against fields of a request for a place that are lost or swapped by the codec.
+TEST_CASE("A decoded request for a place equals the encoded one", "[protocol]")
+{
+    const PlacePermitRequest request{5,     "host-run", 6, "server/1", "service", true,
+                                     false, 7,          8, 9,          2.5,       10};
+    Error reason;
+    const auto decoded = decodeMessage(encodeMessage(request), reason);
+    REQUIRE(decoded);
+    REQUIRE(std::get<PlacePermitRequest>(*decoded) == request);
+}
+
 // Guards against fields of a reply that are lost or swapped by the codec.
 TEST_CASE("A decoded reply to a store read equals the encoded one", "[protocol]")
 {
