--- a/packages/observability/logging/logevent.cpp
+++ b/packages/observability/logging/logevent.cpp
@@ -86,6 +86,7 @@
         LogEventEntry{LogEvent::CallRelayed, LogLevel::Info, "call_relayed"},
         LogEventEntry{LogEvent::RelayPeersFound, LogLevel::Info, "relay_peers_found"},
         LogEventEntry{LogEvent::RelayUnavailable, LogLevel::Warning, "relay_unavailable"},
+        LogEventEntry{LogEvent::BrittleServiceStated, LogLevel::Info, "brittle_service_stated"},
 };
 
 } // namespace
--- a/packages/observability/logging/logevent.h
+++ b/packages/observability/logging/logevent.h
@@ -88,6 +88,7 @@
     CallRelayed = 8027,
     RelayPeersFound = 8028,
     RelayUnavailable = 8029,
+    BrittleServiceStated = 8030,
 };
 
 /** An entry of the event catalogue. */
