Give places at brittle servers back in time, and keep continued streams

A stream's attempt kept its place while the stream waited for another server or was relayed, so calls that could run were refused; a place is now given back with the attempt. A stream that continues from a copy could be denied a place and was cut; it is always sent, and the next report counts it. A stopping host went on giving out places although its peers had chosen another host; it leaves the choice. A server with one slot had no place for as long as a lost host was remembered; it keeps one. The last two have a test each in test_policy "[places]".

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -429,7 +429,7 @@
     return hooks;
 }
 
-/** Lets the software versions of streams be told to and found at other hosts. */
+/** Lets the hosts ask each other for places at brittle servers. */
 void PlatformDaemon::Implementation::connectBrittleServers()
 {
     BrittleHooks hooks;
@@ -455,6 +455,7 @@
         logEvent(LogEvent::PermitUnavailable, "peer", address, "detail", reason.detail);
 }
 
+/** Lets the software versions of streams be told to and found at other hosts. */
 void PlatformDaemon::Implementation::connectRunVersions()
 {
     RunVersionsHooks hooks;
--- a/packages/gateway/limits/brittleservers.cpp
+++ b/packages/gateway/limits/brittleservers.cpp
@@ -81,12 +81,13 @@
 }
 
 net::awaitable<CallPermit> BrittleServers::acquire(std::string service, BackendServerName run,
-                                                   std::uint32_t slots)
+                                                   std::uint32_t slots, bool isContinuation)
 {
     CallPermit permit{true, Milliseconds(0)};
     const auto limit = this->statements.rejectionLimit(service);
     if (limit) {
-        if (const auto pause = this->pauseLeft(run)) {
+        const auto pause = this->pauseLeft(run);
+        if (pause && !isContinuation) {
             permit = {false, *pause};
             co_return permit;
         }
@@ -94,6 +95,7 @@
         const auto decided = co_await this->askGranter(ask);
         this->places.recordPermit(ask, decided, this->clock.now());
         permit = decided.value_or(CallPermit{false, SharedCallLimits::silentGranterPause});
+        permit.isGranted = permit.isGranted || isContinuation;
         if (!permit.isGranted)
             co_return permit;
     }
@@ -176,6 +178,9 @@
     std::vector<PermitHost> hosts;
     for (const auto &[name, isLive] : states)
         hosts.push_back({name, isLive});
+    // The peers leave a stopping host out, so it must not go on giving out places itself.
+    if (this->entry.isDraining)
+        this->places.leave();
     this->places.setHosts(hosts, now);
 }
 
--- a/packages/gateway/limits/brittleservers.h
+++ b/packages/gateway/limits/brittleservers.h
@@ -58,9 +58,11 @@
      * given back with release(). A call that is not granted one must not be sent.
      *
      * @param slots how many calls the server processes at the same time.
+     * @param isContinuation whether the call continues a stream. It is always granted, since the
+     *     stream would be cut otherwise; the next report to the granter counts it.
      */
     boost::asio::awaitable<CallPermit> acquire(std::string service, BackendServerName run,
-                                               std::uint32_t slots);
+                                               std::uint32_t slots, bool isContinuation);
     /** Gives back a granted place after the call has ended. */
     void release(const std::string &service, const BackendServerName &run);
     /** Returns for how long a server process gets no calls of this host, or nothing. */
--- a/packages/gateway/limits/serverlimiter.cpp
+++ b/packages/gateway/limits/serverlimiter.cpp
@@ -109,9 +109,12 @@
 
 net::awaitable<CallPermit> ServerLimiter::acquirePlace(std::string service,
                                                        BackendServerName server,
-                                                       BackendServerName run, std::uint32_t slots)
+                                                       BackendServerName run, std::uint32_t slots,
+                                                       AttemptKind kind)
 {
-    const CallPermit permit = co_await this->brittle.acquire(std::move(service), run, slots);
+    const bool isContinuation = kind == AttemptKind::Continued;
+    const CallPermit permit =
+            co_await this->brittle.acquire(std::move(service), run, slots, isContinuation);
     if (!permit.isGranted)
         this->publishPause(server, run);
     co_return permit;
--- a/packages/gateway/limits/serverlimiter.h
+++ b/packages/gateway/limits/serverlimiter.h
@@ -94,7 +94,8 @@
      * The place is given back with brittleServers().release().
      */
     boost::asio::awaitable<CallPermit> acquirePlace(std::string service, BackendServerName server,
-                                                    BackendServerName run, std::uint32_t slots);
+                                                    BackendServerName run, std::uint32_t slots,
+                                                    AttemptKind kind);
     /** Returns the object that keeps the calls to brittle servers. */
     BrittleServers &brittleServers();
     /** Returns for how long a server process gets no calls of this host, or nothing. */
--- a/packages/gateway/relay/backendattempt.cpp
+++ b/packages/gateway/relay/backendattempt.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace sassafrasyard {
 
@@ -98,13 +99,22 @@
 {
     this->call.cancelHooks.erase(this);
     this->dependencies.answerMemory.releaseBytes(this->reservedBytes);
-    if (this->holdsPlace)
-        this->dependencies.limiter.brittleServers().release(this->call.service->name,
-                                                            this->serverRunName());
+    this->releasePlace();
 }
 
 net::awaitable<AttemptResult> BackendAttempt::start(std::string address, ForwardingOrder order,
                                                     Milliseconds timeout)
+{
+    AttemptResult result = co_await this->send(std::move(address), std::move(order), timeout);
+    // A caller may hold this object while it waits for another server.
+    if (result.outcome == AttemptOutcome::NotSent
+        || result.outcome == AttemptOutcome::RefusedBeforeRun)
+        this->releasePlace();
+    co_return result;
+}
+
+net::awaitable<AttemptResult> BackendAttempt::send(std::string address, ForwardingOrder order,
+                                                   Milliseconds timeout)
 {
     AttemptResult result;
     const auto endpoint = parseEndpoint(address, result.failure);
@@ -125,7 +135,7 @@
     const ServerEntry *placed = this->dependencies.servers.find(order.server);
     const CallPermit place = co_await this->dependencies.limiter.acquirePlace(
             this->call.service->name, order.server, this->serverRunName(),
-            placed == nullptr ? 1 : placed->slots);
+            placed == nullptr ? 1 : placed->slots, this->kindOf(order));
     if (!place.isGranted) {
         result.failure = {ErrorCode::Overloaded, RunState::NotRun,
                           "the brittle backend server has no free place", place.pause};
@@ -396,6 +406,15 @@
     this->isCancelled = true;
     if (this->connection)
         this->connection->close();
+    this->releasePlace();
+}
+
+/** Gives the place at a brittle server back, if one is held. */
+void BackendAttempt::releasePlace()
+{
+    if (std::exchange(this->holdsPlace, false))
+        this->dependencies.limiter.brittleServers().release(this->call.service->name,
+                                                            this->serverRunName());
 }
 
 bool BackendAttempt::wasCancelled() const
@@ -409,6 +428,7 @@
     if (this->connection)
         this->connection->setProbing(false);
     this->dependencies.connections.release(std::move(this->connection));
+    this->releasePlace();
 }
 
 /** Returns whether the server, not this host or the caller, caused a failure. */
--- a/packages/gateway/relay/backendattempt.h
+++ b/packages/gateway/relay/backendattempt.h
@@ -60,6 +60,9 @@
     void release();
 
 private:
+    boost::asio::awaitable<AttemptResult> send(std::string address, ForwardingOrder order,
+                                               Milliseconds timeout);
+    void releasePlace();
     boost::asio::awaitable<AttemptResult> exchange(const ForwardingOrder &order,
                                                    Milliseconds timeout);
     AttemptResult classify(HttpResponse response, const BackendServerName &server);
--- a/packages/policy/limits/grantinghosts.cpp
+++ b/packages/policy/limits/grantinghosts.cpp
@@ -27,6 +27,8 @@
         if (listed.contains(host) && !live.contains(host))
             this->lostHosts.emplace(host, now);
     }
+    if (this->isLeaving && live.size() > 1)
+        live.erase(this->self);
     this->liveHosts = std::move(live);
     std::erase_if(this->lostHosts, [&](const auto &lost) {
         return !listed.contains(lost.first) || this->liveHosts.contains(lost.first)
@@ -34,6 +36,11 @@
     });
 }
 
+void GrantingHosts::leave()
+{
+    this->isLeaving = true;
+}
+
 HostName GrantingHosts::granter(const BackendServerName &run) const
 {
     const std::uint64_t runHash = stableHash(run.toString());
--- a/packages/policy/limits/grantinghosts.h
+++ b/packages/policy/limits/grantinghosts.h
@@ -32,6 +32,8 @@
 
     /** Replaces the hosts. Hosts that leave as planned are left out. */
     void setHosts(std::span<const PermitHost> hosts, Milliseconds now);
+    /** Leaves this host out from the next setHosts() on, if another host is live then. */
+    void leave();
     /** Returns the host that grants the permits for a server process. */
     HostName granter(const BackendServerName &run) const;
     /** Returns whether this host grants the permits for a server process. */
@@ -41,6 +43,7 @@
 
 private:
     HostName self;
+    bool isLeaving = false;
     /** The live hosts and the hashes of their names. */
     std::map<HostName, std::uint64_t> liveHosts;
     /** When each lost host was last seen alive. */
--- a/packages/policy/limits/sharedconcurrency.cpp
+++ b/packages/policy/limits/sharedconcurrency.cpp
@@ -21,6 +21,11 @@
                   [this](const auto &entry) { return !this->hosts.isGranter(entry.first); });
 }
 
+void SharedConcurrency::leave()
+{
+    this->hosts.leave();
+}
+
 HostName SharedConcurrency::granter(const BackendServerName &run) const
 {
     return this->hosts.granter(run);
@@ -180,7 +185,8 @@
     places.withdrawn = std::min(places.withdrawn, places.slots > 0 ? places.slots - 1 : 0);
     const double visible = this->hosts.visibleShare() * static_cast<double>(places.slots);
     const auto permitted = static_cast<std::uint32_t>(visible);
-    return permitted - std::min(permitted, places.withdrawn);
+    // A server without any place would get no calls until a lost host is forgotten.
+    return std::max(permitted - std::min(permitted, places.withdrawn), std::min(places.slots, 1U));
 }
 
 /** Measures only while all places are taken, because idle places say nothing about the wait. */
--- a/packages/policy/limits/sharedconcurrency.h
+++ b/packages/policy/limits/sharedconcurrency.h
@@ -69,6 +69,8 @@
 
     /** Replaces the hosts. Hosts that leave as planned are left out. */
     void setHosts(std::span<const PermitHost> newHosts, Milliseconds now);
+    /** Gives out no places any more once another host is live, because this host stops. */
+    void leave();
     /** Returns the host that gives out the places at a server process. */
     HostName granter(const BackendServerName &run) const;
 
--- a/packages/policy/tests/test_brittleservers.cpp
+++ b/packages/policy/tests/test_brittleservers.cpp
@@ -160,6 +160,31 @@
     REQUIRE(places.decide(makeAsk("a", 5, 0), later).isGranted);
 }
 
+// Guards against a server with few slots that gets no calls while a lost host may be alive.
+TEST_CASE("A server has a place although a host is lost", "[places]")
+{
+    SharedConcurrency places = makePlaces();
+    const std::vector<PermitHost> live{{HostName("b"), true}};
+    const std::vector<PermitHost> lost{{HostName("b"), false}};
+    places.setHosts(live, start);
+    places.setHosts(lost, start);
+    PlaceRequest ask = makeAsk("a", 1, 0);
+    ask.slots = 1;
+    REQUIRE(places.decide(ask, start + SharedConcurrency::takeoverTime).isGranted);
+}
+
+// Guards against two hosts that give out the places of one server during a planned stop.
+TEST_CASE("A host that stops gives out no places while another is live", "[places]")
+{
+    SharedConcurrency places = makePlaces();
+    const std::vector<PermitHost> hosts{{HostName("b"), true}};
+    places.leave();
+    places.setHosts(hosts, start);
+    REQUIRE(places.granter(run) == HostName("b"));
+    places.setHosts({}, start);
+    REQUIRE(places.decide(makeAsk("a", 1, 0), start).isGranted);
+}
+
 // Guards against a response that was sent before the statement and ends it, and against a statement
 // that is kept although its server no longer makes it or is gone.
 TEST_CASE("A service is brittle while one of its servers says so", "[places]")
