Ask peers what they reach, not whether they take calls, before a run counts as ended

A host that is cut off took a run for ended if no peer could be found that takes relayed calls: peers that stop or are full said that they do not reach the service, and peers that failed a call were forgotten. Peers now say what they reach in any case, and servers count as down only if peers have answered and none reaches one. The check is left out once the call's time is over, and applies also to evidence from just before the end of a cut. Found by reading in a review.

--- a/packages/gateway/contact/contactmonitor.cpp
+++ b/packages/gateway/contact/contactmonitor.cpp
@@ -141,10 +141,11 @@
     }
     ServiceContactReply reply;
     reply.sequence = request.sequence;
+    reply.isReached = this->state(request.service) == ContactState::Reached;
+    // A host that takes no calls still tells what it reaches.
     const auto offer = this->hooks.relayOffer ? this->hooks.relayOffer() : std::nullopt;
     if (!offer)
         co_return reply;
-    reply.isReached = this->state(request.service) == ContactState::Reached;
     reply.relayAddress = offer->address;
     reply.configurationVersion = offer->configurationVersion;
     co_return reply;
--- a/packages/gateway/contact/relaypeers.cpp
+++ b/packages/gateway/contact/relaypeers.cpp
@@ -40,6 +40,7 @@
 
     net::steady_timer end;
     std::size_t pending = 0;
+    std::size_t answered = 0;
     std::size_t reached = 0;
 };
 
@@ -79,6 +80,16 @@
     co_return peers[this->random.below(peers.size())];
 }
 
+bool RelayPeers::areServersDown(const std::string &service) const
+{
+    const auto state = this->services.find(service);
+    if (state == this->services.end())
+        return !this->ask;
+    const auto &reachedAt = state->second.reachedAt;
+    const bool isReached = reachedAt && this->clock.now() - *reachedAt < answerLifetime;
+    return state->second.isDown && !isReached;
+}
+
 void RelayPeers::recordFailure(const std::string &service, const std::string &relayAddress)
 {
     this->services[service].peers.erase(relayAddress);
@@ -135,6 +146,7 @@
         return now - peer.second.receivedAt >= answerLifetime;
     });
     const std::vector<std::string> addresses = this->choosePeersToAsk();
+    state.isDown = addresses.empty();
     if (addresses.empty())
         return;
     state.answers = std::make_shared<Answers>(this->context);
@@ -158,6 +170,9 @@
     const auto reply =
             co_await this->ask(std::move(peerAddress), std::move(request), answerTimeout, reason);
     Service &state = this->services[service];
+    answers->answered += reply ? 1 : 0;
+    if (reply && reply->isReached)
+        state.reachedAt = this->clock.now();
     if (reply && reply->isReached && !reply->relayAddress.empty()) {
         state.peers[reply->relayAddress] = {this->clock.now(), reply->configurationVersion};
         ++answers->reached;
@@ -171,6 +186,7 @@
         co_return;
     if (state.answers == answers)
         state.answers.reset();
+    state.isDown = answers->answered > 0;
     logEvent(LogEvent::RelayPeersFound, "service", service, "reached",
              std::to_string(answers->reached), "known", std::to_string(state.peers.size()));
 }
--- a/packages/gateway/contact/relaypeers.h
+++ b/packages/gateway/contact/relaypeers.h
@@ -54,6 +54,11 @@
                                                               std::vector<std::string> excluded);
     /** Returns whether a peer reached a service lately. */
     bool hasPeer(const std::string &service) const;
+    /**
+     * Returns whether the servers of a service are down as far as is known: of the peers that
+     * answered the last round of questions none reaches it, or there are no peers.
+     */
+    bool areServersDown(const std::string &service) const;
     /** Records that a peer did not take a call of a service. */
     void recordFailure(const std::string &service, const std::string &relayAddress);
 
@@ -68,6 +73,10 @@
     {
         /** The peers that reach the service, by their relay address. */
         std::map<std::string, Answer> peers;
+        /** When a peer last told that it reaches the service. */
+        std::optional<Milliseconds> reachedAt;
+        /** Whether the last round of questions was answered, and by no peer that reaches it. */
+        bool isDown = false;
         /** When peers were asked last. */
         std::optional<Milliseconds> askedAt;
         /** The questions in progress. */
--- a/packages/gateway/relay/runstop.cpp
+++ b/packages/gateway/relay/runstop.cpp
@@ -140,7 +140,8 @@
         const bool wasUnreached = this->dependencies.contacts.isUnreached(this->order.service);
         const RunStopResult answer = co_await this->ask(reason);
         RunEvidence evidence = this->evidenceOf(answer);
-        if (isLackOfContact(evidence)) {
+        const bool isOver = this->dependencies.clock.now() >= this->order.endAt;
+        if (isLackOfContact(evidence) && !isOver) {
             const bool isCutOff = co_await this->isHostCutOff(wasUnreached);
             if (isCutOff)
                 evidence = RunEvidence::HostCutOff;
@@ -222,12 +223,13 @@
     request.service = this->order.service;
     co_await contacts.answer(std::move(request));
     // The partition may have ended between the request to stop the run and the check.
-    if (!contacts.isUnreached(this->order.service))
-        co_return wasUnreached;
-    std::vector<std::string> excluded;
-    const auto peer =
-            co_await this->dependencies.relayPeers.choose(this->order.service, 0, excluded);
-    co_return peer.has_value();
+    const bool isUnreached = contacts.isUnreached(this->order.service) || wasUnreached;
+    if (!isUnreached)
+        co_return false;
+    RelayPeers &peers = this->dependencies.relayPeers;
+    const std::vector<std::string> excluded;
+    co_await peers.choose(this->order.service, 0, excluded);
+    co_return !peers.areServersDown(this->order.service);
 }
 
 void RunStop::apply(const RunStopResult &answer, RunEvidence evidence, const Error &reason)
--- a/packages/protocol/messages/peermessage.h
+++ b/packages/protocol/messages/peermessage.h
@@ -475,7 +475,7 @@
     std::uint64_t sequence = 0;
     /** Whether a server of the service accepted a connection of the answering host lately. */
     bool isReached = false;
-    /** The "IP:port" at which the answering host takes relayed calls. */
+    /** The "IP:port" at which the answering host takes relayed calls; empty if it takes none. */
     std::string relayAddress;
     /** The version of the routes in force at the answering host. */
     std::uint64_t configurationVersion = 0;
