Test a call that waits for a permit when a planned stop begins

BackendAttempt::start() asks after the wait for the permit of a limited server whether the call outlasts a planned stop. No test showed it: the call must not be sent and is refused as not run.

--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -269,6 +269,13 @@
     /** Starts a planned stop of the gateway. */
     void drain() { this->gateway.drain(); }
 
+    /** Starts a planned stop that ends the calls in progress at an instant. */
+    void drain(Milliseconds endsAt)
+    {
+        this->serving.startDraining(endsAt);
+        this->gateway.drain();
+    }
+
     /**
      * Sends calls concurrently and runs until all have ended; status 0 means no complete response.
      */
--- a/packages/gateway/tests/test_limitedservers.cpp
+++ b/packages/gateway/tests/test_limitedservers.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <cmath>
+#include <functional>
 #include <limits>
 
 using namespace sassafrasyard;
@@ -182,3 +183,61 @@
     limiter.recordMessages(std::vector<CallLimitMessage>{{"server/1", true, 0.5, 10, 6}});
     REQUIRE(limiter.limit(BackendServerName("server/1")) == 0.5);
 }
+
+// Guards against a call that is sent after its permit arrives although a planned stop has begun
+// meanwhile, which the call outlasts.
+TEST_CASE("A call that waits for a permit at a planned stop and outlasts it is not sent", "[limit]")
+{
+    constexpr int peerCount = 20;
+    GatewayFixture fixture;
+    fixture.addRoute(makeRoute());
+    fixture.addServer("limited",
+                      [](const HttpRequest &request,
+                         HttpResponder &responder) -> boost::asio::awaitable<void> {
+                          co_await responder.send(GatewayFixture::signedAnswer(request));
+                      });
+    std::vector<MemberRecord> members;
+    for (int index = 0; index < peerCount; ++index) {
+        MemberRecord record;
+        record.host = HostName("peer-" + std::to_string(index));
+        record.incarnation = HostIncarnation(record.host.toString() + "-run");
+        record.peerAddress = std::to_string(index);
+        members.push_back(record);
+    }
+    fixture.publishMembers(members);
+    fixture.advance();
+    fixture.serverLimiter().recordMessages(
+            std::vector<CallLimitMessage>{{"limited/0", true, 5.0, 10, 1}});
+    LimiterHooks hooks;
+    bool isAsked = false;
+    bool mayAnswer = false;
+    hooks.ask = [&](std::string, CallPermitRequest request, Milliseconds,
+                    Error &) -> boost::asio::awaitable<std::optional<CallPermitReply>> {
+        isAsked = true;
+        while (!mayAnswer)
+            co_await GatewayFixture::pause(Milliseconds(1));
+        CallPermitReply reply;
+        reply.isGranted = true;
+        reply.limit = request.limit;
+        co_return reply;
+    };
+    fixture.serverLimiter().setHooks(std::move(hooks));
+    std::optional<HttpResponse> response;
+    fixture.send(GatewayFixture::makeCall("/route/x", "1"),
+                 [&](HttpResponse received) { response = std::move(received); });
+    const auto runUntil = [&](const std::function<bool()> &condition) {
+        const Milliseconds end = Clock::steady().now() + Milliseconds(2000);
+        while (!condition() && Clock::steady().now() < end)
+            fixture.runOne();
+        REQUIRE(condition());
+    };
+    runUntil([&] { return isAsked; });
+    fixture.drain(Clock::steady().now() + Milliseconds(500));
+    mayAnswer = true;
+    runUntil([&] { return response.has_value(); });
+    INFO(response->body);
+    CHECK(response->status == 503);
+    CHECK(response->body.find("this host is stopping") != std::string::npos);
+    CHECK(response->body.find("\"run_state\":\"not_run\"") != std::string::npos);
+    CHECK(fixture.received.empty());
+}
