Test that a planned stop ends the waits for a list of servers

The unit test of ListConfirmations::endWaits(), which uses: a wait in progress ends without a newer list, and so does one that begins later.

--- a/packages/gateway/tests/test_listconfirmations.cpp
+++ b/packages/gateway/tests/test_listconfirmations.cpp
@@ -76,3 +76,23 @@
     REQUIRE(Clock::steady().now() - start >= Milliseconds(30));
     REQUIRE(confirmations.waitingCount() == 0);
 }
+
+// Guards against a call that waits for a newer list while its host stops, until the exit closes its
+// connection without a response.
+TEST_CASE("A planned stop ends the waits for a newer list", "[runs]")
+{
+    net::io_context context;
+    ListConfirmations confirmations(context, Clock::steady());
+    const Milliseconds start = Clock::steady().now();
+    const auto waited = startWait(context, confirmations, start, start + Milliseconds(60'000));
+    context.poll();
+    REQUIRE_FALSE(*waited);
+    confirmations.endWaits();
+    context.run();
+    REQUIRE(*waited == false);
+    context.restart();
+    const auto later = startWait(context, confirmations, start, start + Milliseconds(60'000));
+    context.run();
+    REQUIRE(*later == false);
+    REQUIRE(confirmations.waitingCount() == 0);
+}
