Count a refusal by a peer as a retry only if the call reached a server there

The retry budget limits how often a call is sent to servers. A host's refusal of a relayed call now states how many attempts reached servers. The case of the deadline waited on an answer of peers that the host may have asked for before; it now waits until that one has lapsed.

--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -454,7 +454,9 @@
     if (this->call.work.softwareVersion && this->failure.code == ErrorCode::NoBackendServer)
         error.retryAfter = this->failure.retryAfter;
     recordRefusal(this->dependencies.entry.metrics, this->call, error);
-    co_await this->responder.send(this->dependencies.codec.formatError(error));
+    HttpResponse refusal = this->dependencies.codec.formatError(error);
+    stateAttempts(this->call, refusal);
+    co_await this->responder.send(std::move(refusal));
 }
 
 ForwardingOrder EventRelay::makeOrder(const StreamPlacement &at, Milliseconds now) const
--- a/packages/gateway/relay/gatewayservice.cpp
+++ b/packages/gateway/relay/gatewayservice.cpp
@@ -271,6 +271,8 @@
             co_return;
     }
     HttpResponse response = answer ? std::move(*answer) : relay.refuse();
+    if (!answer)
+        stateAttempts(call, response);
     const int status = response.status;
     if (call.isCallerGone)
         responder.abort();
--- a/packages/gateway/relay/peerrelay.cpp
+++ b/packages/gateway/relay/peerrelay.cpp
@@ -122,10 +122,10 @@
     co_return true;
 }
 
-/** Returns whether a call may be sent to another peer; after a refusal that is a retry. */
+/** Returns whether a call may be sent to another peer. */
 bool PeerRelay::mayTryNextPeer(Result result)
 {
-    return result == Result::NotSent
+    return result != Result::RefusedByServer
             || this->dependencies.budget.tryRetry(this->call.service->name,
                                                   this->dependencies.clock.now());
 }
@@ -176,8 +176,7 @@
 net::awaitable<PeerRelay::Result> PeerRelay::forwardResponse(HttpResponse response)
 {
     if (this->isRefusal(response)) {
-        co_await this->keepRefusal(std::move(response));
-        co_return Result::Refused;
+        co_return co_await this->keepRefusal(std::move(response));
     }
     if (this->call.route->kind == CallKind::Stream)
         co_await this->forwardStream(std::move(response));
@@ -187,8 +186,10 @@
 }
 
 /** Keeps the refusal of a peer for the caller, and returns the connection to the pool. */
-net::awaitable<void> PeerRelay::keepRefusal(HttpResponse response)
+net::awaitable<PeerRelay::Result> PeerRelay::keepRefusal(HttpResponse response)
 {
+    const std::string attempts = findHeader(response.headers, relayedAttemptsField).value_or("0");
+    const Result result = attempts == "0" ? Result::Refused : Result::RefusedByServer;
     // Any other refusal concerns this call only.
     if (response.status == unavailableStatus)
         this->dependencies.relayPeers.recordFailure(this->call.service->name, this->peer);
@@ -202,11 +203,14 @@
         const Error differs{ErrorCode::PlatformUnavailable, RunState::NotRun,
                             "the configuration of the hosts differs", otherConfigurationRetryAfter};
         this->refusal = this->dependencies.codec.formatError(differs);
-        co_return;
+        co_return result;
     }
     response.headers = withoutHopFields(response.headers);
+    std::erase_if(response.headers,
+                  [](const auto &field) { return isSameField(field.first, relayedAttemptsField); });
     response.body = body.value_or(std::string());
     this->refusal = std::move(response);
+    co_return result;
 }
 
 /** Returns whether a response is the peer's own and states that the call has not run. */
@@ -320,6 +324,12 @@
         this->connection->close();
 }
 
+void stateAttempts(const RoutedCall &call, HttpResponse &refusal)
+{
+    if (call.isRelayed)
+        refusal.headers.emplace_back(relayedAttemptsField, std::to_string(call.sentAttempts));
+}
+
 bool mayReachThroughPeer(const GatewayDependencies &dependencies, const RoutedCall &call)
 {
     return !call.isRelayed && dependencies.contacts.isUnreached(call.service->name)
--- a/packages/gateway/relay/peerrelay.h
+++ b/packages/gateway/relay/peerrelay.h
@@ -12,12 +12,19 @@
 
 namespace sassafrasyard {
 
+/**
+ * The field in a host's own refusal of a relayed call that states how many attempts reached
+ * servers.
+ */
+inline constexpr const char *relayedAttemptsField = "Relayed-Attempts";
+
 /**
  * Passes a call on to a peer, because this host can't reach the servers of its service.
  *
  * The peer handles the call like one of its own callers', except that it does not relay it again.
  * The call is sent to a further peer only if the one before states that it has not run and will not
- * run and the retry budget permits it, or if no byte of it was sent.
+ * run, or if no byte of it was sent. It is a retry, which the retry budget has to permit, if the
+ * peer sent it to a server.
  */
 class PeerRelay
 {
@@ -52,8 +59,10 @@
     enum class Result {
         /** No byte of the call was sent. */
         NotSent,
-        /** The peer has not run the call and won't. */
+        /** The peer has not run the call and won't, and sent it to no server. */
         Refused,
+        /** A server refused the call at the peer. */
+        RefusedByServer,
         /** The caller has the response, or the connection to it was closed. */
         Ended,
     };
@@ -68,7 +77,7 @@
     boost::asio::awaitable<void> forwardWhole(HttpResponse response);
     boost::asio::awaitable<void> sendError(Error error);
     boost::asio::awaitable<void> end(HttpResponse response);
-    boost::asio::awaitable<void> keepRefusal(HttpResponse response);
+    boost::asio::awaitable<Result> keepRefusal(HttpResponse response);
     bool isRefusal(const HttpResponse &response) const;
     bool mayTryNextPeer(Result result);
     Milliseconds timeLeft() const;
@@ -86,6 +95,9 @@
     std::size_t reservedBytes = 0;
 };
 
+/** Adds relayedAttemptsField to the refusal of a call that a peer relayed. */
+void stateAttempts(const RoutedCall &call, HttpResponse &refusal);
+
 /**
  * Returns whether a call that did not reach a server from here may reach one through a peer, so
  * that another attempt from here would only take time.
--- a/packages/gateway/tests/test_strandedhosts.cpp
+++ b/packages/gateway/tests/test_strandedhosts.cpp
@@ -270,6 +270,8 @@
     StrandedHosts stranded(makeRoute(CallKind::Idempotent), Cut::Refused, answerCall);
     stranded.setPeers({{"2", stranded.relayAddressOf(2)}}, answerTime);
     stranded.notice();
+    // What the peers told when the host noticed no longer counts, so the call waits for an answer.
+    stranded.hosts.runFor(Milliseconds(3500));
     const bool isTold = GENERATE(true, false);
     HttpHeaders headers;
     if (isTold)
