Test that no peer with older routes handles a relayed call

The case before expected that a peer with an older configuration serves calls of routes that it has. Since peers state the version of their routes, they are chosen only with the version of the call's host or a later one: an older one may send a call to a service that is no longer its route's. The case now checks that such calls are refused as not run and reach no server, and that they are served once the peers have the routes.

--- a/packages/gateway/tests/test_strandedhosts.cpp
+++ b/packages/gateway/tests/test_strandedhosts.cpp
@@ -359,9 +359,9 @@
     CHECK(other.received.size() == 1);
 }
 
-// Guards against the same with a real peer that lacks the route, and against calls of other routes
-// that find no peer after that.
-TEST_CASE("A route that peers do not have yet is answered with 503", "[stranded]")
+// Guards against calls that peers handle by older routes than those in force at their own host, and
+// against peers that are not chosen although they have the routes by now.
+TEST_CASE("Calls wait for peers that have the routes of their host", "[stranded]")
 {
     StrandedHosts stranded(makeRoute(CallKind::Idempotent), Cut::Refused, answerCall);
     Route added = makeRoute(CallKind::Idempotent);
@@ -370,6 +370,12 @@
     stranded.hosts.hosts[0]->addRoute(added);
     stranded.notice();
     CHECK(stranded.call("/added/x").status == 503);
+    CHECK(stranded.call("/route/x").status == 503);
+    CHECK(stranded.arrivals() == 0);
+    for (const std::size_t peer : {1U, 2U})
+        stranded.hosts.hosts[peer]->addRoute(added);
+    stranded.hosts.runFor(Milliseconds(1000));
+    CHECK(stranded.call("/added/x").status == 200);
     CHECK(stranded.call("/route/x").status == 200);
 }
 
