--- a/packages/gateway/contact/contactmonitor.cpp
+++ b/packages/gateway/contact/contactmonitor.cpp
@@ -162,7 +162,7 @@
     const auto known = this->checks.find(service);
     if (known != this->checks.end())
         return known->second;
-    const auto check = std::make_shared<Check>(this->context);
+    auto check = std::make_shared<Check>(this->context);
     this->checks.emplace(service, check);
     net::co_spawn(
             this->context, [this, service] { return this->check(service); }, net::detached);
