--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -374,15 +374,21 @@
         return probe.getsockname()[1]
 
 
+GIVEN_PORTS = set()
+
+
 def free_ports(count, address="127.0.0.1"):
-    """Finds a run of free ports on an address."""
-    for first in range(21000 + os.getpid() % 9000, 60000, count):
+    """Finds a run of free ports on an address; each is given out once."""
+    for first in range(21000 + os.getpid() % 9000, 32000, count):
+        if first in GIVEN_PORTS:
+            continue
         held = []
         try:
             for port in range(first, first + count):
                 probe = socket.socket()
                 probe.bind((address, port))
                 held.append(probe)
+            GIVEN_PORTS.add(first)
             return first
         except OSError:
             continue
