review: show that few hosts take up the streams of a version with two replicas

Cause: the subset of servers that a host uses in a large fleet is chosen without regard to software versions (trackedSubset), while a take-up is admitted by the list of all servers. Adds: case 6, a script with 60 replicas and 10 hosts.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,148 +1,157 @@
-"""An engine that leaves stops a run whose stream has neither a length nor chunks."""
+"""Two replicas of a large service run a new version; clients take its streams up at all hosts."""
 
 import pathlib
-import json
+import socket
 import sys
 import threading
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standins-2"))
-from standins import (Case, ENGINE, Replica, configuration, exchange, response,  # noqa: E402
-                      route)
+from standins import (CannotRun, Case, ENGINE, Reader, Replica, configuration,  # noqa: E402
+                      head_text, response, route)
 
-EVENTS = 80
+# The replicas of the service as in the users' grown deployment, and two hosts in each zone.
+REPLICAS = 60
+ZONES = 5
+HOSTS = 10
+# How many of the replicas a release has replaced so far.
+NEW = 2
+EVENTS = 200
 INTERVAL = 0.05
-REQUESTS = 6
+# How many streams are taken up, and how many new ones begin, at each host.
+PER_HOST = 2
+WAVE = 100
 
 
 class Engine(Replica):
-    """
-    Writes an event of a run each INTERVAL. Its streams have no length and no chunks, and end with
-    their connection, if is_framed is false.
-    """
-
-    def __init__(self, *arguments, is_framed=False, **more):
-        super().__init__(*arguments, **more)
-        self.is_framed = is_framed
-        self.runs = {}
-        self.handles = {}
-        self.peers = {}
-        self.state_lock = threading.Lock()
+    """Writes an event of a run each INTERVAL; each event names the version that wrote it."""
 
     def run(self, sock, request):
-        if request.path == "/kv-move":
-            return self.move(sock, json.loads(request.body))
-        if request.path.startswith("/kv-handle/"):
-            self.handles.pop(request.path.rsplit("/", 1)[1], None)
-            sock.sendall(response(200))
+        if request.path.startswith("/kv-"):
+            sock.sendall(response(404))
             return True
         identifier = request.header("Request-Id")
-        source = request.header("Kv-From")
         last = int(request.header("Last-Event-Id", "0"))
-        if source:
-            address, _, handle = source.rpartition("/")
-            owner = self if address == self.endpoint else self.peers.get(address)
-            if owner is None or owner.handles.pop(handle, None) is None:
-                self.record.add(f"{self.name}: {identifier} refused, no copy {source}")
-                sock.sendall(response(503, [("Request-Id", identifier), ("Not-Executed", "1")]))
-                return True
-        self.record.add(f"{self.name}: runs {identifier} from event {last + 1}"
-                        + (f" with the copy {source}" if source else ""))
-        run = {"sent": last, "stopped": False}
-        with self.state_lock:
-            self.runs[identifier] = run
+        if last or self.version != "v1":
+            self.record.add(f"{self.name} ({self.version}): runs {identifier} from event {last + 1}")
         head = ["HTTP/1.1 200 OK", f"Request-Id: {identifier}", f"Replica-Stamp: {self.stamp()}",
-                "Content-Type: text/event-stream"]
-        if self.is_framed:
-            head.append("Transfer-Encoding: chunked")
-        else:
-            head.append("Connection: close")
+                "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+        time.sleep(INTERVAL)
         sock.sendall(("\r\n".join(head) + "\r\n\r\n").encode())
-        while run["sent"] < EVENTS:
+        for number in range(last + 1, EVENTS + 1):
+            event = f"id: {number}\ndata: {self.version}\n\n".encode()
+            sock.sendall(b"%x\r\n%s\r\n" % (len(event), event))
             time.sleep(INTERVAL)
-            with self.state_lock:
-                if run["stopped"]:
-                    # Closed without its end: no last chunk, or simply closed.
-                    self.record.add(f"{self.name}: {identifier} stopped after event {run['sent']}")
-                    return False
-                number = run["sent"] + 1
-                event = f"id: {number}\ndata: {identifier} {number}\n\n".encode()
-                if self.is_framed:
-                    event = b"%x\r\n%s\r\n" % (len(event), event)
-                sock.sendall(event)
-                run["sent"] = number
-        with self.state_lock:
-            self.runs.pop(identifier, None)
-        if self.is_framed:
-            sock.sendall(b"0\r\n\r\n")
-        self.record.add(f"{self.name}: {identifier} complete after event {EVENTS}")
-        return self.is_framed
-
-    def move(self, sock, order):
-        with self.state_lock:
-            run = self.runs.get(order["id"])
-            if run is None:
-                sock.sendall(response(404))
-                return True
-            if order["last"]:
-                run["stopped"] = True
-                self.runs.pop(order["id"])
-            handle = "c" + order["id"]
-            self.handles[handle] = order["id"]
-            made = run["sent"]
-        time.sleep(0.03 if not order["last"] else 3 * INTERVAL)
-        self.record.add(f"{self.name}: /kv-move {order['id']} last={order['last']}, events {made}")
-        body = json.dumps({"handle": handle, "create-rev": made}).encode()
-        sock.sendall(response(200, [("Content-Type", "application/json")], body))
+        sock.sendall(b"0\r\n\r\n")
         return True
 
 
+class Stream:
+    """One client attempt, whose connection breaks after some events."""
+
+    def __init__(self, record, host, identifier, headers=()):
+        self.record = record
+        self.host = host
+        self.identifier = identifier
+        self.headers = list(headers)
+        self.status = 0
+        self.last = 0
+        self.versions = set()
+        self.thread = None
+
+    def start(self, limit):
+        self.thread = threading.Thread(target=self.read, args=(limit,))
+        self.thread.start()
+        return self
+
+    def read(self, limit):
+        try:
+            with socket.create_connection(("127.0.0.1", self.host.front), timeout=10) as sock:
+                headers = [("Host", "h.example"), ("Request-Id", self.identifier),
+                           ("Model", "m"), ("Token-Counts", "100,200"),
+                           ("Prompt-Prefix", f"{self.identifier}:100"), ("Deadline-Ms", "6000"),
+                           ("Content-Length", "2"), *self.headers]
+                sock.sendall(head_text("POST /check/1", headers) + b"{}")
+                reader = Reader(sock)
+                first, _ = reader.head()
+                self.status = int(first.split(" ")[1])
+                got = 0
+                while self.status == 200 and got < limit:
+                    size = int(reader.until(b"\r\n"), 16)
+                    if size == 0:
+                        return
+                    for line in reader.exactly(size).decode().split("\n"):
+                        if line.startswith("id: "):
+                            self.last = int(line[4:])
+                            got += 1
+                        elif line.startswith("data: "):
+                            self.versions.add(line[6:])
+                    reader.exactly(2)
+        except (EOFError, OSError, ValueError):
+            pass
+
+    def describe(self):
+        return (f"{self.identifier} at {self.host.name}: status {self.status}, last event "
+                f"{self.last}, versions {sorted(self.versions)}")
+
+
+def begin(case, hosts, count, first):
+    """Begins streams at all hosts in turn and breaks them off after two events."""
+    streams = [Stream(case.record, hosts[index % HOSTS], f"{first + index:016x}").start(2)
+               for index in range(count)]
+    for stream in streams:
+        stream.thread.join(20)
+    return streams
+
+
 def play(case):
-    is_framed = sys.argv[1:] == ["framed"]
-    routes = [route("plan", "/plan/", "streaming", "engines")]
-    services = [{"name": "engines", "max-connections": 232, "engine": ENGINE}]
+    routes = [route("check", "/check/", "streaming", "engines", resumable=True, max_attempts=2,
+                    timeout_ms=6000)]
+    services = [{"name": "engines", "max-connections": 612,
+                 "engine": dict(ENGINE, moves=False, backups=False)}]
     case.store.put("config", "main", configuration(1, routes, services))
-    engines = [Engine(case.record, case.store, f"i-{index}", "engines", is_framed=is_framed)
-               for index in (1, 2)]
-    for engine in engines:
-        engine.peers = {other.endpoint: other for other in engines}
-    engines[0].register()
-    host = case.host("front-1")
-    host.start()
-    host.wait_until_ready()
-    results = {}
-
-    def call(index):
-        identifier = f"{0xabc0 + index:016x}"
-        headers = [("Request-Id", identifier), ("Model", "m"), ("Token-Counts", "100,80"),
-                   ("Prompt-Prefix", f"{index:x}:100"), ("Deadline-Ms", "30000")]
-        try:
-            status, _, body = exchange("127.0.0.1", host.front, "POST /plan/1", headers, b"{}", 30)
-            numbers = [int(line[4:]) for line in body.decode().split("\n")
-                       if line.startswith("id: ")]
-            results[identifier] = (status, numbers)
-            case.record.add(f"client: {identifier} status {status}, complete answer, "
-                            f"{len(numbers)} events, last {numbers[-1] if numbers else 0}")
-        except (EOFError, OSError) as fault:
-            results[identifier] = (0, [])
-            case.record.add(f"client: {identifier} broken off ({type(fault).__name__})")
-
-    threads = [threading.Thread(target=call, args=(index,)) for index in range(REQUESTS)]
-    for thread in threads:
-        thread.start()
-    time.sleep(1.0)
-    engines[1].register()
-    time.sleep(0.8)
-    if case.has_trouble:
-        engines[0].register("draining")
-    for thread in threads:
-        thread.join(60)
-    truncated = [identifier for identifier, (status, numbers) in results.items()
-                 if status == 200 and numbers != list(range(1, EVENTS + 1))]
-    complete = sum(numbers == list(range(1, EVENTS + 1)) for _, numbers in results.values())
-    text = (f"{len(truncated)} of {REQUESTS} streams ended as complete with events missing, "
-            f"{complete} have all {EVENTS} events")
-    return bool(truncated), text
+    for index in range(REPLICAS):
+        version = "v2" if case.has_trouble and index < NEW else "v1"
+        engine = Engine(case.record, case.store, f"i-{index:02}", "engines", slots=24,
+                        version=version)
+        engine.zone = f"z{index % ZONES}"
+        engine.register()
+    hosts = [case.host(f"front-{index}", zone=f"z{index % ZONES}") for index in range(HOSTS)]
+    for host in hosts:
+        host.start()
+    for host in hosts:
+        host.wait_until_ready()
+    # The hosts are in touch.
+    time.sleep(4.0)
+    wanted = PER_HOST * HOSTS
+    broken = []
+    for wave in range(24):
+        if len(broken) >= wanted:
+            break
+        wanted_versions = {"v2"} if case.has_trouble else {"v1"}
+        broken += [stream for stream in begin(case, hosts, WAVE, 0xddd0000 + wave * WAVE)
+                   if stream.versions == wanted_versions]
+    if len(broken) < wanted:
+        raise CannotRun(f"only {len(broken)} streams began at the replicas of the new version")
+    broken = broken[:wanted]
+    for stream in broken:
+        case.record.add(f"client: broken off: {stream.describe()}")
+    # Each host gets as many of them.
+    taken_up = [Stream(case.record, hosts[index % HOSTS], stream.identifier + "b",
+                       [("Resumes", stream.identifier),
+                        ("Last-Event-Id", str(stream.last))]).start(3)
+                for index, stream in enumerate(broken)]
+    for stream in taken_up:
+        stream.thread.join(20)
+        case.record.add(f"client: taken up: {stream.describe()}")
+    fresh = begin(case, hosts, wanted, 0xeee0000)
+    gone_on = sum(bool(stream.versions) for stream in taken_up)
+    begun = sum(bool(stream.versions) for stream in fresh)
+    if begun < wanted / 2:
+        raise CannotRun(f"only {begun} of {wanted} new streams begin")
+    text = (f"{gone_on} of {wanted} streams that clients took up go on, "
+            f"{begun} of {wanted} new streams begin")
+    return gone_on / wanted < begun / wanted / 2, text
 
 
 Case(__file__).play(play)
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -3,6 +3,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import select
 import shutil
@@ -338,6 +339,7 @@
         self.version = version
         self.slots = slots
         self.more = more
+        self.zone = "z1"
         self.state = "ready"
         self.born = int(time.time() * 1000)
         self.call_seq = 0
@@ -345,7 +347,7 @@
 
     def spec(self):
         self.call_seq += 1
-        return {"service": self.service, "addr": self.endpoint, "zone": "z1",
+        return {"service": self.service, "addr": self.endpoint, "zone": self.zone,
                 "version": self.version, "slots": self.slots, "state": self.state,
                 "cold-left-ms": 0, "call-seq": self.call_seq, "born": self.born, **self.more}
 
@@ -379,7 +381,9 @@
 
 def free_ports(count, address="127.0.0.1"):
     """Finds a run of free ports on an address; each is given out once."""
-    for first in range(21000 + os.getpid() % 9000, 32000, count):
+    for _ in range(1000):
+        # Below the range from which the system gives out ports to connections.
+        first = random.randrange(15000, 32000, count)
         if first in GIVEN_PORTS:
             continue
         held = []
