--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A new version of the configuration takes the last client account, and with it all keys, away."""
+"""A host starts after the store came back from a copy that holds a key taken away since."""
 
 import pathlib
 import sys
@@ -8,6 +8,11 @@
 from standins import Case, Replica, configuration, exchange, response, route  # noqa: E402
 
 REVOKE_MS = 5000
+# From the copy to the drill, in seconds.
+COPY_AGE = 7.0
+# How long the store is away, and how long after that the operator writes again, in seconds.
+AWAY = 0.5
+REWRITTEN_AFTER = 2.0
 
 
 class Desk(Replica):
@@ -29,42 +34,67 @@
 def play(case):
     routes = [route("order", "/order/", "non_idempotent", "desk", auth_exempt=False)]
     services = [{"name": "desk", "max-connections": 110}]
-    accounts = [{"name": "store-1", "api-keys": ["key-of-store-1"], "priority": 1}]
-    case.store.put("config", "main", configuration(1, routes, services, accounts))
+
+    def write(version, keys):
+        accounts = [{"name": "store-1", "api-keys": keys, "priority": 1}]
+        case.store.put("config", "main", configuration(version, routes, services, accounts))
+        case.record.add(f"operator: version {version} acknowledged, keys {keys}")
+
+    write(1, ["kept-key", "revoked-key"])
     desk = Desk(case.record, case.store, "i-1", "desk")
     desk.register()
-    host = case.host("front-1")
-    host.start()
-    host.wait_until_ready()
+    first = case.host("front-1")
+    first.start()
+    first.wait_until_ready()
     counter = iter(range(1, 1000))
 
-    def call(what, key):
-        identifier = f"{0xdef000 + next(counter):016x}"
-        headers = [("Request-Id", identifier), ("Deadline-Ms", "1500")]
-        if key:
-            headers.append(("Authorization", f"Bearer {key}"))
+    def call(host, key):
+        identifier = f"{0xfee000 + next(counter):016x}"
+        headers = [("Request-Id", identifier), ("Deadline-Ms", "1500"),
+                   ("Authorization", f"Bearer {key}")]
         status, _, _ = exchange("127.0.0.1", host.front, "POST /order/1", headers, b"{}")
         has_run = identifier in desk.ran
-        case.record.add(f"client: {identifier} with {what}: status {status}, "
+        case.record.add(f"client: {identifier} with the {key} at {host.name}: status {status}, "
                         f"{'has run' if has_run else 'has not run'}")
         return has_run
 
-    before = [call("the key", "key-of-store-1"), call("an unknown key", "never-a-key"),
-              call("no key", "")]
-    if before != [True, False, False]:
-        return True, f"before the change: {before}"
+    if not call(first, "kept-key") or not call(first, "revoked-key"):
+        return True, "a key in force was refused before the change"
+    case.store.keep_copy()
+    case.record.add("store: copied")
+    write(2, ["kept-key"])
+    time.sleep(COPY_AGE)
+    if call(first, "revoked-key"):
+        return True, "the revoked key was accepted before the drill"
     if case.has_trouble:
-        case.store.put("config", "main", configuration(2, routes, services, []))
-        case.record.add("operator: version 2 acknowledged, without any client account")
-    time.sleep((REVOKE_MS + 1000) / 1000)
-    revoked = sum(call("the key", "key-of-store-1") for _ in range(5))
-    unknown = sum(call("an unknown key", "never-a-key") for _ in range(5))
-    keyless = sum(call("no key", "") for _ in range(5))
-    text = (f"{revoked} of 5 requests with the key, {unknown} of 5 with a key that no "
-            f"configuration held and {keyless} of 5 without a key ran {REVOKE_MS + 1000} ms later")
+        case.store.go_down()
+        case.record.add("store: away")
+        time.sleep(AWAY)
+        case.store.restore()
+        case.record.add("store: back from the copy, next era")
+    # The replica writes again as well.
+    desk.register()
+    back_at = time.monotonic()
+    second = case.host("front-2")
+    second.start()
+    second.wait_until_ready()
+    ran = {"front-1": 0, "front-2": 0}
+    kept = 0
+    while time.monotonic() < back_at + REWRITTEN_AFTER - 0.2:
+        ran["front-2"] += call(second, "revoked-key")
+        ran["front-1"] += call(first, "revoked-key")
+        kept += call(second, "kept-key")
+        time.sleep(0.1)
     if case.has_trouble:
-        return revoked + unknown + keyless > 0, text
-    return revoked != 5 or unknown + keyless > 0, text
+        time.sleep(max(0.0, back_at + REWRITTEN_AFTER - time.monotonic()))
+        write(2, ["kept-key"])
+        time.sleep(1.0)
+        after = call(second, "revoked-key")
+        case.record.add(f"after the operator wrote again: {'accepted' if after else 'refused'}")
+    text = (f"requests with the key that was taken away over {COPY_AGE:.0f} s before ran "
+            f"{ran['front-2']} times through the host that started, {ran['front-1']} times "
+            f"through the other one; the kept key {kept} times")
+    return ran["front-1"] + ran["front-2"] > 0, text
 
 
 Case(__file__).play(play)
