--- a/review/7/case.py
+++ b/review/7/case.py
@@ -10,17 +10,18 @@
 from standins import (CannotRun, Case, ENGINE, Reader, Replica, configuration,  # noqa: E402
                       head_text, response, route)
 
-# The replicas of the service as in the users' grown deployment, and two hosts in each zone.
+# The replicas of both services as in the users' grown deployment, with fewer hosts.
 REPLICAS = 60
+PLAIN_REPLICAS = 5
 ZONES = 5
-HOSTS = 10
+HOSTS = 14
 # How many of the replicas a release has replaced so far.
 NEW = 2
 EVENTS = 200
 INTERVAL = 0.05
 # How many streams are taken up, and how many new ones begin, at each host.
 PER_HOST = 2
-WAVE = 100
+WAVE = 140
 
 
 class Engine(Replica):
@@ -108,7 +109,8 @@
     routes = [route("check", "/check/", "streaming", "engines", resumable=True, max_attempts=2,
                     timeout_ms=6000)]
     services = [{"name": "engines", "max-connections": 612,
-                 "engine": dict(ENGINE, moves=False, backups=False)}]
+                 "engine": dict(ENGINE, moves=False, backups=False)},
+                {"name": "desk", "max-connections": 470}]
     case.store.put("config", "main", configuration(1, routes, services))
     for index in range(REPLICAS):
         version = "v2" if case.has_trouble and index < NEW else "v1"
@@ -116,6 +118,10 @@
                         version=version)
         engine.zone = f"z{index % ZONES}"
         engine.register()
+    for index in range(PLAIN_REPLICAS):
+        desk = Engine(case.record, case.store, f"d-{index}", "desk", slots=6)
+        desk.zone = f"z{index % ZONES}"
+        desk.register()
     hosts = [case.host(f"front-{index}", zone=f"z{index % ZONES}") for index in range(HOSTS)]
     for host in hosts:
         host.start()
