--- a/review/6/case.py
+++ b/review/6/case.py
@@ -142,10 +142,10 @@
 
 def play(case):
     routes = [route("plan", "/plan/", "streaming", "engines", timeout_ms=39000)]
-    services = [{"name": "engines", "max-connections": 442,
-                 "engine": dict(ENGINE, slots=64, backups=True)}]
+    services = [{"name": "engines", "max-connections": 612,
+                 "engine": dict(ENGINE, backups=True)}]
     case.store.put("config", "main", configuration(1, routes, services))
-    engines = [Engine(case.record, case.store, f"i-{index}", "engines", slots=64)
+    engines = [Engine(case.record, case.store, f"i-{index}", "engines", slots=24)
                for index in (1, 2)]
     for engine in engines:
         engine.peers = {other.endpoint: other for other in engines if other is not engine}
@@ -155,7 +155,7 @@
     host.start()
     host.wait_until_ready()
     # The host is in touch.
-    time.sleep(3.5)
+    time.sleep(4.5)
     results = {}
 
     def call(index):
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -128,7 +128,7 @@
     for host in hosts:
         host.wait_until_ready()
     # The hosts are in touch.
-    time.sleep(4.0)
+    time.sleep(4.5)
     wanted = PER_HOST * HOSTS
     broken = []
     for wave in range(24):
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -7,7 +7,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standins-2"))
 from standins import CannotRun, Case, Replica, configuration, exchange, response, route  # noqa: E402
 
-CONFIG_APPLY_MS = 2000
+CONFIG_APPLY_MS = 3000
 FIRST = 20
 ADDED = 2
 HOSTS = 3
@@ -49,7 +49,7 @@
         Desk(case.record, case.store, f"j-{index:02}", name, slots=6).register()
     write(2, old + new[:added])
     # All bounds of the change are over, and the machines are in touch.
-    time.sleep(CONFIG_APPLY_MS / 1000 + 3.0)
+    time.sleep(CONFIG_APPLY_MS / 1000 + 4.0)
     counts = {}
     for index in range(REQUESTS):
         for what, names in (("first", old), ("added", new)):
