--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -61,6 +61,7 @@
 EventRelay::~EventRelay()
 {
     this->dropStop();
+    this->dropFormerStops();
 }
 
 net::awaitable<void> EventRelay::run()
@@ -79,7 +80,7 @@
         }
         ReadEnd readEnd = ReadEnd::Lost;
         if (isStream) {
-            this->dropStop();
+            this->dropFormerStops();
             const bool isOpen = co_await this->sendHeader(result.response);
             readEnd = ReadEnd::CallerGone;
             if (isOpen)
@@ -214,10 +215,11 @@
 net::awaitable<AttemptResult> EventRelay::startPart()
 {
     ++this->partCount;
+    if (this->stop)
+        this->formerStops.push_back(std::exchange(this->stop, nullptr));
     if (!this->backup)
         co_await this->reserveBackup(this->placement);
     const Milliseconds now = this->dependencies.clock.now();
-    // The end of a request to stop the former run may have set it.
     this->silenceWatch.restart(std::nullopt);
     this->splitter.clear();
     this->partFirstEventAt.reset();
@@ -409,6 +411,7 @@
     if (isContinued)
         co_return true;
     this->dropStop();
+    this->dropFormerStops();
     this->dropBackup();
     this->dropRefreshedCopy();
     const AttemptOutcome outcome = wasStream ? AttemptOutcome::Unknown : result.outcome;
@@ -424,6 +427,7 @@
     this->attempt->release();
     this->reportPartEnd(WorkOutcome::Completed);
     this->dropStop();
+    this->dropFormerStops();
     this->dropBackup();
     this->dropRefreshedCopy();
     co_await this->responder.finish();
@@ -436,6 +440,7 @@
     if (this->attempt)
         this->attempt->cancel();
     this->dropStop();
+    this->dropFormerStops();
     this->dropBackup();
     this->dropRefreshedCopy();
     if (this->hasStarted || this->call.isCallerGone) {
@@ -536,25 +541,33 @@
     this->refreshedCopy.reset();
 }
 
-/** Returns the next placement at which a run that was stopped can continue. */
+/**
+ * Returns the next placement at which a run that was stopped can continue. The run of the latest
+ * part has the most memory.
+ */
 net::awaitable<std::optional<StreamPlacement>> EventRelay::takeContinuation()
 {
-    if (!this->stop)
-        co_return std::nullopt;
-    auto next = this->stop->takeContinuation();
-    if (!next) {
-        // The engine may still copy the memory of the run to the target.
-        co_await this->waitForStop();
-        if (this->stop)
-            next = this->stop->takeContinuation();
+    std::vector<std::shared_ptr<RunStop>> stops = this->formerStops;
+    if (this->stop)
+        stops.push_back(this->stop);
+    while (!stops.empty()) {
+        const auto latest = stops.back();
+        stops.pop_back();
+        auto next = latest->takeContinuation();
+        if (!next) {
+            // The engine may still copy the memory of the run to the target.
+            co_await this->waitForStop(latest);
+            next = latest->takeContinuation();
+        }
+        if (next)
+            co_return next;
     }
-    co_return next;
+    co_return std::nullopt;
 }
 
-/** Waits for the result of the request to stop the run, or until the caller has left. */
-net::awaitable<RunStop::Result> EventRelay::waitForStop()
+/** Waits for the result of a request to stop a run, or until the caller has left. */
+net::awaitable<RunStop::Result> EventRelay::waitForStop(std::shared_ptr<RunStop> waiting)
 {
-    const auto waiting = this->stop;
     waiting->insist();
     this->call.cancelHooks[waiting.get()] = [waiting] {
         waiting->abandon();
@@ -676,17 +689,21 @@
  */
 net::awaitable<bool> EventRelay::ensureRunEnded()
 {
-    const bool hasCopy = this->isBackupUsable() || this->refreshedCopy;
+    const bool hasCopy =
+            this->isBackupUsable() || this->refreshedCopy || !this->formerStops.empty();
     if (!this->canAskEngine() || (this->stop && this->stop->hasEnded()))
         co_return true;
     // An engine that stops a run closes its stream first and answers once the copy is complete, for
     // which the caller would have to wait.
     if (this->stop)
         co_return true;
-    if (!hasCopy && !this->call.route->isResumable)
+    if (!hasCopy && !this->call.route->isResumable) {
+        // A backup that becomes usable later must not be used without the request.
+        this->dropBackup();
         co_return true;
+    }
     this->startStop();
-    const RunStop::Result result = co_await this->waitForStop();
+    const RunStop::Result result = co_await this->waitForStop(this->stop);
     co_return result == RunStop::Result::Ended;
 }
 
@@ -717,9 +734,11 @@
     order.requestId = this->call.metadata.requestId;
     order.isResumable = this->call.route->isResumable;
     order.endAt = this->call.deadlineAt;
-    this->stop =
-            std::make_shared<RunStop>(this->dependencies, std::move(order),
-                                      [this](RunStop::Result result) { this->onStopEnd(result); });
+    this->stop = std::make_shared<RunStop>(this->dependencies, std::move(order),
+                                           [this, part = this->partCount](RunStop::Result result) {
+                                               if (part == this->partCount)
+                                                   this->onStopEnd(result);
+                                           });
     this->stop->start();
 }
 
@@ -757,8 +776,7 @@
 /** Ends the read from the engine if the run has ended there; otherwise the stream goes on. */
 void EventRelay::onStopEnd(RunStop::Result result)
 {
-    // The stream may already go on in a next part, which the end of the former run does not
-    // concern.
+    // Only a part with events is read or has a backup that grows.
     if (!this->partFirstEventAt)
         return;
     if (result == RunStop::Result::Ended) {
@@ -792,6 +810,12 @@
         std::exchange(this->stop, nullptr)->abandon();
 }
 
+void EventRelay::dropFormerStops()
+{
+    for (const auto &former : std::exchange(this->formerStops, {}))
+        former->abandon();
+}
+
 void EventRelay::watchSilence()
 {
     if (this->stop && this->stop->hasEnded())
--- a/packages/gateway/relay/eventrelay.h
+++ b/packages/gateway/relay/eventrelay.h
@@ -75,7 +75,7 @@
     void dropRefreshedCopy();
     boost::asio::awaitable<bool> continueFromCopy(bool hasRun);
     boost::asio::awaitable<std::optional<StreamPlacement>> takeContinuation();
-    boost::asio::awaitable<RunStop::Result> waitForStop();
+    boost::asio::awaitable<RunStop::Result> waitForStop(std::shared_ptr<RunStop> waiting);
     bool continueFromBackup();
     std::optional<StreamPlacement> takeBackup();
     boost::asio::awaitable<bool> continueFromRefreshedCopy();
@@ -90,6 +90,7 @@
     void stopSilentRun();
     void onStopEnd(RunStop::Result result);
     void dropStop();
+    void dropFormerStops();
     void recordDelivery();
     void watchSilence();
 
@@ -115,8 +116,13 @@
     std::unique_ptr<BackendAttempt> attempt;
     /** The target to which the engine copies the run's memory as it grows. */
     std::optional<StreamPlacement> backup;
-    /** The request to stop the current run, until the next part has begun. */
+    /** The request to stop the run of the current part; it shows nothing about another part. */
     std::shared_ptr<RunStop> stop;
+    /**
+     * The requests to stop the runs of earlier parts, oldest first, while the current part may
+     * still be refused and these runs be continued instead.
+     */
+    std::vector<std::shared_ptr<RunStop>> formerStops;
     /** Whether the target of the request is the backup. */
     bool isStopTargetBackup = false;
     SilenceWatch silenceWatch;
--- a/packages/gateway/relay/runstop.cpp
+++ b/packages/gateway/relay/runstop.cpp
@@ -130,7 +130,7 @@
     if (!this->order.target)
         co_await this->reserveTarget();
     if (!this->order.target && !this->isAbandoned) {
-        // Without its connection a run can only be started again, and at the same engine.
+        // Without its connection and another engine, a run can only be started again at its own.
         const bool isOpen = this->connection == RunConnection::Open;
         this->end(isOpen ? Result::Declined : Result::Ended, "no_target",
                   "no other engine of the software version is usable");
@@ -172,6 +172,8 @@
                                         [this](const auto &name) { return this->isTarget(name); });
         server = other == others.end() ? std::nullopt : std::optional(*other);
     }
+    if (!server && this->connection == RunConnection::Closed)
+        server = this->findOtherEngine();
     if (!server)
         co_return;
     this->order.target = StreamPlacement{this->order.work.name,
@@ -182,6 +184,20 @@
                                          this->order.source.softwareVersion};
 }
 
+/**
+ * Returns another engine of the service, on which the run can't continue, such as a leaving one. A
+ * request to stop a run has to name one, and the run may return to its own engine or to a former
+ * one.
+ */
+std::optional<BackendServerName> RunStop::findOtherEngine() const
+{
+    for (const ServerEntry &entry : this->dependencies.servers.entries()) {
+        if (entry.service == this->order.service && entry.name != this->order.source.server)
+            return entry.name;
+    }
+    return std::nullopt;
+}
+
 /** Returns whether the run may continue on a server that is not its own. */
 bool RunStop::isTarget(const std::optional<BackendServerName> &server) const
 {
--- a/packages/gateway/relay/runstop.h
+++ b/packages/gateway/relay/runstop.h
@@ -91,6 +91,7 @@
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> reserveTarget();
     bool isTarget(const std::optional<BackendServerName> &server) const;
+    std::optional<BackendServerName> findOtherEngine() const;
     boost::asio::awaitable<RunStopResult> ask(Error &reason);
     boost::asio::awaitable<void> waitForRepetition();
     void apply(const RunStopResult &answer, RunEvidence evidence, const Error &reason);
--- a/packages/gateway/tests/test_runstops.cpp
+++ b/packages/gateway/tests/test_runstops.cpp
@@ -64,9 +64,9 @@
 class PersistentEngines
 {
 public:
-    PersistentEngines()
+    explicit PersistentEngines(Route route = makeStreamRoute())
     {
-        this->fixture.addRoute(makeStreamRoute(), makeEngineProperties());
+        this->fixture.addRoute(std::move(route), makeEngineProperties());
         for (const std::string name : {"a", "b"}) {
             this->fixture.addServer(name,
                                     [this, name](const HttpRequest &request,
@@ -83,15 +83,14 @@
     }
 
     /** Sends the call of the test. @return its response. */
-    HttpResponse call() { return this->fixture.call("/stream/", "r1", {{"Patience", "12000"}}); }
-
-    /** Ends the first run, as its engine does after a request to stop it. */
-    void endFirstRun()
+    HttpResponse call(const std::string &patience = "12000")
     {
-        this->stopped.insert(this->runs.front());
-        this->working.erase(this->runs.front());
+        return this->fixture.call("/stream/", "r1", {{"Patience", patience}});
     }
 
+    /** Ends the first run, as its engine does after a request to stop it. */
+    void endFirstRun() { this->working.erase(this->runs.front()); }
+
     /** Lets the engine of the first run leave after a time. */
     Milliseconds leavesAfter{0};
     /** Whether the first run is silent for a time before an event. */
@@ -101,8 +100,10 @@
     bool refusesConnections = false;
     /** Whether the first run loses its connection before an event, although it goes on. */
     bool losesConnection = false;
-    /** Whether the second run loses its connection before its header, although it goes on. */
-    bool losesNextHeader = false;
+    /** The runs, counted from 1, that lose their connection before the header but go on. */
+    std::set<std::size_t> headerless;
+    /** The runs, counted from 1, that lose their connection after the header but go on. */
+    std::set<std::size_t> eventless;
     /** Whether an engine has a copy of the run of the other one. */
     bool hasBackups = true;
     /** What engines answer to a request to stop a run that they work on. */
@@ -128,36 +129,54 @@
             co_await responder.send(std::move(refusal));
             co_return;
         }
-        const bool isFirst = this->runs.empty();
         this->runs.push_back(name);
-        this->stopped.erase(name);
-        this->working.insert(name);
+        const std::size_t run = this->runs.size();
+        this->working[name] = run;
         this->mostAtOnce = std::max(this->mostAtOnce, this->working.size());
-        if (isFirst && this->leavesAfter > Milliseconds(0))
+        if (run == 1 && this->leavesAfter > Milliseconds(0))
             this->leaveLater(name);
-        if (this->losesNextHeader && this->runs.size() == 2)
-            co_await this->workWithoutHeader(responder);
+        if (this->headerless.contains(run))
+            co_await this->workWithoutConnection(run, responder);
+        else if (this->eventless.contains(run))
+            co_await this->workWithoutEvents(run, request, responder);
         else
-            co_await this->work(name, isFirst, request, responder);
-        this->working.erase(name);
+            co_await this->work(run, request, responder);
+        if (this->isWorking(run))
+            this->working.erase(name);
     }
 
     /** Returns whether an engine has the memory that a continuation names. */
-    bool hasMemory(const std::string &name, const std::string &source) const
+    bool hasMemory(const std::string &name, const std::string &source)
     {
         if (source == "r1")
             return this->hasBackups;
-        const bool isFirstEngine = name == this->runs.front();
-        return source == "kept" ? isFirstEngine : !isFirstEngine;
+        if (source == "kept")
+            return this->kept.erase(name) > 0;
+        return name != this->runs.front();
     }
 
-    static net::awaitable<void> workWithoutHeader(HttpResponder &responder)
+    bool isWorking(std::size_t run) const
+    {
+        const auto found = this->working.find(this->runs[run - 1]);
+        return found != this->working.end() && found->second == run;
+    }
+
+    net::awaitable<void> workWithoutConnection(std::size_t run, HttpResponder &responder)
     {
         constexpr Milliseconds prefillTime{100};
-        constexpr Milliseconds workTime{1500};
+        constexpr int steps = 75;
         co_await GatewayFixture::pause(prefillTime);
         responder.abort();
-        co_await GatewayFixture::pause(workTime);
+        for (int step = 0; step < steps && this->isWorking(run); ++step)
+            co_await GatewayFixture::pause(eventInterval);
+    }
+
+    net::awaitable<void> workWithoutEvents(std::size_t run, const HttpRequest &request,
+                                           HttpResponder &responder)
+    {
+        const HttpHeaders headers = GatewayFixture::signedAnswer(request).headers;
+        co_await responder.startStream(200, headers);
+        co_await this->workWithoutConnection(run, responder);
     }
 
     void leaveLater(const std::string &name)
@@ -171,13 +190,14 @@
                 net::detached);
     }
 
-    net::awaitable<void> work(const std::string &name, bool isFirst, const HttpRequest &request,
-                              HttpResponder &responder)
+    net::awaitable<void> work(std::size_t run, const HttpRequest &request, HttpResponder &responder)
     {
+        const std::string name = this->runs[run - 1];
+        const bool isFirst = run == 1;
         const HttpHeaders headers = GatewayFixture::signedAnswer(request).headers;
         bool isOpen = co_await responder.startStream(200, headers);
         std::uint64_t number = std::stoull(findHeader(request.headers, "Last").value_or("0"));
-        while (number < lastEvent && !this->stopped.contains(name)) {
+        while (number < lastEvent && this->isWorking(run)) {
             ++number;
             if (isFirst && this->refusesConnections && number == silentBefore)
                 this->fixture.refuseConnections(name);
@@ -210,8 +230,9 @@
         result.state = this->stopState;
         if (this->stopState != RunStopResult::State::Stopped)
             return result;
-        this->stopped.insert(name);
         this->working.erase(name);
+        if (this->keepsMemory)
+            this->kept.insert(name);
         if (this->keepsMemory || this->copiesMemory)
             result.memory = MemoryCopy{order.sourceAddress, this->copiesMemory ? "copied" : "kept"};
         result.isCopied = this->copiesMemory;
@@ -223,8 +244,10 @@
         return this->fixture.addressOf("a") == address ? "a" : "b";
     }
 
-    std::set<std::string> working;
-    std::set<std::string> stopped;
+    /** The engines that work on the run, with the number of theirs. */
+    std::map<std::string, std::size_t> working;
+    /** The engines that keep the memory of a run that they stopped. */
+    std::set<std::string> kept;
 };
 
 } // namespace
@@ -527,7 +550,74 @@
     engines.leavesAfter = Milliseconds(1400);
     engines.stopState = RunStopResult::State::Stopped;
     engines.keepsMemory = true;
-    engines.losesNextHeader = true;
+    engines.headerless = {2};
     engines.call();
     REQUIRE(engines.mostAtOnce == 1);
 }
+
+// Guards against a run on two engines, because a next part loses its connection in whichever way it
+// began: from the backup, from the moved copy, after a return, or after another such part.
+TEST_CASE("Each part that lost its connection is stopped before the next one", "[formerstop]")
+{
+    PersistentEngines engines;
+    engines.leavesAfter = Milliseconds(1400);
+    engines.stopState = RunStopResult::State::Stopped;
+    engines.keepsMemory = true;
+    engines.copiesMemory = GENERATE(true, false);
+    engines.hasBackups = GENERATE(true, false);
+    engines.headerless = GENERATE(std::set<std::size_t>{2}, std::set<std::size_t>{2, 3});
+    const HttpResponse answer = engines.call();
+    CHECK(engines.mostAtOnce == 1);
+    CHECK(engines.fixture.stops.size() > engines.headerless.size());
+    CHECK(answer.body == allEvents());
+}
+
+// Guards against a run on two engines, because a part is lost between its header and its first
+// event, when no copy of it exists yet.
+TEST_CASE("A part without an event does not go on beside the next one", "[formerstop]")
+{
+    PersistentEngines engines;
+    engines.leavesAfter = Milliseconds(1400);
+    engines.stopState = RunStopResult::State::Stopped;
+    engines.keepsMemory = true;
+    engines.hasBackups = GENERATE(true, false);
+    engines.eventless = {2};
+    engines.call();
+    REQUIRE(engines.mostAtOnce == 1);
+}
+
+// Guards against a run on two engines, because the engine of the next part does not answer the
+// request to stop it while the former engine still keeps the memory of the run.
+TEST_CASE("A part that is not known to have ended is not followed by another", "[formerstop]")
+{
+    PersistentEngines engines;
+    engines.leavesAfter = Milliseconds(1400);
+    engines.stopState = RunStopResult::State::Stopped;
+    engines.keepsMemory = true;
+    engines.headerless = {2};
+    const auto stop = engines.fixture.answerStop;
+    engines.fixture.answerStop = [&, stop](const MoveOrder &order) {
+        const bool isFirstRun = engines.runs.size() == 1;
+        return isFirstRun ? stop(order) : RunStopResult{RunStopResult::State::Unknown, {}, false};
+    };
+    engines.call("4000");
+    REQUIRE(engines.mostAtOnce == 1);
+    REQUIRE(engines.runs.size() == 2);
+}
+
+// Guards against a resumable run on two engines, because the end of its first run is taken for that
+// of the new run that followed it.
+TEST_CASE("Each new run of a resumable stream is stopped before the next one", "[formerstop]")
+{
+    Route route = makeStreamRoute();
+    route.isResumable = true;
+    route.maximumAttempts = 3;
+    PersistentEngines engines(std::move(route));
+    engines.losesConnection = true;
+    engines.stopState = RunStopResult::State::Stopped;
+    engines.keepsMemory = GENERATE(true, false);
+    engines.headerless = {2};
+    const HttpResponse answer = engines.call();
+    CHECK(engines.mostAtOnce == 1);
+    CHECK(answer.body == allEvents());
+}
--- a/packages/gateway/tests/test_softwareversions.cpp
+++ b/packages/gateway/tests/test_softwareversions.cpp
@@ -72,6 +72,14 @@
         };
     }
 
+    /** Lets servers answer a request to stop a run that they have no such run. */
+    void forgetRuns()
+    {
+        this->fixture.answerStop = [](const MoveOrder &) {
+            return RunStopResult{RunStopResult::State::Stopped, {}, false};
+        };
+    }
+
     /** Adds a server of a version. */
     void add(const std::string &name, const std::string &version)
     {
@@ -350,6 +358,7 @@
 TEST_CASE("A stream whose version is gone does not look complete", "[order]")
 {
     VersionedServers servers(true);
+    servers.forgetRuns();
     servers.add("a", "v1");
     servers.add("b", "v2");
     servers.loseFirstCall(eventsBeforeLoss,
@@ -358,11 +367,30 @@
     REQUIRE(servers.fixture.received.size() == 1);
 }
 
+// Guards against a run on two servers, because a run without its connection is not stopped where
+// only servers of another version could take its memory.
+TEST_CASE("A run whose version is gone is stopped and returns to its server", "[order]")
+{
+    VersionedServers servers(true);
+    servers.add("a", "v1");
+    servers.add("b", "v2");
+    const std::uint64_t eventCount = GENERATE(std::uint64_t{0}, eventsBeforeLoss);
+    servers.loseFirstCall(eventCount,
+                          [&](const std::string &server) { servers.fixture.markLeaving(server); });
+    const HttpResponse answer = servers.fixture.call("/stream/", "r1");
+    REQUIRE(servers.fixture.stops.size() == 1);
+    REQUIRE(servers.fixture.received.size() == 2);
+    const std::string first = servers.fixture.received[0].server;
+    REQUIRE(servers.fixture.received[1].server == first);
+    REQUIRE(answer.body == events(1, lastEvent, servers.versions.at(first)));
+}
+
 // Guards against streams that are bound before their callers have got an event, and against a
 // version that is recorded for a run that brought none.
 TEST_CASE("A stream without an event may start on a server of another version", "[order]")
 {
     VersionedServers servers(true);
+    servers.forgetRuns();
     servers.add("a", "v1");
     servers.add("b", "v2");
     servers.loseFirstCall(0,
@@ -370,6 +398,7 @@
     const HttpResponse answer = servers.fixture.call("/stream/", "r1");
     REQUIRE(servers.fixture.received.size() == 2);
     const std::string version = servers.versions.at(servers.fixture.received[1].server);
+    REQUIRE(servers.fixture.received[1].server != servers.fixture.received[0].server);
     REQUIRE(answer.body == events(1, lastEvent, version));
     REQUIRE(servers.resume("r2", "r1").body == events(eventsBeforeLoss + 1, lastEvent, version));
 }
