--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -637,7 +637,7 @@
     Configuration published;
     published.revision = ++this->serverRevision;
     this->serverSubset.setServers(this->servers.backendServers(*configuration));
-    published.servers = this->serverSubset.selectedServers();
+    published.servers = this->serverSubset.allServers();
     this->entry.configuration.offer(std::move(published));
 }
 
--- a/packages/gateway/servers/serversubset.cpp
+++ b/packages/gateway/servers/serversubset.cpp
@@ -44,6 +44,18 @@
     return result;
 }
 
+std::vector<BackendServer> ServerSubset::allServers() const
+{
+    std::vector<BackendServer> result = this->servers;
+    for (BackendServer &server : result)
+        server.isTracked = false;
+    for (const std::size_t index :
+         trackedSubset(this->servers, this->hosts, this->self, this->limit)) {
+        result[index].isTracked = true;
+    }
+    return result;
+}
+
 std::vector<std::string> ServerSubset::peersUsing(std::span<const BackendServerName> changed) const
 {
     std::set<HostName> names;
--- a/packages/gateway/servers/serversubset.h
+++ b/packages/gateway/servers/serversubset.h
@@ -19,6 +19,10 @@
  * In a large fleet a host can't receive updates about the work of all engines at once. Each host
  * therefore uses some of the engines and receives updates about them from the other hosts that use
  * them. Services with few servers are used by every host.
+ *
+ * The selection is a preference for new calls. A call that none of the selected servers may run,
+ * such as one that is bound to a rare software version, is placed on the others; see
+ * BackendServer::isTracked.
  */
 class ServerSubset
 {
@@ -48,6 +52,8 @@
     bool setHosts(std::span<const MemberRecord> members);
     /** Returns the servers that this host uses. */
     std::vector<BackendServer> selectedServers() const;
+    /** Returns all servers; those that this host uses by preference are marked as tracked. */
+    std::vector<BackendServer> allServers() const;
     /** Returns the peer addresses of the other hosts that use one of the servers. */
     std::vector<std::string> peersUsing(std::span<const BackendServerName> servers) const;
 
--- /dev/null
+++ b/packages/gateway/tests/test_serverreach.cpp
@@ -0,0 +1,89 @@
+#include "drawnfleet.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace sassafrasyard;
+
+namespace {
+
+/** The largest number of hosts of a fleet at which a test places calls. */
+constexpr std::size_t placingHosts = 4;
+
+/** Returns some hosts of a fleet, among them the last one. */
+std::vector<MemberRecord> drawHosts(const DrawnFleet &fleet)
+{
+    std::vector<MemberRecord> hosts{fleet.members.back()};
+    while (hosts.size() < std::min(placingHosts, fleet.members.size()))
+        hosts.push_back(fleet.members[*rc::gen::inRange<std::size_t>(0, fleet.members.size())]);
+    return hosts;
+}
+
+} // namespace
+
+// Guards against streams that can't be taken up where callers come back, because a host looks for
+// their software version only among the servers that it tracks, which are chosen without regard to
+// versions.
+TEST_CASE("Each host places take-ups of each software version that has a usable server", "[reach]")
+{
+    rc::prop("a usable server of the version gets the call", [] {
+        DrawnFleet fleet = DrawnFleet::draw();
+        fleet.drawLeaving();
+        const auto usable = fleet.usableServers();
+        for (const MemberRecord &self : drawHosts(fleet)) {
+            PlacingHost host(self, fleet.subsetOf(self));
+            for (const auto &[key, servers] : usable) {
+                const auto server = host.place(key.first, key.second);
+                RC_ASSERT(server);
+                RC_ASSERT(servers.contains(*server));
+            }
+        }
+    });
+}
+
+// Guards against a stream that is cut or refused although a second server of its software version
+// is usable, because the first one failed or holds the run and the host tracks no other one.
+TEST_CASE("A next attempt reaches another server of the software version", "[reach]")
+{
+    rc::prop("another server than the avoided one gets the call", [] {
+        DrawnFleet fleet = DrawnFleet::draw();
+        const auto usable = fleet.usableServers();
+        for (const MemberRecord &self : drawHosts(fleet)) {
+            PlacingHost host(self, fleet.subsetOf(self));
+            for (const auto &[key, servers] : usable) {
+                const BackendServerName &avoided = *servers.begin();
+                const auto server = host.place(key.first, key.second, {avoided});
+                RC_ASSERT(server);
+                RC_ASSERT(*server != avoided || servers.size() == 1);
+                WorkRequest copy;
+                copy.name = RequestName("copy");
+                copy.account = ClientAccountName("account");
+                copy.model = key.first;
+                copy.softwareVersion = key.second;
+                copy.avoided = {avoided};
+                const auto target = host.dispatcher.reserveCopy(copy, true, host.now);
+                RC_ASSERT(target.has_value() == (servers.size() > 1));
+                host.dispatcher.releaseCopy(copy.name, host.now);
+            }
+        }
+    });
+}
+
+// Guards against a call that waits for a server that its host does not use, because the servers of
+// the host were published before the versions of others were known.
+TEST_CASE("A server whose version becomes known gets a waiting call", "[reach]")
+{
+    DrawnFleet fleet({{60, 0}, {5, 0}}, 14, 5, 5);
+    const MemberRecord &self = fleet.members.front();
+    const ModelName service("service-0");
+    const SoftwareVersion version("late");
+    for (std::size_t index = 0; index < 60; ++index) {
+        fleet.servers[index].softwareVersion = SoftwareVersion("common");
+        PlacingHost host(self, fleet.subsetOf(self));
+        REQUIRE_FALSE(host.place(service, version));
+        fleet.servers[index].softwareVersion = version;
+        host.dispatcher.setBackendServers(fleet.subsetOf(self).allServers(), host.now);
+        REQUIRE(host.place(service, version) == fleet.servers[index].name);
+        fleet.servers[index].softwareVersion = SoftwareVersion("common");
+    }
+}
--- a/packages/policy/pool/serverpool.cpp
+++ b/packages/policy/pool/serverpool.cpp
@@ -12,6 +12,8 @@
 
 /** The part of a slot that must be free for one more request, since the load is an estimate. */
 constexpr double slotMargin = 0.5;
+/** One tracked server may be full or hold the run already. */
+constexpr std::ptrdiff_t minimumTrackedChoices = 2;
 /** Weight of a new sample in the moving average, which covers about the last ten. */
 constexpr double workTimeSmoothing = 0.1;
 /** A peer's short work counts for twice its typical duration, since some takes longer. */
@@ -119,7 +121,9 @@
     std::vector<PeerServerLoad> serverLoads;
     serverLoads.reserve(digest.entries.size());
     for (const PeerLoadEntry &entry : digest.entries) {
-        if (const auto serverIndex = this->findIndex(entry.server))
+        const auto serverIndex = this->findIndex(entry.server);
+        // Peers announce their work on tracked servers only, so that on others stays incomplete.
+        if (serverIndex && this->states[*serverIndex].isTracked)
             serverLoads.push_back({*serverIndex, entry.running, entry.reservedTokens,
                                    entry.pendingPromptTokens,
                                    !this->states[*serverIndex].isEngine});
@@ -154,7 +158,7 @@
     if (!request.softwareVersion && this->isRefusalCached(modelServers, neededMemory, now))
         return std::nullopt;
     this->markPrefixHolders(request.prefixDigest, now);
-    this->collectForRequest(modelServers.indices, request, neededMemory, now);
+    this->collectForRequest(modelServers, request, neededMemory, now);
     if (this->candidates.empty()) {
         if (request.softwareVersion)
             return std::nullopt;
@@ -248,9 +252,11 @@
     const auto known = this->serversByModel.find(model);
     if (known == this->serversByModel.end())
         return capacity;
+    const bool mayUseUntracked = this->usesUntracked(known->second, version, {});
     for (const ServerIndex serverIndex : known->second.indices) {
         const ServerState &state = this->states[serverIndex];
-        if (!isUsable(state) || !this->hasVersion(serverIndex, version))
+        const bool isSuitable = isUsable(state) && this->hasVersion(serverIndex, version);
+        if (!isSuitable || (!state.isTracked && !mayUseUntracked))
             continue;
         capacity.totalSlots += state.slots;
         const LoadEstimate load = this->loadTracker.estimate(serverIndex, now);
@@ -343,6 +349,7 @@
     state.isEngine = server.kind == BackendServerKind::Engine;
     state.isSameDomain = server.failureDomain == this->options.failureDomain;
     state.isLeaving = server.isLeaving;
+    state.isTracked = server.isTracked;
     this->configurations[serverIndex] = server;
 }
 
@@ -368,17 +375,21 @@
     for (ServerIndex serverIndex = 0; serverIndex < this->states.size(); ++serverIndex) {
         if (!this->states[serverIndex].isConfigured)
             continue;
+        const bool isTracked = this->states[serverIndex].isTracked;
         PaceMonitor::Member member{serverIndex, {}};
         for (const ModelName &model : this->configurations[serverIndex].models) {
-            std::vector<ServerIndex> &indices = this->serversByModel[model].indices;
+            ModelServers &modelServers = this->serversByModel[model];
+            std::vector<ServerIndex> &indices = modelServers.indices;
             if (!indices.empty() && indices.back() == serverIndex)
                 continue;
             indices.push_back(serverIndex);
+            modelServers.hasUntracked = modelServers.hasUntracked || !isTracked;
             const auto number = numbers.emplace(model, numbers.size()).first->second;
             if (this->states[serverIndex].isEngine)
                 member.models.push_back(number);
         }
-        members.push_back(std::move(member));
+        if (isTracked)
+            members.push_back(std::move(member));
     }
     this->paceMonitor.setServers(members);
 }
@@ -414,6 +425,27 @@
     return !version || this->configurations[serverIndex].softwareVersion == *version;
 }
 
+/**
+ * Returns whether requests may also run on servers that are not tracked, because too few tracked
+ * ones are usable. Only requests that are bound to a software version do so: the tracked servers
+ * are chosen without regard to versions.
+ */
+bool ServerPool::usesUntracked(const ModelServers &model,
+                               const std::optional<SoftwareVersion> &version,
+                               std::span<const BackendServerName> avoided) const
+{
+    if (!model.hasUntracked || !version)
+        return false;
+    const auto tracked =
+            std::count_if(model.indices.begin(), model.indices.end(), [&](ServerIndex serverIndex) {
+                const ServerState &state = this->states[serverIndex];
+                const BackendServerName &name = this->configurations[serverIndex].name;
+                return state.isTracked && isUsable(state) && this->hasVersion(serverIndex, version)
+                        && std::find(avoided.begin(), avoided.end(), name) == avoided.end();
+            });
+    return tracked < minimumTrackedChoices;
+}
+
 bool ServerPool::isRefusalCached(const ModelServers &model, double neededMemory,
                                  Milliseconds now) const
 {
@@ -453,23 +485,28 @@
 
 /** Collects the servers that can take a request; slow ones beyond their allowance if all are slow.
  */
-void ServerPool::collectForRequest(std::span<const ServerIndex> indices, const WorkRequest &request,
+void ServerPool::collectForRequest(const ModelServers &model, const WorkRequest &request,
                                    double neededMemory, Milliseconds now)
 {
-    const bool hasUnlimitedServer =
-            this->collectCandidates(indices, request, neededMemory, true, now);
+    const bool mayUseUntracked =
+            this->usesUntracked(model, request.softwareVersion, request.avoided);
+    const bool hasUnlimitedServer = this->collectCandidates(model.indices, request, neededMemory,
+                                                            mayUseUntracked, true, now);
     if (this->candidates.empty() && !hasUnlimitedServer)
-        this->collectCandidates(indices, request, neededMemory, false, now);
+        this->collectCandidates(model.indices, request, neededMemory, mayUseUntracked, false, now);
 }
 
 bool ServerPool::collectCandidates(std::span<const ServerIndex> indices, const WorkRequest &request,
-                                   double neededMemory, bool isPaceLimited, Milliseconds now)
+                                   double neededMemory, bool mayUseUntracked, bool isPaceLimited,
+                                   Milliseconds now)
 {
     this->candidates.clear();
     bool hasUnlimitedServer = false;
     for (const ServerIndex serverIndex : indices) {
         const ServerState &state = this->states[serverIndex];
-        if (!isUsable(state) || !this->hasVersion(serverIndex, request.softwareVersion))
+        const bool isSuitable =
+                isUsable(state) && this->hasVersion(serverIndex, request.softwareVersion);
+        if (!isSuitable || (!state.isTracked && !mayUseUntracked))
             continue;
         const std::uint32_t allowance = this->paceMonitor.allowance(serverIndex);
         hasUnlimitedServer = hasUnlimitedServer || allowance == PaceMonitor::unlimited;
--- a/packages/policy/pool/serverpool.h
+++ b/packages/policy/pool/serverpool.h
@@ -184,6 +184,7 @@
         bool isMarkedLeaving = false;
         bool isReachable = true;
         bool isPaused = false;
+        bool isTracked = true;
     };
 
     /**
@@ -194,6 +195,7 @@
     struct ModelServers
     {
         std::vector<ServerIndex> indices;
+        bool hasUntracked = false;
         std::uint64_t refusedCapacityVersion = 0;
         Milliseconds refusedAt{0};
         double refusedMemory = 0.0;
@@ -209,14 +211,17 @@
     static double memoryTotal(const ServerState &state, const LoadEstimate &load);
     static double memoryExcess(const ServerState &state, const LoadEstimate &load);
     bool hasVersion(ServerIndex serverIndex, const std::optional<SoftwareVersion> &version) const;
+    bool usesUntracked(const ModelServers &model, const std::optional<SoftwareVersion> &version,
+                       std::span<const BackendServerName> avoided) const;
     bool isRefusalCached(const ModelServers &model, double neededMemory, Milliseconds now) const;
-    void collectForRequest(std::span<const ServerIndex> indices, const WorkRequest &request,
+    void collectForRequest(const ModelServers &model, const WorkRequest &request,
                            double neededMemory, Milliseconds now);
     void reserve(PlacedRequest &request, std::uint64_t prefix, Milliseconds now);
     std::uint32_t expectedOutput(const PlacedRequest &request, Milliseconds now) const;
     void markPrefixHolders(std::uint64_t prefix, Milliseconds now);
     bool collectCandidates(std::span<const ServerIndex> indices, const WorkRequest &request,
-                           double neededMemory, bool isPaceLimited, Milliseconds now);
+                           double neededMemory, bool mayUseUntracked, bool isPaceLimited,
+                           Milliseconds now);
     void addCandidate(ServerIndex serverIndex, double neededMemory, Milliseconds now);
     void clearPendingPrompt(PlacedRequest &request);
     void recordWorkTime(ShortWork kind, Milliseconds time);
--- a/packages/policy/servers/backendserver.h
+++ b/packages/policy/servers/backendserver.h
@@ -39,6 +39,11 @@
     bool checksFencing = false;
     /** Whether it is leaving and gets no new requests. */
     bool isLeaving = false;
+    /**
+     * Whether this host learns of the work of other hosts on it. Other servers get requests only
+     * where too few tracked ones may run them.
+     */
+    bool isTracked = true;
 };
 
 } // namespace sassafrasyard
--- a/packages/policy/tests/test_serverpool.cpp
+++ b/packages/policy/tests/test_serverpool.cpp
@@ -469,3 +469,37 @@
         }
     });
 }
+
+// Guards against new calls on servers of whose work this host knows only a part, which may be full,
+// and against calls that have no other server and wait until they are refused.
+TEST_CASE("A server that is not tracked runs only what too few tracked ones may run", "[pool]")
+{
+    const auto makeServer = [](const std::string &name, const std::string &version,
+                               bool isTracked) {
+        BackendServer server = makeEngine(name);
+        server.softwareVersion = SoftwareVersion(version);
+        server.isTracked = isTracked;
+        return server;
+    };
+    ServerPool pool(makeOptions());
+    pool.setBackendServers(std::vector{makeServer("a", "v1", true), makeServer("b", "v1", true),
+                                       makeServer("c", "v1", false), makeServer("d", "v2", false)},
+                           at(0));
+    REQUIRE(pool.capacity(ModelName("plan"), std::nullopt, at(0)).totalSlots == 8);
+    REQUIRE(pool.capacity(ModelName("plan"), SoftwareVersion("v1"), at(0)).totalSlots == 8);
+    REQUIRE(pool.capacity(ModelName("plan"), SoftwareVersion("v2"), at(0)).totalSlots == 4);
+    for (int index = 0; index < 8; ++index) {
+        const auto placement = pool.place(makeRequest("new-" + std::to_string(index)), at(0));
+        REQUIRE(placement);
+        REQUIRE(placement->server < BackendServerName("c"));
+    }
+    REQUIRE_FALSE(pool.place(makeRequest("surplus"), at(0)));
+    WorkRequest rare = makeRequest("rare");
+    rare.softwareVersion = SoftwareVersion("v2");
+    REQUIRE(pool.place(rare, at(0))->server == BackendServerName("d"));
+    WorkRequest again = makeRequest("again");
+    again.softwareVersion = SoftwareVersion("v1");
+    REQUIRE_FALSE(pool.place(again, at(0)));
+    again.avoided = {BackendServerName("a")};
+    REQUIRE(pool.place(again, at(0))->server == BackendServerName("c"));
+}
