--- a/packages/gateway/servers/serversubset.h
+++ b/packages/gateway/servers/serversubset.h
@@ -28,7 +28,8 @@
 {
 public:
     /**
-     * The largest number of servers that a host uses. With fewer it would miss free engines. With
+     * The largest number of servers that a host uses, unless there are many services or few hosts;
+     * see trackedSubset(). With fewer it would miss free engines. With
      * more, a change of engine work concerns more hosts than the bandwidth of LoadExchange can
      * reach: 20 of 67 servers mean some 40 of 195 hosts, a fifth of them.
      */
@@ -38,7 +39,7 @@
      * Creates an empty subset.
      *
      * @param self this host.
-     * @param limit the largest number of servers to select.
+     * @param limit as for trackedSubset().
      */
     explicit ServerSubset(TrackingHost self, std::size_t limit = defaultLimit);
 
--- a/packages/policy/placement/trackedsubset.cpp
+++ b/packages/policy/placement/trackedsubset.cpp
@@ -19,6 +19,12 @@
 constexpr double plannedShare = 0.85;
 /** The minimum number of hosts that track a server. */
 constexpr std::size_t minimumTrackers = 2;
+/**
+ * The minimum number of servers of a model that a host tracks, if the model has as many, multiplied
+ * by the number of its servers per host. With fewer choices, a few busy servers make a host refuse
+ * calls that others could run, and with fewer than the servers per host, some are not used at all.
+ */
+constexpr std::size_t minimumChoices = 4;
 
 struct HashedHost
 {
@@ -59,8 +65,19 @@
     return hosts;
 }
 
-/** Divides the limit among models so that models with few servers are tracked completely. */
-std::vector<std::size_t> shareLimit(std::span<const std::size_t> groupSizes, std::size_t limit)
+/** Returns how many servers of a model a host tracks at least, whatever the limit. */
+std::size_t minimumShare(std::size_t serverCount, std::size_t hostCount)
+{
+    const std::size_t serversPerHost = (serverCount + hostCount - 1) / hostCount;
+    return std::min(serverCount, minimumChoices * serversPerHost);
+}
+
+/**
+ * Divides the limit among models so that models with few servers are tracked completely. Each model
+ * gets its minimum share, also if the limit is too small for all of them.
+ */
+std::vector<std::size_t> shareLimit(std::span<const std::size_t> groupSizes, std::size_t hostCount,
+                                    std::size_t limit)
 {
     std::vector<std::size_t> order(groupSizes.size());
     std::iota(order.begin(), order.end(), std::size_t{0});
@@ -70,10 +87,11 @@
     std::vector<std::size_t> shares(groupSizes.size());
     std::size_t remaining = limit;
     for (std::size_t assigned = 0; assigned < order.size(); ++assigned) {
-        const std::size_t share =
-                std::min(groupSizes[order[assigned]], remaining / (order.size() - assigned));
+        const std::size_t size = groupSizes[order[assigned]];
+        const std::size_t share = std::max(std::min(size, remaining / (order.size() - assigned)),
+                                           minimumShare(size, hostCount));
         shares[order[assigned]] = share;
-        remaining -= share;
+        remaining -= std::min(remaining, share);
     }
     return shares;
 }
@@ -153,12 +171,12 @@
 
 /** Returns each group's share of the limit, in the order of the groups. */
 std::vector<std::size_t> sharesOf(const std::map<ModelName, std::vector<std::size_t>> &groups,
-                                  std::size_t limit)
+                                  std::size_t hostCount, std::size_t limit)
 {
     std::vector<std::size_t> sizes;
     for (const auto &[model, members] : groups)
         sizes.push_back(members.size());
-    return shareLimit(sizes, limit);
+    return shareLimit(sizes, hostCount, limit);
 }
 
 std::vector<HostName> namesOf(std::span<const TrackingHost> hosts)
@@ -179,10 +197,10 @@
                                     [&](const auto &other) { return other.name == server; });
     if (known == servers.end())
         return {};
-    if (servers.size() <= limit)
+    if (servers.size() <= limit || liveHosts.empty())
         return namesOf(liveHosts);
     const auto groups = groupByModel(servers);
-    const std::vector<std::size_t> shares = sharesOf(groups, limit);
+    const std::vector<std::size_t> shares = sharesOf(groups, liveHosts.size(), limit);
     const auto group = groups.find(firstModel(*known));
     const auto position = static_cast<std::size_t>(std::distance(groups.begin(), group));
     const std::size_t trackerCount =
@@ -217,8 +235,8 @@
         return tracked;
     }
     const auto groups = groupByModel(servers);
-    const std::vector<std::size_t> shares = sharesOf(groups, limit);
     const std::vector<HashedHost> hosts = hashHosts(liveHosts, self);
+    const std::vector<std::size_t> shares = sharesOf(groups, hosts.size(), limit);
     ServerRanking ranking(hosts);
     std::size_t group = 0;
     for (const auto &[model, members] : groups) {
--- a/packages/policy/placement/trackedsubset.h
+++ b/packages/policy/placement/trackedsubset.h
@@ -23,13 +23,15 @@
  * All hosts compute the same assignment from the same lists by rendezvous hashing: each server is
  * assigned a number of hosts, half of them from its own failure domain if there are enough. The
  * limit is divided among the models (a server counts for its first one), so a model with few
- * servers is tracked by every host. A host that joins or leaves changes the assignment of its own
+ * servers is tracked by every host. Each model gets a minimum, which exceeds the limit if there are
+ * many models or few hosts: every host tracks four servers of each model or all of them, and four
+ * times its part of the servers. A host that joins or leaves changes the assignment of its own
  * servers only, except when the number of hosts per server changes, which is rare.
  *
  * @param servers all backend servers, in the same order on every host.
  * @param liveHosts the live entry hosts; self is added if it is missing.
  * @param self the host whose subset is returned.
- * @param limit the maximum number of servers it tracks; at least the number of models.
+ * @param limit the number of servers it tracks at most beside the minimum of each model.
  */
 std::vector<std::size_t> trackedSubset(std::span<const BackendServer> servers,
                                        std::span<const TrackingHost> liveHosts,
--- a/packages/policy/tests/test_trackedsubset.cpp
+++ b/packages/policy/tests/test_trackedsubset.cpp
@@ -101,3 +101,40 @@
             RC_ASSERT(count >= std::min<std::size_t>(2, hosts.size()));
     });
 }
+
+// Guards against services that no host serves, because there are more of them than a host tracks
+// servers.
+TEST_CASE("Each service is tracked by every host, however many services there are", "[subset]")
+{
+    constexpr std::size_t limit = 20;
+    const auto services = GENERATE(std::size_t{1}, std::size_t{10}, std::size_t{22},
+                                   std::size_t{40}, std::size_t{400});
+    const auto serversPerService = GENERATE(std::size_t{1}, std::size_t{3});
+    const auto hosts = makeHosts(GENERATE(std::size_t{3}, std::size_t{20}), 3);
+    const auto servers = makeServers(services * serversPerService, 1, services);
+    for (const TrackingHost &host : hosts)
+        REQUIRE(trackedSubset(servers, hosts, host, limit).size() == servers.size());
+    for (const BackendServer &server : servers)
+        REQUIRE(trackingHosts(servers, hosts, server.name, limit).size() == hosts.size());
+}
+
+// Guards against servers that no host uses, because the limit is for large fleets of hosts and few
+// hosts share many servers.
+TEST_CASE("Each server is tracked by some host, however few hosts there are", "[subset]")
+{
+    constexpr std::size_t limit = 20;
+    rc::prop("covered", [] {
+        const auto models = *rc::gen::inRange<std::size_t>(1, 6);
+        const auto servers = makeServers(*rc::gen::inRange<std::size_t>(1, 300),
+                                         *rc::gen::inRange<std::size_t>(1, 10), models);
+        const auto hosts = makeHosts(*rc::gen::inRange<std::size_t>(1, 20),
+                                     *rc::gen::inRange<std::size_t>(1, 10));
+        std::vector<std::size_t> coverage(servers.size(), 0);
+        for (const TrackingHost &host : hosts) {
+            for (const std::size_t index : trackedSubset(servers, hosts, host, limit))
+                ++coverage[index];
+        }
+        for (const std::size_t count : coverage)
+            RC_ASSERT(count >= 1);
+    });
+}
