--- a/packages/policy/placement/trackedsubset.cpp
+++ b/packages/policy/placement/trackedsubset.cpp
@@ -96,6 +96,18 @@
     return shares;
 }
 
+/**
+ * Returns how many of a server's hosts are of its failure domain: half of them, and those that the
+ * other domains lack.
+ */
+std::size_t sameDomainShare(std::size_t trackerCount, std::size_t sameDomainHosts,
+                            std::size_t otherDomainHosts)
+{
+    const std::size_t half = (trackerCount + 1) / 2;
+    const std::size_t missing = trackerCount - std::min(trackerCount, otherDomainHosts);
+    return std::min(sameDomainHosts, std::max(half, missing));
+}
+
 /** Ranks this host among the hosts by their hash for a server. */
 class ServerRanking
 {
@@ -115,7 +127,8 @@
                     {combineHashes(server, host.hash), host.domain == domain, host.isSelf});
             sameDomainHosts += host.domain == domain ? 1 : 0;
         }
-        const std::size_t sameDomainTrackers = std::min(sameDomainHosts, (trackerCount + 1) / 2);
+        const std::size_t sameDomainTrackers = sameDomainShare(
+                trackerCount, sameDomainHosts, this->hosts.size() - sameDomainHosts);
         return this->rankWithin(true, sameDomainTrackers, 0, entry)
                 || this->rankWithin(false, trackerCount - sameDomainTrackers, sameDomainTrackers,
                                     entry);
@@ -212,7 +225,8 @@
         auto &domainHosts = host.failureDomain == known->failureDomain ? sameDomain : otherDomains;
         domainHosts.emplace_back(combineHashes(hash, stableHash(host.name.toString())), &host);
     }
-    const std::size_t sameDomainTrackers = std::min(sameDomain.size(), (trackerCount + 1) / 2);
+    const std::size_t sameDomainTrackers =
+            sameDomainShare(trackerCount, sameDomain.size(), otherDomains.size());
     std::vector<HostName> names;
     const auto appendHighest = [&names](auto &domainHosts, std::size_t count) {
         std::sort(domainHosts.rbegin(), domainHosts.rend());
--- a/packages/policy/tests/test_trackedsubset.cpp
+++ b/packages/policy/tests/test_trackedsubset.cpp
@@ -118,6 +118,25 @@
         REQUIRE(trackingHosts(servers, hosts, server.name, limit).size() == hosts.size());
 }
 
+// Guards against servers that get half of their hosts, and hosts without a server of a service,
+// because the other half is sought in failure domains that have no host.
+TEST_CASE("A server gets all of its hosts from one failure domain if there is no other", "[subset]")
+{
+    constexpr std::size_t limit = 20;
+    const auto hostCount = GENERATE(std::size_t{3}, std::size_t{20}, std::size_t{60});
+    const auto one = makeHosts(hostCount, 1);
+    auto uneven = one;
+    uneven.front().failureDomain = FailureDomainName("d1");
+    const auto several = makeHosts(hostCount, 3);
+    const auto servers =
+            makeServers(90, 1, GENERATE(std::size_t{1}, std::size_t{3}, std::size_t{45}));
+    for (const BackendServer &server : servers) {
+        const std::size_t expected = trackingHosts(servers, several, server.name, limit).size();
+        REQUIRE(trackingHosts(servers, one, server.name, limit).size() == expected);
+        REQUIRE(trackingHosts(servers, uneven, server.name, limit).size() == expected);
+    }
+}
+
 // Guards against servers that no host uses, because the limit is for large fleets of hosts and few
 // hosts share many servers.
 TEST_CASE("Each server is tracked by some host, however few hosts there are", "[subset]")
