--- a/packages/gateway/tests/test_serverreach.cpp
+++ b/packages/gateway/tests/test_serverreach.cpp
@@ -10,6 +10,18 @@
 /** The largest number of hosts of a fleet at which a test places calls. */
 constexpr std::size_t placingHosts = 4;
 
+/** How many servers of a service a host tracks at least, if it has as many. */
+constexpr std::size_t trackedChoices = 4;
+
+/** Returns how many servers of each service a host tracks. */
+std::map<ModelName, std::size_t> countTracked(const ServerSubset &subset)
+{
+    std::map<ModelName, std::size_t> counts;
+    for (const BackendServer &server : subset.allServers())
+        counts[server.models.front()] += server.isTracked ? 1 : 0;
+    return counts;
+}
+
 /** Returns some hosts of a fleet, among them the last one. */
 std::vector<MemberRecord> drawHosts(const DrawnFleet &fleet)
 {
@@ -87,3 +99,19 @@
         fleet.servers[index].softwareVersion = SoftwareVersion("common");
     }
 }
+
+// Guards against services that no host serves, because there are more of them than a host tracks
+// servers, and against hosts that track none of a service's servers while others do.
+TEST_CASE("Each host tracks several servers of each service", "[reach]")
+{
+    rc::prop("a service has as many tracked servers as it can", [] {
+        const DrawnFleet fleet = DrawnFleet::draw();
+        std::map<ModelName, std::size_t> sizes;
+        for (const BackendServer &server : fleet.servers)
+            ++sizes[server.models.front()];
+        for (const MemberRecord &self : drawHosts(fleet)) {
+            for (const auto &[service, count] : countTracked(fleet.subsetOf(self)))
+                RC_ASSERT(count >= std::min(trackedChoices, sizes[service]));
+        }
+    });
+}
--- a/packages/policy/placement/trackedsubset.cpp
+++ b/packages/policy/placement/trackedsubset.cpp
@@ -40,12 +40,14 @@
     bool isSelf;
 };
 
-/** A server that this host tracks, and this host's rank among the hosts assigned to it. */
-struct TrackedServer
+/** A server, and this host's rank among the hosts that may track it. */
+struct RankedServer
 {
     std::size_t server;
     std::size_t rank;
     std::uint64_t score;
+    /** Whether this host is one of those that track it. */
+    bool isAssigned;
 };
 
 bool isHigher(const Score &left, const Score &right)
@@ -117,9 +119,10 @@
     {
     }
 
-    bool rankSelf(std::uint64_t server, std::uint64_t domain, std::size_t trackerCount,
-                  TrackedServer &entry)
+    RankedServer rankSelf(std::size_t index, const BackendServer &ranked, std::size_t trackerCount)
     {
+        const std::uint64_t server = stableHash(ranked.name.toString());
+        const std::uint64_t domain = stableHash(ranked.failureDomain.toString());
         this->scores.clear();
         std::size_t sameDomainHosts = 0;
         for (const HashedHost &host : this->hosts) {
@@ -129,29 +132,23 @@
         }
         const std::size_t sameDomainTrackers = sameDomainShare(
                 trackerCount, sameDomainHosts, this->hosts.size() - sameDomainHosts);
-        return this->rankWithin(true, sameDomainTrackers, 0, entry)
-                || this->rankWithin(false, trackerCount - sameDomainTrackers, sameDomainTrackers,
-                                    entry);
+        const bool isSameDomain = this->scores.front().isSameDomain;
+        const std::size_t higher = this->countHigher();
+        const std::size_t count =
+                isSameDomain ? sameDomainTrackers : trackerCount - sameDomainTrackers;
+        const std::size_t firstRank = isSameDomain ? 0 : sameDomainTrackers;
+        return {index, firstRank + higher, this->scores.front().score, higher < count};
     }
 
 private:
-    /**
-     * Ranks this host among the hosts inside or outside the server's failure domain. Returns
-     * whether it is one of the first count.
-     */
-    bool rankWithin(bool isSameDomain, std::size_t count, std::size_t firstRank,
-                    TrackedServer &entry) const
+    /** Returns how many hosts on this host's side of the failure domain have a higher score. */
+    std::size_t countHigher() const
     {
-        const auto &self = this->scores.front();
-        if (self.isSameDomain != isSameDomain || count == 0)
-            return false;
-        const auto higher = static_cast<std::size_t>(
+        const Score &self = this->scores.front();
+        return static_cast<std::size_t>(
                 std::count_if(this->scores.begin(), this->scores.end(), [&](const Score &score) {
-                    return score.isSameDomain == isSameDomain && isHigher(score, self);
+                    return score.isSameDomain == self.isSameDomain && isHigher(score, self);
                 }));
-        entry.rank = firstRank + higher;
-        entry.score = self.score;
-        return higher < count;
     }
 
     std::span<const HashedHost> hosts;
@@ -256,22 +253,24 @@
     for (const auto &[model, members] : groups) {
         const std::size_t share = shares[group++];
         const std::size_t trackerCount = trackersPerServer(share, members.size(), hosts.size());
-        std::vector<TrackedServer> entries;
+        std::vector<RankedServer> entries;
+        std::size_t assignedCount = 0;
         for (const std::size_t index : members) {
-            TrackedServer entry{index, 0, 0};
-            if (ranking.rankSelf(stableHash(servers[index].name.toString()),
-                                 stableHash(servers[index].failureDomain.toString()), trackerCount,
-                                 entry))
-                entries.push_back(entry);
+            entries.push_back(ranking.rankSelf(index, servers[index], trackerCount));
+            assignedCount += entries.back().isAssigned ? 1 : 0;
         }
-        // Above the limit, drop the servers for which most other hosts rank higher.
+        // Above the share, drop the servers for which most other hosts rank higher; below the
+        // minimum, add those of which this host is nearly one of the hosts.
         std::sort(entries.begin(), entries.end(),
-                  [](const TrackedServer &left, const TrackedServer &right) {
+                  [](const RankedServer &left, const RankedServer &right) {
+                      if (left.isAssigned != right.isAssigned)
+                          return left.isAssigned;
                       return left.rank != right.rank ? left.rank < right.rank
                                                      : left.score > right.score;
                   });
-        entries.resize(std::min(entries.size(), share));
-        for (const TrackedServer &entry : entries)
+        const std::size_t minimum = std::min(share, minimumShare(members.size(), hosts.size()));
+        entries.resize(std::clamp(assignedCount, minimum, share));
+        for (const RankedServer &entry : entries)
             tracked.push_back(entry.server);
     }
     std::sort(tracked.begin(), tracked.end());
--- a/packages/policy/placement/trackedsubset.h
+++ b/packages/policy/placement/trackedsubset.h
@@ -39,7 +39,8 @@
 
 /**
  * Returns the hosts that track a backend server. The result may include a few hosts that don't
- * track the server because they reached their limit.
+ * track the server because they reached their limit, and lack a few that track it because too few
+ * others were assigned to them.
  *
  * @param servers and limit as for trackedSubset().
  * @param server the server; the result is empty if it is not one of servers.
