--- a/packages/gateway/tests/test_serverreach.cpp
+++ b/packages/gateway/tests/test_serverreach.cpp
@@ -115,3 +115,55 @@
         }
     });
 }
+
+// Guards against hosts whose load exchange and connections grow with the number of all servers.
+TEST_CASE("A host tracks a bounded number of servers", "[reach]")
+{
+    rc::prop("the limit and the minimum of each service", [] {
+        const DrawnFleet fleet = DrawnFleet::draw();
+        std::map<ModelName, std::size_t> sizes;
+        for (const BackendServer &server : fleet.servers)
+            ++sizes[server.models.front()];
+        std::size_t bound = ServerSubset::defaultLimit;
+        for (const auto &[service, size] : sizes) {
+            const std::size_t perHost = size / fleet.members.size() + 1;
+            bound += std::min(size, trackedChoices * perHost);
+        }
+        for (const MemberRecord &self : drawHosts(fleet))
+            RC_ASSERT(fleet.subsetOf(self).selectedServers().size() <= bound);
+    });
+}
+
+// Guards against a call that is refused although a server of its service is usable, because those
+// that its host tracks are leaving or unreachable.
+TEST_CASE("Each host places new calls of each service that has a usable server", "[reach]")
+{
+    rc::prop("a usable server gets the call", [] {
+        DrawnFleet fleet = DrawnFleet::draw();
+        fleet.drawLeaving();
+        std::map<ModelName, std::set<BackendServerName>> usable;
+        for (const auto &[key, servers] : fleet.usableServers())
+            usable[key.first].insert(servers.begin(), servers.end());
+        for (const MemberRecord &self : drawHosts(fleet)) {
+            const ServerSubset subset = fleet.subsetOf(self);
+            PlacingHost host(self, subset);
+            // All tracked servers of a service but the last usable one can't be reached.
+            auto reachable = usable;
+            const bool isCutOff = *rc::gen::arbitrary<bool>();
+            for (const BackendServer &server : subset.allServers()) {
+                auto &others = reachable[server.models.front()];
+                if (!isCutOff || !server.isTracked || others.size() == 1)
+                    continue;
+                host.dispatcher.setReachable(server.name, false);
+                others.erase(server.name);
+            }
+            for (const auto &[service, servers] : reachable) {
+                if (servers.empty())
+                    continue;
+                const auto server = host.place(service, std::nullopt);
+                RC_ASSERT(server);
+                RC_ASSERT(servers.contains(*server));
+            }
+        }
+    });
+}
--- a/packages/policy/pool/serverpool.cpp
+++ b/packages/policy/pool/serverpool.cpp
@@ -155,12 +155,13 @@
     entry.placedAt = now;
     const double neededMemory =
             static_cast<double>(entry.promptTokens) + this->expectedOutput(entry, now);
-    if (!request.softwareVersion && this->isRefusalCached(modelServers, neededMemory, now))
+    const bool isRefusalShared = !request.softwareVersion && request.avoided.empty();
+    if (isRefusalShared && this->isRefusalCached(modelServers, neededMemory, now))
         return std::nullopt;
     this->markPrefixHolders(request.prefixDigest, now);
     this->collectForRequest(modelServers, request, neededMemory, now);
     if (this->candidates.empty()) {
-        if (request.softwareVersion)
+        if (!isRefusalShared)
             return std::nullopt;
         modelServers.refusedCapacityVersion = this->capacityVersion;
         modelServers.refusedAt = now;
@@ -427,14 +428,14 @@
 
 /**
  * Returns whether requests may also run on servers that are not tracked, because too few tracked
- * ones are usable. Only requests that are bound to a software version do so: the tracked servers
- * are chosen without regard to versions.
+ * ones are usable: these are chosen without regard to versions and may fail together. Full servers
+ * are no reason, since the load of the others is not known.
  */
 bool ServerPool::usesUntracked(const ModelServers &model,
                                const std::optional<SoftwareVersion> &version,
                                std::span<const BackendServerName> avoided) const
 {
-    if (!model.hasUntracked || !version)
+    if (!model.hasUntracked)
         return false;
     const auto tracked =
             std::count_if(model.indices.begin(), model.indices.end(), [&](ServerIndex serverIndex) {
--- a/packages/policy/pool/serverpool.h
+++ b/packages/policy/pool/serverpool.h
@@ -190,7 +190,7 @@
     /**
      * The servers of a model, and the smallest request that found no candidate. The refusal is
      * valid until the time or capacityVersion changes. Requests that are bound to a software
-     * version neither set nor use it, because they have other candidates.
+     * version or avoid servers neither set nor use it, because they have other candidates.
      */
     struct ModelServers
     {
