--- a/packages/gateway/tests/test_serverreach.cpp
+++ b/packages/gateway/tests/test_serverreach.cpp
@@ -167,3 +167,31 @@
         }
     });
 }
+
+// Guards against calls that a host can't place after its subset has changed, because hosts joined
+// or left, or servers were added or replaced by such of another version.
+TEST_CASE("A host places calls of each service after hosts and servers have changed", "[reach]")
+{
+    rc::prop("a usable server of the version gets the call", [] {
+        DrawnFleet fleet = DrawnFleet::draw();
+        const MemberRecord self = fleet.members.front();
+        PlacingHost host(self, fleet.subsetOf(self));
+        constexpr int changes = 3;
+        for (int change = 0; change < changes; ++change) {
+            fleet.members.resize(*rc::gen::inRange<std::size_t>(1, fleet.members.size() + 1));
+            for (auto added = *rc::gen::inRange<std::size_t>(0, 20); added > 0; --added)
+                fleet.addHost(DrawnFleet::domainName(*rc::gen::inRange<std::size_t>(0, 9)));
+            for (BackendServer &server : fleet.servers) {
+                if (*rc::gen::inRange(0, 4) == 0)
+                    server.softwareVersion = SoftwareVersion("change-" + std::to_string(change));
+            }
+            fleet.drawLeaving();
+            host.dispatcher.setBackendServers(fleet.subsetOf(self).allServers(), host.now);
+            for (const auto &[key, servers] : fleet.usableServers()) {
+                const auto bound = host.place(key.first, key.second);
+                RC_ASSERT(bound && servers.contains(*bound));
+                RC_ASSERT(host.place(key.first, std::nullopt));
+            }
+        }
+    });
+}
