Log what ended the body of a stream and what requests to stop its run may have done

A stream that its engine stopped at the host's request and one that ended by itself left the same log line. 8011 and 8014 now name the framing of the body and the effect of all requests to stop the run of that part, also of those that nobody awaits any more (StopRecord), and sassafrasyard_stream_ends_total counts complete streams by both. What a host does is unchanged.

--- a/packages/gateway/calls/enginecalls.h
+++ b/packages/gateway/calls/enginecalls.h
@@ -33,10 +33,14 @@
         Stopped,
         /** The engine is alive and declined to stop it. */
         Declined,
+        /** The engine is carrying out an earlier request for the run and did not take this one. */
+        Busy,
         /** The engine's address refuses connections. */
         Unreachable,
         /** No connection was accepted or refused in time; the engine may stand still. */
         Unanswered,
+        /** This host could not send the request. */
+        NotSent,
         /** The engine did not answer, or its answer says nothing of the run. */
         Unknown,
     };
--- a/packages/gateway/relay/backendattempt.cpp
+++ b/packages/gateway/relay/backendattempt.cpp
@@ -254,6 +254,7 @@
         result.outcome = toOutcome(result.failure);
         co_return result;
     }
+    this->framing = this->connection->bodyFraming();
     co_return this->classify(std::move(*response), order.server);
 }
 
@@ -396,6 +397,11 @@
     return true;
 }
 
+BodyFraming BackendAttempt::bodyFraming() const
+{
+    return this->framing;
+}
+
 const std::optional<SoftwareVersion> &BackendAttempt::softwareVersion() const
 {
     return this->sentToVersion;
--- a/packages/gateway/relay/callmetrics.cpp
+++ b/packages/gateway/relay/callmetrics.cpp
@@ -68,6 +68,13 @@
     metrics.observe("sassafrasyard_stream_longest_pause_ms", {}, toNumber(longestPause));
 }
 
+void recordStreamEnd(Metrics &metrics, BodyFraming framing, StopEffect effect)
+{
+    metrics.count(
+            "sassafrasyard_stream_ends_total",
+            {{"framing", std::string(toString(framing))}, {"stop", std::string(toString(effect))}});
+}
+
 std::string_view statusClass(int status)
 {
     constexpr std::array<std::string_view, 6> classes = {"other", "1xx", "2xx",
--- a/packages/gateway/relay/callmetrics.h
+++ b/packages/gateway/relay/callmetrics.h
@@ -3,6 +3,7 @@
 #include "core/core.h"
 #include "gateway/calls/retryrule.h"
 #include "gateway/relay/routedcall.h"
+#include "gateway/relay/stoprecord.h"
 #include "gateway/routes/route.h"
 #include "observability/observability.h"
 
@@ -35,6 +36,14 @@
 /** Records the latency of the first event of a stream and its longest pause, in milliseconds. */
 void recordStreamTiming(Metrics &metrics, Milliseconds firstEvent, Milliseconds longestPause);
 
+/**
+ * Counts a stream that ended as complete.
+ *
+ * @param framing what ended the body of its last part.
+ * @param effect what the requests to stop the run of that part may have done.
+ */
+void recordStreamEnd(Metrics &metrics, BodyFraming framing, StopEffect effect);
+
 /** Returns the class of an HTTP status as a label for recordCall(), such as "2xx" or "other". */
 std::string_view statusClass(int status);
 
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -431,6 +431,8 @@
     this->dropBackup();
     this->dropRefreshedCopy();
     co_await this->responder.finish();
+    recordStreamEnd(this->dependencies.entry.metrics, this->attempt->bodyFraming(),
+                    this->stopEffect());
     this->logEnd("complete");
 }
 
@@ -739,9 +741,29 @@
                                                if (part == this->partCount)
                                                    this->onStopEnd(result);
                                            });
+    this->stopRecords.emplace_back(this->partCount, this->stop->record());
     this->stop->start();
 }
 
+/**
+ * Returns what the requests to stop a run may have done to that of the current part. A request for
+ * an earlier part at the same engine names the same call, so it may still stop this one.
+ */
+StopEffect EventRelay::stopEffect() const
+{
+    StopEffect effect = StopEffect::None;
+    for (const auto &[part, record] : this->stopRecords) {
+        if (part == this->partCount && effect != StopEffect::Stopped
+            && effect != StopEffect::Unknown && record->effect() != StopEffect::None)
+            effect = record->effect();
+        const bool isEarlierHere = part < this->partCount
+                && record->server() == this->placement.server && record->mayStillAct();
+        if (isEarlierHere && effect != StopEffect::Stopped)
+            effect = StopEffect::Unknown;
+    }
+    return effect;
+}
+
 /**
  * Called when no event has arrived for a time although the stream is open.
  *
@@ -849,6 +871,8 @@
     lost.isClosedByHost = this->attempt->wasCancelled();
     lost.detail = this->failure.detail;
     lost.engineState = describeServer(this->dependencies, lost.server);
+    lost.stopEffect = this->stopEffect();
+    lost.framing = this->attempt->bodyFraming();
     if (this->stop) {
         lost.stopState = this->stop->hasEnded() ? "ended" : "pending";
         lost.stopOutcome = this->stop->outcome();
@@ -904,7 +928,10 @@
              std::to_string(this->longestPause.count()), "pause_after_event",
              std::to_string(this->longestPauseBefore), "pause_at_switch",
              std::string(this->isLongestPauseAtSwitch ? "1" : "0"), "parts",
-             std::to_string(this->partCount), "backend_server", this->placement.server.toString());
+             std::to_string(this->partCount), "backend_server", this->placement.server.toString(),
+             "framing",
+             std::string(this->attempt ? toString(this->attempt->bodyFraming()) : "none"), "stop",
+             std::string(toString(this->stopEffect())));
 }
 
 void EventRelay::reportProgress(Milliseconds now)
--- a/packages/gateway/relay/eventrelay.h
+++ b/packages/gateway/relay/eventrelay.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace sassafrasyard {
@@ -89,6 +90,7 @@
     void startStop();
     void stopSilentRun();
     void onStopEnd(RunStop::Result result);
+    StopEffect stopEffect() const;
     void dropStop();
     void dropFormerStops();
     void recordDelivery();
@@ -123,6 +125,9 @@
      * still be refused and these runs be continued instead.
      */
     std::vector<std::shared_ptr<RunStop>> formerStops;
+    /** The requests to stop a run of this call that were sent, by the part that they were meant
+     * for. */
+    std::vector<std::pair<std::uint32_t, std::shared_ptr<StopRecord>>> stopRecords;
     /** Whether the target of the request is the backup. */
     bool isStopTargetBackup = false;
     SilenceWatch silenceWatch;
--- a/packages/gateway/relay/runstop.cpp
+++ b/packages/gateway/relay/runstop.cpp
@@ -36,6 +36,8 @@
     : dependencies(dependencies)
     , order(std::move(order))
     , onEnd(std::move(onEnd))
+    , stopRecord(std::make_shared<StopRecord>(dependencies.context.get_executor(),
+                                              this->order.source.server))
     , repetitionPause(firstRepetitionPause)
     , repetitionTimer(dependencies.context)
     , endTimer(dependencies.context, net::steady_timer::time_point::max())
@@ -77,6 +79,11 @@
     return this->endOutcome;
 }
 
+const std::shared_ptr<StopRecord> &RunStop::record() const
+{
+    return this->stopRecord;
+}
+
 void RunStop::recordEvent()
 {
     this->unansweredSince.reset();
@@ -211,8 +218,10 @@
     const Milliseconds left = this->order.endAt - this->dependencies.clock.now();
     const MoveOrder move{this->order.source.address, this->order.target->address,
                          this->order.requestId, true};
+    this->stopRecord->recordRequest();
     RunStopResult answer = co_await this->dependencies.engines.stopRun(
             move, std::clamp(left, Milliseconds(1), answerTimeout), reason);
+    this->stopRecord->recordAnswer(answer, !this->isSourceReplaced());
     co_return answer;
 }
 
--- a/packages/gateway/relay/runstop.h
+++ b/packages/gateway/relay/runstop.h
@@ -2,6 +2,7 @@
 
 #include "gateway/relay/gatewaydependencies.h"
 #include "gateway/relay/runevidence.h"
+#include "gateway/relay/stoprecord.h"
 #include "gateway/relay/streamplacement.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -74,6 +75,8 @@
     bool hasEnded() const;
     /** Returns how the order ended, as in its log line, or an empty text before that. */
     const std::string &outcome() const;
+    /** Returns the requests sent so far and their answers. */
+    const std::shared_ptr<StopRecord> &record() const;
     /** Records that an event of the run has arrived, which shows that its engine works on it. */
     void recordEvent();
     /**
@@ -109,6 +112,7 @@
     GatewayDependencies &dependencies;
     RunStopOrder order;
     std::function<void(Result)> onEnd;
+    std::shared_ptr<StopRecord> stopRecord;
     /** When the process of the engine was started; nothing if it had no entry or stated none. */
     std::optional<std::int64_t> sourceStartedAt;
     /** Since when the engine has not answered; nothing if it answered the last request. */
--- /dev/null
+++ b/packages/gateway/relay/stoprecord.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "gateway/calls/enginecalls.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <optional>
+#include <string_view>
+
+namespace sassafrasyard {
+
+/** What the requests to stop a run may have done to it, as far as its engine's answers show. */
+enum class StopEffect {
+    /** No request can have reached the engine. */
+    None,
+    /** The answer to a request is outstanding. */
+    Pending,
+    /** The engine has stopped the run. */
+    Stopped,
+    /** The engine has no such run, and no earlier request can have stopped it. */
+    Absent,
+    /** The engine has left the run as it is. */
+    Declined,
+    /** The answer to a request was lost; the engine may have stopped the run, or may do so later.
+     */
+    Unknown,
+};
+
+/** Returns the name of an effect in logs and metrics. */
+std::string_view toString(StopEffect effect);
+
+/**
+ * The requests of one RunStop and their answers.
+ *
+ * It outlives the RunStop at its relay, because an engine may act on a request that nobody awaits
+ * any more.
+ */
+class StopRecord
+{
+public:
+    /** Creates a record without requests. @param server the engine that gets the requests. */
+    StopRecord(const boost::asio::any_io_executor &executor, BackendServerName server);
+    StopRecord(const StopRecord &) = delete;
+    StopRecord &operator=(const StopRecord &) = delete;
+
+    /** Returns the engine that gets the requests. */
+    const BackendServerName &server() const;
+    /** Records that a request is about to be sent. */
+    void recordRequest();
+    /**
+     * Records the answer to that request, or that there is none.
+     *
+     * @param isFromRun whether the engine's process is still the one that runs the call.
+     */
+    void recordAnswer(const RunStopResult &answer, bool isFromRun);
+    /** Returns what the requests may have done so far. */
+    StopEffect effect() const;
+    /** Returns whether the engine may still act on a request. */
+    bool mayStillAct() const;
+    /** Waits until no answer is outstanding, or for endWait(). */
+    boost::asio::awaitable<void> waitForAnswer();
+    /** Ends all waits. */
+    void endWait();
+
+private:
+    static StopEffect effectOf(const RunStopResult &answer, bool isFromRun);
+
+    BackendServerName engine;
+    /** Expires when no answer is outstanding. */
+    boost::asio::steady_timer answerTimer;
+    bool isPending = false;
+    bool isStopped = false;
+    bool isAnswerLost = false;
+    /** The effect of the last answered request. */
+    StopEffect lastEffect = StopEffect::None;
+};
+
+} // namespace sassafrasyard
--- a/packages/gateway/relay/streamending.h
+++ b/packages/gateway/relay/streamending.h
@@ -2,6 +2,7 @@
 
 #include "gateway/relay/gatewaydependencies.h"
 #include "gateway/relay/routedcall.h"
+#include "gateway/relay/stoprecord.h"
 
 #include <cstdint>
 #include <optional>
@@ -50,6 +51,10 @@
     std::string stopState = "none";
     /** How that request ended, as in its log line; empty before that or without one. */
     std::string stopOutcome;
+    /** What the requests to stop the run may have done to it. */
+    StopEffect stopEffect = StopEffect::None;
+    /** What ends the body of the engine's response. */
+    BodyFraming framing = BodyFraming::Length;
     /** The state of the backup: "none", "usable" or "unusable". */
     std::string backupState = "none";
     /** The state of the copy made by moves: "none", "pending", "ready" or "failed". */
--- a/packages/network/http/httpconnection.cpp
+++ b/packages/network/http/httpconnection.cpp
@@ -96,6 +96,19 @@
 
 } // namespace
 
+std::string_view toString(BodyFraming framing)
+{
+    switch (framing) {
+    case BodyFraming::Length:
+        return "length";
+    case BodyFraming::Chunks:
+        return "chunks";
+    case BodyFraming::Close:
+        return "close";
+    }
+    return "unknown";
+}
+
 /**
  * The socket of an HttpConnection.
  *
@@ -346,6 +359,14 @@
             && state.buffer.size() == 0;
 }
 
+BodyFraming HttpConnection::bodyFraming() const
+{
+    const auto &parser = this->implementation->parser;
+    if (parser && parser->chunked())
+        return BodyFraming::Chunks;
+    return parser && parser->need_eof() ? BodyFraming::Close : BodyFraming::Length;
+}
+
 bool HttpConnection::hasReceivedResponse() const
 {
     return this->implementation->parser.has_value();
--- a/packages/network/http/httpconnection.h
+++ b/packages/network/http/httpconnection.h
@@ -27,6 +27,19 @@
     Local,
 };
 
+/** What ends the body of a response. */
+enum class BodyFraming {
+    /** Its length, which may be 0. */
+    Length,
+    /** Its last chunk. */
+    Chunks,
+    /** The close of the connection. */
+    Close,
+};
+
+/** Returns the name of a framing in logs and metrics. */
+std::string_view toString(BodyFraming framing);
+
 /**
  * A client connection that carries one request at a time and may be reused for the next one.
  *
@@ -98,6 +111,9 @@
      */
     bool isReusable() const;
 
+    /** Returns what ends the body of the response whose header was read last. */
+    BodyFraming bodyFraming() const;
+
     /** Returns whether the header of a response has been received on the connection. */
     bool hasReceivedResponse() const;
 
