Let unframed streams whose run was stopped go on instead of ending as complete

What callers saw: a stream with neither a length nor chunks whose engine stopped the run at the host's request (/kv-move with last) ended as complete, with events missing.

Cause: EventRelay took the orderly close of a body without framing for the end of the run, whatever the host had asked of the engine. With chunks the missing last chunk tells the two apart; without framing nothing in the body does.

Change: bodyEndOf() (runevidence) is the one place that decides what the regular end of a body shows, from its framing and the effect of all requests to stop the run of that part. Without framing: no request can have arrived, the engine had no such run, or it left the run as it was: complete. The engine stopped it, or an answer was lost: broken, and the stream goes on from a copy or a new run, or is cut. An outstanding answer is waited for, until the deadline or until the caller leaves. Event 8031 and sassafrasyard_broken_ends_total tell each such close. A peer's response without framing is no complete one either: hosts always frame theirs.

--- a/packages/gateway/relay/callmetrics.cpp
+++ b/packages/gateway/relay/callmetrics.cpp
@@ -75,6 +75,15 @@
             {{"framing", std::string(toString(framing))}, {"stop", std::string(toString(effect))}});
 }
 
+void recordBrokenEnd(Metrics &metrics, const RoutedCall &call, const BackendServerName &server,
+                     StopEffect effect, Milliseconds waited)
+{
+    const std::string stop(toString(effect));
+    metrics.count("sassafrasyard_broken_ends_total", {{"stop", stop}});
+    logEvent(LogEvent::BrokenEndFound, "request", call.metadata.requestId, "backend_server",
+             server.toString(), "stop", stop, "waited_ms", std::to_string(waited.count()));
+}
+
 std::string_view statusClass(int status)
 {
     constexpr std::array<std::string_view, 6> classes = {"other", "1xx", "2xx",
--- a/packages/gateway/relay/callmetrics.h
+++ b/packages/gateway/relay/callmetrics.h
@@ -44,6 +44,15 @@
  */
 void recordStreamEnd(Metrics &metrics, BodyFraming framing, StopEffect effect);
 
+/**
+ * Counts and logs a body that ended regularly although its run was or may have been stopped.
+ *
+ * @param effect what the requests to stop the run may have done.
+ * @param waited how long the answer of the server was waited for.
+ */
+void recordBrokenEnd(Metrics &metrics, const RoutedCall &call, const BackendServerName &server,
+                     StopEffect effect, Milliseconds waited);
+
 /** Returns the class of an HTTP status as a label for recordCall(), such as "2xx" or "other". */
 std::string_view statusClass(int status);
 
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -262,22 +262,13 @@
                     this->call.timeLeft(this->dependencies.clock.now()) <= Milliseconds(0);
             co_return isOver ? ReadEnd::Deadline : ReadEnd::Lost;
         }
-        const bool isComplete = bytes->empty();
+        const bool isEnd = bytes->empty();
         this->splitter.append(*bytes);
-        bool isForwarded = co_await this->forwardEvents();
-        if (isForwarded && isComplete && this->endsInsideEvent()) {
-            this->failure = {ErrorCode::BackendServerLost,
-                             RunState::OutcomeUnknown,
-                             "the stream ended inside an event",
-                             {}};
-            co_return ReadEnd::Lost;
-        }
-        if (isForwarded && isComplete)
-            isForwarded = co_await this->forwardRemainder();
+        const bool isForwarded = co_await this->forwardEvents();
         if (!isForwarded)
             co_return ReadEnd::CallerGone;
-        if (isComplete)
-            co_return ReadEnd::Complete;
+        if (isEnd)
+            co_return co_await this->finishBody();
         if (this->splitter.remainder().size() > maximumEventBytes) {
             this->failure = {ErrorCode::ProtocolViolation,
                              RunState::OutcomeUnknown,
@@ -312,6 +303,68 @@
     co_return co_await this->responder.write(batch.bytes);
 }
 
+/** Decides whether the regular end of the body is that of the stream. */
+net::awaitable<EventRelay::ReadEnd> EventRelay::finishBody()
+{
+    if (this->endsInsideEvent()) {
+        this->failure = {ErrorCode::BackendServerLost,
+                         RunState::OutcomeUnknown,
+                         "the stream ended inside an event",
+                         {}};
+        co_return ReadEnd::Lost;
+    }
+    const Milliseconds endedAt = this->dependencies.clock.now();
+    const BodyEnd bodyEnd = co_await this->findBodyEnd();
+    if (this->call.isCallerGone)
+        co_return ReadEnd::CallerGone;
+    if (bodyEnd == BodyEnd::Complete) {
+        const bool isForwarded = co_await this->forwardRemainder();
+        co_return isForwarded ? ReadEnd::Complete : ReadEnd::CallerGone;
+    }
+    const Milliseconds now = this->dependencies.clock.now();
+    recordBrokenEnd(this->dependencies.entry.metrics, this->call, this->placement.server,
+                    this->stopEffect(), now - endedAt);
+    this->failure = {ErrorCode::BackendServerLost,
+                     RunState::OutcomeUnknown,
+                     "the stream was closed without framing after a request to stop its run",
+                     {}};
+    co_return this->call.timeLeft(now) <= Milliseconds(0) ? ReadEnd::Deadline : ReadEnd::Lost;
+}
+
+/** Returns what the regular end of the body shows, if need be after the engine's answer. */
+net::awaitable<BodyEnd> EventRelay::findBodyEnd()
+{
+    // The engine has closed the stream, so its silence is no reason to stop the run any more.
+    this->silenceWatch.restart(std::nullopt);
+    while (true) {
+        const BodyEnd end = bodyEndOf(this->attempt->bodyFraming(), this->stopEffect());
+        const bool isOver = this->call.timeLeft(this->dependencies.clock.now()) <= Milliseconds(0);
+        if (end != BodyEnd::Undecided || this->call.isCallerGone || isOver)
+            co_return end;
+        co_await this->waitForStopAnswer();
+    }
+}
+
+/** Waits for an outstanding answer to a request to stop the run, or until the caller has left. */
+net::awaitable<void> EventRelay::waitForStopAnswer()
+{
+    if (this->stop)
+        this->stop->insist();
+    const auto pending = std::find_if(this->stopRecords.begin(), this->stopRecords.end(),
+                                      [this](const auto &entry) {
+                                          return entry.first == this->partCount
+                                                  && entry.second->effect() == StopEffect::Pending;
+                                      });
+    if (pending == this->stopRecords.end())
+        co_return;
+    const std::shared_ptr<StopRecord> record = pending->second;
+    this->call.cancelHooks[record.get()] = [record] {
+        record->endWait();
+    };
+    co_await record->waitForAnswer();
+    this->call.cancelHooks.erase(record.get());
+}
+
 /** Returns whether the body ended inside an event, which shows that the engine broke it off. */
 bool EventRelay::endsInsideEvent() const
 {
--- a/packages/gateway/relay/eventrelay.h
+++ b/packages/gateway/relay/eventrelay.h
@@ -56,6 +56,9 @@
     boost::asio::awaitable<AttemptResult> startPart();
     boost::asio::awaitable<ReadEnd> forwardStream();
     boost::asio::awaitable<bool> forwardEvents();
+    boost::asio::awaitable<ReadEnd> finishBody();
+    boost::asio::awaitable<BodyEnd> findBodyEnd();
+    boost::asio::awaitable<void> waitForStopAnswer();
     bool endsInsideEvent() const;
     boost::asio::awaitable<bool> forwardRemainder();
     bool isPartOfStream(const HttpResponse &response);
--- a/packages/gateway/relay/peerrelay.cpp
+++ b/packages/gateway/relay/peerrelay.cpp
@@ -232,7 +232,8 @@
         const auto bytes = co_await this->connection->read(
                 std::max(Milliseconds(1), this->timeLeft()), reason);
         isOpen = bytes.has_value();
-        isComplete = isOpen && bytes->empty();
+        isComplete = isOpen && bytes->empty() && this->isFramed();
+        isOpen = isComplete || (isOpen && !bytes->empty());
         if (isOpen && !isComplete)
             isOpen = co_await this->responder.write(*bytes);
     }
@@ -259,6 +260,14 @@
             co_await this->sendError(std::move(failure));
             co_return;
         }
+        if (bytes->empty() && !this->isFramed()) {
+            failure = {ErrorCode::ProtocolViolation,
+                       RunState::OutcomeUnknown,
+                       "the response of the peer has neither a length nor chunks",
+                       {}};
+            co_await this->sendError(std::move(failure));
+            co_return;
+        }
         if (bytes->empty())
             break;
         if (body.size() + bytes->size() > maximumResponseBytes
@@ -280,6 +289,16 @@
     co_await this->end(std::move(response));
 }
 
+/**
+ * Returns whether the body of the response has a length or chunks, as each response of a host has.
+ * The close of a peer's connection shows no end, because the system closes it when the process
+ * ends.
+ */
+bool PeerRelay::isFramed() const
+{
+    return this->connection->bodyFraming() != BodyFraming::Close;
+}
+
 /** Answers a call that may have run with an error. */
 net::awaitable<void> PeerRelay::sendError(Error error)
 {
--- a/packages/gateway/relay/peerrelay.h
+++ b/packages/gateway/relay/peerrelay.h
@@ -80,6 +80,7 @@
     boost::asio::awaitable<Result> keepRefusal(HttpResponse response);
     bool isRefusal(const HttpResponse &response) const;
     bool mayTryNextPeer(Result result);
+    bool isFramed() const;
     Milliseconds timeLeft() const;
     void finish(std::string_view outcome, int status);
     void cancel();
--- a/packages/gateway/relay/runevidence.cpp
+++ b/packages/gateway/relay/runevidence.cpp
@@ -67,4 +67,22 @@
     return required && unansweredFor >= *required;
 }
 
+BodyEnd bodyEndOf(BodyFraming framing, StopEffect effect)
+{
+    if (framing != BodyFraming::Close)
+        return BodyEnd::Complete;
+    switch (effect) {
+    case StopEffect::None:
+    case StopEffect::Absent:
+    case StopEffect::Declined:
+        return BodyEnd::Complete;
+    case StopEffect::Pending:
+        return BodyEnd::Undecided;
+    case StopEffect::Stopped:
+    case StopEffect::Unknown:
+        return BodyEnd::Broken;
+    }
+    return BodyEnd::Broken;
+}
+
 } // namespace sassafrasyard
--- a/packages/gateway/relay/runevidence.h
+++ b/packages/gateway/relay/runevidence.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "core/core.h"
+#include "gateway/relay/stoprecord.h"
+#include "network/network.h"
 
 #include <string_view>
 
@@ -58,4 +60,26 @@
  */
 bool showsRunEnd(RunEvidence evidence, RunConnection connection, Milliseconds unansweredFor);
 
+/** What the regular end of the body shows of the stream that an engine sent. */
+enum class BodyEnd {
+    /** The run came to its end. */
+    Complete,
+    /** The run was stopped, or may have been. */
+    Broken,
+    /** An outstanding answer of the engine will show it. */
+    Undecided,
+};
+
+/**
+ * Returns what the regular end of a body shows.
+ *
+ * An engine that is asked to stop a run closes its stream without its end. A length or the last
+ * chunk would be missing then, but without them a stream that was stopped after a whole event ends
+ * like one that is complete. So without framing the end depends on what this host has asked of the
+ * engine.
+ *
+ * @param effect what the requests to stop the run may have done.
+ */
+BodyEnd bodyEndOf(BodyFraming framing, StopEffect effect);
+
 } // namespace sassafrasyard
--- a/packages/observability/logging/logevent.cpp
+++ b/packages/observability/logging/logevent.cpp
@@ -87,6 +87,7 @@
         LogEventEntry{LogEvent::RelayPeersFound, LogLevel::Info, "relay_peers_found"},
         LogEventEntry{LogEvent::RelayUnavailable, LogLevel::Warning, "relay_unavailable"},
         LogEventEntry{LogEvent::BrittleServiceStated, LogLevel::Info, "brittle_service_stated"},
+        LogEventEntry{LogEvent::BrokenEndFound, LogLevel::Info, "broken_end_found"},
 };
 
 } // namespace
--- a/packages/observability/logging/logevent.h
+++ b/packages/observability/logging/logevent.h
@@ -89,6 +89,7 @@
     RelayPeersFound = 8028,
     RelayUnavailable = 8029,
     BrittleServiceStated = 8030,
+    BrokenEndFound = 8031,
 };
 
 /** An entry of the event catalogue. */
