Test each way in which an unframed stream can end while its run is stopped

The first tests covered a stop that is answered soon and one whose answer is lost. The requests whose answer comes late, never, after a busy engine or after the host has given them up, silent engines, resumable routes, returns to the same engine, callers that leave and deadlines had none, and neither had the sound end in the same moment beside all of these. The stand-ins now have chunked responses as a control, work on without their connection, and answer 404 without a run; their streams are shorter, and cases of one test run at once.

--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -536,6 +536,9 @@
     std::function<Milliseconds(const MoveOrder &)> stopAnswerTime = [](const MoveOrder &) {
         return Milliseconds(0);
     };
+    /** Whether an answer to such a request is lost if it takes longer than the host waits for it.
+     */
+    bool losesLateAnswers = false;
     std::shared_ptr<boost::asio::io_context> ownedContext;
     boost::asio::io_context &context;
 
@@ -618,11 +621,15 @@
                 co_return std::nullopt;
             co_return MemoryCopy{order.sourceAddress, "handle"};
         };
-        calls.stopRun = [this](MoveOrder order, Milliseconds,
+        calls.stopRun = [this](MoveOrder order, Milliseconds timeout,
                                Error &) -> boost::asio::awaitable<RunStopResult> {
             this->stops.push_back(order);
             RunStopResult answer = this->answerStop(order);
-            const Milliseconds answerTime = this->stopAnswerTime(order);
+            Milliseconds answerTime = this->stopAnswerTime(order);
+            if (this->losesLateAnswers && answerTime > timeout) {
+                answerTime = timeout;
+                answer = {};
+            }
             if (answerTime > Milliseconds(0))
                 co_await pause(answerTime);
             co_return answer;
--- a/packages/gateway/tests/unframedengines.h
+++ b/packages/gateway/tests/unframedengines.h
@@ -6,10 +6,18 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/write.hpp>
 
+#include <catch2/catch.hpp>
+
+#include <algorithm>
 #include <array>
+#include <functional>
 #include <map>
+#include <memory>
+#include <optional>
 #include <set>
+#include <sstream>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace sassafrasyard {
@@ -18,21 +26,35 @@
  * Two engines whose streams have neither a length nor chunks and end with their connection.
  *
  * An engine that stops a run closes its stream after a whole event. The run has copies by its
- * backup, by a move and in the memory of the engine that stopped it; each can be taken away.
+ * backup, by a move and in the memory of the engine that stopped it; each can be taken away. An
+ * engine works on a run to its end, also without its connection, unless told to stop.
  */
 class UnframedEngines
 {
 public:
-    static constexpr std::uint64_t lastEvent = 120;
-    static constexpr Milliseconds eventInterval{20};
+    static constexpr std::uint64_t lastEvent = 70;
+    static constexpr Milliseconds eventInterval{10};
+
+    /** How the stream of a run that its engine stopped ends. */
+    enum class Ending {
+        /** After a whole event, by an orderly close. */
+        Close,
+        /** After a whole event, by a reset of the connection. */
+        Reset,
+        /** Inside an event, by an orderly close. */
+        InsideEvent,
+    };
 
-    explicit UnframedEngines(Route route = makeRoute())
+    /** Creates engines and their gateway. @param context runs them, perhaps with others. */
+    explicit UnframedEngines(Route route = makeRoute(),
+                             std::shared_ptr<boost::asio::io_context> context =
+                                     std::make_shared<boost::asio::io_context>())
+        : fixture(std::move(context))
     {
         this->fixture.addRoute(std::move(route), makeEngineProperties());
         for (const std::string name : {"a", "b"}) {
-            this->fixture.addRawServer(name, [this, name](boost::asio::ip::tcp::socket &socket) {
-                return this->serve(name, socket);
-            });
+            this->fixture.addRawServer(
+                    name, [this, name](Socket &socket) { return this->serve(name, socket); });
         }
         this->fixture.answerStop = [this](const MoveOrder &order) {
             return this->stop(order);
@@ -40,6 +62,7 @@
         this->fixture.allowsMove = [](const MoveOrder &) {
             return false;
         };
+        this->fixture.losesLateAnswers = true;
     }
 
     static Route makeRoute()
@@ -55,6 +78,15 @@
         return route;
     }
 
+    /** Returns a route whose streams may be run again after their last event. */
+    static Route makeResumableRoute()
+    {
+        Route route = makeRoute();
+        route.isResumable = true;
+        route.maximumAttempts = 3;
+        return route;
+    }
+
     static EngineProperties makeEngineProperties()
     {
         EngineProperties engine;
@@ -76,26 +108,81 @@
     }
 
     /** Sends the call of the test. @return its response; status 0 if it is incomplete. */
-    HttpResponse call() { return this->fixture.call("/stream/", "r1", {{"Patience", "8000"}}); }
+    HttpResponse call(const std::string &patience = "8000")
+    {
+        this->start(patience);
+        while (!this->hasEnded())
+            this->fixture.runOne();
+        return *this->answer;
+    }
+
+    /** Returns whether the call of the test has ended, at its host too. */
+    bool hasEnded() { return this->answer && this->fixture.entryState().activeRequests == 0; }
+
+    /** Starts the call of the test without waiting for its response. */
+    void start(const std::string &patience = "8000")
+    {
+        this->fixture.send(GatewayFixture::makeCall("/stream/", "r1", {{"Patience", patience}}),
+                           [this](HttpResponse response) { this->answer = std::move(response); });
+    }
+
+    /** Lets the engines answer each request to stop a run after a time. */
+    void answerAfter(Milliseconds time)
+    {
+        this->fixture.stopAnswerTime = [time](const MoveOrder &) {
+            return time;
+        };
+    }
+
+    /** Lets the first engine stop its run, if any, after a time. */
+    void stopLater(Milliseconds time)
+    {
+        this->fixture.spawn([this, time]() -> boost::asio::awaitable<void> {
+            co_await GatewayFixture::pause(time);
+            this->working.erase(this->runs.front());
+        });
+    }
 
     /** Lets the engine of the first run leave before an event. */
-    std::uint64_t leavesBefore = 40;
+    std::uint64_t leavesBefore = 45;
+    /** Before which event the engine of the first run ends its process without an order. */
+    std::uint64_t exitsBefore = 0;
+    /** Before which event the first run loses its connection, although it goes on. */
+    std::uint64_t losesConnectionBefore = 0;
+    /** Before which event the first run is silent, for how long. */
+    std::uint64_t silentBefore = 0;
+    Milliseconds silence{4000};
+    /** Whether responses have chunks. */
+    bool isChunked = false;
+    Ending ending = Ending::Close;
     /** Whether an engine has a copy of the run of the other one. */
     bool hasBackups = true;
+    /** Whether an engine has the copies of a run that the other one made when it was asked to. */
+    bool hasMovedCopies = true;
     /** Whether an engine keeps the memory of a run that it stops, and copies it to the target. */
     bool keepsMemory = false;
     bool copiesMemory = false;
-    /** Returns the answer to a request to stop a run, which has been carried out. */
-    std::function<RunStopResult(RunStopResult)> changeAnswer = [](RunStopResult answer) {
-        return answer;
-    };
+    /**
+     * Returns the answer to a request to stop a run, after it was carried out if it is.
+     * fixture.stops counts the requests.
+     */
+    std::function<RunStopResult(const RunStopResult &)> changeAnswer =
+            [](const RunStopResult &answer) {
+                return answer;
+            };
     /** Whether requests to stop a run are carried out. */
     bool stopsRuns = true;
     /** The engines in the order in which they ran the call. */
     std::vector<std::string> runs;
+    /** The response to the call, once it has ended. */
+    std::optional<HttpResponse> answer;
+    /** The largest number of engines that worked on the run at once. */
+    std::size_t mostAtOnce = 0;
     GatewayFixture fixture;
 
 private:
+    using Socket = boost::asio::ip::tcp::socket;
+
     static std::string eventText(std::uint64_t number)
     {
         return "id: " + std::to_string(number) + "\ndata: t" + std::to_string(number) + "\n\n";
@@ -110,50 +197,146 @@
         return head.substr(value, head.find("\r\n", value) - value);
     }
 
-    boost::asio::awaitable<void> serve(const std::string &name,
-                                       boost::asio::ip::tcp::socket &socket)
+    /**
+     * Reads a request with its body, because a close with unread bytes resets the connection.
+     *
+     * @return its header, or an empty text.
+     */
+    static boost::asio::awaitable<std::string> readHead(Socket &socket)
     {
         namespace net = boost::asio;
-        std::string head;
+        constexpr std::string_view headEnd = "\r\n\r\n";
+        std::string text;
         std::array<char, 4096> bytes{};
-        boost::system::error_code code;
-        while (!code && head.find("\r\n\r\n") == std::string::npos) {
+        std::size_t bodyStart = std::string::npos;
+        std::size_t length = 0;
+        while (bodyStart == std::string::npos || text.size() < bodyStart + length) {
+            boost::system::error_code code;
             const std::size_t count = co_await socket.async_read_some(
                     net::buffer(bytes), net::redirect_error(net::use_awaitable, code));
-            head.append(bytes.data(), count);
+            if (code)
+                co_return std::string();
+            text.append(bytes.data(), count);
+            const std::size_t end = text.find(headEnd);
+            if (end == std::string::npos)
+                continue;
+            bodyStart = end + headEnd.size();
+            const std::string stated = fieldOf(text, "Content-Length");
+            length = stated.empty() ? 0 : std::stoull(stated);
         }
-        if (code)
+        co_return text.substr(0, bodyStart);
+    }
+
+    /** Sends bytes. @return whether the connection is still open. */
+    static boost::asio::awaitable<bool> send(Socket &socket, std::string text)
+    {
+        namespace net = boost::asio;
+        boost::system::error_code code;
+        co_await net::async_write(socket, net::buffer(text),
+                                  net::redirect_error(net::use_awaitable, code));
+        co_return !code;
+    }
+
+    static void reset(Socket &socket)
+    {
+        boost::system::error_code ignored;
+        socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        socket.close(ignored);
+    }
+
+    std::string header(const std::string &id) const
+    {
+        const std::string framing =
+                this->isChunked ? "Transfer-Encoding: chunked\r\n" : "Connection: close\r\n";
+        return "HTTP/1.1 200 OK\r\nSignature: s\r\nId: " + id
+                + "\r\nContent-Type: text/event-stream\r\n" + framing + "\r\n";
+    }
+
+    /** Returns a piece of a body as it is sent. */
+    std::string frame(const std::string &piece) const
+    {
+        if (!this->isChunked)
+            return piece;
+        std::ostringstream text;
+        text << std::hex << piece.size() << "\r\n" << piece << "\r\n";
+        return text.str();
+    }
+
+    boost::asio::awaitable<void> serve(const std::string &name, Socket &socket)
+    {
+        const std::string head = co_await readHead(socket);
+        if (head.empty())
             co_return;
         const std::string id = fieldOf(head, "Id");
         const std::string source = fieldOf(head, "Source");
         if (!source.empty() && !this->takeMemory(name, source)) {
-            const std::string refusal = "HTTP/1.1 503 Full\r\nId: " + id
-                    + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
-            co_await net::async_write(socket, net::buffer(refusal),
-                                      net::redirect_error(net::use_awaitable, code));
+            co_await send(socket,
+                          "HTTP/1.1 503 Full\r\nId: " + id
+                                  + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
             co_return;
         }
         this->runs.push_back(name);
         const std::size_t run = this->runs.size();
         this->working[name] = run;
+        this->mostAtOnce = std::max(this->mostAtOnce, this->working.size());
+        const bool isOpen = co_await send(socket, this->header(id));
         const std::string last = fieldOf(head, "Last");
-        std::string text = "HTTP/1.1 200 OK\r\nSignature: s\r\nId: " + id
-                + "\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n";
-        for (std::uint64_t number = last.empty() ? 0 : std::stoull(last);
-             number < lastEvent && !code;) {
-            co_await net::async_write(socket, net::buffer(text),
-                                      net::redirect_error(net::use_awaitable, code));
-            co_await GatewayFixture::pause(eventInterval);
-            if (this->working[name] != run)
+        co_await this->work(run, last.empty() ? 0 : std::stoull(last), isOpen, socket);
+    }
+
+    /** Works on a run from the event after the given one on. */
+    boost::asio::awaitable<void> work(std::size_t run, std::uint64_t number, bool isOpen,
+                                      Socket &socket)
+    {
+        while (number < lastEvent) {
+            ++number;
+            co_await this->waitForEvent(run, number);
+            if (!this->isWorking(run)) {
+                if (isOpen)
+                    co_await this->breakOff(number, socket);
                 co_return;
-            if (run == 1 && number + 1 == this->leavesBefore)
-                this->fixture.markLeaving(name);
-            text = eventText(++number);
+            }
+            if (run == 1 && number == this->losesConnectionBefore) {
+                reset(socket);
+                isOpen = false;
+            }
+            if (run == 1 && number == this->leavesBefore)
+                this->fixture.markLeaving(this->runs.front());
+            if (isOpen)
+                isOpen = co_await send(socket, this->frame(eventText(number)));
         }
-        co_await net::async_write(socket, net::buffer(text),
-                                  net::redirect_error(net::use_awaitable, code));
-        this->working.erase(name);
-        this->hasBackups = false;
+        if (isOpen && this->isChunked)
+            isOpen = co_await send(socket, "0\r\n\r\n");
+        this->working.erase(this->runs[run - 1]);
+        // A backup is kept until its run has ended successfully.
+        if (isOpen)
+            this->hasBackups = false;
+    }
+
+    boost::asio::awaitable<void> waitForEvent(std::size_t run, std::uint64_t number)
+    {
+        const bool isSilent = run == 1 && number == this->silentBefore;
+        for (Milliseconds waited(0); isSilent && waited < this->silence && this->isWorking(run);
+             waited += eventInterval)
+            co_await GatewayFixture::pause(eventInterval);
+        co_await GatewayFixture::pause(eventInterval);
+        if (run == 1 && number == this->exitsBefore)
+            this->working.erase(this->runs.front());
+    }
+
+    /** Ends the stream of a run that was stopped before an event. */
+    boost::asio::awaitable<void> breakOff(std::uint64_t number, Socket &socket)
+    {
+        if (this->ending == Ending::InsideEvent)
+            co_await send(socket, this->frame(eventText(number).substr(0, 5)));
+        if (this->ending == Ending::Reset)
+            reset(socket);
+    }
+
+    bool isWorking(std::size_t run) const
+    {
+        const auto found = this->working.find(this->runs[run - 1]);
+        return found != this->working.end() && found->second == run;
     }
 
     bool takeMemory(const std::string &name, const std::string &source)
@@ -162,14 +345,15 @@
             return this->hasBackups;
         if (source == "kept")
             return this->kept.erase(name) > 0;
-        return name != this->runs.front();
+        return this->hasMovedCopies && name != this->runs.front();
     }
 
     RunStopResult stop(const MoveOrder &order)
     {
         const std::string name = this->fixture.addressOf("a") == order.sourceAddress ? "a" : "b";
         RunStopResult answer;
-        if (!this->stopsRuns) {
+        answer.hasAnswered = true;
+        if (!this->stopsRuns && this->working.contains(name)) {
             answer.state = RunStopResult::State::Declined;
             return this->changeAnswer(answer);
         }
@@ -189,4 +373,40 @@
     std::set<std::string> kept;
 };
 
+/** Several cases of a test, whose calls run at once. */
+class UnframedCases
+{
+public:
+    /** Prepares a case, or checks its result. */
+    using Step = std::function<void(UnframedEngines &)>;
+
+    /** Adds a case. */
+    void add(const Step &prepare, Step check, Route route = UnframedEngines::makeRoute())
+    {
+        this->cases.push_back(std::make_unique<UnframedEngines>(std::move(route), this->context));
+        this->checks.push_back(std::move(check));
+        prepare(*this->cases.back());
+    }
+
+    /** Runs the calls of all cases and then checks each of them. */
+    void run()
+    {
+        for (const auto &engines : this->cases)
+            engines->start();
+        for (const auto &engines : this->cases) {
+            while (!engines->hasEnded())
+                this->context->run_one();
+        }
+        for (std::size_t index = 0; index < this->cases.size(); ++index) {
+            INFO("case " << index);
+            this->checks[index](*this->cases[index]);
+        }
+    }
+
+private:
+    std::shared_ptr<boost::asio::io_context> context = std::make_shared<boost::asio::io_context>();
+    std::vector<std::unique_ptr<UnframedEngines>> cases;
+    std::vector<Step> checks;
+};
+
 } // namespace sassafrasyard
