Test that a stream whose peer breaks off does not look complete

A host answers with a length or chunks, so a relayed body that has neither and ends with its connection was cut off on the way. It reached the caller as complete before (one of the four cases of the test). A body that lacks its last chunk is broken off, and whole ones are complete.

--- a/packages/gateway/tests/test_unframedends.cpp
+++ b/packages/gateway/tests/test_unframedends.cpp
@@ -1,13 +1,16 @@
 #include "logcapture.h"
+#include "strandedhosts.h"
 #include "unframedengines.h"
 
 #include <catch2/catch.hpp>
 
 using namespace sassafrasyard;
 
+namespace net = boost::asio;
+
 namespace {
 
-RunStopResult loseAnswer(RunStopResult)
+RunStopResult loseAnswer(const RunStopResult &)
 {
     return {};
 }
@@ -20,6 +23,68 @@
     return answer;
 }
 
+/** A stand-in for a peer that answers each call with the same bytes and closes the connection. */
+class RawPeer
+{
+public:
+    RawPeer(net::io_context &context, std::string response)
+        : acceptor(context,
+                   net::ip::tcp::endpoint(net::ip::make_address("127.0.0.1"), std::uint16_t{0}))
+        , response(std::move(response))
+    {
+        net::co_spawn(
+                context, [this] { return this->accept(); }, net::detached);
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
+    }
+
+    /** The number of calls that were answered. */
+    int callCount = 0;
+
+private:
+    net::awaitable<void> accept()
+    {
+        boost::system::error_code code;
+        while (!code) {
+            net::ip::tcp::socket socket = co_await this->acceptor.async_accept(
+                    net::redirect_error(net::use_awaitable, code));
+            if (!code)
+                co_await this->answer(socket);
+        }
+    }
+
+    net::awaitable<void> answer(net::ip::tcp::socket &socket)
+    {
+        boost::system::error_code code;
+        std::string request;
+        // A close with unread bytes resets the connection.
+        while (!code && request.find("body of ") == std::string::npos) {
+            std::array<char, 4096> bytes{};
+            const std::size_t count = co_await socket.async_read_some(
+                    net::buffer(bytes), net::redirect_error(net::use_awaitable, code));
+            request.append(bytes.data(), count);
+        }
+        if (code)
+            co_return;
+        ++this->callCount;
+        co_await net::async_write(socket, net::buffer(this->response),
+                                  net::redirect_error(net::use_awaitable, code));
+    }
+
+    net::ip::tcp::acceptor acceptor;
+    std::string response;
+};
+
+/** Returns the response of a peer to a call. @param framing its framing fields, as lines. */
+std::string peerResponse(const std::string &framing, const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Type: text/event-stream\r\n" + framing
+            + "\r\n" + body;
+}
+
 } // namespace
 
 // Guards against a stream without a length and chunks that ends as complete where its engine
@@ -59,7 +124,7 @@
 {
     UnframedEngines engines;
     bool isFirst = true;
-    engines.changeAnswer = [&](RunStopResult answer) {
+    engines.changeAnswer = [&](const RunStopResult &answer) {
         // The backup is lost with the stop.
         engines.hasBackups = false;
         return std::exchange(isFirst, false) ? RunStopResult{} : withoutMemory(answer);
@@ -106,3 +171,30 @@
     CHECK(LogCapture::field(lines[0], "framing") == "close");
     CHECK(LogCapture::field(lines[0], "stop") == "none");
 }
+
+// Guards against a relayed stream that ends as complete although its peer, whose responses have a
+// length or chunks, has ended inside it.
+TEST_CASE("A relayed stream whose body has no framing does not look complete", "[unframed]")
+{
+    const std::string event = "id: 1\ndata: t\n\n";
+    const auto [framing, body, isWhole] = GENERATE_COPY(table<std::string, std::string, bool>({
+            {"Connection: close\r\n", event, false},
+            {"Transfer-Encoding: chunked\r\n", "f\r\n" + event + "\r\n", false},
+            {"Transfer-Encoding: chunked\r\n", "f\r\n" + event + "\r\n0\r\n\r\n", true},
+            {"Content-Length: 15\r\n", event, true},
+    }));
+    REQUIRE(event.size() == 15);
+    const auto refuse = [](const HttpRequest &request,
+                           HttpResponder &responder) -> net::awaitable<void> {
+        HttpResponse refusal = GatewayFixture::refusal(request);
+        co_await responder.send(std::move(refusal));
+    };
+    StrandedHosts stranded(UnframedEngines::makeRoute(), StrandedHosts::Cut::Refused, refuse);
+    RawPeer peer(*stranded.hosts.context, peerResponse(framing, body));
+    stranded.setPeers({{"1", peer.address()}});
+    stranded.notice();
+    const HttpResponse answer = stranded.call("/stream/");
+    CHECK(peer.callCount == 1);
+    CHECK(answer.status == (isWhole ? 200 : 0));
+    CHECK(stranded.hosts.hosts[0]->receivedBody == event);
+}
