--- a/packages/gateway/tests/test_unframedstops.cpp
+++ b/packages/gateway/tests/test_unframedstops.cpp
@@ -90,11 +90,8 @@
     };
 }
 
-/**
- * Lets a run that has lost its connection return to its engine, which then acts on a first request
- * whose answer was lost.
- */
-void actAfterReturn(UnframedEngines &engines, bool hasBackups)
+/** Lets a run that has lost its connection return to its engine, after a first answer was lost. */
+void returnAfterLostAnswer(UnframedEngines &engines)
 {
     keepOneCopy(engines, false);
     engines.leavesBefore = 0;
@@ -103,6 +100,12 @@
     engines.changeAnswer = [&engines](const RunStopResult &answer) {
         return std::exchange(engines.stopsRuns, true) ? answer : RunStopResult{};
     };
+}
+
+/** Lets the engine act on that first request after the return. */
+void actAfterReturn(UnframedEngines &engines, bool hasBackups)
+{
+    returnAfterLostAnswer(engines);
     engines.fixture.spawn([&engines, hasBackups]() -> net::awaitable<void> {
         while (engines.runs.size() < 2)
             co_await GatewayFixture::pause(Milliseconds(5));
@@ -557,6 +560,25 @@
     cases.run();
 }
 
+// Guards against a third run after the sound end of such a part, which stays unknown without
+// framing.
+TEST_CASE("An unframed part that returned after a lost answer does not run again", "[unframed]")
+{
+    UnframedCases cases;
+    for (const bool isChunked : {true, false}) {
+        const auto prepare = [&](UnframedEngines &engines) {
+            engines.isChunked = isChunked;
+            returnAfterLostAnswer(engines);
+        };
+        cases.add(prepare, [isChunked](UnframedEngines &engines) {
+            CHECK(engines.runs.size() == 2);
+            CHECK(engines.answer->status == (isChunked ? 200 : 0));
+            CHECK(engines.fixture.receivedBody == UnframedEngines::events());
+        });
+    }
+    cases.run();
+}
+
 // Guards against a stream that is cut because the part that returned to its engine ends by itself,
 // after the request that stopped the first part was answered.
 TEST_CASE("An unframed part that returned to its engine is complete at its end", "[unframed]")
