Let the strongest effect of several requests to stop a run count

Read in review: a later answer that a run was left alone would have hidden an earlier request whose answer was outstanding. No path to it is known.

--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -806,13 +806,10 @@
 {
     StopEffect effect = StopEffect::None;
     for (const auto &[part, record] : this->stopRecords) {
-        if (part == this->partCount && effect != StopEffect::Stopped
-            && effect != StopEffect::Unknown && record->effect() != StopEffect::None)
-            effect = record->effect();
-        const bool isEarlierHere = part < this->partCount
-                && record->server() == this->placement.server && record->mayStillAct();
-        if (isEarlierHere && effect != StopEffect::Stopped)
-            effect = StopEffect::Unknown;
+        if (part == this->partCount)
+            effect = std::max(effect, record->effect());
+        else if (record->server() == this->placement.server && record->mayStillAct())
+            effect = std::max(effect, StopEffect::Unknown);
     }
     return effect;
 }
--- a/packages/gateway/relay/stoprecord.h
+++ b/packages/gateway/relay/stoprecord.h
@@ -11,21 +11,24 @@
 
 namespace sassafrasyard {
 
-/** What the requests to stop a run may have done to it, as far as its engine's answers show. */
+/**
+ * What the requests to stop a run may have done to it, as far as its engine's answers show.
+ *
+ * Of several requests, the one with the last effect in this order counts.
+ */
 enum class StopEffect {
     /** No request can have reached the engine. */
     None,
-    /** The answer to a request is outstanding. */
-    Pending,
-    /** The engine has stopped the run. */
-    Stopped,
     /** The engine has no such run, and no earlier request can have stopped it. */
     Absent,
     /** The engine has left the run as it is. */
     Declined,
-    /** The answer to a request was lost; the engine may have stopped the run, or may do so later.
-     */
+    /** The answer to a request is outstanding. */
+    Pending,
+    /** The answer to a request was lost; the engine may have stopped the run or do so later. */
     Unknown,
+    /** The engine has stopped the run. */
+    Stopped,
 };
 
 /** Returns the name of an effect in logs and metrics. */
