Reject a status that is neither provisional nor 200 to 599

Callers got the body of a broken answer as their response: a server in trouble sent the status 000, and if what followed its header looked like a response, that was the answer, with status 200. With an empty body the call waited for its deadline (504). 600 and 999 reached callers as they were. A final /kv-move answered so could show that a run had stopped, and a list of the store could be applied.

HttpConnection::readHeader() took every status under 200 for a provisional one and read the next response. Only a real 1xx ends with its header; after 101 the connection no longer carries HTTP, and this host never asks for it.

There is one rule now at the one place that reads status lines: 100 and 102 to 199 are skipped as before, 200 to 599 are responses, and anything else is a ProtocolViolation with OutcomeUnknown as soon as the header is complete; the connection is closed, and a closed one is no longer reusable.

600 to 999 are no statuses of HTTP; RFC 9110 (15) lets a client treat them as a server error, so the caller gets this host's own 502. The server may have run the request: a non-idempotent call is not repeated, an idempotent call or a resumable stream goes to another server within its attempts and the retry budget. Not-Run beside such a status is not believed. It is no crash and no lost connection, as for any other violation.

The calls of the tests end within 1 s where the deadline is 5 s.

--- /dev/null
+++ b/packages/gateway/tests/test_brokenstatuses.cpp
@@ -0,0 +1,382 @@
+#include "strandedhosts.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <cstdio>
+#include <functional>
+#include <string>
+#include <utility>
+
+using namespace sassafrasyard;
+
+namespace net = boost::asio;
+using tcp = net::ip::tcp;
+
+namespace {
+
+constexpr Milliseconds routeTimeout{5000};
+/** How long an idempotent call waits for a server is twice this. */
+constexpr Milliseconds targetLatency{1500};
+/** Within this time a call that need not wait has ended; below any limit of the route. */
+constexpr Milliseconds endedWithin{1000};
+
+const std::string event1 = "id: 1\ndata: a\n\n";
+const std::string event2 = "id: 2\ndata: b\n\n";
+
+Route makeRoute(CallKind kind, bool isResumable = false)
+{
+    Route route;
+    route.name = "route";
+    route.pathPrefix = "/route/";
+    route.kind = kind;
+    route.isResumable = isResumable;
+    route.maximumAttempts = kind == CallKind::Idempotent || isResumable ? 2 : 1;
+    route.timeout = routeTimeout;
+    route.targetLatency = targetLatency;
+    route.targetPause = Milliseconds(100);
+    return route;
+}
+
+/** Returns a complete response of a server to a call. */
+std::string makeAnswer(const std::string &id, const std::string &type, const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\nSignature: s\r\nId: " + id + "\r\nContent-Type: " + type
+            + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/** What follows the status line of a broken answer. */
+enum class Form {
+    Empty,
+    Text,
+    ResponseWithLength,
+    ResponseInChunks,
+    ResponseUntilClose,
+    StatedAsNotRun
+};
+
+std::string toChunks(const std::string &text)
+{
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+    return size.data() + text + "\r\n0\r\n\r\n";
+}
+
+/** Returns an answer whose body is a response to the call, except for the shorter forms. */
+std::string makeBrokenAnswer(const std::string &status, Form form, const std::string &id,
+                             const std::string &response)
+{
+    std::string head = "HTTP/1.1 " + status + " Text\r\nSignature: s\r\nId: " + id + "\r\n";
+    const std::string length = "Content-Length: ";
+    switch (form) {
+    case Form::Empty:
+        return head + length + "0\r\n\r\n";
+    case Form::Text:
+        return head + length + "5\r\n\r\nerror";
+    case Form::ResponseWithLength:
+        return head + length + std::to_string(response.size()) + "\r\n\r\n" + response;
+    case Form::ResponseInChunks:
+        return head + "Transfer-Encoding: chunked\r\n\r\n" + toChunks(response);
+    case Form::ResponseUntilClose:
+        return head + "Connection: close\r\n\r\n" + response;
+    case Form::StatedAsNotRun:
+        return head + "Not-Run: 1\r\n" + length + "0\r\n\r\n";
+    }
+    return head;
+}
+
+net::awaitable<std::string> readHead(tcp::socket &socket)
+{
+    std::string text;
+    std::array<char, 4096> bytes{};
+    boost::system::error_code code;
+    while (!code && text.find("\r\n\r\n") == std::string::npos) {
+        const std::size_t count = co_await socket.async_read_some(
+                net::buffer(bytes), net::redirect_error(net::use_awaitable, code));
+        text.append(bytes.data(), count);
+    }
+    co_return code ? std::string() : text;
+}
+
+std::string idOf(const std::string &head)
+{
+    const std::size_t start = head.find("\r\nId: ") + 6;
+    return head.substr(start, head.find("\r\n", start) - start);
+}
+
+net::awaitable<void> sendText(tcp::socket &socket, std::string text)
+{
+    boost::system::error_code ignored;
+    co_await net::async_write(socket, net::buffer(text),
+                              net::redirect_error(net::use_awaitable, ignored));
+}
+
+/** Two servers whose answers to a call are given by the number of its attempt. */
+class NumberedServers
+{
+public:
+    /** Returns the bytes of an answer. */
+    using Answer = std::function<std::string(int attempt, const std::string &id)>;
+
+    /** @param isClosed whether a server closes the connection after its answer. */
+    NumberedServers(const Route &route, Answer answer, bool isClosed)
+        : answer(std::move(answer))
+        , isClosed(isClosed)
+    {
+        this->fixture.addRoute(route);
+        for (const std::string name : {"a", "b"})
+            this->fixture.addRawServer(name,
+                                       [this](tcp::socket &socket) { return this->serve(socket); });
+    }
+
+    /** Sends a call. @return the response; its status is 0 if it is incomplete. */
+    HttpResponse call()
+    {
+        const Milliseconds start = Clock::steady().now();
+        HttpResponse response = this->fixture.call("/route/1", "1");
+        this->elapsed = Clock::steady().now() - start;
+        return response;
+    }
+
+    /** Whether the connection of the first attempt is closed after its answer. */
+    bool closesFirst = false;
+    /** How often the call has run. */
+    int runs = 0;
+    Milliseconds elapsed{0};
+    GatewayFixture fixture;
+
+private:
+    net::awaitable<void> serve(tcp::socket &socket)
+    {
+        while (true) {
+            const std::string head = co_await readHead(socket);
+            if (head.empty())
+                co_return;
+            ++this->runs;
+            const std::string text = this->answer(this->runs, idOf(head));
+            const bool isLast = this->isClosed || (this->closesFirst && this->runs == 1);
+            co_await sendText(socket, text);
+            if (isLast)
+                co_return;
+        }
+    }
+
+    Answer answer;
+    bool isClosed;
+};
+
+/** Calls a function for each broken status line and what follows it. */
+void forEachBrokenAnswer(const std::function<void(const std::string &, Form)> &check)
+{
+    for (const std::string status : {"000", "001", "099", "101", "600", "999"}) {
+        for (const Form form :
+             {Form::Empty, Form::Text, Form::ResponseWithLength, Form::ResponseInChunks,
+              Form::ResponseUntilClose, Form::StatedAsNotRun}) {
+            CAPTURE(status, static_cast<int>(form));
+            check(status, form);
+        }
+    }
+}
+
+/** Returns whether connections were checked for a crash of the server. */
+bool hasCheckedForCrash(const GatewayFixture &fixture)
+{
+    return fixture.metricsText().find("sassafrasyard_crash_checks_total{") != std::string::npos;
+}
+
+/** Sends responses with a status and a body. */
+GatewayFixture::Handler answerWith(int status, const std::string &body)
+{
+    return [status, body](const HttpRequest &request,
+                          HttpResponder &responder) -> net::awaitable<void> {
+        HttpResponse answer = GatewayFixture::signedAnswer(request, status);
+        answer.body = body;
+        co_await responder.send(std::move(answer));
+    };
+}
+
+} // namespace
+
+// Guards against the body of a broken answer that a caller gets as the response, and against a wait
+// for another answer instead of another server.
+TEST_CASE("An idempotent call with a broken status goes to another server", "[status]")
+{
+    forEachBrokenAnswer([](const std::string &status, Form form) {
+        const auto answer = [&](int attempt, const std::string &id) {
+            const std::string body = attempt == 1 ? "mixed" : "answer";
+            const std::string response = makeAnswer(id, "text/plain", body);
+            return attempt == 1 ? makeBrokenAnswer(status, form, id, response) : response;
+        };
+        NumberedServers servers(makeRoute(CallKind::Idempotent), answer,
+                                form == Form::ResponseUntilClose);
+        const HttpResponse response = servers.call();
+        CHECK(response.status == 200);
+        CHECK(response.body == "answer");
+        CHECK(servers.runs == 2);
+        CHECK(servers.elapsed < endedWithin);
+        CHECK_FALSE(hasCheckedForCrash(servers.fixture));
+    });
+}
+
+// Guards against a call that runs twice, gets a broken answer as its response, or waits for its
+// deadline although its answer was broken at once.
+TEST_CASE("A non-idempotent call with a broken status fails at once", "[status]")
+{
+    forEachBrokenAnswer([](const std::string &status, Form form) {
+        const auto answer = [&](int, const std::string &id) {
+            return makeBrokenAnswer(status, form, id, makeAnswer(id, "text/plain", "mixed"));
+        };
+        NumberedServers servers(makeRoute(CallKind::NonIdempotent), answer,
+                                form == Form::ResponseUntilClose);
+        const HttpResponse response = servers.call();
+        CHECK(response.status == 502);
+        CHECK(response.body.find("mixed") == std::string::npos);
+        CHECK(servers.runs == 1);
+        CHECK(servers.elapsed < endedWithin);
+        CHECK_FALSE(hasCheckedForCrash(servers.fixture));
+    });
+}
+
+// Guards against a call that is repeated more often than its route permits.
+TEST_CASE("Broken statuses from all servers end an idempotent call", "[status]")
+{
+    forEachBrokenAnswer([](const std::string &status, Form form) {
+        const auto answer = [&](int, const std::string &id) {
+            return makeBrokenAnswer(status, form, id, makeAnswer(id, "text/plain", "mixed"));
+        };
+        NumberedServers servers(makeRoute(CallKind::Idempotent), answer,
+                                form == Form::ResponseUntilClose);
+        const HttpResponse response = servers.call();
+        CHECK(response.status == 502);
+        CHECK(servers.runs == 2);
+        CHECK(servers.elapsed < endedWithin);
+    });
+}
+
+// Guards against events of a broken answer in a stream that has not begun.
+TEST_CASE("A stream that begins with a broken status fails at once", "[status]")
+{
+    forEachBrokenAnswer([](const std::string &status, Form form) {
+        const auto answer = [&](int, const std::string &id) {
+            return makeBrokenAnswer(status, form, id, makeAnswer(id, "text/event-stream", event1));
+        };
+        NumberedServers servers(makeRoute(CallKind::Stream), answer,
+                                form == Form::ResponseUntilClose);
+        const HttpResponse response = servers.call();
+        CHECK(response.status == 502);
+        CHECK(response.body.find(event1) == std::string::npos);
+        CHECK(servers.runs == 1);
+        CHECK(servers.elapsed < endedWithin);
+    });
+}
+
+// Guards against the same where another server may run the stream again.
+TEST_CASE("A resumable stream with a broken status goes to another server", "[status]")
+{
+    forEachBrokenAnswer([](const std::string &status, Form form) {
+        const auto answer = [&](int attempt, const std::string &id) {
+            const std::string response =
+                    makeAnswer(id, "text/event-stream", attempt == 1 ? event2 : event1 + event2);
+            return attempt == 1 ? makeBrokenAnswer(status, form, id, response) : response;
+        };
+        NumberedServers servers(makeRoute(CallKind::Stream, true), answer,
+                                form == Form::ResponseUntilClose);
+        const HttpResponse response = servers.call();
+        CHECK(response.status == 200);
+        CHECK(response.body == event1 + event2);
+        CHECK(servers.runs == 2);
+        CHECK(servers.elapsed < endedWithin);
+    });
+}
+
+// Guards against events of a broken answer in the middle of a stream, which then looks complete.
+TEST_CASE("A continuation with a broken status is not part of the stream", "[status]")
+{
+    std::string begun = "HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Type: text/event-stream"
+                        "\r\nContent-Length: 100\r\n\r\n"
+            + event1;
+    forEachBrokenAnswer([&begun](const std::string &status, Form form) {
+        const auto answer = [&](int attempt, const std::string &id) {
+            if (attempt == 1)
+                return begun;
+            return makeBrokenAnswer(status, form, id, makeAnswer(id, "text/event-stream", event2));
+        };
+        NumberedServers servers(makeRoute(CallKind::Stream, true), answer,
+                                form == Form::ResponseUntilClose);
+        servers.closesFirst = true;
+        const HttpResponse response = servers.call();
+        CHECK(response.status == 0);
+        CHECK(servers.fixture.receivedBody == event1);
+        CHECK(servers.runs == 2);
+        CHECK(servers.elapsed < endedWithin);
+    });
+}
+
+// Guards against a call that is sent on a connection on which the rest of a broken answer follows.
+TEST_CASE("A connection with a broken status is not used for the next call", "[status]")
+{
+    for (const std::string status : {"000", "099", "101", "600", "999"}) {
+        CAPTURE(status);
+        GatewayFixture fixture;
+        fixture.addRoute(makeRoute(CallKind::Idempotent));
+        std::size_t connections = 0;
+        fixture.addRawServer("a", [&](tcp::socket &socket) -> net::awaitable<void> {
+            const bool isFirst = ++connections == 1;
+            while (true) {
+                const std::string head = co_await readHead(socket);
+                if (head.empty())
+                    co_return;
+                const std::string id = idOf(head);
+                const std::string text = isFirst ? makeBrokenAnswer(status, Form::Empty, id, "")
+                                                 : makeAnswer(id, "text/plain", "answer");
+                co_await sendText(socket, text);
+            }
+        });
+        fixture.call("/route/1", "first");
+        const HttpResponse response = fixture.call("/route/1", "second");
+        CHECK(response.status == 200);
+        CHECK(connections == 2);
+    }
+}
+
+// Guards against a broken answer of a peer that reaches the caller or holds the call.
+TEST_CASE("A broken status of a peer ends the relayed call", "[status]")
+{
+    const auto kind = GENERATE(CallKind::Idempotent, CallKind::NonIdempotent, CallKind::Stream);
+    const int status = GENERATE(0, 99, 600, 999);
+    const bool hasBody = GENERATE(true, false);
+    CAPTURE(static_cast<int>(kind), status, hasBody);
+    const std::string body = hasBody ? makeAnswer("call-1", "text/event-stream", event1) : "";
+    StrandedHosts stranded(makeRoute(kind), StrandedHosts::Cut::Refused, answerWith(200, "answer"));
+    PeerStandIn peer(*stranded.hosts.context, answerWith(status, body));
+    stranded.setPeers({{"1", peer.address()}});
+    stranded.notice();
+    const Milliseconds start = Clock::steady().now();
+    const HttpResponse response = stranded.call("/route/x");
+    CHECK(response.status == 502);
+    CHECK(response.body.find(event1) == std::string::npos);
+    CHECK(Clock::steady().now() - start < endedWithin);
+    CHECK(peer.received.size() == 1);
+}
+
+// Guards against a broken answer of a server that reaches the caller through a peer, and against a
+// non-idempotent call that runs twice.
+TEST_CASE("A broken status of a server does not pass a peer", "[status]")
+{
+    const auto kind = GENERATE(CallKind::Idempotent, CallKind::NonIdempotent, CallKind::Stream);
+    const int status = GENERATE(0, 99, 600, 999);
+    const bool hasBody = GENERATE(true, false);
+    CAPTURE(static_cast<int>(kind), status, hasBody);
+    const std::string body = hasBody ? makeAnswer("call-1", "text/event-stream", event1) : "";
+    StrandedHosts stranded(makeRoute(kind), StrandedHosts::Cut::Refused, answerWith(status, body));
+    stranded.notice();
+    const Milliseconds start = Clock::steady().now();
+    const HttpResponse response = stranded.call("/route/x");
+    CHECK(response.status == 502);
+    CHECK(response.body.find(event1) == std::string::npos);
+    CHECK(Clock::steady().now() - start < endedWithin);
+    CHECK(stranded.arrivals() == (kind == CallKind::Idempotent ? 2 : 1));
+}
--- a/packages/network/http/httpconnection.cpp
+++ b/packages/network/http/httpconnection.cpp
@@ -79,6 +79,23 @@
             || request.method == "PATCH";
 }
 
+/** Returns a status as the three digits of a status line. */
+std::string statusText(int status)
+{
+    constexpr std::size_t digitCount = 3;
+    const std::string digits = std::to_string(status);
+    return std::string(digitCount - std::min(digitCount, digits.size()), '0') + digits;
+}
+
+/** Returns the failure of a response that HTTP does not allow. */
+Error toViolation(const std::string &detail, const Endpoint &endpoint)
+{
+    return {ErrorCode::ProtocolViolation,
+            RunState::OutcomeUnknown,
+            endpoint.toString() + ": " + detail,
+            {}};
+}
+
 std::optional<Milliseconds> parseKeepAlive(const HttpResponse &response)
 {
     constexpr std::string_view name = "timeout=";
@@ -261,18 +278,13 @@
                                                                        Error &reason)
 {
     Implementation &state = *this->implementation;
-    constexpr int firstFinalStatus = 200;
     // One deadline covers all responses, because a server may send provisional ones endlessly.
     const auto end = std::chrono::steady_clock::now() + timeout;
     HttpResponse response;
-    response.status = 0;
     int provisionalResponses = 0;
-    while (response.status < firstFinalStatus) {
+    do {
         if (provisionalResponses++ > maximumProvisionalResponses) {
-            reason = {ErrorCode::ProtocolViolation,
-                      RunState::OutcomeUnknown,
-                      state.endpoint.toString() + ": too many provisional responses",
-                      {}};
+            reason = toViolation("too many provisional responses", state.endpoint);
             this->close();
             co_return std::nullopt;
         }
@@ -290,6 +302,13 @@
             co_return std::nullopt;
         }
         response.status = static_cast<int>(state.parser->get().result_int());
+    } while (isProvisionalStatus(response.status));
+    if (!isFinalStatus(response.status)) {
+        reason = toViolation("status " + statusText(response.status)
+                                     + " is not that of a response to a request",
+                             state.endpoint);
+        this->close();
+        co_return std::nullopt;
     }
     for (const auto &field : state.parser->get())
         response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
@@ -355,8 +374,8 @@
 bool HttpConnection::isReusable() const
 {
     const Implementation &state = *this->implementation;
-    return state.isWritten && state.parser && state.parser->is_done() && state.parser->keep_alive()
-            && state.buffer.size() == 0;
+    return state.stream.socket().is_open() && state.isWritten && state.parser
+            && state.parser->is_done() && state.parser->keep_alive() && state.buffer.size() == 0;
 }
 
 BodyFraming HttpConnection::bodyFraming() const
--- a/packages/network/http/httpconnection.h
+++ b/packages/network/http/httpconnection.h
@@ -65,7 +65,8 @@
      * Starts to send a request and reads the header of its response.
      *
      * The body is written while the response is awaited, because a server may respond before it has
-     * read all of it. Provisional responses (1xx) are skipped.
+     * read all of it. Provisional responses (1xx except 101) are skipped. Any other status outside
+     * 200 to 599 is a ProtocolViolation with OutcomeUnknown as soon as the header is complete.
      *
      * @param request its headers are sent as they are, in order; Content-Length is added.
      * @param timeout until the header is complete, in milliseconds.
@@ -106,8 +107,8 @@
                                                                Milliseconds timeout, Error &reason);
 
     /**
-     * Returns whether the connection can carry another request: the request was written, its
-     * response is complete and permits keep-alive, and no byte was received after it.
+     * Returns whether the connection can carry another request: it is open, the request was
+     * written, its response is complete and permits keep-alive, and no byte was received after it.
      */
     bool isReusable() const;
 
--- a/packages/network/http/httpmessage.cpp
+++ b/packages/network/http/httpmessage.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr int firstFinalStatus = 200;
+
 bool equalsIgnoringCase(std::string_view left, std::string_view right)
 {
     return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](char a, char b) {
@@ -60,6 +62,20 @@
     return std::nullopt;
 }
 
+bool isProvisionalStatus(int status)
+{
+    constexpr int firstProvisionalStatus = 100;
+    constexpr int switchingProtocolsStatus = 101;
+    return status >= firstProvisionalStatus && status < firstFinalStatus
+            && status != switchingProtocolsStatus;
+}
+
+bool isFinalStatus(int status)
+{
+    constexpr int firstUndefinedStatus = 600;
+    return status >= firstFinalStatus && status < firstUndefinedStatus;
+}
+
 std::string percentDecode(std::string_view text)
 {
     std::string decoded;
--- a/packages/network/http/httpmessage.h
+++ b/packages/network/http/httpmessage.h
@@ -44,6 +44,15 @@
     std::string body;
 };
 
+/**
+ * Returns whether a response with this status precedes another one to the same request: 1xx, except
+ * 101, which agrees to change the protocol and so ends the exchange.
+ */
+bool isProvisionalStatus(int status);
+
+/** Returns whether a response with this status answers a request: 200 to 599. */
+bool isFinalStatus(int status);
+
 /** Decodes percent escapes; malformed escapes stay as they are. */
 std::string percentDecode(std::string_view text);
 
