Don't pass on an undefined status of a call that another host ran

A caller whose call was forwarded to the host that owns it got whatever number that host's frame held as the status, such as 0 or the 600 that a service gave to a host of an older version.

PeerService::forward() copied ForwardReply::status unchecked. A status outside 200 to 599 counts as no answer now, with an unknown outcome, as a reply to another call does.

--- a/packages/entry/peers/peerservice.cpp
+++ b/packages/entry/peers/peerservice.cpp
@@ -231,8 +231,13 @@
     if (answer == nullptr || answer->sequence != message.sequence)
         co_return unknownIncarnationResponse("the entry host that owns the call does not answer: "
                                              + reason.detail);
+    const int status = static_cast<int>(answer->status);
+    if (!isFinalStatus(status))
+        co_return unknownIncarnationResponse(
+                "the entry host that owns the call answered with status "
+                + std::to_string(answer->status));
     HttpResponse response;
-    response.status = static_cast<int>(answer->status);
+    response.status = status;
     response.headers.emplace_back("Content-Type", "application/json");
     if (answer->retryAfterMilliseconds > 0)
         response.headers.emplace_back(
