--- a/packages/gateway/calls/enginecalls.h
+++ b/packages/gateway/calls/enginecalls.h
@@ -33,7 +33,7 @@
         Stopped,
         /** The engine is alive and declined to stop it. */
         Declined,
-        /** The engine is carrying out an earlier request for the run and did not take this one. */
+        /** The engine did not take the request, such as during an earlier one for the run. */
         Busy,
         /** The engine's address refuses connections. */
         Unreachable,
--- a/packages/gateway/relay/backendattempt.cpp
+++ b/packages/gateway/relay/backendattempt.cpp
@@ -397,7 +397,7 @@
     return true;
 }
 
-BodyFraming BackendAttempt::bodyFraming() const
+std::optional<BodyFraming> BackendAttempt::bodyFraming() const
 {
     return this->framing;
 }
--- a/packages/gateway/relay/backendattempt.h
+++ b/packages/gateway/relay/backendattempt.h
@@ -50,8 +50,8 @@
                                                                  Error &reason);
     /** Reads the whole body. @param reason as for HttpConnection::readAll(). */
     boost::asio::awaitable<std::optional<std::string>> readAll(Milliseconds timeout, Error &reason);
-    /** Returns what ends the body of the response. */
-    BodyFraming bodyFraming() const;
+    /** Returns what ends the body of the response; nothing before its header. */
+    std::optional<BodyFraming> bodyFraming() const;
     /** Returns the software version of the server when the call was sent, or nothing. */
     const std::optional<SoftwareVersion> &softwareVersion() const;
     /** Closes the connection; a read in progress fails. */
@@ -85,7 +85,7 @@
     std::optional<Milliseconds> firstBytesAt;
     /** When the call was sent. */
     Milliseconds sentAt{0};
-    BodyFraming framing = BodyFraming::Length;
+    std::optional<BodyFraming> framing;
     bool isCancelled = false;
     /** When the server process that got the call was started, as stated by the server's entry. */
     std::int64_t serverStartedAt = 0;
--- a/packages/gateway/relay/callmetrics.cpp
+++ b/packages/gateway/relay/callmetrics.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <string>
+#include <utility>
 
 namespace sassafrasyard {
 
@@ -68,11 +69,10 @@
     metrics.observe("sassafrasyard_stream_longest_pause_ms", {}, toNumber(longestPause));
 }
 
-void recordStreamEnd(Metrics &metrics, BodyFraming framing, StopEffect effect)
+void recordStreamEnd(Metrics &metrics, std::string framing, StopEffect effect)
 {
-    metrics.count(
-            "sassafrasyard_stream_ends_total",
-            {{"framing", std::string(toString(framing))}, {"stop", std::string(toString(effect))}});
+    metrics.count("sassafrasyard_stream_ends_total",
+                  {{"framing", std::move(framing)}, {"stop", std::string(toString(effect))}});
 }
 
 void recordBrokenEnd(Metrics &metrics, const RoutedCall &call, const BackendServerName &server,
--- a/packages/gateway/relay/callmetrics.h
+++ b/packages/gateway/relay/callmetrics.h
@@ -7,6 +7,7 @@
 #include "gateway/routes/route.h"
 #include "observability/observability.h"
 
+#include <string>
 #include <string_view>
 
 namespace sassafrasyard {
@@ -42,7 +43,7 @@
  * @param framing what ended the body of its last part.
  * @param effect what the requests to stop the run of that part may have done.
  */
-void recordStreamEnd(Metrics &metrics, BodyFraming framing, StopEffect effect);
+void recordStreamEnd(Metrics &metrics, std::string framing, StopEffect effect);
 
 /**
  * Counts and logs a body that ended regularly although its run was or may have been stopped.
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -314,6 +314,15 @@
         co_return ReadEnd::Lost;
     }
     const Milliseconds endedAt = this->dependencies.clock.now();
+    const bool isUnframed = this->attempt->bodyFraming() == BodyFraming::Close;
+    // The engine stops at the same deadline, and closes the stream without its end.
+    if (isUnframed && this->call.timeLeft(endedAt) <= Milliseconds(0)) {
+        this->failure = {ErrorCode::Timeout,
+                         RunState::OutcomeUnknown,
+                         "the stream was closed without framing after its deadline",
+                         {}};
+        co_return ReadEnd::Deadline;
+    }
     const BodyEnd bodyEnd = co_await this->findBodyEnd();
     if (this->call.isCallerGone)
         co_return ReadEnd::CallerGone;
@@ -337,7 +346,8 @@
     // The engine has closed the stream, so its silence is no reason to stop the run any more.
     this->silenceWatch.restart(std::nullopt);
     while (true) {
-        const BodyEnd end = bodyEndOf(this->attempt->bodyFraming(), this->stopEffect());
+        const BodyEnd end = bodyEndOf(this->attempt->bodyFraming().value_or(BodyFraming::Close),
+                                      this->stopEffect());
         const bool isOver = this->call.timeLeft(this->dependencies.clock.now()) <= Milliseconds(0);
         if (end != BodyEnd::Undecided || this->call.isCallerGone || isOver)
             co_return end;
@@ -484,7 +494,7 @@
     this->dropBackup();
     this->dropRefreshedCopy();
     co_await this->responder.finish();
-    recordStreamEnd(this->dependencies.entry.metrics, this->attempt->bodyFraming(),
+    recordStreamEnd(this->dependencies.entry.metrics, framingName(this->attempt->bodyFraming()),
                     this->stopEffect());
     this->logEnd("complete");
 }
@@ -979,9 +989,9 @@
              std::to_string(this->longestPauseBefore), "pause_at_switch",
              std::string(this->isLongestPauseAtSwitch ? "1" : "0"), "parts",
              std::to_string(this->partCount), "backend_server", this->placement.server.toString(),
-             "framing",
-             std::string(this->attempt ? toString(this->attempt->bodyFraming()) : "none"), "stop",
-             std::string(toString(this->stopEffect())));
+             "framing", framingName(this->attempt ? this->attempt->bodyFraming() : std::nullopt),
+             "stop", std::string(toString(this->stopEffect())), "engine",
+             describeServer(this->dependencies, this->placement.server));
 }
 
 void EventRelay::reportProgress(Milliseconds now)
--- a/packages/gateway/relay/streamending.cpp
+++ b/packages/gateway/relay/streamending.cpp
@@ -42,6 +42,11 @@
     return "unknown";
 }
 
+std::string framingName(std::optional<BodyFraming> framing)
+{
+    return framing ? std::string(toString(*framing)) : std::string("none");
+}
+
 std::string describeServer(const GatewayDependencies &dependencies, const BackendServerName &server)
 {
     if (dependencies.servers.find(server) == nullptr)
@@ -75,8 +80,8 @@
              "closed_by", ending.loss ? closedBy : std::string("none"), "loss", loss.detail,
              "engine", loss.engineState, "stop", loss.stopState, "stop_outcome",
              loss.stopOutcome.empty() ? std::string("none") : loss.stopOutcome, "stop_effect",
-             std::string(toString(loss.stopEffect)), "framing", std::string(toString(loss.framing)),
-             "backup", loss.backupState, "copy", loss.copyState, "version",
+             std::string(toString(loss.stopEffect)), "framing", framingName(loss.framing), "backup",
+             loss.backupState, "copy", loss.copyState, "version",
              std::to_string(call.configuration->version), "version_in_force",
              current ? std::to_string(current->version) : std::string("none"), "version_age_ms",
              ageText(changes.configurationAppliedAt, now), "reload_age_ms",
--- a/packages/gateway/relay/streamending.h
+++ b/packages/gateway/relay/streamending.h
@@ -53,8 +53,8 @@
     std::string stopOutcome;
     /** What the requests to stop the run may have done to it. */
     StopEffect stopEffect = StopEffect::None;
-    /** What ends the body of the engine's response. */
-    BodyFraming framing = BodyFraming::Length;
+    /** What ends the body of the engine's response; nothing before its header. */
+    std::optional<BodyFraming> framing;
     /** The state of the backup: "none", "usable" or "unusable". */
     std::string backupState = "none";
     /** The state of the copy made by moves: "none", "pending", "ready" or "failed". */
@@ -80,6 +80,9 @@
     Error failure;
 };
 
+/** Returns the name of a framing in logs and metrics, or "none". */
+std::string framingName(std::optional<BodyFraming> framing);
+
 /** Returns the state of a server's entry for RunLoss::engineState. */
 std::string describeServer(const GatewayDependencies &dependencies,
                            const BackendServerName &server);
--- a/packages/gateway/tests/test_unframedstops.cpp
+++ b/packages/gateway/tests/test_unframedstops.cpp
@@ -3,9 +3,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <chrono>
 #include <functional>
 #include <string>
 #include <string_view>
+#include <thread>
 
 using namespace sassafrasyard;
 
@@ -667,3 +669,20 @@
     CHECK(Clock::steady().now() - start >= Milliseconds(1400));
     CHECK(endField(capture, "status") == "cut");
 }
+
+// Guards against a stream that ends as complete because its engine closes it at the deadline that
+// it got, while the host has no processor time and sees the close together with its own deadline.
+TEST_CASE("An unframed stream that is closed after its deadline does not look complete",
+          "[unframed]")
+{
+    Route route = UnframedEngines::makeRoute();
+    route.timeout = Milliseconds(400);
+    UnframedEngines engines(route);
+    engines.leavesBefore = 0;
+    engines.exitsBefore = 20;
+    engines.atExit = [] {
+        std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    };
+    engines.call();
+    checkBrokenOff(engines);
+}
--- a/packages/gateway/tests/unframedengines.h
+++ b/packages/gateway/tests/unframedengines.h
@@ -147,6 +147,9 @@
     std::uint64_t leavesBefore = 45;
     /** Before which event the engine of the first run ends its process without an order. */
     std::uint64_t exitsBefore = 0;
+    /** Called before it does so. */
+    std::function<void()> atExit = [] {
+    };
     /** Before which event the first run loses its connection, although it goes on. */
     std::uint64_t losesConnectionBefore = 0;
     /** Before which event the first run is silent, for how long. */
@@ -320,8 +323,10 @@
              waited += eventInterval)
             co_await GatewayFixture::pause(eventInterval);
         co_await GatewayFixture::pause(eventInterval);
-        if (run == 1 && number == this->exitsBefore)
+        if (run == 1 && number == this->exitsBefore) {
+            this->atExit();
             this->working.erase(this->runs.front());
+        }
     }
 
     /** Ends the stream of a run that was stopped before an event. */
