Let engines of the fleet test answer streams without framing

The fleet test had chunked streams only, whose missing last chunk shows a stop; no stream that ends with its connection was stopped in it.

HttpServer always sends chunks, so the engines have a small server of their own. A stream with events missing from a complete response, twice or out of order is a fault of its own, and so are a run that ended by itself beside a stop and is not whole, and a fleet that answers less than half of its requests: a first stand-in that answered nothing had passed.

One cut is allowed: its line 8014 has framing close, stop_effect unknown and decision no_continuation. The answer to the stop was lost, so the close may be the end of the run or its stop, and no engine took the run from a copy. The stream can't go on, and ending it as complete would hide missing events. These cuts are counted in the summary. No other cut is allowed.

--- a/tests/plannedstop/callerconnection.cpp
+++ b/tests/plannedstop/callerconnection.cpp
@@ -97,6 +97,7 @@
         result.end = this->hasSocketError() ? CallEnd::Reset : CallEnd::Closed;
     } else if (code) {
         result.end = parser.got_some() ? CallEnd::Cut : CallEnd::Reset;
+        result.response.body = std::move(parser.get().body());
     } else {
         result.end = CallEnd::Response;
         result.response.status = static_cast<int>(parser.get().result_int());
--- a/tests/plannedstop/callresult.h
+++ b/tests/plannedstop/callresult.h
@@ -34,7 +34,7 @@
 {
     /** How it ended. */
     CallEnd end = CallEnd::Pending;
-    /** The response, if there was a whole one. */
+    /** The response, if there was a whole one; of a cut one, the part of the body that arrived. */
     HttpResponse response;
 
     /** Returns whether it is the whole answer of a backend server with the given body. */
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <numeric>
 
 namespace sassafrasyard {
 
@@ -68,22 +69,36 @@
 std::string describeCut(const std::string &line)
 {
     std::string text = "stream_cut";
-    for (const char *name : {"decision", "stop_outcome", "closed_by", "late_by_ms", "chunked"})
+    for (const char *name : {"decision", "stop_outcome", "closed_by", "late_by_ms", "chunked",
+                             "framing", "stop_effect"})
         text += std::string(" ") + name + "=" + fieldOf(line, name);
     return text + " " + line;
 }
 
+/**
+ * Returns whether the line stream_cut of a stream allows that it is broken off: its last run has
+ * neither a length nor chunks, the answer to a request to stop it was lost, and no engine has a
+ * copy. Then nothing tells whether the close of its connection was its end, the stream can't go on,
+ * and it must not look complete.
+ */
+bool mayBreakOff(const std::string &line)
+{
+    return fieldOf(line, "framing") == "close" && fieldOf(line, "stop_effect") == "unknown"
+            && fieldOf(line, "decision") == "no_continuation";
+}
+
 } // namespace
 
-Fleet::Fleet(int hostCount, std::uint64_t seed)
+Fleet::Fleet(int hostCount, std::uint64_t seed, int unframedPercent)
     : store(this->context)
+    , draws(seed, unframedPercent)
 {
     constexpr int plainServerCount = 2;
     this->store.watchInterval = watchInterval;
     this->writeConfiguration(this->baseConfiguration());
     for (int index = 1; index <= plainServerCount; ++index) {
         const std::string name = "desk-" + std::to_string(index);
-        this->engines[name] = std::make_unique<SoakEngine>(this->context, this->runs);
+        this->engines[name] = std::make_unique<SoakEngine>(this->context, this->runs, this->draws);
         this->store.put(std::string(objectkind::servers), name,
                         engineEntry(*this->engines[name], "desk", "ready"));
     }
@@ -127,30 +142,76 @@
 
 /**
  * The faults are: a request that a server began but that has no whole answer, a response that
- * breaks off, a request at two servers at one time, a stream_cut line, and a daemon that exits.
+ * breaks off, a stream that ends as complete without all its events or holds events twice or out of
+ * order, a request at two servers at one time, a stream_cut line, and a daemon that exits.
+ * mayBreakOff() says which streams may be broken off nevertheless.
  */
 std::vector<std::string> Fleet::findFaults()
 {
     std::vector<std::string> faults = this->runs.violations();
+    std::set<std::string> brokenStreams;
+    for (const auto &host : this->hosts) {
+        if (host->hasExited())
+            faults.emplace_back("a daemon has exited");
+        for (const std::string &line : host->logLines("stream_cut")) {
+            if (!mayBreakOff(line)) {
+                faults.push_back(describeCut(line));
+                continue;
+            }
+            brokenStreams.insert(fieldOf(line, "request"));
+            ++this->allowedCuts["broken off after a lost answer, backup "
+                                + fieldOf(line, "backup")];
+        }
+    }
+    this->addCallerFaults(faults, brokenStreams);
+    std::map<std::string, int> counts;
+    this->countCalls(counts);
+    // A fleet that answers little shows nothing.
+    if (2 * counts["answered"] < std::accumulate(
+                counts.begin(), counts.end(), 0,
+                [](int sum, const auto &count) { return sum + count.second; }))
+        faults.emplace_back("less than half of the requests were answered");
+    return faults;
+}
+
+/** Adds the faults that callers saw. @param brokenStreams the requests that may be broken off. */
+void Fleet::addCallerFaults(std::vector<std::string> &faults,
+                            const std::set<std::string> &brokenStreams) const
+{
+    const auto &ended = this->runs.endsBesideStops();
     for (const auto &caller : this->callers) {
         for (const auto &call : caller->calls()) {
             const bool isWhole = call->isAnswered() || !this->runs.hasBegun(call->requestId());
-            if (!isWhole || call->result.end == CallEnd::Cut)
+            const bool isCut = call->result.end == CallEnd::Cut;
+            const bool isAllowed = isCut && brokenStreams.contains(call->requestId());
+            const std::string eventFault = call->eventFault();
+            if (!eventFault.empty())
+                faults.push_back("events: " + eventFault + ": " + call->describe());
+            else if (!call->isAnswered() && ended.contains(call->requestId()))
+                faults.push_back("ended by itself beside a stop: " + call->describe());
+            else if ((!isWhole || isCut) && !isAllowed)
                 faults.push_back(call->describe());
         }
     }
-    for (const auto &host : this->hosts) {
-        if (host->hasExited())
-            faults.emplace_back("a daemon has exited");
-        for (const std::string &line : host->logLines("stream_cut"))
-            faults.push_back(describeCut(line));
-    }
-    return faults;
 }
 
 std::string Fleet::summary() const
 {
-    std::map<std::string, int> counts;
+    std::map<std::string, int> counts = this->runs.counts();
+    this->countCalls(counts);
+    for (const Change &change : this->changes)
+        counts[change.name] = change.count;
+    counts["streams that ended beside a stop"] =
+            static_cast<int>(this->runs.endsBesideStops().size());
+    counts.insert(this->allowedCuts.begin(), this->allowedCuts.end());
+    std::string text;
+    for (const auto &[name, count] : counts)
+        text += name + " " + std::to_string(count) + ", ";
+    return text;
+}
+
+void Fleet::countCalls(std::map<std::string, int> &counts) const
+{
     for (const auto &caller : this->callers) {
         for (const auto &call : caller->calls()) {
             const CallResult &result = call->result;
@@ -162,19 +223,13 @@
                 ++counts[std::string(toString(result.end))];
         }
     }
-    for (const Change &change : this->changes)
-        counts[change.name] = change.count;
-    std::string text;
-    for (const auto &[name, count] : counts)
-        text += name + " " + std::to_string(count) + ", ";
-    return text;
 }
 
 void Fleet::addEngine(bool hasRoom)
 {
     const std::string name = "engine-" + std::to_string(++this->engineCount);
     auto &engine = this->engines[name];
-    engine = std::make_unique<SoakEngine>(this->context, this->runs);
+    engine = std::make_unique<SoakEngine>(this->context, this->runs, this->draws);
     if (hasRoom)
         this->runs.addRoom(engine->address());
     this->usableEngines.push_back(name);
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -23,8 +24,14 @@
 class Fleet
 {
 public:
-    /** Starts the daemons and waits until they serve. @param seed decides the changes. */
-    Fleet(int hostCount, std::uint64_t seed);
+    /**
+     * Starts the daemons and waits until they serve.
+     *
+     * @param seed decides the changes.
+     * @param unframedPercent the share of the streams that have neither a length nor chunks; 0
+     * leaves all other draws as they are.
+     */
+    Fleet(int hostCount, std::uint64_t seed, int unframedPercent);
     Fleet(const Fleet &) = delete;
     Fleet &operator=(const Fleet &) = delete;
 
@@ -53,6 +60,9 @@
         int count = 0;
     };
 
+    void addCallerFaults(std::vector<std::string> &faults,
+                         const std::set<std::string> &brokenStreams) const;
+    void countCalls(std::map<std::string, int> &counts) const;
     void addEngine(bool hasRoom);
     void startHosts(int count);
     bool isHostReady(const SoakHost &host);
@@ -72,6 +82,7 @@
     boost::asio::io_context context;
     StandInStore store;
     RunRegister runs;
+    EngineDraws draws;
     /** The servers by name, also those that have exited. */
     std::map<std::string, std::unique_ptr<SoakEngine>> engines;
     std::vector<std::string> usableEngines;
@@ -81,6 +92,8 @@
     std::vector<std::unique_ptr<SoakCaller>> callers;
     std::vector<Change> changes;
     std::vector<std::pair<Milliseconds, std::function<void()>>> laterActions;
+    /** The numbers of streams that were broken off and may be, by their description. */
+    std::map<std::string, int> allowedCuts;
     int engineCount = 0;
     int version = 0;
     std::size_t nextHost = 0;
--- a/tests/soak/runregister.cpp
+++ b/tests/soak/runregister.cpp
@@ -4,12 +4,13 @@
 
 namespace sassafrasyard {
 
-void RunRegister::begin(const std::string &requestId, const std::string &address)
+int RunRegister::begin(const std::string &requestId, const std::string &address)
 {
     std::set<std::string> &addresses = this->running[requestId];
     if (!addresses.empty())
         this->found.push_back(requestId + " at " + *addresses.begin() + " and at " + address);
     addresses.insert(address);
+    return ++this->runCounts[requestId];
 }
 
 void RunRegister::end(const std::string &requestId, const std::string &address)
@@ -54,6 +55,26 @@
     this->copies.erase(name);
 }
 
+void RunRegister::recordEndBesideStop(const std::string &requestId)
+{
+    this->endedBesideStops.insert(requestId);
+}
+
+const std::set<std::string> &RunRegister::endsBesideStops() const
+{
+    return this->endedBesideStops;
+}
+
+void RunRegister::count(const std::string &name)
+{
+    ++this->countsByName[name];
+}
+
+const std::map<std::string, int> &RunRegister::counts() const
+{
+    return this->countsByName;
+}
+
 const std::vector<std::string> &RunRegister::violations() const
 {
     return this->found;
--- a/tests/soak/runregister.h
+++ b/tests/soak/runregister.h
@@ -11,8 +11,12 @@
 class RunRegister
 {
 public:
-    /** Notes that a server begins to work on a request, and whether another one does so too. */
-    void begin(const std::string &requestId, const std::string &address);
+    /**
+     * Notes that a server begins to work on a request, and whether another one does so too.
+     *
+     * @return how many runs of the request have begun, with this one.
+     */
+    int begin(const std::string &requestId, const std::string &address);
 
     /** Notes that a server no longer works on a request. */
     void end(const std::string &requestId, const std::string &address);
@@ -37,6 +41,18 @@
     /** Removes a copy. */
     void dropCopy(const std::string &name);
 
+    /** Notes that a run whose engine was asked to stop it had ended by itself. */
+    void recordEndBesideStop(const std::string &requestId);
+
+    /** Returns the requests of recordEndBesideStop(). */
+    const std::set<std::string> &endsBesideStops() const;
+
+    /** Counts what an engine has done, for the summary. */
+    void count(const std::string &name);
+
+    /** Returns the numbers of count(). */
+    const std::map<std::string, int> &counts() const;
+
     /** Returns a line for each request that two servers worked on at one time. */
     const std::vector<std::string> &violations() const;
 
@@ -48,6 +64,9 @@
     };
 
     std::map<std::string, std::set<std::string>> running;
+    std::map<std::string, int> runCounts;
+    std::set<std::string> endedBesideStops;
+    std::map<std::string, int> countsByName;
     std::map<std::string, Copy> copies;
     std::set<std::string> rooms;
     std::vector<std::string> found;
--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <string_view>
 #include <utility>
 
 namespace sassafrasyard {
@@ -25,6 +26,15 @@
     co_await timer.async_wait(net::use_awaitable);
 }
 
+std::size_t countEvents(std::string_view body)
+{
+    constexpr std::string_view start = "id: ";
+    std::size_t count = 0;
+    for (auto at = body.find(start); at != std::string_view::npos; at = body.find(start, at + 1))
+        ++count;
+    return count;
+}
+
 } // namespace
 
 std::string SoakCall::requestId() const
@@ -37,6 +47,25 @@
     return this->result.isAnswer(StandInServers::answerTo(this->request));
 }
 
+std::string SoakCall::eventFault() const
+{
+    constexpr int successStatus = 200;
+    const bool isComplete =
+            this->result.end == CallEnd::Response && this->result.response.status == successStatus;
+    const bool isStream = findHeader(this->request.headers, "Events").has_value();
+    if (!isStream || (!isComplete && this->result.end != CallEnd::Cut))
+        return {};
+    const std::string expected = StandInServers::answerTo(this->request);
+    const std::string &body = this->result.response.body;
+    const std::string count = std::to_string(countEvents(body)) + " of "
+            + std::to_string(countEvents(expected)) + " events";
+    if (!expected.starts_with(body))
+        return "twice or out of order, " + count;
+    if (isComplete && body != expected)
+        return "ends as complete after " + count;
+    return {};
+}
+
 std::string SoakCall::describe() const
 {
     constexpr std::size_t maximumText = 300;
--- a/tests/soak/soakcaller.h
+++ b/tests/soak/soakcaller.h
@@ -24,6 +24,11 @@
     std::string requestId() const;
     /** Returns whether it has its server's whole answer. */
     bool isAnswered() const;
+    /**
+     * Returns what is wrong with the events of a stream, or an empty text: a complete one lacks
+     * some, or a complete or cut one holds some twice or out of order.
+     */
+    std::string eventFault() const;
     /** Returns a description for a test's messages. */
     std::string describe() const;
 };
--- a/tests/soak/soakengine.cpp
+++ b/tests/soak/soakengine.cpp
@@ -1,6 +1,5 @@
 #include "soakengine.h"
 
-#include "entry/http/errorresponse.h"
 #include "plannedstop/standinservers.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -44,14 +43,14 @@
     return {{"Request-Id", idOf(request)}};
 }
 
-net::awaitable<void> sendStatus(HttpResponder &responder, int status, HttpHeaders headers = {},
+net::awaitable<void> sendStatus(EngineConnection &connection, int status, HttpHeaders headers = {},
                                 std::string body = {})
 {
     HttpResponse response;
     response.status = status;
     response.headers = std::move(headers);
     response.body = std::move(body);
-    co_await responder.send(std::move(response));
+    co_await connection.send(std::move(response));
 }
 
 /** Returns the event with a number of a request's stream. */
@@ -62,17 +61,15 @@
 
 } // namespace
 
-SoakEngine::SoakEngine(net::io_context &context, RunRegister &runs)
+SoakEngine::SoakEngine(net::io_context &context, RunRegister &runs, const EngineDraws &draws)
     : runs(runs)
+    , draws(draws)
 {
-    this->server = std::make_unique<HttpServer>(
-            context, HttpServerOptions(),
-            [this](const HttpRequest &request, HttpResponder &responder) {
-                return this->handle(request, responder);
-            },
-            errorResponse);
-    Error reason;
-    this->listening = this->server->listen({"127.0.0.1", 0}, reason).value().toString();
+    this->server = std::make_unique<EngineServer>(
+            context, [this](const HttpRequest &request, EngineConnection &connection) {
+                return this->handle(request, connection);
+            });
+    this->listening = this->server->address();
 }
 
 const std::string &SoakEngine::address() const
@@ -101,30 +98,30 @@
     this->server.reset();
 }
 
-net::awaitable<void> SoakEngine::handle(const HttpRequest &request, HttpResponder &responder)
+net::awaitable<void> SoakEngine::handle(const HttpRequest &request, EngineConnection &connection)
 {
     // A request may have been read before the exit closed its connection.
     if (!this->server) {
-        responder.abort();
+        connection.exit();
         co_return;
     }
     ++this->requestCount;
     const std::string path(request.path());
     if (path == "/kv-move") {
-        co_await this->move(request, responder);
+        co_await this->move(request, connection);
     } else if (path.starts_with(handlePrefix)) {
         this->runs.dropCopy(this->listening + "/" + path.substr(handlePrefix.size()));
-        co_await sendStatus(responder, successStatus);
+        co_await sendStatus(connection, successStatus);
     } else if (idOf(request).empty()) {
-        co_await sendStatus(responder, notFoundStatus);
+        co_await sendStatus(connection, notFoundStatus);
     } else if (!this->mayBegin(request)) {
         HttpHeaders headers = headersOf(request);
         headers.emplace_back("Not-Executed", "1");
-        co_await sendStatus(responder, unavailableStatus, std::move(headers));
+        co_await sendStatus(connection, unavailableStatus, std::move(headers));
     } else if (findHeader(request.headers, "Events")) {
-        co_await this->stream(request, responder);
+        co_await this->stream(request, connection);
     } else {
-        co_await this->answer(request, responder);
+        co_await this->answer(request, connection);
     }
     --this->requestCount;
 }
@@ -136,7 +133,7 @@
     return !copy || this->runs.takeCopy(*copy, idOf(request), this->listening);
 }
 
-net::awaitable<void> SoakEngine::answer(const HttpRequest &request, HttpResponder &responder)
+net::awaitable<void> SoakEngine::answer(const HttpRequest &request, EngineConnection &connection)
 {
     this->runs.begin(idOf(request), this->listening);
     co_await pause(Milliseconds(numberField(request, "Work-Ms")));
@@ -144,42 +141,58 @@
     this->runs.end(idOf(request), this->listening);
     HttpHeaders headers = headersOf(request);
     headers.emplace_back("Replica-Stamp", "stand-in");
-    co_await sendStatus(responder, successStatus, std::move(headers),
+    co_await sendStatus(connection, successStatus, std::move(headers),
                         StandInServers::answerTo(request));
 }
 
-net::awaitable<void> SoakEngine::stream(const HttpRequest &request, HttpResponder &responder)
+net::awaitable<void> SoakEngine::stream(const HttpRequest &request, EngineConnection &connection)
 {
     const std::string requestId = idOf(request);
-    const auto run = std::make_shared<Run>();
-    run->lastEvent = numberField(request, "Last-Event-Id");
-    this->inProgress[requestId] = run;
-    this->runs.begin(requestId, this->listening);
-    // The run of a caller who has disconnected ends at once, also beside a silence.
-    responder.setCallerGoneHook([this, requestId, run] {
-        run->isStopped = true;
-        run->isCallerGone = true;
-        this->runs.end(requestId, this->listening);
-    });
+    const std::shared_ptr<Run> run = this->beginRun(request, connection);
     const auto backup = findHeader(request.headers, "Kv-Backup");
     const std::string backupName = backup.value_or("") + "/" + requestId;
     if (backup && this->runs.hasRoom(*backup))
         this->runs.addCopy(backupName, requestId, {*backup});
-    const bool isComplete = co_await this->sendEvents(request, responder, *run);
+    const bool isComplete = co_await this->sendEvents(request, connection, *run);
     this->runs.end(requestId, this->listening);
     if (isComplete) {
         this->runs.dropCopy(backupName);
-        co_await responder.finish();
+        if (run->framing == StreamFraming::Close)
+            this->complete.insert(requestId);
+        co_await connection.finish();
+    } else if (run->framing == StreamFraming::Close) {
+        connection.close();
     } else {
-        responder.abort();
+        connection.exit();
     }
     if (this->inProgress[requestId] == run)
         this->inProgress.erase(requestId);
 }
 
+/** Notes a run as in progress. The run of a caller who has disconnected ends at once. */
+std::shared_ptr<SoakEngine::Run> SoakEngine::beginRun(const HttpRequest &request,
+                                                      EngineConnection &connection)
+{
+    const std::string requestId = idOf(request);
+    auto run = std::make_shared<Run>();
+    run->lastEvent = numberField(request, "Last-Event-Id");
+    this->inProgress[requestId] = run;
+    run->name = requestId + " " + std::to_string(this->runs.begin(requestId, this->listening));
+    run->framing = this->draws.framing(run->name);
+    if (run->framing == StreamFraming::Close)
+        this->runs.count("unframed streams");
+    // A silence does not delay the end.
+    connection.setCallerGoneHook([this, requestId, run] {
+        run->isStopped = true;
+        run->isCallerGone = true;
+        this->runs.end(requestId, this->listening);
+    });
+    return run;
+}
+
 /** Sends the events after the last one. @return whether all were sent. */
-net::awaitable<bool> SoakEngine::sendEvents(const HttpRequest &request, HttpResponder &responder,
-                                            Run &run)
+net::awaitable<bool> SoakEngine::sendEvents(const HttpRequest &request,
+                                            EngineConnection &connection, Run &run)
 {
     const int events = numberField(request, "Events");
     const Milliseconds interval(numberField(request, "Event-Ms"));
@@ -194,56 +207,107 @@
             HttpHeaders headers = headersOf(request);
             headers.emplace_back("Replica-Stamp", "stand-in");
             headers.emplace_back("Content-Type", "text/event-stream");
-            if (!co_await responder.startStream(successStatus, std::move(headers)))
+            if (!co_await connection.startStream(std::move(headers), run.framing))
                 co_return false;
         }
         const std::string text = eventText(idOf(request), ++run.lastEvent);
-        if (!co_await responder.write(text))
+        if (!co_await connection.write(text))
             co_return false;
     }
     // A continuation of a run whose last event was sent has none left.
     if (!hasHeader) {
         HttpHeaders headers = headersOf(request);
         headers.emplace_back("Replica-Stamp", "stand-in");
-        co_await responder.startStream(successStatus, std::move(headers));
+        co_await connection.startStream(std::move(headers), run.framing);
     }
     co_return !run.isStopped;
 }
 
 /** Copies a run, and stops it first if the request is the last one about it. */
-net::awaitable<void> SoakEngine::move(const HttpRequest &request, HttpResponder &responder)
+net::awaitable<void> SoakEngine::move(const HttpRequest &request, EngineConnection &connection)
 {
     co_await this->waitForSilence();
-    const auto order = nlohmann::json::parse(request.body);
-    const std::string requestId = order.at("id");
-    const std::string target = order.at("target");
-    const auto found = this->inProgress.find(requestId);
-    if (found == this->inProgress.end() || found->second->isStopped) {
-        // A run whose caller has disconnected has ended; any other stopped one is being stopped.
-        const bool isStopping = found != this->inProgress.end() && !found->second->isCallerGone;
-        co_await sendStatus(responder, isStopping ? conflictStatus : notFoundStatus);
+    const auto body = nlohmann::json::parse(request.body);
+    const MoveOrder order{body.at("id"), body.at("target"), body.value("last", false)};
+    const std::shared_ptr<Run> asked = this->findRun(order.requestId);
+    if (order.isLast && asked && asked->framing == StreamFraming::Close)
+        co_await pause(this->draws.stopDelay(asked->name));
+    const std::shared_ptr<Run> run = this->findRun(order.requestId);
+    if (run && !run->isStopped) {
+        co_await this->moveRun(run, order, connection);
         co_return;
     }
-    const std::shared_ptr<Run> run = found->second;
-    const bool hasRoom = this->runs.hasRoom(target);
+    if (order.isLast && !run && this->complete.contains(order.requestId))
+        this->runs.recordEndBesideStop(order.requestId);
+    // A run whose caller has disconnected has ended; any other stopped one is being stopped.
+    const bool isStopping = (run && !run->isCallerGone) || this->moving.contains(order.requestId);
+    co_await sendStatus(connection, isStopping ? conflictStatus : notFoundStatus);
+}
+
+net::awaitable<void> SoakEngine::moveRun(const std::shared_ptr<Run> &run, const MoveOrder &order,
+                                         EngineConnection &connection)
+{
+    const bool isFaulty = order.isLast && run->framing == StreamFraming::Close;
+    const bool hasRoom = this->runs.hasRoom(order.target)
+            && !(isFaulty && this->draws.stopAnswer(run->name) == StopAnswer::Kept);
     std::set<std::string> holders;
-    if (order.value("last", false)) {
-        run->isStopped = true;
-        constexpr Milliseconds pollInterval{2};
-        while (this->inProgress.contains(requestId) && this->inProgress[requestId] == run)
-            co_await pause(pollInterval);
+    if (order.isLast) {
+        co_await this->stopRun(run, order.requestId);
         holders.insert(this->listening);
     }
     if (hasRoom)
-        holders.insert(target);
+        holders.insert(order.target);
     nlohmann::json body{{"create-rev", run->lastEvent}};
     if (!holders.empty()) {
         const std::string name = "m" + std::to_string(++this->copyCount);
-        this->runs.addCopy(this->listening + "/" + name, requestId, std::move(holders));
+        this->runs.addCopy(this->listening + "/" + name, order.requestId, std::move(holders));
         body["handle"] = name;
     }
-    const int status = hasRoom ? successStatus : unavailableStatus;
-    co_await sendStatus(responder, status, HttpHeaders(), body.dump());
+    HttpResponse response;
+    response.status = hasRoom ? successStatus : unavailableStatus;
+    response.body = body.dump();
+    if (isFaulty)
+        co_await this->answerStop(*run, std::move(response), connection);
+    else
+        co_await connection.send(std::move(response));
+    this->moving.erase(order.requestId);
+}
+
+/** Stops a run and waits until its stream is closed. */
+net::awaitable<void> SoakEngine::stopRun(const std::shared_ptr<Run> &run,
+                                         const std::string &requestId)
+{
+    constexpr Milliseconds pollInterval{2};
+    run->isStopped = true;
+    this->moving.insert(requestId);
+    while (this->findRun(requestId) == run)
+        co_await pause(pollInterval);
+}
+
+/** Answers a request that has stopped an unframed stream, late or not at all in some cases. */
+net::awaitable<void> SoakEngine::answerStop(const Run &run, HttpResponse response,
+                                            EngineConnection &connection)
+{
+    const StopAnswer answer = this->draws.stopAnswer(run.name);
+    this->runs.count("unframed stops " + std::string(toString(answer)));
+    if (answer == StopAnswer::Reset) {
+        connection.reset();
+        co_return;
+    }
+    if (answer == StopAnswer::Closed) {
+        connection.close();
+        co_return;
+    }
+    if (answer == StopAnswer::Late)
+        co_await pause(this->draws.answerDelay(run.name));
+    co_await connection.send(std::move(response));
+}
+
+/** Returns the run of a request that is in progress, or nothing. */
+std::shared_ptr<SoakEngine::Run> SoakEngine::findRun(const std::string &requestId) const
+{
+    const auto found = this->inProgress.find(requestId);
+    return found == this->inProgress.end() ? nullptr : found->second;
 }
 
 net::awaitable<void> SoakEngine::waitForSilence()
--- a/tests/soak/soakengine.h
+++ b/tests/soak/soakengine.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "enginedraws.h"
+#include "engineserver.h"
 #include "runregister.h"
 
 #include "network/network.h"
@@ -9,6 +11,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace sassafrasyard {
@@ -17,13 +20,14 @@
  * A backend server on loopback that stops, copies and continues runs as the platform's engines do.
  *
  * The header fields of a request describe its work as for StandInServers. It breaks off no stream
- * that no host asked it to stop.
+ * that no host asked it to stop. A share of the streams has neither a length nor chunks; one that
+ * is stopped is closed after a whole event, and the answer to the request may be late or lost.
  */
 class SoakEngine
 {
 public:
-    /** Starts the server. @param runs outlives it. */
-    SoakEngine(boost::asio::io_context &context, RunRegister &runs);
+    /** Starts the server. @param runs outlives it, and so does @p draws. */
+    SoakEngine(boost::asio::io_context &context, RunRegister &runs, const EngineDraws &draws);
     SoakEngine(const SoakEngine &) = delete;
     SoakEngine &operator=(const SoakEngine &) = delete;
 
@@ -43,29 +47,53 @@
     void exit();
 
 private:
+    /** A request to copy a run. */
+    struct MoveOrder
+    {
+        std::string requestId;
+        std::string target;
+        bool isLast = false;
+    };
+
     /** A stream in progress. */
     struct Run
     {
+        /** The identifier of the request and the number of its run. */
+        std::string name;
+        StreamFraming framing = StreamFraming::Chunks;
         int lastEvent = 0;
         bool isStopped = false;
         bool isCallerGone = false;
     };
 
-    boost::asio::awaitable<void> handle(const HttpRequest &request, HttpResponder &responder);
-    boost::asio::awaitable<void> answer(const HttpRequest &request, HttpResponder &responder);
-    boost::asio::awaitable<void> stream(const HttpRequest &request, HttpResponder &responder);
-    boost::asio::awaitable<bool> sendEvents(const HttpRequest &request, HttpResponder &responder,
-                                            Run &run);
-    boost::asio::awaitable<void> move(const HttpRequest &request, HttpResponder &responder);
+    boost::asio::awaitable<void> handle(const HttpRequest &request, EngineConnection &connection);
+    boost::asio::awaitable<void> answer(const HttpRequest &request, EngineConnection &connection);
+    boost::asio::awaitable<void> stream(const HttpRequest &request, EngineConnection &connection);
+    std::shared_ptr<Run> beginRun(const HttpRequest &request, EngineConnection &connection);
+    boost::asio::awaitable<bool> sendEvents(const HttpRequest &request,
+                                            EngineConnection &connection, Run &run);
+    boost::asio::awaitable<void> move(const HttpRequest &request, EngineConnection &connection);
+    boost::asio::awaitable<void> moveRun(const std::shared_ptr<Run> &run, const MoveOrder &order,
+                                         EngineConnection &connection);
+    boost::asio::awaitable<void> stopRun(const std::shared_ptr<Run> &run,
+                                         const std::string &requestId);
+    boost::asio::awaitable<void> answerStop(const Run &run, HttpResponse response,
+                                            EngineConnection &connection);
     boost::asio::awaitable<void> waitForSilence();
     bool mayBegin(const HttpRequest &request);
+    std::shared_ptr<Run> findRun(const std::string &requestId) const;
 
     RunRegister &runs;
+    const EngineDraws &draws;
     /** Null after the exit. */
-    std::unique_ptr<HttpServer> server;
+    std::unique_ptr<EngineServer> server;
     std::string listening;
     Milliseconds silentUntil{0};
     std::map<std::string, std::shared_ptr<Run>> inProgress;
+    /** The requests whose stopped run is being copied. */
+    std::set<std::string> moving;
+    /** The requests whose unframed stream ended here as complete. */
+    std::set<std::string> complete;
     int requestCount = 0;
     int copyCount = 0;
 };
