Keep the requests to stop the runs of a call in one class

EventRelay held the current request, those of earlier parts and the records of all of them beside its other work. RunStops owns them now; nothing else changes.

--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -53,16 +53,13 @@
     : dependencies(dependencies)
     , call(call)
     , responder(responder)
+    , stops(dependencies, call)
     , silenceWatch(dependencies.context, [this] { this->stopSilentRun(); })
     , lastEvent(call.metadata.lastEvent)
 {
 }
 
-EventRelay::~EventRelay()
-{
-    this->dropStop();
-    this->dropFormerStops();
-}
+EventRelay::~EventRelay() = default;
 
 net::awaitable<void> EventRelay::run()
 {
@@ -80,7 +77,7 @@
         }
         ReadEnd readEnd = ReadEnd::Lost;
         if (isStream) {
-            this->dropFormerStops();
+            this->stops.dropFormer();
             const bool isOpen = co_await this->sendHeader(result.response);
             readEnd = ReadEnd::CallerGone;
             if (isOpen)
@@ -195,8 +192,8 @@
 {
     WorkRequest work = this->call.work;
     work.avoided = this->avoided;
-    if (this->partCount > 0)
-        work.name = RequestName(work.name.toString() + "/" + std::to_string(this->partCount));
+    if (this->stops.part() > 0)
+        work.name = RequestName(work.name.toString() + "/" + std::to_string(this->stops.part()));
     Error refusal;
     const auto grant = co_await placeCall(this->dependencies, this->call, std::move(work), refusal);
     if (!grant) {
@@ -207,16 +204,14 @@
             grant->assignment.request, grant->server.name, grant->server.address, {}, false, {}};
     if (const ServerEntry *entry = this->dependencies.servers.find(grant->server.name))
         this->placement.softwareVersion = entry->softwareVersion;
-    if (this->partCount == 0)
+    if (this->stops.part() == 0)
         this->placedAfter = this->dependencies.clock.now() - this->call.receivedAt;
     co_return true;
 }
 
 net::awaitable<AttemptResult> EventRelay::startPart()
 {
-    ++this->partCount;
-    if (this->stop)
-        this->formerStops.push_back(std::exchange(this->stop, nullptr));
+    this->stops.beginPart();
     if (!this->backup)
         co_await this->reserveBackup(this->placement);
     const Milliseconds now = this->dependencies.clock.now();
@@ -288,7 +283,7 @@
     this->recordPause(now);
     if (!this->partFirstEventAt)
         this->partFirstEventAt = now;
-    this->recordDelivery();
+    this->stops.recordEvent();
     this->watchSilence();
     if (batch.lastEvent)
         this->lastEvent = batch.lastEvent;
@@ -351,30 +346,10 @@
         const bool isOver = this->call.timeLeft(this->dependencies.clock.now()) <= Milliseconds(0);
         if (end != BodyEnd::Undecided || this->call.isCallerGone || isOver)
             co_return end;
-        co_await this->waitForStopAnswer();
+        co_await this->stops.waitForAnswer();
     }
 }
 
-/** Waits for an outstanding answer to a request to stop the run, or until the caller has left. */
-net::awaitable<void> EventRelay::waitForStopAnswer()
-{
-    if (this->stop)
-        this->stop->insist();
-    const auto pending = std::find_if(this->stopRecords.begin(), this->stopRecords.end(),
-                                      [this](const auto &entry) {
-                                          return entry.first == this->partCount
-                                                  && entry.second->effect() == StopEffect::Pending;
-                                      });
-    if (pending == this->stopRecords.end())
-        co_return;
-    const std::shared_ptr<StopRecord> record = pending->second;
-    this->call.cancelHooks[record.get()] = [record] {
-        record->endWait();
-    };
-    co_await record->waitForAnswer();
-    this->call.cancelHooks.erase(record.get());
-}
-
 /** Returns whether the body ended inside an event, which shows that the engine broke it off. */
 bool EventRelay::endsInsideEvent() const
 {
@@ -449,7 +424,7 @@
     const bool hasRun = wasStream || result.outcome == AttemptOutcome::Unknown;
     this->reportPartEnd(hasRun ? WorkOutcome::Failed : WorkOutcome::RefusedByServer);
     const bool isOver = this->call.timeLeft(this->dependencies.clock.now()) <= Milliseconds(0);
-    if (isOver || this->partCount >= maximumParts) {
+    if (isOver || this->stops.part() >= maximumParts) {
         this->cutDecision = isOver ? this->deadlineDecision() : StreamCutDecision::PartLimitReached;
         co_return false;
     }
@@ -473,8 +448,7 @@
     const bool isContinued = co_await this->continueFromCopy(hasRun);
     if (isContinued)
         co_return true;
-    this->dropStop();
-    this->dropFormerStops();
+    this->stops.drop();
     this->dropBackup();
     this->dropRefreshedCopy();
     const AttemptOutcome outcome = wasStream ? AttemptOutcome::Unknown : result.outcome;
@@ -489,8 +463,7 @@
 {
     this->attempt->release();
     this->reportPartEnd(WorkOutcome::Completed);
-    this->dropStop();
-    this->dropFormerStops();
+    this->stops.drop();
     this->dropBackup();
     this->dropRefreshedCopy();
     co_await this->responder.finish();
@@ -504,8 +477,7 @@
 {
     if (this->attempt)
         this->attempt->cancel();
-    this->dropStop();
-    this->dropFormerStops();
+    this->stops.drop();
     this->dropBackup();
     this->dropRefreshedCopy();
     if (this->hasStarted || this->call.isCallerGone) {
@@ -606,42 +578,6 @@
     this->refreshedCopy.reset();
 }
 
-/**
- * Returns the next placement at which a run that was stopped can continue. The run of the latest
- * part has the most memory.
- */
-net::awaitable<std::optional<StreamPlacement>> EventRelay::takeContinuation()
-{
-    std::vector<std::shared_ptr<RunStop>> stops = this->formerStops;
-    if (this->stop)
-        stops.push_back(this->stop);
-    while (!stops.empty()) {
-        const auto latest = stops.back();
-        stops.pop_back();
-        auto next = latest->takeContinuation();
-        if (!next) {
-            // The engine may still copy the memory of the run to the target.
-            co_await this->waitForStop(latest);
-            next = latest->takeContinuation();
-        }
-        if (next)
-            co_return next;
-    }
-    co_return std::nullopt;
-}
-
-/** Waits for the result of a request to stop a run, or until the caller has left. */
-net::awaitable<RunStop::Result> EventRelay::waitForStop(std::shared_ptr<RunStop> waiting)
-{
-    waiting->insist();
-    this->call.cancelHooks[waiting.get()] = [waiting] {
-        waiting->abandon();
-    };
-    const RunStop::Result result = co_await waiting->finish();
-    this->call.cancelHooks.erase(waiting.get());
-    co_return result;
-}
-
 /**
  * Continues from a copy of the run's memory.
  *
@@ -652,7 +588,7 @@
 {
     if (!hasRun)
         this->dropBackup();
-    auto next = co_await this->takeContinuation();
+    auto next = co_await this->stops.takeContinuation();
     if (next) {
         this->continueAt(std::move(*next));
         co_return true;
@@ -714,7 +650,7 @@
 /** Starts a refreshed copy if the run has no copy. */
 void EventRelay::ensureCopy(Milliseconds now)
 {
-    if (!this->needsCopy() || this->stop || this->isBackupUsable() || !this->partFirstEventAt
+    if (!this->needsCopy() || this->stops.hasCurrent() || this->isBackupUsable() || !this->partFirstEventAt
         || now - *this->partFirstEventAt < copyAttemptInterval) {
         return;
     }
@@ -729,9 +665,9 @@
 {
     const bool hasDeclined =
             this->stopDeclinedAt && now - *this->stopDeclinedAt < stopAttemptInterval;
-    const bool mayFail = this->partCount + partsPerMove <= maximumParts;
+    const bool mayFail = this->stops.part() + partsPerMove <= maximumParts;
     const bool canMove = this->needsCopy() && this->canAskEngine();
-    if (this->stop || !this->partFirstEventAt || hasDeclined || !mayFail || !canMove)
+    if (this->stops.hasCurrent() || !this->partFirstEventAt || hasDeclined || !mayFail || !canMove)
         return;
     if (this->refreshedCopy && this->refreshedCopy->hasFailed())
         this->dropRefreshedCopy();
@@ -755,12 +691,12 @@
 net::awaitable<bool> EventRelay::ensureRunEnded()
 {
     const bool hasCopy =
-            this->isBackupUsable() || this->refreshedCopy || !this->formerStops.empty();
-    if (!this->canAskEngine() || (this->stop && this->stop->hasEnded()))
+            this->isBackupUsable() || this->refreshedCopy || this->stops.hasFormer();
+    if (!this->canAskEngine() || this->stops.hasEnded())
         co_return true;
     // An engine that stops a run closes its stream first and answers once the copy is complete, for
     // which the caller would have to wait.
-    if (this->stop)
+    if (this->stops.hasCurrent())
         co_return true;
     if (!hasCopy && !this->call.route->isResumable) {
         // A backup that becomes usable later must not be used without the request.
@@ -768,7 +704,7 @@
         co_return true;
     }
     this->startStop();
-    const RunStop::Result result = co_await this->waitForStop(this->stop);
+    const RunStop::Result result = co_await this->stops.finish();
     co_return result == RunStop::Result::Ended;
 }
 
@@ -788,8 +724,8 @@
         order.target = this->refreshedCopy->take();
         this->dropRefreshedCopy();
     }
-    this->isStopTargetBackup = !order.target && this->isBackupUsable();
-    if (this->isStopTargetBackup)
+    const bool isTargetBackup = !order.target && this->isBackupUsable();
+    if (isTargetBackup)
         order.target = this->takeBackup();
     if (!order.target) {
         order.work = this->makeCopyRequest("stopped");
@@ -799,29 +735,14 @@
     order.requestId = this->call.metadata.requestId;
     order.isResumable = this->call.route->isResumable;
     order.endAt = this->call.deadlineAt;
-    this->stop = std::make_shared<RunStop>(this->dependencies, std::move(order),
-                                           [this, part = this->partCount](RunStop::Result result) {
-                                               if (part == this->partCount)
-                                                   this->onStopEnd(result);
-                                           });
-    this->stopRecords.emplace_back(this->partCount, this->stop->record());
-    this->stop->start();
+    this->stops.start(std::move(order), isTargetBackup,
+                      [this](RunStop::Result result) { this->onStopEnd(result); });
 }
 
-/**
- * Returns what the requests to stop a run may have done to that of the current part. A request for
- * an earlier part at the same engine names the same call, so it may still stop this one.
- */
+/** Returns what the requests to stop a run may have done to that of the current part. */
 StopEffect EventRelay::stopEffect() const
 {
-    StopEffect effect = StopEffect::None;
-    for (const auto &[part, record] : this->stopRecords) {
-        if (part == this->partCount)
-            effect = std::max(effect, record->effect());
-        else if (record->server() == this->placement.server && record->mayStillAct())
-            effect = std::max(effect, StopEffect::Unknown);
-    }
-    return effect;
+    return this->stops.effect(this->placement.server);
 }
 
 /**
@@ -832,7 +753,7 @@
  */
 void EventRelay::stopSilentRun()
 {
-    if (this->stop && this->stop->hasEnded()) {
+    if (this->stops.hasEnded()) {
         this->attempt->cancel();
         return;
     }
@@ -846,11 +767,11 @@
         return;
     }
     const bool hasCopy = this->refreshedCopy && this->refreshedCopy->isReady();
-    if (!this->stop && hasCopy) {
+    if (!this->stops.hasCurrent() && hasCopy) {
         this->startStop();
         return;
     }
-    if (!this->stop && !this->refreshedCopy && (this->isBackupUsable() || isResumable))
+    if (!this->stops.hasCurrent() && !this->refreshedCopy && (this->isBackupUsable() || isResumable))
         this->startRefreshedCopy(true, now);
     this->watchSilence();
 }
@@ -865,9 +786,9 @@
         this->silenceWatch.restart(streamCloseTimeout);
         return;
     }
-    auto target = this->stop->takeTarget();
-    this->dropStop();
-    const bool isBackupKept = this->isStopTargetBackup && !this->backup;
+    bool isTargetBackup = false;
+    auto target = this->stops.takeDeclinedTarget(isTargetBackup);
+    const bool isBackupKept = isTargetBackup && !this->backup;
     if (target)
         this->stopDeclinedAt = this->dependencies.clock.now();
     if (target && isBackupKept) {
@@ -879,28 +800,9 @@
     this->watchSilence();
 }
 
-/** Takes into account that an event has arrived, which shows that the engine is not unanswered. */
-void EventRelay::recordDelivery()
-{
-    if (this->stop)
-        this->stop->recordEvent();
-}
-
-void EventRelay::dropStop()
-{
-    if (this->stop)
-        std::exchange(this->stop, nullptr)->abandon();
-}
-
-void EventRelay::dropFormerStops()
-{
-    for (const auto &former : std::exchange(this->formerStops, {}))
-        former->abandon();
-}
-
 void EventRelay::watchSilence()
 {
-    if (this->stop && this->stop->hasEnded())
+    if (this->stops.hasEnded())
         return;
     this->silenceWatch.restart(std::max(minimumSilenceTimeout,
                                         silenceTimeoutInPauses * this->call.route->targetPause));
@@ -933,9 +835,9 @@
     lost.engineState = describeServer(this->dependencies, lost.server);
     lost.stopEffect = this->stopEffect();
     lost.framing = this->attempt->bodyFraming();
-    if (this->stop) {
-        lost.stopState = this->stop->hasEnded() ? "ended" : "pending";
-        lost.stopOutcome = this->stop->outcome();
+    if (this->stops.hasCurrent()) {
+        lost.stopState = this->stops.hasEnded() ? "ended" : "pending";
+        lost.stopOutcome = this->stops.outcome();
     }
     if (this->backup)
         lost.backupState = this->isBackupUsable() ? "usable" : "unusable";
@@ -950,7 +852,7 @@
 {
     recordStreamCut(this->dependencies, this->call,
                     {this->cutDecision, this->loss, this->eventAt, this->eventCount,
-                     this->partCount, this->placement.server, this->failure});
+                     this->stops.part(), this->placement.server, this->failure});
 }
 
 /** Returns the decision by which a call ends whose time is over. */
@@ -988,7 +890,7 @@
              std::to_string(this->longestPause.count()), "pause_after_event",
              std::to_string(this->longestPauseBefore), "pause_at_switch",
              std::string(this->isLongestPauseAtSwitch ? "1" : "0"), "parts",
-             std::to_string(this->partCount), "backend_server", this->placement.server.toString(),
+             std::to_string(this->stops.part()), "backend_server", this->placement.server.toString(),
              "framing", framingName(this->attempt ? this->attempt->bodyFraming() : std::nullopt),
              "stop", std::string(toString(this->stopEffect())), "engine",
              describeServer(this->dependencies, this->placement.server));
--- a/packages/gateway/relay/eventrelay.h
+++ b/packages/gateway/relay/eventrelay.h
@@ -5,7 +5,7 @@
 #include "gateway/relay/gatewaydependencies.h"
 #include "gateway/relay/routedcall.h"
 #include "gateway/relay/runcopy.h"
-#include "gateway/relay/runstop.h"
+#include "gateway/relay/runstops.h"
 #include "gateway/relay/silencewatch.h"
 #include "gateway/relay/streamending.h"
 #include "gateway/relay/streamplacement.h"
@@ -15,7 +15,6 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
-#include <utility>
 #include <vector>
 
 namespace sassafrasyard {
@@ -58,7 +57,6 @@
     boost::asio::awaitable<bool> forwardEvents();
     boost::asio::awaitable<ReadEnd> finishBody();
     boost::asio::awaitable<BodyEnd> findBodyEnd();
-    boost::asio::awaitable<void> waitForStopAnswer();
     bool endsInsideEvent() const;
     boost::asio::awaitable<bool> forwardRemainder();
     bool isPartOfStream(const HttpResponse &response);
@@ -78,8 +76,6 @@
     void dropBackup();
     void dropRefreshedCopy();
     boost::asio::awaitable<bool> continueFromCopy(bool hasRun);
-    boost::asio::awaitable<std::optional<StreamPlacement>> takeContinuation();
-    boost::asio::awaitable<RunStop::Result> waitForStop(std::shared_ptr<RunStop> waiting);
     bool continueFromBackup();
     std::optional<StreamPlacement> takeBackup();
     boost::asio::awaitable<bool> continueFromRefreshedCopy();
@@ -94,9 +90,6 @@
     void stopSilentRun();
     void onStopEnd(RunStop::Result result);
     StopEffect stopEffect() const;
-    void dropStop();
-    void dropFormerStops();
-    void recordDelivery();
     void watchSilence();
 
     void recordLoss(Milliseconds now);
@@ -121,18 +114,8 @@
     std::unique_ptr<BackendAttempt> attempt;
     /** The target to which the engine copies the run's memory as it grows. */
     std::optional<StreamPlacement> backup;
-    /** The request to stop the run of the current part; it shows nothing about another part. */
-    std::shared_ptr<RunStop> stop;
-    /**
-     * The requests to stop the runs of earlier parts, oldest first, while the current part may
-     * still be refused and these runs be continued instead.
-     */
-    std::vector<std::shared_ptr<RunStop>> formerStops;
-    /** The requests to stop a run of this call that were sent, by the part that they were meant
-     * for. */
-    std::vector<std::pair<std::uint32_t, std::shared_ptr<StopRecord>>> stopRecords;
-    /** Whether the target of the request is the backup. */
-    bool isStopTargetBackup = false;
+    /** The requests to stop the runs of the parts. */
+    RunStops stops;
     SilenceWatch silenceWatch;
     /** A copy that is refreshed at intervals, if there is no backup. */
     std::shared_ptr<RunCopy> refreshedCopy;
@@ -157,7 +140,6 @@
     bool hasStarted = false;
     /** The media type of the response that the caller gets. */
     std::string streamMediaType;
-    std::uint32_t partCount = 0;
     std::uint32_t copyCount = 0;
     Error failure;
     /** What ends the stream, if it ends before its last event. */
