Log whether the process of an engine outlived an unframed stream

What counts as complete has not changed.

test_gateway [processchecks] and test_platformadapter [enginecalls] pass.

--- a/packages/gateway/calls/enginecalls.h
+++ b/packages/gateway/calls/enginecalls.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -55,6 +56,28 @@
     bool hasAnswered = false;
 };
 
+/** What the address of a server shows of the process there. */
+struct ProcessAnswer
+{
+    /** How the address answered. */
+    enum class State {
+        /** A process answered the request. */
+        Answered,
+        /** Nothing accepts connections there. */
+        Refused,
+        /** There was no answer in time, or the connection was lost before it. */
+        Unanswered,
+    };
+
+    /** The state. */
+    State state = State::Unanswered;
+    /**
+     * When the process that answered was started, in milliseconds since the Unix epoch; nothing if
+     * the answer does not state it.
+     */
+    std::optional<std::int64_t> startedAt;
+};
+
 /**
  * The calls to engines other than forwarded ones; supplied by the platform's adapter.
  *
@@ -85,6 +108,9 @@
             stopRun;
     /** Frees a moved copy that is not needed. */
     std::function<boost::asio::awaitable<void>(MemoryCopy)> dropMemory;
+    /** Asks the process at an address, "IP:port", for its state; also one that is no engine. */
+    std::function<boost::asio::awaitable<ProcessAnswer>(std::string address, Milliseconds timeout)>
+            askProcess;
 };
 
 } // namespace sassafrasyard
--- a/packages/gateway/relay/backendattempt.cpp
+++ b/packages/gateway/relay/backendattempt.cpp
@@ -407,6 +407,11 @@
     return this->sentToVersion;
 }
 
+ServerProcess BackendAttempt::serverProcess() const
+{
+    return {this->endpoint ? this->endpoint->toString() : std::string(), this->serverStartedAt};
+}
+
 void BackendAttempt::cancel()
 {
     this->isCancelled = true;
--- a/packages/gateway/relay/backendattempt.h
+++ b/packages/gateway/relay/backendattempt.h
@@ -54,6 +54,8 @@
     std::optional<BodyFraming> bodyFraming() const;
     /** Returns the software version of the server when the call was sent, or nothing. */
     const std::optional<SoftwareVersion> &softwareVersion() const;
+    /** Returns the process that the call was sent to. */
+    ServerProcess serverProcess() const;
     /** Closes the connection; a read in progress fails. */
     void cancel();
     /** Returns whether the connection was closed by cancel(). */
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -217,6 +217,7 @@
     const Milliseconds now = this->dependencies.clock.now();
     this->silenceWatch.restart(std::nullopt);
     this->splitter.clear();
+    this->processState = ProcessState::Unasked;
     this->partFirstEventAt.reset();
     this->partStartedAt = now;
     this->attempt = std::make_unique<BackendAttempt>(this->dependencies, this->call);
@@ -344,19 +345,43 @@
         const BodyEnd end = bodyEndOf(this->attempt->bodyFraming().value_or(BodyFraming::Close),
                                       this->stopEffect());
         const bool isOver = this->call.timeLeft(this->dependencies.clock.now()) <= Milliseconds(0);
+        if (end == BodyEnd::Complete && this->isUnframedEventStream())
+            co_await this->checkProcess();
         if (end != BodyEnd::Undecided || this->call.isCallerGone || isOver)
             co_return end;
         co_await this->stops.waitForAnswer();
     }
 }
 
+/** Finds out whether the process of the engine has outlived the stream that was just closed. */
+net::awaitable<void> EventRelay::checkProcess()
+{
+    const Milliseconds now = this->dependencies.clock.now();
+    this->processState = co_await this->dependencies.processChecks.check(
+            this->dependencies.context.get_executor(), this->dependencies.engines,
+            this->attempt->serverProcess(), std::max(Milliseconds(1), this->call.timeLeft(now)));
+    this->dependencies.entry.metrics.count(
+            "sassafrasyard_process_checks_total",
+            {{"process", std::string(toString(this->processState))}});
+}
+
 /** Returns whether the body ended inside an event, which shows that the engine broke it off. */
 bool EventRelay::endsInsideEvent() const
 {
-    const bool isEventStream = this->eventCount > 0 || this->streamMediaType == eventStreamType;
     // Blank lines after the last event begin no other one.
     const bool hasText = this->splitter.remainder().find_first_not_of("\r\n") != std::string::npos;
-    return isEventStream && hasText;
+    return this->isEventStream() && hasText;
+}
+
+bool EventRelay::isEventStream() const
+{
+    return this->eventCount > 0 || this->streamMediaType == eventStreamType;
+}
+
+/** Returns whether only the close of its connection ends the current part. */
+bool EventRelay::isUnframedEventStream() const
+{
+    return this->isEventStream() && this->attempt->bodyFraming() == BodyFraming::Close;
 }
 
 /** Forwards the body of a response that is no event stream. */
@@ -892,7 +917,8 @@
              std::string(this->isLongestPauseAtSwitch ? "1" : "0"), "parts",
              std::to_string(this->stops.part()), "backend_server", this->placement.server.toString(),
              "framing", framingName(this->attempt ? this->attempt->bodyFraming() : std::nullopt),
-             "stop", std::string(toString(this->stopEffect())), "engine",
+             "stop", std::string(toString(this->stopEffect())), "process",
+             std::string(toString(this->processState)), "engine",
              describeServer(this->dependencies, this->placement.server));
 }
 
--- a/packages/gateway/relay/eventrelay.h
+++ b/packages/gateway/relay/eventrelay.h
@@ -57,7 +57,10 @@
     boost::asio::awaitable<bool> forwardEvents();
     boost::asio::awaitable<ReadEnd> finishBody();
     boost::asio::awaitable<BodyEnd> findBodyEnd();
+    boost::asio::awaitable<void> checkProcess();
     bool endsInsideEvent() const;
+    bool isEventStream() const;
+    bool isUnframedEventStream() const;
     boost::asio::awaitable<bool> forwardRemainder();
     bool isPartOfStream(const HttpResponse &response);
     boost::asio::awaitable<bool> sendHeader(const HttpResponse &response);
@@ -116,6 +119,8 @@
     std::optional<StreamPlacement> backup;
     /** The requests to stop the runs of the parts. */
     RunStops stops;
+    /** What is known of the engine's process after the current part was closed. */
+    ProcessState processState = ProcessState::Unasked;
     SilenceWatch silenceWatch;
     /** A copy that is refreshed at intervals, if there is no backup. */
     std::shared_ptr<RunCopy> refreshedCopy;
--- a/packages/gateway/relay/gatewaydependencies.h
+++ b/packages/gateway/relay/gatewaydependencies.h
@@ -8,6 +8,7 @@
 #include "gateway/limits/serverlimiter.h"
 #include "gateway/relay/activecalls.h"
 #include "gateway/relay/answermemorybudget.h"
+#include "gateway/relay/processchecks.h"
 #include "gateway/relay/serverreachability.h"
 #include "gateway/runs/runversions.h"
 #include "gateway/servers/servercatalogue.h"
@@ -57,6 +58,8 @@
     AnswerMemoryBudget answerMemory{};
     /** The calls in progress. */
     ActiveCalls activeCalls{};
+    /** Asks the processes of servers whether they outlived a stream. */
+    ProcessChecks processChecks{};
     /** When planned changes of this host took place. */
     HostChanges changes{};
 };
--- /dev/null
+++ b/packages/gateway/relay/processchecks.cpp
@@ -0,0 +1,101 @@
+#include "gateway/relay/processchecks.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace sassafrasyard {
+
+namespace net = boost::asio;
+
+namespace {
+
+/** Streams of a process that are closed within this time share a check. */
+constexpr Milliseconds gatheringTime{20};
+/** How long one request waits for its answer. */
+constexpr Milliseconds answerTimeout{500};
+constexpr Milliseconds repetitionPause{100};
+/** A sound server may stand still for a second or so. */
+constexpr Milliseconds maximumUnansweredTime{2000};
+
+net::awaitable<void> pause(const net::any_io_executor &executor, Milliseconds time)
+{
+    net::steady_timer timer(executor, time);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
+}
+
+/** Returns whether an answer may come from another process than the one that is asked for. */
+bool isFromOther(const ProcessAnswer &answer, const ServerProcess &process)
+{
+    return answer.startedAt && process.startedAt != 0 && *answer.startedAt != process.startedAt;
+}
+
+std::string nameOf(const ServerProcess &process)
+{
+    return process.address + "/" + std::to_string(process.startedAt);
+}
+
+net::awaitable<ProcessState> ask(const net::any_io_executor &executor, const EngineCalls &calls,
+                                 const ServerProcess &process)
+{
+    using State = ProcessAnswer::State;
+    const auto end = std::chrono::steady_clock::now() + maximumUnansweredTime;
+    while (true) {
+        const ProcessAnswer answer = co_await calls.askProcess(process.address, answerTimeout);
+        if (answer.state == State::Answered && !isFromOther(answer, process))
+            co_return ProcessState::Outlived;
+        if (answer.state != State::Unanswered || std::chrono::steady_clock::now() >= end)
+            co_return ProcessState::Unknown;
+        co_await pause(executor, repetitionPause);
+    }
+}
+
+} // namespace
+
+std::string_view toString(ProcessState state)
+{
+    switch (state) {
+    case ProcessState::Unasked:
+        return "unasked";
+    case ProcessState::Outlived:
+        return "outlived";
+    case ProcessState::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+net::awaitable<ProcessState> ProcessChecks::check(net::any_io_executor executor,
+                                                  const EngineCalls &calls, ServerProcess process,
+                                                  Milliseconds timeLeft)
+{
+    std::shared_ptr<Check> &gathered = this->gathering[nameOf(process)];
+    if (!gathered) {
+        gathered = std::make_shared<Check>();
+        net::co_spawn(executor, this->run(executor, calls, std::move(process), gathered),
+                      net::detached);
+    }
+    const std::shared_ptr<Check> shared = gathered;
+    const auto wait = std::make_shared<Timer>(executor, timeLeft);
+    shared->waits.push_back(wait);
+    boost::system::error_code ignored;
+    co_await wait->async_wait(net::redirect_error(net::use_awaitable, ignored));
+    co_return shared->state;
+}
+
+net::awaitable<void> ProcessChecks::run(net::any_io_executor executor, const EngineCalls &calls,
+                                        ServerProcess process, std::shared_ptr<Check> check)
+{
+    co_await pause(executor, gatheringTime);
+    this->gathering.erase(nameOf(process));
+    check->state = co_await ask(executor, calls, process);
+    for (const auto &wait : check->waits)
+        wait->cancel();
+}
+
+} // namespace sassafrasyard
--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -175,6 +175,7 @@
                 this->context,
                 net::ip::tcp::endpoint(net::ip::make_address("127.0.0.1"), std::uint16_t{0}));
         const std::uint16_t port = acceptor->local_endpoint().port();
+        this->rawListeners[name] = acceptor;
         net::co_spawn(
                 this->context,
                 [this, acceptor, handler]() -> net::awaitable<void> {
@@ -190,6 +191,9 @@
         this->registerServer(name, "127.0.0.1:" + std::to_string(port), 200);
     }
 
+    /** Closes the listener of a raw stand-in; open connections are served. */
+    void closeListener(const std::string &name) { this->rawListeners.at(name)->close(); }
+
     /** Registers a server at an address. */
     void registerServer(const std::string &name, const std::string &address,
                         std::uint32_t slots = 8, const std::string &softwareVersion = "v1")
@@ -539,6 +543,8 @@
     /** Whether an answer to such a request is lost if it takes longer than the host waits for it.
      */
     bool losesLateAnswers = false;
+    /** How often a stand-in was asked whether its process lives. */
+    int processChecks = 0;
     std::shared_ptr<boost::asio::io_context> ownedContext;
     boost::asio::io_context &context;
 
@@ -637,9 +643,28 @@
         calls.dropMemory = [](MemoryCopy) -> boost::asio::awaitable<void> {
             co_return;
         };
+        calls.askProcess = [this](std::string address,
+                                  Milliseconds timeout) -> boost::asio::awaitable<ProcessAnswer> {
+            ++this->processChecks;
+            co_return co_await this->connectTo(std::move(address), timeout);
+        };
         return calls;
     }
 
+    /** Takes a stand-in that accepts a connection for one whose process lives. */
+    boost::asio::awaitable<ProcessAnswer> connectTo(std::string address, Milliseconds timeout)
+    {
+        Error reason;
+        const boost::asio::any_io_executor executor = this->context.get_executor();
+        HttpConnection connection(executor, *parseEndpoint(address, reason));
+        ProcessAnswer answer;
+        if (co_await connection.connect(timeout, reason))
+            answer.state = ProcessAnswer::State::Answered;
+        else if (connection.connectFailure() == ConnectFailure::Refused)
+            answer.state = ProcessAnswer::State::Refused;
+        co_return answer;
+    }
+
     static constexpr std::size_t relayedConnections = 64;
 
     void publish()
@@ -686,6 +711,7 @@
     GatewayDependencies dependencies;
     GatewayService gateway;
     std::vector<Route> routes;
+    std::map<std::string, std::shared_ptr<boost::asio::ip::tcp::acceptor>> rawListeners;
     std::vector<std::unique_ptr<HttpServer>> standIns;
     std::map<std::string, HttpServer *> standInsByName;
     std::uint64_t version = 0;
