--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -675,8 +675,8 @@
 /** Starts a refreshed copy if the run has no copy. */
 void EventRelay::ensureCopy(Milliseconds now)
 {
-    if (!this->needsCopy() || this->stops.hasCurrent() || this->isBackupUsable() || !this->partFirstEventAt
-        || now - *this->partFirstEventAt < copyAttemptInterval) {
+    if (!this->needsCopy() || this->stops.hasCurrent() || this->isBackupUsable()
+        || !this->partFirstEventAt || now - *this->partFirstEventAt < copyAttemptInterval) {
         return;
     }
     if (this->refreshedCopy && this->refreshedCopy->hasFailed())
@@ -715,8 +715,7 @@
  */
 net::awaitable<bool> EventRelay::ensureRunEnded()
 {
-    const bool hasCopy =
-            this->isBackupUsable() || this->refreshedCopy || this->stops.hasFormer();
+    const bool hasCopy = this->isBackupUsable() || this->refreshedCopy || this->stops.hasFormer();
     if (!this->canAskEngine() || this->stops.hasEnded())
         co_return true;
     // An engine that stops a run closes its stream first and answers once the copy is complete, for
@@ -796,7 +795,8 @@
         this->startStop();
         return;
     }
-    if (!this->stops.hasCurrent() && !this->refreshedCopy && (this->isBackupUsable() || isResumable))
+    if (!this->stops.hasCurrent() && !this->refreshedCopy
+        && (this->isBackupUsable() || isResumable))
         this->startRefreshedCopy(true, now);
     this->watchSilence();
 }
@@ -915,9 +915,10 @@
              std::to_string(this->longestPause.count()), "pause_after_event",
              std::to_string(this->longestPauseBefore), "pause_at_switch",
              std::string(this->isLongestPauseAtSwitch ? "1" : "0"), "parts",
-             std::to_string(this->stops.part()), "backend_server", this->placement.server.toString(),
-             "framing", framingName(this->attempt ? this->attempt->bodyFraming() : std::nullopt),
-             "stop", std::string(toString(this->stopEffect())), "process",
+             std::to_string(this->stops.part()), "backend_server",
+             this->placement.server.toString(), "framing",
+             framingName(this->attempt ? this->attempt->bodyFraming() : std::nullopt), "stop",
+             std::string(toString(this->stopEffect())), "process",
              std::string(toString(this->processState)), "engine",
              describeServer(this->dependencies, this->placement.server));
 }
