Count an unframed end as complete only if the engine's process outlived it

Cause: the lack of a request to stop the run counted as evidence that it had come to its end. bodyEndOf() now also asks for the state of the process: after the close the engine answers GET /report (one request for all streams that it closed in the same moment), or the end is doubtful. A doubtful end goes on from a copy or, on a resumable route, as a new run after the last event; without either it is broken off and never looks complete. An engine that closed a stream in order does not work on its run any more, so it is not asked to stop it first. A server that ends so may have been crashed by the request, which is checked as after a lost connection.

--- a/packages/gateway/relay/backendattempt.cpp
+++ b/packages/gateway/relay/backendattempt.cpp
@@ -349,20 +349,30 @@
                                                                      Error &reason)
 {
     const auto bytes = co_await this->connection->read(timeout, reason);
-    const Milliseconds now = this->dependencies.clock.now();
     if (bytes) {
         this->dependencies.contacts.recordReceived(this->call.service->name);
         if (!this->firstBytesAt)
-            this->firstBytesAt = now;
+            this->firstBytesAt = this->dependencies.clock.now();
         co_return bytes;
     }
-    const bool hasRunLongEnough =
-            this->firstBytesAt && now - *this->firstBytesAt >= CrashQuarantine::crashFreeRunTime;
-    if (!hasRunLongEnough && this->isServerFailure(reason))
+    if (!this->hasRunLongEnough() && this->isServerFailure(reason))
         co_await this->checkForCrash();
     co_return std::nullopt;
 }
 
+net::awaitable<void> BackendAttempt::recordBreakOff()
+{
+    if (!this->hasRunLongEnough())
+        co_await this->checkForCrash();
+}
+
+/** Returns whether the call has run for so long that it is not the cause if its server ends. */
+bool BackendAttempt::hasRunLongEnough() const
+{
+    const Milliseconds now = this->dependencies.clock.now();
+    return this->firstBytesAt && now - *this->firstBytesAt >= CrashQuarantine::crashFreeRunTime;
+}
+
 net::awaitable<std::optional<std::string>> BackendAttempt::readAll(Milliseconds timeout,
                                                                    Error &reason)
 {
--- a/packages/gateway/relay/backendattempt.h
+++ b/packages/gateway/relay/backendattempt.h
@@ -56,6 +56,11 @@
     const std::optional<SoftwareVersion> &softwareVersion() const;
     /** Returns the process that the call was sent to. */
     ServerProcess serverProcess() const;
+    /**
+     * Records that the response may have broken off although its body ended regularly, and whether
+     * the server refuses new connections.
+     */
+    boost::asio::awaitable<void> recordBreakOff();
     /** Closes the connection; a read in progress fails. */
     void cancel();
     /** Returns whether the connection was closed by cancel(). */
@@ -76,6 +81,7 @@
     void recordSending(const ForwardingOrder &order);
     bool reserveMemory(std::size_t bytes);
     bool isServerFailure(const Error &failure) const;
+    bool hasRunLongEnough() const;
     boost::asio::awaitable<void> checkForCrash();
     BackendServerName serverRunName() const;
 
--- a/packages/gateway/relay/callmetrics.cpp
+++ b/packages/gateway/relay/callmetrics.cpp
@@ -76,12 +76,13 @@
 }
 
 void recordBrokenEnd(Metrics &metrics, const RoutedCall &call, const BackendServerName &server,
-                     StopEffect effect, Milliseconds waited)
+                     StopEffect effect, ProcessState process, Milliseconds waited)
 {
     const std::string stop(toString(effect));
     metrics.count("sassafrasyard_broken_ends_total", {{"stop", stop}});
     logEvent(LogEvent::BrokenEndFound, "request", call.metadata.requestId, "backend_server",
-             server.toString(), "stop", stop, "waited_ms", std::to_string(waited.count()));
+             server.toString(), "stop", stop, "process", std::string(toString(process)),
+             "waited_ms", std::to_string(waited.count()));
 }
 
 std::string_view statusClass(int status)
--- a/packages/gateway/relay/callmetrics.h
+++ b/packages/gateway/relay/callmetrics.h
@@ -2,6 +2,7 @@
 
 #include "core/core.h"
 #include "gateway/calls/retryrule.h"
+#include "gateway/relay/processchecks.h"
 #include "gateway/relay/routedcall.h"
 #include "gateway/relay/stoprecord.h"
 #include "gateway/routes/route.h"
@@ -46,13 +47,14 @@
 void recordStreamEnd(Metrics &metrics, std::string framing, StopEffect effect);
 
 /**
- * Counts and logs a body that ended regularly although its run was or may have been stopped.
+ * Counts and logs a body that ended regularly although its run may have been broken off.
  *
  * @param effect what the requests to stop the run may have done.
- * @param waited how long the answer of the server was waited for.
+ * @param process what is known of the server's process.
+ * @param waited how long answers of the server were waited for.
  */
 void recordBrokenEnd(Metrics &metrics, const RoutedCall &call, const BackendServerName &server,
-                     StopEffect effect, Milliseconds waited);
+                     StopEffect effect, ProcessState process, Milliseconds waited);
 
 /** Returns the class of an HTTP status as a label for recordCall(), such as "2xx" or "other". */
 std::string_view statusClass(int status);
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -77,6 +77,7 @@
         }
         ReadEnd readEnd = ReadEnd::Lost;
         if (isStream) {
+            this->doubtfulEnd.reset();
             this->stops.dropFormer();
             const bool isOpen = co_await this->sendHeader(result.response);
             readEnd = ReadEnd::CallerGone;
@@ -328,41 +329,51 @@
     }
     const Milliseconds now = this->dependencies.clock.now();
     recordBrokenEnd(this->dependencies.entry.metrics, this->call, this->placement.server,
-                    this->stopEffect(), now - endedAt);
+                    this->stopEffect(), this->processState, now - endedAt);
+    if (bodyEnd == BodyEnd::Doubtful) {
+        this->doubtfulEnd = DoubtfulEnd{this->stops.part(), this->placement, this->processState};
+    }
+    if (this->processState == ProcessState::Unknown)
+        co_await this->attempt->recordBreakOff();
     this->failure = {ErrorCode::BackendServerLost,
                      RunState::OutcomeUnknown,
-                     "the stream was closed without framing after a request to stop its run",
+                     "the stream was closed without framing, and nothing shows that it is complete",
                      {}};
     co_return this->call.timeLeft(now) <= Milliseconds(0) ? ReadEnd::Deadline : ReadEnd::Lost;
 }
 
-/** Returns what the regular end of the body shows, if need be after the engine's answer. */
+/** Returns what the regular end of the body shows, if need be after an answer of the engine. */
 net::awaitable<BodyEnd> EventRelay::findBodyEnd()
 {
     // The engine has closed the stream, so its silence is no reason to stop the run any more.
     this->silenceWatch.restart(std::nullopt);
     while (true) {
-        const BodyEnd end = bodyEndOf(this->attempt->bodyFraming().value_or(BodyFraming::Close),
-                                      this->stopEffect());
+        // Only a stream is broken off between two events; other bodies end as the pages say.
+        const BodyEnd end = bodyEndOf(
+                this->attempt->bodyFraming().value_or(BodyFraming::Close), this->stopEffect(),
+                this->isEventStream() ? this->processState : ProcessState::Outlived);
         const bool isOver = this->call.timeLeft(this->dependencies.clock.now()) <= Milliseconds(0);
-        if (end == BodyEnd::Complete && this->isUnframedEventStream())
-            co_await this->checkProcess();
-        if (end != BodyEnd::Undecided || this->call.isCallerGone || isOver)
+        if (this->call.isCallerGone || isOver)
+            co_return end;
+        if (end == BodyEnd::AwaitsProcess)
+            this->processState = co_await this->checkProcess(this->attempt->serverProcess());
+        else if (end == BodyEnd::AwaitsAnswer)
+            co_await this->stops.waitForAnswer(this->stops.part());
+        else
             co_return end;
-        co_await this->stops.waitForAnswer();
     }
 }
 
-/** Finds out whether the process of the engine has outlived the stream that was just closed. */
-net::awaitable<void> EventRelay::checkProcess()
+/** Returns whether a process has outlived a stream that it has closed. */
+net::awaitable<ProcessState> EventRelay::checkProcess(ServerProcess process)
 {
     const Milliseconds now = this->dependencies.clock.now();
-    this->processState = co_await this->dependencies.processChecks.check(
+    const ProcessState state = co_await this->dependencies.processChecks.check(
             this->dependencies.context.get_executor(), this->dependencies.engines,
-            this->attempt->serverProcess(), std::max(Milliseconds(1), this->call.timeLeft(now)));
-    this->dependencies.entry.metrics.count(
-            "sassafrasyard_process_checks_total",
-            {{"process", std::string(toString(this->processState))}});
+            std::move(process), std::max(Milliseconds(1), this->call.timeLeft(now)));
+    this->dependencies.entry.metrics.count("sassafrasyard_process_checks_total",
+                                           {{"process", std::string(toString(state))}});
+    co_return state;
 }
 
 /** Returns whether the body ended inside an event, which shows that the engine broke it off. */
@@ -378,12 +389,6 @@
     return this->eventCount > 0 || this->streamMediaType == eventStreamType;
 }
 
-/** Returns whether only the close of its connection ends the current part. */
-bool EventRelay::isUnframedEventStream() const
-{
-    return this->isEventStream() && this->attempt->bodyFraming() == BodyFraming::Close;
-}
-
 /** Forwards the body of a response that is no event stream. */
 net::awaitable<bool> EventRelay::forwardRemainder()
 {
@@ -464,7 +469,13 @@
             this->cutDecision = StreamCutDecision::RequestQuarantined;
             co_return false;
         }
-        const bool hasEnded = co_await this->ensureRunEnded();
+        // A continuation that may have run shows that the run before it had not come to its end.
+        if (!wasStream)
+            this->doubtfulEnd.reset();
+        // An engine that has closed a stream in order does not work on its run any more.
+        bool hasEnded = this->doubtfulEnd.has_value();
+        if (!hasEnded)
+            hasEnded = co_await this->ensureRunEnded();
         if (!hasEnded || this->call.isCallerGone) {
             this->cutDecision = StreamCutDecision::RunNotEnded;
             co_return false;
@@ -473,9 +484,7 @@
     const bool isContinued = co_await this->continueFromCopy(hasRun);
     if (isContinued)
         co_return true;
-    this->stops.drop();
-    this->dropBackup();
-    this->dropRefreshedCopy();
+    this->dropCopies();
     const AttemptOutcome outcome = wasStream ? AttemptOutcome::Unknown : result.outcome;
     this->cutDecision = StreamCutDecision::NoContinuation;
     if (!this->mayStartNewRun(outcome, result.response.status))
@@ -488,11 +497,9 @@
 {
     this->attempt->release();
     this->reportPartEnd(WorkOutcome::Completed);
-    this->stops.drop();
-    this->dropBackup();
-    this->dropRefreshedCopy();
+    this->dropCopies();
     co_await this->responder.finish();
-    recordStreamEnd(this->dependencies.entry.metrics, framingName(this->attempt->bodyFraming()),
+    recordStreamEnd(this->dependencies.entry.metrics, framingName(this->framing()),
                     this->stopEffect());
     this->logEnd("complete");
 }
@@ -502,9 +509,7 @@
 {
     if (this->attempt)
         this->attempt->cancel();
-    this->stops.drop();
-    this->dropBackup();
-    this->dropRefreshedCopy();
+    this->dropCopies();
     if (this->hasStarted || this->call.isCallerGone) {
         if (!this->call.isCallerGone)
             this->recordCut();
@@ -582,11 +587,16 @@
 }
 
 bool EventRelay::isBackupUsable() const
+{
+    return this->backup && this->isUsable(*this->backup);
+}
+
+/** Returns whether the stream may continue from a copy at a placement. */
+bool EventRelay::isUsable(const StreamPlacement &copy) const
 {
     const auto &version = this->placement.softwareVersion;
-    return this->backup && version
-            && this->dependencies.servers.canContinue(this->backup->server, *version)
-            && !this->dependencies.reachability.pauseLeft(this->backup->server);
+    return version && this->dependencies.servers.canContinue(copy.server, *version)
+            && !this->dependencies.reachability.pauseLeft(copy.server);
 }
 
 void EventRelay::dropBackup()
@@ -596,6 +606,14 @@
     this->backup.reset();
 }
 
+/** Releases all that is reserved for a continuation. */
+void EventRelay::dropCopies()
+{
+    this->stops.drop();
+    this->dropBackup();
+    this->dropRefreshedCopy();
+}
+
 void EventRelay::dropRefreshedCopy()
 {
     if (this->refreshedCopy)
@@ -672,6 +690,14 @@
              this->lastEvent ? std::to_string(*this->lastEvent) : std::string("none"));
 }
 
+/** Returns what ended the body of the last part with events. */
+std::optional<BodyFraming> EventRelay::framing() const
+{
+    if (this->doubtfulEnd)
+        return BodyFraming::Close;
+    return this->attempt ? this->attempt->bodyFraming() : std::nullopt;
+}
+
 /** Starts a refreshed copy if the run has no copy. */
 void EventRelay::ensureCopy(Milliseconds now)
 {
@@ -763,10 +789,12 @@
                       [this](RunStop::Result result) { this->onStopEnd(result); });
 }
 
-/** Returns what the requests to stop a run may have done to that of the current part. */
+/** Returns what the requests to stop a run may have done to that of the last part with events. */
 StopEffect EventRelay::stopEffect() const
 {
-    return this->stops.effect(this->placement.server);
+    if (this->doubtfulEnd)
+        return this->stops.effect(this->doubtfulEnd->part, this->doubtfulEnd->placement.server);
+    return this->stops.effect(this->stops.part(), this->placement.server);
 }
 
 /**
@@ -916,11 +944,11 @@
              std::to_string(this->longestPauseBefore), "pause_at_switch",
              std::string(this->isLongestPauseAtSwitch ? "1" : "0"), "parts",
              std::to_string(this->stops.part()), "backend_server",
-             this->placement.server.toString(), "framing",
-             framingName(this->attempt ? this->attempt->bodyFraming() : std::nullopt), "stop",
+             this->placement.server.toString(), "framing", framingName(this->framing()), "stop",
              std::string(toString(this->stopEffect())), "process",
-             std::string(toString(this->processState)), "engine",
-             describeServer(this->dependencies, this->placement.server));
+             std::string(toString(this->doubtfulEnd ? this->doubtfulEnd->processState
+                                                    : this->processState)),
+             "engine", describeServer(this->dependencies, this->placement.server));
 }
 
 void EventRelay::reportProgress(Milliseconds now)
--- a/packages/gateway/relay/eventrelay.h
+++ b/packages/gateway/relay/eventrelay.h
@@ -49,6 +49,14 @@
         CallerGone,
     };
 
+    /** The last part with events, if nothing shows whether its regular end is that of its run. */
+    struct DoubtfulEnd
+    {
+        std::uint32_t part = 0;
+        StreamPlacement placement;
+        ProcessState processState = ProcessState::Unasked;
+    };
+
     boost::asio::awaitable<bool> bindToVersion();
     boost::asio::awaitable<std::optional<SoftwareVersion>> findVersion();
     boost::asio::awaitable<bool> placeNewRun();
@@ -57,10 +65,9 @@
     boost::asio::awaitable<bool> forwardEvents();
     boost::asio::awaitable<ReadEnd> finishBody();
     boost::asio::awaitable<BodyEnd> findBodyEnd();
-    boost::asio::awaitable<void> checkProcess();
+    boost::asio::awaitable<ProcessState> checkProcess(ServerProcess process);
     bool endsInsideEvent() const;
     bool isEventStream() const;
-    bool isUnframedEventStream() const;
     boost::asio::awaitable<bool> forwardRemainder();
     bool isPartOfStream(const HttpResponse &response);
     boost::asio::awaitable<bool> sendHeader(const HttpResponse &response);
@@ -74,10 +81,12 @@
     boost::asio::awaitable<void> reserveBackup(const StreamPlacement &source);
     bool needsCopy() const;
     bool isBackupUsable() const;
+    bool isUsable(const StreamPlacement &copy) const;
     void recordVersion(Milliseconds now);
     void refuseContinuation(std::string_view version, std::string detail);
     void dropBackup();
     void dropRefreshedCopy();
+    void dropCopies();
     boost::asio::awaitable<bool> continueFromCopy(bool hasRun);
     bool continueFromBackup();
     std::optional<StreamPlacement> takeBackup();
@@ -93,6 +102,7 @@
     void stopSilentRun();
     void onStopEnd(RunStop::Result result);
     StopEffect stopEffect() const;
+    std::optional<BodyFraming> framing() const;
     void watchSilence();
 
     void recordLoss(Milliseconds now);
@@ -121,6 +131,8 @@
     RunStops stops;
     /** What is known of the engine's process after the current part was closed. */
     ProcessState processState = ProcessState::Unasked;
+    /** Set until another part of the stream begins. */
+    std::optional<DoubtfulEnd> doubtfulEnd;
     SilenceWatch silenceWatch;
     /** A copy that is refreshed at intervals, if there is no backup. */
     std::shared_ptr<RunCopy> refreshedCopy;
--- a/packages/gateway/relay/runevidence.cpp
+++ b/packages/gateway/relay/runevidence.cpp
@@ -42,6 +42,20 @@
             [evidence](const RunEvidenceRow &row) { return row.evidence == evidence; });
 }
 
+/** Returns what the end of a body shows whose run no request can have stopped. */
+BodyEnd endByProcess(ProcessState process)
+{
+    switch (process) {
+    case ProcessState::Unasked:
+        return BodyEnd::AwaitsProcess;
+    case ProcessState::Outlived:
+        return BodyEnd::Complete;
+    case ProcessState::Unknown:
+        return BodyEnd::Doubtful;
+    }
+    return BodyEnd::Doubtful;
+}
+
 } // namespace
 
 std::string_view toString(RunEvidence evidence)
@@ -67,7 +81,7 @@
     return required && unansweredFor >= *required;
 }
 
-BodyEnd bodyEndOf(BodyFraming framing, StopEffect effect)
+BodyEnd bodyEndOf(BodyFraming framing, StopEffect effect, ProcessState process)
 {
     if (framing != BodyFraming::Close)
         return BodyEnd::Complete;
@@ -75,9 +89,9 @@
     case StopEffect::None:
     case StopEffect::Absent:
     case StopEffect::Declined:
-        return BodyEnd::Complete;
+        return endByProcess(process);
     case StopEffect::Pending:
-        return BodyEnd::Undecided;
+        return BodyEnd::AwaitsAnswer;
     case StopEffect::Stopped:
     case StopEffect::Unknown:
         return BodyEnd::Broken;
--- a/packages/gateway/relay/runevidence.h
+++ b/packages/gateway/relay/runevidence.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/core.h"
+#include "gateway/relay/processchecks.h"
 #include "gateway/relay/stoprecord.h"
 #include "network/network.h"
 
@@ -64,22 +65,28 @@
 enum class BodyEnd {
     /** The run came to its end. */
     Complete,
-    /** The run was stopped, or may have been. */
+    /** The run was stopped, or may have been by a request whose answer was lost. */
     Broken,
+    /** Nothing shows that the run came to its end, or that it did not. */
+    Doubtful,
     /** An outstanding answer of the engine will show it. */
-    Undecided,
+    AwaitsAnswer,
+    /** Whether the engine's process still lives will show it. */
+    AwaitsProcess,
 };
 
 /**
  * Returns what the regular end of a body shows.
  *
- * An engine that is asked to stop a run closes its stream without its end. A length or the last
- * chunk would be missing then, but without them a stream that was stopped after a whole event ends
- * like one that is complete. So without framing the end depends on what this host has asked of the
- * engine.
+ * An engine that is asked to stop a run closes its stream without its end, and the operating system
+ * of a process that ends closes its connections in order. A length or the last chunk would be
+ * missing then, but without them a stream that was broken off after a whole event ends like one
+ * that is complete. So without framing the end needs evidence: no request of this host can have
+ * stopped the run, and the process that wrote the stream has outlived it.
  *
  * @param effect what the requests to stop the run may have done.
+ * @param process what is known of the process of the engine.
  */
-BodyEnd bodyEndOf(BodyFraming framing, StopEffect effect);
+BodyEnd bodyEndOf(BodyFraming framing, StopEffect effect, ProcessState process);
 
 } // namespace sassafrasyard
--- a/packages/gateway/relay/runstops.cpp
+++ b/packages/gateway/relay/runstops.cpp
@@ -96,26 +96,25 @@
     co_return std::nullopt;
 }
 
-StopEffect RunStops::effect(const BackendServerName &server) const
+StopEffect RunStops::effect(std::uint32_t part, const BackendServerName &server) const
 {
     StopEffect effect = StopEffect::None;
-    for (const auto &[part, record] : this->records) {
-        if (part == this->partCount)
+    for (const auto &[meant, record] : this->records) {
+        if (meant == part)
             effect = std::max(effect, record->effect());
-        else if (record->server() == server && record->mayStillAct())
+        else if (meant < part && record->server() == server && record->mayStillAct())
             effect = std::max(effect, StopEffect::Unknown);
     }
     return effect;
 }
 
-net::awaitable<void> RunStops::waitForAnswer()
+net::awaitable<void> RunStops::waitForAnswer(std::uint32_t part)
 {
-    if (this->current)
+    if (this->current && part == this->partCount)
         this->current->insist();
     const auto pending =
-            std::find_if(this->records.begin(), this->records.end(), [this](const auto &entry) {
-                return entry.first == this->partCount
-                        && entry.second->effect() == StopEffect::Pending;
+            std::find_if(this->records.begin(), this->records.end(), [part](const auto &entry) {
+                return entry.first == part && entry.second->effect() == StopEffect::Pending;
             });
     if (pending == this->records.end())
         co_return;
--- a/packages/gateway/relay/runstops.h
+++ b/packages/gateway/relay/runstops.h
@@ -71,14 +71,14 @@
     boost::asio::awaitable<std::optional<StreamPlacement>> takeContinuation();
 
     /**
-     * Returns what the requests may have done to the run of the current part. A request for an
-     * earlier part at the same engine names the same call, so it may still stop this one.
+     * Returns what the requests may have done to the run of a part. A request for an earlier part
+     * at the same engine names the same call, so it may still stop this one.
      *
-     * @param server the engine of the current part.
+     * @param server the engine of the part.
      */
-    StopEffect effect(const BackendServerName &server) const;
-    /** Waits for an outstanding answer about the current part, or until the caller has left. */
-    boost::asio::awaitable<void> waitForAnswer();
+    StopEffect effect(std::uint32_t part, const BackendServerName &server) const;
+    /** Waits for an outstanding answer about a part, or until the caller has left. */
+    boost::asio::awaitable<void> waitForAnswer(std::uint32_t part);
 
     /** Returns whether a request of an earlier part may still lead to a continuation. */
     bool hasFormer() const;
--- a/packages/gateway/tests/test_runevidence.cpp
+++ b/packages/gateway/tests/test_runevidence.cpp
@@ -64,3 +64,36 @@
     for (const ExpectedRow &row : expectedRows())
         checkTime(row.evidence, RunConnection::Closed, row.afterClose);
 }
+
+// Guards against a stream that counts as complete without evidence that its run came to its end,
+// and against one with a length or chunks that waits for such evidence.
+TEST_CASE("The end of a body without framing needs evidence", "[evidence]")
+{
+    struct Row
+    {
+        StopEffect effect;
+        BodyEnd unasked;
+        BodyEnd outlived;
+        BodyEnd unknown;
+    };
+    constexpr BodyEnd complete = BodyEnd::Complete;
+    constexpr BodyEnd doubtful = BodyEnd::Doubtful;
+    constexpr BodyEnd broken = BodyEnd::Broken;
+    const std::vector<Row> rows{
+            {StopEffect::None, BodyEnd::AwaitsProcess, complete, doubtful},
+            {StopEffect::Absent, BodyEnd::AwaitsProcess, complete, doubtful},
+            {StopEffect::Declined, BodyEnd::AwaitsProcess, complete, doubtful},
+            {StopEffect::Pending, BodyEnd::AwaitsAnswer, BodyEnd::AwaitsAnswer,
+             BodyEnd::AwaitsAnswer},
+            {StopEffect::Unknown, broken, broken, broken},
+            {StopEffect::Stopped, broken, broken, broken},
+    };
+    for (const Row &row : rows) {
+        INFO(toString(row.effect));
+        CHECK(bodyEndOf(BodyFraming::Close, row.effect, ProcessState::Unasked) == row.unasked);
+        CHECK(bodyEndOf(BodyFraming::Close, row.effect, ProcessState::Outlived) == row.outlived);
+        CHECK(bodyEndOf(BodyFraming::Close, row.effect, ProcessState::Unknown) == row.unknown);
+        for (const BodyFraming framing : {BodyFraming::Length, BodyFraming::Chunks})
+            CHECK(bodyEndOf(framing, row.effect, ProcessState::Unknown) == complete);
+    }
+}
