Take no declined stop for evidence of a complete unframed stream

Callers got unframed streams as complete with events missing where the engine stopped the run although it answered the request to stop it with 409, 429, or 503 without a handle. 6 of 6 streams with real daemons on.

Cause: the answer was taken as proof that the run was left as it was. The end is doubtful now: a copy continues the run, and the copy that the declined request named is kept for that. Its continuation adds nothing to a run that had come to its end. Only where no copy tells is the engine asked once more: no such run means the end, memory that it kept is continued, and anything else breaks the stream off. StopRecord keeps the strongest effect, so that a later 'no such run' does not hide the declined request.

--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -94,6 +94,10 @@
             this->recordLoss(this->dependencies.clock.now());
         if (readEnd == ReadEnd::Lost && !this->call.isCallerGone) {
             hasNextPart = co_await this->findNextPart(result, isStream);
+            if (this->isEndConfirmed) {
+                co_await this->finishStream();
+                co_return;
+            }
         } else {
             this->cutDecision = readEnd == ReadEnd::Deadline ? this->deadlineDecision()
                                                              : StreamCutDecision::CallerUnwritable;
@@ -481,9 +485,13 @@
             co_return false;
         }
     }
-    const bool isContinued = co_await this->continueFromCopy(hasRun);
-    if (isContinued)
-        co_return true;
+    bool isContinued = false;
+    if (this->doubtfulEnd)
+        isContinued = co_await this->continueDoubtfulEnd(hasRun);
+    else
+        isContinued = co_await this->continueFromCopy(hasRun);
+    if (isContinued || this->isEndConfirmed)
+        co_return isContinued;
     this->dropCopies();
     const AttemptOutcome outcome = wasStream ? AttemptOutcome::Unknown : result.outcome;
     this->cutDecision = StreamCutDecision::NoContinuation;
@@ -493,10 +501,40 @@
     co_return co_await this->placeNewRun();
 }
 
+/**
+ * Continues a run with a doubtful end; a continuation of a run that had come to its end adds
+ * nothing. isEndConfirmed tells whether there is evidence of the end instead.
+ *
+ * @param hasRun as for continueFromCopy().
+ */
+net::awaitable<bool> EventRelay::continueDoubtfulEnd(bool hasRun)
+{
+    const bool isContinued = co_await this->continueFromCopy(hasRun);
+    if (isContinued)
+        co_return true;
+    const bool mayAsk = this->stopEffect() == StopEffect::Declined && this->canAskEngine()
+            && !std::exchange(this->doubtfulEnd->isAsked, true);
+    if (!mayAsk)
+        co_return false;
+    // No copy can tell, so the engine that declined is asked once more.
+    this->startStop(this->doubtfulEnd->placement, true);
+    co_await this->stops.finish();
+    this->isEndConfirmed = this->stops.outcome() == toString(RunEvidence::EngineHasNoRun);
+    if (this->isEndConfirmed || this->call.isCallerGone)
+        co_return false;
+    co_return co_await this->continueFromCopy(false);
+}
+
 net::awaitable<void> EventRelay::complete()
 {
     this->attempt->release();
     this->reportPartEnd(WorkOutcome::Completed);
+    co_await this->finishStream();
+}
+
+/** Ends the response to the caller as complete. */
+net::awaitable<void> EventRelay::finishStream()
+{
     this->dropCopies();
     co_await this->responder.finish();
     recordStreamEnd(this->dependencies.entry.metrics, framingName(this->framing()),
@@ -606,12 +644,20 @@
     this->backup.reset();
 }
 
+void EventRelay::dropDeclinedCopy()
+{
+    if (this->declinedCopy)
+        this->dependencies.dispatch.releaseCopy(this->declinedCopy->name);
+    this->declinedCopy.reset();
+}
+
 /** Releases all that is reserved for a continuation. */
 void EventRelay::dropCopies()
 {
     this->stops.drop();
     this->dropBackup();
     this->dropRefreshedCopy();
+    this->dropDeclinedCopy();
 }
 
 void EventRelay::dropRefreshedCopy()
@@ -639,7 +685,7 @@
     // A copy that the engine completed holds the run, also if a part that came after it was
     // refused.
     const bool isContinued = co_await this->continueFromRefreshedCopy();
-    co_return isContinued || this->continueFromBackup();
+    co_return isContinued || this->continueFromBackup() || this->continueFromDeclinedCopy();
 }
 
 /** Continues from the backup. @return whether there is a usable one. */
@@ -652,6 +698,24 @@
     return true;
 }
 
+/** Continues from the copy that a declined request to stop the run named, if it is usable. */
+bool EventRelay::continueFromDeclinedCopy()
+{
+    auto next = this->takeDeclinedCopy();
+    if (!next)
+        return false;
+    this->continueAt(std::move(*next));
+    return true;
+}
+
+/** Returns the copy that a declined request to stop the run named, or nothing if not usable. */
+std::optional<StreamPlacement> EventRelay::takeDeclinedCopy()
+{
+    if (!this->declinedCopy || !this->isUsable(*this->declinedCopy))
+        return std::nullopt;
+    return std::exchange(this->declinedCopy, std::nullopt);
+}
+
 /** Returns the placement of the backup if it is usable, and releases it from its role as backup. */
 std::optional<StreamPlacement> EventRelay::takeBackup()
 {
@@ -728,7 +792,7 @@
             this->isBackupUsable() && returnableUntil && now + stopAnswerTime < *returnableUntil;
     const bool hasCopy = this->refreshedCopy && this->refreshedCopy->isReady();
     if (mayUseBackup ? now - *this->partFirstEventAt >= minimumBackupAge : hasCopy)
-        this->startStop();
+        this->startStop(this->placement, false);
     else if (!mayUseBackup && !this->refreshedCopy
              && now - this->copyAttemptedAt >= progressInterval)
         this->startRefreshedCopy(true, now);
@@ -741,7 +805,8 @@
  */
 net::awaitable<bool> EventRelay::ensureRunEnded()
 {
-    const bool hasCopy = this->isBackupUsable() || this->refreshedCopy || this->stops.hasFormer();
+    const bool hasCopy = this->isBackupUsable() || this->refreshedCopy || this->declinedCopy
+            || this->stops.hasFormer();
     if (!this->canAskEngine() || this->stops.hasEnded())
         co_return true;
     // An engine that stops a run closes its stream first and answers once the copy is complete, for
@@ -753,7 +818,7 @@
         this->dropBackup();
         co_return true;
     }
-    this->startStop();
+    this->startStop(this->placement, false);
     const RunStop::Result result = co_await this->stops.finish();
     co_return result == RunStop::Result::Ended;
 }
@@ -764,12 +829,17 @@
     return this->engine() != nullptr && this->engine()->supportsMoves;
 }
 
-/** Starts to stop the run, which then continues from its backup or its refreshed copy, if any. */
-void EventRelay::startStop()
+/**
+ * Starts to stop a run, which then continues from its backup or its refreshed copy, if any.
+ *
+ * @param source the placement of the run.
+ * @param isAskedOnce whether the first answer ends stopping, whatever it says.
+ */
+void EventRelay::startStop(const StreamPlacement &source, bool isAskedOnce)
 {
     RunStopOrder order;
     order.service = this->call.service->name;
-    order.source = this->placement;
+    order.source = source;
     if (this->refreshedCopy && this->refreshedCopy->isReady()) {
         order.target = this->refreshedCopy->take();
         this->dropRefreshedCopy();
@@ -777,14 +847,17 @@
     const bool isTargetBackup = !order.target && this->isBackupUsable();
     if (isTargetBackup)
         order.target = this->takeBackup();
+    if (!order.target)
+        order.target = this->takeDeclinedCopy();
     if (!order.target) {
         order.work = this->makeCopyRequest("stopped");
-        order.work.softwareVersion = this->placement.softwareVersion;
-        order.work.avoided = {this->placement.server};
+        order.work.softwareVersion = source.softwareVersion;
+        order.work.avoided = {source.server};
     }
     order.requestId = this->call.metadata.requestId;
     order.isResumable = this->call.route->isResumable;
     order.endAt = this->call.deadlineAt;
+    order.isAskedOnce = isAskedOnce;
     this->stops.start(std::move(order), isTargetBackup,
                       [this](RunStop::Result result) { this->onStopEnd(result); });
 }
@@ -820,7 +893,7 @@
     }
     const bool hasCopy = this->refreshedCopy && this->refreshedCopy->isReady();
     if (!this->stops.hasCurrent() && hasCopy) {
-        this->startStop();
+        this->startStop(this->placement, false);
         return;
     }
     if (!this->stops.hasCurrent() && !this->refreshedCopy
@@ -847,6 +920,9 @@
     if (target && isBackupKept) {
         target->source.reset();
         this->backup = std::move(target);
+    } else if (target && target->source) {
+        this->dropDeclinedCopy();
+        this->declinedCopy = std::move(target);
     } else if (target) {
         this->dependencies.dispatch.releaseCopy(target->name);
     }
--- a/packages/gateway/relay/eventrelay.h
+++ b/packages/gateway/relay/eventrelay.h
@@ -55,6 +55,8 @@
         std::uint32_t part = 0;
         StreamPlacement placement;
         ProcessState processState = ProcessState::Unasked;
+        /** Whether the engine was asked once more for its run. */
+        bool isAsked = false;
     };
 
     boost::asio::awaitable<bool> bindToVersion();
@@ -73,7 +75,9 @@
     boost::asio::awaitable<bool> sendHeader(const HttpResponse &response);
     boost::asio::awaitable<void> forwardAnswer(HttpResponse response);
     boost::asio::awaitable<bool> findNextPart(const AttemptResult &result, bool wasStream);
+    boost::asio::awaitable<bool> continueDoubtfulEnd(bool hasRun);
     boost::asio::awaitable<void> complete();
+    boost::asio::awaitable<void> finishStream();
     boost::asio::awaitable<void> end();
 
     ForwardingOrder makeOrder(const StreamPlacement &at, Milliseconds now) const;
@@ -86,10 +90,13 @@
     void refuseContinuation(std::string_view version, std::string detail);
     void dropBackup();
     void dropRefreshedCopy();
+    void dropDeclinedCopy();
     void dropCopies();
     boost::asio::awaitable<bool> continueFromCopy(bool hasRun);
     bool continueFromBackup();
+    bool continueFromDeclinedCopy();
     std::optional<StreamPlacement> takeBackup();
+    std::optional<StreamPlacement> takeDeclinedCopy();
     boost::asio::awaitable<bool> continueFromRefreshedCopy();
     void continueAt(StreamPlacement next);
     void ensureCopy(Milliseconds now);
@@ -98,7 +105,7 @@
 
     boost::asio::awaitable<bool> ensureRunEnded();
     bool canAskEngine() const;
-    void startStop();
+    void startStop(const StreamPlacement &source, bool isAskedOnce);
     void stopSilentRun();
     void onStopEnd(RunStop::Result result);
     StopEffect stopEffect() const;
@@ -133,9 +140,13 @@
     ProcessState processState = ProcessState::Unasked;
     /** Set until another part of the stream begins. */
     std::optional<DoubtfulEnd> doubtfulEnd;
+    /** Whether the stream is complete although its end was doubtful. */
+    bool isEndConfirmed = false;
     SilenceWatch silenceWatch;
     /** A copy that is refreshed at intervals, if there is no backup. */
     std::shared_ptr<RunCopy> refreshedCopy;
+    /** The complete copy that a declined request to stop the run named. */
+    std::optional<StreamPlacement> declinedCopy;
     EventSplitter splitter;
     std::optional<std::uint64_t> lastEvent;
     std::uint32_t eventCount = 0;
--- a/packages/gateway/relay/runevidence.cpp
+++ b/packages/gateway/relay/runevidence.cpp
@@ -88,8 +88,9 @@
     switch (effect) {
     case StopEffect::None:
     case StopEffect::Absent:
-    case StopEffect::Declined:
         return endByProcess(process);
+    case StopEffect::Declined:
+        return BodyEnd::Doubtful;
     case StopEffect::Pending:
         return BodyEnd::AwaitsAnswer;
     case StopEffect::Stopped:
--- a/packages/gateway/relay/runstop.cpp
+++ b/packages/gateway/relay/runstop.cpp
@@ -312,6 +312,8 @@
 {
     if (evidence == RunEvidence::HostCutOff && this->order.isResumable)
         return true;
+    if (this->order.isAskedOnce)
+        return true;
     if (this->connection != RunConnection::Open)
         return false;
     return answer.state == RunStopResult::State::Declined || evidence == RunEvidence::EngineHasNoRun
--- a/packages/gateway/relay/runstop.h
+++ b/packages/gateway/relay/runstop.h
@@ -37,6 +37,8 @@
     bool isResumable = false;
     /** When stopping ends without success, on the clock that counts suspension. */
     Milliseconds endAt{0};
+    /** Whether the first answer ends stopping, whatever it says. */
+    bool isAskedOnce = false;
 };
 
 /**
--- a/packages/gateway/relay/runstops.cpp
+++ b/packages/gateway/relay/runstops.cpp
@@ -31,6 +31,7 @@
 
 void RunStops::start(RunStopOrder order, bool isBackup, EndHook onEnd)
 {
+    this->dropCurrent();
     this->isTargetBackup = isBackup;
     this->current = std::make_shared<RunStop>(
             this->dependencies, std::move(order),
--- a/packages/gateway/relay/runstops.h
+++ b/packages/gateway/relay/runstops.h
@@ -42,7 +42,7 @@
     std::uint32_t part() const;
 
     /**
-     * Starts to stop the run of the current part.
+     * Starts to stop the run of the current part; a former request for it is abandoned.
      *
      * @param isTargetBackup whether the target of the order is the backup of the run.
      */
--- a/packages/gateway/relay/stoprecord.cpp
+++ b/packages/gateway/relay/stoprecord.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace sassafrasyard {
@@ -49,10 +50,8 @@
 {
     this->isPending = false;
     const StopEffect effect = effectOf(answer, isFromRun);
-    this->isStopped = this->isStopped || effect == StopEffect::Stopped;
     this->isAnswerLost = this->isAnswerLost || effect == StopEffect::Unknown;
-    if (effect != StopEffect::None)
-        this->lastEffect = effect;
+    this->strongestEffect = std::max(this->strongestEffect, effect);
     this->endWait();
 }
 
@@ -83,11 +82,8 @@
 
 StopEffect StopRecord::effect() const
 {
-    if (this->isStopped)
-        return StopEffect::Stopped;
-    if (this->isAnswerLost)
-        return StopEffect::Unknown;
-    return this->isPending ? StopEffect::Pending : this->lastEffect;
+    return std::max(this->strongestEffect,
+                    this->isPending ? StopEffect::Pending : StopEffect::None);
 }
 
 bool StopRecord::mayStillAct() const
--- a/packages/gateway/relay/stoprecord.h
+++ b/packages/gateway/relay/stoprecord.h
@@ -6,7 +6,6 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <optional>
 #include <string_view>
 
 namespace sassafrasyard {
@@ -21,7 +20,7 @@
     None,
     /** The engine has no such run, and no earlier request can have stopped it. */
     Absent,
-    /** The engine has left the run as it is. */
+    /** The engine said that it has left the run as it is; another request may have stopped it. */
     Declined,
     /** The answer to a request is outstanding. */
     Pending,
@@ -74,10 +73,9 @@
     /** Expires when no answer is outstanding. */
     boost::asio::steady_timer answerTimer;
     bool isPending = false;
-    bool isStopped = false;
     bool isAnswerLost = false;
-    /** The effect of the last answered request. */
-    StopEffect lastEffect = StopEffect::None;
+    /** The strongest effect of the answered requests. */
+    StopEffect strongestEffect = StopEffect::None;
 };
 
 } // namespace sassafrasyard
