Continue a stopped unframed stream at its backup before the answer

Cause: only the answer was taken to tell a stopped run from an ended one. The engine of a backup tells it, too: it keeps the backup until the run has ended successfully, so it takes the continuation of a stopped run at once and refuses that of an ended one, for which the answer is awaited then. Copies made by moves outlive their run, so with those the answer is still awaited.

Two cases of [unframed] that are about the wait have no backup now.

--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -39,6 +39,8 @@
 constexpr std::uint32_t partsPerMove = 3;
 /** How long an engine may take to stop a run that returns to it. */
 constexpr Milliseconds stopAnswerTime{250};
+/** How long an engine is asked to stop a run with a doubtful end; two answers may be lost. */
+constexpr Milliseconds endConfirmationTime{4000};
 /** How often the version of a running stream is recorded again, so that it does not expire. */
 constexpr Milliseconds versionRecordInterval{30'000};
 constexpr int streamStatus = 200;
@@ -335,7 +337,9 @@
     recordBrokenEnd(this->dependencies.entry.metrics, this->call, this->placement.server,
                     this->stopEffect(), this->processState, now - endedAt);
     if (bodyEnd == BodyEnd::Doubtful) {
-        this->doubtfulEnd = DoubtfulEnd{this->stops.part(), this->placement, this->processState};
+        this->doubtfulEnd = DoubtfulEnd{this->stops.part(), this->placement,
+                                        this->attempt->serverProcess(), this->processState};
+        this->stops.endBy(now + endConfirmationTime);
     }
     if (this->processState == ProcessState::Unknown)
         co_await this->attempt->recordBreakOff();
@@ -346,7 +350,13 @@
     co_return this->call.timeLeft(now) <= Milliseconds(0) ? ReadEnd::Deadline : ReadEnd::Lost;
 }
 
-/** Returns what the regular end of the body shows, if need be after an answer of the engine. */
+/**
+ * Returns what the regular end of the body shows, if need be after an answer of the engine.
+ *
+ * A backup is kept until its run has ended successfully. So while the answer to a request to stop
+ * the run is outstanding, its engine tells a stopped run from one that has ended: it takes the
+ * continuation of the former at once, and refuses that of the latter.
+ */
 net::awaitable<BodyEnd> EventRelay::findBodyEnd()
 {
     // The engine has closed the stream, so its silence is no reason to stop the run any more.
@@ -361,6 +371,8 @@
             co_return end;
         if (end == BodyEnd::AwaitsProcess)
             this->processState = co_await this->checkProcess(this->attempt->serverProcess());
+        else if (end == BodyEnd::AwaitsAnswer && this->stops.hasUsableBackup())
+            co_return BodyEnd::Doubtful;
         else if (end == BodyEnd::AwaitsAnswer)
             co_await this->stops.waitForAnswer(this->stops.part());
         else
@@ -501,6 +513,19 @@
     co_return co_await this->placeNewRun();
 }
 
+/** Returns whether a doubtful end is shown to be that of the run, if need be after an answer. */
+net::awaitable<bool> EventRelay::isEndShown()
+{
+    DoubtfulEnd &end = *this->doubtfulEnd;
+    co_await this->stops.waitForAnswer(end.part);
+    BodyEnd shown = bodyEndOf(BodyFraming::Close, this->stopEffect(), end.processState);
+    if (shown == BodyEnd::AwaitsProcess) {
+        end.processState = co_await this->checkProcess(end.process);
+        shown = bodyEndOf(BodyFraming::Close, this->stopEffect(), end.processState);
+    }
+    co_return shown == BodyEnd::Complete && !this->call.isCallerGone;
+}
+
 /**
  * Continues a run with a doubtful end; a continuation of a run that had come to its end adds
  * nothing. isEndConfirmed tells whether there is evidence of the end instead.
@@ -509,6 +534,11 @@
  */
 net::awaitable<bool> EventRelay::continueDoubtfulEnd(bool hasRun)
 {
+    // An answer that was outstanding when a backup was tried may show the end.
+    if (!hasRun)
+        this->isEndConfirmed = co_await this->isEndShown();
+    if (this->isEndConfirmed || this->call.isCallerGone)
+        co_return false;
     const bool isContinued = co_await this->continueFromCopy(hasRun);
     if (isContinued)
         co_return true;
--- a/packages/gateway/relay/eventrelay.h
+++ b/packages/gateway/relay/eventrelay.h
@@ -54,6 +54,7 @@
     {
         std::uint32_t part = 0;
         StreamPlacement placement;
+        ServerProcess process;
         ProcessState processState = ProcessState::Unasked;
         /** Whether the engine was asked once more for its run. */
         bool isAsked = false;
@@ -75,6 +76,7 @@
     boost::asio::awaitable<bool> sendHeader(const HttpResponse &response);
     boost::asio::awaitable<void> forwardAnswer(HttpResponse response);
     boost::asio::awaitable<bool> findNextPart(const AttemptResult &result, bool wasStream);
+    boost::asio::awaitable<bool> isEndShown();
     boost::asio::awaitable<bool> continueDoubtfulEnd(bool hasRun);
     boost::asio::awaitable<void> complete();
     boost::asio::awaitable<void> finishStream();
--- a/packages/gateway/relay/runstop.cpp
+++ b/packages/gateway/relay/runstop.cpp
@@ -59,6 +59,11 @@
     this->connection = RunConnection::Closed;
 }
 
+void RunStop::endBy(Milliseconds instant)
+{
+    this->order.endAt = std::min(this->order.endAt, instant);
+}
+
 net::awaitable<RunStop::Result> RunStop::finish()
 {
     const auto self = this->shared_from_this();
@@ -99,7 +104,7 @@
         moved.source = this->memory;
         return moved;
     }
-    if (target && target->source && this->isUsable(*target)) {
+    if (this->hasUsableTarget()) {
         StreamPlacement earlier = *target;
         target->source.reset();
         return earlier;
@@ -113,6 +118,12 @@
     return kept;
 }
 
+bool RunStop::hasUsableTarget() const
+{
+    const auto &target = this->order.target;
+    return target && target->source && this->isUsable(*target);
+}
+
 std::optional<StreamPlacement> RunStop::takeTarget()
 {
     return std::exchange(this->order.target, std::nullopt);
--- a/packages/gateway/relay/runstop.h
+++ b/packages/gateway/relay/runstop.h
@@ -71,6 +71,8 @@
     void start();
     /** Repeats the request if the engine declines, because the stream has lost its connection. */
     void insist();
+    /** Ends at an instant at the latest, without success if there is no result before. */
+    void endBy(Milliseconds instant);
     /** Waits for the result. @return Declined after abandon(). */
     boost::asio::awaitable<Result> finish();
     /** Returns whether the result is Ended. */
@@ -86,6 +88,8 @@
      * or nothing if none is left.
      */
     std::optional<StreamPlacement> takeContinuation();
+    /** Returns whether the run can continue at the target with the copy that existed before. */
+    bool hasUsableTarget() const;
     /** Returns the target of the order, which was not used; its reservation passes to the caller.
      */
     std::optional<StreamPlacement> takeTarget();
--- a/packages/gateway/relay/runstops.cpp
+++ b/packages/gateway/relay/runstops.cpp
@@ -43,6 +43,12 @@
     this->current->start();
 }
 
+void RunStops::endBy(Milliseconds instant)
+{
+    if (this->current)
+        this->current->endBy(instant);
+}
+
 bool RunStops::hasCurrent() const
 {
     return this->current != nullptr;
@@ -58,6 +64,11 @@
     return this->current ? this->current->outcome() : std::string();
 }
 
+bool RunStops::hasUsableBackup() const
+{
+    return this->current && this->isTargetBackup && this->current->hasUsableTarget();
+}
+
 void RunStops::recordEvent()
 {
     if (this->current)
--- a/packages/gateway/relay/runstops.h
+++ b/packages/gateway/relay/runstops.h
@@ -47,12 +47,19 @@
      * @param isTargetBackup whether the target of the order is the backup of the run.
      */
     void start(RunStopOrder order, bool isTargetBackup, EndHook onEnd);
+    /** Ends the current request at an instant at the latest, without success. */
+    void endBy(Milliseconds instant);
     /** Returns whether the current part has a request that was not dropped. */
     bool hasCurrent() const;
     /** Returns whether the run of the current part has ended. */
     bool hasEnded() const;
     /** Returns how the current request ended; empty without one or before its end. */
     std::string outcome() const;
+    /**
+     * Returns whether the target of the current request is the backup and is usable. Then
+     * takeContinuation() returns it without waiting for the result.
+     */
+    bool hasUsableBackup() const;
     /** Records that an event of the current part has arrived. */
     void recordEvent();
     /**
--- a/packages/gateway/tests/test_unframedstops.cpp
+++ b/packages/gateway/tests/test_unframedstops.cpp
@@ -662,6 +662,8 @@
 TEST_CASE("The wait for the answer to a stop ends when the caller leaves", "[unframed]")
 {
     UnframedEngines engines;
+    // With a backup the stream would go on without the answer.
+    engines.hasBackups = false;
     engines.answerAfter(beyondTimeout);
     const LogCapture capture;
     LeavingCaller caller(engines);
@@ -687,6 +689,8 @@
 TEST_CASE("An unframed stream is broken off if its deadline passes before the answer", "[unframed]")
 {
     UnframedEngines engines;
+    // With a backup the stream would go on without the answer.
+    engines.hasBackups = false;
     engines.copiesMemory = GENERATE(true, false);
     engines.answerAfter(beyondTimeout);
     const LogCapture capture;
