Continue no stream that has no event yet

Cause: a continuation names the last event that the caller has, and EventRelay sent one without it; an engine whose copy holds the prompt runs that from the start. Such a stream is broken off now, as any non-idempotent call with an unknown outcome.

The new case of gateway_exits fails without the change in 4 of 4 variants.

--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -485,6 +485,12 @@
             this->cutDecision = StreamCutDecision::RequestQuarantined;
             co_return false;
         }
+        // A continuation names the last event that the caller has; without one it is a second run.
+        if (!this->lastEvent && !this->call.route->isResumable) {
+            this->dropCopies();
+            this->cutDecision = StreamCutDecision::NoContinuation;
+            co_return false;
+        }
         // A continuation that may have run shows that the run before it had not come to its end.
         if (!wasStream)
             this->doubtfulEnd.reset();
--- a/packages/gateway/tests/test_unframedexits.cpp
+++ b/packages/gateway/tests/test_unframedexits.cpp
@@ -136,6 +136,28 @@
     cases.run();
 }
 
+// Guards against a stream that runs a second time at its backup, because its engine is lost before
+// the first event, so that the continuation could not say where to go on.
+TEST_CASE("A stream that has no event yet does not run again after its engine is lost", "[exits]")
+{
+    UnframedCases cases;
+    for (const bool isChunked : {false, true}) {
+        const auto prepareLoss = [&](UnframedEngines &engines) {
+            engines.isChunked = isChunked;
+            engines.leavesBefore = 0;
+            engines.losesConnectionBefore = 1;
+        };
+        cases.add(prepareLoss, checkBrokenOff);
+        const auto prepareExit = [&](UnframedEngines &engines) {
+            engines.isChunked = isChunked;
+            exitInOrder(engines);
+            engines.exitsBefore = 1;
+        };
+        cases.add(prepareExit, checkBrokenOff);
+    }
+    cases.run();
+}
+
 // Guards against a sound stream that is cut, runs again or ends late because its host looks for
 // evidence of its end.
 TEST_CASE("An unframed stream is complete at once if its engine lives", "[exits]")
