Take any answer of a process, or an open connection, for a sign of life

A server that does not know GET /report, stands still, or has as many connections as it takes did not count as alive after it had closed an unframed stream in order, so a sound stream could be broken off. A response of any kind, and a connection that stays open without one, show that the process lives; one that accepts connections for two seconds but closes each lives, too. Only a refused connection, the lack of both, and the born of another process leave the end in doubt.

--- a/packages/gateway/calls/enginecalls.h
+++ b/packages/gateway/calls/enginecalls.h
@@ -61,11 +61,14 @@
 {
     /** How the address answered. */
     enum class State {
-        /** A process answered the request. */
+        /** A process answered, or it accepted a connection and has kept it open without an answer.
+         */
         Answered,
+        /** It closed the connection without an answer: it has too many, or it ends. */
+        Closed,
         /** Nothing accepts connections there. */
         Refused,
-        /** There was no answer in time, or the connection was lost before it. */
+        /** A connection was neither accepted nor refused in time. */
         Unanswered,
     };
 
--- a/packages/gateway/relay/processchecks.cpp
+++ b/packages/gateway/relay/processchecks.cpp
@@ -47,9 +47,13 @@
     const auto end = std::chrono::steady_clock::now() + maximumUnansweredTime;
     while (true) {
         const ProcessAnswer answer = co_await calls.askProcess(process.address, answerTimeout);
+        const bool isOver = std::chrono::steady_clock::now() >= end;
         if (answer.state == State::Answered && !isFromOther(answer, process))
             co_return ProcessState::Outlived;
-        if (answer.state != State::Unanswered || std::chrono::steady_clock::now() >= end)
+        // A process that ends does not accept connections for so long.
+        if (answer.state == State::Closed && isOver)
+            co_return ProcessState::Outlived;
+        if (answer.state == State::Answered || answer.state == State::Refused || isOver)
             co_return ProcessState::Unknown;
         co_await pause(executor, repetitionPause);
     }
--- a/packages/gateway/relay/processchecks.h
+++ b/packages/gateway/relay/processchecks.h
@@ -57,7 +57,8 @@
      * Returns the state of a process whose stream has just been closed: Outlived or Unknown.
      *
      * A process that does not answer is asked again for up to two seconds, because a sound one may
-     * stand still for a second or so.
+     * stand still for a second or so. One that accepts connections for so long but closes each has
+     * outlived the stream, too: a server may have as many connections as it takes.
      *
      * @param calls outlives the check, which may go on after this has returned.
      * @param timeLeft how long to wait, in milliseconds.
--- a/packages/gateway/tests/test_processchecks.cpp
+++ b/packages/gateway/tests/test_processchecks.cpp
@@ -76,6 +76,7 @@
             {{Answer::Answered, 8}, ProcessState::Unknown},
             {{Answer::Refused, {}}, ProcessState::Unknown},
             {{Answer::Unanswered, {}}, ProcessState::Unknown},
+            {{Answer::Closed, {}}, ProcessState::Outlived},
     }));
     Checks checks({answer});
     checks.start();
@@ -92,6 +93,16 @@
     CHECK(checks.askedCount == 3);
 }
 
+// Guards against a stream that counts as complete because the process that ends still had a
+// listener when it was asked.
+TEST_CASE("A process that closes a connection and then refuses one has ended", "[processchecks]")
+{
+    Checks checks({{Answer::Closed, {}}, {Answer::Refused, {}}});
+    checks.start();
+    CHECK(checks.run() == std::vector{ProcessState::Unknown});
+    CHECK(checks.askedCount == 2);
+}
+
 // Guards against a request for each of many streams that end in the same moment.
 TEST_CASE("Streams that are closed in the same moment share a check", "[processchecks]")
 {
