Share the functions of raw test servers

Stand-ins that write their own bytes read requests, find header fields, send and reset connections in copies of the same functions. They are in rawserver.h now. A request is always read with its body, which before only the engines of unframed streams did. A loop in test_brokenanswers that relied on an exception after the close of its connection returns instead. No check has changed.

--- a/packages/gateway/tests/test_brokenanswers.cpp
+++ b/packages/gateway/tests/test_brokenanswers.cpp
@@ -1,11 +1,8 @@
 #include "gatewayfixture.h"
+#include "rawserver.h"
 
-#include <boost/asio/buffer.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
-#include <array>
 #include <map>
 #include <string>
 
@@ -34,33 +31,6 @@
     return route;
 }
 
-/** Returns the next request's header, or an empty text when the caller has closed. */
-net::awaitable<std::string> readHead(tcp::socket &socket)
-{
-    std::string text;
-    std::array<char, 4096> bytes{};
-    boost::system::error_code code;
-    while (!code && text.find("\r\n\r\n") == std::string::npos) {
-        const std::size_t count = co_await socket.async_read_some(
-                net::buffer(bytes), net::redirect_error(net::use_awaitable, code));
-        text.append(bytes.data(), count);
-    }
-    co_return code ? std::string() : text;
-}
-
-std::string idOf(const std::string &head)
-{
-    const std::size_t start = head.find("\r\nId: ") + 6;
-    return head.substr(start, head.find("\r\n", start) - start);
-}
-
-net::awaitable<void> sendText(tcp::socket &socket, std::string text)
-{
-    boost::system::error_code ignored;
-    co_await net::async_write(socket, net::buffer(text),
-                              net::redirect_error(net::use_awaitable, ignored));
-}
-
 /** Returns a handler that sends the same bytes to each request and closes the connection. */
 GatewayFixture::RawHandler sendAndClose(std::string text, bool isReset = false)
 {
@@ -69,9 +39,7 @@
         co_await sendText(socket, text);
         if (isReset) {
             co_await GatewayFixture::pause(Milliseconds(20));
-            boost::system::error_code ignored;
-            socket.set_option(net::socket_base::linger(true, 0), ignored);
-            socket.close(ignored);
+            resetConnection(socket);
         }
     };
 }
@@ -102,7 +70,9 @@
             std::string refusal;
             while (true) {
                 const std::string head = co_await readHead(socket);
-                const std::string id = idOf(head);
+                if (head.empty())
+                    co_return;
+                const std::string id = fieldOf(head, "Id");
                 if (refusal.empty()) {
                     refusal = makeRefusal(hasId ? id : "");
                     const std::string first = makeRefusal(id);
@@ -135,7 +105,7 @@
             const std::string head = co_await readHead(socket);
             if (head.empty())
                 co_return;
-            const std::string id = idOf(head);
+            const std::string id = fieldOf(head, "Id");
             ++runs[id];
             std::string text = makeAnswer(id);
             if (isKept)
@@ -162,7 +132,7 @@
             const std::string head = co_await readHead(socket);
             if (head.empty())
                 co_return;
-            const std::string id = idOf(head);
+            const std::string id = fieldOf(head, "Id");
             if (refusal.empty()) {
                 refusal = makeRefusal(id);
                 co_await sendText(socket, refusal);
--- a/packages/gateway/tests/test_brokenstatuses.cpp
+++ b/packages/gateway/tests/test_brokenstatuses.cpp
@@ -1,8 +1,6 @@
+#include "rawserver.h"
 #include "strandedhosts.h"
 
-#include <boost/asio/buffer.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include <array>
@@ -88,32 +86,6 @@
     return head;
 }
 
-net::awaitable<std::string> readHead(tcp::socket &socket)
-{
-    std::string text;
-    std::array<char, 4096> bytes{};
-    boost::system::error_code code;
-    while (!code && text.find("\r\n\r\n") == std::string::npos) {
-        const std::size_t count = co_await socket.async_read_some(
-                net::buffer(bytes), net::redirect_error(net::use_awaitable, code));
-        text.append(bytes.data(), count);
-    }
-    co_return code ? std::string() : text;
-}
-
-std::string idOf(const std::string &head)
-{
-    const std::size_t start = head.find("\r\nId: ") + 6;
-    return head.substr(start, head.find("\r\n", start) - start);
-}
-
-net::awaitable<void> sendText(tcp::socket &socket, std::string text)
-{
-    boost::system::error_code ignored;
-    co_await net::async_write(socket, net::buffer(text),
-                              net::redirect_error(net::use_awaitable, ignored));
-}
-
 /** Two servers whose answers to a call are given by the number of its attempt. */
 class NumberedServers
 {
@@ -156,7 +128,7 @@
             if (head.empty())
                 co_return;
             ++this->runs;
-            const std::string text = this->answer(this->runs, idOf(head));
+            const std::string text = this->answer(this->runs, fieldOf(head, "Id"));
             const bool isLast = this->isClosed || (this->closesFirst && this->runs == 1);
             co_await sendText(socket, text);
             if (isLast)
@@ -329,7 +301,7 @@
                 const std::string head = co_await readHead(socket);
                 if (head.empty())
                     co_return;
-                const std::string id = idOf(head);
+                const std::string id = fieldOf(head, "Id");
                 const std::string text = isFirst ? makeBrokenAnswer(status, Form::Empty, id, "")
                                                  : makeAnswer(id, "text/plain", "answer");
                 co_await sendText(socket, text);
--- a/packages/gateway/tests/test_unframedends.cpp
+++ b/packages/gateway/tests/test_unframedends.cpp
@@ -1,4 +1,5 @@
 #include "logcapture.h"
+#include "rawserver.h"
 #include "strandedhosts.h"
 #include "unframedengines.h"
 
@@ -58,20 +59,11 @@
 
     net::awaitable<void> answer(net::ip::tcp::socket &socket)
     {
-        boost::system::error_code code;
-        std::string request;
-        // A close with unread bytes resets the connection.
-        while (!code && request.find("body of ") == std::string::npos) {
-            std::array<char, 4096> bytes{};
-            const std::size_t count = co_await socket.async_read_some(
-                    net::buffer(bytes), net::redirect_error(net::use_awaitable, code));
-            request.append(bytes.data(), count);
-        }
-        if (code)
+        const std::string head = co_await readHead(socket);
+        if (head.empty())
             co_return;
         ++this->callCount;
-        co_await net::async_write(socket, net::buffer(this->response),
-                                  net::redirect_error(net::use_awaitable, code));
+        co_await sendText(socket, this->response);
     }
 
     net::ip::tcp::acceptor acceptor;
--- a/packages/gateway/tests/unframedengines.h
+++ b/packages/gateway/tests/unframedengines.h
@@ -1,15 +1,11 @@
 #pragma once
 
 #include "gatewayfixture.h"
-
-#include <boost/asio/buffer.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/write.hpp>
+#include "rawserver.h"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -17,7 +13,6 @@
 #include <set>
 #include <sstream>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace sassafrasyard {
@@ -192,62 +187,6 @@
         return "id: " + std::to_string(number) + "\ndata: t" + std::to_string(number) + "\n\n";
     }
 
-    static std::string fieldOf(const std::string &head, const std::string &name)
-    {
-        const std::size_t start = head.find("\r\n" + name + ": ");
-        if (start == std::string::npos)
-            return {};
-        const std::size_t value = start + name.size() + 4;
-        return head.substr(value, head.find("\r\n", value) - value);
-    }
-
-    /**
-     * Reads a request with its body, because a close with unread bytes resets the connection.
-     *
-     * @return its header, or an empty text.
-     */
-    static boost::asio::awaitable<std::string> readHead(Socket &socket)
-    {
-        namespace net = boost::asio;
-        constexpr std::string_view headEnd = "\r\n\r\n";
-        std::string text;
-        std::array<char, 4096> bytes{};
-        std::size_t bodyStart = std::string::npos;
-        std::size_t length = 0;
-        while (bodyStart == std::string::npos || text.size() < bodyStart + length) {
-            boost::system::error_code code;
-            const std::size_t count = co_await socket.async_read_some(
-                    net::buffer(bytes), net::redirect_error(net::use_awaitable, code));
-            if (code)
-                co_return std::string();
-            text.append(bytes.data(), count);
-            const std::size_t end = text.find(headEnd);
-            if (end == std::string::npos)
-                continue;
-            bodyStart = end + headEnd.size();
-            const std::string stated = fieldOf(text, "Content-Length");
-            length = stated.empty() ? 0 : std::stoull(stated);
-        }
-        co_return text.substr(0, bodyStart);
-    }
-
-    /** Sends bytes. @return whether the connection is still open. */
-    static boost::asio::awaitable<bool> send(Socket &socket, std::string text)
-    {
-        namespace net = boost::asio;
-        boost::system::error_code code;
-        co_await net::async_write(socket, net::buffer(text),
-                                  net::redirect_error(net::use_awaitable, code));
-        co_return !code;
-    }
-
-    static void reset(Socket &socket)
-    {
-        boost::system::error_code ignored;
-        socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-        socket.close(ignored);
-    }
-
     std::string header(const std::string &id) const
     {
         const std::string framing =
@@ -274,16 +213,16 @@
         const std::string id = fieldOf(head, "Id");
         const std::string source = fieldOf(head, "Source");
         if (!source.empty() && !this->takeMemory(name, source)) {
-            co_await send(socket,
-                          "HTTP/1.1 503 Full\r\nId: " + id
-                                  + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+            co_await sendText(socket,
+                              "HTTP/1.1 503 Full\r\nId: " + id
+                                      + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
             co_return;
         }
         this->runs.push_back(name);
         const std::size_t run = this->runs.size();
         this->working[name] = run;
         this->mostAtOnce = std::max(this->mostAtOnce, this->working.size());
-        const bool isOpen = co_await send(socket, this->header(id));
+        const bool isOpen = co_await sendText(socket, this->header(id));
         const std::string last = fieldOf(head, "Last");
         co_await this->work(run, last.empty() ? 0 : std::stoull(last), isOpen, socket);
     }
@@ -301,16 +240,16 @@
                 co_return;
             }
             if (run == 1 && number == this->losesConnectionBefore) {
-                reset(socket);
+                resetConnection(socket);
                 isOpen = false;
             }
             if (run == 1 && number == this->leavesBefore)
                 this->fixture.markLeaving(this->runs.front());
             if (isOpen)
-                isOpen = co_await send(socket, this->frame(eventText(number)));
+                isOpen = co_await sendText(socket, this->frame(eventText(number)));
         }
         if (isOpen && this->isChunked)
-            isOpen = co_await send(socket, "0\r\n\r\n");
+            isOpen = co_await sendText(socket, "0\r\n\r\n");
         this->working.erase(this->runs[run - 1]);
         // A backup is kept until its run has ended successfully.
         if (isOpen)
@@ -334,9 +273,9 @@
     boost::asio::awaitable<void> breakOff(std::uint64_t number, Socket &socket)
     {
         if (this->ending == Ending::InsideEvent)
-            co_await send(socket, this->frame(eventText(number).substr(0, 5)));
+            co_await sendText(socket, this->frame(eventText(number).substr(0, 5)));
         if (this->ending == Ending::Reset)
-            reset(socket);
+            resetConnection(socket);
     }
 
     bool isWorking(std::size_t run) const
