Let tests of unframed streams choose answers, engines and times

A test can answer the question whether a process lives, add a third engine, set the time between events, follow an engine that begins to leave, and read the longest pause that its caller saw. An engine takes the continuation from a backup only if a run named it as its backup; before, any engine did. No check has changed.

--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -12,10 +12,12 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -250,6 +252,9 @@
         this->servers.applyEntry(changed);
     }
 
+    /** Lets the dispatcher know the present entries, as the daemon does after each change. */
+    void publishServers() { this->publish(); }
+
     /** Changes the software version that the entry of a stand-in states. */
     void changeVersion(const std::string &name, const std::string &softwareVersion)
     {
@@ -518,6 +523,8 @@
 
     /** The body that the last caller received, also of an incomplete response. */
     std::string receivedBody;
+    /** The longest time between two pieces of that body. */
+    Milliseconds longestPause{0};
     std::vector<ReceivedCall> received;
     /** The copies that were requested from engines; the function below decides their outcome. */
     std::vector<MoveOrder> moves;
@@ -545,6 +552,13 @@
     bool losesLateAnswers = false;
     /** How often a stand-in was asked whether its process lives. */
     int processChecks = 0;
+    /**
+     * Asks a stand-in at an address whether its process lives, by default with a connection.
+     */
+    std::function<boost::asio::awaitable<ProcessAnswer>(std::string address, Milliseconds timeout)>
+            askProcess = [this](std::string address, Milliseconds timeout) {
+                return this->connectTo(std::move(address), timeout);
+            };
     std::shared_ptr<boost::asio::io_context> ownedContext;
     boost::asio::io_context &context;
 
@@ -603,6 +617,8 @@
         if (!answer)
             co_return std::nullopt;
         this->receivedBody.clear();
+        this->longestPause = Milliseconds(0);
+        std::optional<Milliseconds> receivedAt;
         while (true) {
             const auto bytes = co_await connection.read(Milliseconds(8000), reason);
             if (!bytes)
@@ -611,6 +627,9 @@
             this->receivedBody += *bytes;
             if (bytes->empty())
                 co_return answer;
+            const Milliseconds now = Clock::steady().now();
+            this->longestPause = std::max(this->longestPause, now - receivedAt.value_or(now));
+            receivedAt = now;
         }
     }
 
@@ -646,7 +665,7 @@
         calls.askProcess = [this](std::string address,
                                   Milliseconds timeout) -> boost::asio::awaitable<ProcessAnswer> {
             ++this->processChecks;
-            co_return co_await this->connectTo(std::move(address), timeout);
+            co_return co_await this->askProcess(std::move(address), timeout);
         };
         return calls;
     }
--- a/packages/gateway/tests/unframedengines.h
+++ b/packages/gateway/tests/unframedengines.h
@@ -18,7 +18,8 @@
 namespace sassafrasyard {
 
 /**
- * Two engines whose streams have neither a length nor chunks and end with their connection.
+ * Engines, by default two, whose streams have neither a length nor chunks and end with their
+ * connection.
  *
  * An engine that stops a run closes its stream after a whole event. The run has copies by its
  * backup, by a move and in the memory of the engine that stopped it; each can be taken away. An
@@ -48,10 +49,8 @@
         : fixture(std::move(context))
     {
         this->fixture.addRoute(std::move(route), engine);
-        for (const std::string name : {"a", "b"}) {
-            this->fixture.addRawServer(
-                    name, [this, name](Socket &socket) { return this->serve(name, socket); });
-        }
+        for (const std::string name : {"a", "b"})
+            this->addEngine(name);
         this->fixture.answerStop = [this](const MoveOrder &order) {
             return this->stop(order);
         };
@@ -74,6 +73,14 @@
         return route;
     }
 
+    /** Adds a further engine. */
+    void addEngine(const std::string &name)
+    {
+        this->names.push_back(name);
+        this->fixture.addRawServer(
+                name, [this, name](Socket &socket) { return this->serve(name, socket); });
+    }
+
     /** Returns a route whose streams may be run again after their last event. */
     static Route makeResumableRoute()
     {
@@ -119,7 +126,10 @@
     void start(const std::string &patience = "8000")
     {
         this->fixture.send(GatewayFixture::makeCall("/stream/", "r1", {{"Patience", patience}}),
-                           [this](HttpResponse response) { this->answer = std::move(response); });
+                           [this](HttpResponse response) {
+                               this->answer = std::move(response);
+                               this->answeredAt = Clock::steady().now();
+                           });
     }
 
     /** Lets the engines answer each request to stop a run after a time. */
@@ -139,8 +149,13 @@
         });
     }
 
+    /** The time between two events of a run. */
+    Milliseconds interval = eventInterval;
     /** Lets the engine of the first run leave before an event. */
     std::uint64_t leavesBefore = 45;
+    /** Called after it has begun to leave. */
+    std::function<void()> atLeave = [] {
+    };
     /** Before which event the engine of the first run ends its process without an order. */
     std::uint64_t exitsBefore = 0;
     /** Called before it does so. */
@@ -175,6 +190,10 @@
     std::vector<std::string> runs;
     /** The response to the call, once it has ended. */
     std::optional<HttpResponse> answer;
+    /** When it had ended. */
+    Milliseconds answeredAt{0};
+    /** The engines that were named as the backup of a run. */
+    std::vector<std::string> backups;
     /** The largest number of engines that worked on the run at once. */
     std::size_t mostAtOnce = 0;
     GatewayFixture fixture;
@@ -218,6 +237,7 @@
                                       + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
             co_return;
         }
+        this->recordBackup(fieldOf(head, "Backup"));
         this->runs.push_back(name);
         const std::size_t run = this->runs.size();
         this->working[name] = run;
@@ -243,8 +263,10 @@
                 resetConnection(socket);
                 isOpen = false;
             }
-            if (run == 1 && number == this->leavesBefore)
+            if (run == 1 && number == this->leavesBefore) {
                 this->fixture.markLeaving(this->runs.front());
+                this->atLeave();
+            }
             if (isOpen)
                 isOpen = co_await sendText(socket, this->frame(eventText(number)));
         }
@@ -262,7 +284,7 @@
         for (Milliseconds waited(0); isSilent && waited < this->silence && this->isWorking(run);
              waited += eventInterval)
             co_await GatewayFixture::pause(eventInterval);
-        co_await GatewayFixture::pause(eventInterval);
+        co_await GatewayFixture::pause(this->interval);
         if (run == 1 && number == this->exitsBefore) {
             this->atExit();
             this->working.erase(this->runs.front());
@@ -284,10 +306,25 @@
         return found != this->working.end() && found->second == run;
     }
 
+    void recordBackup(const std::string &address)
+    {
+        if (!address.empty())
+            this->backups.push_back(this->nameAt(address));
+    }
+
+    std::string nameAt(const std::string &address) const
+    {
+        const auto found =
+                std::find_if(this->names.begin(), this->names.end(), [&](const auto &name) {
+                    return this->fixture.addressOf(name) == address;
+                });
+        return found == this->names.end() ? std::string() : *found;
+    }
+
     bool takeMemory(const std::string &name, const std::string &source)
     {
         if (source == "r1")
-            return this->hasBackups;
+            return this->hasBackups && std::count(this->backups.begin(), this->backups.end(), name);
         if (source == "kept")
             return this->kept.erase(name) > 0;
         return this->hasMovedCopies && name != this->runs.front();
@@ -295,7 +332,7 @@
 
     RunStopResult stop(const MoveOrder &order)
     {
-        const std::string name = this->fixture.addressOf("a") == order.sourceAddress ? "a" : "b";
+        const std::string name = this->nameAt(order.sourceAddress);
         RunStopResult answer;
         answer.hasAnswered = true;
         if (!this->stopsRuns && this->working.contains(name)) {
@@ -312,6 +349,7 @@
         return this->changeAnswer(answer);
     }
 
+    std::vector<std::string> names;
     /** The engines that work on the run, with the number of theirs. */
     std::map<std::string, std::size_t> working;
     /** The engines that keep the memory of a run that they stopped. */
@@ -336,10 +374,10 @@
     }
 
     /** Runs the calls of all cases and then checks each of them. */
-    void run()
+    void run(const std::string &patience = "8000")
     {
         for (const auto &engines : this->cases)
-            engines->start();
+            engines->start(patience);
         for (const auto &engines : this->cases) {
             while (!engines->hasEnded())
                 this->context->run_one();
