Let engines of the fleet test say when they were started

A host asks GET /report of an engine after an unframed stream was closed. The engines of the fleet test answered it with 404 and had the same start in all entries, so that nothing told one process from another. They now answer with 'born', as the platform's engines do, and their entries have the same value.

--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -52,7 +52,7 @@
 {
     return R"({"service":")" + service + R"(","addr":")" + engine.address()
             + R"(","zone":"a","version":"v1","slots":)" + std::to_string(engineSlots)
-            + R"(,"state":")" + state + R"(","born":1})";
+            + R"(,"state":")" + state + R"(","born":)" + std::to_string(engine.startedAt()) + "}";
 }
 
 /** Returns the value of a text field of a log line. */
--- a/tests/soak/soakengine.cpp
+++ b/tests/soak/soakengine.cpp
@@ -70,6 +70,7 @@
                 return this->handle(request, connection);
             });
     this->listening = this->server->address();
+    this->born = Clock::system().now().count();
 }
 
 const std::string &SoakEngine::address() const
@@ -77,6 +78,11 @@
     return this->listening;
 }
 
+std::int64_t SoakEngine::startedAt() const
+{
+    return this->born;
+}
+
 void SoakEngine::silence(Milliseconds time)
 {
     this->silentUntil = Clock::steady().now() + time;
@@ -112,6 +118,8 @@
     } else if (path.starts_with(handlePrefix)) {
         this->runs.dropCopy(this->listening + "/" + path.substr(handlePrefix.size()));
         co_await sendStatus(connection, successStatus);
+    } else if (path == "/report") {
+        co_await this->report(connection);
     } else if (idOf(request).empty()) {
         co_await sendStatus(connection, notFoundStatus);
     } else if (!this->mayBegin(request)) {
@@ -133,6 +141,17 @@
     return !copy || this->runs.takeCopy(*copy, idOf(request), this->listening);
 }
 
+/** Tells of the server, after a silence; the hosts read only when it was started. */
+net::awaitable<void> SoakEngine::report(EngineConnection &connection)
+{
+    co_await this->waitForSilence();
+    nlohmann::json body;
+    body["born"] = this->born;
+    HttpHeaders headers;
+    headers.emplace_back("Content-Type", "application/json");
+    co_await sendStatus(connection, successStatus, std::move(headers), body.dump());
+}
+
 net::awaitable<void> SoakEngine::answer(const HttpRequest &request, EngineConnection &connection)
 {
     this->runs.begin(idOf(request), this->listening);
--- a/tests/soak/soakengine.h
+++ b/tests/soak/soakengine.h
@@ -9,6 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <set>
@@ -34,6 +35,9 @@
     /** Returns the address as IP:PORT. */
     const std::string &address() const;
 
+    /** Returns when the server was started, in milliseconds since the Unix epoch. */
+    std::int64_t startedAt() const;
+
     /** Sends nothing for some time from now, but accepts connections and requests. */
     void silence(Milliseconds time);
 
@@ -67,6 +71,7 @@
     };
 
     boost::asio::awaitable<void> handle(const HttpRequest &request, EngineConnection &connection);
+    boost::asio::awaitable<void> report(EngineConnection &connection);
     boost::asio::awaitable<void> answer(const HttpRequest &request, EngineConnection &connection);
     boost::asio::awaitable<void> stream(const HttpRequest &request, EngineConnection &connection);
     std::shared_ptr<Run> beginRun(const HttpRequest &request, EngineConnection &connection);
@@ -88,6 +93,7 @@
     /** Null after the exit. */
     std::unique_ptr<EngineServer> server;
     std::string listening;
+    std::int64_t born = 0;
     Milliseconds silentUntil{0};
     std::map<std::string, std::shared_ptr<Run>> inProgress;
     /** The requests whose stopped run is being copied. */
