Let engines of the fleet test exit without notice

A process that ends closes its connections in order, which looks like the end of a stream without a length and chunks. No engine of the fleet test exited with a request in progress, so that the test could not show a stream that ends early as complete after such an exit. Every 3 to 8 s one engine now exits; its entry goes up to 1 s later or just before. The register decides which requests may lack their whole answer: those whose run was in progress, or had just ended, at the exit, and had no copy at a usable engine.

--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -144,7 +144,9 @@
  * The faults are: a request that a server began but that has no whole answer, a response that
  * breaks off, a stream that ends as complete without all its events or holds events twice or out of
  * order, a request at two servers at one time, a stream_cut line, and a daemon that exits.
- * mayBreakOff() says which streams may be broken off nevertheless.
+ * mayBreakOff() says which streams may be broken off nevertheless, and so does
+ * RunRegister::lossReason(): "A replica that crashes or resets may cut off its stream", with chunks
+ * or not, where no usable engine has a copy of its run.
  */
 std::vector<std::string> Fleet::findFaults()
 {
@@ -154,13 +156,17 @@
         if (host->hasExited())
             faults.emplace_back("a daemon has exited");
         for (const std::string &line : host->logLines("stream_cut")) {
-            if (!mayBreakOff(line)) {
+            const auto loss = this->runs.lossReason(fieldOf(line, "request"));
+            const bool isLost = loss && fieldOf(line, "decision") == "no_continuation";
+            if (!isLost && !mayBreakOff(line)) {
                 faults.push_back(describeCut(line));
                 continue;
             }
             brokenStreams.insert(fieldOf(line, "request"));
-            ++this->allowedCuts["broken off after a lost answer, backup "
-                                + fieldOf(line, "backup")];
+            ++this->allowedCuts["broken off: "
+                                + (isLost ? *loss
+                                          : "lost answer, backup " + fieldOf(line, "backup"))
+                                + ", framing " + fieldOf(line, "framing")];
         }
     }
     this->addCallerFaults(faults, brokenStreams);
@@ -176,7 +182,7 @@
 
 /** Adds the faults that callers saw. @param brokenStreams the requests that may be broken off. */
 void Fleet::addCallerFaults(std::vector<std::string> &faults,
-                            const std::set<std::string> &brokenStreams) const
+                            const std::set<std::string> &brokenStreams)
 {
     const auto &ended = this->runs.endsBesideStops();
     for (const auto &caller : this->callers) {
@@ -189,12 +195,25 @@
                 faults.push_back("events: " + eventFault + ": " + call->describe());
             else if (!call->isAnswered() && ended.contains(call->requestId()))
                 faults.push_back("ended by itself beside a stop: " + call->describe());
-            else if ((!isWhole || isCut) && !isAllowed)
+            else if ((!isWhole || isCut) && !isAllowed && !this->mayBeUnanswered(*call))
                 faults.push_back(call->describe());
         }
     }
 }
 
+/**
+ * Returns whether a request without any part of an answer may lack it: its engine exited, and the
+ * host says that the outcome is unknown.
+ */
+bool Fleet::mayBeUnanswered(const SoakCall &call)
+{
+    const auto loss = this->runs.lossReason(call.requestId());
+    if (!loss || !call.result.isOutcomeUnknown())
+        return false;
+    ++this->allowedCuts["unanswered: " + *loss];
+    return true;
+}
+
 std::string Fleet::summary() const
 {
     std::map<std::string, int> counts = this->runs.counts();
@@ -233,6 +252,7 @@
     if (hasRoom)
         this->runs.addRoom(engine->address());
     this->usableEngines.push_back(name);
+    this->runs.addUsable(engine->address());
     this->store.put(std::string(objectkind::servers), name,
                     engineEntry(*engine, "engine", "ready"));
 }
@@ -293,6 +313,7 @@
     add("silences", 300, 1500, &Fleet::silenceEngine);
     add("replacements", 1500, 4000, &Fleet::replaceEngine);
     add("stops of hosts", 800, 3000, &Fleet::stopHost);
+    add("exits", 3000, 8000, &Fleet::exitEngine);
 }
 
 /** Lets one host or some hosts at once read other settings. */
@@ -341,6 +362,7 @@
     const std::string name = *position;
     this->usableEngines.erase(position);
     SoakEngine &engine = *this->engines.at(name);
+    this->runs.removeUsable(engine.address());
     if (drawChance(random, halfChance))
         engine.silence(drawTime(random, 1000, 3000));
     const bool hasReport = drawChance(random, halfChance);
@@ -357,6 +379,44 @@
     this->later(drawTime(random, 0, 1500), [this, hasRoom] { this->addEngine(hasRoom); });
 }
 
+/**
+ * Lets an engine exit without notice, and starts another one like it. Its entry is removed up to
+ * 1 s later, or up to 0.1 s before.
+ */
+void Fleet::exitEngine(std::mt19937_64 &random)
+{
+    constexpr int goneFirstChance = 30;
+    const int last = static_cast<int>(this->usableEngines.size()) - 1;
+    const auto position = this->usableEngines.begin() + draw(random, 0, last);
+    const std::string name = *position;
+    const bool isGoneFirst = drawChance(random, goneFirstChance);
+    const Milliseconds exitTime = isGoneFirst ? drawTime(random, 0, 100) : Milliseconds(0);
+    const Milliseconds removalTime = isGoneFirst ? Milliseconds(0) : drawTime(random, 0, 1000);
+    const Milliseconds replacementTime = drawTime(random, 0, 1500);
+    if (!this->mayLoseEngine(name))
+        return;
+    this->usableEngines.erase(position);
+    SoakEngine &engine = *this->engines.at(name);
+    const bool hasRoom = this->runs.hasRoom(engine.address());
+    this->runs.removeUsable(engine.address());
+    this->later(removalTime,
+                [this, name] { this->store.remove(std::string(objectkind::servers), name); });
+    this->later(exitTime, [&engine] { engine.exit(EngineExit::WithoutNotice); });
+    this->later(replacementTime, [this, hasRoom] { this->addEngine(hasRoom); });
+}
+
+/** Returns whether enough engines, and one with room, remain without one. */
+bool Fleet::mayLoseEngine(const std::string &name) const
+{
+    constexpr std::size_t leastEngines = 3;
+    return this->usableEngines.size() > leastEngines
+            && std::any_of(this->usableEngines.begin(), this->usableEngines.end(),
+                           [&](const std::string &other) {
+                               return other != name
+                                       && this->runs.hasRoom(this->engines.at(other)->address());
+                           });
+}
+
 /** Gives a host no processor time for 0.5 to 1 s. */
 void Fleet::stopHost(std::mt19937_64 &random)
 {
@@ -407,7 +467,7 @@
             continue;
         }
         this->store.remove(std::string(objectkind::servers), left->first);
-        engine->second->exit();
+        engine->second->exit(EngineExit::AfterLeaving);
         left = this->leftEngines.erase(left);
     }
 }
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -61,7 +61,8 @@
     };
 
     void addCallerFaults(std::vector<std::string> &faults,
-                         const std::set<std::string> &brokenStreams) const;
+                         const std::set<std::string> &brokenStreams);
+    bool mayBeUnanswered(const SoakCall &call);
     void countCalls(std::map<std::string, int> &counts) const;
     void addEngine(bool hasRoom);
     void startHosts(int count);
@@ -71,6 +72,8 @@
     void writeConfigurations(std::mt19937_64 &random);
     void silenceEngine(std::mt19937_64 &random);
     void replaceEngine(std::mt19937_64 &random);
+    void exitEngine(std::mt19937_64 &random);
+    bool mayLoseEngine(const std::string &name) const;
     void stopHost(std::mt19937_64 &random);
     void later(Milliseconds time, std::function<void()> action);
     void makeChanges();
@@ -92,7 +95,7 @@
     std::vector<std::unique_ptr<SoakCaller>> callers;
     std::vector<Change> changes;
     std::vector<std::pair<Milliseconds, std::function<void()>>> laterActions;
-    /** The numbers of streams that were broken off and may be, by their description. */
+    /** The numbers of requests without their whole answer that may lack it, by the reason. */
     std::map<std::string, int> allowedCuts;
     int engineCount = 0;
     int version = 0;
--- a/tests/soak/runregister.cpp
+++ b/tests/soak/runregister.cpp
@@ -1,15 +1,36 @@
 #include "runregister.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace sassafrasyard {
 
+namespace {
+
+/** How long after a run's end its host may not know yet whether the engine outlived it. */
+constexpr Milliseconds doubtTime{3000};
+
+} // namespace
+
+std::string_view toString(EngineExit exit)
+{
+    switch (exit) {
+    case EngineExit::WithoutNotice:
+        return "exit without notice";
+    case EngineExit::AfterLeaving:
+        return "exit after leaving";
+    }
+    return "unknown";
+}
+
 int RunRegister::begin(const std::string &requestId, const std::string &address)
 {
     std::set<std::string> &addresses = this->running[requestId];
     if (!addresses.empty())
         this->found.push_back(requestId + " at " + *addresses.begin() + " and at " + address);
     addresses.insert(address);
+    this->retireCopies(requestId);
+    this->losses.erase(requestId);
     return ++this->runCounts[requestId];
 }
 
@@ -36,7 +57,7 @@
 void RunRegister::addCopy(const std::string &name, const std::string &requestId,
                           std::set<std::string> holders)
 {
-    this->copies[name] = {requestId, std::move(holders)};
+    this->copies[name] = {requestId, std::move(holders), false};
 }
 
 bool RunRegister::takeCopy(const std::string &name, const std::string &requestId,
@@ -50,11 +71,98 @@
     return true;
 }
 
+void RunRegister::retireCopies(const std::string &requestId)
+{
+    for (auto &[name, copy] : this->copies)
+        copy.isFormer = copy.isFormer || copy.requestId == requestId;
+}
+
 void RunRegister::dropCopy(const std::string &name)
 {
     this->copies.erase(name);
 }
 
+void RunRegister::addUsable(const std::string &address)
+{
+    this->usable.insert(address);
+}
+
+void RunRegister::removeUsable(const std::string &address)
+{
+    this->usable.erase(address);
+}
+
+bool RunRegister::hasUsableCopy(const std::string &requestId) const
+{
+    return std::any_of(this->copies.begin(), this->copies.end(), [&](const auto &item) {
+        const Copy &copy = item.second;
+        return copy.requestId == requestId && !copy.isFormer
+                && std::any_of(
+                        copy.holders.begin(), copy.holders.end(),
+                        [this](const auto &holder) { return this->usable.contains(holder); });
+    });
+}
+
+void RunRegister::exit(const std::string &address, EngineExit exit)
+{
+    this->usable.erase(address);
+    this->rooms.erase(address);
+    this->dropCopiesAt(address, exit);
+    this->endRuns(address, exit);
+    const Milliseconds now = Clock::steady().now();
+    const auto [first, last] = this->unframedEnds.equal_range(address);
+    for (auto end = first; end != last; ++end) {
+        if (now - end->second.at < doubtTime)
+            this->lose(end->second.requestId, std::string(toString(exit)) + " after the run's end");
+    }
+    this->unframedEnds.erase(first, last);
+}
+
+void RunRegister::endRuns(const std::string &address, EngineExit exit)
+{
+    for (auto &[requestId, addresses] : this->running) {
+        if (addresses.erase(address) == 0)
+            continue;
+        const bool hasCopy = this->hasUsableCopy(requestId);
+        this->count(std::string(toString(exit)) + (hasCopy ? " beside" : " without") + " a copy");
+        if (!hasCopy)
+            this->lose(requestId, std::string(toString(exit)));
+    }
+}
+
+/**
+ * Removes the copies at a server, and notes the stopped runs whose memory only that server kept. A
+ * server that leaves is to be used in time.
+ */
+void RunRegister::dropCopiesAt(const std::string &address, EngineExit exit)
+{
+    for (auto &[name, copy] : this->copies) {
+        const bool isLast = copy.holders.erase(address) > 0 && copy.holders.empty();
+        if (isLast && !copy.isFormer && exit == EngineExit::WithoutNotice
+            && this->running[copy.requestId].empty())
+            this->lose(copy.requestId, std::string(toString(exit)) + " with the kept memory");
+    }
+    std::erase_if(this->copies, [](const auto &item) { return item.second.holders.empty(); });
+}
+
+void RunRegister::recordUnframedEnd(const std::string &requestId, const std::string &address,
+                                    bool hadUsableCopy)
+{
+    if (!hadUsableCopy)
+        this->unframedEnds.insert({address, {requestId, Clock::steady().now()}});
+}
+
+void RunRegister::lose(const std::string &requestId, const std::string &reason)
+{
+    this->losses[requestId] = reason;
+}
+
+std::optional<std::string> RunRegister::lossReason(const std::string &requestId) const
+{
+    const auto found = this->losses.find(requestId);
+    return found == this->losses.end() ? std::nullopt : std::optional(found->second);
+}
+
 void RunRegister::recordEndBesideStop(const std::string &requestId)
 {
     this->endedBesideStops.insert(requestId);
--- a/tests/soak/runregister.h
+++ b/tests/soak/runregister.h
@@ -1,12 +1,27 @@
 #pragma once
 
+#include "core/core.h"
+
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace sassafrasyard {
 
+/** How the process of an engine ends. */
+enum class EngineExit {
+    /** While it is in use. */
+    WithoutNotice,
+    /** After it has left. */
+    AfterLeaving,
+};
+
+/** Returns the name of an end. */
+std::string_view toString(EngineExit exit);
+
 /** What all engines of a test know together: where runs are in progress and copies of runs are. */
 class RunRegister
 {
@@ -38,9 +53,40 @@
     bool takeCopy(const std::string &name, const std::string &requestId,
                   const std::string &address);
 
+    /** Notes that copies of a request are of a run that no host continues any more. */
+    void retireCopies(const std::string &requestId);
+
     /** Removes a copy. */
     void dropCopy(const std::string &name);
 
+    /** Notes that the server at an address takes new runs and continuations. */
+    void addUsable(const std::string &address);
+
+    /** Notes that the server at an address leaves or has exited. */
+    void removeUsable(const std::string &address);
+
+    /** Returns whether a usable server holds a copy of a request's current run. */
+    bool hasUsableCopy(const std::string &requestId) const;
+
+    /**
+     * Notes that the server at an address has exited: its runs have ended, and its copies are gone.
+     * Runs in progress there are lost that have no copy at a usable server.
+     */
+    void exit(const std::string &address, EngineExit exit);
+
+    /**
+     * Notes that a run without a length and chunks has ended by itself at the server at an address,
+     * and whether a copy at a usable server can tell so after the server has exited.
+     */
+    void recordUnframedEnd(const std::string &requestId, const std::string &address,
+                           bool hadUsableCopy);
+
+    /** Notes a run that nothing can continue. */
+    void lose(const std::string &requestId, const std::string &reason);
+
+    /** Returns why nothing can tell the end of a request's run or continue it, if so. */
+    std::optional<std::string> lossReason(const std::string &requestId) const;
+
     /** Notes that a run whose engine was asked to stop it had ended by itself. */
     void recordEndBesideStop(const std::string &requestId);
 
@@ -61,14 +107,29 @@
     {
         std::string requestId;
         std::set<std::string> holders;
+        /** Whether it is of a run before the request's current one. */
+        bool isFormer = false;
     };
 
+    /** A run without a length and chunks that has ended by itself and has no copy. */
+    struct UnframedEnd
+    {
+        std::string requestId;
+        Milliseconds at{0};
+    };
+
+    void endRuns(const std::string &address, EngineExit exit);
+    void dropCopiesAt(const std::string &address, EngineExit exit);
+
     std::map<std::string, std::set<std::string>> running;
     std::map<std::string, int> runCounts;
     std::set<std::string> endedBesideStops;
     std::map<std::string, int> countsByName;
     std::map<std::string, Copy> copies;
     std::set<std::string> rooms;
+    std::set<std::string> usable;
+    std::multimap<std::string, UnframedEnd> unframedEnds;
+    std::map<std::string, std::string> losses;
     std::vector<std::string> found;
 };
 
--- a/tests/soak/soakengine.cpp
+++ b/tests/soak/soakengine.cpp
@@ -99,9 +99,14 @@
     return this->requestCount == 0;
 }
 
-void SoakEngine::exit()
+void SoakEngine::exit(EngineExit how)
 {
+    if (!this->server)
+        return;
     this->server.reset();
+    for (const auto &[requestId, run] : this->inProgress)
+        run->isStopped = true;
+    this->runs.exit(this->listening, how);
 }
 
 net::awaitable<void> SoakEngine::handle(const HttpRequest &request, EngineConnection &connection)
@@ -157,6 +162,8 @@
     this->runs.begin(idOf(request), this->listening);
     co_await pause(Milliseconds(numberField(request, "Work-Ms")));
     co_await this->waitForSilence();
+    if (!this->server)
+        co_return;
     this->runs.end(idOf(request), this->listening);
     HttpHeaders headers = headersOf(request);
     headers.emplace_back("Replica-Stamp", "stand-in");
@@ -173,11 +180,16 @@
     if (backup && this->runs.hasRoom(*backup))
         this->runs.addCopy(backupName, requestId, {*backup});
     const bool isComplete = co_await this->sendEvents(request, connection, *run);
-    this->runs.end(requestId, this->listening);
+    if (this->server)
+        this->runs.end(requestId, this->listening);
     if (isComplete) {
-        this->runs.dropCopy(backupName);
-        if (run->framing == StreamFraming::Close)
+        if (run->framing == StreamFraming::Close) {
             this->complete.insert(requestId);
+            this->runs.recordUnframedEnd(requestId, this->listening,
+                                         this->runs.hasUsableCopy(requestId));
+        }
+        this->runs.dropCopy(backupName);
+        this->runs.retireCopies(requestId);
         co_await connection.finish();
     } else if (run->framing == StreamFraming::Close) {
         connection.close();
@@ -251,6 +263,8 @@
     const std::shared_ptr<Run> asked = this->findRun(order.requestId);
     if (order.isLast && asked && asked->framing == StreamFraming::Close)
         co_await pause(this->draws.stopDelay(asked->name));
+    if (!this->server)
+        co_return;
     const std::shared_ptr<Run> run = this->findRun(order.requestId);
     if (run && !run->isStopped) {
         co_await this->moveRun(run, order, connection);
@@ -272,6 +286,8 @@
     std::set<std::string> holders;
     if (order.isLast) {
         co_await this->stopRun(run, order.requestId);
+        if (!this->server)
+            co_return;
         holders.insert(this->listening);
     }
     if (hasRoom)
--- a/tests/soak/soakengine.h
+++ b/tests/soak/soakengine.h
@@ -20,9 +20,10 @@
 /**
  * A backend server on loopback that stops, copies and continues runs as the platform's engines do.
  *
- * The header fields of a request describe its work as for StandInServers. It breaks off no stream
- * that no host asked it to stop. A share of the streams has neither a length nor chunks; one that
- * is stopped is closed after a whole event, and the answer to the request may be late or lost.
+ * The header fields of a request describe its work as for StandInServers. Unless it exits, it
+ * breaks off no stream that no host asked it to stop. A share of the streams has neither a length
+ * nor chunks; one that is stopped is closed after a whole event, and the answer to the request may
+ * be late or lost.
  */
 class SoakEngine
 {
@@ -47,8 +48,8 @@
     /** Returns whether no request is in progress. */
     bool isIdle() const;
 
-    /** Closes the listener and all connections, as the end of the process does. */
-    void exit();
+    /** Closes the listener and then all connections in order, as the end of the process does. */
+    void exit(EngineExit how);
 
 private:
     /** A request to copy a run. */
