Let leaving engines of the fleet test exit with streams and leave in a row

Leaving engines waited until their last stream had ended, and engines left independently of each other. Half of them now exit at the end of their leaving although streams are open, and every 4 to 8 s an engine and the one that has the most copies of its runs leave within 2 s. The summary counts runs that such an exit ended without a copy, and whether an engine with room was usable for as long as the leaving takes.

--- a/tests/soak/enginedraws.cpp
+++ b/tests/soak/enginedraws.cpp
@@ -37,6 +37,12 @@
     return isUnframed ? StreamFraming::Close : StreamFraming::Chunks;
 }
 
+bool EngineDraws::exitsWithStreams(const std::string &engine) const
+{
+    constexpr int chance = 50;
+    return this->draw("exit with streams " + engine, 1, certain) <= chance;
+}
+
 Milliseconds EngineDraws::stopDelay(const std::string &run) const
 {
     constexpr int delayChance = 40;
--- a/tests/soak/enginedraws.h
+++ b/tests/soak/enginedraws.h
@@ -43,6 +43,9 @@
     /** Returns what ends the body of a stream. @param run names a run of a request. */
     StreamFraming framing(const std::string &run) const;
 
+    /** Returns whether an engine exits at the end of its leaving although streams are open. */
+    bool exitsWithStreams(const std::string &engine) const;
+
     /** Returns how long an engine works on a request to stop a run before it stops it. */
     Milliseconds stopDelay(const std::string &run) const;
 
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -135,7 +135,7 @@
         if (now() < end)
             this->makeChanges();
         this->runLater();
-        this->removeIdleEngines();
+        this->removeLeftEngines();
     }
     return areDone();
 }
@@ -314,6 +314,7 @@
     add("replacements", 1500, 4000, &Fleet::replaceEngine);
     add("stops of hosts", 800, 3000, &Fleet::stopHost);
     add("exits", 3000, 8000, &Fleet::exitEngine);
+    add("departures in a row", 4000, 8000, &Fleet::replacePair);
 }
 
 /** Lets one host or some hosts at once read other settings. */
@@ -353,14 +354,56 @@
     this->engines.at(name)->silence(drawTime(random, 1000, 3000));
 }
 
-/** Lets an engine leave, perhaps silent, with its listener closed before or after its report. */
+/** Lets an engine leave and starts another one. */
 void Fleet::replaceEngine(std::mt19937_64 &random)
 {
     constexpr int halfChance = 50;
     const int last = static_cast<int>(this->usableEngines.size()) - 1;
-    const auto position = this->usableEngines.begin() + draw(random, 0, last);
-    const std::string name = *position;
-    this->usableEngines.erase(position);
+    this->beginLeaving(this->usableEngines[static_cast<std::size_t>(draw(random, 0, last))],
+                       random);
+    const bool hasRoom = drawChance(random, halfChance);
+    this->later(drawTime(random, 0, 1500), [this, hasRoom] { this->addEngine(hasRoom); });
+}
+
+/**
+ * Lets an engine leave, and up to 2 s later the one that has the most copies of its runs; starts
+ * two others with room.
+ */
+void Fleet::replacePair(std::mt19937_64 &random)
+{
+    const int last = static_cast<int>(this->usableEngines.size()) - 1;
+    const std::string first = this->usableEngines[static_cast<std::size_t>(draw(random, 0, last))];
+    const Milliseconds pause = drawTime(random, 0, 2000);
+    const Milliseconds replacementTime = drawTime(random, 0, 1500);
+    const std::string second = this->copyHolder(first);
+    if (second.empty() || !this->mayLoseEngines({first, second}))
+        return;
+    this->runs.count("pairs of engines that left one after the other");
+    this->beginLeaving(first, random);
+    this->later(pause, [this, second, own = random]() mutable {
+        if (std::count(this->usableEngines.begin(), this->usableEngines.end(), second) > 0)
+            this->beginLeaving(second, own);
+    });
+    for (int count = 0; count < 2; ++count)
+        this->later(replacementTime, [this] { this->addEngine(true); });
+}
+
+/** Returns the name of the engine that holds most copies of an engine's runs, or an empty text. */
+std::string Fleet::copyHolder(const std::string &name) const
+{
+    const auto address = this->runs.copyHolder(this->engines.at(name)->address());
+    const auto found = std::find_if(this->usableEngines.begin(), this->usableEngines.end(),
+                                    [&](const std::string &other) {
+                                        return address == this->engines.at(other)->address();
+                                    });
+    return found == this->usableEngines.end() ? std::string() : *found;
+}
+
+/** Lets an engine leave, perhaps silent, with its listener closed before or after its report. */
+void Fleet::beginLeaving(std::string name, std::mt19937_64 &random)
+{
+    constexpr int halfChance = 50;
+    std::erase(this->usableEngines, name);
     SoakEngine &engine = *this->engines.at(name);
     this->runs.removeUsable(engine.address());
     if (drawChance(random, halfChance))
@@ -375,8 +418,6 @@
             this->store.remove(kind, name);
         this->leftEngines[name] = now() + leavingTime;
     });
-    const bool hasRoom = drawChance(random, halfChance);
-    this->later(drawTime(random, 0, 1500), [this, hasRoom] { this->addEngine(hasRoom); });
 }
 
 /**
@@ -393,8 +434,9 @@
     const Milliseconds exitTime = isGoneFirst ? drawTime(random, 0, 100) : Milliseconds(0);
     const Milliseconds removalTime = isGoneFirst ? Milliseconds(0) : drawTime(random, 0, 1000);
     const Milliseconds replacementTime = drawTime(random, 0, 1500);
-    if (!this->mayLoseEngine(name))
+    if (!this->mayLoseEngines({name}))
         return;
+    this->runs.count("engines that exited without notice");
     this->usableEngines.erase(position);
     SoakEngine &engine = *this->engines.at(name);
     const bool hasRoom = this->runs.hasRoom(engine.address());
@@ -405,14 +447,14 @@
     this->later(replacementTime, [this, hasRoom] { this->addEngine(hasRoom); });
 }
 
-/** Returns whether enough engines, and one with room, remain without one. */
-bool Fleet::mayLoseEngine(const std::string &name) const
+/** Returns whether enough engines, and one with room, remain without some. */
+bool Fleet::mayLoseEngines(const std::set<std::string> &names) const
 {
     constexpr std::size_t leastEngines = 3;
-    return this->usableEngines.size() > leastEngines
+    return this->usableEngines.size() >= leastEngines + names.size()
             && std::any_of(this->usableEngines.begin(), this->usableEngines.end(),
                            [&](const std::string &other) {
-                               return other != name
+                               return !names.contains(other)
                                        && this->runs.hasRoom(this->engines.at(other)->address());
                            });
 }
@@ -456,12 +498,16 @@
     }
 }
 
-/** Lets the engines exit that have left and have no request in progress any more. */
-void Fleet::removeIdleEngines()
+/**
+ * Lets the engines exit that have left: some at the end of their leaving, others once they have no
+ * request in progress.
+ */
+void Fleet::removeLeftEngines()
 {
     for (auto left = this->leftEngines.begin(); left != this->leftEngines.end();) {
         const auto engine = this->engines.find(left->first);
-        const bool isOver = now() >= left->second && engine->second->isIdle();
+        const bool isOver = now() >= left->second
+                && (engine->second->isIdle() || this->draws.exitsWithStreams(left->first));
         if (!isOver) {
             ++left;
             continue;
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -72,13 +72,16 @@
     void writeConfigurations(std::mt19937_64 &random);
     void silenceEngine(std::mt19937_64 &random);
     void replaceEngine(std::mt19937_64 &random);
+    void replacePair(std::mt19937_64 &random);
+    void beginLeaving(std::string name, std::mt19937_64 &random);
     void exitEngine(std::mt19937_64 &random);
-    bool mayLoseEngine(const std::string &name) const;
+    std::string copyHolder(const std::string &name) const;
+    bool mayLoseEngines(const std::set<std::string> &names) const;
     void stopHost(std::mt19937_64 &random);
     void later(Milliseconds time, std::function<void()> action);
     void makeChanges();
     void runLater();
-    void removeIdleEngines();
+    void removeLeftEngines();
     HostConfiguration baseConfiguration();
     void writeConfiguration(const HostConfiguration &configuration);
 
--- a/tests/soak/runregister.cpp
+++ b/tests/soak/runregister.cpp
@@ -9,6 +9,8 @@
 
 /** How long after a run's end its host may not know yet whether the engine outlived it. */
 constexpr Milliseconds doubtTime{3000};
+/** How long an engine that leaves serves at least. */
+constexpr Milliseconds leavingTime{2000};
 
 } // namespace
 
@@ -84,7 +86,7 @@
 
 void RunRegister::addUsable(const std::string &address)
 {
-    this->usable.insert(address);
+    this->usable.emplace(address, Clock::steady().now());
 }
 
 void RunRegister::removeUsable(const std::string &address)
@@ -103,6 +105,24 @@
     });
 }
 
+std::optional<std::string> RunRegister::copyHolder(const std::string &address) const
+{
+    std::map<std::string, int> copyCounts;
+    for (const auto &[name, copy] : this->copies) {
+        const auto run = this->running.find(copy.requestId);
+        if (copy.isFormer || run == this->running.end() || !run->second.contains(address))
+            continue;
+        for (const std::string &holder : copy.holders) {
+            if (holder != address && this->usable.contains(holder))
+                ++copyCounts[holder];
+        }
+    }
+    const auto most = std::max_element(
+            copyCounts.begin(), copyCounts.end(),
+            [](const auto &one, const auto &other) { return one.second < other.second; });
+    return most == copyCounts.end() ? std::nullopt : std::optional(most->first);
+}
+
 void RunRegister::exit(const std::string &address, EngineExit exit)
 {
     this->usable.erase(address);
@@ -125,11 +145,22 @@
             continue;
         const bool hasCopy = this->hasUsableCopy(requestId);
         this->count(std::string(toString(exit)) + (hasCopy ? " beside" : " without") + " a copy");
+        const bool hasRoom = exit == EngineExit::AfterLeaving && this->hasLongHadRoom();
         if (!hasCopy)
-            this->lose(requestId, std::string(toString(exit)));
+            this->lose(requestId,
+                       std::string(toString(exit)) + (hasRoom ? ", room elsewhere" : ""));
     }
 }
 
+/** Returns whether a server with room has been usable for as long as a leaving one serves. */
+bool RunRegister::hasLongHadRoom() const
+{
+    const Milliseconds since = Clock::steady().now() - leavingTime;
+    return std::any_of(this->usable.begin(), this->usable.end(), [&](const auto &server) {
+        return this->rooms.contains(server.first) && server.second <= since;
+    });
+}
+
 /**
  * Removes the copies at a server, and notes the stopped runs whose memory only that server kept. A
  * server that leaves is to be used in time.
--- a/tests/soak/runregister.h
+++ b/tests/soak/runregister.h
@@ -68,6 +68,9 @@
     /** Returns whether a usable server holds a copy of a request's current run. */
     bool hasUsableCopy(const std::string &requestId) const;
 
+    /** Returns the usable server that holds most copies of the runs at an address, or nothing. */
+    std::optional<std::string> copyHolder(const std::string &address) const;
+
     /**
      * Notes that the server at an address has exited: its runs have ended, and its copies are gone.
      * Runs in progress there are lost that have no copy at a usable server.
@@ -118,6 +121,7 @@
         Milliseconds at{0};
     };
 
+    bool hasLongHadRoom() const;
     void endRuns(const std::string &address, EngineExit exit);
     void dropCopiesAt(const std::string &address, EngineExit exit);
 
@@ -127,7 +131,8 @@
     std::map<std::string, int> countsByName;
     std::map<std::string, Copy> copies;
     std::set<std::string> rooms;
-    std::set<std::string> usable;
+    /** The addresses of usable servers, and since when they are. */
+    std::map<std::string, Milliseconds> usable;
     std::multimap<std::string, UnframedEnd> unframedEnds;
     std::map<std::string, std::string> losses;
     std::vector<std::string> found;
