Let engines of the fleet test decline to stop unframed streams

No engine of the fleet test declined a request to stop a run. A tenth of the unframed streams now has an engine that answers the first such request with 409 and goes on, as the pages allow. Three percent each are stopped at once or 0.4 s after that answer, which the pages do not allow; the summary counts them apart. Such a stream must go on from its copy and may be broken off only without one.

--- a/tests/soak/enginedraws.cpp
+++ b/tests/soak/enginedraws.cpp
@@ -25,6 +25,21 @@
     return "unknown";
 }
 
+std::string_view toString(StopDecline decline)
+{
+    switch (decline) {
+    case StopDecline::None:
+        return "not declined";
+    case StopDecline::RunGoesOn:
+        return "declined";
+    case StopDecline::StoppedAtOnce:
+        return "declined but stopped at once";
+    case StopDecline::StoppedLater:
+        return "declined but stopped later";
+    }
+    return "unknown";
+}
+
 EngineDraws::EngineDraws(std::uint64_t seed, int unframedPercent)
     : seed(seed)
     , unframedPercent(unframedPercent)
@@ -52,6 +67,21 @@
     return Milliseconds(this->draw("stop delay " + run, 1, longestDelay));
 }
 
+StopDecline EngineDraws::stopDecline(const std::string &run) const
+{
+    constexpr int declineChance = 10;
+    constexpr int stoppedAtOnceChance = 3;
+    constexpr int stoppedLaterChance = 3;
+    int value = this->draw("decline " + run, 1, certain);
+    if (value <= declineChance)
+        return StopDecline::RunGoesOn;
+    value -= declineChance;
+    if (value <= stoppedAtOnceChance)
+        return StopDecline::StoppedAtOnce;
+    value -= stoppedAtOnceChance;
+    return value <= stoppedLaterChance ? StopDecline::StoppedLater : StopDecline::None;
+}
+
 StopAnswer EngineDraws::stopAnswer(const std::string &run) const
 {
     constexpr int lateChance = 25;
--- a/tests/soak/enginedraws.h
+++ b/tests/soak/enginedraws.h
@@ -25,6 +25,21 @@
     Closed,
 };
 
+/** What an engine does with the first request to stop a run. */
+enum class StopDecline {
+    /** It stops the run. */
+    None,
+    /** It declines, and the run goes on. */
+    RunGoesOn,
+    /** It declines, but stops the run at once, which the platform's pages do not allow. */
+    StoppedAtOnce,
+    /** It declines, but stops the run later, which the platform's pages do not allow. */
+    StoppedLater,
+};
+
+/** Returns the name of what an engine does. */
+std::string_view toString(StopDecline decline);
+
 /** Returns the name of what becomes of an answer. */
 std::string_view toString(StopAnswer answer);
 
@@ -49,6 +64,9 @@
     /** Returns how long an engine works on a request to stop a run before it stops it. */
     Milliseconds stopDelay(const std::string &run) const;
 
+    /** Returns what an engine does with the first request to stop a run. */
+    StopDecline stopDecline(const std::string &run) const;
+
     /** Returns what becomes of the answer to a request that has stopped a run. */
     StopAnswer stopAnswer(const std::string &run) const;
 
--- a/tests/soak/soakengine.cpp
+++ b/tests/soak/soakengine.cpp
@@ -231,7 +231,7 @@
     while (run.lastEvent < events) {
         co_await pause(interval);
         co_await this->waitForSilence();
-        if (run.isStopped)
+        if (run.isStopped || this->stopsUnasked(idOf(request), run))
             co_return false;
         // An engine without a first event has sent no header either.
         if (!std::exchange(hasHeader, true)) {
@@ -254,6 +254,18 @@
     co_return !run.isStopped;
 }
 
+/** Returns whether a run stops now although its engine declined to stop it. */
+bool SoakEngine::stopsUnasked(const std::string &requestId, Run &run)
+{
+    if (!run.stopsAt || Clock::steady().now() < *run.stopsAt)
+        return false;
+    run.isStopped = true;
+    this->moving.insert(requestId);
+    if (!this->runs.hasUsableCopy(requestId))
+        this->runs.lose(requestId, "engine stopped the run that it declined to stop");
+    return true;
+}
+
 /** Copies a run, and stops it first if the request is the last one about it. */
 net::awaitable<void> SoakEngine::move(const HttpRequest &request, EngineConnection &connection)
 {
@@ -266,6 +278,10 @@
     if (!this->server)
         co_return;
     const std::shared_ptr<Run> run = this->findRun(order.requestId);
+    if (run && !run->isStopped && order.isLast && this->mustDecline(*run)) {
+        co_await sendStatus(connection, conflictStatus);
+        co_return;
+    }
     if (run && !run->isStopped) {
         co_await this->moveRun(run, order, connection);
         co_return;
@@ -277,6 +293,22 @@
     co_await sendStatus(connection, isStopping ? conflictStatus : notFoundStatus);
 }
 
+/** Returns whether to decline the first request to stop an unframed stream. */
+bool SoakEngine::mustDecline(Run &run)
+{
+    constexpr Milliseconds laterTime{400};
+    const StopDecline decline = this->draws.stopDecline(run.name);
+    const bool isFirst = !std::exchange(run.hasDeclined, true);
+    if (run.framing != StreamFraming::Close || !isFirst || decline == StopDecline::None)
+        return false;
+    this->runs.count("unframed stops " + std::string(toString(decline)));
+    if (decline == StopDecline::StoppedAtOnce)
+        run.stopsAt = Clock::steady().now();
+    if (decline == StopDecline::StoppedLater)
+        run.stopsAt = Clock::steady().now() + laterTime;
+    return true;
+}
+
 net::awaitable<void> SoakEngine::moveRun(const std::shared_ptr<Run> &run, const MoveOrder &order,
                                          EngineConnection &connection)
 {
--- a/tests/soak/soakengine.h
+++ b/tests/soak/soakengine.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -67,6 +68,9 @@
         std::string name;
         StreamFraming framing = StreamFraming::Chunks;
         int lastEvent = 0;
+        bool hasDeclined = false;
+        /** When a run stops although its engine declined to stop it. */
+        std::optional<Milliseconds> stopsAt;
         bool isStopped = false;
         bool isCallerGone = false;
     };
@@ -79,6 +83,8 @@
     boost::asio::awaitable<bool> sendEvents(const HttpRequest &request,
                                             EngineConnection &connection, Run &run);
     boost::asio::awaitable<void> move(const HttpRequest &request, EngineConnection &connection);
+    bool mustDecline(Run &run);
+    bool stopsUnasked(const std::string &requestId, Run &run);
     boost::asio::awaitable<void> moveRun(const std::shared_ptr<Run> &run, const MoveOrder &order,
                                          EngineConnection &connection);
     boost::asio::awaitable<void> stopRun(const std::shared_ptr<Run> &run,
@@ -97,7 +103,7 @@
     std::int64_t born = 0;
     Milliseconds silentUntil{0};
     std::map<std::string, std::shared_ptr<Run>> inProgress;
-    /** The requests whose stopped run is being copied. */
+    /** The requests whose stopped run is being copied or was stopped after an answer of 409. */
     std::set<std::string> moving;
     /** The requests whose unframed stream ended here as complete. */
     std::set<std::string> complete;
--- a/tests/soak/test_soak.cpp
+++ b/tests/soak/test_soak.cpp
@@ -23,7 +23,8 @@
 // Guards against streams that are cut, and runs at two engines at a time, by the coincidence of
 // reloads, versions of the configuration, leaving and silent engines and hosts without processor
 // time; see incidents/dsm-yard-sighup-cut.md. Guards also against streams without a length and
-// chunks that end as complete where their run was stopped; see incidents/pskv-ops-unframed-stop.md.
+// chunks that end as complete where their run was stopped or their engine exited; see
+// incidents/pskv-ops-unframed-stop.md and incidents/unframed-exits.md.
 // By hand: SOAK_HOSTS, SOAK_SECONDS, SOAK_SEED (the first seed), SOAK_SEEDS (their number),
 // SOAK_BUSY (threads that keep processors busy) and SOAK_UNFRAMED (percent of such streams).
 TEST_CASE("A fleet cuts no stream and runs none at two engines", "[soak]")
