Name the copies of a run that the fleet test finds cut after an exit

A cut is a fault if a usable engine had a copy of the run when its engine exited, but the message did not say which copy, so that a copy without room at its engine could not be told from one that the host had given up.

--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -159,7 +159,8 @@
             const auto loss = this->runs.lossReason(fieldOf(line, "request"));
             const bool isLost = loss && fieldOf(line, "decision") == "no_continuation";
             if (!isLost && !mayBreakOff(line)) {
-                faults.push_back(describeCut(line));
+                faults.push_back(describeCut(line) + ", copies at its engine's exit:"
+                                 + this->runs.copiesAtExit(fieldOf(line, "request")));
                 continue;
             }
             brokenStreams.insert(fieldOf(line, "request"));
--- a/tests/soak/runregister.cpp
+++ b/tests/soak/runregister.cpp
@@ -96,13 +96,28 @@
 
 bool RunRegister::hasUsableCopy(const std::string &requestId) const
 {
-    return std::any_of(this->copies.begin(), this->copies.end(), [&](const auto &item) {
-        const Copy &copy = item.second;
-        return copy.requestId == requestId && !copy.isFormer
-                && std::any_of(
-                        copy.holders.begin(), copy.holders.end(),
-                        [this](const auto &holder) { return this->usable.contains(holder); });
-    });
+    return !this->usableCopies(requestId).empty();
+}
+
+/** Returns the names of the copies of a request's current run, and the usable servers with them. */
+std::string RunRegister::usableCopies(const std::string &requestId) const
+{
+    std::string text;
+    for (const auto &[name, copy] : this->copies) {
+        if (copy.isFormer || copy.requestId != requestId)
+            continue;
+        for (const std::string &holder : copy.holders) {
+            if (this->usable.contains(holder))
+                text.append(" ").append(name).append(" at ").append(holder);
+        }
+    }
+    return text;
+}
+
+std::string RunRegister::copiesAtExit(const std::string &requestId) const
+{
+    const auto found = this->exitCopies.find(requestId);
+    return found == this->exitCopies.end() ? std::string() : found->second;
 }
 
 std::optional<std::string> RunRegister::copyHolder(const std::string &address) const
@@ -143,7 +158,9 @@
     for (auto &[requestId, addresses] : this->running) {
         if (addresses.erase(address) == 0)
             continue;
-        const bool hasCopy = this->hasUsableCopy(requestId);
+        const std::string usableCopies = this->usableCopies(requestId);
+        const bool hasCopy = !usableCopies.empty();
+        this->exitCopies[requestId] = usableCopies;
         this->count(std::string(toString(exit)) + (hasCopy ? " beside" : " without") + " a copy");
         const bool hasRoom = exit == EngineExit::AfterLeaving && this->hasLongHadRoom();
         if (!hasCopy)
--- a/tests/soak/runregister.h
+++ b/tests/soak/runregister.h
@@ -96,6 +96,9 @@
     /** Returns the requests of recordEndBesideStop(). */
     const std::set<std::string> &endsBesideStops() const;
 
+    /** Returns the copies at usable servers of a run that an exit has ended, or an empty text. */
+    std::string copiesAtExit(const std::string &requestId) const;
+
     /** Counts what an engine has done, for the summary. */
     void count(const std::string &name);
 
@@ -122,6 +125,7 @@
     };
 
     bool hasLongHadRoom() const;
+    std::string usableCopies(const std::string &requestId) const;
     void endRuns(const std::string &address, EngineExit exit);
     void dropCopiesAt(const std::string &address, EngineExit exit);
 
@@ -135,6 +139,7 @@
     std::map<std::string, Milliseconds> usable;
     std::multimap<std::string, UnframedEnd> unframedEnds;
     std::map<std::string, std::string> losses;
+    std::map<std::string, std::string> exitCopies;
     std::vector<std::string> found;
 };
 
