Let a continuation without events in the fleet test have the type of a stream

An engine of the fleet test that continued a run after its last event answered 200 without a Content-Type, which no stream of the platform's engines lacks. The answer now has the type of a stream.

--- a/tests/soak/soakengine.cpp
+++ b/tests/soak/soakengine.cpp
@@ -43,6 +43,14 @@
     return {{"Request-Id", idOf(request)}};
 }
 
+HttpHeaders streamHeadersOf(const HttpRequest &request)
+{
+    HttpHeaders headers = headersOf(request);
+    headers.emplace_back("Replica-Stamp", "stand-in");
+    headers.emplace_back("Content-Type", "text/event-stream");
+    return headers;
+}
+
 net::awaitable<void> sendStatus(EngineConnection &connection, int status, HttpHeaders headers = {},
                                 std::string body = {})
 {
@@ -234,23 +242,16 @@
         if (run.isStopped || this->stopsUnasked(idOf(request), run))
             co_return false;
         // An engine without a first event has sent no header either.
-        if (!std::exchange(hasHeader, true)) {
-            HttpHeaders headers = headersOf(request);
-            headers.emplace_back("Replica-Stamp", "stand-in");
-            headers.emplace_back("Content-Type", "text/event-stream");
-            if (!co_await connection.startStream(std::move(headers), run.framing))
-                co_return false;
-        }
+        if (!std::exchange(hasHeader, true)
+            && !co_await connection.startStream(streamHeadersOf(request), run.framing))
+            co_return false;
         const std::string text = eventText(idOf(request), ++run.lastEvent);
         if (!co_await connection.write(text))
             co_return false;
     }
     // A continuation of a run whose last event was sent has none left.
-    if (!hasHeader) {
-        HttpHeaders headers = headersOf(request);
-        headers.emplace_back("Replica-Stamp", "stand-in");
-        co_await connection.startStream(std::move(headers), run.framing);
-    }
+    if (!hasHeader)
+        co_await connection.startStream(streamHeadersOf(request), run.framing);
     co_return !run.isStopped;
 }
 
