Allow a cut in the fleet test only after the exit of its engine

An unframed run that had ended by itself could be cut if its engine exited up to 3 s later, which also allowed cuts before that exit. The register now has the time from which a run is lost, and a cut before it is a fault. Messages say how the run of a cut stream ended: by an exit or by itself, whether its engine still accepted connections, and which copies usable engines had.

--- a/tests/soak/engineserver.cpp
+++ b/tests/soak/engineserver.cpp
@@ -40,6 +40,11 @@
     return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
+bool EngineServer::isAccepting() const
+{
+    return this->state->acceptor.is_open();
+}
+
 void EngineServer::stopAccepting()
 {
     error_code ignored;
--- a/tests/soak/engineserver.h
+++ b/tests/soak/engineserver.h
@@ -24,6 +24,9 @@
     /** Returns the address as IP:PORT. */
     std::string address() const;
 
+    /** Returns whether new connections are accepted. */
+    bool isAccepting() const;
+
     /** Closes the listener; open connections are served. */
     void stopAccepting();
 
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -66,6 +66,13 @@
     return line.substr(begin, line.find('"', begin) - begin);
 }
 
+/** Returns when a log line was written, in milliseconds since the Unix epoch. */
+Milliseconds timeOf(const std::string &line)
+{
+    constexpr std::string_view start = "\"time_ms\":";
+    return Milliseconds(std::stoll(line.substr(line.find(start) + start.size())));
+}
+
 std::string describeCut(const std::string &line)
 {
     std::string text = "stream_cut";
@@ -156,11 +163,11 @@
         if (host->hasExited())
             faults.emplace_back("a daemon has exited");
         for (const std::string &line : host->logLines("stream_cut")) {
-            const auto loss = this->runs.lossReason(fieldOf(line, "request"));
+            const auto loss = this->runs.lossReason(fieldOf(line, "request"), timeOf(line));
             const bool isLost = loss && fieldOf(line, "decision") == "no_continuation";
             if (!isLost && !mayBreakOff(line)) {
-                faults.push_back(describeCut(line) + ", copies at its engine's exit:"
-                                 + this->runs.copiesAtExit(fieldOf(line, "request")));
+                faults.push_back(describeCut(line) + ", the run: "
+                                 + this->runs.describeEnd(fieldOf(line, "request")));
                 continue;
             }
             brokenStreams.insert(fieldOf(line, "request"));
@@ -208,7 +215,7 @@
  */
 bool Fleet::mayBeUnanswered(const SoakCall &call)
 {
-    const auto loss = this->runs.lossReason(call.requestId());
+    const auto loss = this->runs.lossReason(call.requestId(), Clock::system().now());
     if (!loss || !call.result.isOutcomeUnknown())
         return false;
     ++this->allowedCuts["unanswered: " + *loss];
--- a/tests/soak/runregister.cpp
+++ b/tests/soak/runregister.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-/** How long after a run's end its host may not know yet whether the engine outlived it. */
-constexpr Milliseconds doubtTime{3000};
 /** How long an engine that leaves serves at least. */
 constexpr Milliseconds leavingTime{2000};
 
@@ -114,10 +112,10 @@
     return text;
 }
 
-std::string RunRegister::copiesAtExit(const std::string &requestId) const
+std::string RunRegister::describeEnd(const std::string &requestId) const
 {
-    const auto found = this->exitCopies.find(requestId);
-    return found == this->exitCopies.end() ? std::string() : found->second;
+    const auto found = this->endTexts.find(requestId);
+    return found == this->endTexts.end() ? std::string() : found->second;
 }
 
 std::optional<std::string> RunRegister::copyHolder(const std::string &address) const
@@ -144,13 +142,8 @@
     this->rooms.erase(address);
     this->dropCopiesAt(address, exit);
     this->endRuns(address, exit);
-    const Milliseconds now = Clock::steady().now();
-    const auto [first, last] = this->unframedEnds.equal_range(address);
-    for (auto end = first; end != last; ++end) {
-        if (now - end->second.at < doubtTime)
-            this->lose(end->second.requestId, std::string(toString(exit)) + " after the run's end");
-    }
-    this->unframedEnds.erase(first, last);
+    for (const std::string &requestId : std::exchange(this->unframedEnds[address], {}))
+        this->lose(requestId, std::string(toString(exit)) + " after the run's end");
 }
 
 void RunRegister::endRuns(const std::string &address, EngineExit exit)
@@ -160,7 +153,8 @@
             continue;
         const std::string usableCopies = this->usableCopies(requestId);
         const bool hasCopy = !usableCopies.empty();
-        this->exitCopies[requestId] = usableCopies;
+        std::string &text = this->endTexts[requestId] = toString(exit);
+        text.append(" of ").append(address).append(", copies:").append(usableCopies);
         this->count(std::string(toString(exit)) + (hasCopy ? " beside" : " without") + " a copy");
         const bool hasRoom = exit == EngineExit::AfterLeaving && this->hasLongHadRoom();
         if (!hasCopy)
@@ -194,21 +188,27 @@
 }
 
 void RunRegister::recordUnframedEnd(const std::string &requestId, const std::string &address,
-                                    bool hadUsableCopy)
+                                    bool accepts)
 {
-    if (!hadUsableCopy)
-        this->unframedEnds.insert({address, {requestId, Clock::steady().now()}});
+    const std::string usableCopies = this->usableCopies(requestId);
+    std::string &text = this->endTexts[requestId] = "ended by itself at ";
+    text.append(address).append(accepts ? "" : " without a listener");
+    text.append(", copies:").append(usableCopies);
+    if (usableCopies.empty())
+        this->unframedEnds[address].insert(requestId);
 }
 
 void RunRegister::lose(const std::string &requestId, const std::string &reason)
 {
-    this->losses[requestId] = reason;
+    this->losses[requestId] = {reason, Clock::system().now()};
 }
 
-std::optional<std::string> RunRegister::lossReason(const std::string &requestId) const
+std::optional<std::string> RunRegister::lossReason(const std::string &requestId,
+                                                   Milliseconds at) const
 {
     const auto found = this->losses.find(requestId);
-    return found == this->losses.end() ? std::nullopt : std::optional(found->second);
+    const bool isLost = found != this->losses.end() && found->second.at <= at;
+    return isLost ? std::optional(found->second.reason) : std::nullopt;
 }
 
 void RunRegister::recordEndBesideStop(const std::string &requestId)
--- a/tests/soak/runregister.h
+++ b/tests/soak/runregister.h
@@ -78,17 +78,22 @@
     void exit(const std::string &address, EngineExit exit);
 
     /**
-     * Notes that a run without a length and chunks has ended by itself at the server at an address,
-     * and whether a copy at a usable server can tell so after the server has exited.
+     * Notes that a run without a length and chunks has ended by itself at the server at an address.
+     * A copy at a usable server can tell so after the server has exited.
+     *
+     * @param accepts whether the server accepts connections.
      */
-    void recordUnframedEnd(const std::string &requestId, const std::string &address,
-                           bool hadUsableCopy);
+    void recordUnframedEnd(const std::string &requestId, const std::string &address, bool accepts);
 
     /** Notes a run that nothing can continue. */
     void lose(const std::string &requestId, const std::string &reason);
 
-    /** Returns why nothing can tell the end of a request's run or continue it, if so. */
-    std::optional<std::string> lossReason(const std::string &requestId) const;
+    /**
+     * Returns why nothing could tell the end of a request's run or continue it at a time, if so.
+     *
+     * @param at in milliseconds since the Unix epoch.
+     */
+    std::optional<std::string> lossReason(const std::string &requestId, Milliseconds at) const;
 
     /** Notes that a run whose engine was asked to stop it had ended by itself. */
     void recordEndBesideStop(const std::string &requestId);
@@ -96,8 +101,11 @@
     /** Returns the requests of recordEndBesideStop(). */
     const std::set<std::string> &endsBesideStops() const;
 
-    /** Returns the copies at usable servers of a run that an exit has ended, or an empty text. */
-    std::string copiesAtExit(const std::string &requestId) const;
+    /**
+     * Returns how the last run of a request ended that an exit has ended or that had neither a
+     * length nor chunks, with its copies at usable servers then; for messages.
+     */
+    std::string describeEnd(const std::string &requestId) const;
 
     /** Counts what an engine has done, for the summary. */
     void count(const std::string &name);
@@ -117,10 +125,10 @@
         bool isFormer = false;
     };
 
-    /** A run without a length and chunks that has ended by itself and has no copy. */
-    struct UnframedEnd
+    /** Why a run is lost, and since when, in milliseconds since the Unix epoch. */
+    struct Loss
     {
-        std::string requestId;
+        std::string reason;
         Milliseconds at{0};
     };
 
@@ -137,9 +145,10 @@
     std::set<std::string> rooms;
     /** The addresses of usable servers, and since when they are. */
     std::map<std::string, Milliseconds> usable;
-    std::multimap<std::string, UnframedEnd> unframedEnds;
-    std::map<std::string, std::string> losses;
-    std::map<std::string, std::string> exitCopies;
+    /** The requests whose unframed run has ended by itself without a copy, by the server. */
+    std::map<std::string, std::set<std::string>> unframedEnds;
+    std::map<std::string, Loss> losses;
+    std::map<std::string, std::string> endTexts;
     std::vector<std::string> found;
 };
 
--- a/tests/soak/soakengine.cpp
+++ b/tests/soak/soakengine.cpp
@@ -193,8 +193,7 @@
     if (isComplete) {
         if (run->framing == StreamFraming::Close) {
             this->complete.insert(requestId);
-            this->runs.recordUnframedEnd(requestId, this->listening,
-                                         this->runs.hasUsableCopy(requestId));
+            this->runs.recordUnframedEnd(requestId, this->listening, this->server->isAccepting());
         }
         this->runs.dropCopy(backupName);
         this->runs.retireCopies(requestId);
