--- a/tests/soak/runregister.cpp
+++ b/tests/soak/runregister.cpp
@@ -31,6 +31,7 @@
     addresses.insert(address);
     this->retireCopies(requestId);
     this->losses.erase(requestId);
+    this->endTexts.erase(requestId);
     return ++this->runCounts[requestId];
 }
 
