--- a/tests/soak/soakengine.cpp
+++ b/tests/soak/soakengine.cpp
@@ -334,7 +334,7 @@
     response.status = hasRoom ? successStatus : unavailableStatus;
     response.body = body.dump();
     if (isFaulty)
-        co_await this->answerStop(*run, std::move(response), connection);
+        co_await this->answerStop(*run, order.requestId, std::move(response), connection);
     else
         co_await connection.send(std::move(response));
     this->moving.erase(order.requestId);
@@ -352,11 +352,14 @@
 }
 
 /** Answers a request that has stopped an unframed stream, late or not at all in some cases. */
-net::awaitable<void> SoakEngine::answerStop(const Run &run, HttpResponse response,
-                                            EngineConnection &connection)
+net::awaitable<void> SoakEngine::answerStop(const Run &run, const std::string &requestId,
+                                            HttpResponse response, EngineConnection &connection)
 {
     const StopAnswer answer = this->draws.stopAnswer(run.name);
     this->runs.count("unframed stops " + std::string(toString(answer)));
+    const bool isLost = answer == StopAnswer::Reset || answer == StopAnswer::Closed;
+    if (isLost && !this->runs.hasUsableCopy(requestId))
+        this->runs.lose(requestId, "lost answer without a copy");
     if (answer == StopAnswer::Reset) {
         connection.reset();
         co_return;
--- a/tests/soak/soakengine.h
+++ b/tests/soak/soakengine.h
@@ -89,8 +89,8 @@
                                          EngineConnection &connection);
     boost::asio::awaitable<void> stopRun(const std::shared_ptr<Run> &run,
                                          const std::string &requestId);
-    boost::asio::awaitable<void> answerStop(const Run &run, HttpResponse response,
-                                            EngineConnection &connection);
+    boost::asio::awaitable<void> answerStop(const Run &run, const std::string &requestId,
+                                            HttpResponse response, EngineConnection &connection);
     boost::asio::awaitable<void> waitForSilence();
     bool mayBegin(const HttpRequest &request);
     std::shared_ptr<Run> findRun(const std::string &requestId) const;
