Take an open connection for evidence that a process outlived its stream

While such streams are in progress a connection to their process is kept open; the operating system closes it with the streams if the process ends, so while it is open the process lives. That an engine has no such run is evidence again by itself. The wait for the state of a process ends with the call.

--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -84,7 +84,7 @@
             const bool isOpen = co_await this->sendHeader(result.response);
             readEnd = ReadEnd::CallerGone;
             if (isOpen)
-                readEnd = co_await this->forwardStream();
+                readEnd = co_await this->forwardPart();
             this->silenceWatch.restart(std::nullopt);
         }
         if (readEnd == ReadEnd::Complete) {
@@ -244,6 +244,19 @@
     co_return result;
 }
 
+/** Forwards a part of the stream. @return why that ended. */
+net::awaitable<EventRelay::ReadEnd> EventRelay::forwardPart()
+{
+    if (!this->isUnframedEventStream())
+        co_return co_await this->forwardStream();
+    const ServerProcess process = this->attempt->serverProcess();
+    ProcessChecks &checks = this->dependencies.processChecks;
+    checks.beginStream(this->dependencies.context.get_executor(), process);
+    const ReadEnd readEnd = co_await this->forwardStream();
+    checks.endStream(process);
+    co_return readEnd;
+}
+
 net::awaitable<EventRelay::ReadEnd> EventRelay::forwardStream()
 {
     while (true) {
@@ -384,9 +397,15 @@
 net::awaitable<ProcessState> EventRelay::checkProcess(ServerProcess process)
 {
     const Milliseconds now = this->dependencies.clock.now();
+    const net::any_io_executor executor = this->dependencies.context.get_executor();
+    const auto wait = std::make_shared<net::steady_timer>(
+            executor, std::max(Milliseconds(1), this->call.timeLeft(now)));
+    this->call.cancelHooks[wait.get()] = [wait] {
+        wait->expires_at(net::steady_timer::time_point::min());
+    };
     const ProcessState state = co_await this->dependencies.processChecks.check(
-            this->dependencies.context.get_executor(), this->dependencies.engines,
-            std::move(process), std::max(Milliseconds(1), this->call.timeLeft(now)));
+            executor, this->dependencies.engines, std::move(process), wait);
+    this->call.cancelHooks.erase(wait.get());
     this->dependencies.entry.metrics.count("sassafrasyard_process_checks_total",
                                            {{"process", std::string(toString(state))}});
     co_return state;
@@ -405,6 +424,12 @@
     return this->eventCount > 0 || this->streamMediaType == eventStreamType;
 }
 
+/** Returns whether only the close of its connection ends the current part. */
+bool EventRelay::isUnframedEventStream() const
+{
+    return this->isEventStream() && this->attempt->bodyFraming() == BodyFraming::Close;
+}
+
 /** Forwards the body of a response that is no event stream. */
 net::awaitable<bool> EventRelay::forwardRemainder()
 {
@@ -1073,6 +1098,10 @@
     this->dependencies.dispatch.reportProgress(this->placement.name, this->eventCount * perEvent);
     this->reportedEvents = this->eventCount;
     this->reportedAt = now;
+    if (this->isUnframedEventStream()) {
+        this->dependencies.processChecks.renewConnection(this->dependencies.context.get_executor(),
+                                                         this->attempt->serverProcess());
+    }
 }
 
 void EventRelay::reportPartEnd(WorkOutcome outcome)
--- a/packages/gateway/relay/eventrelay.h
+++ b/packages/gateway/relay/eventrelay.h
@@ -64,6 +64,7 @@
     boost::asio::awaitable<std::optional<SoftwareVersion>> findVersion();
     boost::asio::awaitable<bool> placeNewRun();
     boost::asio::awaitable<AttemptResult> startPart();
+    boost::asio::awaitable<ReadEnd> forwardPart();
     boost::asio::awaitable<ReadEnd> forwardStream();
     boost::asio::awaitable<bool> forwardEvents();
     boost::asio::awaitable<ReadEnd> finishBody();
@@ -71,6 +72,7 @@
     boost::asio::awaitable<ProcessState> checkProcess(ServerProcess process);
     bool endsInsideEvent() const;
     bool isEventStream() const;
+    bool isUnframedEventStream() const;
     boost::asio::awaitable<bool> forwardRemainder();
     bool isPartOfStream(const HttpResponse &response);
     boost::asio::awaitable<bool> sendHeader(const HttpResponse &response);
--- a/packages/gateway/relay/runevidence.cpp
+++ b/packages/gateway/relay/runevidence.cpp
@@ -87,8 +87,9 @@
         return BodyEnd::Complete;
     switch (effect) {
     case StopEffect::None:
-    case StopEffect::Absent:
         return endByProcess(process);
+    case StopEffect::Absent:
+        return BodyEnd::Complete;
     case StopEffect::Declined:
         return BodyEnd::Doubtful;
     case StopEffect::Pending:
--- a/packages/gateway/relay/runevidence.h
+++ b/packages/gateway/relay/runevidence.h
@@ -82,7 +82,8 @@
  * of a process that ends closes its connections in order. A length or the last chunk would be
  * missing then, but without them a stream that was broken off after a whole event ends like one
  * that is complete. So without framing the end needs evidence: no request of this host can have
- * stopped the run, and the process that wrote the stream has outlived it. That an engine declined a
+ * stopped the run, and the process that wrote the stream has outlived it, such as to answer that it
+ * has no such run. That an engine declined a
  * request is none, because it may have been busy with another one that stops the run.
  *
  * @param effect what the requests to stop the run may have done.
--- a/packages/gateway/tests/test_unframedmoves.cpp
+++ b/packages/gateway/tests/test_unframedmoves.cpp
@@ -54,7 +54,7 @@
     engines.leavesBefore = 0;
     engines.exitsBefore = 45;
     engines.atExit = [&engines] {
-        engines.fixture.closeListener(engines.runs.front());
+        engines.fixture.exitProcess(engines.runs.front());
         engines.changeAnswer = [](const RunStopResult &) {
             RunStopResult answer;
             answer.state = State::Unreachable;
