Follow the evacuations of failure domains

Cause: nothing read the operators' evacuations.

Change: each host follows the objects of kind evacuations where the settings name evacuation-ms. Servers of an evacuated domain count as leaving, so runs move away where engines support that; BackendAttempt checks once more before it sends. A service that is evacuated as a whole is refused at once. An outage or a restore of the store ends no evacuation.

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -90,6 +90,15 @@
     return options;
 }
 
+/** A watch confirms its content only at its end, so it must end well within the time to apply. */
+ObjectFollowerOptions evacuationFollowerOptions(const PlatformSettings &settings)
+{
+    ServingBounds bounds = settings.serving;
+    bounds.maximumApplyTime = settings.evacuationTime.value_or(bounds.maximumApplyTime);
+    bounds.maximumKeyAge = bounds.maximumApplyTime;
+    return ObjectFollowerOptions::within(bounds, settings.drainTimeout);
+}
+
 ObjectFollowerOptions hostFollowerOptions()
 {
     ObjectFollowerOptions options;
@@ -133,6 +142,11 @@
     void applyConfiguration(const RegisteredObject &object);
     void applyServers(std::span<const RegisteredObject> objects, Milliseconds requestedAt);
     void applyHosts(std::span<const RegisteredObject> objects);
+    void followEvacuations();
+    void applyEvacuations(std::span<const RegisteredObject> objects, Milliseconds requestedAt);
+    void applyEvacuationChanges(std::span<const ObjectChange> changes, Milliseconds requestedAt);
+    std::optional<FailureDomainName> readEvacuation(const RegisteredObject &object);
+    void publishEvacuations();
     void applyServerChanges(std::span<const ObjectChange> changes, Milliseconds requestedAt);
     std::optional<ServerEntry> readServer(const RegisteredObject &object);
     void schedulePublishServers();
@@ -161,6 +175,7 @@
     DispatchService dispatch;
     ServingState serving;
     ServerCatalogue servers;
+    Evacuations evacuations;
     ListConfirmations serverConfirmations;
     ServerSubset serverSubset;
     HttpConnectionPool serverConnections;
@@ -179,10 +194,12 @@
     SharedObjectSource configurationSource;
     SharedObjectSource serverSource;
     SharedObjectSource hostSource;
+    SharedObjectSource evacuationSource;
     MirrorService mirrors;
     ObjectFollower configurationFollower;
     ObjectFollower serverFollower;
     ObjectFollower hostFollower;
+    ObjectFollower evacuationFollower;
     PeerService peers;
     VersionHistory versionHistory;
     RunVersionExchange runExchange;
@@ -194,6 +211,7 @@
     net::signal_set reloadSignals;
     std::uint64_t serverRevision = 0;
     bool isPublishScheduled = false;
+    bool followsEvacuations = false;
     bool isReady = false;
     Milliseconds lastSlowMaintenanceAt{0};
 };
@@ -205,6 +223,7 @@
     , dispatch(this->entry, this->runtime, this->context, false)
     , serving(this->settings.serving)
     , servers(catalogueOptions(this->settings), this->clock)
+    , evacuations(this->settings.evacuationTime.value_or(this->settings.drainTimeout))
     , serverConfirmations(this->context, this->clock)
     , serverSubset({this->settings.host, this->settings.failureDomain})
     , serverConnections(this->context, this->clock)
@@ -233,6 +252,8 @@
                    sharedSourceOptions(followerOptions(this->settings)))
     , hostSource(this->store.source(), this->makeSharedSourceHooks(), this->clock,
                  sharedSourceOptions(hostFollowerOptions()))
+    , evacuationSource(this->store.source(), this->makeSharedSourceHooks(), this->clock,
+                       sharedSourceOptions(evacuationFollowerOptions(this->settings)))
     , mirrors(this->context, this->clock)
     , configurationFollower(
               std::string(objectkind::configuration), this->configurationSource.source(),
@@ -271,6 +292,15 @@
                   this->applyHosts(present);
               },
               hostFollowerOptions())
+    , evacuationFollower(
+              std::string(objectkind::evacuations), this->evacuationSource.source(), this->clock,
+              [this](std::span<const RegisteredObject> objects, Milliseconds requestedAt) {
+                  this->applyEvacuations(objects, requestedAt);
+              },
+              [this](std::span<const ObjectChange> changes, Milliseconds requestedAt) {
+                  this->applyEvacuationChanges(changes, requestedAt);
+              },
+              evacuationFollowerOptions(this->settings))
     , peers(this->entry, this->dispatch, this->runtime, this->context, this->makePeerHooks())
     , versionHistory(this->entry, this->context, this->store.versionHistoryCalls(), this->clock)
     , runExchange(this->entry, this->context, this->makeRunExchangeHooks())
@@ -300,6 +330,15 @@
     this->mirrors.add(std::string(objectkind::configuration), this->configurationFollower.mirror());
     this->mirrors.add(std::string(objectkind::servers), this->serverFollower.mirror());
     this->mirrors.add(std::string(objectkind::hosts), this->hostFollower.mirror());
+    this->evacuationFollower.setRestoreHook(
+            [this] { this->evacuations.recordStoreRestored(this->clock.now()); });
+    this->evacuations.setChangeHook([this] { this->publishEvacuations(); });
+    this->servers.setReturnHook([this](const BackendServerName &server) {
+        this->peers.requestLoadUpdate();
+        this->dispatch.post([server](Dispatcher &dispatcher, Milliseconds now) {
+            dispatcher.recordReturn(server, now);
+        });
+    });
     std::error_code ignored;
     this->settingsWrittenAt = std::filesystem::last_write_time(this->settingsPath, ignored);
     this->limiter.setHooks({[this](std::string address, CallPermitRequest request,
@@ -371,6 +410,7 @@
     this->configurationFollower.start(this->context);
     this->serverFollower.start(this->context);
     this->hostFollower.start(this->context);
+    this->followEvacuations();
     this->quarantineArchive.start();
     this->versionHistory.start();
     this->dispatch.setQuarantineHook(
@@ -593,6 +633,72 @@
         this->peers.recordRegisteredHosts(std::move(records));
 }
 
+/** Starts to follow the evacuations if the settings say that failure domains are evacuated. */
+void PlatformDaemon::Implementation::followEvacuations()
+{
+    if (!this->settings.evacuationTime || std::exchange(this->followsEvacuations, true))
+        return;
+    this->mirrors.add(std::string(objectkind::evacuations), this->evacuationFollower.mirror());
+    this->serving.setEvacuationsRequired(true);
+    this->evacuationFollower.start(this->context);
+}
+
+void PlatformDaemon::Implementation::applyEvacuations(std::span<const RegisteredObject> objects,
+                                                      Milliseconds requestedAt)
+{
+    std::vector<FailureDomainName> domains;
+    for (const RegisteredObject &object : objects) {
+        if (auto domain = this->readEvacuation(object))
+            domains.push_back(std::move(*domain));
+    }
+    this->evacuations.applyList(domains, requestedAt, this->clock.now());
+    this->serving.confirmEvacuations();
+}
+
+void PlatformDaemon::Implementation::applyEvacuationChanges(std::span<const ObjectChange> changes,
+                                                            Milliseconds requestedAt)
+{
+    for (const ObjectChange &change : changes) {
+        const auto domain = this->readEvacuation(change.object);
+        if (!domain)
+            continue;
+        if (change.isRemoved)
+            this->evacuations.applyEnd(*domain);
+        else if (!this->evacuations.applyStart(*domain))
+            this->unreadableObjects.record(objectkind::evacuations, change.object,
+                                           "too many evacuations");
+    }
+    this->evacuations.confirm(requestedAt);
+}
+
+std::optional<FailureDomainName> PlatformDaemon::Implementation::readEvacuation(
+        const RegisteredObject &object)
+{
+    Error reason;
+    auto domain = decodeEvacuation(object, reason);
+    if (!domain)
+        this->unreadableObjects.record(objectkind::evacuations, object, reason.detail);
+    return domain;
+}
+
+/** Applies the evacuations to the servers, and logs those that began or ended. */
+void PlatformDaemon::Implementation::publishEvacuations()
+{
+    const auto &current = this->evacuations.returnLimits();
+    const auto before = this->servers.evacuatedDomains();
+    this->servers.setEvacuatedDomains(current);
+    for (const auto &[domain, limit] : current) {
+        if (!before.contains(domain))
+            logEvent(LogEvent::DomainEvacuated, "failure_domain", domain.toString());
+    }
+    for (const auto &[domain, limit] : before) {
+        if (!current.contains(domain))
+            logEvent(LogEvent::DomainReturned, "failure_domain", domain.toString());
+    }
+    this->entry.metrics.set("sassafrasyard_evacuated_domains", {},
+                            static_cast<double>(current.size()));
+}
+
 void PlatformDaemon::Implementation::applyServerChanges(std::span<const ObjectChange> changes,
                                                         Milliseconds requestedAt)
 {
@@ -658,6 +764,7 @@
         if (this->services.changes.recordTimer(dueAt, now))
             logEvent(LogEvent::HostLate, "late_ms", std::to_string((now - dueAt).count()));
         this->servers.advance(now);
+        this->evacuations.advance(now);
         this->reachability.advance();
         this->limiter.advance();
         this->contacts.advance();
@@ -692,6 +799,9 @@
     this->entry.metrics.set("sassafrasyard_configuration_age_ms", {},
                             age(this->serving.configurationAge(now)));
     this->entry.metrics.set("sassafrasyard_servers_age_ms", {}, age(this->serving.serversAge(now)));
+    if (this->settings.evacuationTime)
+        this->entry.metrics.set("sassafrasyard_evacuations_age_ms", {},
+                                age(this->evacuations.age(now)));
     this->checkSettings();
 }
 
@@ -727,6 +837,9 @@
     this->settings = std::move(*next);
     this->serving.setBounds(this->settings.serving);
     this->servers.setDrainTime(this->settings.drainTimeout);
+    if (this->settings.evacuationTime)
+        this->evacuations.setApplyTime(*this->settings.evacuationTime);
+    this->followEvacuations();
     this->retryBudget.setOptions(this->settings.retryBudget);
     logEvent(LogEvent::SettingsReloaded, "path", this->settingsPath);
 }
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "gateway/calls/retryrule.h"
 #include "gateway/contact/contactmonitor.h"
 #include "gateway/contact/relaypeers.h"
+#include "gateway/evacuations/evacuations.h"
 #include "gateway/limits/serverlimiter.h"
 #include "gateway/relay/gatewaydependencies.h"
 #include "gateway/relay/gatewayservice.h"
--- a/packages/gateway/relay/backendattempt.cpp
+++ b/packages/gateway/relay/backendattempt.cpp
@@ -174,10 +174,12 @@
     // The entry may have changed while the call waited for its permit and its connection.
     if (!this->isPermitted(order, address)) {
         this->dependencies.connections.release(std::move(this->connection));
-        result.failure = {ErrorCode::BackendServerRefused,
-                          RunState::NotRun,
-                          "the backend server is not known to be of the stream's software version",
-                          {}};
+        result.failure = {ErrorCode::BackendServerRefused, RunState::NotRun,
+                          this->isEvacuated(order)
+                                  ? "the failure domain of the backend server is evacuated"
+                                  : "the backend server is not known to be of the stream's "
+                                    "software version",
+                          std::nullopt};
         co_return result;
     }
     if (const ServerEntry *entry = this->dependencies.servers.find(order.server))
@@ -261,6 +263,8 @@
 /** Returns whether the call may be sent, according to the current entry of the server. */
 bool BackendAttempt::isPermitted(const ForwardingOrder &order, const std::string &address) const
 {
+    if (this->isEvacuated(order))
+        return false;
     if (this->call.route->kind != CallKind::Stream)
         return true;
     // The version of the entry is taken for that of the run, so it must be the one addressed.
@@ -275,6 +279,18 @@
                 && this->dependencies.servers.canContinue(order.server, *order.softwareVersion));
 }
 
+/**
+ * Returns whether the failure domain of the server is evacuated. A run that was stopped there may
+ * return for a short time.
+ */
+bool BackendAttempt::isEvacuated(const ForwardingOrder &order) const
+{
+    if (!this->dependencies.servers.isEvacuated(order.server))
+        return false;
+    const auto limit = this->dependencies.servers.returnableUntil(order.server);
+    return !order.isReturn || !limit || this->dependencies.clock.now() >= *limit;
+}
+
 AttemptKind BackendAttempt::kindOf(const ForwardingOrder &order) const
 {
     if (order.source)
--- a/packages/gateway/relay/backendattempt.h
+++ b/packages/gateway/relay/backendattempt.h
@@ -76,6 +76,7 @@
                                                    Milliseconds timeout);
     AttemptResult classify(HttpResponse response, const BackendServerName &server);
     void applyServerStatements(const ResponseMetadata &metadata, const BackendServerName &server);
+    bool isEvacuated(const ForwardingOrder &order) const;
     bool isPermitted(const ForwardingOrder &order, const std::string &address) const;
     AttemptKind kindOf(const ForwardingOrder &order) const;
     void recordSending(const ForwardingOrder &order);
--- a/packages/gateway/relay/callplacement.cpp
+++ b/packages/gateway/relay/callplacement.cpp
@@ -15,6 +15,8 @@
  * How many servers are tried that leave or pause between their choice and the sending of the call.
  */
 constexpr int maximumPlacements = 3;
+/** An evacuation lasts for seconds; meanwhile servers may be added elsewhere. */
+constexpr Milliseconds evacuatedRetryAfter{1000};
 /** Retries are spread over this fraction of the pause after its end. */
 constexpr std::int64_t jitterDivisor = 4;
 
@@ -119,6 +121,12 @@
                        {}};
             co_return std::nullopt;
         }
+        if (dependencies.servers.isServiceEvacuated(call.service->name)) {
+            refusal = {ErrorCode::NoBackendServer, RunState::NotRun,
+                       "all backend servers of the service are in evacuated failure domains",
+                       addJitter(evacuatedRetryAfter, call)};
+            co_return std::nullopt;
+        }
         if (const auto pause = remainingServicePause(dependencies, call, work.softwareVersion)) {
             refusal = overloadedError("no backend server of the service takes calls at present");
             refusal.retryAfter = addJitter(*pause, call);
--- a/packages/gateway/relay/gatewayservice.cpp
+++ b/packages/gateway/relay/gatewayservice.cpp
@@ -292,7 +292,7 @@
     RoutedCall call(request);
     call.receivedAt = now;
     call.configuration = this->dependencies.serving.current();
-    if (!call.configuration || !this->dependencies.serving.serversAge(now)) {
+    if (!call.configuration || !this->dependencies.serving.areServersKnown()) {
         reason = {ErrorCode::PlatformUnavailable, RunState::NotRun,
                   "this host has not read its configuration yet", unconfiguredRetryAfter};
         return std::nullopt;
--- a/packages/gateway/relay/gatewaystatus.cpp
+++ b/packages/gateway/relay/gatewaystatus.cpp
@@ -82,6 +82,7 @@
     state["servers"]["entries"] = nlohmann::json::array();
     for (const ServerEntry &entry : dependencies.servers.entries()) {
         nlohmann::json server = describe(entry);
+        server["evacuated"] = dependencies.servers.isEvacuated(entry.name);
         if (const auto limit = dependencies.limiter.limit(ServerCatalogue::runName(entry)))
             server["call_limit"] = *limit;
         state["servers"]["entries"].push_back(std::move(server));
--- a/packages/gateway/servers/servercatalogue.cpp
+++ b/packages/gateway/servers/servercatalogue.cpp
@@ -38,6 +38,35 @@
     this->restartHook = std::move(restart);
 }
 
+void ServerCatalogue::setReturnHook(ReturnHook hook)
+{
+    this->returnHook = std::move(hook);
+}
+
+void ServerCatalogue::setEvacuatedDomains(std::map<FailureDomainName, Milliseconds> returnLimits)
+{
+    std::vector<BackendServerName> excluded;
+    std::vector<BackendServerName> returned;
+    const auto before = std::exchange(this->evacuated, std::move(returnLimits));
+    for (auto &[name, known] : this->servers) {
+        const bool wasEvacuated = before.contains(known.entry.failureDomain);
+        if (wasEvacuated == this->isEvacuated(known))
+            continue;
+        this->recordLeavingTime(known, wasEvacuated || known.isLeaving());
+        if (!known.isLeaving())
+            (wasEvacuated ? returned : excluded).push_back(name);
+    }
+    for (const BackendServerName &name : excluded) {
+        if (this->leavingHook)
+            this->leavingHook(name);
+    }
+    for (const BackendServerName &name : returned) {
+        if (this->returnHook)
+            this->returnHook(name);
+    }
+    this->notifyChange();
+}
+
 void ServerCatalogue::applyList(std::span<const ServerEntry> entries, Milliseconds requestedAt,
                                 Milliseconds now)
 {
@@ -88,13 +117,15 @@
     const bool isLeaving = entry.isLeaving || known->second.hasAnnouncedLeaving;
     // The report of a peer refers to the process that the previous entry described.
     const bool wasPeerReported = known->second.peerReportedUntil.has_value() && !hasRestarted;
-    const bool startsLeaving = isLeaving && !before.isLeaving && !wasPeerReported;
-    const bool wasLeaving = known->second.isLeaving() && !hasRestarted;
+    const bool wasExcluded = wasPeerReported || this->isEvacuated(known->second);
+    const bool startsLeaving = isLeaving && !before.isLeaving && !wasExcluded;
+    const bool wasLeaving = this->isExcluded(known->second) && !hasRestarted;
     if (hasRestarted || isLeaving)
         known->second.peerReportedUntil.reset();
     const bool hasChanged = hasRestarted || isLeaving != before.isLeaving
             || entry.address != before.address || entry.service != before.service
-            || entry.slots != before.slots || entry.softwareVersion != before.softwareVersion;
+            || entry.slots != before.slots || entry.softwareVersion != before.softwareVersion
+            || entry.failureDomain != before.failureDomain;
     before = entry;
     before.isLeaving = isLeaving;
     this->recordLeavingTime(known->second, wasLeaving);
@@ -141,10 +172,11 @@
         if (known.entry.isLeaving || !reported.contains(runName(known.entry)))
             continue;
         const bool isNewReport = !known.peerReportedUntil;
+        const bool wasExcluded = this->isExcluded(known);
         known.peerReportedUntil = now + this->options.peerReportLifetime;
-        this->recordLeavingTime(known, !isNewReport);
+        this->recordLeavingTime(known, wasExcluded);
         hasChanged = hasChanged || isNewReport;
-        if (isNewReport && this->leavingHook)
+        if (!wasExcluded && this->leavingHook)
             this->leavingHook(name);
     }
     if (hasChanged)
@@ -208,12 +240,17 @@
         server.softwareVersion = known.entry.softwareVersion;
         server.slots = known.entry.slots;
         server.memoryTokens = service->engine ? service->engine->memoryTokens : 0;
-        server.isLeaving = known.isLeaving();
+        server.isLeaving = this->isExcluded(known);
         result.push_back(std::move(server));
     }
     return result;
 }
 
+const std::map<FailureDomainName, Milliseconds> &ServerCatalogue::evacuatedDomains() const
+{
+    return this->evacuated;
+}
+
 const ServerEntry *ServerCatalogue::find(const BackendServerName &name) const
 {
     const auto known = this->servers.find(name);
@@ -223,7 +260,26 @@
 bool ServerCatalogue::isUsable(const BackendServerName &name) const
 {
     const auto known = this->servers.find(name);
-    return known != this->servers.end() && !known->second.isLeaving();
+    return known != this->servers.end() && !this->isExcluded(known->second);
+}
+
+bool ServerCatalogue::isEvacuated(const BackendServerName &name) const
+{
+    const auto known = this->servers.find(name);
+    return known != this->servers.end() && this->isEvacuated(known->second);
+}
+
+bool ServerCatalogue::isServiceEvacuated(std::string_view service) const
+{
+    bool hasEvacuated = false;
+    for (const auto &[name, known] : this->servers) {
+        if (known.entry.service != service || known.isLeaving())
+            continue;
+        if (!this->isEvacuated(known))
+            return false;
+        hasEvacuated = true;
+    }
+    return hasEvacuated;
 }
 
 std::optional<Milliseconds> ServerCatalogue::returnableUntil(const BackendServerName &name) const
@@ -232,8 +288,11 @@
     if (known == this->servers.end() || !known->second.leavingSince)
         return std::nullopt;
     const auto drainTime = static_cast<double>(this->options.drainTime.count());
-    return *known->second.leavingSince
+    const Milliseconds drainLimit = *known->second.leavingSince
             + Milliseconds(static_cast<std::int64_t>(drainTime * returnShareOfDrain));
+    const auto evacuation = this->evacuated.find(known->second.entry.failureDomain);
+    return evacuation == this->evacuated.end() ? drainLimit
+                                               : std::min(drainLimit, evacuation->second);
 }
 
 bool ServerCatalogue::canContinue(const BackendServerName &name,
@@ -278,10 +337,21 @@
     return BackendServerName(entry.name.toString() + "/" + std::to_string(entry.startedAt));
 }
 
+bool ServerCatalogue::isEvacuated(const KnownServer &known) const
+{
+    return this->evacuated.contains(known.entry.failureDomain);
+}
+
+/** Returns whether a server gets no new work, because it leaves or its domain is evacuated. */
+bool ServerCatalogue::isExcluded(const KnownServer &known) const
+{
+    return known.isLeaving() || this->isEvacuated(known);
+}
+
 /** Keeps when a server began to leave. @param wasLeaving whether its process left before. */
 void ServerCatalogue::recordLeavingTime(KnownServer &known, bool wasLeaving) const
 {
-    if (!known.isLeaving())
+    if (!this->isExcluded(known))
         known.leavingSince.reset();
     else if (!wasLeaving)
         known.leavingSince = this->clock.now();
--- a/packages/gateway/servers/servercatalogue.h
+++ b/packages/gateway/servers/servercatalogue.h
@@ -85,6 +85,8 @@
      * did not confirm a peer's report that the server is leaving.
      */
     using RestartHook = std::function<void(const BackendServerName &)>;
+    /** Called when a server may get new work again because its domain is no longer evacuated. */
+    using ReturnHook = std::function<void(const BackendServerName &)>;
 
     /** Creates an empty catalogue. @param clock counts suspension. */
     explicit ServerCatalogue(ServerCatalogueOptions options = {}, Clock clock = Clock::steady());
@@ -96,6 +98,14 @@
 
     /** Sets the hooks; each may be empty. */
     void setHooks(LeavingHook leaving, ChangeHook change, RestartHook restart);
+    /** Sets the hook for servers of domains that are no longer evacuated; it may be empty. */
+    void setReturnHook(ReturnHook hook);
+    /**
+     * Replaces the evacuated failure domains, whose servers count as leaving.
+     *
+     * @param returnLimits the domains; see Evacuations::returnLimits().
+     */
+    void setEvacuatedDomains(std::map<FailureDomainName, Milliseconds> returnLimits);
 
     /** Replaces the entries by a complete list as of the instant at which it was requested. */
     void applyList(std::span<const ServerEntry> entries, Milliseconds requestedAt,
@@ -139,17 +149,27 @@
      * services are left out.
      */
     std::vector<BackendServer> backendServers(const ServingConfiguration &configuration) const;
+    /** Returns the evacuated domains; see setEvacuatedDomains(). */
+    const std::map<FailureDomainName, Milliseconds> &evacuatedDomains() const;
     /** Returns the entry of a server, which may be leaving or missing since an outage, or null. */
     const ServerEntry *find(const BackendServerName &name) const;
     /**
-     * Returns whether a server is registered and not leaving according to the store, a peer or
-     * itself.
+     * Returns whether a server is registered, not leaving according to the store, a peer or itself,
+     * and not in an evacuated domain.
      */
     bool isUsable(const BackendServerName &name) const;
+    /** Returns whether a server is registered and in an evacuated domain. */
+    bool isEvacuated(const BackendServerName &name) const;
+    /**
+     * Returns whether a service has no usable server, and would have one if no failure domain were
+     * evacuated.
+     */
+    bool isServiceEvacuated(std::string_view service) const;
     /**
      * Returns until when a run that was stopped on a leaving server may be sent to it again.
      *
-     * Nothing if the server is usable, not registered, or was leaving when it was registered.
+     * Nothing if the server is usable, not registered, or was leaving when it was registered. No
+     * later than the limit of an evacuation of its domain.
      */
     std::optional<Milliseconds> returnableUntil(const BackendServerName &name) const;
     /**
@@ -190,9 +210,12 @@
         /** When the server was first known to leave; nothing if that was before its entry. */
         std::optional<Milliseconds> leavingSince = std::nullopt;
 
+        /** Returns whether the server itself leaves; its domain may be evacuated besides. */
         bool isLeaving() const { return this->entry.isLeaving || this->peerReportedUntil; }
     };
 
+    bool isEvacuated(const KnownServer &known) const;
+    bool isExcluded(const KnownServer &known) const;
     void recordLeavingTime(KnownServer &known, bool wasLeaving) const;
     void keepLeaving(KnownServer &known);
     bool isRevived(const ServerEntry &entry) const;
@@ -205,7 +228,10 @@
     LeavingHook leavingHook;
     ChangeHook changeHook;
     RestartHook restartHook;
+    ReturnHook returnHook;
     std::map<BackendServerName, KnownServer> servers;
+    /** The evacuated domains, with the instants until which stopped runs may return there. */
+    std::map<FailureDomainName, Milliseconds> evacuated;
     std::optional<Milliseconds> lastContactAt;
     /** Processes that announced their leaving; kept while their entries are missing and return. */
     std::set<BackendServerName> announcedLeavingRuns;
--- a/packages/gateway/state/servingstate.cpp
+++ b/packages/gateway/state/servingstate.cpp
@@ -49,6 +49,16 @@
             std::max(requestedAt, this->configurationConfirmedAt.value_or(requestedAt));
 }
 
+void ServingState::setEvacuationsRequired(bool isRequired)
+{
+    this->areEvacuationsRequired = isRequired;
+}
+
+void ServingState::confirmEvacuations()
+{
+    this->areEvacuationsKnown = true;
+}
+
 void ServingState::confirmServers(Milliseconds requestedAt)
 {
     this->serversConfirmedAt =
@@ -76,9 +86,14 @@
     return age && *age < this->bounds.maximumApplyTime;
 }
 
+bool ServingState::areServersKnown() const
+{
+    return this->serversConfirmedAt && (this->areEvacuationsKnown || !this->areEvacuationsRequired);
+}
+
 bool ServingState::isReady(Milliseconds now) const
 {
-    return this->activeConfiguration && this->serversConfirmedAt && !this->stopEndsAt
+    return this->activeConfiguration && this->areServersKnown() && !this->stopEndsAt
             && this->areKeysTrusted(now);
 }
 
--- a/packages/gateway/state/servingstate.h
+++ b/packages/gateway/state/servingstate.h
@@ -66,6 +66,13 @@
 
     /** Records that the configuration in force was the latest one at an instant. */
     void confirmConfiguration(Milliseconds requestedAt);
+    /**
+     * Sets whether the evacuations must have been read before calls are forwarded; initially they
+     * need not.
+     */
+    void setEvacuationsRequired(bool isRequired);
+    /** Records that the evacuations were read. */
+    void confirmEvacuations();
     /** Records that the list of backend servers was current at an instant. */
     void confirmServers(Milliseconds requestedAt);
     /**
@@ -81,6 +88,11 @@
      * Returns whether the configuration is recent enough to deny calls for an unknown route or key.
      */
     bool isConfigurationCurrent(Milliseconds now) const;
+    /**
+     * Returns whether all that decides on the servers of calls has been read, which are the list of
+     * servers and the evacuations.
+     */
+    bool areServersKnown() const;
     /** Returns whether this host should receive callers. */
     bool isReady(Milliseconds now) const;
     /**
@@ -109,6 +121,8 @@
     std::shared_ptr<const ServingConfiguration> activeConfiguration;
     std::optional<Milliseconds> configurationConfirmedAt;
     std::optional<Milliseconds> serversConfirmedAt;
+    bool areEvacuationsRequired = false;
+    bool areEvacuationsKnown = false;
     /** When a planned stop ends the calls in progress; nothing before it has started. */
     std::optional<Milliseconds> stopEndsAt;
 };
--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -315,6 +315,13 @@
         this->publish();
     }
 
+    /** Sets the evacuated failure domains. */
+    void evacuate(std::map<FailureDomainName, Milliseconds> returnLimits)
+    {
+        this->servers.setEvacuatedDomains(std::move(returnLimits));
+        this->publish();
+    }
+
     /** Starts a planned stop of the gateway. */
     void drain() { this->gateway.drain(); }
 
--- a/packages/observability/logging/logevent.cpp
+++ b/packages/observability/logging/logevent.cpp
@@ -88,6 +88,8 @@
         LogEventEntry{LogEvent::RelayUnavailable, LogLevel::Warning, "relay_unavailable"},
         LogEventEntry{LogEvent::BrittleServiceStated, LogLevel::Info, "brittle_service_stated"},
         LogEventEntry{LogEvent::BrokenEndFound, LogLevel::Info, "broken_end_found"},
+        LogEventEntry{LogEvent::DomainEvacuated, LogLevel::Warning, "domain_evacuated"},
+        LogEventEntry{LogEvent::DomainReturned, LogLevel::Info, "domain_returned"},
 };
 
 } // namespace
--- a/packages/observability/logging/logevent.h
+++ b/packages/observability/logging/logevent.h
@@ -90,6 +90,8 @@
     RelayUnavailable = 8029,
     BrittleServiceStated = 8030,
     BrokenEndFound = 8031,
+    DomainEvacuated = 8032,
+    DomainReturned = 8033,
 };
 
 /** An entry of the event catalogue. */
--- a/packages/policy/dispatch/dispatcher.cpp
+++ b/packages/policy/dispatch/dispatcher.cpp
@@ -90,6 +90,13 @@
     this->pool.setPaused(server, isPaused);
 }
 
+void Dispatcher::recordReturn(const BackendServerName &server, Milliseconds now)
+{
+    this->setLeaving(server, false);
+    this->pool.startGradually(server, now);
+    this->recordCapacityChange(now);
+}
+
 void Dispatcher::submit(const WorkRequest &submitted, Milliseconds now)
 {
     WorkRequest request = submitted;
--- a/packages/policy/dispatch/dispatcher.h
+++ b/packages/policy/dispatch/dispatcher.h
@@ -90,6 +90,12 @@
     /** Records whether a backend server gets no new requests for a time; its load stays known. */
     void setPaused(const BackendServerName &server, bool isPaused);
 
+    /**
+     * Records that a server of an evacuated failure domain may get new requests again; see
+     * ServerPool::startGradually().
+     */
+    void recordReturn(const BackendServerName &server, Milliseconds now);
+
     /** Submits a request for placement. Its name must not be in use. */
     void submit(const WorkRequest &request, Milliseconds now);
     /** Records the number of tokens that a running request has produced so far. */
--- a/packages/policy/pool/serverpool.cpp
+++ b/packages/policy/pool/serverpool.cpp
@@ -1,6 +1,7 @@
 #include "policy/pool/serverpool.h"
 
 #include "policy/placement/stablehash.h"
+#include "policy/pool/returnlimit.h"
 
 #include <algorithm>
 #include <cassert>
@@ -93,6 +94,13 @@
         this->states[*serverIndex].isPaused = isPaused;
 }
 
+void ServerPool::startGradually(const BackendServerName &server, Milliseconds now)
+{
+    ++this->capacityVersion;
+    if (const auto serverIndex = this->findIndex(server))
+        this->states[*serverIndex].returnedAt = now;
+}
+
 void ServerPool::recordLoadReport(const LoadReport &report, Milliseconds now)
 {
     const auto serverIndex = this->findIndex(report.server);
@@ -409,6 +417,14 @@
             && !state.isMarkedLeaving;
 }
 
+/** Returns the limit of own requests on a server that starts gradually. */
+std::uint32_t ServerPool::gradualLimit(const ServerState &state, Milliseconds now)
+{
+    if (!state.returnedAt)
+        return PaceMonitor::unlimited;
+    return returnLimit(now - *state.returnedAt).value_or(PaceMonitor::unlimited);
+}
+
 double ServerPool::memoryTotal(const ServerState &state, const LoadEstimate &load)
 {
     return load.reportedMemory > 0 ? load.reportedMemory : state.memoryTokens;
@@ -509,7 +525,8 @@
                 isUsable(state) && this->hasVersion(serverIndex, request.softwareVersion);
         if (!isSuitable || (!state.isTracked && !mayUseUntracked))
             continue;
-        const std::uint32_t allowance = this->paceMonitor.allowance(serverIndex);
+        const std::uint32_t allowance =
+                std::min(this->paceMonitor.allowance(serverIndex), gradualLimit(state, now));
         hasUnlimitedServer = hasUnlimitedServer || allowance == PaceMonitor::unlimited;
         if (state.ownRunning < state.slots && (!isPaceLimited || state.ownRunning < allowance))
             this->addCandidate(serverIndex, neededMemory, now);
--- a/packages/policy/pool/serverpool.h
+++ b/packages/policy/pool/serverpool.h
@@ -108,6 +108,11 @@
     void setReachable(const BackendServerName &server, bool isReachable);
     /** Records whether a server gets no new requests for a time; its load stays known. */
     void setPaused(const BackendServerName &server, bool isPaused);
+    /**
+     * Limits the requests of this host on a server that had none for a time, because all hosts
+     * return to it at once. The limit rises with time and then ends; see returnLimit().
+     */
+    void startGradually(const BackendServerName &server, Milliseconds now);
     /** Records a load report; ignored for an unknown server. */
     void recordLoadReport(const LoadReport &report, Milliseconds now);
     /** Records a cache event; ignored for an unknown server. */
@@ -185,6 +190,8 @@
         bool isReachable = true;
         bool isPaused = false;
         bool isTracked = true;
+        /** When a server returned that starts gradually. */
+        std::optional<Milliseconds> returnedAt;
     };
 
     /**
@@ -208,6 +215,7 @@
     std::optional<ServerIndex> findIndex(const BackendServerName &server) const;
 
     static bool isUsable(const ServerState &state);
+    static std::uint32_t gradualLimit(const ServerState &state, Milliseconds now);
     static double memoryTotal(const ServerState &state, const LoadEstimate &load);
     static double memoryExcess(const ServerState &state, const LoadEstimate &load);
     bool hasVersion(ServerIndex serverIndex, const std::optional<SoftwareVersion> &version) const;
--- a/tests/plannedstop/hostdocuments.cpp
+++ b/tests/plannedstop/hostdocuments.cpp
@@ -78,7 +78,11 @@
             + std::to_string(this->retryRatio) + R"(
   budget-window-s: 10
   retry-budget-slack: )"
-            + std::to_string(this->retrySlack) + R"(
+            + std::to_string(this->retrySlack)
+            + (this->evacuationTime
+                       ? "\n  evacuation-ms: " + std::to_string(this->evacuationTime->count())
+                       : "")
+            + R"(
   ttl_max_s: 5
 platform-params:
   addr: ")" + store.toString()
--- a/tests/plannedstop/hostdocuments.h
+++ b/tests/plannedstop/hostdocuments.h
@@ -4,6 +4,7 @@
 #include "network/network.h"
 
 #include <cstddef>
+#include <optional>
 #include <string>
 
 namespace sassafrasyard {
@@ -20,6 +21,8 @@
     /** The retries per request, and those allowed beyond them. */
     double retryRatio = 0.2;
     int retrySlack = 56;
+    /** The time in which an evacuation must be in force; nothing if there are none. */
+    std::optional<Milliseconds> evacuationTime;
 
     /**
      * Returns the settings file of the users' platform.
--- a/tests/plannedstop/stoppinghost.cpp
+++ b/tests/plannedstop/stoppinghost.cpp
@@ -278,6 +278,34 @@
         this->store.put(std::string(objectkind::servers), name, entry);
 }
 
+void StoppingHost::moveEngine(std::size_t engine, const std::string &failureDomain)
+{
+    const std::string name = "engine-" + std::to_string(engine + 1);
+    std::string &text = this->serverEntries.at(name);
+    const std::string before = R"("zone":"a")";
+    text.replace(text.find(before), before.size(), R"("zone":")" + failureDomain + R"(")");
+    this->store.put(std::string(objectkind::servers), name, text);
+}
+
+void StoppingHost::setEvacuated(const std::string &failureDomain, bool isEvacuated)
+{
+    const std::string kind(objectkind::evacuations);
+    if (isEvacuated)
+        this->store.put(kind, failureDomain, "{}");
+    else
+        this->store.remove(kind, failureDomain);
+}
+
+void StoppingHost::copyStore()
+{
+    this->store.copy();
+}
+
+void StoppingHost::restoreStore()
+{
+    this->store.restore();
+}
+
 void StoppingHost::markLeaving(std::size_t engine)
 {
     constexpr std::string_view readyState = "\"ready\"";
--- a/tests/plannedstop/stoppinghost.h
+++ b/tests/plannedstop/stoppinghost.h
@@ -120,6 +120,16 @@
     /** Writes the entries of the backend servers to the store again, unchanged. */
     void rewriteServers();
 
+    /** Moves an engine to another failure domain; all servers begin in the domain "a". */
+    void moveEngine(std::size_t engine, const std::string &failureDomain);
+
+    /** Writes the evacuation of a failure domain to the store, or removes it. */
+    void setEvacuated(const std::string &failureDomain, bool isEvacuated);
+
+    /** Keeps a copy of the store's content, and restores the store from that copy. */
+    void copyStore();
+    void restoreStore();
+
     /** Writes the entry of an engine to the store with the state of a leaving server. */
     void markLeaving(std::size_t engine);
 
