Leave engine memory free for runs that have to move

Of 641 failed moves 537 were refused with 503: hosts chose engines that their load data showed as free.

Change: new runs that can't be started again leave the share of an engine's memory free that the largest group of departures of the last 10 s had, at most a fifth. An engine that refuses for want of room gets no copies and no such runs for 300 ms, and a move from a leaving engine tries four targets. A stream waits in the host for half of the target of its route instead of 550 ms.

Without departures nothing is reserved.

--- a/packages/gateway/calls/enginecalls.h
+++ b/packages/gateway/calls/enginecalls.h
@@ -93,8 +93,8 @@
      * Copies a run's memory and returns when the copy is complete. A further copy to the same
      * engine transfers only what was added.
      *
-     * Fails with NotFound if there is no such run, otherwise with BackendServerRefused or
-     * PlatformUnavailable.
+     * Fails with NotFound if there is no such run, with Overloaded if the target has no room or
+     * can't be reached, otherwise with BackendServerRefused or PlatformUnavailable.
      */
     std::function<boost::asio::awaitable<std::optional<MemoryCopy>>(MoveOrder, Milliseconds timeout,
                                                                     Error &)>
--- a/packages/gateway/relay/gatewayservice.cpp
+++ b/packages/gateway/relay/gatewayservice.cpp
@@ -29,6 +29,8 @@
 constexpr std::size_t relayHeaderBytes = 256;
 /** The part of the memory for the bodies of requests that relayed calls may take, in bytes. */
 constexpr std::size_t relayedBodyBytes = 3U << 20U;
+/** The other half of a stream's target is left for its prompt and one more attempt. */
+constexpr int waitShareOfTarget = 2;
 /** Connections fail for about this time before a service is known to be unreached. */
 constexpr Milliseconds noticeTime{1000};
 
@@ -352,7 +354,7 @@
         return false;
     }
     call.work.account = account->name;
-    call.work.priority = toPriority(account->rank.value_or(call.route->rank));
+    call.rank = account->rank.value_or(call.route->rank);
     return true;
 }
 
@@ -360,7 +362,8 @@
 {
     WorkRequest &work = call.work;
     if (call.work.account.isEmpty())
-        work.priority = toPriority(call.route->rank);
+        call.rank = call.route->rank;
+    work.priority = toPriority(call.rank);
     work.name = this->dependencies.dispatch.nextRequestName();
     work.model = ModelName(call.service->name);
     work.promptTokens = call.metadata.promptTokens;
@@ -371,6 +374,11 @@
         for (const std::uint64_t part : call.metadata.sharedParts)
             work.promptParts.push_back(makePartDigest(part));
     }
+    const bool isEngineStream = call.route->kind == CallKind::Stream && call.service->engine;
+    work.needsMoves =
+            isEngineStream && call.service->engine->supportsMoves && !call.route->isResumable;
+    if (isEngineStream)
+        work.maximumWait = call.route->targetLatency / waitShareOfTarget;
     work.isIdempotent = call.route->kind == CallKind::Idempotent || call.route->isResumable;
     // The query is left out because a caller may change it when it repeats a call.
     work.requestDigest =
--- a/packages/gateway/relay/runcopy.cpp
+++ b/packages/gateway/relay/runcopy.cpp
@@ -15,8 +15,10 @@
 
 /** Copies queue on the engines' links; one that takes longer is too late to be useful. */
 constexpr Milliseconds copyTimeout{4000};
-/** A target without free memory refuses at once, so a second one is tried. */
+/** A target without free memory refuses at once, so another one is tried. */
 constexpr int maximumTargets = 2;
+/** The run of a leaving engine is lost if it finds no room, so more targets are tried for it. */
+constexpr int maximumUrgentTargets = 4;
 
 } // namespace
 
@@ -83,7 +85,8 @@
 
 net::awaitable<void> RunCopy::run(bool isUrgent)
 {
-    for (int targets = 0; targets < maximumTargets && !this->isEnding; ++targets) {
+    const int targetLimit = isUrgent ? maximumUrgentTargets : maximumTargets;
+    for (int targets = 0; targets < targetLimit && !this->isEnding; ++targets) {
         const auto server = co_await this->dependencies.dispatch.reserveCopy(this->work, isUrgent);
         if (!server)
             break;
@@ -130,6 +133,8 @@
     if (!copy) {
         logEvent(LogEvent::MoveFailed, "request", this->requestId, "from",
                  this->source.server.toString(), "to", name.toString(), "detail", reason.detail);
+        if (reason.code == ErrorCode::Overloaded)
+            this->recordFull(name);
         co_return false;
     }
     // The copy may have been taken or released meanwhile.
@@ -138,6 +143,14 @@
     co_return true;
 }
 
+/** Keeps further copies and runs that may need some from an engine without room for a time. */
+void RunCopy::recordFull(const BackendServerName &server)
+{
+    this->dependencies.dispatch.post([server](Dispatcher &dispatcher, Milliseconds now) {
+        dispatcher.recordFull(server, now);
+    });
+}
+
 net::awaitable<void> RunCopy::waitForRefresh()
 {
     this->refreshTimer.expires_after(this->refreshInterval);
--- a/packages/gateway/relay/runcopy.h
+++ b/packages/gateway/relay/runcopy.h
@@ -59,6 +59,7 @@
     boost::asio::awaitable<void> run(bool isUrgent);
     boost::asio::awaitable<bool> copyTo(const ServerEntry &chosen);
     boost::asio::awaitable<bool> update();
+    void recordFull(const BackendServerName &server);
     boost::asio::awaitable<void> waitForRefresh();
     bool isServerUsable(const BackendServerName &server) const;
     bool isTargetUsable() const;
--- a/packages/policy/admission/admissionqueue.cpp
+++ b/packages/policy/admission/admissionqueue.cpp
@@ -69,7 +69,12 @@
         result.displaced = this->remove(evicted->request.name);
     }
     Entry &entry = this->entries[request.name];
-    entry = {request, now, ++this->lastSequence, cost, &this->groups[group], this->levelOf(request),
+    entry = {request,
+             now + this->permittedWait(request),
+             ++this->lastSequence,
+             cost,
+             &this->groups[group],
+             this->levelOf(request),
              &account};
     this->enqueue(entry);
     result.isQueued = true;
@@ -180,11 +185,16 @@
     return longest == nullptr ? nullptr : &longest->entries.rbegin()->second->request;
 }
 
-const WorkRequest *AdmissionQueue::oldestBefore(Milliseconds instant) const
+Milliseconds AdmissionQueue::permittedWait(const WorkRequest &request) const
 {
-    if (this->byArrival.empty() || this->byArrival.begin()->second->submittedAt >= instant)
+    return request.maximumWait.value_or(this->options.maximumWait);
+}
+
+const WorkRequest *AdmissionQueue::firstExpired(Milliseconds now) const
+{
+    if (this->byExpiry.empty() || this->byExpiry.begin()->first.first > now)
         return nullptr;
-    return &this->byArrival.begin()->second->request;
+    return &this->byExpiry.begin()->second->request;
 }
 
 std::vector<QueueGroup> AdmissionQueue::waitingGroups() const
@@ -281,7 +291,7 @@
     entry.group->byPriority.emplace(key, &entry);
     account.waiting.emplace(key, &entry);
     this->updateWeightedLength(account, account.waiting.size() - 1);
-    this->byArrival.emplace(entry.sequence, &entry);
+    this->byExpiry.emplace(std::pair(entry.expiresAt, entry.sequence), &entry);
 }
 
 void AdmissionQueue::dequeue(Entry &entry)
@@ -304,7 +314,7 @@
     entry.group->byPriority.erase(key);
     account.waiting.erase(key);
     this->updateWeightedLength(account, account.waiting.size() + 1);
-    this->byArrival.erase(entry.sequence);
+    this->byExpiry.erase(std::pair(entry.expiresAt, entry.sequence));
 }
 
 void AdmissionQueue::setHead(Group &group, Level &level, Flow &flow, const Account &account)
--- a/packages/policy/dispatch/dispatcher.cpp
+++ b/packages/policy/dispatch/dispatcher.cpp
@@ -37,7 +37,8 @@
                 return this->choose(policy, request, candidates);
             },
             this->options.seed})
-    , queue({this->options.queueLimit, this->options.accountQueueLimit, this->options.shortTokens})
+    , queue({this->options.queueLimit, this->options.accountQueueLimit, this->options.shortTokens,
+             this->options.maximumWait})
     , suspension(this->options.suspension)
     , retries(this->options.retries)
     , quarantine({.seed = this->options.seed ^ std::hash<HostName>()(this->options.host)})
@@ -289,6 +290,11 @@
     ++group.running;
 }
 
+void Dispatcher::recordFull(const BackendServerName &server, Milliseconds now)
+{
+    this->pool.recordFull(server, now);
+}
+
 void Dispatcher::releaseCopy(const RequestName &copy, Milliseconds now)
 {
     if (this->copies.erase(copy) == 0)
@@ -451,14 +457,13 @@
 
 void Dispatcher::refuseExpired(Milliseconds now)
 {
-    const Milliseconds earliestSubmission = now - this->options.maximumWait + Milliseconds(1);
-    while (const WorkRequest *oldest = this->queue.oldestBefore(earliestSubmission)) {
+    while (const WorkRequest *expired = this->queue.firstExpired(now)) {
         const bool hasServer =
-                this->pool.capacity(oldest->model, oldest->softwareVersion, now).totalSlots > 0;
-        Group &group = this->groupFor(*oldest, now);
+                this->pool.capacity(expired->model, expired->softwareVersion, now).totalSlots > 0;
+        Group &group = this->groupFor(*expired, now);
         const Milliseconds retryAfter =
                 hasServer ? this->retryAfter(group, now) : noServerRetryAfter;
-        this->refuseWaiting(oldest->name,
+        this->refuseWaiting(expired->name,
                             hasServer ? ErrorCode::Overloaded : ErrorCode::NoBackendServer,
                             retryAfter);
     }
@@ -469,7 +474,8 @@
     for (std::size_t level = AdmissionQueue::levelCount; level-- > 0;) {
         while (const WorkRequest *firstToShed = this->queue.firstToShed(group.key, level)) {
             const auto waiting = this->queue.levelSizes(group.key);
-            if (!group.load.isBacklogTooLong(level, waiting, group.running, now)
+            if (!group.load.isBacklogTooLong(level, waiting, group.running, now,
+                                             firstToShed->maximumWait)
                 || this->pool.capacity(group.key.model, group.key.softwareVersion, now).totalSlots
                         == 0)
                 break;
@@ -528,7 +534,7 @@
 bool Dispatcher::isWaitTooLong(Group &group, const WorkRequest &request, std::size_t level,
                                const QueuePosition &position, Milliseconds now)
 {
-    return group.load.isWaitTooLong(level, position, group.running, now)
+    return group.load.isWaitTooLong(level, position, group.running, now, request.maximumWait)
             && this->pool.capacity(request.model, request.softwareVersion, now).totalSlots > 0;
 }
 
--- a/packages/policy/dispatch/dispatcher.h
+++ b/packages/policy/dispatch/dispatcher.h
@@ -43,8 +43,9 @@
     /** The maximum number of requests of one client account waiting on this host. */
     std::size_t accountQueueLimit = 500;
     /**
-     * The time after which a waiting request is refused, in milliseconds. Half of the target of
-     * 1.1 s for the first token is left for the network, prompt processing and one retry.
+     * The time after which a waiting request is refused that states no WorkRequest::maximumWait, in
+     * milliseconds. Half of the target of 1.1 s for the first token is left for the network, prompt
+     * processing and one retry.
      */
     Milliseconds maximumWait{550};
     /** A request counts as short if its maximumTokens is set and not above this, in tokens. */
@@ -151,6 +152,11 @@
                                                  Milliseconds now);
     /** Turns a copy into a running request, for example after its original was lost. */
     void promoteCopy(const RequestName &copy, Milliseconds now);
+    /**
+     * Records that an engine refused a copy or a request for want of room; see
+     * ServerPool::recordFull().
+     */
+    void recordFull(const BackendServerName &server, Milliseconds now);
     /** Frees the memory reserved for a copy; does nothing for an unknown name. */
     void releaseCopy(const RequestName &copy, Milliseconds now);
     /**
--- a/packages/policy/pool/serverpool.cpp
+++ b/packages/policy/pool/serverpool.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cassert>
 #include <limits>
+#include <utility>
 
 namespace sassafrasyard {
 
@@ -17,6 +18,8 @@
 constexpr std::ptrdiff_t minimumTrackedChoices = 2;
 /** Weight of a new sample in the moving average, which covers about the last ten. */
 constexpr double workTimeSmoothing = 0.1;
+/** A copy or a prompt that ends frees memory within some hundred milliseconds. */
+constexpr Milliseconds fullTime{300};
 /** A peer's short work counts for twice its typical duration, since some takes longer. */
 constexpr double workTimesPerLifetime = 2.0;
 
@@ -46,7 +49,7 @@
     assert(this->options.reservationQuantile >= 0.0 && this->options.reservationQuantile < 1.0);
 }
 
-void ServerPool::setBackendServers(std::span<const BackendServer> newServers, Milliseconds)
+void ServerPool::setBackendServers(std::span<const BackendServer> newServers, Milliseconds now)
 {
     ++this->capacityVersion;
     std::vector<bool> isListed(this->states.size(), false);
@@ -60,6 +63,7 @@
     for (ServerIndex serverIndex = 0; serverIndex < this->states.size(); ++serverIndex) {
         if (isListed[serverIndex] || !this->states[serverIndex].isConfigured)
             continue;
+        this->recordDeparture(serverIndex, now);
         this->states[serverIndex].isConfigured = false;
         this->removeIfUnused(serverIndex);
     }
@@ -101,6 +105,13 @@
         this->states[*serverIndex].returnedAt = now;
 }
 
+void ServerPool::recordFull(const BackendServerName &server, Milliseconds now)
+{
+    ++this->capacityVersion;
+    if (const auto serverIndex = this->findIndex(server))
+        this->states[*serverIndex].fullUntil = now + fullTime;
+}
+
 void ServerPool::recordLoadReport(const LoadReport &report, Milliseconds now)
 {
     const auto serverIndex = this->findIndex(report.server);
@@ -145,6 +156,7 @@
     ++this->capacityVersion;
     this->loadTracker.advance(now);
     this->paceMonitor.advance(now);
+    this->recordDepartures(now);
 }
 
 std::optional<Placement> ServerPool::place(const WorkRequest &request, Milliseconds now)
@@ -163,11 +175,13 @@
     entry.placedAt = now;
     const double neededMemory =
             static_cast<double>(entry.promptTokens) + this->expectedOutput(entry, now);
-    const bool isRefusalShared = !request.softwareVersion && request.avoided.empty();
+    const bool isRefusalShared =
+            !request.softwareVersion && request.avoided.empty() && !request.needsMoves;
     if (isRefusalShared && this->isRefusalCached(modelServers, neededMemory, now))
         return std::nullopt;
     this->markPrefixHolders(request.prefixDigest, now);
-    this->collectForRequest(modelServers, request, neededMemory, now);
+    this->collectForRequest(modelServers, request,
+                            this->roomNeeded(modelServers, request, neededMemory, now), now);
     if (this->candidates.empty()) {
         if (!isRefusalShared)
             return std::nullopt;
@@ -358,6 +372,7 @@
     state.isEngine = server.kind == BackendServerKind::Engine;
     state.isSameDomain = server.failureDomain == this->options.failureDomain;
     state.isLeaving = server.isLeaving;
+    state.hasDeparted = state.hasDeparted && (state.isLeaving || state.isMarkedLeaving);
     state.isTracked = server.isTracked;
     this->configurations[serverIndex] = server;
 }
@@ -500,21 +515,60 @@
     }
 }
 
+/**
+ * Returns what a request asks of an engine. New runs that may have to move leave room for the moves
+ * of others; short ones and those that can be started again free their memory soon.
+ */
+ServerPool::RoomNeeded ServerPool::roomNeeded(const ModelServers &model, const WorkRequest &request,
+                                              double neededMemory, Milliseconds now)
+{
+    RoomNeeded room{neededMemory, 0.0, request.needsMoves};
+    const auto reserve = this->reserves.find(request.model);
+    if (!request.needsMoves || !request.isPrefillNeeded || reserve == this->reserves.end())
+        return room;
+    double remaining = 0.0;
+    for (const ServerIndex serverIndex : model.indices) {
+        const ServerState &state = this->states[serverIndex];
+        remaining += isUsable(state) ? state.memoryTokens : 0.0;
+    }
+    room.reservedShare = reserve->second.share(remaining, now);
+    return room;
+}
+
+/** Records the departures of engines that have begun to leave. */
+void ServerPool::recordDepartures(Milliseconds now)
+{
+    for (ServerIndex serverIndex = 0; serverIndex < this->states.size(); ++serverIndex) {
+        const ServerState &state = this->states[serverIndex];
+        if (state.isConfigured && (state.isLeaving || state.isMarkedLeaving))
+            this->recordDeparture(serverIndex, now);
+    }
+}
+
+void ServerPool::recordDeparture(ServerIndex serverIndex, Milliseconds now)
+{
+    ServerState &state = this->states[serverIndex];
+    if (!state.isEngine || std::exchange(state.hasDeparted, true))
+        return;
+    for (const ModelName &model : this->configurations[serverIndex].models)
+        this->reserves[model].recordDeparture(state.memoryTokens, now);
+}
+
 /** Collects the servers that can take a request; slow ones beyond their allowance if all are slow.
  */
 void ServerPool::collectForRequest(const ModelServers &model, const WorkRequest &request,
-                                   double neededMemory, Milliseconds now)
+                                   const RoomNeeded &room, Milliseconds now)
 {
     const bool mayUseUntracked =
             this->usesUntracked(model, request.softwareVersion, request.avoided);
-    const bool hasUnlimitedServer = this->collectCandidates(model.indices, request, neededMemory,
-                                                            mayUseUntracked, true, now);
+    const bool hasUnlimitedServer =
+            this->collectCandidates(model.indices, request, room, mayUseUntracked, true, now);
     if (this->candidates.empty() && !hasUnlimitedServer)
-        this->collectCandidates(model.indices, request, neededMemory, mayUseUntracked, false, now);
+        this->collectCandidates(model.indices, request, room, mayUseUntracked, false, now);
 }
 
 bool ServerPool::collectCandidates(std::span<const ServerIndex> indices, const WorkRequest &request,
-                                   double neededMemory, bool mayUseUntracked, bool isPaceLimited,
+                                   const RoomNeeded &room, bool mayUseUntracked, bool isPaceLimited,
                                    Milliseconds now)
 {
     this->candidates.clear();
@@ -525,16 +579,18 @@
                 isUsable(state) && this->hasVersion(serverIndex, request.softwareVersion);
         if (!isSuitable || (!state.isTracked && !mayUseUntracked))
             continue;
+        if (room.avoidsFull && now < state.fullUntil)
+            continue;
         const std::uint32_t allowance =
                 std::min(this->paceMonitor.allowance(serverIndex), gradualLimit(state, now));
         hasUnlimitedServer = hasUnlimitedServer || allowance == PaceMonitor::unlimited;
         if (state.ownRunning < state.slots && (!isPaceLimited || state.ownRunning < allowance))
-            this->addCandidate(serverIndex, neededMemory, now);
+            this->addCandidate(serverIndex, room, now);
     }
     return hasUnlimitedServer;
 }
 
-void ServerPool::addCandidate(ServerIndex serverIndex, double neededMemory, Milliseconds now)
+void ServerPool::addCandidate(ServerIndex serverIndex, const RoomNeeded &room, Milliseconds now)
 {
     const ServerState &state = this->states[serverIndex];
     const LoadEstimate load = this->loadTracker.estimate(serverIndex, now);
@@ -543,9 +599,10 @@
     const double total = state.isEngine ? memoryTotal(state, load) : 0.0;
     const double used =
             state.isEngine ? static_cast<double>(state.ownReserved) + load.othersMemory : 0.0;
-    const double reservedMemory = std::min(neededMemory, total);
+    const double reservedMemory = std::min(room.tokens, total);
+    const double limit = total * (1.0 - room.reservedShare);
     // An idle engine takes any request: a very large one would fit nowhere else either.
-    if (load.running >= slotMargin && used + reservedMemory > total)
+    if (load.running >= slotMargin && used + reservedMemory > limit)
         return;
     PlacementCandidate &candidate = this->candidates.emplace_back();
     candidate.server = &this->configurations[serverIndex];
--- a/packages/policy/pool/serverpool.h
+++ b/packages/policy/pool/serverpool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "policy/admission/departurereserve.h"
 #include "policy/length/lengthestimator.h"
 #include "policy/load/loadtracker.h"
 #include "policy/load/prefixindex.h"
@@ -113,6 +114,11 @@
      * return to it at once. The limit rises with time and then ends; see returnLimit().
      */
     void startGradually(const BackendServerName &server, Milliseconds now);
+    /**
+     * Records that an engine refused a copy or a request for want of room. For a short time it gets
+     * neither copies nor runs that need moves; the load data of hosts does not show it in time.
+     */
+    void recordFull(const BackendServerName &server, Milliseconds now);
     /** Records a load report; ignored for an unknown server. */
     void recordLoadReport(const LoadReport &report, Milliseconds now);
     /** Records a cache event; ignored for an unknown server. */
@@ -192,6 +198,21 @@
         bool isTracked = true;
         /** When a server returned that starts gradually. */
         std::optional<Milliseconds> returnedAt;
+        /** Until when an engine counts as full that refused work for want of room. */
+        Milliseconds fullUntil{0};
+        /** Whether its departure was recorded. */
+        bool hasDeparted = false;
+    };
+
+    /** What a request asks of an engine. */
+    struct RoomNeeded
+    {
+        /** The memory, in tokens. */
+        double tokens = 0.0;
+        /** The share of the engine's memory that has to stay free. */
+        double reservedShare = 0.0;
+        /** Whether engines are left out that refused work for want of room. */
+        bool avoidsFull = false;
     };
 
     /**
@@ -222,15 +243,19 @@
     bool usesUntracked(const ModelServers &model, const std::optional<SoftwareVersion> &version,
                        std::span<const BackendServerName> avoided) const;
     bool isRefusalCached(const ModelServers &model, double neededMemory, Milliseconds now) const;
+    RoomNeeded roomNeeded(const ModelServers &model, const WorkRequest &request,
+                          double neededMemory, Milliseconds now);
+    void recordDepartures(Milliseconds now);
+    void recordDeparture(ServerIndex serverIndex, Milliseconds now);
     void collectForRequest(const ModelServers &model, const WorkRequest &request,
-                           double neededMemory, Milliseconds now);
+                           const RoomNeeded &room, Milliseconds now);
     void reserve(PlacedRequest &request, std::uint64_t prefix, Milliseconds now);
     std::uint32_t expectedOutput(const PlacedRequest &request, Milliseconds now) const;
     void markPrefixHolders(std::uint64_t prefix, Milliseconds now);
     bool collectCandidates(std::span<const ServerIndex> indices, const WorkRequest &request,
-                           double neededMemory, bool mayUseUntracked, bool isPaceLimited,
+                           const RoomNeeded &room, bool mayUseUntracked, bool isPaceLimited,
                            Milliseconds now);
-    void addCandidate(ServerIndex serverIndex, double neededMemory, Milliseconds now);
+    void addCandidate(ServerIndex serverIndex, const RoomNeeded &room, Milliseconds now);
     void clearPendingPrompt(PlacedRequest &request);
     void recordWorkTime(ShortWork kind, Milliseconds time);
     void updateReservation(PlacedRequest &request, Milliseconds now);
@@ -246,6 +271,7 @@
     std::vector<ServerIndex> freeIndices;
     std::unordered_map<BackendServerName, ServerIndex> indicesByName;
     std::unordered_map<ModelName, ModelServers> serversByModel;
+    std::unordered_map<ModelName, DepartureReserve> reserves;
     std::unordered_map<RequestName, PlacedRequest> placed;
     std::vector<PlacementCandidate> candidates;
     std::uint64_t placementCount = 0;
--- a/packages/policy/work/workrequest.h
+++ b/packages/policy/work/workrequest.h
@@ -50,6 +50,16 @@
     Priority priority = Priority::Normal;
     /** Whether the request may be run twice. */
     bool isIdempotent = true;
+    /**
+     * Whether its run has to move to another engine if its own leaves, because it can't be started
+     * again.
+     */
+    bool needsMoves = false;
+    /**
+     * How long it may wait for a backend server, in milliseconds; nothing for
+     * DispatcherOptions::maximumWait.
+     */
+    std::optional<Milliseconds> maximumWait;
     /** Whether this is a further attempt at a request that was placed before. */
     bool isRetry = false;
     /** Backend servers on which an earlier attempt failed; chosen only if no other is available. */
