Limit the calls to cold servers over all hosts

Cause: nothing read cold-left-ms and cold-per-s, so a cold server got what placement gave it.

Change: the entry's cold time and the service's rate are a limit that ends by itself, beside what a server states in responses (SharedCallLimits). The granting host permits the calls of all hosts; without its answer a host keeps to its share. ColdPermitRequest is a new kind at the end of the list. An earlier host closes the connection on it, and the asking host uses its share.

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -152,6 +152,7 @@
     void schedulePublishServers();
     void publishServers();
     void publishVersions();
+    void publishColdServers(const ServingConfiguration &configuration);
     net::awaitable<void> runMaintenance();
     void runSlowMaintenance();
     void checkReadiness();
@@ -346,6 +347,11 @@
                                 return this->peers.askPermit(std::move(address), std::move(request),
                                                              timeout, reason);
                             },
+                            [this](std::string address, ColdPermitRequest request,
+                                   Milliseconds timeout, Error &reason) {
+                                return this->peers.askColdPermit(
+                                        std::move(address), std::move(request), timeout, reason);
+                            },
                             [this] {
                                 this->peers.requestLoadUpdate();
                             }});
@@ -550,6 +556,9 @@
     hooks.answerPlaceRequest = [this](const PlacePermitRequest &request) {
         return this->limiter.brittleServers().answer(request);
     };
+    hooks.answerColdRequest = [this](const ColdPermitRequest &request) {
+        return this->limiter.answer(request);
+    };
     hooks.callLimits = [this] {
         return this->limiter.messages();
     };
@@ -745,6 +754,20 @@
     this->serverSubset.setServers(this->servers.backendServers(*configuration));
     published.servers = this->serverSubset.allServers();
     this->entry.configuration.offer(std::move(published));
+    this->publishColdServers(*configuration);
+}
+
+/** Tells the limiter which servers are cold and how many calls they bear. */
+void PlatformDaemon::Implementation::publishColdServers(const ServingConfiguration &configuration)
+{
+    std::vector<ColdServer> cold;
+    for (const ServerEntry &server : this->servers.entries()) {
+        const Service *service = configuration.findService(server.service);
+        const auto until = this->servers.coldUntil(server.name);
+        if (until && service != nullptr && service->coldCallsPerSecond > 0.0)
+            cold.push_back({ServerCatalogue::runName(server), service->coldCallsPerSecond, *until});
+    }
+    this->limiter.setColdServers(cold);
 }
 
 /** Records which software versions the registered servers have, once these are known. */
--- a/packages/entry/peers/peerservice.cpp
+++ b/packages/entry/peers/peerservice.cpp
@@ -322,6 +322,11 @@
             co_return std::nullopt;
         co_return this->hooks.answerPlaceRequest(*request);
     }
+    if (const auto *request = std::get_if<ColdPermitRequest>(&message)) {
+        if (!this->hooks.answerColdRequest)
+            co_return std::nullopt;
+        co_return this->hooks.answerColdRequest(*request);
+    }
     if (const auto *update = std::get_if<RunVersionUpdate>(&message)) {
         std::optional<RunVersionUpdateReply> reply;
         if (this->hooks.recordRunVersions)
@@ -714,6 +719,16 @@
                                                              timeout, reason);
 }
 
+net::awaitable<std::optional<CallPermitReply>> PeerService::askColdPermit(std::string address,
+                                                                          ColdPermitRequest request,
+                                                                          Milliseconds timeout,
+                                                                          Error &reason)
+{
+    request.sequence = ++this->sequence;
+    return this->permitConnections.exchange<CallPermitReply>(std::move(address), std::move(request),
+                                                             timeout, reason);
+}
+
 net::awaitable<bool> PeerService::tellRunVersions(std::string address, RunVersionUpdate update,
                                                   Milliseconds timeout, Error &reason)
 {
--- a/packages/entry/peers/peerservice.h
+++ b/packages/entry/peers/peerservice.h
@@ -60,6 +60,8 @@
     std::function<CallPermitReply(const CallPermitRequest &)> answerPermitRequest;
     /** Answers a peer's request for a place at a brittle backend server; may be empty. */
     std::function<CallPermitReply(const PlacePermitRequest &)> answerPlaceRequest;
+    /** Answers a peer that asks to send a call to a cold backend server; may be empty. */
+    std::function<CallPermitReply(const ColdPermitRequest &)> answerColdRequest;
     /** Returns the call limits of backend servers to send to peers; may be empty. */
     std::function<std::vector<CallLimitMessage>()> callLimits;
     /** Records the call limits that a peer sent; may be empty. */
@@ -154,6 +156,11 @@
                                                                     PlacePermitRequest request,
                                                                     Milliseconds timeout,
                                                                     Error &reason);
+    /** Asks a peer for a permit to send a call to a cold backend server; as askPermit(). */
+    boost::asio::awaitable<std::optional<CallPermitReply>> askColdPermit(std::string address,
+                                                                         ColdPermitRequest request,
+                                                                         Milliseconds timeout,
+                                                                         Error &reason);
     /**
      * Tells a peer the software versions of streams that began here, over a connection that is
      * reused.
--- a/packages/gateway/limits/serverlimiter.cpp
+++ b/packages/gateway/limits/serverlimiter.cpp
@@ -14,6 +14,8 @@
 
 /** A round trip between hosts takes some milliseconds; a call does not wait longer for a permit. */
 constexpr Milliseconds permitTimeout{150};
+/** Servers are cold for some seconds; a longer time of a peer is cut. */
+constexpr std::uint64_t maximumColdMilliseconds = 60000;
 /** A shorter pause is over before the next check, so the dispatcher is not told of it. */
 constexpr Milliseconds minimumPublishedPause{50};
 
@@ -24,6 +26,13 @@
                 || (std::isfinite(message.callsPerSecond) && message.callsPerSecond >= 0.0));
 }
 
+/** Returns the pause that a peer states, which may be absurd. */
+Milliseconds toPause(std::uint64_t milliseconds)
+{
+    constexpr std::uint64_t longestPause = 60000;
+    return Milliseconds(static_cast<std::int64_t>(std::min(milliseconds, longestPause)));
+}
+
 std::string describeLimit(std::optional<double> limit)
 {
     return limit ? std::to_string(*limit) : std::string("none");
@@ -68,6 +77,27 @@
         this->hooks.announce();
 }
 
+void ServerLimiter::setColdServers(std::span<const ColdServer> servers)
+{
+    const Milliseconds now = this->clock.now();
+    std::set<BackendServerName> cold;
+    for (const ColdServer &server : servers) {
+        this->limits.setTimedLimit(server.run, server.callsPerSecond, server.coldUntil, now);
+        cold.insert(server.run);
+        if (!this->coldRuns.contains(server.run)) {
+            logEvent(LogEvent::ServerCold, "backend_server", server.run.toString(), "limit",
+                     std::to_string(server.callsPerSecond), "cold_ms",
+                     std::to_string((server.coldUntil - now).count()), "granter",
+                     this->limits.granter(server.run).toString());
+        }
+    }
+    for (const BackendServerName &run : this->coldRuns) {
+        if (!cold.contains(run))
+            this->limits.setTimedLimit(run, 0.0, now, now);
+    }
+    this->coldRuns = std::move(cold);
+}
+
 void ServerLimiter::recordCall(const BackendServerName &run, AttemptKind kind)
 {
     if (!this->limit(run))
@@ -79,7 +109,7 @@
 
 std::optional<double> ServerLimiter::limit(const BackendServerName &run) const
 {
-    return this->limits.statements().limit(run);
+    return this->limits.limit(run, this->clock.now());
 }
 
 net::awaitable<CallPermit> ServerLimiter::acquire(BackendServerName server, BackendServerName run,
@@ -98,6 +128,8 @@
     const HostName granter = this->limits.granter(run);
     if (granter == this->entry.settings.host)
         permit = this->limits.grant(run, isUrgent, now);
+    else if (this->limits.timedLimit(run, now))
+        permit = co_await this->askColdGranter(granter, run, kind, timeLeft);
     else
         permit = co_await this->askGranter(granter, run, kind, timeLeft);
     this->limits.recordPermit(run, permit, this->clock.now());
@@ -132,7 +164,8 @@
 
 bool ServerLimiter::hasLimits() const
 {
-    return !this->limits.statements().isEmpty() || this->brittle.hasBrittleServices();
+    return !this->limits.statements().isEmpty() || !this->coldRuns.empty()
+            || this->brittle.hasBrittleServices();
 }
 
 CallPermitReply ServerLimiter::answer(const CallPermitRequest &request)
@@ -150,6 +183,33 @@
     return reply;
 }
 
+CallPermitReply ServerLimiter::answer(const ColdPermitRequest &request)
+{
+    CallPermitReply reply;
+    reply.sequence = request.sequence;
+    const bool isValidRate = std::isfinite(request.callsPerSecond) && request.callsPerSecond >= 0.0;
+    if (request.run.empty() || !isValidRate) {
+        logEvent(LogEvent::PeerMessageInvalid, "detail",
+                 "malformed request for a permit at a cold server");
+        reply.pauseMilliseconds =
+                static_cast<std::uint64_t>(SharedCallLimits::wrongGranterPause.count());
+        return reply;
+    }
+    const Milliseconds now = this->clock.now();
+    const BackendServerName run(request.run);
+    // The sender may have read a newer entry of the server than this host.
+    if (!this->limits.timedLimit(run, now)) {
+        const auto remaining =
+                std::min<std::uint64_t>(request.remainingMilliseconds, maximumColdMilliseconds);
+        this->limits.setTimedLimit(run, request.callsPerSecond,
+                                   now + Milliseconds(static_cast<std::int64_t>(remaining)), now);
+    }
+    const CallPermit permit = this->limits.grant(run, request.isUrgent, now);
+    reply.isGranted = permit.isGranted;
+    reply.pauseMilliseconds = static_cast<std::uint64_t>(permit.pause.count());
+    return reply;
+}
+
 std::vector<CallLimitMessage> ServerLimiter::messages() const
 {
     std::vector<CallLimitMessage> result;
@@ -231,13 +291,42 @@
         co_return permit;
     }
     this->recordMessage(reply->limit);
-    constexpr std::uint64_t longestPause = 60000;
     permit.isGranted = reply->isGranted;
-    permit.pause = Milliseconds(
-            static_cast<std::int64_t>(std::min(reply->pauseMilliseconds, longestPause)));
+    permit.pause = toPause(reply->pauseMilliseconds);
     co_return permit;
 }
 
+/**
+ * Asks for a permit to send a call to a cold server. If the granter does not answer, this host
+ * keeps to its own share of what the server bears.
+ */
+net::awaitable<CallPermit> ServerLimiter::askColdGranter(HostName granter, BackendServerName run,
+                                                         AttemptKind kind, Milliseconds timeLeft)
+{
+    const Milliseconds now = this->clock.now();
+    const auto limit = this->limits.timedLimit(run, now);
+    ColdPermitRequest request;
+    request.run = run.toString();
+    request.isUrgent = kind == AttemptKind::Continued;
+    if (limit) {
+        request.callsPerSecond = limit->first;
+        request.remainingMilliseconds = static_cast<std::uint64_t>((limit->second - now).count());
+    }
+    Error reason;
+    std::optional<CallPermitReply> reply;
+    const std::string address = this->granterAddress(granter);
+    if (this->hooks.askCold && !address.empty()) {
+        const Milliseconds timeout = std::clamp(timeLeft, Milliseconds(1), permitTimeout);
+        reply = co_await this->hooks.askCold(address, request, timeout, reason);
+    }
+    if (!reply) {
+        logEvent(LogEvent::PermitUnavailable, "backend_server", run.toString(), "granter",
+                 granter.toString(), "detail", reason.detail);
+        co_return this->limits.grantOwnShare(run, this->clock.now());
+    }
+    co_return CallPermit{reply->isGranted, toPause(reply->pauseMilliseconds)};
+}
+
 CallLimitMessage ServerLimiter::toMessage(const CallLimitStatement &statement) const
 {
     const Milliseconds age = std::max(Milliseconds(0), this->clock.now() - statement.statedAt);
--- a/packages/gateway/limits/serverlimiter.h
+++ b/packages/gateway/limits/serverlimiter.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,6 +33,17 @@
 /** Returns the name of an attempt kind for logs and metrics. */
 std::string_view toString(AttemptKind kind);
 
+/** A server process that is cold, and how many calls it bears from all entry hosts together. */
+struct ColdServer
+{
+    /** The server process. */
+    BackendServerName run;
+    /** In calls a second. */
+    double callsPerSecond = 0.0;
+    /** When it is warm. */
+    Milliseconds coldUntil{0};
+};
+
 /** The functions that connect a ServerLimiter to the other hosts; all of them may be empty. */
 struct LimiterHooks
 {
@@ -39,6 +51,10 @@
     std::function<boost::asio::awaitable<std::optional<CallPermitReply>>(
             std::string address, CallPermitRequest request, Milliseconds timeout, Error &reason)>
             ask;
+    /** The same for a cold server. */
+    std::function<boost::asio::awaitable<std::optional<CallPermitReply>>(
+            std::string address, ColdPermitRequest request, Milliseconds timeout, Error &reason)>
+            askCold;
     /** Called when a limit has changed that peers should learn of. */
     std::function<void()> announce;
 };
@@ -73,6 +89,8 @@
      */
     void recordResponse(const BackendServerName &run, std::optional<double> callsPerSecond,
                         Milliseconds sentAt);
+    /** Replaces the cold servers. Those that are left out are warm. */
+    void setColdServers(std::span<const ColdServer> servers);
     /** Counts a call that is sent to a server process, if that has a limit. */
     void recordCall(const BackendServerName &run, AttemptKind kind);
     /** Returns the limit of a server process in calls a second, or nothing if there is none. */
@@ -105,6 +123,11 @@
 
     /** Answers a peer that asks for a permit. */
     CallPermitReply answer(const CallPermitRequest &request);
+    /**
+     * Answers a peer that asks for a permit for a cold server. A malformed request is logged and
+     * answered without a permit.
+     */
+    CallPermitReply answer(const ColdPermitRequest &request);
     /** Returns the statements of servers to send to peers, those that are new to this host. */
     std::vector<CallLimitMessage> messages() const;
     /** Records the statements that a peer sent; malformed ones are logged and ignored. */
@@ -121,6 +144,8 @@
     std::string granterAddress(const HostName &granter) const;
     boost::asio::awaitable<CallPermit> askGranter(HostName granter, BackendServerName run,
                                                   AttemptKind kind, Milliseconds timeLeft);
+    boost::asio::awaitable<CallPermit> askColdGranter(HostName granter, BackendServerName run,
+                                                      AttemptKind kind, Milliseconds timeLeft);
     CallLimitMessage toMessage(const CallLimitStatement &statement) const;
     void recordMessage(const CallLimitMessage &message);
     void publishPause(const BackendServerName &server, const BackendServerName &run);
@@ -135,6 +160,7 @@
     SharedCallLimits limits;
     BrittleServers brittle;
     std::shared_ptr<const std::vector<MemberRecord>> members;
+    std::set<BackendServerName> coldRuns;
     /** The paused servers and the processes whose limit pauses them. */
     std::map<BackendServerName, BackendServerName> pausedServers;
     std::map<BackendServerName, CallCounts> calls;
--- a/packages/gateway/routes/route.h
+++ b/packages/gateway/routes/route.h
@@ -84,6 +84,10 @@
      * unknown.
      */
     std::uint32_t maximumConnections = 0;
+    /**
+     * How many calls a second a cold server bears from all entry hosts together; 0 for no limit.
+     */
+    double coldCallsPerSecond = 0.0;
     /** The properties of its engines; empty for a plain service. */
     std::optional<EngineProperties> engine;
 };
--- a/packages/gateway/servers/servercatalogue.cpp
+++ b/packages/gateway/servers/servercatalogue.cpp
@@ -101,6 +101,7 @@
                 this->servers.emplace(entry.name, KnownServer{entry, {}, {}, false}).first->second;
         added.hasAnnouncedLeaving = this->announcedLeavingRuns.contains(runName(entry));
         added.entry.isLeaving = entry.isLeaving || added.hasAnnouncedLeaving;
+        this->recordColdTime(added, true);
         // If its server is alive after all, the entry outlasts this time.
         if (this->isRevived(entry))
             added.peerReportedUntil = this->copiedUntil;
@@ -129,11 +130,12 @@
     before = entry;
     before.isLeaving = isLeaving;
     this->recordLeavingTime(known->second, wasLeaving);
+    const bool hasColdChanged = this->recordColdTime(known->second, hasRestarted);
     if (hasRestarted && this->restartHook)
         this->restartHook(entry.name);
     if (startsLeaving && this->leavingHook)
         this->leavingHook(entry.name);
-    if (hasChanged)
+    if (hasChanged || hasColdChanged)
         this->notifyChange();
 }
 
@@ -263,6 +265,12 @@
     return known != this->servers.end() && !this->isExcluded(known->second);
 }
 
+std::optional<Milliseconds> ServerCatalogue::coldUntil(const BackendServerName &name) const
+{
+    const auto known = this->servers.find(name);
+    return known == this->servers.end() ? std::nullopt : known->second.coldUntil;
+}
+
 bool ServerCatalogue::isEvacuated(const BackendServerName &name) const
 {
     const auto known = this->servers.find(name);
@@ -357,6 +365,21 @@
         known.leavingSince = this->clock.now();
 }
 
+/** Keeps until when a server is cold. @return whether that has changed noticeably. */
+bool ServerCatalogue::recordColdTime(KnownServer &known, bool hasRestarted) const
+{
+    const auto before = known.coldUntil;
+    if (known.entry.coldTime > Milliseconds(0)) {
+        const Milliseconds until = this->clock.now() + known.entry.coldTime;
+        // A copy of the store may hold an older entry of the same process.
+        const bool mayBeOld = this->copiedUntil && !hasRestarted && before;
+        known.coldUntil = mayBeOld ? std::max(until, *before) : until;
+    } else if (!this->copiedUntil || hasRestarted) {
+        known.coldUntil.reset();
+    }
+    return known.coldUntil != before;
+}
+
 /** Lets a server process stay leaving, whatever its entry says. */
 void ServerCatalogue::keepLeaving(KnownServer &known)
 {
--- a/packages/gateway/servers/servercatalogue.h
+++ b/packages/gateway/servers/servercatalogue.h
@@ -33,6 +33,8 @@
     std::uint32_t slots = 1;
     /** Whether it is leaving and gets no new work. */
     bool isLeaving = false;
+    /** How long it stays cold from when the entry was written, in milliseconds; 0 if it is warm. */
+    Milliseconds coldTime{0};
     /**
      * The start time of its process, in milliseconds since the Unix epoch; distinguishes processes
      * with the same name.
@@ -158,6 +160,11 @@
      * and not in an evacuated domain.
      */
     bool isUsable(const BackendServerName &name) const;
+    /**
+     * Returns until when a server is cold, or nothing if it is warm or not registered. It counts
+     * from when this host learned of the entry, and is later than the truth by its age.
+     */
+    std::optional<Milliseconds> coldUntil(const BackendServerName &name) const;
     /** Returns whether a server is registered and in an evacuated domain. */
     bool isEvacuated(const BackendServerName &name) const;
     /**
@@ -209,6 +216,8 @@
         bool hasAnnouncedLeaving = false;
         /** When the server was first known to leave; nothing if that was before its entry. */
         std::optional<Milliseconds> leavingSince = std::nullopt;
+        /** When the server is warm; nothing if it was never cold. */
+        std::optional<Milliseconds> coldUntil = std::nullopt;
 
         /** Returns whether the server itself leaves; its domain may be evacuated besides. */
         bool isLeaving() const { return this->entry.isLeaving || this->peerReportedUntil; }
@@ -217,6 +226,7 @@
     bool isEvacuated(const KnownServer &known) const;
     bool isExcluded(const KnownServer &known) const;
     void recordLeavingTime(KnownServer &known, bool wasLeaving) const;
+    bool recordColdTime(KnownServer &known, bool hasRestarted) const;
     void keepLeaving(KnownServer &known);
     bool isRevived(const ServerEntry &entry) const;
     void removeServer(const BackendServerName &name);
--- a/packages/gateway/tests/gatewayhosts.h
+++ b/packages/gateway/tests/gatewayhosts.h
@@ -116,6 +116,19 @@
                 co_await GatewayFixture::pause(Milliseconds(3));
                 co_return reply;
             };
+            hooks.askCold =
+                    [this](std::string address, ColdPermitRequest request, Milliseconds timeout,
+                           Error &) -> boost::asio::awaitable<std::optional<CallPermitReply>> {
+                if (!this->isAskAnswered) {
+                    co_await GatewayFixture::pause(timeout);
+                    co_return std::nullopt;
+                }
+                co_await GatewayFixture::pause(Milliseconds(3));
+                const auto index = static_cast<std::size_t>(std::stoul(address));
+                const CallPermitReply reply = this->hosts[index]->serverLimiter().answer(request);
+                co_await GatewayFixture::pause(Milliseconds(3));
+                co_return reply;
+            };
             hooks.announce = [this, from = host.get()] {
                 boost::asio::post(*this->context, [this, from] { this->tellOthers(*from); });
             };
--- a/packages/observability/logging/logevent.cpp
+++ b/packages/observability/logging/logevent.cpp
@@ -45,6 +45,7 @@
         LogEventEntry{LogEvent::PermitUnavailable, LogLevel::Info, "permit_unavailable"},
         LogEventEntry{LogEvent::PromptPartQuarantined, LogLevel::Warning,
                       "prompt_part_quarantined"},
+        LogEventEntry{LogEvent::ServerCold, LogLevel::Info, "server_cold"},
         LogEventEntry{LogEvent::DuplicateCallPrevented, LogLevel::Info, "duplicate_call_prevented"},
         LogEventEntry{LogEvent::CallOutcomeUnknown, LogLevel::Warning, "call_outcome_unknown"},
         LogEventEntry{LogEvent::CallForwarded, LogLevel::Debug, "call_forwarded"},
--- a/packages/observability/logging/logevent.h
+++ b/packages/observability/logging/logevent.h
@@ -50,6 +50,7 @@
     LimitedServerCalls = 5008,
     PermitUnavailable = 5009,
     PromptPartQuarantined = 5010,
+    ServerCold = 5011,
     DuplicateCallPrevented = 6001,
     CallOutcomeUnknown = 6002,
     CallForwarded = 6003,
--- a/packages/policy/limits/grantinghosts.cpp
+++ b/packages/policy/limits/grantinghosts.cpp
@@ -57,6 +57,11 @@
     return this->granter(run) == this->self;
 }
 
+double GrantingHosts::ownShare() const
+{
+    return 1.0 / static_cast<double>(this->liveHosts.size() + this->lostHosts.size());
+}
+
 double GrantingHosts::visibleShare() const
 {
     const auto live = static_cast<double>(this->liveHosts.size());
--- a/packages/policy/limits/grantinghosts.h
+++ b/packages/policy/limits/grantinghosts.h
@@ -38,6 +38,8 @@
     HostName granter(const BackendServerName &run) const;
     /** Returns whether this host grants the permits for a server process. */
     bool isGranter(const BackendServerName &run) const;
+    /** Returns the share of this host if all hosts, lost ones too, have the same, in (0, 1]. */
+    double ownShare() const;
     /** Returns the share of the hosts that this host sees, in (0, 1]. */
     double visibleShare() const;
 
--- a/packages/policy/limits/sharedcalllimits.cpp
+++ b/packages/policy/limits/sharedcalllimits.cpp
@@ -36,9 +36,28 @@
     return hasChanged;
 }
 
+void SharedCallLimits::setTimedLimit(const BackendServerName &run, double callsPerSecond,
+                                     Milliseconds until, Milliseconds now)
+{
+    const auto known = this->timedLimits.find(run);
+    const bool wasKnown = known != this->timedLimits.end();
+    if (until <= now) {
+        if (wasKnown)
+            this->timedLimits.erase(known);
+    } else {
+        this->timedLimits.insert_or_assign(run, std::pair(callsPerSecond, until));
+    }
+    if (wasKnown != (until > now))
+        this->updateGrants(now);
+}
+
 void SharedCallLimits::removeExpired(Milliseconds now)
 {
     this->limits.removeExpired(now);
+    std::erase_if(this->timedLimits,
+                  [now](const auto &entry) { return now >= entry.second.second; });
+    std::erase_if(this->ownShares,
+                  [this](const auto &entry) { return !this->timedLimits.contains(entry.first); });
     this->updateGrants(now);
     const auto isOver = [now](const auto &entry) {
         return now >= entry.second;
@@ -52,6 +71,24 @@
     return this->limits;
 }
 
+std::optional<double> SharedCallLimits::limit(const BackendServerName &run, Milliseconds now) const
+{
+    const auto stated = this->limits.limit(run);
+    const auto timed = this->timedLimit(run, now);
+    if (!timed)
+        return stated;
+    return std::min(timed->first, stated.value_or(timed->first));
+}
+
+std::optional<std::pair<double, Milliseconds>> SharedCallLimits::timedLimit(
+        const BackendServerName &run, Milliseconds now) const
+{
+    const auto timed = this->timedLimits.find(run);
+    if (timed == this->timedLimits.end() || now >= timed->second.second)
+        return std::nullopt;
+    return timed->second;
+}
+
 HostName SharedCallLimits::granter(const BackendServerName &run) const
 {
     return this->hosts.granter(run);
@@ -59,7 +96,7 @@
 
 CallPermit SharedCallLimits::grant(const BackendServerName &run, bool isUrgent, Milliseconds now)
 {
-    const auto limit = this->limits.limit(run);
+    const auto limit = this->limit(run, now);
     if (!limit)
         return {true, Milliseconds(0)};
     const auto own = this->grants.find(run);
@@ -79,6 +116,17 @@
     return {false, granted.allowance.timeUntilNext(now) + this->contentionPause(granted, rate)};
 }
 
+CallPermit SharedCallLimits::grantOwnShare(const BackendServerName &run, Milliseconds now)
+{
+    const auto timed = this->timedLimit(run, now);
+    if (!timed)
+        return {true, Milliseconds(0)};
+    CallAllowance &allowance = this->ownShares.try_emplace(run, now).first->second;
+    allowance.setRate(timed->first * this->hosts.ownShare(), 0.0, now);
+    const bool isGranted = allowance.tryTake(false, now);
+    return {isGranted, allowance.timeUntilNext(now)};
+}
+
 void SharedCallLimits::recordPermit(const BackendServerName &run, const CallPermit &permit,
                                     Milliseconds now)
 {
@@ -93,7 +141,7 @@
 std::optional<Milliseconds> SharedCallLimits::pauseLeft(const BackendServerName &run,
                                                         Milliseconds now) const
 {
-    if (!this->limits.limit(run))
+    if (!this->limit(run, now))
         return std::nullopt;
     Milliseconds until = now;
     if (const auto paused = this->pausedUntil.find(run); paused != this->pausedUntil.end())
@@ -110,16 +158,23 @@
 void SharedCallLimits::updateGrants(Milliseconds now)
 {
     std::set<BackendServerName> known;
-    for (const CallLimitStatement &statement : this->limits.all()) {
+    for (const CallLimitStatement &statement : this->limits.all())
         known.insert(statement.run);
-        if (this->hosts.isGranter(statement.run))
-            this->grants.try_emplace(statement.run, Grants{now, CallAllowance(now)});
-        else
-            this->grants.erase(statement.run);
-    }
+    for (const auto &[run, timed] : this->timedLimits)
+        known.insert(run);
+    for (const BackendServerName &run : known)
+        this->updateGrant(run, now);
     std::erase_if(this->grants, [&](const auto &entry) { return !known.contains(entry.first); });
 }
 
+void SharedCallLimits::updateGrant(const BackendServerName &run, Milliseconds now)
+{
+    if (this->hosts.isGranter(run))
+        this->grants.try_emplace(run, Grants{now, CallAllowance(now)});
+    else
+        this->grants.erase(run);
+}
+
 /** Returns how much longer than until the next call a host waits, because others wait for that. */
 Milliseconds SharedCallLimits::contentionPause(const Grants &granted, double rate) const
 {
--- a/packages/policy/limits/sharedcalllimits.h
+++ b/packages/policy/limits/sharedcalllimits.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <utility>
 #include <vector>
 
 namespace sassafrasyard {
@@ -68,10 +69,24 @@
                         Milliseconds sentAt, Milliseconds now);
     /** Records a peer's statement; see CallLimitStatements::recordPeerStatement(). */
     bool recordPeerStatement(const CallLimitStatement &statement, Milliseconds now);
-    /** Removes statements that are too old. */
+    /**
+     * Records a limit that ends by itself, such as that of a server that is cold after its start.
+     * It applies beside what the server states, and is replaced by the next one of the same
+     * process.
+     *
+     * @param until when it ends; an instant that has passed ends it now.
+     */
+    void setTimedLimit(const BackendServerName &run, double callsPerSecond, Milliseconds until,
+                       Milliseconds now);
+    /** Removes statements and timed limits that are too old. */
     void removeExpired(Milliseconds now);
     /** Returns the statements of all server processes. */
     const CallLimitStatements &statements() const;
+    /** Returns the limit of a server process in calls a second, or nothing if there is none. */
+    std::optional<double> limit(const BackendServerName &run, Milliseconds now) const;
+    /** Returns the timed limit of a server process and when it ends, or nothing. */
+    std::optional<std::pair<double, Milliseconds>> timedLimit(const BackendServerName &run,
+                                                              Milliseconds now) const;
 
     /** Returns the host that permits the calls to a server process. */
     HostName granter(const BackendServerName &run) const;
@@ -81,6 +96,11 @@
      * @param isUrgent whether the call continues a stream, which may overdraw the limit slightly.
      */
     CallPermit grant(const BackendServerName &run, bool isUrgent, Milliseconds now);
+    /**
+     * Decides on a call of this host to a server with a timed limit whose granter does not answer,
+     * such as one of an earlier build: each host permits an equal share of the limit.
+     */
+    CallPermit grantOwnShare(const BackendServerName &run, Milliseconds now);
     /** Records the granter's decision on a call of this host. */
     void recordPermit(const BackendServerName &run, const CallPermit &permit, Milliseconds now);
     /** Records that a granter did not answer. */
@@ -102,11 +122,15 @@
     };
 
     void updateGrants(Milliseconds now);
+    void updateGrant(const BackendServerName &run, Milliseconds now);
     Milliseconds contentionPause(const Grants &granted, double rate) const;
 
     CallLimitStatements limits;
     GrantingHosts hosts;
     std::map<BackendServerName, Grants> grants;
+    /** The timed limits in calls a second, and when they end. */
+    std::map<BackendServerName, std::pair<double, Milliseconds>> timedLimits;
+    std::map<BackendServerName, CallAllowance> ownShares;
     std::map<BackendServerName, Milliseconds> pausedUntil;
     std::map<HostName, Milliseconds> silentUntil;
 };
--- a/packages/protocol/messages/messagecodec.cpp
+++ b/packages/protocol/messages/messagecodec.cpp
@@ -167,6 +167,14 @@
           message.firstPending, message.rejectionLimit, message.rejections);
 }
 
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &message) requires
+        std::is_same_v<std::remove_cvref_t<decltype(message)>, ColdPermitRequest>
+{
+    visit(message.sequence, message.run, message.callsPerSecond, message.remainingMilliseconds,
+          message.isUrgent);
+}
+
 template <typename Visitor>
 void visitFields(Visitor &visit, auto &message) requires
         std::is_same_v<std::remove_cvref_t<decltype(message)>, CallLimitUpdate>
--- a/packages/protocol/messages/peermessage.h
+++ b/packages/protocol/messages/peermessage.h
@@ -481,12 +481,34 @@
     std::uint64_t configurationVersion = 0;
 };
 
+/**
+ * Asks the host that permits the calls to a cold backend server for a permit. The reply is a
+ * CallPermitReply.
+ */
+struct ColdPermitRequest
+{
+    /** Matches the reply. */
+    std::uint64_t sequence = 0;
+    /** The server process. */
+    std::string run;
+    /** How many calls a second it bears, as far as the sender knows. */
+    double callsPerSecond = 0.0;
+    /** How long it stays cold, as far as the sender knows, in milliseconds. */
+    std::uint64_t remainingMilliseconds = 0;
+    /** Whether the call continues a stream. */
+    bool isUrgent = false;
+
+    /** Compares all fields. */
+    bool operator==(const ColdPermitRequest &) const = default;
+};
+
 /** Any message between entry hosts. */
 using PeerMessage =
         std::variant<Probe, ProbeReply, IndirectProbe, IndirectProbeReply, ConfigurationPull,
                      ConfigurationReply, ForwardCall, ForwardReply, LoadUpdate, ObjectRead,
                      ObjectReadReply, CallPermitRequest, CallPermitReply, CallLimitUpdate,
                      RunVersionUpdate, RunVersionUpdateReply, RunVersionRequest, RunVersionReply,
-                     ServiceContactRequest, ServiceContactReply, PlacePermitRequest>;
+                     ServiceContactRequest, ServiceContactReply, PlacePermitRequest,
+                     ColdPermitRequest>;
 
 } // namespace sassafrasyard
--- a/packages/protocol/tests/test_messagecodec.cpp
+++ b/packages/protocol/tests/test_messagecodec.cpp
@@ -216,3 +216,13 @@
         RC_ASSERT(!decodeMessage(whole.substr(0, length), fault));
     });
 }
+
+// Guards against a lost field of the request for a permit at a cold server.
+TEST_CASE("A request for a permit at a cold server is decoded as it was encoded", "[codec]")
+{
+    const ColdPermitRequest request{7, "server/1", 21.5, 1400, true};
+    Error reason;
+    const auto decoded = decodeMessage(encodeMessage(request), reason);
+    REQUIRE(decoded);
+    REQUIRE(std::get<ColdPermitRequest>(*decoded) == request);
+}
