Place prompts by the expected time to the first event

Cause: the cost of an engine had no speed in it.

The cost is the reading time of the pending prompts and the own one without its cached beginning, at the engine's speed. Cached beginnings count by their size, for both shared levels, while the engine has memory. Event 8034 tells the likely cause of a pause inside an engine.

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -133,6 +133,7 @@
     PeerHooks makePeerHooks();
     SharedSourceHooks makeSharedSourceHooks();
     RunExchangeHooks makeRunExchangeHooks();
+    SpeedExchangeHooks makeSpeedHooks();
     void connectBrittleServers();
     net::awaitable<void> tellPlace(std::string address, PlacePermitRequest request);
     void connectRunVersions();
@@ -205,6 +206,7 @@
     VersionHistory versionHistory;
     RunVersionExchange runExchange;
     RunReplicator runReplicator;
+    SpeedExchange speedExchange;
     HttpServer readinessServer;
     HttpServer directoryServer;
     HttpServer metricsServer;
@@ -307,6 +309,7 @@
     , runExchange(this->entry, this->context, this->makeRunExchangeHooks())
     , runReplicator(this->entry, this->context, this->runExchange,
                     [this] { return this->runVersions.statements(); })
+    , speedExchange(this->dispatch, this->context, this->clock, this->makeSpeedHooks())
     , readinessServer(
               this->context, HttpServerOptions(),
               [this](const HttpRequest &request, HttpResponder &responder) {
@@ -419,6 +422,7 @@
     this->followEvacuations();
     this->quarantineArchive.start();
     this->versionHistory.start();
+    this->speedExchange.start();
     this->dispatch.setQuarantineHook(
             [this](std::uint64_t digest) { this->quarantineArchive.save(digest); });
     const net::any_io_executor executor = this->context.get_executor();
@@ -475,6 +479,19 @@
     return hooks;
 }
 
+SpeedExchangeHooks PlatformDaemon::Implementation::makeSpeedHooks()
+{
+    SpeedExchangeHooks hooks;
+    hooks.peersUsing = [this](std::span<const BackendServerName> servers) {
+        return this->serverSubset.peersUsing(servers);
+    };
+    hooks.tell = [this](std::string address, SpeedUpdate update, Milliseconds timeout,
+                        Error &reason) {
+        return this->peers.tellSpeeds(std::move(address), std::move(update), timeout, reason);
+    };
+    return hooks;
+}
+
 /** Lets the hosts ask each other for places at brittle servers. */
 void PlatformDaemon::Implementation::connectBrittleServers()
 {
@@ -556,6 +573,9 @@
     hooks.answerPlaceRequest = [this](const PlacePermitRequest &request) {
         return this->limiter.brittleServers().answer(request);
     };
+    hooks.recordSpeeds = [this](const SpeedUpdate &update) {
+        return this->speedExchange.record(update);
+    };
     hooks.answerColdRequest = [this](const ColdPermitRequest &request) {
         return this->limiter.answer(request);
     };
--- a/packages/entry/dispatch/dispatchservice.cpp
+++ b/packages/entry/dispatch/dispatchservice.cpp
@@ -95,10 +95,21 @@
         // A plain call ends before peers could use a load update about it.
         if (assignment.reservedTokens > 0)
             this->notifyLoadChange();
+        this->countSavings(assignment);
         this->controls.emplace(assignment.request, std::make_shared<StreamControl>());
         this->notifyWaiter(assignment.request, decision);
     }
 
+    void countSavings(const Assignment &assignment)
+    {
+        if (assignment.cachedTokens == 0)
+            return;
+        this->entry.metrics.count("sassafrasyard_prompt_tokens_saved_total", {},
+                                  assignment.cachedTokens);
+        this->entry.metrics.count("sassafrasyard_prompt_tokens_waited_total", {},
+                                  assignment.acceptedWaitTokens);
+    }
+
     void apply(const Refusal &refusal, const Decision &decision)
     {
         this->entry.metrics.count("sassafrasyard_refusals_total",
@@ -306,6 +317,13 @@
     });
 }
 
+net::awaitable<std::vector<EngineSpeed>> DispatchService::ownSpeeds()
+{
+    return this->owner->ask<std::vector<EngineSpeed>>([this](State &state) {
+        return state.dispatcher.ownSpeeds(this->entry.steadyClock.now());
+    });
+}
+
 net::awaitable<bool> DispatchService::isQuarantined(WorkRequest request)
 {
     const std::function<bool(State &)> operation = [this, &request](State &state) {
--- a/packages/entry/dispatch/dispatchservice.h
+++ b/packages/entry/dispatch/dispatchservice.h
@@ -92,6 +92,8 @@
     void setQuarantineHook(std::function<void(std::uint64_t)> hook);
     /** Returns this host's load digest for its peers. */
     boost::asio::awaitable<PeerLoadDigest> loadDigest();
+    /** Returns how fast this host found engines lately; see Dispatcher::ownSpeeds(). */
+    boost::asio::awaitable<std::vector<EngineSpeed>> ownSpeeds();
     /** Returns whether a request is quarantined because it crashed backend servers. */
     boost::asio::awaitable<bool> isQuarantined(WorkRequest request);
     /** Returns the quarantine records to send to peers. */
--- a/packages/entry/peers/peerservice.cpp
+++ b/packages/entry/peers/peerservice.cpp
@@ -322,6 +322,11 @@
             co_return std::nullopt;
         co_return this->hooks.answerPlaceRequest(*request);
     }
+    if (const auto *update = std::get_if<SpeedUpdate>(&message)) {
+        if (!this->hooks.recordSpeeds)
+            co_return std::nullopt;
+        co_return this->hooks.recordSpeeds(*update);
+    }
     if (const auto *request = std::get_if<ColdPermitRequest>(&message)) {
         if (!this->hooks.answerColdRequest)
             co_return std::nullopt;
@@ -729,6 +734,15 @@
                                                              timeout, reason);
 }
 
+net::awaitable<bool> PeerService::tellSpeeds(std::string address, SpeedUpdate update,
+                                             Milliseconds timeout, Error &reason)
+{
+    update.sequence = ++this->sequence;
+    const auto reply = co_await this->runConnections.exchange<SpeedUpdateReply>(
+            std::move(address), std::move(update), timeout, reason);
+    co_return reply.has_value();
+}
+
 net::awaitable<bool> PeerService::tellRunVersions(std::string address, RunVersionUpdate update,
                                                   Milliseconds timeout, Error &reason)
 {
--- a/packages/entry/peers/peerservice.h
+++ b/packages/entry/peers/peerservice.h
@@ -62,6 +62,8 @@
     std::function<CallPermitReply(const PlacePermitRequest &)> answerPlaceRequest;
     /** Answers a peer that asks to send a call to a cold backend server; may be empty. */
     std::function<CallPermitReply(const ColdPermitRequest &)> answerColdRequest;
+    /** Records how fast a peer found engines, and confirms it; may be empty. */
+    std::function<SpeedUpdateReply(const SpeedUpdate &)> recordSpeeds;
     /** Returns the call limits of backend servers to send to peers; may be empty. */
     std::function<std::vector<CallLimitMessage>()> callLimits;
     /** Records the call limits that a peer sent; may be empty. */
@@ -156,6 +158,9 @@
                                                                     PlacePermitRequest request,
                                                                     Milliseconds timeout,
                                                                     Error &reason);
+    /** Tells a peer how fast this host found engines. @return whether the peer confirmed it. */
+    boost::asio::awaitable<bool> tellSpeeds(std::string address, SpeedUpdate update,
+                                            Milliseconds timeout, Error &reason);
     /** Asks a peer for a permit to send a call to a cold backend server; as askPermit(). */
     boost::asio::awaitable<std::optional<CallPermitReply>> askColdPermit(std::string address,
                                                                          ColdPermitRequest request,
--- a/packages/gateway/calls/callcodec.h
+++ b/packages/gateway/calls/callcodec.h
@@ -2,6 +2,7 @@
 
 #include "core/core.h"
 #include "network/network.h"
+#include "policy/work/workrequest.h"
 
 #include <cstdint>
 #include <functional>
@@ -26,6 +27,8 @@
     std::uint32_t maximumTokens = 0;
     /** A digest of the leading part of the prompt that it shares with other calls; 0 for none. */
     std::uint64_t prefixDigest = 0;
+    /** The beginnings of the prompt that end with a shared part, shortest first. */
+    std::vector<PromptPrefix> prefixes;
     /** Digests of the parts of the prompt that other calls may share, in order. */
     std::vector<std::uint64_t> sharedParts;
     /** The last event that the caller received of a stream that it resumes. */
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -30,6 +30,7 @@
 #include "gateway/servers/listconfirmations.h"
 #include "gateway/servers/servercatalogue.h"
 #include "gateway/servers/serversubset.h"
+#include "gateway/speed/speedexchange.h"
 #include "gateway/state/hostchanges.h"
 #include "gateway/state/quarantinearchive.h"
 #include "gateway/state/servingconfiguration.h"
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -1063,6 +1063,11 @@
         this->longestPauseBefore = this->lastEvent.value_or(0);
         this->isLongestPauseAtSwitch = !this->partFirstEventAt;
     }
+    const bool isInsideEngine =
+            this->eventAt && this->partFirstEventAt && this->engine() != nullptr;
+    if (isInsideEngine && now - *this->eventAt > this->call.route->targetPause)
+        recordEnginePause(this->dependencies, this->call.metadata.requestId, this->placement.server,
+                          now - *this->eventAt);
     this->eventAt = now;
 }
 
--- a/packages/gateway/relay/gatewayservice.cpp
+++ b/packages/gateway/relay/gatewayservice.cpp
@@ -369,6 +369,8 @@
     work.promptTokens = call.metadata.promptTokens;
     work.maximumTokens = call.metadata.maximumTokens;
     work.prefixDigest = call.metadata.prefixDigest;
+    if (call.route->sharesPrompts)
+        work.prefixes = call.metadata.prefixes;
     // Only streams tell when a server has begun its output.
     if (call.route->kind == CallKind::Stream) {
         for (const std::uint64_t part : call.metadata.sharedParts)
--- a/packages/gateway/relay/streamending.cpp
+++ b/packages/gateway/relay/streamending.cpp
@@ -91,4 +91,21 @@
              std::string(isChunked(call.request) ? "1" : "0"));
 }
 
+void recordEnginePause(const GatewayDependencies &dependencies, const std::string &requestId,
+                       const BackendServerName &server, Milliseconds pause)
+{
+    Metrics &metrics = dependencies.entry.metrics;
+    dependencies.dispatch.post([requestId, server, pause, &metrics](Dispatcher &dispatcher,
+                                                                    Milliseconds now) {
+        const EngineCondition condition = dispatcher.engineCondition(server, now);
+        const std::string cause(toString(likelyPauseCause(condition)));
+        metrics.count("sassafrasyard_engine_pauses_total", {{"cause", cause}});
+        logEvent(LogEvent::StreamPaused, "request", requestId, "backend_server", server.toString(),
+                 "pause_ms", std::to_string(pause.count()), "cause", cause, "speed_ratio",
+                 std::to_string(condition.speedRatio), "pending_prompt_tokens",
+                 std::to_string(std::llround(condition.pendingPromptTokens)), "memory_share",
+                 std::to_string(condition.memoryShare));
+    });
+}
+
 } // namespace sassafrasyard
--- a/packages/gateway/relay/streamending.h
+++ b/packages/gateway/relay/streamending.h
@@ -91,4 +91,11 @@
 void recordStreamCut(const GatewayDependencies &dependencies, const RoutedCall &call,
                      const StreamEnding &ending);
 
+/**
+ * Logs and counts a pause of a stream inside an engine that is longer than the route's target, with
+ * its likely cause as far as hosts know.
+ */
+void recordEnginePause(const GatewayDependencies &dependencies, const std::string &requestId,
+                       const BackendServerName &server, Milliseconds pause);
+
 } // namespace sassafrasyard
--- a/packages/gateway/routes/route.h
+++ b/packages/gateway/routes/route.h
@@ -49,6 +49,8 @@
     Milliseconds targetLatency{1000};
     /** The target for the longest pause between events of a stream, in milliseconds. */
     Milliseconds targetPause{1000};
+    /** Whether calls share parts of their prompts, which engines cache. */
+    bool sharesPrompts = false;
     /** The largest number of servers that may run one call. */
     std::uint32_t maximumAttempts = 1;
     /** The priority rank of the route; 0 is the most urgent. */
--- a/packages/observability/logging/logevent.cpp
+++ b/packages/observability/logging/logevent.cpp
@@ -91,6 +91,7 @@
         LogEventEntry{LogEvent::BrokenEndFound, LogLevel::Info, "broken_end_found"},
         LogEventEntry{LogEvent::DomainEvacuated, LogLevel::Warning, "domain_evacuated"},
         LogEventEntry{LogEvent::DomainReturned, LogLevel::Info, "domain_returned"},
+        LogEventEntry{LogEvent::StreamPaused, LogLevel::Info, "stream_paused"},
 };
 
 } // namespace
--- a/packages/observability/logging/logevent.h
+++ b/packages/observability/logging/logevent.h
@@ -93,6 +93,7 @@
     BrokenEndFound = 8031,
     DomainEvacuated = 8032,
     DomainReturned = 8033,
+    StreamPaused = 8034,
 };
 
 /** An entry of the event catalogue. */
--- a/packages/policy/dispatch/dispatcher.cpp
+++ b/packages/policy/dispatch/dispatcher.cpp
@@ -290,6 +290,21 @@
     ++group.running;
 }
 
+std::vector<EngineSpeed> Dispatcher::ownSpeeds(Milliseconds now) const
+{
+    return this->pool.ownSpeeds(now);
+}
+
+bool Dispatcher::recordPeerSpeed(const EngineSpeed &speed, Milliseconds now)
+{
+    return this->pool.recordPeerSpeed(speed, now);
+}
+
+EngineCondition Dispatcher::engineCondition(const BackendServerName &server, Milliseconds now) const
+{
+    return this->pool.engineCondition(server, now);
+}
+
 void Dispatcher::recordFull(const BackendServerName &server, Milliseconds now)
 {
     this->pool.recordFull(server, now);
@@ -611,8 +626,9 @@
         this->suspectServers.insert(placement.server);
     const int enginePriority =
             2 * static_cast<int>(request.priority) + (this->queue.isShort(request) ? 1 : 0);
-    this->decisions.emplace_back(
-            Assignment{request.name, placement.server, placement.reservedTokens, enginePriority});
+    this->decisions.emplace_back(Assignment{request.name, placement.server,
+                                            placement.reservedTokens, enginePriority,
+                                            placement.cachedTokens, placement.acceptedWaitTokens});
 }
 
 std::optional<std::size_t> Dispatcher::choose(const PlacementPolicy &policy,
--- a/packages/policy/dispatch/dispatcher.h
+++ b/packages/policy/dispatch/dispatcher.h
@@ -157,6 +157,12 @@
      * ServerPool::recordFull().
      */
     void recordFull(const BackendServerName &server, Milliseconds now);
+    /** Returns how fast this host found engines lately; see ServerPool::ownSpeeds(). */
+    std::vector<EngineSpeed> ownSpeeds(Milliseconds now) const;
+    /** Records what a peer found; see ServerPool::recordPeerSpeed(). */
+    bool recordPeerSpeed(const EngineSpeed &speed, Milliseconds now);
+    /** Returns what may slow the streams of an engine down. */
+    EngineCondition engineCondition(const BackendServerName &server, Milliseconds now) const;
     /** Frees the memory reserved for a copy; does nothing for an unknown name. */
     void releaseCopy(const RequestName &copy, Milliseconds now);
     /**
--- a/packages/policy/placement/placementpolicy.h
+++ b/packages/policy/placement/placementpolicy.h
@@ -29,6 +29,10 @@
     std::uint32_t ownRunning = 0;
     /** Whether the prompt's prefix is probably cached there. */
     bool hasPrefix = false;
+    /** Tokens at the beginning of the prompt that probably need not be read there. */
+    double cachedTokens = 0.0;
+    /** Time per token divided by the median of the model, as learned over time; 1 if unknown. */
+    double speedRatio = 1.0;
     /** Time per token divided by the median of its peers; 1 is normal, more is slower. */
     double paceRatio = 1.0;
     /** Whether it is in this host's failure domain. */
@@ -66,8 +70,10 @@
  * Returns a policy that keeps prompts from queueing behind each other.
  *
  * An engine processes prompts one after another, so a prompt waits for all pending prompts of its
- * engine whatever the decode load. The policy takes the engine with the fewest pending prompt
- * tokens, then the least decode load and memory. It requires that hosts learn of each other's
+ * engine whatever the decode load. The policy takes the engine at which the first output is
+ * expected soonest: the pending prompts and the own one without its cached beginning, at the speed
+ * of the engine, then the decode load and memory. Where all engines are equally fast and nothing is
+ * cached, these are the fewest pending prompt tokens. It requires that hosts learn of each other's
  * prompts faster than an engine processes one. Requests without a prompt are placed by
  * estimatedLoadPlacement().
  *
--- a/packages/policy/placement/promptqueueplacement.cpp
+++ b/packages/policy/placement/promptqueueplacement.cpp
@@ -17,15 +17,29 @@
 constexpr double fullMemoryCost = 2.0;
 /** Traffic between failure domains costs more than inside one, but less than waiting. */
 constexpr double otherDomainCost = 0.05;
-/** The cached part of the prompt is not processed again. */
+/** The saving of a cached prefix of unknown size. */
 constexpr double prefixSaving = 0.1;
+/**
+ * How much a slower engine costs a stream beyond its prompt, for each multiple of the time per
+ * token: it holds its memory for longer and pauses more.
+ */
+constexpr double slowDecodeCost = 0.5;
 /** Larger than the error of outdated load data, smaller than one prompt. */
 constexpr double maximumJitter = 0.1;
 
+/** Returns the expected time until the first output, in times that the own prompt takes. */
+double readingTime(const PlacementCandidate &candidate, double promptTokens)
+{
+    const double tokens = candidate.pendingPromptTokens + promptTokens - candidate.cachedTokens;
+    return candidate.speedRatio * tokens / promptTokens;
+}
+
 double costOf(const PlacementCandidate &candidate, double promptTokens)
 {
     const double slots = std::max<std::uint32_t>(candidate.server->slots, 1);
-    double cost = candidate.pendingPromptTokens / promptTokens;
+    // The reading of the own prompt on an average engine is left out, since it is the same for all.
+    double cost = readingTime(candidate, promptTokens) - 1.0;
+    cost += slowDecodeCost * (candidate.speedRatio - 1.0);
     cost += fullBatchCost * candidate.runningEstimate / slots;
     if (candidate.memoryTotal > 0.0) {
         const double share =
@@ -35,7 +49,8 @@
     }
     cost += candidate.isSameDomain ? 0.0 : otherDomainCost;
     cost -= candidate.hasPrefix ? prefixSaving : 0.0;
-    return cost * std::max(candidate.paceRatio, 1.0);
+    // A speed that was learned includes what the pace shows.
+    return candidate.speedRatio == 1.0 ? cost * std::max(candidate.paceRatio, 1.0) : cost;
 }
 
 } // namespace
--- a/packages/policy/pool/serverpool.cpp
+++ b/packages/policy/pool/serverpool.cpp
@@ -38,6 +38,26 @@
 
 } // namespace
 
+std::string_view toString(PauseCause cause)
+{
+    switch (cause) {
+    case PauseCause::SlowEngine:
+        return "slow_engine";
+    case PauseCause::Prompts:
+        return "prompts";
+    case PauseCause::Preemption:
+        return "preemption_suspected";
+    }
+    return "unknown";
+}
+
+PauseCause likelyPauseCause(const EngineCondition &condition)
+{
+    if (condition.speedRatio > EngineSpeeds::equalFactor)
+        return PauseCause::SlowEngine;
+    return condition.pendingPromptTokens > 0.0 ? PauseCause::Prompts : PauseCause::Preemption;
+}
+
 ServerPool::ServerPool(ServerPoolOptions options)
     : options(std::move(options))
     , lengthEstimator(this->options.length)
@@ -86,7 +106,8 @@
     this->states[*serverIndex].isReachable = isReachable;
     if (isReachable)
         return;
-    // The server may return as a new process without its former load and cache.
+    // The server may return as a new process without its former load, cache and speed.
+    this->speeds.resetServer(*serverIndex);
     this->loadTracker.discardReport(*serverIndex);
     this->prefixIndex.removeServer(*serverIndex);
 }
@@ -156,9 +177,31 @@
     ++this->capacityVersion;
     this->loadTracker.advance(now);
     this->paceMonitor.advance(now);
+    this->speeds.advance(now);
     this->recordDepartures(now);
 }
 
+std::vector<EngineSpeed> ServerPool::ownSpeeds(Milliseconds now) const
+{
+    std::vector<EngineSpeed> found;
+    for (ServerIndex serverIndex = 0; serverIndex < this->states.size(); ++serverIndex) {
+        EngineSpeed speed = this->speeds.own(serverIndex, now);
+        if (!this->states[serverIndex].isConfigured || speed.samples <= 0.0)
+            continue;
+        speed.server = this->configurations[serverIndex].name;
+        found.push_back(std::move(speed));
+    }
+    return found;
+}
+
+bool ServerPool::recordPeerSpeed(const EngineSpeed &speed, Milliseconds now)
+{
+    const auto serverIndex = this->findIndex(speed.server);
+    return !serverIndex
+            || this->speeds.recordPeer(*serverIndex, speed.millisecondsPerToken, speed.samples,
+                                       now);
+}
+
 std::optional<Placement> ServerPool::place(const WorkRequest &request, Milliseconds now)
 {
     assert(!this->placed.contains(request.name));
@@ -179,7 +222,7 @@
             !request.softwareVersion && request.avoided.empty() && !request.needsMoves;
     if (isRefusalShared && this->isRefusalCached(modelServers, neededMemory, now))
         return std::nullopt;
-    this->markPrefixHolders(request.prefixDigest, now);
+    this->markPrefixHolders(request, now);
     this->collectForRequest(modelServers, request,
                             this->roomNeeded(modelServers, request, neededMemory, now), now);
     if (this->candidates.empty()) {
@@ -195,8 +238,16 @@
         return std::nullopt;
     entry.serverIndex = static_cast<ServerIndex>(this->candidates[*chosen].server
                                                  - this->configurations.data());
-    this->reserve(entry, request.prefixDigest, now);
+    this->reserve(entry, request, now);
     Placement placement{this->configurations[entry.serverIndex].name, entry.reservedTokens};
+    const PlacementCandidate &taken = this->candidates[*chosen];
+    if (taken.cachedTokens > 0.0) {
+        double leastPending = taken.pendingPromptTokens;
+        for (const PlacementCandidate &candidate : this->candidates)
+            leastPending = std::min(leastPending, candidate.pendingPromptTokens);
+        placement.cachedTokens = clampTokens(taken.cachedTokens);
+        placement.acceptedWaitTokens = clampTokens(taken.pendingPromptTokens - leastPending);
+    }
     this->placed.emplace(request.name, entry);
     return placement;
 }
@@ -291,6 +342,24 @@
     return capacity;
 }
 
+EngineCondition ServerPool::engineCondition(const BackendServerName &server, Milliseconds now) const
+{
+    EngineCondition condition;
+    const auto serverIndex = this->findIndex(server);
+    if (!serverIndex)
+        return condition;
+    const ServerState &state = this->states[*serverIndex];
+    const LoadEstimate load = this->loadTracker.estimate(*serverIndex, now);
+    const double total = memoryTotal(state, load);
+    condition.speedRatio = this->speeds.ratio(*serverIndex);
+    condition.pendingPromptTokens =
+            static_cast<double>(state.ownPending) + load.peersPendingPromptTokens;
+    if (total > 0.0)
+        condition.memoryShare =
+                (static_cast<double>(state.ownReserved) + load.othersMemory) / total;
+    return condition;
+}
+
 std::size_t ServerPool::placedCount() const
 {
     return this->placed.size();
@@ -351,6 +420,7 @@
     this->indicesByName.emplace(server.name, serverIndex);
     this->loadTracker.addServer(serverIndex);
     this->paceMonitor.resetServer(serverIndex);
+    this->speeds.resetServer(serverIndex);
     return serverIndex;
 }
 
@@ -416,6 +486,7 @@
             members.push_back(std::move(member));
     }
     this->paceMonitor.setServers(members);
+    this->speeds.setServers(members);
 }
 
 std::optional<ServerIndex> ServerPool::findIndex(const BackendServerName &server) const
@@ -485,16 +556,22 @@
             && neededMemory >= model.refusedMemory;
 }
 
-void ServerPool::reserve(PlacedRequest &request, std::uint64_t prefix, Milliseconds now)
+void ServerPool::reserve(PlacedRequest &placedRequest, const WorkRequest &request, Milliseconds now)
 {
-    ServerState &state = this->states[request.serverIndex];
+    const ServerIndex serverIndex = placedRequest.serverIndex;
+    ServerState &state = this->states[serverIndex];
     ++state.ownRunning;
-    state.ownUsed += request.promptTokens;
-    state.ownPending += request.pendingPromptTokens;
-    this->updateReservation(request, now);
-    this->loadTracker.recordOwnLoad(request.serverIndex, state.ownRunning, state.ownUsed, now);
-    if (state.isEngine)
-        this->prefixIndex.recordUse(request.serverIndex, prefix, now);
+    state.ownUsed += placedRequest.promptTokens;
+    state.ownPending += placedRequest.pendingPromptTokens;
+    this->updateReservation(placedRequest, now);
+    this->loadTracker.recordOwnLoad(serverIndex, state.ownRunning, state.ownUsed, now);
+    if (!state.isEngine)
+        return;
+    this->cacheTurnover.recordPrompt(placedRequest.pendingPromptTokens, now);
+    if (request.prefixes.empty())
+        this->prefixIndex.recordUse(serverIndex, request.prefixDigest, now);
+    for (const PromptPrefix &prefix : request.prefixes)
+        this->prefixIndex.recordUse(serverIndex, prefix.digest, now);
 }
 
 std::uint32_t ServerPool::expectedOutput(const PlacedRequest &request, Milliseconds now) const
@@ -506,15 +583,40 @@
     return std::max(request.produced, std::min(expected, request.maximumTokens));
 }
 
-void ServerPool::markPrefixHolders(std::uint64_t prefix, Milliseconds now)
+void ServerPool::markPrefixHolders(const WorkRequest &request, Milliseconds now)
 {
     ++this->placementCount;
+    if (request.prefixes.empty())
+        this->markHolders(request.prefixDigest, 0, now);
+    // The longest beginning that a server holds comes last and counts.
+    for (const PromptPrefix &prefix : request.prefixes)
+        this->markHolders(prefix.digest, prefix.tokens, now);
+}
+
+void ServerPool::markHolders(std::uint64_t prefix, std::uint32_t tokens, Milliseconds now)
+{
     for (const PrefixIndex::Holder &holder : this->prefixIndex.holders(prefix)) {
-        if (this->prefixIndex.isFresh(holder, now))
-            this->states[holder.serverIndex].prefixHolderMark = this->placementCount;
+        if (!this->prefixIndex.isFresh(holder, now))
+            continue;
+        ServerState &state = this->states[holder.serverIndex];
+        state.prefixHolderMark = this->placementCount;
+        state.prefixTokens = tokens;
+        state.prefixStoredAt = holder.storedAt;
     }
 }
 
+/** Returns how much of the prompt an engine probably keeps, if it has the memory for that. */
+double ServerPool::cachedTokens(const ServerState &state, double freeTokens,
+                                std::size_t engineCount, Milliseconds now) const
+{
+    if (state.prefixHolderMark != this->placementCount || state.prefixTokens == 0)
+        return 0.0;
+    const bool isKept =
+            this->cacheTurnover.isKept(now - state.prefixStoredAt, freeTokens,
+                                       this->loadTracker.peerCount() + 1, engineCount, now);
+    return isKept ? state.prefixTokens : 0.0;
+}
+
 /**
  * Returns what a request asks of an engine. New runs that may have to move leave room for the moves
  * of others; short ones and those that can be started again free their memory soon.
@@ -522,7 +624,7 @@
 ServerPool::RoomNeeded ServerPool::roomNeeded(const ModelServers &model, const WorkRequest &request,
                                               double neededMemory, Milliseconds now)
 {
-    RoomNeeded room{neededMemory, 0.0, request.needsMoves};
+    RoomNeeded room{neededMemory, 0.0, request.needsMoves, model.indices.size()};
     const auto reserve = this->reserves.find(request.model);
     if (!request.needsMoves || !request.isPrefillNeeded || reserve == this->reserves.end())
         return room;
@@ -613,7 +715,12 @@
     candidate.pendingPromptTokens =
             static_cast<double>(state.ownPending) + load.peersPendingPromptTokens;
     candidate.ownRunning = state.ownRunning;
-    candidate.hasPrefix = state.prefixHolderMark == this->placementCount;
+    candidate.hasPrefix = state.prefixHolderMark == this->placementCount && state.prefixTokens == 0;
+    if (state.isEngine) {
+        candidate.cachedTokens =
+                this->cachedTokens(state, total - used - reservedMemory, room.engineCount, now);
+        candidate.speedRatio = this->speeds.ratio(serverIndex);
+    }
     candidate.paceRatio = this->paceMonitor.ratio(serverIndex);
     candidate.isSameDomain = state.isSameDomain;
 }
@@ -664,6 +771,7 @@
             elapsed / (tokens - request.paceSampleTokens),
             this->loadTracker.running(request.serverIndex, now), state.slots);
     this->paceMonitor.recordInterval(request.serverIndex, interval, now);
+    this->speeds.recordOwn(request.serverIndex, interval, now);
     request.paceSampleTokens = tokens;
     request.paceSampledAt = now;
 }
--- a/packages/policy/pool/serverpool.h
+++ b/packages/policy/pool/serverpool.h
@@ -2,18 +2,21 @@
 
 #include "policy/admission/departurereserve.h"
 #include "policy/length/lengthestimator.h"
+#include "policy/load/cacheturnover.h"
 #include "policy/load/loadtracker.h"
 #include "policy/load/prefixindex.h"
 #include "policy/pace/pacemonitor.h"
 #include "policy/placement/placementpolicy.h"
 #include "policy/servers/backendserver.h"
 #include "policy/servers/loadreport.h"
+#include "policy/speed/enginespeeds.h"
 #include "policy/work/workrequest.h"
 
 #include <array>
 #include <cstddef>
 #include <optional>
 #include <span>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -54,6 +57,10 @@
     BackendServerName server;
     /** The engine memory reserved for it, in tokens. */
     std::uint32_t reservedTokens = 0;
+    /** The tokens of its prompt that are probably cached there. */
+    std::uint32_t cachedTokens = 0;
+    /** Tokens of other prompts that it waits for beyond those at the least loaded candidate. */
+    std::uint32_t acceptedWaitTokens = 0;
 };
 
 /** The capacity of a pool for one model. */
@@ -65,6 +72,32 @@
     double freeSlots = 0.0;
 };
 
+/** What may slow the streams of an engine down. */
+struct EngineCondition
+{
+    /** The learned time per token relative to the median of the model; 1 if unknown. */
+    double speedRatio = 1.0;
+    /** Tokens of prompts that are not read yet. */
+    double pendingPromptTokens = 0.0;
+    /** The share of the memory that is in use or reserved, by the estimate. */
+    double memoryShare = 0.0;
+};
+
+/** What a pause of a stream inside its engine probably comes from. */
+enum class PauseCause : std::uint8_t {
+    /** The engine is slower than others of its model. */
+    SlowEngine,
+    /** The engine reads prompts of other requests between the tokens of the stream. */
+    Prompts,
+    /** Neither; the engine may have preempted the run for want of memory. */
+    Preemption,
+};
+
+/** Returns the name of a cause for logs and metrics. */
+std::string_view toString(PauseCause cause);
+/** Returns the likely cause of a pause on an engine in a condition. */
+PauseCause likelyPauseCause(const EngineCondition &condition);
+
 /** A backend server that is ejected or being probed because it is slow. */
 struct SlowServer
 {
@@ -125,6 +158,15 @@
     void recordCacheEvent(const CacheEvent &event, Milliseconds now);
     /** Records a peer's summary of its outstanding requests. */
     void recordPeerLoad(const PeerLoadDigest &digest, Milliseconds now);
+    /** Returns how fast this host found engines lately, to tell its peers. */
+    std::vector<EngineSpeed> ownSpeeds(Milliseconds now) const;
+    /**
+     * Records what a peer found; see EngineSpeeds::recordPeer(). Speeds of unknown engines are
+     * ignored.
+     *
+     * @return false if the speed is not believed.
+     */
+    bool recordPeerSpeed(const EngineSpeed &speed, Milliseconds now);
     /** Advances the time: expires peers' digests and checks for slow servers. Call it regularly. */
     void advance(Milliseconds now);
 
@@ -144,6 +186,8 @@
      */
     PoolCapacity capacity(const ModelName &model, const std::optional<SoftwareVersion> &version,
                           Milliseconds now) const;
+    /** Returns the condition of an engine; that of an unknown one is unremarkable. */
+    EngineCondition engineCondition(const BackendServerName &server, Milliseconds now) const;
     /** Returns the number of placed requests. */
     std::size_t placedCount() const;
     /** Returns the servers that are ejected or being probed, for logs and metrics. */
@@ -188,6 +232,9 @@
         std::uint64_t ownUsed = 0;
         std::uint64_t ownPending = 0;
         std::uint64_t prefixHolderMark = 0;
+        /** What the marked holder probably has of the prompt, and since when it was not used. */
+        std::uint32_t prefixTokens = 0;
+        Milliseconds prefixStoredAt{0};
         bool isConfigured = false;
         bool isEngine = false;
         bool isSameDomain = false;
@@ -213,6 +260,8 @@
         double reservedShare = 0.0;
         /** Whether engines are left out that refused work for want of room. */
         bool avoidsFull = false;
+        /** The number of engines of the model. */
+        std::size_t engineCount = 0;
     };
 
     /**
@@ -249,9 +298,12 @@
     void recordDeparture(ServerIndex serverIndex, Milliseconds now);
     void collectForRequest(const ModelServers &model, const WorkRequest &request,
                            const RoomNeeded &room, Milliseconds now);
-    void reserve(PlacedRequest &request, std::uint64_t prefix, Milliseconds now);
+    void reserve(PlacedRequest &placedRequest, const WorkRequest &request, Milliseconds now);
     std::uint32_t expectedOutput(const PlacedRequest &request, Milliseconds now) const;
-    void markPrefixHolders(std::uint64_t prefix, Milliseconds now);
+    void markPrefixHolders(const WorkRequest &request, Milliseconds now);
+    void markHolders(std::uint64_t prefix, std::uint32_t tokens, Milliseconds now);
+    double cachedTokens(const ServerState &state, double freeTokens, std::size_t engineCount,
+                        Milliseconds now) const;
     bool collectCandidates(std::span<const ServerIndex> indices, const WorkRequest &request,
                            const RoomNeeded &room, bool mayUseUntracked, bool isPaceLimited,
                            Milliseconds now);
@@ -266,6 +318,8 @@
     LoadTracker loadTracker;
     PrefixIndex prefixIndex;
     PaceMonitor paceMonitor;
+    EngineSpeeds speeds;
+    CacheTurnover cacheTurnover;
     std::vector<ServerState> states;
     std::vector<BackendServer> configurations;
     std::vector<ServerIndex> freeIndices;
--- a/packages/policy/work/decision.h
+++ b/packages/policy/work/decision.h
@@ -18,6 +18,10 @@
     std::uint32_t reservedTokens = 0;
     /** The priority to send to the engine; higher values are served first. */
     int enginePriority = 0;
+    /** See Placement::cachedTokens. */
+    std::uint32_t cachedTokens = 0;
+    /** See Placement::acceptedWaitTokens. */
+    std::uint32_t acceptedWaitTokens = 0;
 };
 
 /** Informs the caller that a request is refused; it has not run. */
--- a/packages/policy/work/workrequest.h
+++ b/packages/policy/work/workrequest.h
@@ -18,6 +18,18 @@
     High = 2,
 };
 
+/** The beginning of a prompt up to the end of a part that other requests may share. */
+struct PromptPrefix
+{
+    /** Identifies it; the same on all hosts. */
+    std::uint64_t digest = 0;
+    /** Its size in tokens. */
+    std::uint32_t tokens = 0;
+
+    /** Compares all fields. */
+    bool operator==(const PromptPrefix &) const = default;
+};
+
 /** Describes a request to the policy. */
 struct WorkRequest
 {
@@ -42,6 +54,11 @@
     bool isPrefillNeeded = true;
     /** A digest of the prompt's prefix, for prefix cache affinity; 0 for none. */
     std::uint64_t prefixDigest = 0;
+    /**
+     * The beginnings of the prompt that engines may have cached, shortest first. If there are any,
+     * placement weighs what they save instead of prefixDigest.
+     */
+    std::vector<PromptPrefix> prefixes;
     /** Identifies the request to the crash quarantine, see makeRequestDigest(); 0 for none. */
     std::uint64_t requestDigest = 0;
     /** Digests of the parts of the prompt that other requests may share. */
--- a/packages/protocol/messages/messagecodec.cpp
+++ b/packages/protocol/messages/messagecodec.cpp
@@ -175,6 +175,27 @@
           message.isUrgent);
 }
 
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &speed) requires
+        std::is_same_v<std::remove_cvref_t<decltype(speed)>, SpeedMessage>
+{
+    visit(speed.server, speed.millisecondsPerToken, speed.samples);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &message) requires
+        std::is_same_v<std::remove_cvref_t<decltype(message)>, SpeedUpdate>
+{
+    visit(message.sequence, message.speeds);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, auto &message) requires
+        std::is_same_v<std::remove_cvref_t<decltype(message)>, SpeedUpdateReply>
+{
+    visit(message.sequence);
+}
+
 template <typename Visitor>
 void visitFields(Visitor &visit, auto &message) requires
         std::is_same_v<std::remove_cvref_t<decltype(message)>, CallLimitUpdate>
--- a/packages/protocol/messages/peermessage.h
+++ b/packages/protocol/messages/peermessage.h
@@ -502,6 +502,39 @@
     bool operator==(const ColdPermitRequest &) const = default;
 };
 
+/** How fast the sending host found an engine. */
+struct SpeedMessage
+{
+    /** The engine. */
+    std::string server;
+    /** The time per token of one stream without the effect of the batch, in milliseconds. */
+    double millisecondsPerToken = 0.0;
+    /** How many recent measurements it is the mean of. */
+    double samples = 0.0;
+
+    /** Compares all fields. */
+    bool operator==(const SpeedMessage &) const = default;
+};
+
+/** Tells a peer how fast the sending host found engines lately. */
+struct SpeedUpdate
+{
+    /** Matches the reply. */
+    std::uint64_t sequence = 0;
+    /** The engines; limited in number. */
+    std::vector<SpeedMessage> speeds;
+
+    /** Compares all fields. */
+    bool operator==(const SpeedUpdate &) const = default;
+};
+
+/** Confirms a SpeedUpdate. */
+struct SpeedUpdateReply
+{
+    /** The update's sequence. */
+    std::uint64_t sequence = 0;
+};
+
 /** Any message between entry hosts. */
 using PeerMessage =
         std::variant<Probe, ProbeReply, IndirectProbe, IndirectProbeReply, ConfigurationPull,
@@ -509,6 +542,6 @@
                      ObjectReadReply, CallPermitRequest, CallPermitReply, CallLimitUpdate,
                      RunVersionUpdate, RunVersionUpdateReply, RunVersionRequest, RunVersionReply,
                      ServiceContactRequest, ServiceContactReply, PlacePermitRequest,
-                     ColdPermitRequest>;
+                     ColdPermitRequest, SpeedUpdate, SpeedUpdateReply>;
 
 } // namespace sassafrasyard
