--- a/packages/gateway/relay/streamending.cpp
+++ b/packages/gateway/relay/streamending.cpp
@@ -2,6 +2,9 @@
 
 #include "observability/observability.h"
 
+#include <cmath>
+#include <string>
+
 namespace sassafrasyard {
 
 namespace {
--- a/packages/protocol/tests/test_messagecodec.cpp
+++ b/packages/protocol/tests/test_messagecodec.cpp
@@ -226,3 +226,13 @@
     REQUIRE(decoded);
     REQUIRE(std::get<ColdPermitRequest>(*decoded) == request);
 }
+
+// Guards against a lost field of the speeds that hosts tell each other.
+TEST_CASE("An update of speeds is decoded as it was encoded", "[codec]")
+{
+    const SpeedUpdate update{3, {{"engine-1", 7.25, 4.0}, {"engine-2", 17.0, 1.5}}};
+    Error reason;
+    const auto decoded = decodeMessage(encodeMessage(update), reason);
+    REQUIRE(decoded);
+    REQUIRE(std::get<SpeedUpdate>(*decoded) == update);
+}
