Let the limit of a cold server begin with its burst

Cause: the granter of a server that turns cold permitted as little as one that takes over from another host.

Change: a timed limit that all hosts learn of at once starts with a full burst and the whole share.

--- a/packages/gateway/relay/gatewayservice.cpp
+++ b/packages/gateway/relay/gatewayservice.cpp
@@ -354,7 +354,7 @@
         return false;
     }
     call.work.account = account->name;
-    call.rank = account->rank.value_or(call.route->rank);
+    call.work.priority = toPriority(account->rank.value_or(call.route->rank));
     return true;
 }
 
@@ -362,8 +362,7 @@
 {
     WorkRequest &work = call.work;
     if (call.work.account.isEmpty())
-        call.rank = call.route->rank;
-    work.priority = toPriority(call.rank);
+        work.priority = toPriority(call.route->rank);
     work.name = this->dependencies.dispatch.nextRequestName();
     work.model = ModelName(call.service->name);
     work.promptTokens = call.metadata.promptTokens;
--- a/packages/gateway/relay/routedcall.h
+++ b/packages/gateway/relay/routedcall.h
@@ -37,8 +37,6 @@
     const Service *service = nullptr;
     /** The description of the call for the dispatcher, named after the first attempt. */
     WorkRequest work;
-    /** The priority rank of the account or the route; 0 is the most urgent. */
-    int rank = 0;
     /** When the request was complete, on the clock that counts suspension. */
     Milliseconds receivedAt{0};
     /** When the final response is due, on the same clock. */
--- a/packages/gateway/routes/routetable.cpp
+++ b/packages/gateway/routes/routetable.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cassert>
 #include <cctype>
-#include <optional>
 
 namespace sassafrasyard {
 
@@ -27,14 +26,6 @@
         const Route &route = this->routes[position];
         this->index[normalizeHost(route.host)][route.pathPrefix] = position;
     }
-    std::optional<int> streamRank;
-    for (const Route &route : this->routes) {
-        if (route.kind != CallKind::Stream)
-            continue;
-        this->streamRanksDiffer =
-                this->streamRanksDiffer || route.rank != streamRank.value_or(route.rank);
-        streamRank = route.rank;
-    }
 }
 
 const Route *RouteTable::find(std::string_view host, std::string_view path) const
@@ -60,11 +51,6 @@
     return longest;
 }
 
-bool RouteTable::hasSeveralStreamRanks() const
-{
-    return this->streamRanksDiffer;
-}
-
 std::size_t RouteTable::size() const
 {
     return this->routes.size();
--- a/packages/gateway/routes/routetable.h
+++ b/packages/gateway/routes/routetable.h
@@ -31,14 +31,11 @@
 
     /** Returns the longest duration of a call on any route, in milliseconds; 0 without routes. */
     Milliseconds longestTimeout() const;
-    /** Returns whether the routes of streams differ in their priority ranks. */
-    bool hasSeveralStreamRanks() const;
     /** Returns the number of routes. */
     std::size_t size() const;
 
 private:
     std::vector<Route> routes;
-    bool streamRanksDiffer = false;
     /** Indices into routes by host, then by prefix. */
     std::map<std::string, std::map<std::string, std::size_t, std::less<>>, std::less<>> index;
 };
--- a/packages/gateway/state/servingconfiguration.cpp
+++ b/packages/gateway/state/servingconfiguration.cpp
@@ -8,11 +8,6 @@
     return known == this->accountsByKeyDigest.end() ? nullptr : &this->accounts[known->second];
 }
 
-bool ServingConfiguration::hasSeveralRanks() const
-{
-    return this->hasRankedAccounts || this->routes.hasSeveralStreamRanks();
-}
-
 const Service *ServingConfiguration::findService(std::string_view name) const
 {
     const auto known = this->services.find(name);
--- a/packages/gateway/state/servingconfiguration.h
+++ b/packages/gateway/state/servingconfiguration.h
@@ -26,13 +26,9 @@
     std::map<std::string, std::size_t, std::less<>> accountsByKeyDigest;
     /** Limits on the requests of callers. */
     CallerLimits limits;
-    /** Whether an account has a priority rank of its own. */
-    bool hasRankedAccounts = false;
 
     /** Returns the account of a bearer key, or null. @param keyDigest see sha256Hex(). */
     const RoutedAccount *findByKeyDigest(std::string_view keyDigest) const;
-    /** Returns whether streams may differ in their priority ranks. */
-    bool hasSeveralRanks() const;
     /** Returns a service, or null. */
     const Service *findService(std::string_view name) const;
 };
--- a/packages/policy/admission/engineurgency.cpp
+++ b/packages/policy/admission/engineurgency.cpp
@@ -1,23 +1,17 @@
 #include "policy/admission/engineurgency.h"
 
-#include <algorithm>
-
 namespace sassafrasyard {
 
 namespace {
 
-constexpr int urgencyInProgress = 1;
-constexpr int firstNewUrgency = 3;
-constexpr int leastUrgency = 9;
+/** The default of engines is 5. */
+constexpr std::uint8_t urgencyInProgress = 3;
 
 } // namespace
 
-std::uint8_t engineUrgency(int rank, bool isInProgress)
+std::optional<std::uint8_t> engineUrgency(bool isInProgress)
 {
-    if (isInProgress)
-        return urgencyInProgress;
-    const int bounded = std::clamp(rank, 0, leastUrgency - firstNewUrgency);
-    return static_cast<std::uint8_t>(firstNewUrgency + bounded);
+    return isInProgress ? std::optional(urgencyInProgress) : std::nullopt;
 }
 
 } // namespace sassafrasyard
--- a/packages/policy/admission/engineurgency.h
+++ b/packages/policy/admission/engineurgency.h
@@ -1,19 +1,21 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 namespace sassafrasyard {
 
 /**
- * Returns the urgency of a request for its engine, where 0 is admitted first and preempted last.
+ * Returns the urgency of a request for its engine, where 0 is admitted first and preempted last, or
+ * nothing for the default of engines.
  *
  * Answers the load of an engine that has more requests than memory. A run in progress comes before
- * all new ones, because preempting it delays a stream that its caller is reading. New ones follow
- * in the order of their ranks.
+ * all new ones, because preempting it delays a stream that its caller is reading. New ones have the
+ * default whatever their ranks: a more urgent new request would preempt streams in progress at its
+ * engine, which costs their callers more than it gains. Hosts apply the ranks before they send.
  *
- * @param rank the priority rank of the request; 0 is the most urgent.
  * @param isInProgress whether the caller has received events of the stream.
  */
-std::uint8_t engineUrgency(int rank, bool isInProgress);
+std::optional<std::uint8_t> engineUrgency(bool isInProgress);
 
 } // namespace sassafrasyard
--- a/packages/policy/limits/callallowance.cpp
+++ b/packages/policy/limits/callallowance.cpp
@@ -33,6 +33,11 @@
     this->available = std::min(this->available, this->burst);
 }
 
+void CallAllowance::fill()
+{
+    this->available = this->burst;
+}
+
 bool CallAllowance::tryTake(bool isUrgent, Milliseconds now)
 {
     this->refill(now);
--- a/packages/policy/limits/sharedcalllimits.cpp
+++ b/packages/policy/limits/sharedcalllimits.cpp
@@ -49,6 +49,8 @@
     }
     if (wasKnown != (until > now))
         this->updateGrants(now);
+    if (!wasKnown && until > now)
+        this->beginTimedGrant(run, now);
 }
 
 void SharedCallLimits::removeExpired(Milliseconds now)
@@ -104,10 +106,12 @@
         return {false, wrongGranterPause};
     Grants &granted = own->second;
     const double visible = this->hosts.visibleShare();
-    const bool isNew = now - granted.since < takeoverTime;
+    const bool isNew = !granted.isNewLimit && now - granted.since < takeoverTime;
     const double share = isNew ? std::min(visible, takeoverShare) : visible;
     const double rate = std::max(*limit, minimumRate) * share;
     granted.allowance.setRate(rate, reservedCalls * share, now);
+    if (std::exchange(granted.isUnused, false) && granted.isNewLimit)
+        granted.allowance.fill();
     if (granted.allowance.tryTake(isUrgent, now)) {
         granted.denials = 0;
         return {true, granted.allowance.timeUntilNext(now)};
@@ -175,6 +179,21 @@
         this->grants.erase(run);
 }
 
+/**
+ * Begins this host's grants for a limit that all hosts learn of at the same time. Unlike those of a
+ * host that takes over, they need not allow for calls that another host has permitted.
+ */
+void SharedCallLimits::beginTimedGrant(const BackendServerName &run, Milliseconds now)
+{
+    if (this->limits.limit(run))
+        return;
+    const auto granted = this->grants.find(run);
+    if (granted == this->grants.end())
+        return;
+    granted->second = Grants{now, CallAllowance(now)};
+    granted->second.isNewLimit = true;
+}
+
 /** Returns how much longer than until the next call a host waits, because others wait for that. */
 Milliseconds SharedCallLimits::contentionPause(const Grants &granted, double rate) const
 {
--- a/packages/policy/limits/sharedcalllimits.h
+++ b/packages/policy/limits/sharedcalllimits.h
@@ -117,12 +117,17 @@
     {
         Milliseconds since{0};
         CallAllowance allowance;
+        /** Whether the limit is new on all hosts, so that none had another granter before. */
+        bool isNewLimit = false;
+        /** Whether no call was asked for yet. */
+        bool isUnused = true;
         /** Asks that were denied since the last grant. */
         std::uint32_t denials = 0;
     };
 
     void updateGrants(Milliseconds now);
     void updateGrant(const BackendServerName &run, Milliseconds now);
+    void beginTimedGrant(const BackendServerName &run, Milliseconds now);
     Milliseconds contentionPause(const Grants &granted, double rate) const;
 
     CallLimitStatements limits;
