--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -90,13 +90,20 @@
     return options;
 }
 
-/** A watch confirms its content only at its end, so it must end well within the time to apply. */
+/**
+ * Evacuations are rare, so they cost the store few calls: a watch returns at once if there is news,
+ * and otherwise ends well within the time to apply, in case its connection has gone silent.
+ */
 ObjectFollowerOptions evacuationFollowerOptions(const PlatformSettings &settings)
 {
-    ServingBounds bounds = settings.serving;
-    bounds.maximumApplyTime = settings.evacuationTime.value_or(bounds.maximumApplyTime);
-    bounds.maximumKeyAge = bounds.maximumApplyTime;
-    return ObjectFollowerOptions::within(bounds, settings.drainTimeout);
+    constexpr int retryFactor = 2;
+    constexpr int timesPerCheck = 2;
+    const Milliseconds time = settings.evacuationTime.value_or(settings.drainTimeout);
+    ObjectFollowerOptions options;
+    options.watchWait = time * 9 / 20;
+    options.resyncInterval = time * timesPerCheck;
+    options.longestRetryDelay = retryFactor * options.longestRetryDelay;
+    return options;
 }
 
 ObjectFollowerOptions hostFollowerOptions()
