--- a/packages/gateway/calls/callcodec.h
+++ b/packages/gateway/calls/callcodec.h
@@ -76,8 +76,6 @@
      * The address of the server to which the run's memory is copied as it grows; empty for none.
      */
     std::string backupAddress;
-    /** How urgent the call is for an engine, from 0 (first) to 9; nothing if that is not stated. */
-    std::optional<std::uint8_t> urgency;
 };
 
 /** The decoded header of a backend server's response. */
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -638,8 +638,6 @@
     order.account = this->call.work.account;
     order.lastEvent = this->lastEvent;
     order.source = at.source;
-    if (this->needsCopy() && this->canAskEngine())
-        order.urgency = engineUrgency(this->eventCount > 0);
     order.isReturn = at.isReturn;
     order.softwareVersion = this->call.work.softwareVersion;
     if (!order.softwareVersion)
--- a/packages/policy/policy.h
+++ b/packages/policy/policy.h
@@ -13,7 +13,6 @@
 #include "policy/admission/costestimator.h"
 #include "policy/admission/departurereserve.h"
 #include "policy/admission/drainrate.h"
-#include "policy/admission/engineurgency.h"
 #include "policy/admission/groupload.h"
 #include "policy/admission/sharedlimit.h"
 #include "policy/admission/waitprediction.h"
