Correct what the review of the new parts found

An evacuation that a restored store lacks ended by the clock, now only by a read after that time. Old measurements of speed were sent again as new. Each pause of an engine discarded its speed. A host that had just started granted the full rate of a cold server beside the former granter, and the own shares of hosts released their first calls together. A caller's size of a prompt part was believed beyond its prompt.

--- a/apps/daemon/platformdaemon.cpp
+++ b/apps/daemon/platformdaemon.cpp
@@ -96,9 +96,11 @@
  */
 ObjectFollowerOptions evacuationFollowerOptions(const PlatformSettings &settings)
 {
+    // For settings that name no time yet; they may be reloaded.
+    constexpr Milliseconds usualTime{5000};
     constexpr int retryFactor = 2;
     constexpr int timesPerCheck = 2;
-    const Milliseconds time = settings.evacuationTime.value_or(settings.drainTimeout);
+    const Milliseconds time = settings.evacuationTime.value_or(usualTime);
     ObjectFollowerOptions options;
     options.watchWait = time * 9 / 20;
     options.resyncInterval = time * timesPerCheck;
@@ -675,7 +677,8 @@
     if (!this->settings.evacuationTime || std::exchange(this->followsEvacuations, true))
         return;
     this->mirrors.add(std::string(objectkind::evacuations), this->evacuationFollower.mirror());
-    this->serving.setEvacuationsRequired(true);
+    // A host that serves already goes on until it has read them.
+    this->serving.setEvacuationsRequired(!this->isReady);
     this->evacuationFollower.start(this->context);
 }
 
@@ -687,7 +690,7 @@
         if (auto domain = this->readEvacuation(object))
             domains.push_back(std::move(*domain));
     }
-    this->evacuations.applyList(domains, requestedAt, this->clock.now());
+    this->evacuations.applyList(domains, requestedAt);
     this->serving.confirmEvacuations();
 }
 
--- a/packages/gateway/evacuations/evacuations.cpp
+++ b/packages/gateway/evacuations/evacuations.cpp
@@ -22,10 +22,10 @@
 }
 
 void Evacuations::applyList(std::span<const FailureDomainName> listedDomains,
-                            Milliseconds requestedAt, Milliseconds now)
+                            Milliseconds requestedAt)
 {
     const std::set<FailureDomainName> listed(listedDomains.begin(), listedDomains.end());
-    const bool mayLackEntries = this->restoredUntil && now < *this->restoredUntil;
+    const bool mayLackEntries = this->restoredUntil && requestedAt < *this->restoredUntil;
     bool hasChanged = false;
     for (const FailureDomainName &domain : listed) {
         this->unconfirmedUntil.erase(domain);
@@ -35,7 +35,7 @@
         if (listed.contains(known.first))
             return false;
         if (mayLackEntries) {
-            this->unconfirmedUntil.emplace(known.first, *this->restoredUntil);
+            this->unconfirmedUntil.insert_or_assign(known.first, *this->restoredUntil);
             return false;
         }
         this->unconfirmedUntil.erase(known.first);
@@ -79,7 +79,9 @@
 {
     bool hasChanged = false;
     std::erase_if(this->unconfirmedUntil, [&](const auto &unconfirmed) {
-        if (now < unconfirmed.second)
+        // Only a read after that time shows that the operators have not written it again.
+        const bool isConfirmed = this->confirmedAt && *this->confirmedAt >= unconfirmed.second;
+        if (now < unconfirmed.second || !isConfirmed)
             return false;
         hasChanged = this->domains.erase(unconfirmed.first) > 0 || hasChanged;
         return true;
--- a/packages/gateway/evacuations/evacuations.h
+++ b/packages/gateway/evacuations/evacuations.h
@@ -49,8 +49,7 @@
     void setApplyTime(Milliseconds time);
 
     /** Replaces the evacuations by a complete list as of the instant at which it was requested. */
-    void applyList(std::span<const FailureDomainName> domains, Milliseconds requestedAt,
-                   Milliseconds now);
+    void applyList(std::span<const FailureDomainName> domains, Milliseconds requestedAt);
     /**
      * Adds an evacuation.
      *
--- a/packages/gateway/relay/callplacement.cpp
+++ b/packages/gateway/relay/callplacement.cpp
@@ -114,6 +114,12 @@
             refusal = stoppingError();
             co_return std::nullopt;
         }
+        if (dependencies.servers.isServiceEvacuated(call.service->name)) {
+            refusal = {ErrorCode::NoBackendServer, RunState::NotRun,
+                       "all backend servers of the service are in evacuated failure domains",
+                       addJitter(evacuatedRetryAfter, call)};
+            co_return std::nullopt;
+        }
         if (isVersionGone(dependencies, call, work)) {
             refusal = {ErrorCode::NoBackendServer,
                        RunState::NotRun,
@@ -121,12 +127,6 @@
                        {}};
             co_return std::nullopt;
         }
-        if (dependencies.servers.isServiceEvacuated(call.service->name)) {
-            refusal = {ErrorCode::NoBackendServer, RunState::NotRun,
-                       "all backend servers of the service are in evacuated failure domains",
-                       addJitter(evacuatedRetryAfter, call)};
-            co_return std::nullopt;
-        }
         if (const auto pause = remainingServicePause(dependencies, call, work.softwareVersion)) {
             refusal = overloadedError("no backend server of the service takes calls at present");
             refusal.retryAfter = addJitter(*pause, call);
--- a/packages/gateway/relay/gatewayservice.cpp
+++ b/packages/gateway/relay/gatewayservice.cpp
@@ -29,8 +29,6 @@
 constexpr std::size_t relayHeaderBytes = 256;
 /** The part of the memory for the bodies of requests that relayed calls may take, in bytes. */
 constexpr std::size_t relayedBodyBytes = 3U << 20U;
-/** The other half of a stream's target is left for its prompt and one more attempt. */
-constexpr int waitShareOfTarget = 2;
 /** Connections fail for about this time before a service is known to be unreached. */
 constexpr Milliseconds noticeTime{1000};
 
@@ -378,8 +376,6 @@
     const bool isEngineStream = call.route->kind == CallKind::Stream && call.service->engine;
     work.needsMoves =
             isEngineStream && call.service->engine->supportsMoves && !call.route->isResumable;
-    if (isEngineStream)
-        work.maximumWait = call.route->targetLatency / waitShareOfTarget;
     work.isIdempotent = call.route->kind == CallKind::Idempotent || call.route->isResumable;
     // The query is left out because a caller may change it when it repeats a call.
     work.requestDigest =
--- a/packages/gateway/servers/servercatalogue.cpp
+++ b/packages/gateway/servers/servercatalogue.cpp
@@ -377,7 +377,11 @@
     } else if (!this->copiedUntil || hasRestarted) {
         known.coldUntil.reset();
     }
-    return known.coldUntil != before;
+    if (!known.coldUntil || !before)
+        return known.coldUntil != before;
+    // Each entry states the time that is left, so the end moves by the delays of the reads.
+    constexpr Milliseconds tolerance{250};
+    return std::max(*known.coldUntil, *before) - std::min(*known.coldUntil, *before) > tolerance;
 }
 
 /** Lets a server process stay leaving, whatever its entry says. */
--- a/packages/policy/admission/admissionqueue.cpp
+++ b/packages/policy/admission/admissionqueue.cpp
@@ -69,12 +69,7 @@
         result.displaced = this->remove(evicted->request.name);
     }
     Entry &entry = this->entries[request.name];
-    entry = {request,
-             now + this->permittedWait(request),
-             ++this->lastSequence,
-             cost,
-             &this->groups[group],
-             this->levelOf(request),
+    entry = {request, now, ++this->lastSequence, cost, &this->groups[group], this->levelOf(request),
              &account};
     this->enqueue(entry);
     result.isQueued = true;
@@ -185,16 +180,11 @@
     return longest == nullptr ? nullptr : &longest->entries.rbegin()->second->request;
 }
 
-Milliseconds AdmissionQueue::permittedWait(const WorkRequest &request) const
+const WorkRequest *AdmissionQueue::oldestBefore(Milliseconds instant) const
 {
-    return request.maximumWait.value_or(this->options.maximumWait);
-}
-
-const WorkRequest *AdmissionQueue::firstExpired(Milliseconds now) const
-{
-    if (this->byExpiry.empty() || this->byExpiry.begin()->first.first > now)
+    if (this->byArrival.empty() || this->byArrival.begin()->second->submittedAt >= instant)
         return nullptr;
-    return &this->byExpiry.begin()->second->request;
+    return &this->byArrival.begin()->second->request;
 }
 
 std::vector<QueueGroup> AdmissionQueue::waitingGroups() const
@@ -291,7 +281,7 @@
     entry.group->byPriority.emplace(key, &entry);
     account.waiting.emplace(key, &entry);
     this->updateWeightedLength(account, account.waiting.size() - 1);
-    this->byExpiry.emplace(std::pair(entry.expiresAt, entry.sequence), &entry);
+    this->byArrival.emplace(entry.sequence, &entry);
 }
 
 void AdmissionQueue::dequeue(Entry &entry)
@@ -314,7 +304,7 @@
     entry.group->byPriority.erase(key);
     account.waiting.erase(key);
     this->updateWeightedLength(account, account.waiting.size() + 1);
-    this->byExpiry.erase(std::pair(entry.expiresAt, entry.sequence));
+    this->byArrival.erase(entry.sequence);
 }
 
 void AdmissionQueue::setHead(Group &group, Level &level, Flow &flow, const Account &account)
--- a/packages/policy/admission/admissionqueue.h
+++ b/packages/policy/admission/admissionqueue.h
@@ -22,8 +22,6 @@
     std::size_t accountQueueLimit = 500;
     /** A request counts as short if its maximumTokens is set and not above this, in tokens. */
     std::uint32_t shortTokens = 256;
-    /** How long a request may wait that states no time of its own, in milliseconds. */
-    Milliseconds maximumWait{550};
 };
 
 /** Identifies requests that the same servers can run. Groups are queued independently. */
@@ -115,10 +113,8 @@
      * account with the longest queue relative to its weight.
      */
     const WorkRequest *firstToShed(const QueueGroup &group, std::size_t level) const;
-    /** Returns how long a request may wait, in milliseconds. */
-    Milliseconds permittedWait(const WorkRequest &request) const;
-    /** Returns a request that has waited as long as it may at an instant, or null. */
-    const WorkRequest *firstExpired(Milliseconds now) const;
+    /** Returns the longest waiting request if it was pushed before the given instant, or null. */
+    const WorkRequest *oldestBefore(Milliseconds instant) const;
     /** Returns the groups that have waiting requests. */
     std::vector<QueueGroup> waitingGroups() const;
     /** Returns the number of waiting requests in a group. */
@@ -170,7 +166,7 @@
     struct Entry
     {
         WorkRequest request;
-        Milliseconds expiresAt{0};
+        Milliseconds submittedAt{0};
         std::uint64_t sequence = 0;
         double cost = 0.0;
         Group *group = nullptr;
@@ -190,8 +186,7 @@
     std::unordered_map<ClientAccountName, Account> accounts;
     std::map<QueueGroup, Group> groups;
     std::unordered_map<RequestName, Entry> entries;
-    /** By expiry and sequence. */
-    std::map<std::pair<Milliseconds, std::uint64_t>, Entry *> byExpiry;
+    std::map<std::uint64_t, Entry *> byArrival;
     std::map<std::pair<double, std::uint64_t>, const Account *> byWeightedLength;
     std::uint64_t lastSequence = 0;
 };
--- a/packages/policy/admission/groupload.cpp
+++ b/packages/policy/admission/groupload.cpp
@@ -45,47 +45,42 @@
 }
 
 bool GroupLoad::isWaitTooLong(std::size_t level, const QueuePosition &position, std::size_t running,
-                              Milliseconds now, std::optional<Milliseconds> stated)
+                              Milliseconds now)
 {
-    const Milliseconds permitted = stated.value_or(this->permittedWait);
     // The placements reserved for each level limit the delay that higher levels can cause.
     const double roundRobinBound = AdmissionQueue::roundRobinCycle * (position.inLevel + 1.0) - 1.0;
     const double ahead = std::min(position.inHigherLevels + position.inLevel, roundRobinBound);
-    if (this->predictGroup(running, now, permitted).isWaitTooLong(ahead))
+    if (this->predictGroup(running, now).isWaitTooLong(ahead))
         return true;
     // The first request of a level may always wait, so that an increase of the level's rate is
     // noticed.
-    return position.inLevel > 0.0
-            && this->predictLevel(level, now, permitted).isWaitTooLong(position.inLevel);
+    return position.inLevel > 0.0 && this->predictLevel(level, now).isWaitTooLong(position.inLevel);
 }
 
 bool GroupLoad::isBacklogTooLong(std::size_t level, const LevelSizes &waiting, std::size_t running,
-                                 Milliseconds now, std::optional<Milliseconds> stated)
+                                 Milliseconds now)
 {
-    const Milliseconds permitted = stated.value_or(this->permittedWait);
     // One request of a level may remain to use the placements that the queue reserves for the
     // level.
     return (waiting[level] > 1
-            && this->predictGroup(running, now, permitted).isBacklogTooLong(totalOf(waiting)))
-            || this->predictLevel(level, now, permitted).isBacklogTooLong(waiting[level]);
+            && this->predictGroup(running, now).isBacklogTooLong(totalOf(waiting)))
+            || this->predictLevel(level, now).isBacklogTooLong(waiting[level]);
 }
 
 Milliseconds GroupLoad::retryAfter(const LevelSizes &waiting, std::size_t running,
                                    std::uint64_t jitterSeed, Milliseconds now)
 {
-    return this->predictGroup(running, now, this->permittedWait)
-            .retryAfter(totalOf(waiting), jitterSeed);
+    return this->predictGroup(running, now).retryAfter(totalOf(waiting), jitterSeed);
 }
 
-WaitPrediction GroupLoad::predictGroup(std::size_t running, Milliseconds now,
-                                       Milliseconds permitted)
+WaitPrediction GroupLoad::predictGroup(std::size_t running, Milliseconds now)
 {
-    return {this->group.perSecond(running, now), permitted};
+    return {this->group.perSecond(running, now), this->permittedWait};
 }
 
-WaitPrediction GroupLoad::predictLevel(std::size_t level, Milliseconds now, Milliseconds permitted)
+WaitPrediction GroupLoad::predictLevel(std::size_t level, Milliseconds now)
 {
-    return {this->levels[level].perSecond(0, now), permitted};
+    return {this->levels[level].perSecond(0, now), this->permittedWait};
 }
 
 } // namespace sassafrasyard
--- a/packages/policy/admission/groupload.h
+++ b/packages/policy/admission/groupload.h
@@ -5,7 +5,6 @@
 #include "policy/admission/waitprediction.h"
 
 #include <array>
-#include <optional>
 
 namespace sassafrasyard {
 
@@ -19,11 +18,7 @@
     /** The number of waiting requests in each level. */
     using LevelSizes = AdmissionQueue::LevelSizes;
 
-    /**
-     * Creates a load without history.
-     *
-     * @param permittedWait the maximum wait where none is stated, in milliseconds.
-     */
+    /** Creates a load without history. @param permittedWait the maximum wait, in milliseconds. */
     explicit GroupLoad(Milliseconds permittedWait);
 
     /** Records a placement from a level. @param waiting the waiting requests after it. */
@@ -32,28 +27,19 @@
     void recordWaiting(const LevelSizes &waiting, Milliseconds now);
     /** Records the end of a request that held its slot for the given time, in milliseconds. */
     void recordFinished(Milliseconds holdTime);
-    /**
-     * Returns whether a request would wait too long.
-     *
-     * @param running requests that hold a slot.
-     * @param stated how long the request may wait, in milliseconds; nothing for the maximum wait.
-     */
+    /** Returns whether a request would wait too long. @param running requests that hold a slot. */
     bool isWaitTooLong(std::size_t level, const QueuePosition &position, std::size_t running,
-                       Milliseconds now, std::optional<Milliseconds> stated = {});
-    /**
-     * Returns whether the backlog of a level, or of the whole group, can't be served in time.
-     *
-     * @param stated how long the last request of the level may wait, as above.
-     */
+                       Milliseconds now);
+    /** Returns whether the backlog of a level, or of the whole group, can't be served in time. */
     bool isBacklogTooLong(std::size_t level, const LevelSizes &waiting, std::size_t running,
-                          Milliseconds now, std::optional<Milliseconds> stated = {});
+                          Milliseconds now);
     /** Returns when a refused caller should retry; see WaitPrediction::retryAfter(). */
     Milliseconds retryAfter(const LevelSizes &waiting, std::size_t running,
                             std::uint64_t jitterSeed, Milliseconds now);
 
 private:
-    WaitPrediction predictGroup(std::size_t running, Milliseconds now, Milliseconds permitted);
-    WaitPrediction predictLevel(std::size_t level, Milliseconds now, Milliseconds permitted);
+    WaitPrediction predictGroup(std::size_t running, Milliseconds now);
+    WaitPrediction predictLevel(std::size_t level, Milliseconds now);
 
     Milliseconds permittedWait;
     DrainRate group;
--- a/packages/policy/dispatch/dispatcher.cpp
+++ b/packages/policy/dispatch/dispatcher.cpp
@@ -37,8 +37,7 @@
                 return this->choose(policy, request, candidates);
             },
             this->options.seed})
-    , queue({this->options.queueLimit, this->options.accountQueueLimit, this->options.shortTokens,
-             this->options.maximumWait})
+    , queue({this->options.queueLimit, this->options.accountQueueLimit, this->options.shortTokens})
     , suspension(this->options.suspension)
     , retries(this->options.retries)
     , quarantine({.seed = this->options.seed ^ std::hash<HostName>()(this->options.host)})
@@ -472,13 +471,14 @@
 
 void Dispatcher::refuseExpired(Milliseconds now)
 {
-    while (const WorkRequest *expired = this->queue.firstExpired(now)) {
+    const Milliseconds earliestSubmission = now - this->options.maximumWait + Milliseconds(1);
+    while (const WorkRequest *oldest = this->queue.oldestBefore(earliestSubmission)) {
         const bool hasServer =
-                this->pool.capacity(expired->model, expired->softwareVersion, now).totalSlots > 0;
-        Group &group = this->groupFor(*expired, now);
+                this->pool.capacity(oldest->model, oldest->softwareVersion, now).totalSlots > 0;
+        Group &group = this->groupFor(*oldest, now);
         const Milliseconds retryAfter =
                 hasServer ? this->retryAfter(group, now) : noServerRetryAfter;
-        this->refuseWaiting(expired->name,
+        this->refuseWaiting(oldest->name,
                             hasServer ? ErrorCode::Overloaded : ErrorCode::NoBackendServer,
                             retryAfter);
     }
@@ -489,8 +489,7 @@
     for (std::size_t level = AdmissionQueue::levelCount; level-- > 0;) {
         while (const WorkRequest *firstToShed = this->queue.firstToShed(group.key, level)) {
             const auto waiting = this->queue.levelSizes(group.key);
-            if (!group.load.isBacklogTooLong(level, waiting, group.running, now,
-                                             firstToShed->maximumWait)
+            if (!group.load.isBacklogTooLong(level, waiting, group.running, now)
                 || this->pool.capacity(group.key.model, group.key.softwareVersion, now).totalSlots
                         == 0)
                 break;
@@ -549,7 +548,7 @@
 bool Dispatcher::isWaitTooLong(Group &group, const WorkRequest &request, std::size_t level,
                                const QueuePosition &position, Milliseconds now)
 {
-    return group.load.isWaitTooLong(level, position, group.running, now, request.maximumWait)
+    return group.load.isWaitTooLong(level, position, group.running, now)
             && this->pool.capacity(request.model, request.softwareVersion, now).totalSlots > 0;
 }
 
--- a/packages/policy/dispatch/dispatcher.h
+++ b/packages/policy/dispatch/dispatcher.h
@@ -43,9 +43,8 @@
     /** The maximum number of requests of one client account waiting on this host. */
     std::size_t accountQueueLimit = 500;
     /**
-     * The time after which a waiting request is refused that states no WorkRequest::maximumWait, in
-     * milliseconds. Half of the target of 1.1 s for the first token is left for the network, prompt
-     * processing and one retry.
+     * The time after which a waiting request is refused, in milliseconds. Half of the target of
+     * 1.1 s for the first token is left for the network, prompt processing and one retry.
      */
     Milliseconds maximumWait{550};
     /** A request counts as short if its maximumTokens is set and not above this, in tokens. */
--- a/packages/policy/limits/callallowance.cpp
+++ b/packages/policy/limits/callallowance.cpp
@@ -33,9 +33,9 @@
     this->available = std::min(this->available, this->burst);
 }
 
-void CallAllowance::fill()
+void CallAllowance::fill(double share)
 {
-    this->available = this->burst;
+    this->available = share * this->burst;
 }
 
 bool CallAllowance::tryTake(bool isUrgent, Milliseconds now)
--- a/packages/policy/limits/callallowance.h
+++ b/packages/policy/limits/callallowance.h
@@ -31,8 +31,9 @@
      *     burst.
      */
     void setRate(double newRate, double reserve, Milliseconds now);
-    /** Lets the whole burst be available, because no call was permitted before. */
-    void fill();
+    /** Lets a share of the burst, from 0 to 1, be available, because no call was permitted before.
+     */
+    void fill(double share);
     /** Takes a call if there is one. @param isUrgent whether the bucket may be overdrawn. */
     bool tryTake(bool isUrgent, Milliseconds now);
     /** Returns the time until a call that is not urgent is permitted; 0 if one is now. */
--- a/packages/policy/limits/sharedcalllimits.cpp
+++ b/packages/policy/limits/sharedcalllimits.cpp
@@ -1,20 +1,38 @@
 #include "policy/limits/sharedcalllimits.h"
 
+#include "policy/placement/stablehash.h"
+
 #include <algorithm>
 #include <set>
 #include <utility>
 
 namespace sassafrasyard {
 
+namespace {
+
+/** Returns a number from 0 to below 1 that differs between hosts. */
+double hashFraction(const BackendServerName &run, const HostName &host)
+{
+    constexpr std::uint64_t steps = 1024;
+    const std::uint64_t hash =
+            combineHashes(stableHash(run.toString()), stableHash(host.toString()));
+    return static_cast<double>(hash % steps) / static_cast<double>(steps);
+}
+
+} // namespace
+
 SharedCallLimits::SharedCallLimits(HostName self, std::uint64_t seed)
     : limits(seed)
-    , hosts(std::move(self))
+    , hosts(self)
+    , self(std::move(self))
 {
 }
 
 void SharedCallLimits::setHosts(std::span<const PermitHost> newHosts, Milliseconds now)
 {
     this->hosts.setHosts(newHosts, now);
+    if (!this->othersKnownSince && newHosts.size() > 1)
+        this->othersKnownSince = now;
     this->updateGrants(now);
 }
 
@@ -111,7 +129,7 @@
     const double rate = std::max(*limit, minimumRate) * share;
     granted.allowance.setRate(rate, reservedCalls * share, now);
     if (std::exchange(granted.isUnused, false) && granted.isNewLimit)
-        granted.allowance.fill();
+        granted.allowance.fill(1.0);
     if (granted.allowance.tryTake(isUrgent, now)) {
         granted.denials = 0;
         return {true, granted.allowance.timeUntilNext(now)};
@@ -125,8 +143,12 @@
     const auto timed = this->timedLimit(run, now);
     if (!timed)
         return {true, Milliseconds(0)};
-    CallAllowance &allowance = this->ownShares.try_emplace(run, now).first->second;
-    allowance.setRate(timed->first * this->hosts.ownShare(), 0.0, now);
+    const auto [known, isNew] = this->ownShares.try_emplace(run, now);
+    CallAllowance &allowance = known->second;
+    allowance.setRate(*this->limit(run, now) * this->hosts.ownShare(), 0.0, now);
+    // The hosts may begin together, so their first calls are spread over the time between two.
+    if (isNew)
+        allowance.fill(hashFraction(run, this->self));
     const bool isGranted = allowance.tryTake(false, now);
     return {isGranted, allowance.timeUntilNext(now)};
 }
@@ -185,7 +207,9 @@
  */
 void SharedCallLimits::beginTimedGrant(const BackendServerName &run, Milliseconds now)
 {
-    if (this->limits.limit(run))
+    // A host that has just started may learn of a limit for which another one grants permits.
+    const bool hasStarted = !this->othersKnownSince || now - *this->othersKnownSince < takeoverTime;
+    if (this->limits.limit(run) || hasStarted)
         return;
     const auto granted = this->grants.find(run);
     if (granted == this->grants.end())
--- a/packages/policy/limits/sharedcalllimits.h
+++ b/packages/policy/limits/sharedcalllimits.h
@@ -136,6 +136,9 @@
     /** The timed limits in calls a second, and when they end. */
     std::map<BackendServerName, std::pair<double, Milliseconds>> timedLimits;
     std::map<BackendServerName, CallAllowance> ownShares;
+    HostName self;
+    /** Since when this host knows others; one that has just started can't tell new limits. */
+    std::optional<Milliseconds> othersKnownSince;
     std::map<BackendServerName, Milliseconds> pausedUntil;
     std::map<HostName, Milliseconds> silentUntil;
 };
--- a/packages/policy/placement/promptqueueplacement.cpp
+++ b/packages/policy/placement/promptqueueplacement.cpp
@@ -49,8 +49,9 @@
     }
     cost += candidate.isSameDomain ? 0.0 : otherDomainCost;
     cost -= candidate.hasPrefix ? prefixSaving : 0.0;
-    // A speed that was learned includes what the pace shows.
-    return candidate.speedRatio == 1.0 ? cost * std::max(candidate.paceRatio, 1.0) : cost;
+    // A negative cost comes from a cached beginning or a fast engine, and a slow pace is no gain.
+    const double slowdown = std::max(candidate.paceRatio / candidate.speedRatio, 1.0);
+    return cost > 0.0 ? cost * slowdown : cost;
 }
 
 } // namespace
--- a/packages/policy/policy.h
+++ b/packages/policy/policy.h
@@ -11,7 +11,6 @@
 #include "policy/admission/accountlimits.h"
 #include "policy/admission/admissionqueue.h"
 #include "policy/admission/costestimator.h"
-#include "policy/admission/departurereserve.h"
 #include "policy/admission/drainrate.h"
 #include "policy/admission/groupload.h"
 #include "policy/admission/sharedlimit.h"
--- a/packages/policy/pool/serverpool.cpp
+++ b/packages/policy/pool/serverpool.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <cassert>
 #include <limits>
-#include <utility>
 
 namespace sassafrasyard {
 
@@ -69,7 +68,7 @@
     assert(this->options.reservationQuantile >= 0.0 && this->options.reservationQuantile < 1.0);
 }
 
-void ServerPool::setBackendServers(std::span<const BackendServer> newServers, Milliseconds now)
+void ServerPool::setBackendServers(std::span<const BackendServer> newServers, Milliseconds)
 {
     ++this->capacityVersion;
     std::vector<bool> isListed(this->states.size(), false);
@@ -83,7 +82,6 @@
     for (ServerIndex serverIndex = 0; serverIndex < this->states.size(); ++serverIndex) {
         if (isListed[serverIndex] || !this->states[serverIndex].isConfigured)
             continue;
-        this->recordDeparture(serverIndex, now);
         this->states[serverIndex].isConfigured = false;
         this->removeIfUnused(serverIndex);
     }
@@ -106,8 +104,7 @@
     this->states[*serverIndex].isReachable = isReachable;
     if (isReachable)
         return;
-    // The server may return as a new process without its former load, cache and speed.
-    this->speeds.resetServer(*serverIndex);
+    // The server may return as a new process without its former load and cache.
     this->loadTracker.discardReport(*serverIndex);
     this->prefixIndex.removeServer(*serverIndex);
 }
@@ -178,7 +175,6 @@
     this->loadTracker.advance(now);
     this->paceMonitor.advance(now);
     this->speeds.advance(now);
-    this->recordDepartures(now);
 }
 
 std::vector<EngineSpeed> ServerPool::ownSpeeds(Milliseconds now) const
@@ -223,8 +219,8 @@
     if (isRefusalShared && this->isRefusalCached(modelServers, neededMemory, now))
         return std::nullopt;
     this->markPrefixHolders(request, now);
-    this->collectForRequest(modelServers, request,
-                            this->roomNeeded(modelServers, request, neededMemory, now), now);
+    const RoomNeeded room{neededMemory, request.needsMoves, modelServers.indices.size()};
+    this->collectForRequest(modelServers, request, room, now);
     if (this->candidates.empty()) {
         if (!isRefusalShared)
             return std::nullopt;
@@ -435,6 +431,7 @@
                || this->configurations[serverIndex].softwareVersion != server.softwareVersion) {
         this->loadTracker.discardReport(serverIndex);
         this->prefixIndex.removeServer(serverIndex);
+        this->speeds.resetServer(serverIndex);
     }
     state.isConfigured = true;
     state.slots = server.slots;
@@ -442,7 +439,6 @@
     state.isEngine = server.kind == BackendServerKind::Engine;
     state.isSameDomain = server.failureDomain == this->options.failureDomain;
     state.isLeaving = server.isLeaving;
-    state.hasDeparted = state.hasDeparted && (state.isLeaving || state.isMarkedLeaving);
     state.isTracked = server.isTracked;
     this->configurations[serverIndex] = server;
 }
@@ -587,20 +583,20 @@
 {
     ++this->placementCount;
     if (request.prefixes.empty())
-        this->markHolders(request.prefixDigest, 0, now);
+        this->markHolders({request.prefixDigest, 0}, now);
     // The longest beginning that a server holds comes last and counts.
     for (const PromptPrefix &prefix : request.prefixes)
-        this->markHolders(prefix.digest, prefix.tokens, now);
+        this->markHolders({prefix.digest, std::min(prefix.tokens, request.promptTokens)}, now);
 }
 
-void ServerPool::markHolders(std::uint64_t prefix, std::uint32_t tokens, Milliseconds now)
+void ServerPool::markHolders(const PromptPrefix &prefix, Milliseconds now)
 {
-    for (const PrefixIndex::Holder &holder : this->prefixIndex.holders(prefix)) {
+    for (const PrefixIndex::Holder &holder : this->prefixIndex.holders(prefix.digest)) {
         if (!this->prefixIndex.isFresh(holder, now))
             continue;
         ServerState &state = this->states[holder.serverIndex];
         state.prefixHolderMark = this->placementCount;
-        state.prefixTokens = tokens;
+        state.prefixTokens = prefix.tokens;
         state.prefixStoredAt = holder.storedAt;
     }
 }
@@ -617,45 +613,6 @@
     return isKept ? state.prefixTokens : 0.0;
 }
 
-/**
- * Returns what a request asks of an engine. New runs that may have to move leave room for the moves
- * of others; short ones and those that can be started again free their memory soon.
- */
-ServerPool::RoomNeeded ServerPool::roomNeeded(const ModelServers &model, const WorkRequest &request,
-                                              double neededMemory, Milliseconds now)
-{
-    RoomNeeded room{neededMemory, 0.0, request.needsMoves, model.indices.size()};
-    const auto reserve = this->reserves.find(request.model);
-    if (!request.needsMoves || !request.isPrefillNeeded || reserve == this->reserves.end())
-        return room;
-    double remaining = 0.0;
-    for (const ServerIndex serverIndex : model.indices) {
-        const ServerState &state = this->states[serverIndex];
-        remaining += isUsable(state) ? state.memoryTokens : 0.0;
-    }
-    room.reservedShare = reserve->second.share(remaining, now);
-    return room;
-}
-
-/** Records the departures of engines that have begun to leave. */
-void ServerPool::recordDepartures(Milliseconds now)
-{
-    for (ServerIndex serverIndex = 0; serverIndex < this->states.size(); ++serverIndex) {
-        const ServerState &state = this->states[serverIndex];
-        if (state.isConfigured && (state.isLeaving || state.isMarkedLeaving))
-            this->recordDeparture(serverIndex, now);
-    }
-}
-
-void ServerPool::recordDeparture(ServerIndex serverIndex, Milliseconds now)
-{
-    ServerState &state = this->states[serverIndex];
-    if (!state.isEngine || std::exchange(state.hasDeparted, true))
-        return;
-    for (const ModelName &model : this->configurations[serverIndex].models)
-        this->reserves[model].recordDeparture(state.memoryTokens, now);
-}
-
 /** Collects the servers that can take a request; slow ones beyond their allowance if all are slow.
  */
 void ServerPool::collectForRequest(const ModelServers &model, const WorkRequest &request,
@@ -702,9 +659,8 @@
     const double used =
             state.isEngine ? static_cast<double>(state.ownReserved) + load.othersMemory : 0.0;
     const double reservedMemory = std::min(room.tokens, total);
-    const double limit = total * (1.0 - room.reservedShare);
     // An idle engine takes any request: a very large one would fit nowhere else either.
-    if (load.running >= slotMargin && used + reservedMemory > limit)
+    if (load.running >= slotMargin && used + reservedMemory > total)
         return;
     PlacementCandidate &candidate = this->candidates.emplace_back();
     candidate.server = &this->configurations[serverIndex];
--- a/packages/policy/pool/serverpool.h
+++ b/packages/policy/pool/serverpool.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "policy/admission/departurereserve.h"
 #include "policy/length/lengthestimator.h"
 #include "policy/load/cacheturnover.h"
 #include "policy/load/loadtracker.h"
@@ -247,8 +246,6 @@
         std::optional<Milliseconds> returnedAt;
         /** Until when an engine counts as full that refused work for want of room. */
         Milliseconds fullUntil{0};
-        /** Whether its departure was recorded. */
-        bool hasDeparted = false;
     };
 
     /** What a request asks of an engine. */
@@ -256,8 +253,6 @@
     {
         /** The memory, in tokens. */
         double tokens = 0.0;
-        /** The share of the engine's memory that has to stay free. */
-        double reservedShare = 0.0;
         /** Whether engines are left out that refused work for want of room. */
         bool avoidsFull = false;
         /** The number of engines of the model. */
@@ -292,16 +287,12 @@
     bool usesUntracked(const ModelServers &model, const std::optional<SoftwareVersion> &version,
                        std::span<const BackendServerName> avoided) const;
     bool isRefusalCached(const ModelServers &model, double neededMemory, Milliseconds now) const;
-    RoomNeeded roomNeeded(const ModelServers &model, const WorkRequest &request,
-                          double neededMemory, Milliseconds now);
-    void recordDepartures(Milliseconds now);
-    void recordDeparture(ServerIndex serverIndex, Milliseconds now);
     void collectForRequest(const ModelServers &model, const WorkRequest &request,
                            const RoomNeeded &room, Milliseconds now);
     void reserve(PlacedRequest &placedRequest, const WorkRequest &request, Milliseconds now);
     std::uint32_t expectedOutput(const PlacedRequest &request, Milliseconds now) const;
     void markPrefixHolders(const WorkRequest &request, Milliseconds now);
-    void markHolders(std::uint64_t prefix, std::uint32_t tokens, Milliseconds now);
+    void markHolders(const PromptPrefix &prefix, Milliseconds now);
     double cachedTokens(const ServerState &state, double freeTokens, std::size_t engineCount,
                         Milliseconds now) const;
     bool collectCandidates(std::span<const ServerIndex> indices, const WorkRequest &request,
@@ -325,7 +316,6 @@
     std::vector<ServerIndex> freeIndices;
     std::unordered_map<BackendServerName, ServerIndex> indicesByName;
     std::unordered_map<ModelName, ModelServers> serversByModel;
-    std::unordered_map<ModelName, DepartureReserve> reserves;
     std::unordered_map<RequestName, PlacedRequest> placed;
     std::vector<PlacementCandidate> candidates;
     std::uint64_t placementCount = 0;
--- a/packages/policy/speed/enginespeeds.cpp
+++ b/packages/policy/speed/enginespeeds.cpp
@@ -13,6 +13,8 @@
 /** The least number of servers with a known mean for a median. */
 constexpr std::size_t minimumServers = 3;
 constexpr double smallestInterval = 0.01; // milliseconds per token
+/** Older measurements were sent before; sent again, they would count as new ones. */
+constexpr Milliseconds sendTime{2000};
 
 } // namespace
 
@@ -112,7 +114,7 @@
         return {};
     const Mean &mean = this->servers[serverIndex].own;
     const double weight = mean.weightAt(now);
-    if (weight < 1.0)
+    if (weight < 1.0 || now - mean.updatedAt >= sendTime)
         return {};
     return {{}, std::exp(mean.weightedSum / mean.weight), weight};
 }
--- a/packages/policy/work/workrequest.h
+++ b/packages/policy/work/workrequest.h
@@ -72,11 +72,6 @@
      * again.
      */
     bool needsMoves = false;
-    /**
-     * How long it may wait for a backend server, in milliseconds; nothing for
-     * DispatcherOptions::maximumWait.
-     */
-    std::optional<Milliseconds> maximumWait;
     /** Whether this is a further attempt at a request that was placed before. */
     bool isRetry = false;
     /** Backend servers on which an earlier attempt failed; chosen only if no other is available. */
