--- a/packages/policy/tests/test_runorder.cpp
+++ b/packages/policy/tests/test_runorder.cpp
@@ -33,7 +33,8 @@
 } // namespace
 
 // Load: engines whose memory is full while hosts learn of each other's work late. Guards against
-// copies that go to the same full engine again and again, and against runs that may need some there.
+// copies that go to the same full engine again and again, and against runs that may need some
+// there.
 TEST_CASE("An engine that refused for want of room gets no runs that may move for a time",
           "[runorder]")
 {
