Take only refused copies as evidence that an engine is full

Cause: an engine also answers 503 to a continuation whose copy it does not have, which says nothing about its room; gateway_unframed failed, because a run found its own engine excluded.

The test of a cold server's limit while a host starts counted calls from before the server was cold.

--- a/packages/gateway/relay/backendattempt.cpp
+++ b/packages/gateway/relay/backendattempt.cpp
@@ -319,12 +319,6 @@
                 this->call.service->name, this->serverRunName(), metadata.rejectionLimit, isFull,
                 this->sentAt);
     }
-    // A server that asks for a pause has said for how long it takes no calls.
-    if (isFull && !metadata.isMisdirected && !metadata.retryAfter && this->call.service->engine) {
-        this->dependencies.dispatch.post([server](Dispatcher &dispatcher, Milliseconds now) {
-            dispatcher.recordFull(server, now);
-        });
-    }
     result.response = std::move(response);
     if (metadata.hasNotRun) {
         result.outcome = AttemptOutcome::RefusedBeforeRun;
--- a/packages/policy/tests/test_coldservers.cpp
+++ b/packages/policy/tests/test_coldservers.cpp
@@ -150,6 +150,8 @@
     fleet.isLive[started] = false;
     fleet.updateViews();
     fleet.run(Milliseconds(3000));
+    // Until now the server was warm and had no limit.
+    fleet.calls.clear();
     fleet.setCold(Milliseconds(10'000));
     fleet.run(Milliseconds(2000));
     fleet.isLive[started] = true;
