--- a/review/standins-3/engine.py
+++ b/review/standins-3/engine.py
@@ -16,7 +16,8 @@
         self.prompt = prompt
         self.is_stopped = False
         self.is_moving = False
-        self.task = None
+        # How many orders to stop it were refused because a copy was under way.
+        self.refused_stops = 0
         self.writer = None
 
 
@@ -172,6 +173,7 @@
             await self.send(writer, request, 404, b"{}")
             return
         if run.is_moving:
+            run.refused_stops += order["last"]
             await self.send(writer, request, 409, b"{}")
             return
         run.is_moving = True
