Keep the port of a cut path bound in the tests of stranded hosts

Cause: gateway_cutoff failed once beside five other tests ("A host that is cut off does not take a run for ended": status 0 and one run instead of 200 and two). ServerPath gave its port up while it was cut. If another process has it when the path opens again, bind() throws, the request to stop the run never returns, and the caller gives up after its 8 s. Evidence: with a bind that throws on purpose the same four checks fail, after 8.6 s; the failed run had lasted 30.1 s, of which the other sections take 21.5 s. Change: the port stays bound without listening during a cut, which refuses connections as before.

--- a/packages/gateway/tests/strandedhosts.h
+++ b/packages/gateway/tests/strandedhosts.h
@@ -95,6 +95,7 @@
         Error reason;
         const auto endpoint = parseEndpoint(target, reason);
         this->server = {this->local.address(), endpoint->port};
+        this->bind();
         this->open();
     }
 
@@ -102,14 +103,7 @@
     std::string address() const { return "127.0.0.1:" + std::to_string(this->local.port()); }
 
     /** Accepts connections, at the same port each time. */
-    void open()
-    {
-        this->acceptor.open(this->local.protocol());
-        this->acceptor.set_option(boost::asio::socket_base::reuse_address(true));
-        this->acceptor.bind(this->local);
-        this->acceptor.listen();
-        this->local = this->acceptor.local_endpoint();
-    }
+    void open() { this->acceptor.listen(); }
 
     /** Starts to forward. */
     void start()
@@ -127,11 +121,21 @@
         for (const auto &socket : this->sockets)
             socket->close(ignored);
         this->sockets.clear();
+        // Bound without listening, the port refuses connections and no other process can take it.
+        this->bind();
     }
 
 private:
     using Socket = boost::asio::ip::tcp::socket;
 
+    void bind()
+    {
+        this->acceptor.open(this->local.protocol());
+        this->acceptor.set_option(boost::asio::socket_base::reuse_address(true));
+        this->acceptor.bind(this->local);
+        this->local = this->acceptor.local_endpoint();
+    }
+
     boost::asio::awaitable<void> accept()
     {
         namespace net = boost::asio;
