Reject the response of a server whose header has a folded line

What callers saw (in the tests; the users saw it on other systems): a header line whose field name begins with a blank or tabulator became part of the field before it. The caller got the response with that line in another field's value, or, if the line was the length or the encoding of the body, a body without its own end: a call waited for its deadline, or a closed connection completed the body.

Cause: Beast reads such a line as a folded one (RFC 9112, 5.2), which was valid in RFC 2616, and joins it to the value. All other lines that are no field it rejects as bad_field.

Change: HttpConnection reads the header with a loop of its own around the parser's put() and looks for a folded line in the bytes that the parser has consumed. One fails the response as any broken line does, with ProtocolViolation and OutcomeUnknown; RFC 9112 lets a gateway do so. Why it works: the parser consumes a field only once it has seen that the next line does not continue it, so a folded field is always consumed in one piece.

What held before: a blank, tabulator, NUL or other control byte inside a name or before the colon, a line without a name or a colon, at each position, for lengths, encodings and other fields, in pieces, in provisional responses and in trailers. A folded line in a trailer after its first field is still read; trailers are not passed on.

--- a/packages/network/http/httpconnection.cpp
+++ b/packages/network/http/httpconnection.cpp
@@ -32,6 +32,8 @@
  * chunk extension or trailer.
  */
 constexpr std::size_t maximumReadAheadBytes = std::size_t{2} * maximumResponseHeaderBytes;
+/** The largest part of a header that is read at once, in bytes. */
+constexpr std::size_t maximumHeaderReadBytes = 64U << 10U;
 /** The limit on provisional (1xx) responses before the final one; servers send one or two. */
 constexpr int maximumProvisionalResponses = 16;
 /**
@@ -79,6 +81,17 @@
             || request.method == "PATCH";
 }
 
+/**
+ * Returns whether a header field continues on a further line (RFC 9112, 5.2).
+ *
+ * @param header complete fields with the ends of their lines.
+ */
+bool hasFoldedLine(std::string_view header)
+{
+    return header.find("\r\n ") != std::string_view::npos
+            || header.find("\r\n\t") != std::string_view::npos;
+}
+
 /** Returns a status as the three digits of a status line. */
 std::string statusText(int status)
 {
@@ -203,6 +216,43 @@
                           });
     }
 
+    /**
+     * Reads the header of a response into the parser.
+     *
+     * Folded lines are rejected. The parser joins them to the field before them, so a field whose
+     * name begins with a blank would become part of another one, and a length that is lost like
+     * this would leave the body without its end.
+     *
+     * @return why it failed, http::error::bad_field for a folded line.
+     */
+    net::awaitable<error_code> readFields()
+    {
+        error_code code;
+        do {
+            if (this->buffer.size() == 0 || code == http::error::need_more) {
+                const std::size_t room = beast::read_size(this->buffer, maximumHeaderReadBytes);
+                if (room == 0)
+                    co_return http::error::buffer_overflow;
+                const std::size_t received = co_await this->stream.async_read_some(
+                        this->buffer.prepare(room), redirect(code));
+                if (code == net::error::eof)
+                    co_return this->parser->got_some() ? http::error::partial_message
+                                                       : http::error::end_of_stream;
+                if (code)
+                    co_return code;
+                this->buffer.commit(received);
+            }
+            const net::const_buffer unread = this->buffer.data();
+            // The parser consumes no field before it has seen whether the next line continues it.
+            const std::size_t used = this->parser->put(unread, code);
+            const bool isFolded = hasFoldedLine({static_cast<const char *>(unread.data()), used});
+            this->buffer.consume(used);
+            if (isFolded)
+                co_return http::error::bad_field;
+        } while (code == http::error::need_more);
+        co_return code;
+    }
+
     RunState runStateAfterFailure() const
     {
         const bool isUnsent =
@@ -309,8 +359,7 @@
         state.parser->body_limit(std::numeric_limits<std::uint64_t>::max());
         state.parser->skip(state.isHeadRequest);
         state.stream.expires_at(end);
-        error_code code;
-        co_await http::async_read_header(state.stream, state.buffer, *state.parser, redirect(code));
+        const error_code code = co_await state.readFields();
         if (code) {
             reason = toError(code, state.runStateAfterFailure(), state.endpoint);
             this->close();
--- a/packages/network/http/httpconnection.h
+++ b/packages/network/http/httpconnection.h
@@ -66,7 +66,8 @@
      *
      * The body is written while the response is awaited, because a server may respond before it has
      * read all of it. Provisional responses (1xx except 101) are skipped. Any other status outside
-     * 200 to 599 is a ProtocolViolation with OutcomeUnknown as soon as the header is complete.
+     * 200 to 599 is a ProtocolViolation with OutcomeUnknown as soon as the header is complete, and
+     * so is a line that is no field or that is folded as soon as it is complete.
      *
      * @param request its headers are sent as they are, in order; Content-Length is added.
      * @param timeout until the header is complete, in milliseconds.
