--- a/packages/gateway/tests/test_brokenstatuses.cpp
+++ b/packages/gateway/tests/test_brokenstatuses.cpp
@@ -174,6 +174,54 @@
     });
 }
 
+// Guards against the same in a stream that its caller takes up.
+TEST_CASE("A stream that is taken up with a broken status goes to another server", "[status]")
+{
+    forEachBrokenAnswer([](const std::string &status, Form form) {
+        const auto answer = [&](int attempt, const std::string &id) {
+            const std::string response = makeAnswer(id, "text/event-stream",
+                                                    attempt == 1 ? "id: 9\ndata: x\n\n" : event2);
+            return attempt == 1 ? makeBrokenAnswer(status, form, id, response) : response;
+        };
+        NumberedServers servers(makeRoute(CallKind::Stream, true), answer,
+                                form == Form::ResponseUntilClose);
+        const HttpResponse response = servers.call(takeUpFields(servers.fixture));
+        CHECK(response.status == 200);
+        CHECK(response.body == event2);
+        CHECK(servers.runs == 2);
+        CHECK(servers.elapsed < endedWithin);
+    });
+}
+
+// Guards against the same on a connection that has carried another call.
+TEST_CASE("A broken status on a kept connection is no response", "[status]")
+{
+    forEachBrokenAnswer([](const std::string &status, Form form) {
+        GatewayFixture fixture;
+        fixture.addRoute(makeRoute(CallKind::NonIdempotent));
+        int connections = 0;
+        int runs = 0;
+        fixture.addRawServer("a", [&](tcp::socket &socket) -> net::awaitable<void> {
+            ++connections;
+            while (true) {
+                const std::string head = co_await readHead(socket);
+                if (head.empty())
+                    co_return;
+                const std::string id = fieldOf(head, "Id");
+                const std::string response = makeAnswer(id, "text/plain", "answer");
+                const std::string text =
+                        ++runs == 2 ? makeBrokenAnswer(status, form, id, response) : response;
+                co_await sendText(socket, text);
+            }
+        });
+        CHECK(fixture.call("/route/1", "first").body == "answer");
+        CHECK(fixture.call("/route/1", "second").status == 502);
+        CHECK(connections == 1);
+        CHECK(fixture.call("/route/1", "third").body == "answer");
+        CHECK(connections == 2);
+    });
+}
+
 // Guards against events of a broken answer in the middle of a stream, which then looks complete.
 TEST_CASE("A continuation with a broken status is not part of the stream", "[status]")
 {
