Keep a resumable stream on its silent engine until another one takes it

Cause: EventRelay::stopSilentRun() took silence for the loss of the engine; so did pauseTimeout() between the header and the first event. The log of the case shows it: closed_by host, event_age_ms 1001, engine usable, 2.7 s after the reload, so the SIGHUP has no part in it.

Change: the read is interrupted and the connection stays open while another engine is asked. The stream goes over when that engine has sent the header of a stream, and stays if whole events or the end of the body arrive before. The attempts of the route, three refusals and the retry budget bound it. A single-byte trickle is still silence.

--- a/packages/gateway/relay/backendattempt.cpp
+++ b/packages/gateway/relay/backendattempt.cpp
@@ -161,6 +161,13 @@
                           {}};
         co_return result;
     }
+    if (this->isCancelled) {
+        result.failure = {ErrorCode::ConnectionFailed,
+                          RunState::NotRun,
+                          "the attempt was cancelled before it was sent",
+                          {}};
+        co_return result;
+    }
     // The planned stop may have begun while the call waited for its permit and its connection.
     if (!this->call.hasResponseStarted
         && !this->dependencies.serving.endsBeforeStop(this->call.deadlineAt)) {
@@ -438,6 +445,22 @@
     return {this->endpoint ? this->endpoint->toString() : std::string(), this->serverStartedAt};
 }
 
+bool BackendAttempt::interruptRead()
+{
+    return this->connection && this->connection->interruptRead();
+}
+
+void BackendAttempt::watchBytes(std::function<void()> hook)
+{
+    if (this->connection)
+        this->connection->watchBytes(std::move(hook));
+}
+
+std::optional<std::string_view> BackendAttempt::readAvailable()
+{
+    return this->connection->readAvailable();
+}
+
 void BackendAttempt::cancel()
 {
     this->isCancelled = true;
--- a/packages/gateway/relay/backendattempt.h
+++ b/packages/gateway/relay/backendattempt.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -61,7 +62,14 @@
      * the server refuses new connections.
      */
     boost::asio::awaitable<void> recordBreakOff();
-    /** Closes the connection; a read in progress fails. */
+    /** Ends a read in progress; see HttpConnection::interruptRead(). */
+    bool interruptRead();
+    /** Calls a hook once bytes of the server arrive; see HttpConnection::watchBytes(). */
+    void watchBytes(std::function<void()> hook);
+    /** Reads bytes that have arrived; see HttpConnection::readAvailable(). */
+    std::optional<std::string_view> readAvailable();
+    /** Closes the connection; a read in progress fails, and a call that was not sent is not sent.
+     */
     void cancel();
     /** Returns whether the connection was closed by cancel(). */
     bool wasCancelled() const;
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -69,7 +69,11 @@
     if (hasNextPart)
         hasNextPart = co_await this->placeNewRun();
     while (hasNextPart) {
-        const AttemptResult result = co_await this->startPart();
+        AttemptResult result;
+        if (this->replacement)
+            result = this->beginReplacement();
+        else
+            result = co_await this->startPart();
         const bool isAnswered = result.outcome == AttemptOutcome::Answered;
         const bool isStream = isAnswered && this->isPartOfStream(result.response);
         if (isAnswered && !isStream && !this->hasStarted
@@ -94,7 +98,9 @@
         hasNextPart = false;
         if (isStream)
             this->recordLoss(this->dependencies.clock.now());
-        if (readEnd == ReadEnd::Lost && !this->call.isCallerGone) {
+        if (readEnd == ReadEnd::Replaced) {
+            hasNextPart = true;
+        } else if (readEnd == ReadEnd::Lost && !this->call.isCallerGone) {
             hasNextPart = co_await this->findNextPart(result, isStream);
             if (this->isEndConfirmed) {
                 co_await this->finishStream();
@@ -197,36 +203,60 @@
 
 net::awaitable<bool> EventRelay::placeNewRun()
 {
-    WorkRequest work = this->call.work;
-    work.avoided = this->avoided;
+    std::string name = this->call.work.name.toString();
     if (this->stops.part() > 0)
-        work.name = RequestName(work.name.toString() + "/" + std::to_string(this->stops.part()));
+        name += "/" + std::to_string(this->stops.part());
     Error refusal;
-    const auto grant = co_await placeCall(this->dependencies, this->call, std::move(work), refusal);
-    if (!grant) {
+    auto placed = co_await this->placeRun(std::move(name), refusal);
+    if (!placed) {
         this->failure = refusal;
         co_return false;
     }
-    this->placement = {
-            grant->assignment.request, grant->server.name, grant->server.address, {}, false, {}};
-    if (const ServerEntry *entry = this->dependencies.servers.find(grant->server.name))
-        this->placement.softwareVersion = entry->softwareVersion;
+    this->placement = std::move(*placed);
     if (this->stops.part() == 0)
         this->placedAfter = this->dependencies.clock.now() - this->call.receivedAt;
     co_return true;
 }
 
-net::awaitable<AttemptResult> EventRelay::startPart()
+/**
+ * Lets the dispatcher choose a server for a run that reads the whole prompt.
+ *
+ * @param name the request name of the run, which must be new.
+ * @param refusal receives why there is no server.
+ */
+net::awaitable<std::optional<StreamPlacement>> EventRelay::placeRun(std::string name,
+                                                                    Error &refusal)
+{
+    WorkRequest work = this->call.work;
+    work.avoided = this->avoided;
+    work.name = RequestName(std::move(name));
+    const auto grant = co_await placeCall(this->dependencies, this->call, std::move(work), refusal);
+    if (!grant)
+        co_return std::nullopt;
+    StreamPlacement placed{
+            grant->assignment.request, grant->server.name, grant->server.address, {}, false, {}};
+    if (const ServerEntry *entry = this->dependencies.servers.find(grant->server.name))
+        placed.softwareVersion = entry->softwareVersion;
+    co_return placed;
+}
+
+/** Resets what is known of the former part. */
+void EventRelay::beginPart(Milliseconds now)
 {
-    this->stops.beginPart();
-    if (!this->backup)
-        co_await this->reserveBackup(this->placement);
-    const Milliseconds now = this->dependencies.clock.now();
     this->silenceWatch.restart(std::nullopt);
     this->splitter.clear();
     this->processState = ProcessState::Unasked;
     this->partFirstEventAt.reset();
     this->partStartedAt = now;
+}
+
+net::awaitable<AttemptResult> EventRelay::startPart()
+{
+    this->stops.beginPart();
+    if (!this->backup)
+        co_await this->reserveBackup(this->placement);
+    const Milliseconds now = this->dependencies.clock.now();
+    this->beginPart(now);
     this->attempt = std::make_unique<BackendAttempt>(this->dependencies, this->call);
     const ForwardingOrder order = this->makeOrder(this->placement, now);
     const Milliseconds timeout = this->headerTimeout(now);
@@ -259,6 +289,7 @@
 
 net::awaitable<EventRelay::ReadEnd> EventRelay::forwardStream()
 {
+    this->watchFirstEvent();
     while (true) {
         const Milliseconds now = this->dependencies.clock.now();
         if (this->call.timeLeft(now) <= Milliseconds(0))
@@ -270,12 +301,22 @@
         Error reason;
         const Milliseconds timeout = this->pauseTimeout(now);
         const auto bytes = co_await this->attempt->read(timeout, reason);
+        const bool isInterrupted = std::exchange(this->isReplacementDue, false) && !bytes
+                && reason.code == ErrorCode::Timeout;
         if (this->call.isCallerGone)
             co_return ReadEnd::CallerGone;
+        const bool isOver = this->call.timeLeft(this->dependencies.clock.now()) <= Milliseconds(0);
+        if (isInterrupted && !isOver) {
+            const bool isReplaced = co_await this->replaceSilentRun();
+            if (isReplaced)
+                co_return ReadEnd::Replaced;
+            const bool isForwarded = co_await this->forwardEvents();
+            if (!isForwarded)
+                co_return ReadEnd::CallerGone;
+            continue;
+        }
         if (!bytes) {
             this->failure = reason;
-            const bool isOver =
-                    this->call.timeLeft(this->dependencies.clock.now()) <= Milliseconds(0);
             co_return isOver ? ReadEnd::Deadline : ReadEnd::Lost;
         }
         const bool isEnd = bytes->empty();
@@ -808,6 +849,11 @@
         this->stopDeclinedAt = this->dependencies.clock.now();
     this->dependencies.dispatch.reportPromoted(this->placement.name);
     this->dependencies.budget.recordRetry(this->call.service->name, this->dependencies.clock.now());
+    this->logContinuation();
+}
+
+void EventRelay::logContinuation() const
+{
     logEvent(LogEvent::StreamContinued, "request", this->call.metadata.requestId, "backend_server",
              this->placement.server.toString(), "version",
              this->placement.softwareVersion.value_or(SoftwareVersion("unknown")).toString(),
@@ -949,7 +995,9 @@
     const bool isResumable = this->call.route->isResumable;
     // A resumable stream may run again although the former run can't be stopped.
     if (isResumable && !this->canAskEngine()) {
-        this->attempt->cancel();
+        this->isReplacementDue = this->mayReplaceSilentRun() && this->attempt->interruptRead();
+        if (!this->isReplacementDue)
+            this->watchSilence();
         return;
     }
     const bool hasCopy = this->refreshedCopy && this->refreshedCopy->isReady();
@@ -963,6 +1011,145 @@
     this->watchSilence();
 }
 
+/** Returns whether the limits of the call allow to try another engine beside the silent one. */
+bool EventRelay::mayReplaceSilentRun() const
+{
+    return this->history.mayHaveRun < this->call.route->maximumAttempts
+            && this->history.unsent + this->history.refused < maximumNotRunAttempts
+            && this->stops.part() < maximumParts;
+}
+
+/**
+ * Lets another engine take a stream whose engine is silent.
+ *
+ * A sound engine may be silent for a moment, and other engines may be full. So the stream stays
+ * open until another engine has begun its response, and stays where it is if events arrive before.
+ *
+ * @return whether another engine has taken the stream.
+ */
+net::awaitable<bool> EventRelay::replaceSilentRun()
+{
+    this->isEngineSilent = true;
+    this->watchSilentEngine();
+    // The request would crash the other engine as well.
+    const bool isRefused = co_await this->dependencies.dispatch.isQuarantined(this->call.work);
+    bool isReplaced = false;
+    if (!isRefused && this->isEngineSilent
+        && this->mayStartNewRun(AttemptOutcome::Unknown, streamStatus))
+        isReplaced = co_await this->tryReplacement();
+    this->attempt->watchBytes({});
+    this->watchSilence();
+    if (isReplaced) {
+        this->attempt->cancel();
+        this->failure = {ErrorCode::BackendServerLost,
+                         RunState::OutcomeUnknown,
+                         "the engine was silent and another one has taken the stream",
+                         {}};
+    }
+    co_return isReplaced;
+}
+
+/** Sends the call to another engine. @return whether that has begun to send the stream. */
+net::awaitable<bool> EventRelay::tryReplacement()
+{
+    const std::string name =
+            this->call.work.name.toString() + "/silent-" + std::to_string(++this->copyCount);
+    Error refusal;
+    auto next = co_await this->placeRun(name, refusal);
+    if (!next)
+        co_return false;
+    const bool hasOther =
+            this->dependencies.servers
+                    .usableServers(this->call.service->name, this->call.work.softwareVersion)
+                    .size()
+            > 1;
+    const bool isSame = next->server == this->placement.server;
+    if ((isSame && hasOther) || !this->isEngineSilent) {
+        this->dependencies.dispatch.reportFinished(next->name, WorkOutcome::Cancelled);
+        co_return false;
+    }
+    auto other = std::make_unique<BackendAttempt>(this->dependencies, this->call);
+    const Milliseconds now = this->dependencies.clock.now();
+    const ForwardingOrder order = this->makeOrder(*next, now);
+    this->replacementAttempt = other.get();
+    AttemptResult result = co_await other->start(next->address, order, this->headerTimeout(now));
+    this->replacementAttempt = nullptr;
+    this->history.record(result.outcome);
+    this->avoided.push_back(next->server);
+    next->softwareVersion = other->softwareVersion();
+    const bool isAnswered = result.outcome == AttemptOutcome::Answered;
+    const bool isTaken =
+            this->isEngineSilent && isAnswered && this->isPartOfStream(result.response);
+    this->logReplacement(next->server, isTaken ? "taken" : toString(result.outcome));
+    if (isTaken) {
+        this->replacement = Replacement{std::move(*next), std::move(other), std::move(result)};
+        co_return true;
+    }
+    other->cancel();
+    if (this->isEngineSilent && !isAnswered)
+        recordFailedAttempt(this->dependencies.entry.metrics, this->call, next->server,
+                            result.outcome, result.failure);
+    const bool hasRun = isAnswered || result.outcome == AttemptOutcome::Unknown;
+    this->dependencies.dispatch.reportFinished(
+            next->name, hasRun ? WorkOutcome::Cancelled : WorkOutcome::RefusedByServer);
+    co_return false;
+}
+
+void EventRelay::logReplacement(const BackendServerName &other, std::string_view outcome) const
+{
+    const Milliseconds silentSince = this->partFirstEventAt
+            ? this->eventAt.value_or(this->partStartedAt)
+            : this->partStartedAt;
+    logEvent(LogEvent::SilentStreamTried, "request", this->call.metadata.requestId,
+             "backend_server", this->placement.server.toString(), "other", other.toString(),
+             "outcome", std::string(outcome), "resumed",
+             std::string(this->isEngineSilent ? "0" : "1"), "silent_ms",
+             std::to_string((this->dependencies.clock.now() - silentSince).count()));
+}
+
+void EventRelay::watchSilentEngine()
+{
+    this->attempt->watchBytes([this] { this->readSilentEngine(); });
+}
+
+/** Reads from the silent engine; only a whole event or the end of the body ends its silence. */
+void EventRelay::readSilentEngine()
+{
+    const auto bytes = this->attempt->readAvailable();
+    if (bytes)
+        this->splitter.append(*bytes);
+    const bool isTooLong = this->splitter.remainder().size() > maximumEventBytes;
+    if (!bytes || isTooLong || this->splitter.hasEvent())
+        this->endReplacement();
+    else
+        this->watchSilentEngine();
+}
+
+/** Called when the stream goes on at its engine before another one has begun its response. */
+void EventRelay::endReplacement()
+{
+    this->isEngineSilent = false;
+    if (this->replacementAttempt != nullptr)
+        this->replacementAttempt->cancel();
+    else if (this->call.waitingAs)
+        this->dependencies.dispatch.refuseWaiting(*this->call.waitingAs, ErrorCode::Overloaded,
+                                                  refusedRetryAfter);
+}
+
+/** Begins the part of the engine that has taken the stream. @return the header of its response. */
+AttemptResult EventRelay::beginReplacement()
+{
+    Replacement taken = std::move(*this->replacement);
+    this->replacement.reset();
+    this->reportPartEnd(WorkOutcome::Failed);
+    this->stops.beginPart();
+    this->beginPart(this->dependencies.clock.now());
+    this->placement = std::move(taken.placement);
+    this->attempt = std::move(taken.attempt);
+    this->logContinuation();
+    return std::move(taken.result);
+}
+
 /** Ends the read from the engine if the run has ended there; otherwise the stream goes on. */
 void EventRelay::onStopEnd(RunStop::Result result)
 {
@@ -998,6 +1185,16 @@
                                         silenceTimeoutInPauses * this->call.route->targetPause));
 }
 
+/** Starts the silence watch of a stream that may be tried elsewhere before its first event. */
+void EventRelay::watchFirstEvent()
+{
+    const auto timeout = this->firstEventTimeout();
+    if (!timeout || this->canAskEngine())
+        return;
+    const Milliseconds elapsed = this->dependencies.clock.now() - this->partStartedAt;
+    this->silenceWatch.restart(std::max(Milliseconds(1), *timeout - elapsed));
+}
+
 void EventRelay::startRefreshedCopy(bool isUrgent, Milliseconds now)
 {
     this->copyAttemptedAt = now;
@@ -1114,23 +1311,29 @@
     this->dependencies.dispatch.reportFinished(this->placement.name, outcome);
 }
 
-/**
- * Returns how long an engine may take for the first event of a part if the call can be started
- * again elsewhere. After the first event, the silence watch applies.
- */
-std::optional<Milliseconds> EventRelay::firstEventTimeout() const
+/** Returns how long an engine may take for a first event if the call can be started elsewhere. */
+std::optional<Milliseconds> EventRelay::restartTimeout() const
 {
     const Route &route = *this->call.route;
-    const bool mayStartElsewhere = !this->partFirstEventAt && route.isResumable
-            && this->history.mayHaveRun + 1 < route.maximumAttempts;
+    const bool mayStartElsewhere =
+            route.isResumable && this->history.mayHaveRun + 1 < route.maximumAttempts;
     return mayStartElsewhere ? std::optional(firstEventTimeoutInTargets * route.targetLatency)
                              : std::nullopt;
 }
 
+/**
+ * Returns how long the engine may take for the first event of the part. After that event, the
+ * silence watch applies.
+ */
+std::optional<Milliseconds> EventRelay::firstEventTimeout() const
+{
+    return this->partFirstEventAt ? std::nullopt : this->restartTimeout();
+}
+
 Milliseconds EventRelay::headerTimeout(Milliseconds now) const
 {
     const Milliseconds left = std::max(Milliseconds(1), this->call.timeLeft(now));
-    return std::min(left, this->firstEventTimeout().value_or(left));
+    return std::min(left, this->restartTimeout().value_or(left));
 }
 
 /** Returns the read timeout; bytes that complete no event do not extend it. */
@@ -1138,7 +1341,8 @@
 {
     const Milliseconds left = std::max(Milliseconds(1), this->call.timeLeft(now));
     const auto timeout = this->firstEventTimeout();
-    if (!timeout)
+    // The silence watch applies instead to engines that can't be told to stop a run.
+    if (!timeout || !this->canAskEngine())
         return left;
     return std::clamp(*timeout - (now - this->partStartedAt), Milliseconds(1), left);
 }
--- a/packages/gateway/relay/eventrelay.h
+++ b/packages/gateway/relay/eventrelay.h
@@ -15,6 +15,8 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace sassafrasyard {
@@ -45,10 +47,20 @@
     enum class ReadEnd {
         Complete,
         Lost,
+        /** Another engine has taken the stream from a silent one. */
+        Replaced,
         Deadline,
         CallerGone,
     };
 
+    /** The next part, if another engine began its response while the current one was silent. */
+    struct Replacement
+    {
+        StreamPlacement placement;
+        std::unique_ptr<BackendAttempt> attempt;
+        AttemptResult result;
+    };
+
     /** The last part with events, if nothing shows whether its regular end is that of its run. */
     struct DoubtfulEnd
     {
@@ -63,6 +75,9 @@
     boost::asio::awaitable<bool> bindToVersion();
     boost::asio::awaitable<std::optional<SoftwareVersion>> findVersion();
     boost::asio::awaitable<bool> placeNewRun();
+    boost::asio::awaitable<std::optional<StreamPlacement>> placeRun(std::string name,
+                                                                    Error &refusal);
+    void beginPart(Milliseconds now);
     boost::asio::awaitable<AttemptResult> startPart();
     boost::asio::awaitable<ReadEnd> forwardPart();
     boost::asio::awaitable<ReadEnd> forwardStream();
@@ -103,6 +118,7 @@
     std::optional<StreamPlacement> takeDeclinedCopy();
     boost::asio::awaitable<bool> continueFromRefreshedCopy();
     void continueAt(StreamPlacement next);
+    void logContinuation() const;
     void ensureCopy(Milliseconds now);
     void moveFromLeavingEngine(Milliseconds now);
     void startRefreshedCopy(bool isUrgent, Milliseconds now);
@@ -111,10 +127,19 @@
     bool canAskEngine() const;
     void startStop(const StreamPlacement &source, bool isAskedOnce);
     void stopSilentRun();
+    bool mayReplaceSilentRun() const;
+    boost::asio::awaitable<bool> replaceSilentRun();
+    boost::asio::awaitable<bool> tryReplacement();
+    void logReplacement(const BackendServerName &other, std::string_view outcome) const;
+    void watchSilentEngine();
+    void readSilentEngine();
+    void endReplacement();
+    AttemptResult beginReplacement();
     void onStopEnd(RunStop::Result result);
     StopEffect stopEffect() const;
     std::optional<BodyFraming> framing() const;
     void watchSilence();
+    void watchFirstEvent();
 
     void recordLoss(Milliseconds now);
     void recordCut() const;
@@ -123,6 +148,7 @@
     void logEnd(std::string_view outcome) const;
     void reportProgress(Milliseconds now);
     void reportPartEnd(WorkOutcome outcome);
+    std::optional<Milliseconds> restartTimeout() const;
     std::optional<Milliseconds> firstEventTimeout() const;
     Milliseconds headerTimeout(Milliseconds now) const;
     Milliseconds pauseTimeout(Milliseconds now) const;
@@ -147,6 +173,13 @@
     /** Whether the stream is complete although its end was doubtful. */
     bool isEndConfirmed = false;
     SilenceWatch silenceWatch;
+    /** Whether the read was interrupted, because another engine shall take the stream. */
+    bool isReplacementDue = false;
+    /** The attempt at another engine while the current one is silent. */
+    BackendAttempt *replacementAttempt = nullptr;
+    /** Whether the current engine has sent no event since another one was sought. */
+    bool isEngineSilent = false;
+    std::optional<Replacement> replacement;
     /** A copy that is refreshed at intervals, if there is no backup. */
     std::shared_ptr<RunCopy> refreshedCopy;
     /** The complete copy that a declined request to stop the run named. */
--- a/packages/gateway/relay/eventsplitter.cpp
+++ b/packages/gateway/relay/eventsplitter.cpp
@@ -48,13 +48,24 @@
     this->buffer += bytes;
 }
 
+bool EventSplitter::hasEvent() const
+{
+    return firstEventLength(this->buffer, this->searchStart()) > 0;
+}
+
+/** Returns where the next search starts. */
+std::size_t EventSplitter::searchStart() const
+{
+    // The blank line may start within the last two bytes of the previous search.
+    return this->searchedTo < 2 ? 0 : this->searchedTo - 2;
+}
+
 EventBatch EventSplitter::takeEvents(std::optional<std::uint64_t> after)
 {
     EventBatch batch;
     std::size_t taken = 0;
     const std::string_view all = this->buffer;
-    // The blank line may start within the last two bytes of the previous search.
-    std::size_t from = this->searchedTo < 2 ? 0 : this->searchedTo - 2;
+    std::size_t from = this->searchStart();
     while (true) {
         const std::string_view rest = all.substr(taken);
         const std::size_t length = firstEventLength(rest, from);
--- a/packages/gateway/relay/eventsplitter.h
+++ b/packages/gateway/relay/eventsplitter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -36,12 +37,16 @@
      *     them already.
      */
     EventBatch takeEvents(std::optional<std::uint64_t> after = {});
+    /** Returns whether takeEvents() would find a complete event. */
+    bool hasEvent() const;
     /** Returns the bytes after the last complete event. */
     const std::string &remainder() const;
     /** Discards the bytes after the last complete event. */
     void clear();
 
 private:
+    std::size_t searchStart() const;
+
     std::string buffer;
     std::size_t searchedTo = 0;
 };
--- a/packages/network/http/httpconnection.cpp
+++ b/packages/network/http/httpconnection.cpp
@@ -12,6 +12,7 @@
 #include <charconv>
 #include <chrono>
 #include <limits>
+#include <utility>
 
 #include <netinet/tcp.h>
 
@@ -275,13 +276,35 @@
     /** Whether a write is pending, which may still send bytes; its handler shares this object. */
     bool isWritePending() const { return this->weak_from_this().use_count() > 1; }
 
+    /** Returns whether a code is that of a read that interruptRead() ended. */
+    bool isInterruption(error_code code)
+    {
+        const bool wasInterrupted = std::exchange(this->isInterrupted, false);
+        return wasInterrupted && code == net::error::operation_aborted && !this->hasTimedOut
+                && this->stream.socket().is_open();
+    }
+
+    /**
+     * Returns how many bytes the operating system holds. Unlike a read, this leaves a reported loss
+     * of the connection to the next read.
+     */
+    std::size_t availableBytes() const
+    {
+        error_code code;
+        const std::size_t available = this->stream.socket().available(code);
+        return code ? 0 : available;
+    }
+
     beast::tcp_stream stream;
     net::steady_timer watchdog;
     std::chrono::steady_clock::time_point deadline;
     std::function<void()> idleHook;
     bool isWatchdogArmed = false;
     bool isReading = false;
+    bool isInterrupted = false;
     bool hasTimedOut = false;
+    /** Waits for bytes while no read is pending. */
+    std::function<void()> bytesHook;
     ConnectFailure connectFailure = ConnectFailure::None;
     Endpoint endpoint;
     beast::flat_buffer buffer{maximumReadAheadBytes};
@@ -394,6 +417,13 @@
         error_code code;
         co_await http::async_read_some(state.stream, state.buffer, *state.parser, redirect(code));
         state.isReading = false;
+        if (state.isInterruption(code)) {
+            reason = {ErrorCode::Timeout,
+                      RunState::OutcomeUnknown,
+                      state.endpoint.toString() + ": the read was interrupted",
+                      {}};
+            co_return std::nullopt;
+        }
         if (code && state.hasTimedOut)
             code = beast::error::timeout;
         if (code && code != http::error::need_buffer) {
@@ -503,8 +533,54 @@
     this->implementation->idleHook = std::move(hook);
 }
 
+bool HttpConnection::interruptRead()
+{
+    Implementation &state = *this->implementation;
+    if (!state.isReading || state.isWritePending())
+        return false;
+    state.isInterrupted = true;
+    state.stream.cancel();
+    return true;
+}
+
+void HttpConnection::watchBytes(std::function<void()> hook)
+{
+    Implementation &state = *this->implementation;
+    state.bytesHook = std::move(hook);
+    if (!state.bytesHook || !state.stream.socket().is_open())
+        return;
+    state.stream.socket().async_wait(
+            tcp::socket::wait_read, [weak = state.weak_from_this()](error_code code) {
+                const auto self = weak.lock();
+                if (self && !code && self->bytesHook && self->availableBytes() > 0)
+                    std::exchange(self->bytesHook, nullptr)();
+            });
+}
+
+std::optional<std::string_view> HttpConnection::readAvailable()
+{
+    Implementation &state = *this->implementation;
+    if (!state.parser || state.parser->is_done())
+        return std::nullopt;
+    auto &body = state.parser->get().body();
+    body.data = state.bytes.data();
+    body.size = state.bytes.size();
+    const std::size_t room = beast::read_size(state.buffer, state.bytes.size());
+    if (room == 0 || !state.stream.socket().is_open() || state.availableBytes() == 0)
+        return std::string_view();
+    error_code code;
+    state.buffer.commit(state.stream.socket().read_some(state.buffer.prepare(room), code));
+    while (!code && state.buffer.size() > 0 && !state.parser->is_done())
+        state.buffer.consume(state.parser->put(state.buffer.data(), code));
+    const std::size_t received = state.bytes.size() - body.size;
+    if (received == 0 && state.parser->is_done())
+        return std::nullopt;
+    return std::string_view(state.bytes.data(), received);
+}
+
 void HttpConnection::close()
 {
+    this->implementation->bytesHook = nullptr;
     this->implementation->stream.close();
 }
 
--- a/packages/network/http/httpconnection.h
+++ b/packages/network/http/httpconnection.h
@@ -149,6 +149,31 @@
      */
     void setIdleHook(std::function<void()> hook);
 
+    /**
+     * Ends a pending read of the body with Timeout and keeps the connection open, so that the body
+     * can be read on.
+     *
+     * @return false without effect if no read of the body or a write of the request is pending.
+     */
+    bool interruptRead();
+
+    /**
+     * Calls a hook once bytes of the peer arrive, without reading them; a close calls it not. Must
+     * not be used while a read is pending.
+     *
+     * @param hook replaces the one before; nothing ends the wait.
+     */
+    void watchBytes(std::function<void()> hook);
+
+    /**
+     * Reads the bytes of the body that have arrived, without waiting. Must not be used while a read
+     * is pending. A failure is left to the next read().
+     *
+     * @return the bytes, valid until the next read, empty if there are none; nothing if the body is
+     *     complete.
+     */
+    std::optional<std::string_view> readAvailable();
+
     /** Closes the connection; pending reads and writes fail. */
     void close();
 
--- a/packages/observability/logging/logevent.cpp
+++ b/packages/observability/logging/logevent.cpp
@@ -92,6 +92,7 @@
         LogEventEntry{LogEvent::DomainEvacuated, LogLevel::Warning, "domain_evacuated"},
         LogEventEntry{LogEvent::DomainReturned, LogLevel::Info, "domain_returned"},
         LogEventEntry{LogEvent::StreamPaused, LogLevel::Info, "stream_paused"},
+        LogEventEntry{LogEvent::SilentStreamTried, LogLevel::Info, "silent_stream_tried"},
 };
 
 } // namespace
--- a/packages/observability/logging/logevent.h
+++ b/packages/observability/logging/logevent.h
@@ -94,6 +94,7 @@
     DomainEvacuated = 8032,
     DomainReturned = 8033,
     StreamPaused = 8034,
+    SilentStreamTried = 8035,
 };
 
 /** An entry of the event catalogue. */
