Confirm that a run has ended whose stream is closed while it is being stopped

Cause: EventRelay::ensureRunEnded() took the close for the effect of the request, whether that was declined, lost or outstanding.

Change: RunStop::confirmEnd() asks the engine once more. Event 8036 states the evidence and the time; the log did not show on what a stream went on before.

--- a/packages/gateway/calls/enginecalls.h
+++ b/packages/gateway/calls/enginecalls.h
@@ -54,6 +54,8 @@
     bool isCopied = false;
     /** Whether the engine answered, which shows that its process runs. */
     bool hasAnswered = false;
+    /** Whether a Busy engine stated that it carries out an earlier request for the same run. */
+    bool isInProgress = false;
 };
 
 /** What the address of a server shows of the process there. */
--- a/packages/gateway/relay/eventrelay.cpp
+++ b/packages/gateway/relay/eventrelay.cpp
@@ -916,10 +916,8 @@
             || this->stops.hasFormer();
     if (!this->canAskEngine() || this->stops.hasEnded())
         co_return true;
-    // An engine that stops a run closes its stream first and answers once the copy is complete, for
-    // which the caller would have to wait.
     if (this->stops.hasCurrent())
-        co_return true;
+        co_return co_await this->stops.confirmEnd();
     if (!hasCopy && !this->call.route->isResumable) {
         // A backup that becomes usable later must not be used without the request.
         this->dropBackup();
@@ -965,6 +963,9 @@
     order.isResumable = this->call.route->isResumable;
     order.endAt = this->call.deadlineAt;
     order.isAskedOnce = isAskedOnce;
+    order.mayBeCopying = [requests = this->copyRequests] {
+        return requests->mayBeInProgress();
+    };
     this->stops.start(std::move(order), isTargetBackup,
                       [this](RunStop::Result result) { this->onStopEnd(result); });
 }
@@ -1205,9 +1206,9 @@
     WorkRequest work = this->makeCopyRequest("kept");
     work.softwareVersion = this->placement.softwareVersion;
     work.avoided = {this->placement.server};
-    this->refreshedCopy = std::make_shared<RunCopy>(this->dependencies, this->placement,
-                                                    std::move(work), this->call.metadata.requestId,
-                                                    this->engine()->copyLifetime / 2);
+    this->refreshedCopy = std::make_shared<RunCopy>(
+            this->dependencies, this->placement, std::move(work), this->call.metadata.requestId,
+            this->engine()->copyLifetime / 2, this->copyRequests);
     this->refreshedCopy->start(isUrgent);
 }
 
--- a/packages/gateway/relay/eventrelay.h
+++ b/packages/gateway/relay/eventrelay.h
@@ -182,6 +182,7 @@
     std::optional<Replacement> replacement;
     /** A copy that is refreshed at intervals, if there is no backup. */
     std::shared_ptr<RunCopy> refreshedCopy;
+    std::shared_ptr<CopyRequests> copyRequests = std::make_shared<CopyRequests>();
     /** The complete copy that a declined request to stop the run named. */
     std::optional<StreamPlacement> declinedCopy;
     EventSplitter splitter;
--- a/packages/gateway/relay/runcopy.cpp
+++ b/packages/gateway/relay/runcopy.cpp
@@ -20,15 +20,40 @@
 /** The run of a leaving engine is lost if it finds no room, so more targets are tried for it. */
 constexpr int maximumUrgentTargets = 4;
 
+/** Returns whether a failure is the answer of an engine; see EngineCalls::moveMemory. */
+bool isAnswer(ErrorCode failure)
+{
+    return failure == ErrorCode::NotFound || failure == ErrorCode::Overloaded
+            || failure == ErrorCode::BackendServerRefused;
+}
+
 } // namespace
 
+void CopyRequests::begin()
+{
+    ++this->pendingRequests;
+}
+
+void CopyRequests::end(bool isAnswered)
+{
+    --this->pendingRequests;
+    this->isAnswerLost = this->isAnswerLost || !isAnswered;
+}
+
+bool CopyRequests::mayBeInProgress() const
+{
+    return this->pendingRequests > 0 || this->isAnswerLost;
+}
+
 RunCopy::RunCopy(GatewayDependencies &dependencies, StreamPlacement source, WorkRequest work,
-                 std::string requestId, Milliseconds refreshInterval)
+                 std::string requestId, Milliseconds refreshInterval,
+                 std::shared_ptr<CopyRequests> requests)
     : dependencies(dependencies)
     , source(std::move(source))
     , work(std::move(work))
     , requestId(std::move(requestId))
     , refreshInterval(refreshInterval)
+    , requests(std::move(requests))
     , refreshTimer(dependencies.context)
     , firstResultTimer(dependencies.context, net::steady_timer::time_point::max())
 {
@@ -129,7 +154,9 @@
     const MoveOrder order{this->source.address, this->target->address, this->requestId, false};
     const BackendServerName name = this->target->server;
     Error reason;
+    this->requests->begin();
     auto copy = co_await this->dependencies.engines.moveMemory(order, copyTimeout, reason);
+    this->requests->end(copy || isAnswer(reason.code));
     if (!copy) {
         logEvent(LogEvent::MoveFailed, "request", this->requestId, "from",
                  this->source.server.toString(), "to", name.toString(), "detail", reason.detail);
--- a/packages/gateway/relay/runcopy.h
+++ b/packages/gateway/relay/runcopy.h
@@ -12,6 +12,22 @@
 
 namespace sassafrasyard {
 
+/** The requests of one call to copy the memory of its run. */
+class CopyRequests
+{
+public:
+    /** Records that a request is about to be sent. */
+    void begin();
+    /** Records the end of a request. @param isAnswered whether the engine has answered it. */
+    void end(bool isAnswered);
+    /** Returns whether an engine may still carry a request out. */
+    bool mayBeInProgress() const;
+
+private:
+    int pendingRequests = 0;
+    bool isAnswerLost = false;
+};
+
 /**
  * A copy of a run's memory on another engine that is refreshed at intervals during the run.
  *
@@ -31,9 +47,11 @@
      *     software version of the source.
      * @param requestId identifies the call at the engines.
      * @param refreshInterval in milliseconds.
+     * @param requests records the requests to the engine.
      */
     RunCopy(GatewayDependencies &dependencies, StreamPlacement source, WorkRequest work,
-            std::string requestId, Milliseconds refreshInterval);
+            std::string requestId, Milliseconds refreshInterval,
+            std::shared_ptr<CopyRequests> requests);
     RunCopy(const RunCopy &) = delete;
     RunCopy &operator=(const RunCopy &) = delete;
 
@@ -70,6 +88,7 @@
     WorkRequest work;
     std::string requestId;
     Milliseconds refreshInterval;
+    std::shared_ptr<CopyRequests> requests;
     boost::asio::steady_timer refreshTimer;
     /** Expires when the first copy is complete or all targets have failed. */
     boost::asio::steady_timer firstResultTimer;
--- a/packages/gateway/relay/runstop.cpp
+++ b/packages/gateway/relay/runstop.cpp
@@ -19,6 +19,10 @@
 /** The pause before a request is repeated; it doubles up to the maximum. */
 constexpr Milliseconds firstRepetitionPause{50};
 constexpr Milliseconds maximumRepetitionPause{1000};
+/** The pause between two requests that confirm the end of a run. */
+constexpr Milliseconds confirmationInterval{50};
+/** How long an engine that answers nothing is asked for that; two answers may be lost. */
+constexpr Milliseconds maximumConfirmationTime{4000};
 
 /** Returns whether a host that is cut off from all servers would see the same. */
 bool isLackOfContact(RunEvidence evidence)
@@ -41,6 +45,7 @@
     , repetitionPause(firstRepetitionPause)
     , repetitionTimer(dependencies.context)
     , endTimer(dependencies.context, net::steady_timer::time_point::max())
+    , confirmationTimer(dependencies.context, net::steady_timer::time_point::max())
 {
     const ServerEntry *entry = dependencies.servers.find(this->order.source.server);
     if (entry != nullptr && entry->startedAt != 0)
@@ -74,6 +79,25 @@
     co_return this->isAbandoned ? Result::Declined : this->result;
 }
 
+net::awaitable<bool> RunStop::confirmEnd()
+{
+    const auto self = this->shared_from_this();
+    this->insist();
+    if (this->needsConfirmation()) {
+        this->confirmationSince = this->dependencies.clock.now();
+        this->hasLostAllAnswers = true;
+        this->repetitionPause = firstRepetitionPause;
+        this->repetitionTimer.cancel();
+        net::co_spawn(
+                this->dependencies.context, [self] { return self->askForConfirmation(); },
+                net::detached);
+        boost::system::error_code ignored;
+        co_await this->confirmationTimer.async_wait(
+                net::redirect_error(net::use_awaitable, ignored));
+    }
+    co_return !this->isAbandoned && (this->isEndConfirmed || this->hasEnded());
+}
+
 bool RunStop::hasEnded() const
 {
     return this->result == Result::Ended;
@@ -139,6 +163,7 @@
     this->repetitionTimer.cancel();
     // A changed expiry also ends a wait that starts later, which cancel() would not.
     this->endTimer.expires_at(net::steady_timer::time_point::min());
+    this->confirmationTimer.expires_at(net::steady_timer::time_point::min());
     if (this->result != Result::Pending)
         this->dropUnusedMemory();
 }
@@ -229,13 +254,83 @@
     const Milliseconds left = this->order.endAt - this->dependencies.clock.now();
     const MoveOrder move{this->order.source.address, this->order.target->address,
                          this->order.requestId, true};
+    bool mayBeCopying = this->order.mayBeCopying();
     this->stopRecord->recordRequest();
     RunStopResult answer = co_await this->dependencies.engines.stopRun(
             move, std::clamp(left, Milliseconds(1), answerTimeout), reason);
     this->stopRecord->recordAnswer(answer, !this->isSourceReplaced());
+    const bool isLost = answer.state == RunStopResult::State::Unknown && !answer.hasAnswered;
+    this->hasLostAllAnswers = this->hasLostAllAnswers && isLost;
+    mayBeCopying = mayBeCopying || this->order.mayBeCopying();
+    // An engine that is busy with a request to stop the run has stopped it before anything else.
+    if (answer.isInProgress && !mayBeCopying && this->stopRecord->mayStillAct())
+        this->confirm("in_progress");
     co_return answer;
 }
 
+/** Asks the engine again while the answer to a request is outstanding. */
+net::awaitable<void> RunStop::askForConfirmation()
+{
+    net::steady_timer timer(this->dependencies.context);
+    while (this->needsConfirmation()) {
+        if (this->stopRecord->isPending()) {
+            Error reason;
+            const RunStopResult answer = co_await this->ask(reason);
+            this->applyConfirmation(answer);
+        }
+        if (this->isSilentForLong())
+            this->confirm(toString(RunEvidence::AnswerLost));
+        timer.expires_after(confirmationInterval);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
+    }
+}
+
+void RunStop::applyConfirmation(const RunStopResult &answer)
+{
+    if (answer.memory) {
+        // The former request did not reach the engine, and this one has stopped the run.
+        this->memory = answer.memory;
+        this->isCopied = answer.isCopied;
+        if (this->result == Result::Pending)
+            this->end(Result::Ended, toString(RunEvidence::EngineStopped), {});
+        if (this->isAbandoned)
+            this->dropUnusedMemory();
+        return;
+    }
+    if (answer.state == RunStopResult::State::Stopped && !this->isSourceReplaced())
+        this->confirm(toString(RunEvidence::EngineHasNoRun));
+}
+
+/**
+ * Returns whether the engine accepts requests but has answered none since the stream was closed, so
+ * that nothing but the close shows the end of the run.
+ */
+bool RunStop::isSilentForLong() const
+{
+    const Milliseconds waited = this->dependencies.clock.now() - *this->confirmationSince;
+    return this->hasLostAllAnswers && waited >= maximumConfirmationTime
+            && !this->dependencies.contacts.isUnreached(this->order.service);
+}
+
+/** Returns whether it is not yet known whether the run goes on. */
+bool RunStop::needsConfirmation() const
+{
+    return this->result == Result::Pending && !this->isEndConfirmed && !this->isAbandoned;
+}
+
+/** Records that the engine does not work on the run, although the result is not there yet. */
+void RunStop::confirm(std::string_view evidence)
+{
+    if (!this->confirmationSince || !this->needsConfirmation())
+        return;
+    this->isEndConfirmed = true;
+    this->confirmationTimer.expires_at(net::steady_timer::time_point::min());
+    logEvent(LogEvent::RunEndConfirmed, "request", this->order.requestId, "backend_server",
+             this->order.source.server.toString(), "outcome", std::string(evidence), "waited_ms",
+             std::to_string((this->dependencies.clock.now() - *this->confirmationSince).count()));
+}
+
 net::awaitable<void> RunStop::waitForRepetition()
 {
     this->repetitionTimer.expires_after(this->repetitionPause);
@@ -381,6 +476,7 @@
              std::string(this->isCopied ? "copied" : (this->memory ? "kept" : "none")), "detail",
              std::string(detail));
     this->endTimer.expires_at(net::steady_timer::time_point::min());
+    this->confirmationTimer.expires_at(net::steady_timer::time_point::min());
     if (this->onEnd)
         std::exchange(this->onEnd, nullptr)(newResult);
 }
--- a/packages/gateway/relay/runstop.h
+++ b/packages/gateway/relay/runstop.h
@@ -39,6 +39,10 @@
     Milliseconds endAt{0};
     /** Whether the first answer ends stopping, whatever it says. */
     bool isAskedOnce = false;
+    /** Returns whether the engine may be busy with a request to copy the run. */
+    std::function<bool()> mayBeCopying = [] {
+        return false;
+    };
 };
 
 /**
@@ -71,6 +75,16 @@
     void start();
     /** Repeats the request if the engine declines, because the stream has lost its connection. */
     void insist();
+    /**
+     * Waits until it is known whether a run has ended whose stream was closed after a request.
+     *
+     * The close may have another reason than the request, and the engine may answer that only once
+     * it has copied the memory. So it is asked once more meanwhile: that it has no such run, or is
+     * busy with the former request, shows at once that it has stopped the run.
+     *
+     * @return false if the engine may still work on the run, and after abandon().
+     */
+    boost::asio::awaitable<bool> confirmEnd();
     /** Ends at an instant at the latest, without success if there is no result before. */
     void endBy(Milliseconds instant);
     /** Waits for the result. @return Declined after abandon(). */
@@ -102,6 +116,11 @@
     bool isTarget(const std::optional<BackendServerName> &server) const;
     std::optional<BackendServerName> findOtherEngine() const;
     boost::asio::awaitable<RunStopResult> ask(Error &reason);
+    boost::asio::awaitable<void> askForConfirmation();
+    void applyConfirmation(const RunStopResult &answer);
+    bool isSilentForLong() const;
+    bool needsConfirmation() const;
+    void confirm(std::string_view evidence);
     boost::asio::awaitable<void> waitForRepetition();
     void apply(const RunStopResult &answer, RunEvidence evidence, const Error &reason);
     boost::asio::awaitable<bool> isHostCutOff(bool wasUnreached);
@@ -126,6 +145,13 @@
     Milliseconds repetitionPause;
     boost::asio::steady_timer repetitionTimer;
     boost::asio::steady_timer endTimer;
+    boost::asio::steady_timer confirmationTimer;
+    /** When confirmEnd() was called. */
+    std::optional<Milliseconds> confirmationSince;
+    /** Whether the engine is known not to work on the run, perhaps before the result. */
+    bool isEndConfirmed = false;
+    /** Whether each request that has ended since then was sent and got no answer. */
+    bool hasLostAllAnswers = true;
     Result result = Result::Pending;
     /** The memory of the stopped run at its engine. */
     std::optional<MemoryCopy> memory;
--- a/packages/gateway/relay/runstops.cpp
+++ b/packages/gateway/relay/runstops.cpp
@@ -88,6 +88,17 @@
     co_return co_await this->waitFor(this->current);
 }
 
+net::awaitable<bool> RunStops::confirmEnd()
+{
+    const std::shared_ptr<RunStop> waiting = this->current;
+    this->call.cancelHooks[waiting.get()] = [waiting] {
+        waiting->abandon();
+    };
+    const bool hasEnded = co_await waiting->confirmEnd();
+    this->call.cancelHooks.erase(waiting.get());
+    co_return hasEnded;
+}
+
 net::awaitable<std::optional<StreamPlacement>> RunStops::takeContinuation()
 {
     std::vector<std::shared_ptr<RunStop>> stops = this->former;
--- a/packages/gateway/relay/runstops.h
+++ b/packages/gateway/relay/runstops.h
@@ -71,6 +71,8 @@
 
     /** Waits for the result of the current request, or until the caller has left. */
     boost::asio::awaitable<RunStop::Result> finish();
+    /** Like RunStop::confirmEnd() for the current request; false also once the caller has left. */
+    boost::asio::awaitable<bool> confirmEnd();
     /**
      * Returns the next placement at which a run that was stopped can continue. The run of the
      * latest part has the most memory.
--- a/packages/gateway/relay/stoprecord.cpp
+++ b/packages/gateway/relay/stoprecord.cpp
@@ -42,17 +42,18 @@
 
 void StopRecord::recordRequest()
 {
-    this->isPending = true;
+    ++this->pendingRequests;
     this->answerTimer.expires_at(net::steady_timer::time_point::max());
 }
 
 void StopRecord::recordAnswer(const RunStopResult &answer, bool isFromRun)
 {
-    this->isPending = false;
+    --this->pendingRequests;
     const StopEffect effect = effectOf(answer, isFromRun);
     this->isAnswerLost = this->isAnswerLost || effect == StopEffect::Unknown;
     this->strongestEffect = std::max(this->strongestEffect, effect);
-    this->endWait();
+    if (!this->isPending())
+        this->endWait();
 }
 
 /**
@@ -83,12 +84,17 @@
 StopEffect StopRecord::effect() const
 {
     return std::max(this->strongestEffect,
-                    this->isPending ? StopEffect::Pending : StopEffect::None);
+                    this->isPending() ? StopEffect::Pending : StopEffect::None);
+}
+
+bool StopRecord::isPending() const
+{
+    return this->pendingRequests > 0;
 }
 
 bool StopRecord::mayStillAct() const
 {
-    return this->isPending || this->isAnswerLost;
+    return this->isPending() || this->isAnswerLost;
 }
 
 net::awaitable<void> StopRecord::waitForAnswer()
--- a/packages/gateway/relay/stoprecord.h
+++ b/packages/gateway/relay/stoprecord.h
@@ -34,7 +34,7 @@
 std::string_view toString(StopEffect effect);
 
 /**
- * The requests of one RunStop and their answers.
+ * The requests of one RunStop and their answers; two may be outstanding at once.
  *
  * It outlives the RunStop at its relay, because an engine may act on a request that nobody awaits
  * any more.
@@ -52,13 +52,15 @@
     /** Records that a request is about to be sent. */
     void recordRequest();
     /**
-     * Records the answer to that request, or that there is none.
+     * Records the answer to a request, or that there is none.
      *
      * @param isFromRun whether the engine's process is still the one that runs the call.
      */
     void recordAnswer(const RunStopResult &answer, bool isFromRun);
     /** Returns what the requests may have done so far. */
     StopEffect effect() const;
+    /** Returns whether an answer is outstanding. */
+    bool isPending() const;
     /** Returns whether the engine may still act on a request. */
     bool mayStillAct() const;
     /** Waits until no answer is outstanding, or for endWait(). */
@@ -72,7 +74,7 @@
     BackendServerName engine;
     /** Expires when no answer is outstanding. */
     boost::asio::steady_timer answerTimer;
-    bool isPending = false;
+    int pendingRequests = 0;
     bool isAnswerLost = false;
     /** The strongest effect of the answered requests. */
     StopEffect strongestEffect = StopEffect::None;
--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -575,6 +576,11 @@
     std::function<Milliseconds(const MoveOrder &)> stopAnswerTime = [](const MoveOrder &) {
         return Milliseconds(0);
     };
+    /**
+     * Whether an engine that copies a run which it has stopped says that it has no such run. By
+     * default it says that it is busy with the former request; both come without a delay.
+     */
+    bool isRunAbsentDuringStop = false;
     /** Whether an answer to such a request is lost if it takes longer than the host waits for it.
      */
     bool losesLateAnswers = false;
@@ -677,14 +683,22 @@
         calls.stopRun = [this](MoveOrder order, Milliseconds timeout,
                                Error &) -> boost::asio::awaitable<RunStopResult> {
             this->stops.push_back(order);
+            const std::string run = order.sourceAddress + "/" + order.requestId;
+            if (this->stopsInProgress.contains(run))
+                co_return this->answerDuringStop();
             RunStopResult answer = this->answerStop(order);
+            const bool isCopying = answer.memory.has_value();
             Milliseconds answerTime = this->stopAnswerTime(order);
             if (this->losesLateAnswers && answerTime > timeout) {
                 answerTime = timeout;
                 answer = {};
             }
+            if (isCopying)
+                this->stopsInProgress.insert(run);
             if (answerTime > Milliseconds(0))
                 co_await pause(answerTime);
+            if (isCopying)
+                this->stopsInProgress.erase(run);
             co_return answer;
         };
         calls.dropMemory = [](MemoryCopy) -> boost::asio::awaitable<void> {
@@ -698,6 +712,17 @@
         return calls;
     }
 
+    /** Returns the answer of an engine that is busy with a request to stop the same run. */
+    RunStopResult answerDuringStop() const
+    {
+        RunStopResult answer;
+        answer.hasAnswered = true;
+        answer.isInProgress = !this->isRunAbsentDuringStop;
+        answer.state = this->isRunAbsentDuringStop ? RunStopResult::State::Stopped
+                                                   : RunStopResult::State::Busy;
+        return answer;
+    }
+
     /** Takes a stand-in that accepts a connection for one whose process lives. */
     boost::asio::awaitable<ProcessAnswer> connectTo(std::string address, Milliseconds timeout)
     {
@@ -760,6 +785,8 @@
     std::vector<Route> routes;
     std::map<std::string, std::shared_ptr<boost::asio::ip::tcp::acceptor>> rawListeners;
     std::map<std::string, std::vector<std::weak_ptr<boost::asio::ip::tcp::socket>>> rawSockets;
+    /** The runs that engines have stopped and copy. */
+    std::set<std::string> stopsInProgress;
     std::vector<std::unique_ptr<HttpServer>> standIns;
     std::map<std::string, HttpServer *> standInsByName;
     std::uint64_t version = 0;
--- a/packages/gateway/tests/test_runmoves.cpp
+++ b/packages/gateway/tests/test_runmoves.cpp
@@ -1,4 +1,5 @@
 #include "gatewayfixture.h"
+#include "unframedengines.h"
 
 #include <catch2/catch.hpp>
 
@@ -61,9 +62,10 @@
 class MovingEngines
 {
 public:
-    explicit MovingEngines(const std::vector<std::string> &names = {"a", "b"})
+    explicit MovingEngines(const std::vector<std::string> &names = {"a", "b"},
+                           const EngineProperties &engine = makeEngineProperties())
     {
-        this->fixture.addRoute(makeStreamRoute(), makeEngineProperties());
+        this->fixture.addRoute(makeStreamRoute(), engine);
         for (const std::string &name : names) {
             this->fixture.addServer(name,
                                     [this, name](const HttpRequest &request,
@@ -87,6 +89,14 @@
 
     /** How long the answer to a request to stop the run takes. */
     Milliseconds answerTime{0};
+    /** Until when the engine copies its run, which it can't stop meanwhile. */
+    Milliseconds copiesUntil{0};
+    /** Whether the stream loses its connection when the engine is first asked during a copy. */
+    bool losesConnectionAtCopy = false;
+    /** Whether the process of the first engine ends when it is first asked to stop the run. */
+    bool exitsAtRequest = false;
+    /** When the engine of the first run leaves. */
+    Milliseconds leaveTime{leavesAfter};
     /**
      * Whether the first request to stop the run gets no answer and does not stop it, and the stream
      * loses its connection.
@@ -132,7 +142,7 @@
         net::co_spawn(
                 this->fixture.context,
                 [this, name]() -> net::awaitable<void> {
-                    co_await GatewayFixture::pause(leavesAfter);
+                    co_await GatewayFixture::pause(this->leaveTime);
                     this->fixture.markLeaving(name);
                 },
                 net::detached);
@@ -168,13 +178,24 @@
     {
         RunStopResult result;
         result.state = RunStopResult::State::Stopped;
+        result.hasAnswered = true;
         const std::string name = this->nameOf(order.sourceAddress);
+        const Milliseconds now = Clock::steady().now();
+        const bool isFirstRequest = this->fixture.stops.size() == 1;
+        if (this->exitsAtRequest)
+            return this->exit(name, isFirstRequest);
+        if (now < this->copiesUntil) {
+            result.state = RunStopResult::State::Busy;
+            result.isInProgress = true;
+            if (std::exchange(this->losesConnectionAtCopy, false))
+                this->disconnected.insert(name);
+            return result;
+        }
         if (!this->working.contains(name))
             return result;
         if (std::exchange(this->losesFirstRequest, false)) {
             this->disconnected.insert(name);
-            result.state = RunStopResult::State::Unknown;
-            return result;
+            return {};
         }
         this->stopped.insert(name);
         this->working.erase(name);
@@ -182,6 +203,17 @@
         return result;
     }
 
+    /** Ends the process of an engine. @return what its host sees of that. */
+    RunStopResult exit(const std::string &name, bool isFirstRequest)
+    {
+        this->stopped.insert(name);
+        this->working.erase(name);
+        RunStopResult result;
+        if (!isFirstRequest)
+            result.state = RunStopResult::State::Unreachable;
+        return result;
+    }
+
     std::string nameOf(const std::string &address)
     {
         for (const char *name : {"a", "b", "c"}) {
@@ -214,6 +246,93 @@
     REQUIRE(engines.fixture.stops.size() == 2);
 }
 
+// Guards against a run on two engines at once, because the connection to the first one is lost
+// while that declines to stop the run until a copy is complete.
+TEST_CASE("A run that is being copied is stopped before it goes on elsewhere", "[stopanswer]")
+{
+    constexpr Milliseconds copyTime{800};
+    EngineProperties properties = makeEngineProperties();
+    properties.supportsBackup = false;
+    properties.copyLifetime = Milliseconds(600);
+    MovingEngines engines({"a", "b"}, properties);
+    engines.usableCopies = {"handle", "kept"};
+    engines.leaveTime = Milliseconds(1600);
+    engines.losesConnectionAtCopy = true;
+    engines.answerTime = GENERATE(Milliseconds(0), Milliseconds(300));
+    engines.fixture.allowsMove = [](const MoveOrder &) {
+        return true;
+    };
+    engines.fixture.moveAnswerTime = [&](const MoveOrder &) {
+        const bool isFirst = engines.fixture.moves.size() == 1;
+        if (!isFirst)
+            engines.copiesUntil = Clock::steady().now() + copyTime;
+        return isFirst ? Milliseconds(0) : copyTime;
+    };
+    REQUIRE(engines.call().body == allEvents());
+    REQUIRE(engines.mostAtOnce == 1);
+    REQUIRE(engines.runs.size() == 2);
+    REQUIRE(engines.runs[0] != engines.runs[1]);
+    REQUIRE_FALSE(engines.losesConnectionAtCopy);
+}
+
+// Guards against a stream that waits until its stopped run was copied, although the engine says at
+// once that it does not work on the run any more.
+TEST_CASE("A run that was stopped goes on before it is copied", "[stopanswer]")
+{
+    MovingEngines engines;
+    engines.usableCopies = {"r1", "kept"};
+    engines.answerTime = Milliseconds(1500);
+    engines.fixture.isRunAbsentDuringStop = GENERATE(true, false);
+    REQUIRE(engines.call().body == allEvents());
+    REQUIRE(engines.mostAtOnce == 1);
+    REQUIRE(engines.runs.size() == 2);
+    REQUIRE(engines.runs[0] != engines.runs[1]);
+    REQUIRE(engines.fixture.longestPause < Milliseconds(500));
+}
+
+// Guards against a stream that waits for the answer of an engine whose process has ended.
+TEST_CASE("A run goes on elsewhere if its engine exits instead of an answer", "[stopanswer]")
+{
+    MovingEngines engines;
+    engines.usableCopies = {"r1", "kept"};
+    engines.exitsAtRequest = true;
+    REQUIRE(engines.call().body == allEvents());
+    REQUIRE(engines.runs.size() == 2);
+    REQUIRE(engines.runs[0] != engines.runs[1]);
+    REQUIRE(engines.fixture.longestPause < Milliseconds(1000));
+}
+
+// Guards against a run on two engines at once, because its connection is reset while its engine
+// does not take requests to stop it, whatever the framing and the kind of its stream.
+TEST_CASE("A run whose engine is busy is stopped before it goes on elsewhere", "[stopanswer]")
+{
+    UnframedCases cases;
+    for (const bool isChunked : {true, false}) {
+        for (const bool isResumable : {true, false}) {
+            const auto prepare = [&](UnframedEngines &engines) {
+                engines.isChunked = isChunked;
+                engines.stopsRuns = false;
+                engines.losesConnectionBefore = 48;
+                engines.changeAnswer = [&engines](RunStopResult answer) {
+                    if (answer.state == RunStopResult::State::Declined)
+                        answer.state = RunStopResult::State::Busy;
+                    engines.stopsRuns = engines.fixture.stops.size() >= 4;
+                    return answer;
+                };
+            };
+            const auto check = [](UnframedEngines &engines) {
+                CHECK(engines.answer->body == UnframedEngines::events());
+                CHECK(engines.mostAtOnce == 1);
+                CHECK(engines.runs.size() == 2);
+            };
+            cases.add(prepare, check,
+                      isResumable ? UnframedEngines::makeResumableRoute()
+                                  : UnframedEngines::makeRoute());
+        }
+    }
+    cases.run();
+}
+
 // Guards against a continuation that is cancelled before its response, because the host closes the
 // stream of the stopped run a moment after the request to stop it.
 TEST_CASE("A continuation has its time until the response begins", "[runmoves]")
--- a/packages/gateway/tests/test_stoprecord.cpp
+++ b/packages/gateway/tests/test_stoprecord.cpp
@@ -215,6 +215,23 @@
     CHECK(recorder.runWait());
 }
 
+// Guards against a wait that ends with the first of two outstanding answers.
+TEST_CASE("A wait ends with the last of two outstanding answers", "[stoprecord]")
+{
+    Recorder recorder;
+    recorder.record.recordRequest();
+    recorder.record.recordRequest();
+    recorder.startWait();
+    recorder.answer(busy);
+    REQUIRE_FALSE(recorder.runWait());
+    CHECK(recorder.record.isPending());
+    CHECK(recorder.record.effect() == StopEffect::Pending);
+    recorder.answer(copiedOrKept);
+    CHECK(recorder.runWait());
+    CHECK_FALSE(recorder.record.isPending());
+    CHECK(recorder.record.effect() == StopEffect::Stopped);
+}
+
 // Guards against a call that waits on after its caller has left.
 TEST_CASE("A wait can be ended before the answer", "[stoprecord]")
 {
--- a/packages/observability/logging/logevent.cpp
+++ b/packages/observability/logging/logevent.cpp
@@ -93,6 +93,7 @@
         LogEventEntry{LogEvent::DomainReturned, LogLevel::Info, "domain_returned"},
         LogEventEntry{LogEvent::StreamPaused, LogLevel::Info, "stream_paused"},
         LogEventEntry{LogEvent::SilentStreamTried, LogLevel::Info, "silent_stream_tried"},
+        LogEventEntry{LogEvent::RunEndConfirmed, LogLevel::Info, "run_end_confirmed"},
 };
 
 } // namespace
--- a/packages/observability/logging/logevent.h
+++ b/packages/observability/logging/logevent.h
@@ -95,6 +95,7 @@
     DomainReturned = 8033,
     StreamPaused = 8034,
     SilentStreamTried = 8035,
+    RunEndConfirmed = 8036,
 };
 
 /** An entry of the event catalogue. */
