Take no engine for busy with a stop that is busy for another reason

An engine that answers 409 to two requests at once confirmed the end of the run with the first answer, because the second request was still under way. Found by reading, before any caller could see it.

New case of gateway_stopanswer: "An engine that is busy for another reason has not stopped the run".

--- a/packages/gateway/relay/runstop.cpp
+++ b/packages/gateway/relay/runstop.cpp
@@ -255,19 +255,42 @@
     const MoveOrder move{this->order.source.address, this->order.target->address,
                          this->order.requestId, true};
     bool mayBeCopying = this->order.mayBeCopying();
+    const std::set<std::uint32_t> earlier = this->outstandingRequests;
+    const std::uint32_t request = ++this->requestCount;
+    this->outstandingRequests.insert(request);
     this->stopRecord->recordRequest();
     RunStopResult answer = co_await this->dependencies.engines.stopRun(
             move, std::clamp(left, Milliseconds(1), answerTimeout), reason);
+    this->outstandingRequests.erase(request);
     this->stopRecord->recordAnswer(answer, !this->isSourceReplaced());
     const bool isLost = answer.state == RunStopResult::State::Unknown && !answer.hasAnswered;
     this->hasLostAllAnswers = this->hasLostAllAnswers && isLost;
     mayBeCopying = mayBeCopying || this->order.mayBeCopying();
-    // An engine that is busy with a request to stop the run has stopped it before anything else.
-    if (answer.isInProgress && !mayBeCopying && this->stopRecord->mayStillAct())
-        this->confirm("in_progress");
+    if (answer.isInProgress && !mayBeCopying && this->confirmationSince)
+        co_await this->confirmBusyEngine(earlier);
     co_return answer;
 }
 
+/**
+ * Confirms the end of a run whose engine is busy with an earlier request to stop it, which it
+ * carries out before anything else. A request that the engine declines is answered at once, so one
+ * that is still outstanding after a moment is the reason.
+ *
+ * @param earlier the requests that were outstanding when the one was sent that found it busy.
+ */
+net::awaitable<void> RunStop::confirmBusyEngine(std::set<std::uint32_t> earlier)
+{
+    net::steady_timer timer(this->dependencies.context, confirmationInterval);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
+    const bool isOutstanding =
+            std::any_of(earlier.begin(), earlier.end(), [this](std::uint32_t request) {
+                return this->outstandingRequests.contains(request);
+            });
+    if ((isOutstanding || this->stopRecord->hasLostAnswer()) && !this->order.mayBeCopying())
+        this->confirm("in_progress");
+}
+
 /** Asks the engine again while the answer to a request is outstanding. */
 net::awaitable<void> RunStop::askForConfirmation()
 {
--- a/packages/gateway/relay/runstop.h
+++ b/packages/gateway/relay/runstop.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -117,6 +118,7 @@
     std::optional<BackendServerName> findOtherEngine() const;
     boost::asio::awaitable<RunStopResult> ask(Error &reason);
     boost::asio::awaitable<void> askForConfirmation();
+    boost::asio::awaitable<void> confirmBusyEngine(std::set<std::uint32_t> earlier);
     void applyConfirmation(const RunStopResult &answer);
     bool isSilentForLong() const;
     bool needsConfirmation() const;
@@ -150,6 +152,9 @@
     std::optional<Milliseconds> confirmationSince;
     /** Whether the engine is known not to work on the run, perhaps before the result. */
     bool isEndConfirmed = false;
+    std::uint32_t requestCount = 0;
+    /** The numbers of the requests without an answer. */
+    std::set<std::uint32_t> outstandingRequests;
     /** Whether each request that has ended since then was sent and got no answer. */
     bool hasLostAllAnswers = true;
     Result result = Result::Pending;
--- a/packages/gateway/relay/stoprecord.cpp
+++ b/packages/gateway/relay/stoprecord.cpp
@@ -92,6 +92,11 @@
     return this->pendingRequests > 0;
 }
 
+bool StopRecord::hasLostAnswer() const
+{
+    return this->isAnswerLost;
+}
+
 bool StopRecord::mayStillAct() const
 {
     return this->isPending() || this->isAnswerLost;
--- a/packages/gateway/relay/stoprecord.h
+++ b/packages/gateway/relay/stoprecord.h
@@ -61,6 +61,8 @@
     StopEffect effect() const;
     /** Returns whether an answer is outstanding. */
     bool isPending() const;
+    /** Returns whether the answer to a request was lost. */
+    bool hasLostAnswer() const;
     /** Returns whether the engine may still act on a request. */
     bool mayStillAct() const;
     /** Waits until no answer is outstanding, or for endWait(). */
--- a/packages/gateway/tests/test_runmoves.cpp
+++ b/packages/gateway/tests/test_runmoves.cpp
@@ -275,6 +275,27 @@
     REQUIRE_FALSE(engines.losesConnectionAtCopy);
 }
 
+// Guards against a run on two engines at once, because an engine that is busy for a reason of its
+// own is taken for one that is busy with the request to stop the run.
+TEST_CASE("An engine that is busy for another reason has not stopped the run", "[stopanswer]")
+{
+    MovingEngines engines;
+    engines.usableCopies = {"r1", "kept"};
+    engines.losesConnectionAtCopy = true;
+    engines.fixture.spawn([&]() -> net::awaitable<void> {
+        co_await GatewayFixture::pause(leavesAfter);
+        engines.copiesUntil = Clock::steady().now() + Milliseconds(1200);
+    });
+    engines.fixture.stopAnswerTime = [](const MoveOrder &) {
+        return Milliseconds(15);
+    };
+    REQUIRE(engines.call().body == allEvents());
+    REQUIRE(engines.mostAtOnce == 1);
+    REQUIRE(engines.runs.size() == 2);
+    REQUIRE(engines.runs[0] != engines.runs[1]);
+    REQUIRE_FALSE(engines.losesConnectionAtCopy);
+}
+
 // Guards against a stream that waits until its stopped run was copied, although the engine says at
 // once that it does not work on the run any more.
 TEST_CASE("A run that was stopped goes on before it is copied", "[stopanswer]")
